--- /dev/null
+++ b/jest.config.cjs
@@ -0,0 +1,28 @@
+/** Jest runs the TypeScript sources directly; ESM-only libraries are transformed too. */
+const esmPackages = [
+  "p-queue",
+  "p-timeout",
+  "eventemitter3",
+  "consola",
+  "clipanion",
+  "xxhash-wasm",
+  "@bufbuild",
+  "tinybench",
+  "fast-check",
+  "pure-rand",
+];
+
+module.exports = {
+  testEnvironment: "node",
+  testMatch: ["<rootDir>/src/**/*_test.ts", "<rootDir>/test/**/*_test.ts"],
+  transform: {
+    "^.+\\.(t|j)s$": ["@swc/jest", {
+      jsc: { parser: { syntax: "typescript" }, target: "es2022" },
+      module: { type: "commonjs" },
+    }],
+  },
+  transformIgnorePatterns: [
+    `/node_modules/(?!(${esmPackages.join("|")})/)`,
+  ],
+  moduleFileExtensions: ["ts", "js", "json"],
+};
--- /dev/null
+++ b/scripts/build.js
@@ -0,0 +1,39 @@
+/**
+ * Builds the one binary: bundles src/main.ts to CommonJS, then writes it into
+ * a copy of the running Node.js executable as a single executable application.
+ */
+import { execFileSync } from "node:child_process";
+import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from "node:fs";
+import { build } from "esbuild";
+
+const fuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
+
+mkdirSync("dist", { recursive: true });
+await build({
+  entryPoints: ["src/main.ts"],
+  outfile: "dist/mimosatray.cjs",
+  bundle: true,
+  platform: "node",
+  target: "node20",
+  format: "cjs",
+  mainFields: ["module", "main"],
+  logLevel: "warning",
+});
+writeFileSync(
+  "dist/sea.json",
+  JSON.stringify({
+    main: "dist/mimosatray.cjs",
+    output: "dist/sea.blob",
+    disableExperimentalSEAWarning: true,
+  }),
+);
+execFileSync(process.execPath, ["--experimental-sea-config", "dist/sea.json"]);
+copyFileSync(process.execPath, "dist/mimosatray");
+chmodSync("dist/mimosatray", 0o755);
+execFileSync("node_modules/.bin/postject", [
+  "dist/mimosatray",
+  "NODE_SEA_BLOB",
+  "dist/sea.blob",
+  "--sentinel-fuse",
+  fuse,
+], { stdio: "ignore" });
--- /dev/null
+++ b/src/process/log.ts
@@ -0,0 +1,78 @@
+/** Logs of a process: one JSON object a line, on standard error. */
+
+import { createConsola, type LogObject } from "consola";
+
+/** Values that a log line may carry. */
+export type LogFields = Readonly<
+  Record<string, string | number | boolean | undefined>
+>;
+
+/** Severity of a log line, from the least to the most urgent. */
+export type LogLevel = "debug" | "info" | "warn" | "error";
+
+/** Writes log lines. */
+export interface Log {
+  debug(message: string, fields?: LogFields): void;
+  info(message: string, fields?: LogFields): void;
+  warn(message: string, fields?: LogFields): void;
+  error(message: string, fields?: LogFields): void;
+}
+
+/** What a log needs from outside. */
+export interface LogHost {
+  /** Writes one line, without its line break. */
+  writeLine(line: string): void;
+}
+
+/** Numbers by which the logging library knows the levels. */
+const consolaLevels: Readonly<Record<LogLevel, number>> = {
+  error: 0,
+  warn: 1,
+  info: 3,
+  debug: 4,
+};
+
+/** Creates a log whose lines all carry `fields`. */
+export function createLog(
+  host: LogHost,
+  options: { readonly level: LogLevel; readonly fields: LogFields },
+): Log {
+  const logger = createConsola({
+    level: consolaLevels[options.level],
+    throttle: 0,
+    reporters: [{ log: report }],
+  });
+
+  return {
+    debug: (message, fields) => logger.debug({ message, fields }),
+    info: (message, fields) => logger.info({ message, fields }),
+    warn: (message, fields) => logger.warn({ message, fields }),
+    error: (message, fields) => logger.error({ message, fields }),
+  };
+
+  function report(entry: LogObject): void {
+    const fields = (entry as { fields?: LogFields }).fields;
+    host.writeLine(JSON.stringify({
+      time: entry.date.toISOString(),
+      level: entry.type,
+      message: entry.message ?? String(entry.args[0] ?? ""),
+      ...options.fields,
+      ...fields,
+    }));
+  }
+}
+
+/** The host of a process: lines go to standard error. */
+export function createStandardErrorHost(): LogHost {
+  return {
+    writeLine: (line) => {
+      process.stderr.write(`${line}\n`);
+    },
+  };
+}
+
+/** A log that writes nothing, for tests and tools. */
+export function createSilentLog(): Log {
+  const ignore = (): void => undefined;
+  return { debug: ignore, info: ignore, warn: ignore, error: ignore };
+}
--- /dev/null
+++ b/src/types/diagnostics.ts
@@ -0,0 +1,260 @@
+/** The one table of all messages that users see. */
+
+import type { Outcome } from "./outcome.ts";
+
+/** Shape of one row: stable code, category, HTTP status and text. */
+export interface Diagnostic {
+  readonly category: Outcome | "operator" | "settings";
+  /** HTTP status of an answer that carries this diagnostic. */
+  readonly status: number;
+  /** Text with placeholders such as `{service}`. */
+  readonly text: string;
+}
+
+/** All diagnostics by code. Codes never change their meaning. */
+export const diagnostics = {
+  target_full: {
+    category: "not_run",
+    status: 503,
+    text: "All targets of {service} are at their load limit",
+  },
+  queue_wait_too_long: {
+    category: "not_run",
+    status: 503,
+    text: "The wait at {service} would pass the deadline",
+  },
+  no_target: {
+    category: "not_run",
+    status: 503,
+    text: "No target of {service} is available",
+  },
+  target_leaving: {
+    category: "not_run",
+    status: 503,
+    text: "The target of {service} is leaving",
+  },
+  wrong_incarnation: {
+    category: "not_run",
+    status: 503,
+    text: "The target of {service} was replaced before the request reached it",
+  },
+  attempt_settled: {
+    category: "not_run",
+    status: 503,
+    text: "The attempt was withdrawn before it started",
+  },
+  attempt_repeated: {
+    category: "not_run",
+    status: 409,
+    text: "The attempt has already been received",
+  },
+  request_quarantined: {
+    category: "not_run",
+    status: 422,
+    text: "The request was in flight at {crashes} crashes and is held back",
+  },
+  retry_budget_spent: {
+    category: "not_run",
+    status: 503,
+    text: "The budget for retries is spent",
+  },
+  workspace_limited: {
+    category: "not_run",
+    status: 429,
+    text: "Workspace {workspace} is over its limit of requests per second",
+  },
+  router_busy: {
+    category: "not_run",
+    status: 503,
+    text: "The router has too many requests in flight",
+  },
+  router_stopping: {
+    category: "not_run",
+    status: 503,
+    text: "The router is shutting down",
+  },
+  claims_unavailable: {
+    category: "not_run",
+    status: 503,
+    text: "The idempotency key cannot be recorded now",
+  },
+  deadline_passed: {
+    category: "not_run",
+    status: 504,
+    text: "The deadline passed before the request started",
+  },
+  key_reused: {
+    category: "not_run",
+    status: 422,
+    text: "The idempotency key was used with another request",
+  },
+  request_running: {
+    category: "unknown",
+    status: 409,
+    text: "The first request with this idempotency key is still running",
+  },
+  outcome_unknown: {
+    category: "unknown",
+    status: 502,
+    text: "The target may have run the request, its answer is lost",
+  },
+  answer_gone: {
+    category: "unknown",
+    status: 410,
+    text: "The request has run, its answer is no longer kept",
+  },
+  answer_cut: {
+    category: "failed",
+    status: 502,
+    text: "The answer ended early after {bytes} bytes",
+  },
+  target_crashed: {
+    category: "failed",
+    status: 502,
+    text: "The target stopped while it ran the request",
+  },
+  target_error: {
+    category: "failed",
+    status: 502,
+    text: "The target could not be reached or answered badly",
+  },
+  deadline_exceeded: {
+    category: "failed",
+    status: 504,
+    text: "The deadline passed while the request ran",
+  },
+  caller_gone: {
+    category: "failed",
+    status: 499,
+    text: "The caller closed the connection",
+  },
+  unknown_service: {
+    category: "not_run",
+    status: 404,
+    text: "There is no service {service}",
+  },
+  unknown_workspace: {
+    category: "not_run",
+    status: 404,
+    text: "There is no workspace {workspace}",
+  },
+  service_not_allowed: {
+    category: "not_run",
+    status: 403,
+    text: "Workspace {workspace} may not use service {service}",
+  },
+  bad_json: {
+    category: "not_run",
+    status: 400,
+    text: "The body is not JSON: {reason}",
+  },
+  bad_field: {
+    category: "not_run",
+    status: 400,
+    text: "Field {field} must be {expected}",
+  },
+  body_too_large: {
+    category: "not_run",
+    status: 413,
+    text: "The body is larger than {limit} bytes",
+  },
+  body_cut: {
+    category: "not_run",
+    status: 400,
+    text: "The body ended before its announced length",
+  },
+  not_found: {
+    category: "not_run",
+    status: 404,
+    text: "There is nothing at {path}",
+  },
+  patch_conflict: {
+    category: "operator",
+    status: 409,
+    text: "Version {version} by {operator} already changed {entry}",
+  },
+  patch_base_ahead: {
+    category: "operator",
+    status: 409,
+    text: "Base version {base} is ahead of version {version}",
+  },
+  patch_invalid: {
+    category: "operator",
+    status: 422,
+    text: "Patch field {field} must be {expected}",
+  },
+  patch_unknown: {
+    category: "operator",
+    status: 404,
+    text: "No patch with id {id} has been accepted",
+  },
+  patch_outcome_unknown: {
+    category: "operator",
+    status: 503,
+    text: "The platform gave no answer, ask for patch {id} again",
+  },
+  platform_unavailable: {
+    category: "operator",
+    status: 503,
+    text: "The platform's service does not answer, nothing was changed",
+  },
+  order_fenced: {
+    category: "operator",
+    status: 409,
+    text: "A newer order holds the target",
+  },
+  settings_invalid: {
+    category: "settings",
+    status: 0,
+    text: "{file}:{line}:{column}: {field} must be {expected}",
+  },
+  settings_unknown: {
+    category: "settings",
+    status: 0,
+    text: "{file}:{line}:{column}: {field} is not a setting",
+  },
+  settings_unreadable: {
+    category: "settings",
+    status: 0,
+    text: "{file}: the file cannot be read: {reason}",
+  },
+} as const satisfies Record<string, Diagnostic>;
+
+/** The stable code of a diagnostic. */
+export type DiagnosticCode = keyof typeof diagnostics;
+
+/** A diagnostic with its placeholders filled. */
+export interface Report {
+  readonly code: DiagnosticCode;
+  readonly values: Readonly<Record<string, string | number>>;
+  /** When the caller should come back; 0 when it makes no sense. */
+  readonly retryAfterMs: number;
+}
+
+/** True when the text is a code of the table. */
+export function isDiagnosticCode(code: string): code is DiagnosticCode {
+  return Object.hasOwn(diagnostics, code);
+}
+
+/** Returns the row of a code. */
+export function getDiagnostic(code: DiagnosticCode): Diagnostic {
+  return diagnostics[code];
+}
+
+/** Fills the placeholders of a diagnostic's text. */
+export function formatReport(report: Report): string {
+  const text: string = diagnostics[report.code].text;
+  return text.replace(
+    /\{(\w+)\}/g,
+    (_match, name: string) => String(report.values[name] ?? `{${name}}`),
+  );
+}
+
+/** Builds a report. */
+export function createReport(
+  code: DiagnosticCode,
+  values: Report["values"] = {},
+  options: { readonly retryAfterMs?: number } = {},
+): Report {
+  return { code, values, retryAfterMs: options.retryAfterMs ?? 0 };
+}
--- /dev/null
+++ b/src/types/settings.ts
@@ -0,0 +1,63 @@
+/** Settings of one process, read from a JSON file with comments. */
+
+/** Settings that every role has. */
+export interface CommonSettings {
+  /** Unique name of the process, such as `router-a1`. */
+  readonly id: string;
+  /** IP number that the process listens on and is reached at. */
+  readonly address: string;
+  readonly zone: string;
+  readonly region: string;
+  /** The VM as the platform's list names it. */
+  readonly vm: string;
+  /** Base URLs of the platform's key-value service and VM list. */
+  readonly platform: {
+    readonly keyValue: string;
+    readonly vmList: string;
+    /** Calls per second this process may make. */
+    readonly callsPerSecond: number;
+  };
+  /** Gossip addresses (`ip:port`) to start from when the platform is down. */
+  readonly seeds: readonly string[];
+  /** Port for gRPC between processes. */
+  readonly grpcPort: number;
+  /** UDP port for digests between processes. */
+  readonly gossipPort: number;
+  /** Port for operators: health, metrics, dump, configuration. */
+  readonly adminPort: number;
+  /** Hard limit of control traffic, in bytes per second. */
+  readonly controlBytesPerSecond: number;
+  /** Longest wait of a graceful shutdown, in milliseconds. */
+  readonly shutdownMs: number;
+  readonly logLevel: "debug" | "info" | "warn" | "error";
+}
+
+/** Settings of a router. */
+export interface RouterSettings extends CommonSettings {
+  readonly role: "router";
+  /** Port for callers. */
+  readonly callerPort: number;
+  /** Largest request body, in bytes. */
+  readonly maxBodyBytes: number;
+  /** Requests in flight at one time; more are refused at once. */
+  readonly maxInFlight: number;
+}
+
+/** Settings of an agent. */
+export interface AgentSettings extends CommonSettings {
+  readonly role: "agent";
+  /** Service of the target. */
+  readonly service: string;
+  /** Base URL of the target. */
+  readonly target: string;
+  readonly kind: "model" | "plain";
+  /** Relative capacity of the target; 100 for a usual one. */
+  readonly weight: number;
+  /** Bytes of finished answers kept for resends. */
+  readonly keptAnswerBytes: number;
+  /** Time that finished answers are kept, in milliseconds. */
+  readonly keptAnswerMs: number;
+}
+
+/** Settings of any role. */
+export type Settings = RouterSettings | AgentSettings;
