--- /dev/null
+++ b/src/process/settings_fields.ts
@@ -0,0 +1,143 @@
+/** The table of settings: what each must be and its default. */
+
+/** One setting: what it must be, and its value when it is left out. */
+export interface SettingField {
+  /** Completes the sentence "field must be ...". */
+  readonly expected: string;
+  accepts(value: unknown): boolean;
+  /** Absent when the setting is required. */
+  readonly fallback?: unknown;
+}
+
+/** Settings by path, such as `platform.keyValue`. */
+export type SettingFields = Readonly<Record<string, SettingField>>;
+
+/** Ports that a process may listen on. */
+const highestPort = 65_535;
+
+/** Smallest number of bytes per second that carries the exchange. */
+const leastControlBytesPerSecond = 1_000;
+
+/** Longest wait of a graceful shutdown, in milliseconds. */
+const longestShutdownMs = 3_600_000;
+
+const text: SettingField = {
+  expected: "a text that is not empty",
+  accepts: (value) => typeof value === "string" && value.length > 0,
+};
+
+const ipNumber: SettingField = {
+  expected: 'an IP number such as "10.0.0.7"',
+  accepts: isIpNumber,
+};
+
+const port: SettingField = numberField(1, highestPort);
+
+const baseUrl: SettingField = {
+  expected: 'a base URL such as "http://10.0.0.7:8000"',
+  accepts: (value) =>
+    typeof value === "string" && /^https?:\/\//.test(value) &&
+    URL.canParse(value),
+};
+
+const commonFields: SettingFields = {
+  role: oneOf(["router", "agent"]),
+  id: {
+    expected: "a name of 1 to 64 letters, digits, dots and dashes",
+    accepts: (value) =>
+      typeof value === "string" && /^[A-Za-z0-9.-]{1,64}$/.test(value),
+  },
+  address: ipNumber,
+  zone: text,
+  region: text,
+  vm: text,
+  "platform.keyValue": baseUrl,
+  "platform.vmList": baseUrl,
+  "platform.callsPerSecond": numberField(1, 10_000, 20),
+  seeds: {
+    expected: 'a list of addresses such as "10.0.0.7:7400"',
+    accepts: (value) => Array.isArray(value) && value.every(isSocketAddress),
+    fallback: [],
+  },
+  grpcPort: port,
+  gossipPort: port,
+  adminPort: port,
+  controlBytesPerSecond: numberField(
+    leastControlBytesPerSecond,
+    10_000_000,
+    22_000,
+  ),
+  shutdownMs: numberField(0, longestShutdownMs, 60_000),
+  logLevel: { ...oneOf(["debug", "info", "warn", "error"]), fallback: "info" },
+};
+
+const routerFields: SettingFields = {
+  callerPort: port,
+  maxBodyBytes: numberField(1, 1_073_741_824, 4_194_304),
+  maxInFlight: numberField(1, 1_000_000, 2_000),
+};
+
+const agentFields: SettingFields = {
+  service: text,
+  target: baseUrl,
+  kind: oneOf(["model", "plain"]),
+  weight: numberField(1, 100_000, 100),
+  keptAnswerBytes: numberField(0, 1_073_741_824, 16_777_216),
+  keptAnswerMs: numberField(0, 86_400_000, 600_000),
+};
+
+/** The settings of each role. */
+export const settingFields: Readonly<
+  Record<"router" | "agent", SettingFields>
+> = {
+  router: { ...commonFields, ...routerFields },
+  agent: { ...commonFields, ...agentFields },
+};
+
+/** The settings that all roles have, for a file that names no role. */
+export const sharedSettingFields: SettingFields = commonFields;
+
+/** Returns the field of a whole number, required without a fallback. */
+function numberField(
+  least: number,
+  most: number,
+  fallback?: number,
+): SettingField {
+  return {
+    expected: `a whole number from ${least} to ${most}`,
+    accepts: (value) =>
+      Number.isInteger(value) && Number(value) >= least &&
+      Number(value) <= most,
+    ...(fallback === undefined ? {} : { fallback }),
+  };
+}
+
+/** Returns the field of one of a few words. */
+function oneOf(words: readonly string[]): SettingField {
+  return {
+    expected: `one of ${words.map((word) => JSON.stringify(word)).join(", ")}`,
+    accepts: (value) => typeof value === "string" && words.includes(value),
+  };
+}
+
+/** True for an IP number of version 4 or 6. */
+function isIpNumber(value: unknown): boolean {
+  if (typeof value !== "string") return false;
+  const parts = value.split(".");
+  if (parts.length === 4) return parts.every(isOctet);
+  return value.includes(":") && URL.canParse(`http://[${value}]/`);
+}
+
+/** True for one part of a version 4 number, without leading zeros. */
+function isOctet(part: string): boolean {
+  return /^(0|[1-9]\d{0,2})$/.test(part) && Number(part) <= 255;
+}
+
+/** True for an IP number and a port. */
+function isSocketAddress(value: unknown): boolean {
+  if (typeof value !== "string") return false;
+  const split = value.lastIndexOf(":");
+  const host = value.slice(0, split).replace(/^\[(.*)\]$/, "$1");
+  const portNumber = Number(value.slice(split + 1));
+  return split > 0 && isIpNumber(host) && port.accepts(portNumber);
+}
--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -198,6 +198,31 @@
     status: 503,
     text: "The platform's service does not answer, nothing was changed",
   },
+  patch_id_reused: {
+    category: "operator",
+    status: 409,
+    text: "Patch id {id} was used for version {version} with other content",
+  },
+  patch_base_old: {
+    category: "operator",
+    status: 409,
+    text: "Base version {base} is older than version {oldest}, read it again",
+  },
+  patch_contended: {
+    category: "operator",
+    status: 503,
+    text: "Other operators were faster {tries} times, nothing was changed",
+  },
+  admin_unreachable: {
+    category: "operator",
+    status: 0,
+    text: "{address} does not answer: {reason}",
+  },
+  usage_invalid: {
+    category: "settings",
+    status: 0,
+    text: "{argument} must be {expected}",
+  },
   order_fenced: {
     category: "operator",
     status: 409,
@@ -213,6 +238,21 @@
     status: 0,
     text: "{file}:{line}:{column}: {field} is not a setting",
   },
+  settings_missing: {
+    category: "settings",
+    status: 0,
+    text: "{file}:{line}:{column}: {field} is missing, it must be {expected}",
+  },
+  settings_repeated: {
+    category: "settings",
+    status: 0,
+    text: "{file}:{line}:{column}: {field} is given twice",
+  },
+  settings_syntax: {
+    category: "settings",
+    status: 0,
+    text: "{file}:{line}:{column}: the text is not JSON: {reason}",
+  },
   settings_unreadable: {
     category: "settings",
     status: 0,
