--- /dev/null
+++ b/src/process/load_gate.ts
@@ -0,0 +1,109 @@
+/**
+ * Decides whether a target may take more work, so that no target is loaded
+ * beyond a multiple of its service's mean.
+ *
+ * Work of `w` units is admitted at load `l` when
+ * `l + w <= max(multiple * m, m + w)`, where `m` is the mean with the new work
+ * counted in. The second term lets a target at or below the mean take one
+ * request, so some target always admits and small fleets make progress.
+ */
+
+import type { MeanEstimate } from "../types/view.ts";
+
+/** What the gate needs from outside. */
+export interface LoadGateHost {
+  /** The mean that this process knows of its service. */
+  getMean(): MeanEstimate;
+  /** The configured multiple; above 1. */
+  getLoadMultiple(): number;
+}
+
+/** What the gate decided. */
+export type GateDecision =
+  | { readonly kind: "admitted" }
+  | {
+    readonly kind: "refused";
+    /** Highest load that would have been allowed, in work units. */
+    readonly bound: number;
+  };
+
+/** One question to the gate. */
+export interface GateQuestion {
+  /** Work of the request, in work units per weight of 100. */
+  readonly work: number;
+  /**
+   * Loads of other targets that the router asked just before for this same
+   * request, chosen by hash alone, in work units per weight of 100.
+   */
+  readonly observedLoads: readonly number[];
+}
+
+/** Holds the load of one target. */
+export interface LoadGate {
+  /** Answers without changing the load. */
+  check(question: GateQuestion): GateDecision;
+  /** Adds admitted work. */
+  add(work: number): void;
+  /** Takes away work that has ended, or the part that is done. */
+  remove(work: number): void;
+  /** Sets work found at the target that this process did not admit. */
+  setForeignLoad(load: number): void;
+  /** The load in work units per weight of 100. */
+  getLoad(): number;
+}
+
+/** Observed loads that are enough to correct a mean that is behind. */
+const minObservedLoads = 3;
+
+/** Creates a gate with no load. */
+export function createLoadGate(host: LoadGateHost): LoadGate {
+  let ownLoad = 0;
+  let foreignLoad = 0;
+
+  return { check, add, remove, setForeignLoad, getLoad };
+
+  function check({ work, observedLoads }: GateQuestion): GateDecision {
+    const bound = getBound(work, observedLoads);
+    return getLoad() + work <= bound
+      ? { kind: "admitted" }
+      : { kind: "refused", bound };
+  }
+
+  function getBound(work: number, observedLoads: readonly number[]): number {
+    const estimate = host.getMean();
+    const targets = Math.max(1, estimate.targets);
+    const mean = Math.max(
+      targets === 1 ? getLoad() : estimate.mean,
+      getObservedMean(observedLoads, targets),
+    );
+    const meanWithWork = mean + work / targets;
+    return Math.max(host.getLoadMultiple() * meanWithWork, mean + work);
+  }
+
+  /**
+   * Targets asked in order of hash are a fair sample. When several of them
+   * refuse, the mean known here is likely behind, as in a sudden surge.
+   */
+  function getObservedMean(loads: readonly number[], targets: number): number {
+    const enough = Math.min(minObservedLoads, targets - 1);
+    if (enough < 1 || loads.length < enough) return 0;
+    const sum = loads.reduce((total, load) => total + load, getLoad());
+    return sum / (loads.length + 1);
+  }
+
+  function add(work: number): void {
+    ownLoad += work;
+  }
+
+  function remove(work: number): void {
+    ownLoad = Math.max(0, ownLoad - work);
+  }
+
+  function setForeignLoad(load: number): void {
+    foreignLoad = Math.max(0, load);
+  }
+
+  function getLoad(): number {
+    return ownLoad + foreignLoad;
+  }
+}
--- /dev/null
+++ b/src/process/load_gate_test.ts
@@ -0,0 +1,96 @@
+import * as fc from "fast-check";
+import { createLoadGate, type LoadGate } from "./load_gate.ts";
+
+/** Gates that all know the true mean of one another. */
+function createGates(count: number, loadMultiple: number): LoadGate[] {
+  const gates: LoadGate[] = [];
+  for (let index = 0; index < count; index++) {
+    gates.push(createLoadGate({
+      getMean: () => ({ mean: getMean(gates), targets: count, ageMs: 0 }),
+      getLoadMultiple: () => loadMultiple,
+    }));
+  }
+  return gates;
+}
+
+function getMean(gates: readonly LoadGate[]): number {
+  return gates.reduce((sum, gate) => sum + gate.getLoad(), 0) / gates.length;
+}
+
+describe("load gate", () => {
+  const workloads = fc.array(
+    fc.record({
+      first: fc.nat(1_000),
+      work: fc.integer({ min: 1, max: 8_000 }),
+    }),
+    { minLength: 1, maxLength: 200 },
+  );
+
+  describe.each([3, 6, 13, 210])("with %i targets", (count) => {
+    it("never passes the bound and always finds a place", () => {
+      fc.assert(
+        fc.property(workloads, (workload) => {
+          const gates = createGates(count, 1.25);
+          for (const { first, work } of workload) {
+            const order = gates.map((_, index) =>
+              gates[(first + index) % count] as LoadGate
+            );
+            const place = order.find((gate) =>
+              gate.check({ work, observedLoads: [] }).kind === "admitted"
+            );
+            expect(place).toBeDefined();
+            const meanBefore = getMean(gates);
+            place?.add(work);
+            const bound = Math.max(1.25 * getMean(gates), meanBefore + work);
+            expect(place?.getLoad()).toBeLessThanOrEqual(bound + 1e-6);
+          }
+        }),
+        { seed: 5, numRuns: 40 },
+      );
+    });
+  });
+
+  it("is passed by plain hashing, which has no bound", () => {
+    const gates = createGates(6, 1.25);
+    for (let index = 0; index < 60; index++) gates[0]?.add(100);
+    expect(gates[0]?.getLoad()).toBeGreaterThan(1.25 * getMean(gates));
+    expect(gates[0]?.check({ work: 100, observedLoads: [] }).kind)
+      .toBe("refused");
+  });
+
+  describe("when the known mean is behind", () => {
+    it("takes the loads that the request met on its way", () => {
+      const gate = createLoadGate({
+        getMean: () => ({ mean: 0, targets: 13, ageMs: 900 }),
+        getLoadMultiple: () => 1.25,
+      });
+      gate.add(1_000);
+      expect(gate.check({ work: 100, observedLoads: [] }).kind)
+        .toBe("refused");
+      expect(gate.check({ work: 100, observedLoads: [1_100, 1_000] }).kind)
+        .toBe("refused");
+      const observedLoads = [1_100, 1_000, 1_050];
+      expect(gate.check({ work: 100, observedLoads }).kind).toBe("admitted");
+    });
+  });
+
+  it("holds no bound for the only target of a service", () => {
+    const gate = createLoadGate({
+      getMean: () => ({ mean: 0, targets: 1, ageMs: 0 }),
+      getLoadMultiple: () => 1.25,
+    });
+    gate.add(1_000);
+    expect(gate.check({ work: 100, observedLoads: [] }).kind).toBe("admitted");
+  });
+
+  it("counts work that another process left at the target", () => {
+    const gate = createLoadGate({
+      getMean: () => ({ mean: 500, targets: 6, ageMs: 0 }),
+      getLoadMultiple: () => 1.25,
+    });
+    gate.setForeignLoad(700);
+    expect(gate.check({ work: 10, observedLoads: [] }).kind).toBe("refused");
+    gate.setForeignLoad(0);
+    expect(gate.check({ work: 10, observedLoads: [] }).kind).toBe("admitted");
+  });
+});
