Add diagnostics for slow bodies, large headers and broken HTTP

Cause: the callers' interface must name each of these cases with a stable code; the table had no rows for them. Conclusion: three additive rows.

--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -163,6 +163,21 @@
     status: 400,
     text: "The body ended before its announced length",
   },
+  body_late: {
+    category: "not_run",
+    status: 408,
+    text: "The body did not arrive within {limit} ms",
+  },
+  headers_too_large: {
+    category: "not_run",
+    status: 431,
+    text: "The headers are larger than {limit} bytes",
+  },
+  bad_http: {
+    category: "not_run",
+    status: 400,
+    text: "The request is not valid HTTP: {reason}",
+  },
   not_found: {
     category: "not_run",
     status: 404,
