--- /dev/null
+++ b/test/fakes/memory_store.ts
@@ -0,0 +1,193 @@
+/** The data of a key-value service in memory: keys, revisions, leases. */
+
+import type { Entry, Vm, WatchEvent } from "../../src/types/platform.ts";
+
+/** Why a call changed nothing. */
+export type StoreConflict = "conflict";
+
+/** A key-value store with compare-and-swap, leases and a change log. */
+export interface MemoryStore {
+  get(key: string): Entry | undefined;
+  list(
+    prefix: string,
+    options: { readonly after?: string; readonly limit: number },
+  ): readonly Entry[];
+  put(
+    key: string,
+    value: string,
+    options: { readonly expectedRevision: number; readonly lease?: string },
+  ): number | StoreConflict;
+  remove(key: string, expectedRevision: number): StoreConflict | undefined;
+  /** Changes under a prefix after a revision, oldest first. */
+  getChanges(prefix: string, afterRevision: number): readonly WatchEvent[];
+  /** Calls back after each change; the result ends the subscription. */
+  onChange(listener: () => void): () => void;
+  createLease(ttlMs: number): string;
+  renewLease(lease: string): StoreConflict | undefined;
+  /** Ends a lease at once and removes its keys. */
+  endLease(lease: string): void;
+  /** Sets the true list of VMs. */
+  setVms(vms: readonly Vm[]): void;
+  /** The list as it was `lagMs` ago. */
+  getVms(lagMs: number): readonly Vm[];
+  getRevision(): number;
+}
+
+interface HeldEntry extends Entry {
+  readonly lease: string | undefined;
+}
+
+interface Lease {
+  readonly ttlMs: number;
+  readonly keys: Set<string>;
+  timer: NodeJS.Timeout;
+}
+
+/** Creates an empty store. */
+export function createMemoryStore(): MemoryStore {
+  const entries = new Map<string, HeldEntry>();
+  const changes: WatchEvent[] = [];
+  const leases = new Map<string, Lease>();
+  const listeners = new Set<() => void>();
+  const vmHistory: { readonly at: number; readonly vms: readonly Vm[] }[] = [];
+  let revision = 0;
+  let leaseCount = 0;
+
+  return {
+    get,
+    list,
+    put,
+    remove,
+    getChanges,
+    onChange,
+    createLease,
+    renewLease,
+    endLease,
+    setVms,
+    getVms,
+    getRevision: () => revision,
+  };
+
+  function get(key: string): Entry | undefined {
+    const held = entries.get(key);
+    return held === undefined ? undefined : toEntry(held);
+  }
+
+  function list(
+    prefix: string,
+    options: { readonly after?: string; readonly limit: number },
+  ): readonly Entry[] {
+    const after = options.after ?? "";
+    return [...entries.values()]
+      .filter(({ key }) => key.startsWith(prefix) && key > after)
+      .sort((left, right) => (left.key < right.key ? -1 : 1))
+      .slice(0, options.limit)
+      .map(toEntry);
+  }
+
+  function put(
+    key: string,
+    value: string,
+    options: { readonly expectedRevision: number; readonly lease?: string },
+  ): number | StoreConflict {
+    const held = entries.get(key);
+    if ((held?.revision ?? 0) !== options.expectedRevision) return "conflict";
+    const { lease } = options;
+    if (lease !== undefined && !leases.has(lease)) return "conflict";
+    detachLease(held);
+    if (lease !== undefined) leases.get(lease)?.keys.add(key);
+    revision++;
+    entries.set(key, { key, value, revision, lease });
+    addChange({ key, value, revision });
+    return revision;
+  }
+
+  function remove(
+    key: string,
+    expectedRevision: number,
+  ): StoreConflict | undefined {
+    const held = entries.get(key);
+    if (held === undefined || held.revision !== expectedRevision) {
+      return "conflict";
+    }
+    removeEntry(held);
+    return undefined;
+  }
+
+  function removeEntry(held: HeldEntry): void {
+    detachLease(held);
+    entries.delete(held.key);
+    revision++;
+    addChange({ key: held.key, value: undefined, revision });
+  }
+
+  function detachLease(held: HeldEntry | undefined): void {
+    if (held?.lease === undefined) return;
+    leases.get(held.lease)?.keys.delete(held.key);
+  }
+
+  function addChange(change: WatchEvent): void {
+    changes.push(change);
+    for (const listener of [...listeners]) listener();
+  }
+
+  function getChanges(
+    prefix: string,
+    afterRevision: number,
+  ): readonly WatchEvent[] {
+    return changes.filter((change) =>
+      change.revision > afterRevision && change.key.startsWith(prefix)
+    );
+  }
+
+  function onChange(listener: () => void): () => void {
+    listeners.add(listener);
+    return () => listeners.delete(listener);
+  }
+
+  function createLease(ttlMs: number): string {
+    leaseCount++;
+    const lease = `lease-${leaseCount}`;
+    leases.set(lease, { ttlMs, keys: new Set(), timer: start(lease, ttlMs) });
+    return lease;
+  }
+
+  function renewLease(lease: string): StoreConflict | undefined {
+    const held = leases.get(lease);
+    if (held === undefined) return "conflict";
+    clearTimeout(held.timer);
+    held.timer = start(lease, held.ttlMs);
+    return undefined;
+  }
+
+  function start(lease: string, ttlMs: number): NodeJS.Timeout {
+    const timer = setTimeout(() => endLease(lease), ttlMs);
+    timer.unref();
+    return timer;
+  }
+
+  function endLease(lease: string): void {
+    const held = leases.get(lease);
+    if (held === undefined) return;
+    clearTimeout(held.timer);
+    leases.delete(lease);
+    for (const key of [...held.keys]) {
+      const entry = entries.get(key);
+      if (entry?.lease === lease) removeEntry(entry);
+    }
+  }
+
+  function setVms(vms: readonly Vm[]): void {
+    vmHistory.push({ at: Date.now(), vms });
+  }
+
+  function getVms(lagMs: number): readonly Vm[] {
+    const until = Date.now() - lagMs;
+    return vmHistory.findLast(({ at }) => at <= until)?.vms ?? [];
+  }
+}
+
+/** Leaves out what only the store knows. */
+function toEntry({ key, value, revision }: HeldEntry): Entry {
+  return { key, value, revision };
+}
