--- /dev/null
+++ b/src/connection/admin_listener.ts
@@ -0,0 +1,175 @@
+/** The HTTP listener for operators, scrapers and health checks. */
+
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import polka from "polka";
+import {
+  createReport,
+  formatReport,
+  getDiagnostic,
+  type Report,
+} from "../types/diagnostics.ts";
+
+/** An answer to an operator. */
+export type AdminAnswer =
+  | { readonly kind: "json"; readonly status: number; readonly body: unknown }
+  | { readonly kind: "text"; readonly status: number; readonly body: string }
+  | { readonly kind: "reports"; readonly reports: readonly Report[] };
+
+/** A call of an operator, after its body was read. */
+export interface AdminCall {
+  readonly params: Readonly<Record<string, string>>;
+  readonly query: URLSearchParams;
+  /** The parsed JSON body; undefined when there is none. */
+  readonly body: unknown;
+}
+
+/** One route of the listener. */
+export interface AdminRoute {
+  readonly method: "GET" | "POST";
+  readonly path: string;
+  handle(call: AdminCall): AdminAnswer | Promise<AdminAnswer>;
+}
+
+/** A listener that accepts calls. */
+export interface AdminListener {
+  close(): Promise<void>;
+}
+
+/** Largest body of an operator's call, in bytes. */
+const maxBodyBytes = 1_048_576;
+
+/** Longest time that a whole call may take to arrive, in milliseconds. */
+const requestTimeoutMs = 10_000;
+
+/** Opens the listener; rejects when the address cannot be taken. */
+export async function openAdminListener(
+  routes: readonly AdminRoute[],
+  options: { readonly address: string; readonly port: number },
+): Promise<AdminListener> {
+  const app = polka({
+    onNoMatch: (request, response) =>
+      send(response, {
+        kind: "reports",
+        reports: [createReport("not_found", { path: request.path })],
+      }),
+  });
+  for (const route of routes) {
+    app.add(route.method, route.path, (request, response) => {
+      void answer(route, {
+        request,
+        response,
+        params: request.params,
+        query: new URLSearchParams(request.search ?? ""),
+      });
+    });
+  }
+  app.listen(options.port, options.address);
+  const server = app.server as Server;
+  server.requestTimeout = requestTimeoutMs;
+  await waitForListening(server);
+  return { close: () => closeServer(server) };
+}
+
+async function answer(
+  route: AdminRoute,
+  call: {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly params: Readonly<Record<string, string>>;
+    readonly query: URLSearchParams;
+  },
+): Promise<void> {
+  try {
+    const body = await readBody(call.request);
+    if (body.kind === "refused") {
+      send(call.response, { kind: "reports", reports: [body.report] });
+      return;
+    }
+    const { params, query } = call;
+    send(
+      call.response,
+      await route.handle({ params, query, body: body.value }),
+    );
+  } catch (error) {
+    const text = error instanceof Error ? error.message : String(error);
+    send(call.response, {
+      kind: "json",
+      status: 500,
+      body: { errors: [{ code: "internal", message: text }] },
+    });
+  }
+}
+
+type Body =
+  | { readonly kind: "read"; readonly value: unknown }
+  | { readonly kind: "refused"; readonly report: Report };
+
+async function readBody(request: IncomingMessage): Promise<Body> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of request) {
+    const data = chunk as Buffer;
+    size += data.length;
+    if (size <= maxBodyBytes) chunks.push(data);
+  }
+  if (size > maxBodyBytes) {
+    const report = createReport("body_too_large", { limit: maxBodyBytes });
+    return { kind: "refused", report };
+  }
+  if (size === 0) return { kind: "read", value: undefined };
+  try {
+    const text = Buffer.concat(chunks).toString("utf8");
+    return { kind: "read", value: JSON.parse(text) };
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return { kind: "refused", report: createReport("bad_json", { reason }) };
+  }
+}
+
+function send(response: ServerResponse, answer: AdminAnswer): void {
+  if (answer.kind === "text") {
+    response.writeHead(answer.status, { "content-type": "text/plain" });
+    response.end(answer.body);
+    return;
+  }
+  const status = answer.kind === "json"
+    ? answer.status
+    : getReportsStatus(answer.reports);
+  const body = answer.kind === "json"
+    ? answer.body
+    : { errors: answer.reports.map(toErrorBody) };
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(`${JSON.stringify(body)}\n`);
+}
+
+function getReportsStatus(reports: readonly Report[]): number {
+  const first = reports[0];
+  return first === undefined ? 500 : getDiagnostic(first.code).status;
+}
+
+function toErrorBody(report: Report): unknown {
+  return {
+    code: report.code,
+    message: formatReport(report),
+    values: report.values,
+    retryAfterMs: report.retryAfterMs,
+  };
+}
+
+function waitForListening(server: Server): Promise<void> {
+  return new Promise((resolve, reject) => {
+    if (server.listening) {
+      resolve();
+      return;
+    }
+    server.once("listening", resolve);
+    server.once("error", reject);
+  });
+}
+
+function closeServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+}
--- /dev/null
+++ b/src/roles/process.ts
@@ -0,0 +1,174 @@
+/** The shell of one process: puts its parts together, starts and stops them. */
+
+import { Server, ServerCredentials } from "@grpc/grpc-js";
+import { openAdminListener } from "../connection/admin_listener.ts";
+import { createPlatformClient } from "../connection/platform_client.ts";
+import type { Log } from "../process/log.ts";
+import { createMetrics } from "../process/metrics.ts";
+import { assertNever } from "../types/assert.ts";
+import type { Role, StopResult } from "../types/role.ts";
+import type { Settings } from "../types/settings.ts";
+import { createAdminRoutes } from "./admin_routes.ts";
+import { createAgentRole } from "./agent.ts";
+import { createConfiguration } from "./configuration.ts";
+import { createFleet } from "./fleet.ts";
+import type { RoleHost } from "./host.ts";
+import { createRouterRole } from "./router.ts";
+
+/** A process that runs. */
+export interface RunningProcess {
+  /** Stops gracefully; a second call returns the first one's result. */
+  stop(reason: string): Promise<StopResult>;
+}
+
+/**
+ * Time that the configuration gets to load before the exchange with the
+ * fleet begins, so that a fresh process is announced with a configuration
+ * unless the platform is down; in milliseconds.
+ */
+const loadFirstMs = 1_000;
+
+/** Time for connections to end after the work has ended, in milliseconds. */
+const connectionCloseMs = 1_000;
+
+/** Largest message between processes, in bytes. */
+const maxMessageBytes = 64 * 1_048_576;
+
+/** Starts a process; rejects when an address cannot be taken. */
+export async function startProcess(
+  settings: Settings,
+  options: { readonly log: Log },
+): Promise<RunningProcess> {
+  const { log } = options;
+  const startedAt = Date.now();
+  let started = false;
+  let stopping: Promise<StopResult> | undefined;
+
+  const metrics = createMetrics();
+  const server = new Server({
+    "grpc.max_receive_message_length": maxMessageBytes,
+    "grpc.max_send_message_length": maxMessageBytes,
+  });
+  const platform = createPlatformClient(settings.platform);
+  const configuration = await createConfiguration({
+    settings,
+    platform,
+    log,
+    metrics,
+    server,
+    getFleet: () => fleet,
+  });
+  const store = configuration.store;
+  const parts = { settings, platform, configuration: store, log, metrics };
+  const fleet = createFleet({ ...parts, server });
+  const role = await createRole({ ...parts, server, fleet });
+  metrics.gauge("process_resident_bytes", () => process.memoryUsage.rss());
+  metrics.gauge("process_cpu_ms", getProcessorMs);
+
+  await bindServer(server, settings);
+  const admin = await openAdminListener(
+    createAdminRoutes({
+      settings,
+      role,
+      fleet,
+      configuration,
+      platform,
+      metrics,
+      startedAt,
+      isReady: () => started && stopping === undefined && role.isReady(),
+    }),
+    { address: settings.address, port: settings.adminPort },
+  );
+  log.info("Process listens", {
+    address: settings.address,
+    grpcPort: settings.grpcPort,
+    adminPort: settings.adminPort,
+  });
+  void join();
+
+  return { stop };
+
+  async function join(): Promise<void> {
+    const loading = store.start();
+    await Promise.race([loading, sleep(loadFirstMs)]);
+    if (stopping !== undefined) return;
+    await Promise.all([loading, fleet.start()]);
+    started = true;
+    log.info("Process is ready", {
+      version: store.getConfiguration().version,
+      tookMs: Date.now() - startedAt,
+    });
+  }
+
+  function stop(reason: string): Promise<StopResult> {
+    stopping ??= stopOnce(reason);
+    return stopping;
+  }
+
+  async function stopOnce(reason: string): Promise<StopResult> {
+    log.info("Process stops", { reason, shutdownMs: settings.shutdownMs });
+    const result = await role.stop();
+    if (result.cutOff > 0) {
+      log.warn("Requests were cut off", { cutOff: result.cutOff });
+    }
+    await Promise.all([fleet.stop(), store.stop()]);
+    await closeGrpcServer(server);
+    await admin.close();
+    await platform.close();
+    log.info("Process has stopped", {
+      cutOff: result.cutOff,
+      tookMs: result.tookMs,
+    });
+    return result;
+  }
+}
+
+/** Creates the role that the settings name. */
+function createRole(host: RoleHost): Promise<Role> {
+  const { settings } = host;
+  switch (settings.role) {
+    case "router":
+      return createRouterRole({ ...host, settings });
+    case "agent":
+      return createAgentRole({ ...host, settings });
+    default:
+      return assertNever(settings);
+  }
+}
+
+function bindServer(server: Server, settings: Settings): Promise<void> {
+  const host = settings.address.includes(":")
+    ? `[${settings.address}]`
+    : settings.address;
+  return new Promise((resolve, reject) => {
+    server.bindAsync(
+      `${host}:${settings.grpcPort}`,
+      ServerCredentials.createInsecure(),
+      (error) => (error === null ? resolve() : reject(error)),
+    );
+  });
+}
+
+function closeGrpcServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => {
+      server.forceShutdown();
+      resolve();
+    }, connectionCloseMs);
+    server.tryShutdown(() => {
+      clearTimeout(timer);
+      resolve();
+    });
+  });
+}
+
+function getProcessorMs(): number {
+  const { user, system } = process.cpuUsage();
+  return Math.round((user + system) / 1_000);
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms).unref();
+  });
+}
--- /dev/null
+++ b/src/version/configuration_store.ts
@@ -0,0 +1,286 @@
+/** The configuration of one process, kept in step with platform and fleet. */
+
+import type { Log } from "../process/log.ts";
+import type { Metrics } from "../process/metrics.ts";
+import type { Patch } from "../types/configuration.ts";
+import type { Member } from "../types/member.ts";
+import type { Platform, PlatformError } from "../types/platform.ts";
+import type { ConfigurationStore, Dump } from "../types/role.ts";
+import { getChecksum, type Hash } from "./configuration_state.ts";
+import { createOperatorCalls, type OperatorCalls } from "./operator_calls.ts";
+import { createPatchSequence } from "./patch_sequence.ts";
+import { createPatchTail } from "./patch_tail.ts";
+import { tryParsePatch } from "./patch_text.ts";
+import { createPeerPull, type PullFromMember } from "./peer_pull.ts";
+import { type Newest, readNewest } from "./platform_reader.ts";
+import { encodeSnapshot, type Snapshot } from "./snapshot.ts";
+import { createStartUp } from "./start_up.ts";
+import { createWatchLoop } from "./watch_loop.ts";
+
+/** What the store needs from outside. */
+export interface ConfigurationStoreHost {
+  readonly platform: Platform;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly hash: Hash;
+  /** Members that may be asked, without the process itself. */
+  getPeers(): readonly Member[];
+  /** True when this process watches the platform for others. */
+  isWatcher(): boolean;
+  /** Passes a patch on to all members. */
+  spreadPatch(patch: Patch): void;
+  /** Asks a member for what follows a version. */
+  readonly pull: PullFromMember;
+}
+
+/** What a member is sent when it asks for what follows a version. */
+export type ServedConfiguration =
+  | { readonly kind: "patches"; readonly texts: readonly string[] }
+  | { readonly kind: "snapshot"; readonly snapshot: Snapshot };
+
+/** The store with what the process shell needs of it besides. */
+export interface LocalConfigurationStore extends ConfigurationStore {
+  readonly operator: OperatorCalls;
+  /** True once a configuration was loaded from the platform or a member. */
+  isLoaded(): boolean;
+  /** What follows a version; undefined before the own one is loaded. */
+  serve(afterVersion: number): Promise<ServedConfiguration | undefined>;
+}
+
+/** Least time between two reloads after a wrong checksum, in milliseconds. */
+const reloadPauseMs = 10_000;
+
+/** Patches of one read that are passed on; more are pulled by the others. */
+const maxSpread = 20;
+
+/** Creates a store at version 0. */
+export function createConfigurationStore(
+  host: ConfigurationStoreHost,
+): LocalConfigurationStore {
+  const { platform, log, metrics, hash } = host;
+  const listeners: ((patch: Patch) => void)[] = [];
+  const sequence = createPatchSequence({ hash });
+  const tail = createPatchTail();
+  let isLoaded = false;
+  let reloadedAt = -reloadPauseMs;
+  let refreshing: Promise<Newest | PlatformError> | undefined;
+  let encoded: Promise<Snapshot> | undefined;
+  let encodedVersion = -1;
+
+  const peerPull = createPeerPull({
+    log,
+    metrics,
+    hash,
+    pull: host.pull,
+    getPeers: host.getPeers,
+    getVersion,
+    takeTexts,
+    adopt,
+    refresh: () => refresh().then((result) => result === undefined),
+  });
+  const startUp = createStartUp({
+    log,
+    refresh,
+    pullFromPeers: peerPull.pullFromAny,
+    isLoaded: () => isLoaded,
+  });
+  const watchLoop = createWatchLoop({
+    platform,
+    log,
+    metrics,
+    hash,
+    isWatcher: host.isWatcher,
+    getState: sequence.getState,
+    refresh: refreshAndSpread,
+  });
+  const operator = createOperatorCalls({
+    platform,
+    hash,
+    getState: sequence.getState,
+    refresh,
+    accept,
+  });
+  metrics.gauge("configuration_version", getVersion);
+
+  return {
+    operator,
+    getConfiguration: () => sequence.getState().configuration,
+    onPatch: (listener) => {
+      listeners.push(listener);
+    },
+    getChecksum: () => getChecksum(sequence.getState()),
+    offerPatches,
+    noteVersion,
+    isLoaded: () => isLoaded,
+    serve,
+    start: async () => {
+      await startUp.start();
+      watchLoop.start();
+    },
+    stop,
+    dump,
+  };
+
+  function getVersion(): number {
+    return sequence.getState().configuration.version;
+  }
+
+  function offerPatches(texts: readonly string[], sender: Member): void {
+    takeTexts(texts);
+    peerPull.noteVersion(sequence.getSeenVersion(), sender);
+  }
+
+  function noteVersion(
+    version: number,
+    checksum: number,
+    sender: Member,
+  ): void {
+    if (version > getVersion()) peerPull.noteVersion(version, sender);
+    const isWrong = version === getVersion() && isLoaded &&
+      checksum !== getChecksum(sequence.getState());
+    if (isWrong) void reload(sender);
+  }
+
+  function takeTexts(texts: readonly string[]): void {
+    const patches = texts.map(tryParsePatch);
+    takePatches(patches.filter((patch) => patch !== undefined));
+  }
+
+  function takePatches(patches: readonly Patch[]): readonly Patch[] {
+    const applied = sequence.take(patches);
+    for (const patch of applied) {
+      tail.add(patch);
+      metrics.count("configuration_patches");
+      metrics.record(
+        "configuration_patch_age_ms",
+        Date.now() - patch.acceptedAt,
+      );
+      log.info("Patch is in force", {
+        version: patch.version,
+        patch: patch.id,
+        operator: patch.operator,
+        ageMs: Date.now() - patch.acceptedAt,
+      });
+    }
+    for (const patch of applied) {
+      for (const listener of listeners) listener(patch);
+    }
+    if (applied.length > 0) isLoaded = true;
+    return applied;
+  }
+
+  function adopt(state: ReturnType<typeof sequence.getState>): boolean {
+    if (!sequence.adopt(state)) return false;
+    tail.clear();
+    isLoaded = true;
+    metrics.count("configuration_snapshots");
+    log.info("Snapshot is in force", { version: getVersion() });
+    takePatches([]);
+    return true;
+  }
+
+  /** Reads the newest from the platform; the error when it gave none. */
+  async function refresh(): Promise<PlatformError | undefined> {
+    const result = await readAndTake();
+    return "kind" in result ? result : undefined;
+  }
+
+  /** Shares one read among all that ask while it is under way. */
+  function readAndTake(): Promise<Newest | PlatformError> {
+    refreshing ??= readOnce().finally(() => {
+      refreshing = undefined;
+    });
+    return refreshing;
+  }
+
+  async function readOnce(): Promise<Newest | PlatformError> {
+    const from = sequence.getState();
+    const read = await readNewest(platform, { from, hash }).run();
+    return read.caseOf<Newest | PlatformError>({
+      Left: (error) => error,
+      Right: (newest) => {
+        if (newest.snapshot !== undefined) adopt(newest.snapshot);
+        takePatches(newest.patches);
+        isLoaded = true;
+        return newest;
+      },
+    });
+  }
+
+  async function refreshAndSpread(): Promise<Newest | PlatformError> {
+    const before = getVersion();
+    const result = await readAndTake();
+    if ("kind" in result) return result;
+    const fresh = result.patches.filter((patch) => patch.version > before);
+    if (fresh.length <= maxSpread) fresh.forEach(host.spreadPatch);
+    return result;
+  }
+
+  /** Takes the platform's content when a member has another at this version. */
+  async function reload(sender: Member): Promise<void> {
+    if (performance.now() - reloadedAt < reloadPauseMs) return;
+    reloadedAt = performance.now();
+    metrics.count("configuration_wrong_checksums");
+    log.error("Checksums differ at one version", {
+      version: getVersion(),
+      member: sender.id,
+    });
+    const fresh = createPatchSequence({ hash });
+    const from = fresh.getState();
+    const read = await readNewest(platform, { from, hash }).run();
+    read.ifRight((newest) => {
+      if (newest.snapshot !== undefined) fresh.adopt(newest.snapshot);
+      fresh.take(newest.patches);
+      const isSame = getChecksum(fresh.getState()) ===
+        getChecksum(sequence.getState());
+      if (isSame || !sequence.replace(fresh.getState())) return;
+      tail.clear();
+      log.error("Configuration was replaced", { version: getVersion() });
+    });
+  }
+
+  /** Puts a patch that this process has committed into force. */
+  function accept(patch: Patch): void {
+    takePatches([patch]);
+    host.spreadPatch(patch);
+  }
+
+  async function serve(
+    afterVersion: number,
+  ): Promise<ServedConfiguration | undefined> {
+    if (!isLoaded) return undefined;
+    const texts = tail.tryGetAfter(afterVersion, getVersion());
+    if (texts !== undefined) return { kind: "patches", texts };
+    return { kind: "snapshot", snapshot: await getEncoded() };
+  }
+
+  /** Encodes each version one time, however many members ask. */
+  function getEncoded(): Promise<Snapshot> {
+    if (encoded === undefined || encodedVersion !== getVersion()) {
+      encodedVersion = getVersion();
+      encoded = encodeSnapshot(sequence.getState(), { hash });
+    }
+    return encoded;
+  }
+
+  function stop(): Promise<void> {
+    startUp.stop();
+    peerPull.stop();
+    return watchLoop.stop();
+  }
+
+  function dump(): Dump {
+    const { services, workspaces } = sequence.getState().configuration;
+    return {
+      version: getVersion(),
+      checksum: getChecksum(sequence.getState()),
+      isLoaded,
+      seenVersion: sequence.getSeenVersion(),
+      services: services.size,
+      workspaces: workspaces.size,
+      watcher: host.isWatcher(),
+      watch: watchLoop.dump(),
+      pulls: peerPull.dump(),
+    };
+  }
+}
--- /dev/null
+++ b/src/version/patch_check.ts
@@ -0,0 +1,150 @@
+/** Checks the shape of a patch and reports every wrong field at once. */
+
+import { type Either, Left, Right } from "purify-ts";
+import type { PatchDraft, PatchOperation } from "../types/configuration.ts";
+import { createReport, type Report } from "../types/diagnostics.ts";
+import {
+  draftFields,
+  type EntryField,
+  type EntryFields,
+  nameField,
+  serviceFields,
+  workspaceFields,
+} from "./patch_fields.ts";
+
+type Properties = Readonly<Record<string, unknown>>;
+
+/** Most operations in one patch. */
+export const maxOperations = 2_000;
+
+/** Longest text of a patch, in characters; one value holds it. */
+export const maxPatchLength = 500_000;
+
+/** The value fields of each kind of operation; deletions have none. */
+const valueFields: Readonly<
+  Record<PatchOperation["kind"], EntryFields | undefined>
+> = {
+  put_service: serviceFields,
+  delete_service: undefined,
+  put_workspace: workspaceFields,
+  delete_workspace: undefined,
+};
+
+/**
+ * Returns the patch with its fields in a fixed order, so that equal patches
+ * have equal texts, or one report for each wrong field.
+ */
+export function checkDraft(
+  value: unknown,
+): Either<readonly Report[], PatchDraft> {
+  const reports: Report[] = [];
+  if (!isProperties(value)) {
+    addReport("patch", "an object");
+    return Left(reports);
+  }
+  const draft = readFields(value, draftFields, "", ["operations"]);
+  const operations = readOperations(value["operations"]);
+  if (reports.length > 0) return Left(reports);
+  const checked = { ...draft, operations } as unknown as PatchDraft;
+  if (JSON.stringify(checked).length > maxPatchLength) {
+    addReport("operations", `under ${maxPatchLength} characters in all`);
+    return Left(reports);
+  }
+  return Right(checked);
+
+  function addReport(field: string, expected: string): void {
+    reports.push(createReport("patch_invalid", { field, expected }));
+  }
+
+  function readOperations(list: unknown): unknown[] {
+    if (
+      !Array.isArray(list) || list.length === 0 || list.length > maxOperations
+    ) {
+      addReport("operations", `a list of 1 to ${maxOperations} operations`);
+      return [];
+    }
+    return list.map((operation, index) =>
+      readOperation(operation, `operations[${index}]`)
+    );
+  }
+
+  function readOperation(operation: unknown, path: string): unknown {
+    if (!isProperties(operation)) {
+      addReport(path, "an object");
+      return undefined;
+    }
+    const kind = operation["kind"];
+    if (typeof kind !== "string" || !Object.hasOwn(valueFields, kind)) {
+      const kinds = Object.keys(valueFields).join(", ");
+      addReport(`${path}.kind`, `one of ${kinds}`);
+      return undefined;
+    }
+    const fields = valueFields[kind as PatchOperation["kind"]];
+    const others = fields === undefined ? ["kind"] : ["kind", "value"];
+    const { name } = readFields(
+      operation,
+      { name: nameField },
+      `${path}.`,
+      others,
+    );
+    if (fields === undefined) return { kind, name };
+    const entry = operation["value"];
+    if (!isProperties(entry)) {
+      addReport(`${path}.value`, "an object");
+      return undefined;
+    }
+    return { kind, name, value: readFields(entry, fields, `${path}.value.`) };
+  }
+
+  function readFields(
+    source: Properties,
+    fields: EntryFields,
+    prefix: string,
+    others: readonly string[] = [],
+  ): Properties {
+    const result: Record<string, unknown> = {};
+    for (const [path, field] of Object.entries(fields)) {
+      readField(source, path, field);
+    }
+    checkNames(source, "");
+    return result;
+
+    function readField(
+      from: Properties,
+      path: string,
+      field: EntryField,
+    ): void {
+      const [group, name] = path.split(".");
+      const holder = name === undefined ? from : from[group ?? ""];
+      const key = name ?? path;
+      const held = isProperties(holder) ? holder[key] : undefined;
+      if (!field.accepts(held)) {
+        addReport(`${prefix}${path}`, field.expected);
+        return;
+      }
+      if (name === undefined) result[key] = held;
+      else {
+        const target = (result[group ?? ""] ??= {}) as Record<string, unknown>;
+        target[key] = held;
+      }
+    }
+
+    function checkNames(holder: Properties, group: string): void {
+      for (const key of Object.keys(holder)) {
+        const path = `${group}${key}`;
+        if (Object.hasOwn(fields, path)) continue;
+        if (group === "" && others.includes(key)) continue;
+        const isGroup = Object.keys(fields).some((field) =>
+          field.startsWith(`${path}.`)
+        );
+        const inner = holder[key];
+        if (isGroup && isProperties(inner)) checkNames(inner, `${path}.`);
+        else if (!isGroup) addReport(`${prefix}${path}`, "left out");
+      }
+    }
+  }
+}
+
+function isProperties(value: unknown): value is Properties {
+  return typeof value === "object" && value !== null && !Array.isArray(value);
+}
--- /dev/null
+++ b/src/version/patch_conflict.ts
@@ -0,0 +1,96 @@
+/** Decides whether a well-formed patch may follow the newest version. */
+
+import type { PatchDraft, PatchOperation } from "../types/configuration.ts";
+import { createReport, type Report } from "../types/diagnostics.ts";
+import type { ConfigurationState } from "./configuration_state.ts";
+import { getEntryName } from "./patch_text.ts";
+
+/**
+ * Returns why the patch may not follow the state; empty when it may. A base
+ * behind the state is allowed as long as no later patch changed its entries.
+ */
+export function checkFollows(
+  draft: PatchDraft,
+  state: ConfigurationState,
+): readonly Report[] {
+  const { version } = state.configuration;
+  const base = draft.baseVersion;
+  if (base > version) {
+    return [createReport("patch_base_ahead", { base, version })];
+  }
+  const oldest = (state.records[0]?.version ?? version + 1) - 1;
+  if (base < oldest) return [createReport("patch_base_old", { base, oldest })];
+  const conflicts = findConflicts(draft, state);
+  return conflicts.length > 0 ? conflicts : checkNamesExist(draft, state);
+}
+
+function findConflicts(
+  draft: PatchDraft,
+  state: ConfigurationState,
+): readonly Report[] {
+  const entries = new Set(draft.operations.map(getEntryName));
+  const later = state.records.filter((record) =>
+    record.version > draft.baseVersion
+  );
+  return later.flatMap((record) =>
+    record.entries
+      .filter((entry) => entries.has(entry))
+      .map((entry) =>
+        createReport("patch_conflict", {
+          version: record.version,
+          operator: record.operator,
+          entry,
+        })
+      )
+  );
+}
+
+/** Checks that services and workspaces that the patch names are there. */
+function checkNamesExist(
+  draft: PatchDraft,
+  state: ConfigurationState,
+): readonly Report[] {
+  const { services, workspaces } = state.configuration;
+  const reports: Report[] = [];
+  const added = new Set<string>();
+  const removed = new Set<string>();
+  draft.operations.forEach(check);
+  return reports;
+
+  function check(operation: PatchOperation, index: number): void {
+    const entry = getEntryName(operation);
+    switch (operation.kind) {
+      case "put_service":
+        break;
+      case "put_workspace":
+        operation.value.services.forEach((service, position) => {
+          if (hasEntry(`service ${service}`, services.has(service))) return;
+          const field = `operations[${index}].value.services[${position}]`;
+          addReport(field, "the name of a service");
+        });
+        break;
+      case "delete_service":
+      case "delete_workspace": {
+        const held = operation.kind === "delete_service"
+          ? services
+          : workspaces;
+        if (!hasEntry(entry, held.has(operation.name))) {
+          addReport(`operations[${index}].name`, "the name of an entry");
+        }
+        added.delete(entry);
+        removed.add(entry);
+        return;
+      }
+    }
+    added.add(entry);
+    removed.delete(entry);
+  }
+
+  function hasEntry(entry: string, isHeld: boolean): boolean {
+    return added.has(entry) || (isHeld && !removed.has(entry));
+  }
+
+  function addReport(field: string, expected: string): void {
+    reports.push(createReport("patch_invalid", { field, expected }));
+  }
+}
--- /dev/null
+++ b/src/version/patch_fields.ts
@@ -0,0 +1,99 @@
+/** The table of what each field of an entry must be. */
+
+import type { Route } from "../types/configuration.ts";
+
+/** What one field must be, and how its checked value is read. */
+export interface EntryField {
+  /** Completes the sentence "field must be ...". */
+  readonly expected: string;
+  accepts(value: unknown): boolean;
+}
+
+/** Fields of an entry by name, in the order in which they are stored. */
+export type EntryFields = Readonly<Record<string, EntryField>>;
+
+const highestCount = 1_000_000;
+
+/** Names of services and workspaces. */
+export const nameField: EntryField = {
+  expected: "a name of 1 to 64 letters, digits, dots, dashes and underscores",
+  accepts: (value) =>
+    typeof value === "string" && /^[A-Za-z0-9._-]{1,64}$/.test(value),
+};
+
+/** Fields of a patch besides its operations. */
+export const draftFields: EntryFields = {
+  id: nameField,
+  operator: nameField,
+  baseVersion: wholeNumber(0, Number.MAX_SAFE_INTEGER),
+};
+
+/** Fields of a service. */
+export const serviceFields: EntryFields = {
+  kind: {
+    expected: '"model" or "plain"',
+    accepts: (value) => value === "model" || value === "plain",
+  },
+  loadMultiple: {
+    expected: "a number above 1 and up to 100",
+    accepts: (value) => typeof value === "number" && value > 1 && value <= 100,
+  },
+  slots: wholeNumber(1, highestCount),
+  queueLimit: wholeNumber(0, highestCount),
+  "priorityWeights.interactive": positiveNumber(),
+  "priorityWeights.background": positiveNumber(),
+  retryBudget: {
+    expected: "a number from 0 to 1",
+    accepts: (value) => typeof value === "number" && value >= 0 && value <= 1,
+  },
+  checksFencing: {
+    expected: "true or false",
+    accepts: (value) => typeof value === "boolean",
+  },
+  routes: {
+    expected: "a list of objects with method, pathPrefix and repeatable",
+    accepts: (value) => Array.isArray(value) && value.every(isRoute),
+  },
+};
+
+/** Fields of a workspace. */
+export const workspaceFields: EntryFields = {
+  weight: positiveNumber(),
+  requestsPerSecond: {
+    expected: "a number from 0 to 1000000",
+    accepts: (value) =>
+      typeof value === "number" && value >= 0 && value <= highestCount,
+  },
+  services: {
+    expected: "a list of service names",
+    accepts: (value) =>
+      Array.isArray(value) && value.every((name) => nameField.accepts(name)),
+  },
+};
+
+function wholeNumber(least: number, most: number): EntryField {
+  return {
+    expected: `a whole number from ${least} to ${most}`,
+    accepts: (value) =>
+      Number.isInteger(value) && Number(value) >= least &&
+      Number(value) <= most,
+  };
+}
+
+function positiveNumber(): EntryField {
+  return {
+    expected: `a number above 0 and up to ${highestCount}`,
+    accepts: (value) =>
+      typeof value === "number" && value > 0 && value <= highestCount,
+  };
+}
+
+function isRoute(value: unknown): value is Route {
+  if (typeof value !== "object" || value === null) return false;
+  const route = value as Partial<Route>;
+  return Object.keys(value).length === 3 &&
+    typeof route.method === "string" && /^(\*|[A-Z]+)$/.test(route.method) &&
+    typeof route.pathPrefix === "string" &&
+    route.pathPrefix.startsWith("/") &&
+    typeof route.repeatable === "boolean";
+}
--- /dev/null
+++ b/src/version/patch_text.ts
@@ -0,0 +1,75 @@
+/** Keys and texts of patches as the platform's service keeps them. */
+
+import type { Patch, PatchOperation } from "../types/configuration.ts";
+
+/** Prefix of the patch log. */
+export const patchPrefix = "config/patch/";
+
+/** Prefix of the snapshot parts. */
+export const snapshotPrefix = "config/snapshot/";
+
+/** Key that names the newest whole snapshot. */
+export const snapshotHeadKey = "config/head";
+
+/** Digits of a version in a key, so that keys sort by version. */
+const versionDigits = 12;
+
+/** Returns a version as it stands in keys. */
+export function formatVersion(version: number): string {
+  return String(version).padStart(versionDigits, "0");
+}
+
+/** Returns the key of the patch that leads to a version. */
+export function getPatchKey(version: number): string {
+  return `${patchPrefix}${formatVersion(version)}`;
+}
+
+/** Returns the key of one part of a snapshot. */
+export function getPartKey(version: number, part: number): string {
+  return `${snapshotPrefix}${formatVersion(version)}/${
+    String(part).padStart(4, "0")
+  }`;
+}
+
+/** Returns the version of a patch or part key. */
+export function getKeyVersion(key: string): number {
+  return Number(key.split("/")[2]);
+}
+
+/** Returns the text of a patch; equal patches have equal texts. */
+export function formatPatch(patch: Patch): string {
+  return JSON.stringify({
+    version: patch.version,
+    id: patch.id,
+    operator: patch.operator,
+    baseVersion: patch.baseVersion,
+    acceptedAt: patch.acceptedAt,
+    operations: patch.operations,
+  });
+}
+
+/** Reads a text that a store has written; undefined for anything else. */
+export function tryParsePatch(text: string): Patch | undefined {
+  try {
+    const value = JSON.parse(text) as Partial<Patch> | null;
+    const isPatch = Number.isInteger(value?.version) &&
+      typeof value?.id === "string" &&
+      typeof value.operator === "string" &&
+      Array.isArray(value.operations);
+    return isPatch ? value as Patch : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Returns the name of the entry that an operation changes. */
+export function getEntryName(operation: PatchOperation): string {
+  switch (operation.kind) {
+    case "put_service":
+    case "delete_service":
+      return `service ${operation.name}`;
+    case "put_workspace":
+    case "delete_workspace":
+      return `workspace ${operation.name}`;
+  }
+}
--- /dev/null
+++ b/src/version/peer_pull.ts
@@ -0,0 +1,177 @@
+/**
+ * Catches up from other members when one of them announced a later version:
+ * one pull at a time, from the announcer first and from the platform last.
+ */
+
+import type { EitherAsync } from "purify-ts";
+import { getBackOffMs, spreadMs } from "../process/jitter.ts";
+import type { Log } from "../process/log.ts";
+import type { Metrics } from "../process/metrics.ts";
+import type { Member } from "../types/member.ts";
+import type { Dump } from "../types/role.ts";
+import type { ConfigurationState, Hash } from "./configuration_state.ts";
+import { decodeSnapshot, type Snapshot } from "./snapshot.ts";
+
+/** Why a member gave nothing. */
+export interface PullError {
+  readonly kind: "unreachable" | "not_loaded";
+  readonly message: string;
+}
+
+/** What a member gave. */
+export type PulledConfiguration =
+  | { readonly kind: "patches"; readonly texts: readonly string[] }
+  | { readonly kind: "snapshot"; readonly snapshot: Snapshot };
+
+/** Asks a member for what follows a version. */
+export type PullFromMember = (
+  member: Member,
+  afterVersion: number,
+) => EitherAsync<PullError, PulledConfiguration>;
+
+/** What pulling needs of the store. */
+export interface PeerPullHost {
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly hash: Hash;
+  readonly pull: PullFromMember;
+  getPeers(): readonly Member[];
+  getVersion(): number;
+  takeTexts(texts: readonly string[]): void;
+  adopt(state: ConfigurationState): boolean;
+  /** Reads from the platform; false when it did not answer. */
+  refresh(): Promise<boolean>;
+}
+
+/** Pulls from members. */
+export interface PeerPull {
+  /** Notes a version that a member has; a later one starts a pull. */
+  noteVersion(version: number, sender: Member): void;
+  /** Asks a few members in random order; true when one answered. */
+  pullFromAny(): Promise<boolean>;
+  stop(): void;
+  dump(): Dump;
+}
+
+/** Wait before a pull, in which the news may still arrive by itself. */
+const settleMs = 250;
+
+/** Announcers that are remembered. */
+const maxAnnouncers = 8;
+
+/** Members that a starting process asks in one round. */
+const membersPerRound = 3;
+
+const backOff = { firstMs: 250, mostMs: 2_000 };
+
+/** Creates the pulls of one process. */
+export function createPeerPull(host: PeerPullHost): PeerPull {
+  const announcers = new Map<string, Member>();
+  let wantedVersion = 0;
+  let timer: NodeJS.Timeout | undefined;
+  let isPulling = false;
+  let isStopped = false;
+  let failures = 0;
+  let pulls = 0;
+
+  return { noteVersion, pullFromAny, stop, dump };
+
+  function noteVersion(version: number, sender: Member): void {
+    if (version <= host.getVersion()) return;
+    wantedVersion = Math.max(wantedVersion, version);
+    announcers.delete(sender.id);
+    announcers.set(sender.id, sender);
+    const [oldest] = announcers.keys();
+    if (announcers.size > maxAnnouncers && oldest !== undefined) {
+      announcers.delete(oldest);
+    }
+    schedule(spreadMs(settleMs));
+  }
+
+  function schedule(waitMs: number): void {
+    if (timer !== undefined || isPulling || isStopped) return;
+    timer = setTimeout(() => {
+      timer = undefined;
+      void catchUp();
+    }, waitMs);
+    timer.unref();
+  }
+
+  async function catchUp(): Promise<void> {
+    if (isBehind()) {
+      isPulling = true;
+      const isDone = await pullOnce();
+      isPulling = false;
+      failures = isDone ? 0 : failures + 1;
+    }
+    if (!isBehind()) {
+      announcers.clear();
+      return;
+    }
+    schedule(getBackOffMs(failures, backOff));
+  }
+
+  function isBehind(): boolean {
+    return wantedVersion > host.getVersion();
+  }
+
+  async function pullOnce(): Promise<boolean> {
+    const before = host.getVersion();
+    const newestFirst = [...announcers.values()].reverse();
+    for (const member of newestFirst) {
+      await pullFrom(member);
+      if (host.getVersion() > before) return true;
+      announcers.delete(member.id);
+    }
+    return await host.refresh() && host.getVersion() > before;
+  }
+
+  async function pullFrom(member: Member): Promise<boolean> {
+    pulls++;
+    host.metrics.count("configuration_pulls");
+    const pulled = await host.pull(member, host.getVersion()).run();
+    return await pulled.caseOf<Promise<boolean>>({
+      Left: (error) => {
+        host.log.debug("Member gave no configuration", {
+          member: member.id,
+          reason: error.message,
+        });
+        return Promise.resolve(false);
+      },
+      Right: take,
+    });
+  }
+
+  async function take(pulled: PulledConfiguration): Promise<boolean> {
+    if (pulled.kind === "patches") {
+      host.takeTexts(pulled.texts);
+      return true;
+    }
+    const { hash } = host;
+    const state = await decodeSnapshot(pulled.snapshot, { hash });
+    if (state === undefined) return false;
+    host.adopt(state);
+    return true;
+  }
+
+  async function pullFromAny(): Promise<boolean> {
+    const peers = [...host.getPeers()].filter((peer) => peer.state === "live");
+    for (let asked = 0; asked < membersPerRound; asked++) {
+      const index = Math.floor(Math.random() * peers.length);
+      const [peer] = peers.splice(index, 1);
+      if (peer === undefined) return false;
+      if (await pullFrom(peer)) return true;
+    }
+    return false;
+  }
+
+  function stop(): void {
+    isStopped = true;
+    clearTimeout(timer);
+    timer = undefined;
+  }
+
+  function dump(): Dump {
+    return { pulls, failures, wantedVersion, isPulling };
+  }
+}
--- /dev/null
+++ b/src/version/watch_loop.ts
@@ -0,0 +1,156 @@
+/**
+ * Watches the patch log while this process has the duty. An event only says
+ * that there may be news; the content always comes from a fresh read, so that
+ * late and repeated events are harmless.
+ */
+
+import { getBackOffMs, spreadMs } from "../process/jitter.ts";
+import type { Log } from "../process/log.ts";
+import type { Metrics } from "../process/metrics.ts";
+import type { Platform, PlatformError } from "../types/platform.ts";
+import type { Dump } from "../types/role.ts";
+import { compact, patchesPerSnapshot } from "./compaction.ts";
+import type { ConfigurationState, Hash } from "./configuration_state.ts";
+import { patchPrefix } from "./patch_text.ts";
+import { type Newest, readHead } from "./platform_reader.ts";
+
+/** What watching needs of the store. */
+export interface WatchLoopHost {
+  readonly platform: Platform;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly hash: Hash;
+  isWatcher(): boolean;
+  getState(): ConfigurationState;
+  /** Reads from the platform and passes on what is new. */
+  refresh(): Promise<Newest | PlatformError>;
+}
+
+/** The watch of one process. */
+export interface WatchLoop {
+  start(): void;
+  /** Ends the loop; a watch that waits is left to time out. */
+  stop(): Promise<void>;
+  dump(): Dump;
+}
+
+/** Time that one watch waits for an event, in milliseconds. */
+const watchWaitMs = 10_000;
+
+/** How often a process without the duty looks whether it has it now. */
+const dutyCheckMs = 1_000;
+
+/** Longest random wait before a compaction, so that one watcher does it. */
+const compactionSpreadMs = 5_000;
+
+const backOff = { firstMs: 500, mostMs: 5_000 };
+
+/** Creates the watch of one process. */
+export function createWatchLoop(host: WatchLoopHost): WatchLoop {
+  const { platform, log, metrics } = host;
+  let isStopped = false;
+  let failures = 0;
+  /** Revision after which the watch goes on; undefined without a watch. */
+  let watchedRevision: number | undefined;
+  let snapshotVersion = 0;
+  let compaction: NodeJS.Timeout | undefined;
+
+  return { start, stop, dump };
+
+  function start(): void {
+    void run();
+  }
+
+  function stop(): Promise<void> {
+    isStopped = true;
+    clearTimeout(compaction);
+    return Promise.resolve();
+  }
+
+  async function run(): Promise<void> {
+    while (!isStopped) {
+      if (!host.isWatcher()) {
+        watchedRevision = undefined;
+        await sleep(spreadMs(dutyCheckMs));
+        continue;
+      }
+      const isDone = watchedRevision === undefined
+        ? await begin()
+        : await watchOnce(watchedRevision);
+      failures = isDone ? 0 : failures + 1;
+      if (!isDone) await sleep(getBackOffMs(failures, backOff));
+      else scheduleCompaction();
+    }
+  }
+
+  /** Reads the newest and the revision from which events are new. */
+  async function begin(): Promise<boolean> {
+    // The revision is read first: what is written later is seen as an event.
+    const head = await readHead(platform).run();
+    if (head.isLeft()) return false;
+    const result = await host.refresh();
+    if ("kind" in result) return false;
+    head.ifRight((found) => {
+      snapshotVersion = found.version;
+      watchedRevision = Math.max(found.revision, result.revision);
+    });
+    return true;
+  }
+
+  async function watchOnce(afterRevision: number): Promise<boolean> {
+    const events = await platform
+      .watch(patchPrefix, { afterRevision, waitMs: watchWaitMs })
+      .run();
+    if (isStopped) return true;
+    if (events.isLeft()) {
+      metrics.count("configuration_watch_failures");
+      return false;
+    }
+    const found = events.orDefault([]);
+    const hasNews = found.some((event) => event.value !== undefined);
+    if (hasNews) {
+      const result = await host.refresh();
+      if ("kind" in result) return false;
+    }
+    const revisions = found.map((event) => event.revision);
+    watchedRevision = Math.max(afterRevision, ...revisions);
+    return true;
+  }
+
+  function scheduleCompaction(): void {
+    const { version } = host.getState().configuration;
+    const isDue = version - snapshotVersion >= patchesPerSnapshot;
+    if (!isDue || compaction !== undefined) return;
+    compaction = setTimeout(() => {
+      void runCompaction().finally(() => {
+        compaction = undefined;
+      });
+    }, Math.random() * compactionSpreadMs);
+    compaction.unref();
+  }
+
+  async function runCompaction(): Promise<void> {
+    const { hash } = host;
+    const state = host.getState();
+    const result = await compact(platform, { state, hash }).run();
+    result.caseOf<void>({
+      Left: (error) =>
+        log.info("Compaction did not finish", { reason: error.message }),
+      Right: (version) => {
+        snapshotVersion = version;
+        metrics.count("configuration_compactions");
+        log.info("Patch log is compacted", { version });
+      },
+    });
+  }
+
+  function dump(): Dump {
+    return { watchedRevision, failures, snapshotVersion };
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms).unref();
+  });
+}
