Add the platform client and the platform stand-in over HTTP

A write whose connection was lost or that timed out is unknown; only a refused connection or the service's own refusal proves that nothing was written. After failures the client holds calls back with jitter, so that a service that comes back is not met by all processes at once. A waiting watch counts as one call of the budget.

Ruled out: instanceof Error for connection errors, which is false across realms (jest), so the code and syscall fields decide.

--- /dev/null
+++ b/src/connection/platform_client.ts
@@ -0,0 +1,282 @@
+/** The platform's key-value service and VM list over HTTP. */
+
+import { type Either, EitherAsync, Left, Right } from "purify-ts";
+import { Pool } from "undici";
+import type {
+  Entry,
+  Platform,
+  PlatformError,
+  PutOptions,
+  Vm,
+  WatchEvent,
+} from "../types/platform.ts";
+import { createBackOff } from "./back_off.ts";
+import { createCallBudget } from "./call_budget.ts";
+import {
+  type CallKind,
+  createPlatformError,
+  toAnswerError,
+  toConnectionError,
+} from "./platform_error.ts";
+
+/** Where the platform is and how much of it this process may use. */
+export interface PlatformClientOptions {
+  /** Base URL of the key-value service. */
+  readonly keyValue: string;
+  /** Base URL of the VM list. */
+  readonly vmList: string;
+  readonly callsPerSecond: number;
+  /** Longest wait for an answer, in milliseconds. */
+  readonly timeoutMs?: number;
+}
+
+/** Calls made since the start, for dumps and metrics. */
+export interface PlatformCalls {
+  readonly sent: number;
+  readonly failed: number;
+  /** Calls held back by the budget or by the back-off. */
+  readonly heldBack: number;
+}
+
+/** A platform that is reached over connections. */
+export interface PlatformClient extends Platform {
+  getCalls(): PlatformCalls;
+  close(): Promise<void>;
+}
+
+/** Usual longest wait for an answer, in milliseconds. */
+const usualTimeoutMs = 2000;
+
+/** Connections for calls that are answered at once. */
+const callConnections = 16;
+
+/** Connections for watches, which wait long. */
+const watchConnections = 4;
+
+interface Call {
+  readonly kind: CallKind;
+  readonly pool: Pool;
+  readonly path: string;
+  readonly body?: Readonly<Record<string, unknown>>;
+  readonly timeoutMs: number;
+}
+
+/** Creates a client; it connects with the first call. */
+export function createPlatformClient(
+  options: PlatformClientOptions,
+): PlatformClient {
+  const timeoutMs = options.timeoutMs ?? usualTimeoutMs;
+  const calls = createPool(options.keyValue, callConnections);
+  const watches = createPool(options.keyValue, watchConnections);
+  const vmCalls = createPool(options.vmList, 1);
+  const budget = createCallBudget(options.callsPerSecond);
+  const backOff = createBackOff({ random: Math.random });
+  const vmBackOff = createBackOff({ random: Math.random });
+  const counts = { sent: 0, failed: 0, heldBack: 0 };
+
+  return {
+    get,
+    list,
+    put,
+    remove,
+    watch,
+    createLease,
+    renewLease,
+    listVms,
+    getCalls: () => ({ ...counts }),
+    close,
+  };
+
+  function get(key: string): EitherAsync<PlatformError, Entry | undefined> {
+    return read<{ entry: Entry | null }>("/kv/entry", { key })
+      .map(({ entry }) => entry ?? undefined);
+  }
+
+  function list(
+    prefix: string,
+    range: { readonly after?: string; readonly limit: number },
+  ): EitherAsync<PlatformError, readonly Entry[]> {
+    return read<{ entries: readonly Entry[] }>("/kv/entries", {
+      prefix,
+      after: range.after ?? "",
+      limit: String(range.limit),
+    }).map(({ entries }) => entries);
+  }
+
+  function put(
+    key: string,
+    value: string,
+    { expectedRevision, lease }: PutOptions,
+  ): EitherAsync<PlatformError, number> {
+    return write<{ revision: number }>("/kv/put", {
+      key,
+      value,
+      expectedRevision,
+      lease,
+    }).map(({ revision }) => revision);
+  }
+
+  function remove(
+    key: string,
+    expectedRevision: number,
+  ): EitherAsync<PlatformError, void> {
+    return write("/kv/remove", { key, expectedRevision })
+      .map(() => undefined);
+  }
+
+  function watch(
+    prefix: string,
+    range: { readonly afterRevision: number; readonly waitMs: number },
+  ): EitherAsync<PlatformError, readonly WatchEvent[]> {
+    const path = addQuery("/kv/watch", {
+      prefix,
+      after: String(range.afterRevision),
+      wait: String(range.waitMs),
+    });
+    return start<{ events: readonly WireEvent[] }>({
+      kind: "read",
+      pool: watches,
+      path,
+      timeoutMs: range.waitMs + timeoutMs,
+    }).map(({ events }) => events.map(toWatchEvent));
+  }
+
+  function createLease(ttlMs: number): EitherAsync<PlatformError, string> {
+    return write<{ lease: string }>("/kv/leases", { ttlMs })
+      .map(({ lease }) => lease);
+  }
+
+  function renewLease(lease: string): EitherAsync<PlatformError, void> {
+    return write("/kv/leases/renew", { lease }).map(() => undefined);
+  }
+
+  function listVms(): EitherAsync<PlatformError, readonly Vm[]> {
+    return start<{ vms: readonly Vm[] }>({
+      kind: "read",
+      pool: vmCalls,
+      path: "/vms",
+      timeoutMs,
+    }).map(({ vms }) => vms);
+  }
+
+  function read<T>(
+    path: string,
+    query: Readonly<Record<string, string>>,
+  ): EitherAsync<PlatformError, T> {
+    return start({
+      kind: "read",
+      pool: calls,
+      path: addQuery(path, query),
+      timeoutMs,
+    });
+  }
+
+  function write<T>(
+    path: string,
+    body: Readonly<Record<string, unknown>>,
+  ): EitherAsync<PlatformError, T> {
+    return start({ kind: "write", pool: calls, path, body, timeoutMs });
+  }
+
+  /** Sends at once and one time, however often the result is awaited. */
+  function start<T>(call: Call): EitherAsync<PlatformError, T> {
+    const result = admit<T>(call);
+    return EitherAsync.fromPromise(() => result);
+  }
+
+  async function admit<T>(call: Call): Promise<Either<PlatformError, T>> {
+    const pause = call.pool === vmCalls ? vmBackOff : backOff;
+    const waitMs = pause.getWaitMs();
+    if (waitMs > 0) {
+      counts.heldBack++;
+      return Left(createPlatformError(
+        "unavailable",
+        "The service did not answer shortly before",
+        Math.ceil(waitMs),
+      ));
+    }
+    const budgetWaitMs = budget.take();
+    if (budgetWaitMs > 0) {
+      counts.heldBack++;
+      return Left(createPlatformError(
+        "over_budget",
+        "The call budget of the process is spent",
+        budgetWaitMs,
+      ));
+    }
+    counts.sent++;
+    const result = await send<T>(call);
+    if (isAnswered(result)) {
+      pause.noteSuccess();
+    } else {
+      counts.failed++;
+      pause.noteFailure();
+    }
+    return result;
+  }
+
+  async function send<T>(call: Call): Promise<Either<PlatformError, T>> {
+    try {
+      const response = await call.pool.request({
+        method: call.body === undefined ? "GET" : "POST",
+        path: call.path,
+        signal: AbortSignal.timeout(call.timeoutMs),
+        ...(call.body === undefined ? {} : {
+          headers: { "content-type": "application/json" },
+          body: JSON.stringify(call.body),
+        }),
+      });
+      const text = await response.body.text();
+      return judge<T>(response.statusCode, text, call.kind);
+    } catch (cause) {
+      return Left(toConnectionError(cause, call.kind));
+    }
+  }
+
+  async function close(): Promise<void> {
+    await Promise.all(
+      [calls, watches, vmCalls].map((pool) => pool.destroy()),
+    );
+  }
+}
+
+interface WireEvent {
+  readonly key: string;
+  readonly value?: string;
+  readonly revision: number;
+}
+
+function toWatchEvent(event: WireEvent): WatchEvent {
+  return { key: event.key, value: event.value, revision: event.revision };
+}
+
+function createPool(base: string, connections: number): Pool {
+  return new Pool(new URL(base).origin, { connections, pipelining: 1 });
+}
+
+function addQuery(
+  path: string,
+  query: Readonly<Record<string, string>>,
+): string {
+  return `${path}?${new URLSearchParams(query).toString()}`;
+}
+
+/** Reads an answer; one that is not JSON counts as no answer. */
+function judge<T>(
+  status: number,
+  text: string,
+  kind: CallKind,
+): Either<PlatformError, T> {
+  const body: unknown = JSON.parse(text);
+  return status === 200
+    ? Right(body as T)
+    : Left(toAnswerError(status, body, kind));
+}
+
+/** True when the service itself answered, also when it answered a conflict. */
+function isAnswered(result: Either<PlatformError, unknown>): boolean {
+  return result.caseOf({
+    Right: () => true,
+    Left: ({ kind }) => kind === "conflict",
+  });
+}
--- a/test/fakes/memory_platform.ts
+++ b/test/fakes/memory_platform.ts
@@ -70,6 +70,9 @@
 
 type CallKind = "read" | "write";
 
+/** Largest value that the service holds, in bytes. */
+export const maxValueBytes = 1_048_576;
+
 /** Length of the window in which the rate limits count. */
 const rateWindowMs = 1000;
 
@@ -118,7 +121,13 @@
         store.getVms(Math.max(faults.vmLagMs, service.faults.vmLagMs))
       ),
     put: (key, value, options) =>
-      write(key, () => toEither(store.put(key, value, options))),
+      write(
+        key,
+        () =>
+          Buffer.byteLength(value) > maxValueBytes
+            ? Left(createError("unavailable", "The value is too large"))
+            : toEither(store.put(key, value, options)),
+      ),
     remove: (key, expectedRevision) =>
       write(key, () => toEither(store.remove(key, expectedRevision))),
     createLease: (ttlMs) => write("", () => Right(store.createLease(ttlMs))),
--- a/test/fakes/memory_platform_test.ts
+++ b/test/fakes/memory_platform_test.ts
@@ -1,4 +1,4 @@
-import { createMemoryPlatform } from "./memory_platform.ts";
+import { createMemoryPlatform, maxValueBytes } from "./memory_platform.ts";
 
 const absent = { expectedRevision: 0 };
 
@@ -26,6 +26,14 @@
       expect(entries.unsafeCoerce().map(({ key }) => key)).toEqual(["p/2"]);
     });
 
+    it("refuses a value of more than a megabyte", async () => {
+      const platform = createMemoryPlatform();
+      const value = "x".repeat(maxValueBytes);
+      expect((await platform.put("a", value, absent)).isRight()).toBe(true);
+      const refused = await platform.put("b", value + "x", absent);
+      expect(refused.extract()).toMatchObject({ kind: "unavailable" });
+    });
+
     it("removes at the expected revision only", async () => {
       const platform = createMemoryPlatform();
       const revision = (await platform.put("a", "1", absent)).unsafeCoerce();
--- /dev/null
+++ b/test/stand_ins/http.ts
@@ -0,0 +1,120 @@
+/** HTTP helpers that all stand-ins use. */
+
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import polka from "polka";
+
+/** A JSON object as it came in. */
+export type Fields = Readonly<Record<string, unknown>>;
+
+/** A stand-in that listens. */
+export interface Listening {
+  readonly port: number;
+  close(): Promise<void>;
+}
+
+/** Largest body that a stand-in reads, in bytes. */
+const maxBodyBytes = 16 * 1024 * 1024;
+
+/** Reads a whole body. */
+export async function readBody(request: IncomingMessage): Promise<Buffer> {
+  const parts: Buffer[] = [];
+  let length = 0;
+  for await (const part of request) {
+    length += (part as Buffer).length;
+    if (length > maxBodyBytes) throw new Error("The body is too large");
+    parts.push(part as Buffer);
+  }
+  return Buffer.concat(parts);
+}
+
+/** Reads a body as a JSON object; an empty body is an empty object. */
+export async function readFields(request: IncomingMessage): Promise<Fields> {
+  const body = await readBody(request);
+  if (body.length === 0) return {};
+  const value: unknown = JSON.parse(body.toString("utf8"));
+  if (typeof value !== "object" || value === null) {
+    throw new Error("The body is no object");
+  }
+  return value as Fields;
+}
+
+/** Sends a JSON answer. */
+export function sendJson(
+  response: ServerResponse,
+  value: unknown,
+  options: { readonly status?: number } = {},
+): void {
+  const body = JSON.stringify(value);
+  response.writeHead(options.status ?? 200, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
+/** Returns the query parameters of a request. */
+export function getQuery(request: IncomingMessage): URLSearchParams {
+  return new URL(request.url ?? "/", "http://localhost").searchParams;
+}
+
+/** Returns a string field, empty when it is absent. */
+export function getText(fields: Fields, name: string): string {
+  const value = fields[name];
+  return typeof value === "string" ? value : "";
+}
+
+/** Returns a number field, or a default when it is absent. */
+export function getNumber(
+  fields: Fields,
+  name: string,
+  otherwise = 0,
+): number {
+  const value = fields[name];
+  return typeof value === "number" ? value : otherwise;
+}
+
+/** Creates a polka server that answers errors of handlers with 400. */
+export function createServer(): polka.Polka {
+  return polka({
+    onError: (error, _request, response) => {
+      const message = error instanceof Error ? error.message : String(error);
+      sendJson(response, { message }, { status: 400 });
+    },
+  });
+}
+
+/** Turns an asynchronous handler into one that reports its errors. */
+export function handle(
+  act: (
+    request: IncomingMessage,
+    response: ServerResponse,
+  ) => Promise<void> | void,
+): polka.Middleware {
+  return (request, response, next) => {
+    Promise.resolve(act(request, response)).catch(next);
+  };
+}
+
+/** Listens on a loopback port; 0 takes a free one. */
+export function listen(
+  server: polka.Polka,
+  options: { readonly address?: string; readonly port: number },
+): Promise<Listening> {
+  return new Promise((resolve, reject) => {
+    server.listen(options.port, options.address ?? "127.0.0.1", () => {
+      const http = server.server as Server;
+      http.keepAliveTimeout = 60_000;
+      const { port } = http.address() as AddressInfo;
+      resolve({ port, close: () => close(http) });
+    });
+    server.server?.on("error", reject);
+  });
+}
+
+function close(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+}
