Exchange members, loads, crash records and patches in datagrams

A difference that lasts starts a pull of the buckets that differ (the request now carries bucket hashes). The decision modules hold no socket; a seeded network in test/support drives many of them under paused time.

Workspace limits are granted without a count so far.

--- /dev/null
+++ b/src/connection/control_server.ts
@@ -0,0 +1,96 @@
+/** Pulls of member records between processes, over gRPC. */
+
+import {
+  credentials,
+  type sendUnaryData,
+  type Server,
+  type ServerUnaryCall,
+  status,
+} from "@grpc/grpc-js";
+import {
+  ControlServiceClient,
+  ControlServiceService,
+  type PullMembersRequest,
+  PullMembersResponse,
+} from "../generated/mimosatray/v1/control.ts";
+import {
+  callOverheadBytes,
+  type ControlBudget,
+} from "../process/control_budget.ts";
+import { takePage, tryReadMember } from "../process/datagram_codec.ts";
+import type { Member } from "../types/member.ts";
+
+/** Longest wait for a pull. */
+const pullTimeoutMs = 2_000;
+
+/** What the server of pulls needs from outside. */
+export interface ControlServerHost {
+  readonly budget: ControlBudget;
+  /** Records of the buckets whose hashes differ. */
+  getDifferent(bucketHashes: readonly number[]): readonly Member[];
+}
+
+/** Adds the service that sends member records to the process's server. */
+export function addControlServer(
+  host: ControlServerHost,
+  options: { readonly server: Server; readonly maxPullBytes: number },
+): void {
+  const { pullMembers } = ControlServiceService;
+  options.server.addService({ pullMembers }, { pullMembers: answerPull });
+
+  function answerPull(
+    call: ServerUnaryCall<PullMembersRequest, PullMembersResponse>,
+    callback: sendUnaryData<PullMembersResponse>,
+  ): void {
+    const { members, bytes } = takePage(
+      host.getDifferent(call.request.bucketHashes),
+      { maxBytes: options.maxPullBytes, random: Math.random },
+    );
+    const isAllowed = host.budget.trySpend(bytes + callOverheadBytes, {
+      purpose: "membership",
+      class: "pull",
+    });
+    if (isAllowed) callback(null, { members: [...members] });
+    else callback({ code: status.RESOURCE_EXHAUSTED });
+  }
+}
+
+/** Asks a member for the records of buckets that differ. */
+export function pullMembers(
+  from: Member,
+  options: {
+    readonly bucketHashes: readonly number[];
+    readonly budget: ControlBudget;
+  },
+): Promise<readonly Member[] | undefined> {
+  const { bucketHashes, budget } = options;
+  const size = bucketHashes.length * 4 + callOverheadBytes;
+  const isAllowed = budget.trySpend(size, {
+    purpose: "membership",
+    class: "pull",
+  });
+  if (!isAllowed) return Promise.resolve(undefined);
+  const client = new ControlServiceClient(
+    `${from.address}:${from.grpcPort}`,
+    credentials.createInsecure(),
+  );
+  return new Promise((resolve) => {
+    client.waitForReady(Date.now() + pullTimeoutMs, (error) => {
+      if (error !== undefined) return finish(undefined);
+      client.pullMembers(
+        { bucketHashes: [...bucketHashes] },
+        (failure, response) => finish(failure === null ? response : undefined),
+      );
+    });
+
+    function finish(response: PullMembersResponse | undefined): void {
+      client.close();
+      if (response === undefined) return resolve(undefined);
+      const bytes = PullMembersResponse.encode(response).finish().length;
+      budget.note(bytes + callOverheadBytes, "membership", "received");
+      resolve(
+        response.members.flatMap((record) => tryReadMember(record) ?? []),
+      );
+    }
+  });
+}
--- a/src/roles/fleet.ts
+++ b/src/roles/fleet.ts
@@ -1,46 +1,170 @@
 /** Puts together the exchange of one process with the rest of the fleet. */
 
+import { addControlServer, pullMembers } from "../connection/control_server.ts";
+import {
+  createGossipSocket,
+  type GossipSocket,
+} from "../connection/gossip_socket.ts";
+import { createControlBudget } from "../process/control_budget.ts";
+import { createExchange, usualExchangeOptions } from "../process/exchange.ts";
 import type { Member } from "../types/member.ts";
-import type { Fleet } from "../types/role.ts";
+import type { Dump, Fleet } from "../types/role.ts";
+import type { Settings } from "../types/settings.ts";
+import type { MemberView } from "../types/view.ts";
+import { createFleetJoin } from "./fleet_join.ts";
 import type { FleetHost } from "./host.ts";
 
+/** Time for the last news to leave before the socket closes. */
+const farewellMs = 30;
+
+/** Members named in a dump, at most. */
+const dumpedMembers = 200;
+
 /** Creates the exchange with the rest of the fleet. */
 export function createFleet(host: FleetHost): Fleet {
-  const self: Member = {
-    id: host.settings.id,
-    role: host.settings.role,
-    address: host.settings.address,
-    grpcPort: host.settings.grpcPort,
-    gossipPort: host.settings.gossipPort,
-    zone: host.settings.zone,
-    region: host.settings.region,
-    vm: host.settings.vm,
-    service: host.settings.role === "agent" ? host.settings.service : "",
-    incarnation: Date.now(),
-    version: 0,
-    state: "live",
-    weight: host.settings.role === "agent" ? host.settings.weight : 100,
-  };
-  return {
-    members: {
-      getAvailableAgents: () => [],
-      tryGetMember: (id) => (id === self.id ? self : undefined),
-      getMembers: () => [self],
-      noteContact: () => undefined,
+  const { settings, log, metrics } = host;
+  const budget = createControlBudget({
+    bytesPerSecond: settings.controlBytesPerSecond,
+  });
+  const exchange = createExchange({
+    send: (bytes, to) => socket.send(bytes, to),
+    pullMembers: (from, bucketHashes) =>
+      pullMembers(from, { bucketHashes, budget }),
+    configuration: host.configuration,
+    budget,
+    onReplaced: (by) => {
+      log.error("Another process runs under the id of this one", {
+        address: by.address,
+        gossipPort: by.gossipPort,
+      });
     },
-    means: { getMean: () => ({ mean: 0, targets: 0, ageMs: 0 }) },
+    onGarbage: () => metrics.count("control_garbage_datagrams_total"),
+  }, {
+    ...usualExchangeOptions,
+    self: createSelf(settings),
+    random: Math.random,
+  });
+  const socket: GossipSocket = createGossipSocket({
+    receive: exchange.receive,
+    onError: (error) =>
+      log.warn("The gossip socket failed", { error: error.message }),
+  }, { address: settings.address, port: settings.gossipPort });
+  const joining = createFleetJoin({
+    settings,
+    platform: host.platform,
+    log,
+    exchange,
+  });
+  const { membership } = exchange;
+  addControlServer({
+    budget,
+    getDifferent: membership.table.getDifferent,
+  }, {
+    server: host.server,
+    maxPullBytes: settings.controlBytesPerSecond / 2,
+  });
+  registerGauges();
+
+  return {
+    members: createMemberView(),
+    means: { getMean: exchange.getMean },
     crashes: {
-      getCrashes: () => 0,
-      recordCrash: () => undefined,
-      clearCrashes: () => undefined,
+      getCrashes: exchange.getCrashes,
+      recordCrash: exchange.recordCrash,
+      clearCrashes: exchange.clearCrashes,
     },
     limits: { acquire: () => Promise.resolve({ kind: "granted" }) },
-    getSelf: () => self,
-    setLoadSource: () => undefined,
-    spreadPatch: () => undefined,
-    announceLeaving: () => undefined,
-    start: () => Promise.resolve(),
-    stop: () => Promise.resolve(),
-    dump: () => ({}),
+    getSelf: membership.getSelf,
+    setLoadSource: exchange.setLoadSource,
+    spreadPatch: exchange.spreadPatch,
+    announceLeaving: () => {
+      if (membership.getSelf().state === "live") exchange.announce("leaving");
+    },
+    start,
+    stop,
+    dump,
+  };
+
+  function createMemberView(): MemberView {
+    return {
+      getAvailableAgents: membership.table.getAvailableAgents,
+      tryGetMember: membership.table.tryGet,
+      getMembers: membership.table.getAll,
+      noteContact: exchange.noteContact,
+    };
+  }
+
+  async function start(): Promise<void> {
+    await socket.bind();
+    exchange.start();
+    await joining.join();
+  }
+
+  async function stop(): Promise<void> {
+    joining.stop();
+    exchange.announce("dead");
+    await new Promise((resolve) => setTimeout(resolve, farewellMs));
+    exchange.stop();
+    await socket.close();
+  }
+
+  function registerGauges(): void {
+    metrics.gauge("members", () => membership.table.getAll().length);
+    metrics.gauge("control_bytes_sent_total", () => sumBytes("sent"));
+    metrics.gauge("control_bytes_received_total", () => sumBytes("received"));
+  }
+
+  function sumBytes(direction: "sent" | "received"): number {
+    return budget.getTotals()
+      .filter((total) => total.direction === direction)
+      .reduce((sum, { bytes }) => sum + bytes, 0);
+  }
+
+  function dump(): Dump {
+    const members = membership.table.getAll();
+    return {
+      self: describeMember(membership.getSelf()),
+      memberCount: members.length,
+      membersHash: membership.table.getHash(),
+      members: members.slice(0, dumpedMembers).map(describeMember),
+      means: describeMeans(members),
+      crashes: exchange.getCrashRecords().map((record) => ({ ...record })),
+      controlBytes: budget.getTotals().map((total) => ({ ...total })),
+      controlDropped: { ...budget.getDropped() },
+    };
+  }
+
+  function describeMeans(members: readonly Member[]): Dump {
+    const services = new Set(members.map(({ service }) => service));
+    services.delete("");
+    return [...services].map((service) => ({
+      service,
+      ...exchange.getMean(service),
+    }));
+  }
+}
+
+function createSelf(settings: Settings): Member {
+  const isAgent = settings.role === "agent";
+  return {
+    id: settings.id,
+    role: settings.role,
+    address: settings.address,
+    grpcPort: settings.grpcPort,
+    gossipPort: settings.gossipPort,
+    zone: settings.zone,
+    region: settings.region,
+    vm: settings.vm,
+    service: isAgent ? settings.service : "",
+    incarnation: Date.now(),
+    version: 1,
+    state: "live",
+    weight: isAgent ? settings.weight : 100,
   };
 }
+
+function describeMember(member: Member): Dump {
+  const { id, role, zone, service, incarnation, version, state } = member;
+  const endpoint = `${member.address}:${member.gossipPort}`;
+  return { id, role, zone, service, endpoint, incarnation, version, state };
+}
--- /dev/null
+++ b/src/roles/fleet_join.ts
@@ -0,0 +1,157 @@
+/** Finds the first members of the fleet, and watches the platform's list. */
+
+import type { Log } from "../process/log.ts";
+import type { Endpoint, Exchange } from "../process/exchange.ts";
+import { isOnWatchDuty } from "../process/watch_duty.ts";
+import type { Platform, Vm } from "../types/platform.ts";
+import type { Settings } from "../types/settings.ts";
+
+/** Time between two rounds of greetings while no member is known. */
+const greetIntervalMs = 300;
+
+/** Longest wait for a first member; a lone process goes on without. */
+const joinTimeoutMs = 3_000;
+
+/** Members that are greeted in one round. */
+const greetedAtOnce = 6;
+
+/** Time between two reads of the list by a router on watch. */
+const listIntervalMs = 1_000;
+
+/** Longest wait between two reads while the list cannot be read. */
+const maxListIntervalMs = 10_000;
+
+/** What joining needs from outside. */
+export interface FleetJoinHost {
+  readonly settings: Settings;
+  readonly platform: Platform;
+  readonly log: Log;
+  readonly exchange: Exchange;
+}
+
+/** Joining and watching of one process. */
+export interface FleetJoin {
+  /** Resolves when a member is known, or after a bounded wait. */
+  join(): Promise<void>;
+  stop(): void;
+}
+
+/** Creates the part that finds members. */
+export function createFleetJoin(host: FleetJoinHost): FleetJoin {
+  const { settings, exchange } = host;
+  const seeds = settings.seeds.flatMap((seed) => tryParseEndpoint(seed) ?? []);
+  let listed: readonly Endpoint[] = [];
+  let stopped = false;
+  let watching: NodeJS.Timeout | undefined;
+  let waitMs = listIntervalMs;
+
+  return { join, stop };
+
+  async function join(): Promise<void> {
+    const endsAt = performance.now() + joinTimeoutMs;
+    void readList().then(watch);
+    while (!stopped && !hasMembers()) {
+      greet();
+      await sleep(greetIntervalMs);
+      if (performance.now() < endsAt) continue;
+      host.log.warn("No other member has answered yet");
+      return;
+    }
+  }
+
+  function stop(): void {
+    stopped = true;
+    clearTimeout(watching);
+  }
+
+  function hasMembers(): boolean {
+    return exchange.membership.getPeers().length > 0;
+  }
+
+  function greet(): void {
+    const endpoints = [...seeds, ...listed].filter(isOther);
+    for (const endpoint of takeSome(endpoints)) exchange.sayHello(endpoint);
+  }
+
+  function isOther({ address, port }: Endpoint): boolean {
+    return address !== settings.address || port !== settings.gossipPort;
+  }
+
+  function watch(): void {
+    if (stopped) return;
+    watching = setTimeout(() => {
+      void watchOnce().then(watch);
+    }, waitMs);
+  }
+
+  async function watchOnce(): Promise<void> {
+    const { membership } = exchange;
+    if (!hasMembers()) {
+      await readList();
+      greet();
+    } else if (
+      isOnWatchDuty(membership.getSelf(), membership.table.getAll())
+    ) {
+      await readList();
+      greetUnknown();
+    }
+  }
+
+  async function readList(): Promise<void> {
+    const answer = await host.platform.listVms().run();
+    answer.caseOf({
+      Left: (error) => {
+        waitMs = Math.min(
+          maxListIntervalMs,
+          Math.max(waitMs * 2, error.retryAfterMs),
+        );
+      },
+      Right: (vms) => {
+        waitMs = listIntervalMs;
+        takeList(vms);
+      },
+    });
+  }
+
+  function takeList(vms: readonly Vm[]): void {
+    if (stopped) return;
+    listed = vms
+      .filter(({ state }) => state === "live")
+      .flatMap(({ address }) =>
+        tryParseEndpoint(address) ?? { address, port: settings.gossipPort }
+      );
+    exchange.mergeVms(vms);
+  }
+
+  /** Greets some live VMs from which no record is held. */
+  function greetUnknown(): void {
+    const known = new Set(
+      exchange.membership.getPeers().map(({ address }) => address),
+    );
+    const unknown = listed.filter(({ address }) => !known.has(address));
+    for (const endpoint of takeSome(unknown.filter(isOther))) {
+      exchange.sayHello(endpoint);
+    }
+  }
+}
+
+/** Takes at most a round's number of endpoints, in random order. */
+function takeSome(endpoints: readonly Endpoint[]): readonly Endpoint[] {
+  const left = [...endpoints];
+  const taken: Endpoint[] = [];
+  while (left.length > 0 && taken.length < greetedAtOnce) {
+    taken.push(...left.splice(Math.floor(Math.random() * left.length), 1));
+  }
+  return taken;
+}
+
+/** Reads `ip:port`; `undefined` for anything else. */
+function tryParseEndpoint(text: string): Endpoint | undefined {
+  const match = /^(.+):(\d{1,5})$/.exec(text);
+  if (match?.[1] === undefined) return undefined;
+  return { address: match[1], port: Number(match[2]) };
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/test/support/exchange_network.ts
@@ -0,0 +1,226 @@
+/** Many exchanges in one process, joined by messages that a seed disturbs. */
+
+import {
+  type ControlBudget,
+  createControlBudget,
+} from "../../src/process/control_budget.ts";
+import {
+  createExchange,
+  type Exchange,
+  type ExchangeOptions,
+  usualExchangeOptions,
+} from "../../src/process/exchange.ts";
+import type { Configuration, Patch } from "../../src/types/configuration.ts";
+import type { Member } from "../../src/types/member.ts";
+import { takePage } from "../../src/process/datagram_codec.ts";
+
+/** One exchange with what a test reads of it. */
+export interface Node {
+  readonly exchange: Exchange;
+  readonly budget: ControlBudget;
+  readonly endpoint: string;
+  /** Texts of patches that reached the node, with their times. */
+  readonly patches: Map<string, number>;
+  load: number;
+  isUp: boolean;
+}
+
+/** How messages are disturbed. */
+export interface Disturbance {
+  /** One-way delay in milliseconds, lowest and highest. */
+  readonly delayMs: readonly [number, number];
+  /** Share of messages that are lost, 0 to 1. */
+  readonly loss: number;
+  /** Share of messages that arrive twice, 0 to 1. */
+  readonly doubling: number;
+}
+
+/** The network between the nodes. */
+export interface Network {
+  readonly nodes: readonly Node[];
+  add(member: Member): Node;
+  /** Ends a node without a word. */
+  kill(node: Node): void;
+  /** Messages pass only where this says so. */
+  setCut(passes: (from: Node, to: Node) => boolean): void;
+  setDisturbance(change: Partial<Disturbance>): void;
+  /** Makes all nodes know one another, and starts them. */
+  introduceAll(): void;
+  random(): number;
+}
+
+/** Creates a network whose choices follow a seed. */
+export function createNetwork(options: {
+  readonly seed: number;
+  readonly bytesPerSecond?: number;
+  readonly exchange?: Partial<ExchangeOptions>;
+}): Network {
+  const nodes: Node[] = [];
+  const byEndpoint = new Map<string, Node>();
+  const random = createRandom(options.seed);
+  let disturbance: Disturbance = { delayMs: [1, 3], loss: 0, doubling: 0 };
+  let passes: (from: Node, to: Node) => boolean = () => true;
+
+  return {
+    nodes,
+    add,
+    kill,
+    setCut: (next) => {
+      passes = next;
+    },
+    setDisturbance: (change) => {
+      disturbance = { ...disturbance, ...change };
+    },
+    introduceAll,
+    random,
+  };
+
+  function add(member: Member): Node {
+    const endpoint = `${member.address}:${member.gossipPort}`;
+    const patches = new Map<string, number>();
+    const budget = createControlBudget({
+      bytesPerSecond: options.bytesPerSecond ?? 22_000,
+    });
+    const exchange = createExchange({
+      send: (bytes, to) => deliver(bytes, `${to.address}:${to.port}`),
+      pullMembers,
+      configuration: {
+        getChecksum: () => 0,
+        getConfiguration: () => emptyConfiguration,
+        noteVersion: () => undefined,
+        offerPatches: (texts) =>
+          texts.forEach((text) => patches.set(text, performance.now())),
+        onPatch: () => undefined,
+      },
+      budget,
+      onReplaced: () => undefined,
+      onGarbage: () => undefined,
+    }, { ...usualExchangeOptions, ...options.exchange, self: member, random });
+    const node: Node = {
+      exchange,
+      budget,
+      endpoint,
+      patches,
+      load: 0,
+      isUp: true,
+    };
+    exchange.setLoadSource(() => node.load);
+    nodes.push(node);
+    byEndpoint.set(endpoint, node);
+    return node;
+
+    function deliver(bytes: Uint8Array, to: string): void {
+      const copies = random() < disturbance.doubling ? 2 : 1;
+      for (let copy = 0; copy < copies; copy++) {
+        if (random() < disturbance.loss) continue;
+        setTimeout(() => arrive(bytes, to), getDelay());
+      }
+    }
+
+    function arrive(bytes: Uint8Array, to: string): void {
+      const target = byEndpoint.get(to);
+      if (target === undefined || !target.isUp || !node.isUp) return;
+      if (!passes(node, target)) return;
+      const { address, gossipPort } = member;
+      target.exchange.receive(bytes, { address, port: gossipPort });
+    }
+
+    async function pullMembers(
+      from: Member,
+      hashes: readonly number[],
+    ): Promise<readonly Member[] | undefined> {
+      const target = byEndpoint.get(`${from.address}:${from.gossipPort}`);
+      await sleep(getDelay() * 4);
+      if (target === undefined || !target.isUp || !node.isUp) return undefined;
+      if (!passes(node, target) || !passes(target, node)) return undefined;
+      const page = takePage(
+        target.exchange.membership.table.getDifferent(hashes),
+        { maxBytes: 11_000, random },
+      );
+      const spend = { purpose: "membership", class: "pull" } as const;
+      if (!budget.trySpend(650, spend)) return undefined;
+      if (!target.budget.trySpend(page.bytes + 400, spend)) return undefined;
+      target.budget.note(650, "membership", "received");
+      budget.note(page.bytes + 400, "membership", "received");
+      return page.members;
+    }
+  }
+
+  function getDelay(): number {
+    const [lowest, highest] = disturbance.delayMs;
+    return lowest + random() * (highest - lowest);
+  }
+
+  function kill(node: Node): void {
+    node.isUp = false;
+    node.exchange.stop();
+  }
+
+  function introduceAll(): void {
+    const members = nodes.map(({ exchange }) => exchange.membership.getSelf());
+    for (const { exchange } of nodes) {
+      exchange.mergeMembers(members);
+      setTimeout(exchange.start, random() * 250);
+    }
+  }
+}
+
+/** Builds a member record for tests. */
+export function createMember(
+  number: number,
+  change: Partial<Member> = {},
+): Member {
+  return {
+    id: `agent-${number}`,
+    role: "agent",
+    address: `10.1.${number >> 8}.${number & 255}`,
+    grpcPort: 7_000,
+    gossipPort: 7_001,
+    zone: `zone-${number % 3}`,
+    region: "region-1",
+    vm: `vm-${number}`,
+    service: "chat",
+    incarnation: 1_700_000_000_000 + number,
+    version: 1,
+    state: "live",
+    weight: 100,
+    ...change,
+  };
+}
+
+/** Random numbers from 0 up to 1 that follow a seed. */
+export function createRandom(seed: number): () => number {
+  let state = seed >>> 0;
+  return () => {
+    state = (state + 0x6d2b79f5) >>> 0;
+    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
+  };
+}
+
+/** A patch for tests. */
+export function createPatch(version: number, operations = 1): Patch {
+  return {
+    id: `patch-${version}`,
+    operator: "operator-1",
+    baseVersion: version - 1,
+    version,
+    acceptedAt: 0,
+    operations: Array.from({ length: operations }, (_value, index) => ({
+      kind: "put_workspace",
+      name: `workspace-${index}`,
+      value: { weight: 1, requestsPerSecond: 0, services: [] },
+    })),
+  };
+}
+
+const emptyConfiguration: Configuration = {
+  version: 0,
+  services: new Map(),
+  workspaces: new Map(),
+};
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
