--- a/src/roles/fleet.ts
+++ b/src/roles/fleet.ts
@@ -56,6 +56,7 @@
     exchange,
   });
   const { membership } = exchange;
+  let starting: Promise<void> | undefined;
   addControlServer({
     budget,
     getDifferent: membership.table.getDifferent,
@@ -94,7 +95,12 @@
     };
   }
 
-  async function start(): Promise<void> {
+  function start(): Promise<void> {
+    starting ??= startOnce();
+    return starting;
+  }
+
+  async function startOnce(): Promise<void> {
     await socket.bind();
     exchange.start();
     await joining.join();
