--- a/src/connection/admin_listener.ts
+++ b/src/connection/admin_listener.ts
@@ -58,8 +58,8 @@
       void answer(route, {
         request,
         response,
-        params: request.params,
-        query: new URLSearchParams(request.search ?? ""),
+        params: request.params as Record<string, string>,
+        query: new URL(request.url, "http://localhost").searchParams,
       });
     });
   }
--- /dev/null
+++ b/src/connection/configuration_client.ts
@@ -0,0 +1,83 @@
+/** Asks other members for the configuration over gRPC. */
+
+import { type Either, EitherAsync, Left, Right } from "purify-ts";
+import {
+  ControlServiceClient,
+  type PullConfigurationResponse,
+  type SnapshotPart,
+} from "../generated/mimosatray/v1/control.ts";
+import type { Member } from "../types/member.ts";
+import type {
+  PulledConfiguration,
+  PullError,
+  PullFromMember,
+} from "../version/peer_pull.ts";
+import { createPeerConnections } from "./peer_connections.ts";
+
+/** A client for the configuration of other members. */
+export interface ConfigurationClient {
+  readonly pull: PullFromMember;
+  close(): void;
+}
+
+/** Longest time of one pull, in milliseconds. */
+const pullTimeoutMs = 5_000;
+
+/** Creates a client; it connects with the first pull. */
+export function createConfigurationClient(): ConfigurationClient {
+  const connections = createPeerConnections(ControlServiceClient);
+
+  return { pull, close: connections.close };
+
+  function pull(
+    member: Member,
+    afterVersion: number,
+  ): EitherAsync<PullError, PulledConfiguration> {
+    return EitherAsync.fromPromise(() => pullOnce(member, afterVersion));
+  }
+
+  function pullOnce(
+    member: Member,
+    afterVersion: number,
+  ): Promise<Either<PullError, PulledConfiguration>> {
+    return new Promise((resolve) => {
+      const responses: PullConfigurationResponse[] = [];
+      const call = connections.get(member).pullConfiguration(
+        { afterVersion },
+        { deadline: Date.now() + pullTimeoutMs },
+      );
+      call.on("data", (response: PullConfigurationResponse) => {
+        responses.push(response);
+      });
+      call.on("error", (error: Error) => {
+        resolve(Left({ kind: "unreachable", message: error.message }));
+      });
+      call.on("end", () => resolve(readResponses(responses)));
+    });
+  }
+}
+
+function readResponses(
+  responses: readonly PullConfigurationResponse[],
+): Either<PullError, PulledConfiguration> {
+  const texts: string[] = [];
+  const parts: SnapshotPart[] = [];
+  for (const { part } of responses) {
+    if (part?.$case === "patch") texts.push(part.value);
+    if (part?.$case === "snapshot") parts.push(part.value);
+  }
+  const [first] = parts;
+  if (first === undefined) return Right({ kind: "patches", texts });
+  if (parts.length !== first.count) {
+    return Left({ kind: "unreachable", message: "The snapshot was cut" });
+  }
+  const { version, checksum } = first;
+  return Right({
+    kind: "snapshot",
+    snapshot: {
+      version,
+      checksum,
+      parts: parts.map((piece) => Buffer.from(piece.data).toString("base64")),
+    },
+  });
+}
--- /dev/null
+++ b/src/roles/configuration.ts
@@ -0,0 +1,57 @@
+/** Puts together the configuration of one process. */
+
+import type { Server } from "@grpc/grpc-js";
+import { createConfigurationClient } from "../connection/configuration_client.ts";
+import { addConfigurationServer } from "../connection/configuration_server.ts";
+import { loadHash } from "../process/hash.ts";
+import type { Log } from "../process/log.ts";
+import type { Metrics } from "../process/metrics.ts";
+import { isOnWatchDuty } from "../process/watch_duty.ts";
+import type { Platform } from "../types/platform.ts";
+import type { Fleet } from "../types/role.ts";
+import {
+  createConfigurationStore,
+  type LocalConfigurationStore,
+} from "../version/configuration_store.ts";
+
+/** What the configuration of a process is given. */
+export interface ConfigurationHost {
+  readonly platform: Platform;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly server: Server;
+  /** The fleet, which is created after the configuration. */
+  getFleet(): Fleet;
+}
+
+/** The configuration of one process and its connections. */
+export interface LocalConfiguration {
+  readonly store: LocalConfigurationStore;
+  close(): void;
+}
+
+/** Creates the configuration of a process and serves it to others. */
+export async function createConfiguration(
+  host: ConfigurationHost,
+): Promise<LocalConfiguration> {
+  const { platform, log, metrics, server, getFleet } = host;
+  const hash = await loadHash();
+  const client = createConfigurationClient();
+  const store = createConfigurationStore({
+    platform,
+    log,
+    metrics,
+    hash,
+    pull: client.pull,
+    getPeers: () => {
+      const { id } = getFleet().getSelf();
+      return getFleet().members.getMembers()
+        .filter((member) => member.id !== id && member.state !== "dead");
+    },
+    isWatcher: () =>
+      isOnWatchDuty(getFleet().getSelf(), getFleet().members.getMembers()),
+    spreadPatch: (patch) => getFleet().spreadPatch(patch),
+  });
+  addConfigurationServer({ server, store });
+  return { store, close: client.close };
+}
--- a/src/roles/process.ts
+++ b/src/roles/process.ts
@@ -2,6 +2,8 @@
 
 import { Server, ServerCredentials } from "@grpc/grpc-js";
 import { openAdminListener } from "../connection/admin_listener.ts";
+import { createOrderClient } from "../connection/order_client.ts";
+import { maxMessageBytes } from "../connection/peer_connections.ts";
 import { createPlatformClient } from "../connection/platform_client.ts";
 import type { Log } from "../process/log.ts";
 import { createMetrics } from "../process/metrics.ts";
@@ -31,9 +33,6 @@
 /** Time for connections to end after the work has ended, in milliseconds. */
 const connectionCloseMs = 1_000;
 
-/** Largest message between processes, in bytes. */
-const maxMessageBytes = 64 * 1_048_576;
-
 /** Starts a process; rejects when an address cannot be taken. */
 export async function startProcess(
   settings: Settings,
@@ -50,8 +49,8 @@
     "grpc.max_send_message_length": maxMessageBytes,
   });
   const platform = createPlatformClient(settings.platform);
+  const orders = createOrderClient();
   const configuration = await createConfiguration({
-    settings,
     platform,
     log,
     metrics,
@@ -71,9 +70,10 @@
       settings,
       role,
       fleet,
-      configuration,
+      store,
       platform,
       metrics,
+      sendOrder: orders.send,
       startedAt,
       isReady: () => started && stopping === undefined && role.isReady(),
     }),
@@ -113,6 +113,8 @@
     }
     await Promise.all([fleet.stop(), store.stop()]);
     await closeGrpcServer(server);
+    orders.close();
+    configuration.close();
     await admin.close();
     await platform.close();
     log.info("Process has stopped", {
