--- /dev/null
+++ b/src/cli/admin_client.ts
@@ -0,0 +1,55 @@
+/** Calls the operators' listener of a running process. */
+
+import { type Either, Left, Right } from "purify-ts";
+import { request } from "undici";
+import { createReport } from "../types/diagnostics.ts";
+import { type ErrorBody, toErrorBody } from "./output.ts";
+
+/** Why a call gave no result. */
+export interface AdminCallError {
+  readonly kind: "refused" | "unreachable";
+  readonly errors: readonly ErrorBody[];
+}
+
+/** One call of the listener. */
+export interface AdminRequest {
+  readonly method: "GET" | "POST";
+  /** Address of the listener, `ip:port`. */
+  readonly address: string;
+  readonly path: string;
+  readonly body?: unknown;
+}
+
+/** Longest wait for an answer, in milliseconds. */
+const timeoutMs = 30_000;
+
+/** Codes that leave the outcome of a call open. */
+const unknownCodes: readonly string[] = ["patch_outcome_unknown"];
+
+/** Sends a call and returns the JSON body of its answer. */
+export async function callAdmin(
+  call: AdminRequest,
+): Promise<Either<AdminCallError, unknown>> {
+  const { address, method, path } = call;
+  try {
+    const response = await request(`http://${address}${path}`, {
+      method,
+      headersTimeout: timeoutMs,
+      bodyTimeout: timeoutMs,
+      ...(call.body === undefined ? {} : {
+        body: JSON.stringify(call.body),
+        headers: { "content-type": "application/json" },
+      }),
+    });
+    const body: unknown = await response.body.json();
+    if (response.statusCode < 400) return Right(body);
+    const { errors } = body as { readonly errors: readonly ErrorBody[] };
+    const isOpen = errors.some(({ code }) => unknownCodes.includes(code));
+    return Left({ kind: isOpen ? "unreachable" : "refused", errors });
+  } catch (error) {
+    const reason = (error as NodeJS.ErrnoException).code ??
+      (error as Error).message;
+    const report = createReport("admin_unreachable", { address, reason });
+    return Left({ kind: "unreachable", errors: [toErrorBody(report)] });
+  }
+}
--- /dev/null
+++ b/src/cli/commands/configuration.ts
@@ -0,0 +1,166 @@
+/** Commands that read and change the configuration. */
+
+import { readFile } from "node:fs/promises";
+import { Command, Option } from "clipanion";
+import { formatHistory, formatPatchDetails } from "../patch_format.ts";
+import { formatJson, RouterCommand } from "./base.ts";
+
+const category = "Configuration";
+
+/** Reads the configuration or one entry. */
+// Commands of clipanion are classes.
+// eslint-disable-next-line no-restricted-syntax
+export class GetCommand extends RouterCommand {
+  static override readonly paths = [["config", "get"]];
+  static override readonly usage = Command.Usage({
+    category,
+    description: "Read the configuration in force",
+    details: "Lists the first workspaces only, unless --all is given.",
+    examples: [
+      ["Read the configuration", "$0 config get --router 10.0.0.7:7300"],
+      ["Read one service", "$0 config get service chat"],
+      ["Read one workspace", "$0 config get workspace studio-3"],
+    ],
+  });
+  readonly all = Option.Boolean("--all", false, {
+    description: "List all workspaces",
+  });
+  readonly entry = Option.Rest({ name: "entry" });
+
+  async execute(): Promise<number> {
+    const path = getEntryPath(this.entry, this.all);
+    if (path === undefined) {
+      return this.refuseArgument(
+        "The entry",
+        '"service" or "workspace" and a name',
+      );
+    }
+    const address = this.router;
+    return await this.callAndWrite(
+      { method: "GET", address, path },
+      formatJson,
+    );
+  }
+}
+
+/** Submits a patch. */
+// eslint-disable-next-line no-restricted-syntax
+export class PatchCommand extends RouterCommand {
+  static override readonly paths = [["config", "patch"]];
+  static override readonly usage = Command.Usage({
+    category,
+    description: "Submit a patch to the configuration",
+    details: `
+      The file holds one JSON object with id, operator, baseVersion and
+      operations; "-" reads standard input. The same id is never accepted
+      twice: when the answer was lost, submit the same file again or ask with
+      "config show". Exit code 1 means refused and nothing changed, 3 means
+      that the outcome is not known yet.
+    `,
+    examples: [
+      ["Submit a patch", "$0 config patch change.json"],
+      ["Submit from a pipe", "cat change.json | $0 config patch -"],
+    ],
+  });
+  readonly file = Option.String({ name: "patch file" });
+
+  async execute(): Promise<number> {
+    const body = await readJson(this.file, this.context.stdin);
+    if (body === undefined) {
+      return this.refuseArgument(this.file, "a readable file of JSON");
+    }
+    return await this.callAndWrite({
+      method: "POST",
+      address: this.router,
+      path: "/config/patches",
+      body,
+    }, (answer) => {
+      const { version, wasKnown } = answer as Accepted;
+      return [
+        wasKnown
+          ? `The patch had been accepted before as version ${version}`
+          : `The patch is accepted as version ${version}`,
+      ];
+    });
+  }
+}
+
+/** Shows the last patches. */
+// eslint-disable-next-line no-restricted-syntax
+export class HistoryCommand extends RouterCommand {
+  static override readonly paths = [["config", "history"]];
+  static override readonly usage = Command.Usage({
+    category,
+    description: "List the last patches with their operators",
+    examples: [["List 50 patches", "$0 config history --limit 50"]],
+  });
+  readonly limit = Option.String("--limit", "20", {
+    description: "Number of patches",
+  });
+
+  async execute(): Promise<number> {
+    if (!/^[1-9]\d{0,4}$/.test(this.limit)) {
+      return this.refuseArgument("--limit", "a whole number above 0");
+    }
+    return await this.callAndWrite({
+      method: "GET",
+      address: this.router,
+      path: `/config/history?limit=${this.limit}`,
+    }, formatHistory);
+  }
+}
+
+/** Tells what became of a patch. */
+// eslint-disable-next-line no-restricted-syntax
+export class ShowCommand extends RouterCommand {
+  static override readonly paths = [["config", "show"]];
+  static override readonly usage = Command.Usage({
+    category,
+    description: "Tell what became of a patch, by its id",
+    examples: [["Ask for a patch", "$0 config show add-studio-3"]],
+  });
+  readonly patch = Option.String({ name: "patch id" });
+
+  async execute(): Promise<number> {
+    return await this.callAndWrite({
+      method: "GET",
+      address: this.router,
+      path: `/config/patches/${encodeURIComponent(this.patch)}`,
+    }, formatPatchDetails);
+  }
+}
+
+interface Accepted {
+  readonly version: number;
+  readonly wasKnown: boolean;
+}
+
+function getEntryPath(
+  entry: readonly string[],
+  all: boolean,
+): string | undefined {
+  const [group, name, ...rest] = entry;
+  if (group === undefined) return all ? "/config?all=true" : "/config";
+  if (name === undefined || rest.length > 0) return undefined;
+  if (group !== "service" && group !== "workspace") return undefined;
+  return `/config/${group}s/${encodeURIComponent(name)}`;
+}
+
+/** Reads JSON from a file or standard input; undefined when it is none. */
+async function readJson(
+  file: string,
+  stdin: NodeJS.ReadableStream,
+): Promise<unknown> {
+  try {
+    const text = file === "-" ? await readAll(stdin) : await readFile(file);
+    return JSON.parse(text.toString());
+  } catch {
+    return undefined;
+  }
+}
+
+async function readAll(stream: NodeJS.ReadableStream): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of stream) chunks.push(Buffer.from(chunk));
+  return Buffer.concat(chunks).toString();
+}
--- /dev/null
+++ b/src/cli/commands/run.ts
@@ -0,0 +1,113 @@
+/** Commands that run a role or check its settings. */
+
+import { Command, Option } from "clipanion";
+import { createLog, createStandardErrorHost } from "../../process/log.ts";
+import { startProcess } from "../../roles/process.ts";
+import { createReport } from "../../types/diagnostics.ts";
+import type { Settings } from "../../types/settings.ts";
+import { exitCodes } from "../exit_codes.ts";
+import { readSettingsFile } from "../settings_file.ts";
+import { waitForSignal } from "../signals.ts";
+import { OutputCommand } from "./base.ts";
+
+// Commands of clipanion are classes.
+// eslint-disable-next-line no-restricted-syntax
+abstract class RoleCommand extends OutputCommand {
+  readonly file = Option.String({ name: "settings file" });
+  protected abstract readonly role: Settings["role"];
+
+  async execute(): Promise<number> {
+    const read = await readSettingsFile(this.file);
+    return await read.caseOf<number | Promise<number>>({
+      Left: (reports) => this.refuse(reports),
+      Right: (settings) => this.run(settings),
+    });
+  }
+
+  private async run(settings: Settings): Promise<number> {
+    if (settings.role !== this.role) {
+      const values = {
+        file: this.file,
+        line: 1,
+        column: 1,
+        field: "role",
+        expected: JSON.stringify(this.role),
+      };
+      return this.refuse([createReport("settings_invalid", values)]);
+    }
+    const log = createLog(createStandardErrorHost(), {
+      level: settings.logLevel,
+      fields: { process: settings.id, role: settings.role },
+    });
+    try {
+      const running = await startProcess(settings, { log });
+      const signal = await waitForSignal(log);
+      await running.stop(signal);
+      return exitCodes.done;
+    } catch (error) {
+      log.error("Process could not start", { reason: String(error) });
+      return exitCodes.failed;
+    }
+  }
+}
+
+/** Runs a router. */
+// eslint-disable-next-line no-restricted-syntax
+export class RunRouterCommand extends RoleCommand {
+  static override readonly paths = [["router"]];
+  static override readonly usage = Command.Usage({
+    category: "Roles",
+    description: "Run a router on an entry VM",
+    details: `
+      Takes callers' requests and places them at targets. Ends gracefully on
+      SIGTERM or SIGINT within the setting shutdownMs; a second signal ends at
+      once. Logs are JSON lines on standard error.
+    `,
+    examples: [["Run a router", "$0 router /etc/mimosatray/router.jsonc"]],
+  });
+  protected readonly role = "router";
+}
+
+/** Runs an agent. */
+// eslint-disable-next-line no-restricted-syntax
+export class RunAgentCommand extends RoleCommand {
+  static override readonly paths = [["agent"]];
+  static override readonly usage = Command.Usage({
+    category: "Roles",
+    description: "Run an agent beside a target",
+    details: `
+      Admits, queues and carries out the requests of one target. Ends
+      gracefully on SIGTERM or SIGINT within the setting shutdownMs; a second
+      signal ends at once. Logs are JSON lines on standard error.
+    `,
+    examples: [["Run an agent", "$0 agent /etc/mimosatray/agent.jsonc"]],
+  });
+  protected readonly role = "agent";
+}
+
+/** Checks a settings file. */
+// eslint-disable-next-line no-restricted-syntax
+export class CheckCommand extends OutputCommand {
+  static override readonly paths = [["check"]];
+  static override readonly usage = Command.Usage({
+    category: "Roles",
+    description: "Check a settings file",
+    details: `
+      Reports every wrong, missing, repeated or unknown setting at once, with
+      its line and column. Ends with exit code 2 when there are any.
+    `,
+    examples: [["Check a file", "$0 check /etc/mimosatray/router.jsonc"]],
+  });
+  readonly file = Option.String({ name: "settings file" });
+
+  async execute(): Promise<number> {
+    const read = await readSettingsFile(this.file);
+    return read.caseOf({
+      Left: (reports) => this.refuse(reports),
+      Right: (settings) =>
+        this.writeResult({ file: this.file, settings }, [
+          `${this.file}: settings of ${settings.role} ${settings.id} are right`,
+        ]),
+    });
+  }
+}
--- a/src/connection/order_client.ts
+++ b/src/connection/order_client.ts
@@ -1,5 +1,6 @@
 /** Sends fenced orders to the agent beside a target. */
 
+import { Metadata } from "@grpc/grpc-js";
 import { type Either, EitherAsync, Left, Right } from "purify-ts";
 import {
   AgentServiceClient,
@@ -45,9 +46,11 @@
     order: EngineOrder,
   ): Promise<Either<Report, void>> {
     const request = { ...order, targetIncarnation: member.incarnation };
+    const metadata = new Metadata();
     const options = { deadline: Date.now() + orderTimeoutMs };
     return new Promise((resolve) => {
-      connections.get(member).order(request, options, (error, response) => {
+      const client = connections.get(member);
+      client.order(request, metadata, options, (error, response) => {
         resolve(
           error === null
             ? readResponse(response, member)
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,8 +1,13 @@
 /** Entry point of the one binary. */
 
-/** Starts the command line. */
-export function main(): void {
-  process.exitCode = 0;
+import { Cli } from "clipanion";
+import { runCli } from "./cli/cli.ts";
+
+/** Runs the command line and ends with its exit code. */
+async function main(): Promise<void> {
+  const argv = process.argv.slice(2);
+  const exitCode = await runCli(argv, Cli.defaultContext);
+  process.exit(exitCode);
 }
 
-main();
+void main();
