--- /dev/null
+++ b/src/process/work_queue.ts
@@ -0,0 +1,204 @@
+/**
+ * Runs admitted work in a bounded number of slots and lets the rest wait for
+ * a bounded time: work that would not start before its deadline is refused
+ * when it comes, with the time after which it is worth another try.
+ */
+
+import PQueue from "p-queue";
+import type { Refusal } from "../types/answer.ts";
+import type { Priority } from "../types/work.ts";
+import { createDrainRate } from "./drain_rate.ts";
+import {
+  createFairQueue,
+  type FairQueueHost,
+  type Waiting,
+} from "./fair_queue.ts";
+
+/** Limits and weights, read whenever they are needed. */
+export interface WorkQueueHost extends FairQueueHost {
+  /** Requests that the target runs at the same time. */
+  getSlots(): number;
+  /** Requests that may wait. */
+  getQueueLimit(): number;
+}
+
+/** One request for a slot. */
+export interface Job {
+  readonly priority: Priority;
+  readonly workspace: string;
+  /** Estimated work, in work units. */
+  readonly cost: number;
+  /** Moment by which the work must start, in epoch milliseconds. */
+  readonly deadlineAt: number;
+  /** True when it may run only while no other such job runs. */
+  readonly alone: boolean;
+  /** Does the work; the slot is free again when it resolves. */
+  run(): Promise<void>;
+  /** Tells that a waiting job will not run. */
+  onRefused(refusal: Refusal): void;
+}
+
+/** What became of a request for a slot. */
+export type QueueDecision =
+  | { readonly kind: "taken"; withdraw(): void }
+  | { readonly kind: "refused"; readonly refusal: Refusal };
+
+/** The slots of one target and the work that waits for them. */
+export interface WorkQueue {
+  add(job: Job): QueueDecision;
+  /** Refuses all waiting work with a code. */
+  refuseWaiting(code: Refusal["code"]): void;
+  /** Takes new limits into use. */
+  refresh(): void;
+  getWaiting(): number;
+  getRunning(): number;
+  /** Time after which `cost` units more will have been done. */
+  estimateMs(cost: number): number;
+}
+
+/** Shortest and longest time to come back, in milliseconds. */
+const minRetryAfterMs = 100;
+const maxRetryAfterMs = 30_000;
+
+/** A job that waits, with what ends its wait. */
+interface Candidate {
+  readonly job: Job;
+  readonly start: () => Promise<unknown>;
+  expiry: ReturnType<typeof setTimeout> | undefined;
+}
+
+/** Creates a queue with all slots free. */
+export function createWorkQueue(host: WorkQueueHost): WorkQueue {
+  const waiting = createFairQueue<Candidate>(host);
+  const places = new Map<Job, Waiting<Candidate>>();
+  const rate = createDrainRate();
+  let running = 0;
+  let aloneRunning = 0;
+  let entering: Job | undefined;
+  const slots = new PQueue({
+    concurrency: host.getSlots(),
+    queueClass: asQueueClass({
+      get size() {
+        return waiting.getSize();
+      },
+      enqueue,
+      dequeue: () => waiting.take(mayStart)?.start,
+      filter: () => [],
+      setPriority: () => undefined,
+    }),
+  });
+
+  return {
+    add,
+    refuseWaiting,
+    refresh: () => {
+      slots.concurrency = host.getSlots();
+    },
+    getWaiting: () => waiting.getSize(),
+    getRunning: () => running,
+    estimateMs: (cost) => clampRetry(rate.estimateMs(cost)),
+  };
+
+  function add(job: Job): QueueDecision {
+    const refusal = tryRefuse(job);
+    if (refusal !== undefined) return { kind: "refused", refusal };
+    entering = job;
+    void slots.add(() => run(job));
+    entering = undefined;
+    return { kind: "taken", withdraw: () => withdraw(job) };
+  }
+
+  function tryRefuse(job: Job): Refusal | undefined {
+    if (job.deadlineAt <= Date.now()) {
+      return createRefusal("deadline_passed", 0);
+    }
+    if (hasFreeSlot(job)) return undefined;
+    if (waiting.getSize() >= host.getQueueLimit()) {
+      return createRefusal("target_full", rate.estimateMs(job.cost));
+    }
+    const waitMs = rate.estimateMs(waiting.estimateAhead(job));
+    const spareMs = job.deadlineAt - Date.now();
+    if (waitMs <= spareMs) return undefined;
+    return createRefusal("queue_wait_too_long", waitMs - spareMs);
+  }
+
+  function hasFreeSlot(job: Job): boolean {
+    return running < host.getSlots() &&
+      !(job.alone && aloneRunning > 0);
+  }
+
+  function enqueue(start: () => Promise<unknown>): void {
+    if (entering === undefined) throw new Error("Work enters through add");
+    const job = entering;
+    const candidate: Candidate = { job, start, expiry: undefined };
+    candidate.expiry = setTimeout(
+      () => giveUp(job, createRefusal("deadline_passed", 0)),
+      job.deadlineAt - Date.now(),
+    );
+    const { priority, workspace, cost } = job;
+    const place = { priority, workspace, cost, item: candidate };
+    places.set(job, place);
+    waiting.add(place);
+  }
+
+  function mayStart({ job }: Candidate): boolean {
+    return !job.alone || aloneRunning === 0;
+  }
+
+  async function run(job: Job): Promise<void> {
+    clearTimeout(places.get(job)?.item.expiry);
+    places.delete(job);
+    running++;
+    if (job.alone) aloneRunning++;
+    rate.noteRunning(running);
+    try {
+      await job.run();
+    } finally {
+      running--;
+      if (job.alone) aloneRunning--;
+      rate.noteDone(job.cost, running);
+    }
+  }
+
+  function withdraw(job: Job): boolean {
+    const place = places.get(job);
+    if (place === undefined) return false;
+    clearTimeout(place.item.expiry);
+    places.delete(job);
+    return waiting.remove(place);
+  }
+
+  function giveUp(job: Job, refusal: Refusal): void {
+    if (withdraw(job)) job.onRefused(refusal);
+  }
+
+  function refuseWaiting(code: Refusal["code"]): void {
+    waiting.forEach(({ job }) => giveUp(job, createRefusal(code, 0)));
+  }
+}
+
+function createRefusal(code: Refusal["code"], retryAfterMs: number): Refusal {
+  return { kind: "refusal", code, retryAfterMs: clampRetry(retryAfterMs) };
+}
+
+function clampRetry(ms: number): number {
+  return Math.round(
+    Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, ms)),
+  );
+}
+
+/** What the library asks of a queue. */
+interface LibraryQueue {
+  readonly size: number;
+  enqueue(start: () => Promise<unknown>): void;
+  dequeue(): (() => Promise<unknown>) | undefined;
+  filter(): (() => Promise<unknown>)[];
+  setPriority(): void;
+}
+
+/** The library constructs its queue itself; it is handed the one made here. */
+function asQueueClass(queue: LibraryQueue): new () => LibraryQueue {
+  return function construct() {
+    return queue;
+  } as unknown as new () => LibraryQueue;
+}
