--- /dev/null
+++ b/src/connection/target_client.ts
@@ -0,0 +1,188 @@
+/** Calls the target over HTTP and tells what a failed call proves. */
+
+import { EitherAsync } from "purify-ts";
+import { type Dispatcher, Pool } from "undici";
+import type { HealthReport } from "../process/target_watch.ts";
+import type { Header } from "../types/work.ts";
+
+/**
+ * - `not_sent`: no byte reached the target, so nothing ran.
+ * - `lost`: the connection failed later, the target may have run it.
+ * - `aborted`: the call was stopped from this side.
+ */
+export type TargetErrorKind = "not_sent" | "lost" | "aborted";
+
+/** An error of a call to the target. */
+export interface TargetError {
+  readonly kind: TargetErrorKind;
+  readonly message: string;
+}
+
+/** One call to the target. */
+export interface TargetRequest {
+  readonly requestId: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly Header[];
+  readonly body: Uint8Array;
+  readonly repeatable: boolean;
+  readonly signal: AbortSignal;
+}
+
+/** The target's answer; its body is read at the reader's pace. */
+export interface TargetAnswer {
+  readonly status: number;
+  readonly headers: readonly Header[];
+  /** Throws what `toTargetError` reads. */
+  readonly body: AsyncIterable<Uint8Array>;
+}
+
+/** Calls to one target. */
+export interface TargetClient {
+  send(request: TargetRequest): EitherAsync<TargetError, TargetAnswer>;
+  checkHealth(): Promise<HealthReport>;
+  /** The load the target reports, in tokens; undefined when it tells none. */
+  tryReadLoad(): Promise<number | undefined>;
+  close(): Promise<void>;
+}
+
+/** Longest wait for a connection, in milliseconds. */
+const connectMs = 1_000;
+
+/** Longest wait for an answer to a health check, in milliseconds. */
+const healthMs = 1_000;
+
+/** Headers that belong to one connection and are not passed on. */
+const connectionHeaders = new Set([
+  "connection",
+  "keep-alive",
+  "transfer-encoding",
+  "upgrade",
+  "host",
+  "content-length",
+  "expect",
+  "te",
+  "trailer",
+]);
+
+/** Codes of errors that come before a connection is made. */
+const notSentCodes = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** Creates a client of the target at a base URL. */
+export function createTargetClient(target: string): TargetClient {
+  const common = {
+    connect: { timeout: connectMs },
+    connections: null,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  };
+  const pool = new Pool(target, common);
+  // An idle connection that the target has just closed would leave it open
+  // whether a call has run, so calls that may not repeat get fresh ones.
+  const freshPool = new Pool(target, { ...common, pipelining: 0 });
+
+  return { send, checkHealth, tryReadLoad, close };
+
+  function send(
+    request: TargetRequest,
+  ): EitherAsync<TargetError, TargetAnswer> {
+    return EitherAsync<TargetError, TargetAnswer>(async ({ throwE }) => {
+      try {
+        return toAnswer(await dispatch(request));
+      } catch (error) {
+        return throwE(toTargetError(error));
+      }
+    });
+  }
+
+  function dispatch(
+    request: TargetRequest,
+  ): Promise<Dispatcher.ResponseData> {
+    const headers = request.headers
+      .filter(({ name }) => !connectionHeaders.has(name.toLowerCase()))
+      .flatMap(({ name, value }) => [name, value]);
+    const hasBody = request.method !== "GET" && request.method !== "HEAD";
+    return (request.repeatable ? pool : freshPool).request({
+      method: request.method as Dispatcher.HttpMethod,
+      path: request.path,
+      headers: [...headers, "x-request-id", request.requestId],
+      body: hasBody ? request.body : undefined,
+      signal: request.signal,
+    });
+  }
+
+  async function checkHealth(): Promise<HealthReport> {
+    try {
+      const { statusCode, body } = await freshPool.request({
+        method: "GET",
+        path: "/healthz",
+        signal: AbortSignal.timeout(healthMs),
+      });
+      const text = await body.text();
+      const state = statusCode < 500 ? "healthy" : "silent";
+      return { state, instance: tryGetInstance(text) };
+    } catch (error) {
+      const late = (error as Error).name === "TimeoutError" ||
+        (error as { code?: string }).code === "UND_ERR_CONNECT_TIMEOUT";
+      return { state: late ? "silent" : "gone", instance: undefined };
+    }
+  }
+
+  async function tryReadLoad(): Promise<number | undefined> {
+    try {
+      const { statusCode, body } = await pool.request({
+        method: "GET",
+        path: "/load",
+        signal: AbortSignal.timeout(healthMs),
+      });
+      const report = tryParseObject(await body.text());
+      const load = report?.["tokens"] ?? report?.["load"];
+      return statusCode === 200 && typeof load === "number" ? load : undefined;
+    } catch {
+      return undefined;
+    }
+  }
+
+  async function close(): Promise<void> {
+    await Promise.all([pool.destroy(), freshPool.destroy()]);
+  }
+}
+
+/** Reads what an error of the HTTP library proves. */
+export function toTargetError(error: unknown): TargetError {
+  const { code, name, message } = error as Error & { code?: string };
+  if (name === "AbortError") return { kind: "aborted", message };
+  const kind = notSentCodes.has(code ?? "") ? "not_sent" : "lost";
+  return { kind, message: message ?? String(error) };
+}
+
+function toAnswer(data: Dispatcher.ResponseData): TargetAnswer {
+  const headers: Header[] = [];
+  for (const [name, value] of Object.entries(data.headers)) {
+    if (connectionHeaders.has(name)) continue;
+    for (const one of [value ?? []].flat()) headers.push({ name, value: one });
+  }
+  return { status: data.statusCode, headers, body: data.body };
+}
+
+function tryGetInstance(text: string): string | undefined {
+  const report = tryParseObject(text);
+  const instance = report?.["instance"] ?? report?.["startedAt"];
+  return instance === undefined ? undefined : String(instance);
+}
+
+function tryParseObject(text: string): Record<string, unknown> | undefined {
+  try {
+    const value: unknown = JSON.parse(text);
+    return typeof value === "object" && value !== null
+      ? value as Record<string, unknown>
+      : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/request/execution.ts
@@ -0,0 +1,269 @@
+/** The life of one attempt at the agent, from admission to its last event. */
+
+import type {
+  TargetAnswer,
+  TargetClient,
+  TargetError,
+} from "../connection/target_client.ts";
+import { toTargetError } from "../connection/target_client.ts";
+import type { AnswerBuffer } from "../process/answer_buffer.ts";
+import type { AttemptEntry, AttemptTable } from "../process/attempt_table.ts";
+import type { BodyDigests } from "../process/body_digest.ts";
+import type { CrashQuarantine } from "../process/crash_quarantine.ts";
+import type { LoadGate } from "../process/load_gate.ts";
+import type { Log } from "../process/log.ts";
+import type { Metrics } from "../process/metrics.ts";
+import type { TargetWatch } from "../process/target_watch.ts";
+import type { WorkQueue } from "../process/work_queue.ts";
+import type { Failure, Refusal } from "../types/answer.ts";
+import type { DiagnosticCode } from "../types/diagnostics.ts";
+import type { RunOrder } from "../types/run_order.ts";
+import { createAnswerScan } from "./answer_scan.ts";
+import { createWorkShare } from "./work_share.ts";
+
+/** What an execution uses of its agent. */
+export interface ExecutionHost {
+  readonly table: AttemptTable;
+  readonly gate: LoadGate;
+  readonly queue: WorkQueue;
+  readonly quarantine: CrashQuarantine;
+  readonly target: Pick<TargetClient, "send">;
+  readonly watch: Pick<TargetWatch, "isUp" | "checkCrash">;
+  readonly digests: BodyDigests;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Relative capacity of the target; 100 for a usual one. */
+  getWeight(): number;
+  /** True when the agent takes no new work. */
+  isLeaving(): boolean;
+}
+
+/** One attempt in the hands of the agent. */
+export interface Execution {
+  /** Admits the attempt and queues it, or refuses it at once. */
+  start(): void;
+  /** Stops what may be stopped; work that may not repeat runs on. */
+  cancel(): void;
+  /** Resolves once the attempt has its last event. */
+  readonly done: Promise<void>;
+}
+
+/** Unread bytes of one answer at which the target is read no further. */
+const unreadBytes = 256 * 1024;
+
+/** Time an attempt goes on without any router reading it, in ms. */
+const unreadGraceMs = 10_000;
+
+/** Time after which a refused router may try this target again, in ms. */
+const downRetryAfterMs = 1_000;
+
+/** Creates the execution of a new entry, whose answer must be set. */
+export function createExecution(
+  host: ExecutionHost,
+  options: {
+    readonly order: RunOrder;
+    readonly entry: AttemptEntry;
+    readonly answer: AnswerBuffer;
+  },
+): Execution {
+  const { order, entry, answer } = options;
+  const abort = new AbortController();
+  const share = createWorkShare(host.gate, {
+    estimate: order.estimate,
+    weight: host.getWeight(),
+  });
+  const startedAt = Date.now();
+  let abortCode: DiagnosticCode = "caller_gone";
+  let crashed = false;
+  let graceTimer: ReturnType<typeof setTimeout> | undefined;
+  let deadlineTimer: ReturnType<typeof setTimeout> | undefined;
+  let noteRead = (): void => undefined;
+  let resolveDone = (): void => undefined;
+  const done = new Promise<void>((resolve) => {
+    resolveDone = resolve;
+  });
+
+  return { start, cancel, done };
+
+  function start(): void {
+    answer.onRead(onRead);
+    entry.withdraw = () => undefined;
+    const refusal = tryRefuse();
+    if (refusal !== undefined) return refuse(refusal);
+    const verdict = host.quarantine.check(order.fingerprint, order.crashes);
+    share.add();
+    const decision = host.queue.add({
+      priority: order.priority,
+      workspace: order.workspace,
+      cost: share.work,
+      deadlineAt: order.deadlineAt,
+      alone: verdict.kind === "suspect",
+      run,
+      onRefused: refuse,
+    });
+    if (decision.kind === "refused") return refuse(decision.refusal);
+    entry.withdraw = () => {
+      decision.withdraw();
+      finishRefused(entry.refusal);
+    };
+  }
+
+  /** Every reason to turn the attempt away before it is queued. */
+  function tryRefuse(): Refusal | undefined {
+    if (host.isLeaving()) return createRefusal("target_leaving", 0);
+    if (!host.watch.isUp()) return createRefusal("no_target", downRetryAfterMs);
+    const verdict = host.quarantine.check(order.fingerprint, order.crashes);
+    if (verdict.kind === "condemned") {
+      return createRefusal("request_quarantined", 0);
+    }
+    const decision = host.gate.check({
+      work: share.work,
+      observedLoads: order.observedLoads,
+    });
+    if (decision.kind === "admitted") return undefined;
+    const excess = host.gate.getLoad() + share.work - decision.bound;
+    return createRefusal("target_full", host.queue.estimateMs(excess));
+  }
+
+  function refuse(refusal: Refusal): void {
+    host.table.refuse(entry, refusal);
+    finishRefused(refusal);
+  }
+
+  function finishRefused(refusal: Refusal | undefined): void {
+    if (refusal !== undefined && answer.tryGetLast() === undefined) {
+      answer.append(refusal);
+      host.metrics.count("refusals_total", { code: refusal.code });
+    }
+    release();
+  }
+
+  async function run(): Promise<void> {
+    if (!host.table.tryStart(entry)) return;
+    host.metrics.record("queue_ms", Date.now() - startedAt);
+    host.quarantine.enter(entry.key, order.fingerprint);
+    if (order.repeatable) watchDeadline();
+    const sent = await host.target.send({ ...order, signal: abort.signal });
+    await sent.caseOf({
+      Left: (error) => endWithError(error),
+      Right: (target) => passOn(target),
+    });
+  }
+
+  async function passOn(target: TargetAnswer): Promise<void> {
+    const { status, headers } = target;
+    const scan = createAnswerScan(headers);
+    const digest = host.digests.create();
+    answer.append({ kind: "head", status, headers });
+    try {
+      for await (const data of target.body) {
+        digest.update(data);
+        scan.add(data);
+        share.noteTokens(scan.getTokens());
+        answer.append({ kind: "chunk", offset: answer.getLength(), data });
+        if (answer.getUnreadBytes() >= unreadBytes) await waitForReader();
+      }
+    } catch (error) {
+      return await endWithError(toTargetError(error));
+    }
+    if (!scan.isWhole()) return finishFailed("answer_cut");
+    host.quarantine.leave(entry.key, { lived: true });
+    answer.append({
+      kind: "end",
+      length: answer.getLength(),
+      digest: digest.getText(),
+      usage: scan.getUsage(),
+    });
+    finish("done");
+  }
+
+  /** Waits until some reader has taken bytes, or nobody reads any more. */
+  async function waitForReader(): Promise<void> {
+    while (answer.getUnreadBytes() >= unreadBytes && !abort.signal.aborted) {
+      await new Promise<void>((resolve) => {
+        noteRead = resolve;
+      });
+    }
+  }
+
+  async function endWithError(error: TargetError): Promise<void> {
+    if (error.kind === "aborted") return finishFailed(abortCode);
+    if (error.kind === "not_sent") {
+      host.quarantine.leave(entry.key, { lived: false });
+      void host.watch.checkCrash();
+      return refuse(createRefusal("no_target", downRetryAfterMs));
+    }
+    crashed = await host.watch.checkCrash();
+    finishFailed(crashed ? "target_crashed" : "target_error");
+  }
+
+  function finishFailed(code: DiagnosticCode): void {
+    host.quarantine.leave(entry.key, { lived: false });
+    const failure: Failure = { kind: "failure", code, mayHaveRun: true };
+    answer.append(failure);
+    finish(code);
+  }
+
+  function finish(outcome: string): void {
+    host.table.finish(entry);
+    host.metrics.count("attempts_total", { outcome });
+    host.metrics.record("attempt_ms", Date.now() - startedAt);
+    host.log.info("Attempt ended", {
+      request: order.requestId,
+      attempt: entry.key,
+      outcome,
+      bytes: answer.getLength(),
+    });
+    release();
+  }
+
+  function release(): void {
+    clearTimeout(deadlineTimer);
+    share.remove();
+    resolveDone();
+    onRead();
+  }
+
+  function onRead(): void {
+    noteRead();
+    clearTimeout(graceTimer);
+    const reading = answer.getReaders() > 0;
+    if (entry.phase === "done") {
+      if (!reading && order.repeatable) releaseAnswerLater();
+      return;
+    }
+    if (reading || entry.phase === "refused") return;
+    graceTimer = setTimeout(cancel, unreadGraceMs);
+  }
+
+  /** A router that lost its connection has some time to fetch the rest. */
+  function releaseAnswerLater(): void {
+    graceTimer = setTimeout(() => host.table.release(entry), unreadGraceMs);
+    graceTimer.unref();
+  }
+
+  function cancel(): void {
+    if (entry.phase === "queued") {
+      host.table.settle(entry.attempt);
+      return;
+    }
+    if (entry.phase === "running" && order.repeatable) stop("caller_gone");
+  }
+
+  function watchDeadline(): void {
+    deadlineTimer = setTimeout(
+      () => stop("deadline_exceeded"),
+      Math.max(0, order.deadlineAt - Date.now()),
+    );
+  }
+
+  function stop(code: DiagnosticCode): void {
+    abortCode = code;
+    abort.abort();
+    noteRead();
+  }
+}
+
+function createRefusal(code: DiagnosticCode, retryAfterMs: number): Refusal {
+  return { kind: "refusal", code, retryAfterMs: Math.round(retryAfterMs) };
+}
