--- /dev/null
+++ b/src/connection/agent_messages.ts
@@ -0,0 +1,76 @@
+/** Turns the messages of an agent's service into plain data and back. */
+
+import type {
+  Attempt as AttemptMessage,
+  RunEvent,
+  RunRequest,
+} from "../generated/mimosatray/v1/agent.ts";
+import type { AnswerEvent } from "../types/answer.ts";
+import type { Attempt } from "../types/attempt.ts";
+import type { RunOrder } from "../types/run_order.ts";
+
+/** Reads an attempt; undefined when it names none. */
+export function tryReadAttempt(
+  message: AttemptMessage | undefined,
+): Attempt | undefined {
+  if (message === undefined || message.router === "") return undefined;
+  const { router, routerIncarnation, number } = message;
+  return { router, routerIncarnation, number };
+}
+
+/** Reads a request to run; undefined when it names no attempt. */
+export function tryReadRunOrder(message: RunRequest): RunOrder | undefined {
+  const attempt = tryReadAttempt(message.attempt);
+  if (attempt === undefined) return undefined;
+  return {
+    attempt,
+    targetIncarnation: message.targetIncarnation,
+    requestId: message.requestId,
+    service: message.service,
+    workspace: message.workspace,
+    priority: message.priority === "background" ? "background" : "interactive",
+    deadlineAt: Date.now() + message.deadlineMs,
+    repeatable: message.repeatable,
+    fingerprint: message.fingerprint,
+    estimate: {
+      promptTokens: message.promptTokens,
+      outputTokens: message.outputTokens,
+      cachedTokens: message.cachedTokens,
+    },
+    crashes: message.crashes,
+    method: message.method,
+    path: message.path,
+    headers: message.headers,
+    body: message.body,
+    isChat: message.isChat,
+    claim: message.claim,
+    observedLoads: message.observedLoads,
+  };
+}
+
+/** Builds the message of one event. */
+export function toRunEvent(event: AnswerEvent, load: number): RunEvent {
+  return { event: toEventCase(event), load: Math.max(0, Math.round(load)) };
+}
+
+function toEventCase(event: AnswerEvent): RunEvent["event"] {
+  switch (event.kind) {
+    case "refusal":
+      return { $case: "refusal", value: event };
+    case "head": {
+      const { status, headers } = event;
+      return { $case: "head", value: { status, headers: [...headers] } };
+    }
+    case "chunk": {
+      const { buffer, byteOffset, byteLength } = event.data;
+      const data = Buffer.from(buffer, byteOffset, byteLength);
+      return { $case: "chunk", value: { offset: event.offset, data } };
+    }
+    case "end": {
+      const { length, digest, usage } = event;
+      return { $case: "end", value: { length, digest, ...usage } };
+    }
+    case "failure":
+      return { $case: "failure", value: event };
+  }
+}
--- a/src/roles/agent.ts
+++ b/src/roles/agent.ts
@@ -1,18 +1,138 @@
 /** The agent role: the gate beside one target. */
 
-import type { Role } from "../types/role.ts";
+import { addAgentService } from "../connection/agent_server.ts";
+import { createTargetClient } from "../connection/target_client.ts";
+import { createAttemptTable } from "../process/attempt_table.ts";
+import { loadBodyDigests } from "../process/body_digest.ts";
+import { createCrashQuarantine } from "../process/crash_quarantine.ts";
+import { createLoadGate } from "../process/load_gate.ts";
+import { createTargetWatch } from "../process/target_watch.ts";
+import { createWorkQueue } from "../process/work_queue.ts";
+import { createAttemptService } from "../request/attempt_service.ts";
+import type { Service } from "../types/configuration.ts";
+import type { Role, StopResult } from "../types/role.ts";
 import type { AgentHost } from "./host.ts";
 
+/** Limits of a service that the configuration does not name yet. */
+const defaultPolicy: Pick<
+  Service,
+  "loadMultiple" | "slots" | "queueLimit" | "priorityWeights"
+> = {
+  loadMultiple: 1.25,
+  slots: 64,
+  queueLimit: 128,
+  priorityWeights: { interactive: 4, background: 1 },
+};
+
+/** Time that an attempt without an answer is remembered, in milliseconds. */
+const tombstoneMs = 600_000;
+
+/** Attempts that are over and still remembered. */
+const maxRememberedAttempts = 20_000;
+
+/** Time between sweeps of what is old, in milliseconds. */
+const sweepMs = 1_000;
+
 /** Creates the agent role of a process. */
-export function createAgentRole(host: AgentHost): Promise<Role> {
-  let ready = true;
-  return Promise.resolve({
-    isReady: () => ready,
-    drain: () => {
-      ready = false;
-      host.fleet.announceLeaving();
+export async function createAgentRole(host: AgentHost): Promise<Role> {
+  const { settings, fleet, configuration, log, metrics } = host;
+  let leaving = false;
+  const digests = await loadBodyDigests();
+  const target = createTargetClient(settings.target);
+  const quarantine = createCrashQuarantine({ crashes: fleet.crashes });
+  const watch = createTargetWatch({
+    checkHealth: target.checkHealth,
+    onCrash: noteCrash,
+  });
+  const table = createAttemptTable({
+    keptAnswerBytes: settings.keptAnswerBytes,
+    keptAnswerMs: settings.keptAnswerMs,
+    tombstoneMs,
+    maxEntries: maxRememberedAttempts,
+  });
+  const gate = createLoadGate({
+    getMean: () => fleet.means.getMean(settings.service),
+    getLoadMultiple: () => getPolicy().loadMultiple,
+  });
+  const queue = createWorkQueue({
+    getSlots: () => getPolicy().slots,
+    getQueueLimit: () => getPolicy().queueLimit,
+    getPriorityWeight: (priority) => getPolicy().priorityWeights[priority],
+    getWorkspaceWeight: (workspace) =>
+      configuration.getConfiguration().workspaces.get(workspace)?.weight ?? 1,
+  });
+  const service = createAttemptService({
+    table,
+    gate,
+    queue,
+    quarantine,
+    target,
+    watch,
+    digests,
+    log,
+    metrics,
+    incarnation: fleet.getSelf().incarnation,
+    getWeight: () => settings.weight,
+    isLeaving: () => leaving,
+  });
+  addAgentService(host.server, {
+    ...service,
+    getLoad: gate.getLoad,
+    order: () => Promise.resolve({ accepted: false, code: "order_fenced" }),
+    drain: (operator) => {
+      drain(operator);
+      return service.getInFlight();
     },
-    stop: () => Promise.resolve({ cutOff: 0, tookMs: 0 }),
-    dump: () => ({}),
   });
+  fleet.setLoadSource(gate.getLoad);
+  configuration.onPatch(queue.refresh);
+  metrics.gauge("load", gate.getLoad);
+  metrics.gauge("running", queue.getRunning);
+  metrics.gauge("waiting", queue.getWaiting);
+  const sweep = setInterval(table.sweep, sweepMs);
+  sweep.unref();
+  await watch.start();
+
+  return {
+    isReady: () => !leaving && watch.isUp(),
+    drain,
+    stop,
+    dump: () => ({
+      leaving,
+      targetUp: watch.isUp(),
+      load: gate.getLoad(),
+      running: queue.getRunning(),
+      waiting: queue.getWaiting(),
+      attempts: { ...table.getCounts() },
+    }),
+  };
+
+  function getPolicy(): typeof defaultPolicy {
+    return configuration.getConfiguration().services.get(settings.service) ??
+      defaultPolicy;
+  }
+
+  function noteCrash(): void {
+    const suspects = quarantine.noteCrash();
+    metrics.count("target_crashes_total");
+    log.warn("Target crashed", { inFlight: suspects.length });
+  }
+
+  function drain(operator: string): void {
+    if (leaving) return;
+    leaving = true;
+    log.info("Agent is leaving", { operator });
+    fleet.announceLeaving();
+    service.refuseWaiting();
+  }
+
+  async function stop(): Promise<StopResult> {
+    const startedAt = performance.now();
+    drain("");
+    const { cutOff } = await service.waitUntilIdle(settings.shutdownMs);
+    clearInterval(sweep);
+    watch.stop();
+    await target.close();
+    return { cutOff, tookMs: Math.round(performance.now() - startedAt) };
+  }
 }
