--- a/src/connection/target_client.ts
+++ b/src/connection/target_client.ts
@@ -120,7 +120,7 @@
     try {
       const { statusCode, body } = await freshPool.request({
         method: "GET",
-        path: "/healthz",
+        path: "/health",
         signal: AbortSignal.timeout(healthMs),
       });
       const text = await body.text();
