Add stand-ins for engines, plain services and a cutting relay

Each is one subcommand of dist/stand_ins.cjs, which the build makes beside the binary and never puts into it. Each run of the engine writes another draft that names itself, so that a test can tell a whole answer from a short one and from one put together of two runs.

--- a/scripts/build.js
+++ b/scripts/build.js
@@ -9,16 +9,9 @@
 const fuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 
 mkdirSync("dist", { recursive: true });
-await build({
-  entryPoints: ["src/main.ts"],
-  outfile: "dist/mimosatray.cjs",
-  bundle: true,
-  platform: "node",
-  target: "node20",
-  format: "cjs",
-  mainFields: ["module", "main"],
-  logLevel: "warning",
-});
+await bundle("src/main.ts", "dist/mimosatray.cjs");
+// The stand-ins of tests and demo never become part of the binary.
+await bundle("test/stand_ins/main.ts", "dist/stand_ins.cjs");
 writeFileSync(
   "dist/sea.json",
   JSON.stringify({
@@ -37,3 +30,17 @@
   "--sentinel-fuse",
   fuse,
 ], { stdio: "ignore" });
+
+/** Bundles one entry point with all that it imports. */
+async function bundle(entryPoint, outfile) {
+  await build({
+    entryPoints: [entryPoint],
+    outfile,
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    mainFields: ["module", "main"],
+    logLevel: "warning",
+  });
+}
--- /dev/null
+++ b/test/stand_ins/engine/chat.ts
@@ -0,0 +1,142 @@
+/** Chat completions over HTTP: reading requests, writing whole or streamed. */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { type Fields, getNumber, getText, sendJson } from "../http.ts";
+import type { ChatRequest, EngineSettings } from "./engine.ts";
+import type { Generation } from "./generation.ts";
+import type { Message } from "./prompt.ts";
+
+/** Tokens of an answer whose request names no number. */
+const usualTokens = 16;
+
+/** Reads a chat request. */
+export function readChatRequest(
+  request: IncomingMessage,
+  fields: Fields,
+): ChatRequest {
+  const priority = getHeader(request, "x-priority") ||
+    getText(fields, "priority");
+  const seed = fields["seed"];
+  return {
+    requestId: getHeader(request, "x-request-id") ||
+      getText(fields, "request_id"),
+    messages: readMessages(fields["messages"]),
+    maxTokens: getNumber(fields, "max_tokens", usualTokens),
+    urgent: priority !== "background",
+    seed: seed === undefined ? "" : String(seed),
+  };
+}
+
+function readMessages(value: unknown): readonly Message[] {
+  if (!Array.isArray(value)) throw new Error("messages must be a list");
+  return value.map((message: Fields) => ({
+    role: getText(message, "role"),
+    content: getText(message, "content"),
+  }));
+}
+
+function getHeader(request: IncomingMessage, name: string): string {
+  const value = request.headers[name];
+  return typeof value === "string" ? value : "";
+}
+
+/** Sends the whole answer once it is written. */
+export async function sendWhole(
+  response: ServerResponse,
+  generation: Generation,
+): Promise<void> {
+  const tokens = generation.read(0);
+  let step = await tokens.next();
+  while (step.done !== true) step = await tokens.next();
+  if (step.value === "cancelled") {
+    response.destroy();
+    return;
+  }
+  sendJson(response, {
+    id: generation.id,
+    object: "chat.completion",
+    created: Math.floor(Date.now() / 1000),
+    model: "stand-in",
+    choices: [{
+      index: 0,
+      message: { role: "assistant", content: generation.getText() },
+      finish_reason: "stop",
+    }],
+    usage: getUsage(generation),
+  });
+}
+
+/** Streams the answer from an offset as server-sent events. */
+export async function sendStream(
+  response: ServerResponse,
+  generation: Generation,
+  options: { readonly offset: number; readonly settings: EngineSettings },
+): Promise<void> {
+  const { settings } = options;
+  response.writeHead(200, {
+    "content-type": "text/event-stream",
+    "cache-control": "no-store",
+    "x-stream-id": generation.id,
+  });
+  const tokens = generation.read(options.offset);
+  let sent = options.offset;
+  let step = await tokens.next();
+  while (step.done !== true) {
+    await sendEvent(response, generation, { content: step.value });
+    sent++;
+    if (sent === settings.cutAfterTokens) {
+      response.destroy();
+      return;
+    }
+    if (sent === settings.endAfterTokens) {
+      response.end();
+      return;
+    }
+    step = await tokens.next();
+  }
+  if (step.value === "cancelled") {
+    response.destroy();
+    return;
+  }
+  await sendEvent(response, generation, { finish: "stop" });
+  response.write("data: [DONE]\n\n");
+  response.end();
+}
+
+async function sendEvent(
+  response: ServerResponse,
+  generation: Generation,
+  part: { readonly content?: string; readonly finish?: string },
+): Promise<void> {
+  const event = {
+    id: generation.id,
+    object: "chat.completion.chunk",
+    created: Math.floor(Date.now() / 1000),
+    model: "stand-in",
+    choices: [{
+      index: 0,
+      delta: part.content === undefined ? {} : { content: part.content },
+      finish_reason: part.finish ?? null,
+    }],
+    ...(part.finish === undefined ? {} : { usage: getUsage(generation) }),
+  };
+  if (response.write(`data: ${JSON.stringify(event)}\n\n`)) return;
+  await waitForDrain(response);
+}
+
+function waitForDrain(response: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    response.once("drain", resolve);
+    response.once("close", resolve);
+  });
+}
+
+function getUsage(generation: Generation): object {
+  const completion = generation.getLength();
+  return {
+    prompt_tokens: generation.promptTokens,
+    completion_tokens: completion,
+    total_tokens: generation.promptTokens + completion,
+    prompt_tokens_details: { cached_tokens: generation.cachedTokens },
+  };
+}
--- /dev/null
+++ b/test/stand_ins/engine/draft.ts
@@ -0,0 +1,49 @@
+/** The text of answers: each run writes another draft, which names itself. */
+
+import { createHash } from "node:crypto";
+
+const words = [
+  "paper",
+  "garden",
+  "letter",
+  "window",
+  "morning",
+  "river",
+  "colour",
+  "table",
+  "evening",
+  "music",
+  "friend",
+  "harbour",
+  "winter",
+  "lantern",
+  "story",
+  "bridge",
+];
+
+/** Returns one token of a draft; the first names the draft. */
+export function getDraftToken(draft: string, index: number): string {
+  if (index === 0) return `[${draft}]`;
+  const digest = createHash("sha256").update(`${draft}/${index}`).digest();
+  return ` ${words[(digest[0] ?? 0) % words.length]}`;
+}
+
+/** Returns the whole text of a draft. */
+export function getDraftText(draft: string, tokens: number): string {
+  return Array.from(
+    { length: tokens },
+    (_, index) => getDraftToken(draft, index),
+  ).join("");
+}
+
+/** Judges an answer: whole, cut short, or put together of several drafts. */
+export function checkDraft(
+  text: string,
+  tokens: number,
+): "whole" | "short" | "spliced" {
+  const draft = /^\[([^\]]*)\]/.exec(text)?.[1];
+  if (draft === undefined) return text === "" ? "short" : "spliced";
+  const whole = getDraftText(draft, tokens);
+  if (text === whole) return "whole";
+  return whole.startsWith(text) ? "short" : "spliced";
+}
--- a/test/stand_ins/http.ts
+++ b/test/stand_ins/http.ts
@@ -74,26 +74,53 @@
   return typeof value === "number" ? value : otherwise;
 }
 
+/** Answers one request. */
+export type Handler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => Promise<void> | void;
+
 /** Creates a polka server that answers errors of handlers with 400. */
-export function createServer(): polka.Polka {
+export function createServer(
+  options: { readonly onNoMatch?: Handler } = {},
+): polka.Polka {
   return polka({
-    onError: (error, _request, response) => {
-      const message = error instanceof Error ? error.message : String(error);
-      sendJson(response, { message }, { status: 400 });
+    onNoMatch: (request, response) => {
+      run(options.onNoMatch ?? sendNotFound, request, response);
     },
+    onError: (error, _request, response) => sendError(response, error),
   });
 }
 
 /** Turns an asynchronous handler into one that reports its errors. */
-export function handle(
-  act: (
-    request: IncomingMessage,
-    response: ServerResponse,
-  ) => Promise<void> | void,
-): polka.Middleware {
-  return (request, response, next) => {
-    Promise.resolve(act(request, response)).catch(next);
-  };
+export function handle(act: Handler): polka.Middleware {
+  return (request, response) => run(act, request, response);
+}
+
+function run(
+  act: Handler,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  Promise.resolve()
+    .then(() => act(request, response))
+    .catch((error) => sendError(response, error));
+}
+
+function sendError(response: ServerResponse, error: unknown): void {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  const message = error instanceof Error ? error.message : String(error);
+  sendJson(response, { message }, { status: 400 });
+}
+
+function sendNotFound(
+  _request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  sendJson(response, { message: "Nothing here" }, { status: 404 });
 }
 
 /** Listens on a loopback port; 0 takes a free one. */
--- /dev/null
+++ b/test/stand_ins/main.ts
@@ -0,0 +1,75 @@
+/** Entry point of the stand-ins: one subcommand each. */
+
+import { parseArgs } from "node:util";
+import { startEngine } from "./engine/server.ts";
+import { usualEngineSettings } from "./engine/engine.ts";
+import { type Listening } from "./http.ts";
+import { startPlatform } from "./platform/server.ts";
+import { startRelay } from "./relay/server.ts";
+import { startService, usualServiceSettings } from "./service/server.ts";
+
+/** What every stand-in is started with. */
+interface Options {
+  readonly id: string;
+  readonly port: number;
+  readonly address: string;
+  /** Settings that differ from the usual ones. */
+  readonly settings: Readonly<Record<string, unknown>>;
+}
+
+/** Exit code of a target that was told to crash. */
+const crashCode = 70;
+
+const starters: Readonly<
+  Record<string, (options: Options) => Promise<Listening>>
+> = {
+  platform: startPlatform,
+  relay: startRelay,
+  engine: (options) =>
+    startEngine(
+      { ...usualEngineSettings, ...options.settings, id: options.id },
+      { ...options, crash },
+    ),
+  service: (options) =>
+    startService(
+      { ...usualServiceSettings, ...options.settings, id: options.id },
+      { ...options, crash },
+    ),
+};
+
+/** Starts the stand-in that the command line names. */
+async function main(): Promise<void> {
+  const { positionals, values } = parseArgs({
+    allowPositionals: true,
+    options: {
+      id: { type: "string", default: "" },
+      port: { type: "string", default: "0" },
+      address: { type: "string", default: "127.0.0.1" },
+      settings: { type: "string", default: "{}" },
+    },
+  });
+  const kind = positionals[0] ?? "";
+  const start = starters[kind];
+  if (start === undefined) {
+    const kinds = Object.keys(starters).join(", ");
+    process.stderr.write(`Name one of: ${kinds}\n`);
+    process.exitCode = 2;
+    return;
+  }
+  const { port } = await start({
+    id: values.id === "" ? kind : values.id,
+    port: Number(values.port),
+    address: values.address,
+    settings: JSON.parse(values.settings),
+  });
+  process.stdout.write(`${JSON.stringify({ ready: kind, port })}\n`);
+}
+
+function crash(): void {
+  process.exit(crashCode);
+}
+
+main().catch((error: unknown) => {
+  process.stderr.write(`${String(error)}\n`);
+  process.exitCode = 1;
+});
--- /dev/null
+++ b/test/stand_ins/relay/server_test.ts
@@ -0,0 +1,116 @@
+import { createSocket } from "node:dgram";
+import { once } from "node:events";
+import { connect, createServer, type Server, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import type { Listening } from "../http.ts";
+import { startRelay } from "./server.ts";
+
+describe("cutting relay", () => {
+  let relay: Listening;
+
+  beforeEach(async () => {
+    relay = await startRelay({ port: 0 });
+  });
+  afterEach(() => relay.close());
+
+  async function post(path: string, body: unknown): Promise<{ port: number }> {
+    const response = await fetch(`http://127.0.0.1:${relay.port}${path}`, {
+      method: "POST",
+      body: JSON.stringify(body),
+    });
+    expect(response.status).toBe(200);
+    return await response.json() as { port: number };
+  }
+
+  describe("TCP", () => {
+    let echo: Server;
+    let caller: Socket;
+
+    beforeEach(async () => {
+      echo = createServer((socket) => {
+        socket.on("error", () => undefined);
+        socket.pipe(socket);
+      });
+      echo.listen(0, "127.0.0.1");
+      await once(echo, "listening");
+      const { port } = await post("/links", {
+        name: "a",
+        kind: "tcp",
+        targetPort: (echo.address() as AddressInfo).port,
+      });
+      caller = connect(port, "127.0.0.1");
+      await once(caller, "connect");
+    });
+    afterEach(() => {
+      caller.destroy();
+      echo.close();
+    });
+
+    it("passes data both ways", async () => {
+      caller.write("one");
+      expect(String((await once(caller, "data"))[0])).toBe("one");
+    });
+
+    it.each(["to_target", "from_target", "both"])(
+      "holds data back while cut %s and passes it on when healed",
+      async (cut) => {
+        caller.write("one");
+        await once(caller, "data");
+        await post("/links/a/state", { cut });
+        const seen: string[] = [];
+        caller.on("data", (data) => seen.push(String(data)));
+        caller.write("two");
+        await new Promise((resolve) => setTimeout(resolve, 30));
+        expect(seen).toEqual([]);
+        const next = once(caller, "data");
+        await post("/links/a/state", { cut: "none" });
+        await next;
+        expect(seen).toEqual(["two"]);
+      },
+    );
+
+    it("ends connections on reset", async () => {
+      caller.write("one");
+      await once(caller, "data");
+      const closed = once(caller, "close");
+      await post("/links/a/reset", {});
+      await closed;
+    });
+  });
+
+  describe("UDP", () => {
+    it("passes datagrams and loses them while cut", async () => {
+      const echo = createSocket("udp4");
+      echo.on("message", (data, from) => echo.send(data, from.port));
+      echo.bind(0, "127.0.0.1");
+      await once(echo, "listening");
+      const { port } = await post("/links", {
+        name: "b",
+        kind: "udp",
+        targetPort: echo.address().port,
+      });
+      const caller = createSocket("udp4");
+      const seen: string[] = [];
+      caller.on("message", (data) => seen.push(String(data)));
+      await sendUntilAnswered(caller, { port, text: "one" });
+      await post("/links/b/state", { cut: "both" });
+      caller.send("lost", port, "127.0.0.1");
+      await new Promise((resolve) => setTimeout(resolve, 30));
+      await post("/links/b/state", { cut: "none" });
+      await sendUntilAnswered(caller, { port, text: "two" });
+      expect(seen).not.toContain("lost");
+      expect(seen).toContain("two");
+      caller.close();
+      echo.close();
+    });
+  });
+});
+
+async function sendUntilAnswered(
+  caller: ReturnType<typeof createSocket>,
+  { port, text }: { readonly port: number; readonly text: string },
+): Promise<void> {
+  const answered = once(caller, "message");
+  caller.send(text, port, "127.0.0.1");
+  await answered;
+}
--- /dev/null
+++ b/test/stand_ins/relay/tcp.ts
@@ -0,0 +1,106 @@
+/** Relays TCP connections; cut data waits, as it would be sent again. */
+
+import { connect, createServer, type Server, type Socket } from "node:net";
+import type { Direction, Link } from "./link.ts";
+
+/** Where a path listens and where it leads. */
+export interface Path {
+  readonly address: string;
+  readonly port: number;
+  readonly targetAddress: string;
+  readonly targetPort: number;
+}
+
+/** A relay that listens. */
+export interface Relay {
+  readonly port: number;
+  /** Ends all connections at once. */
+  reset(): void;
+  close(): Promise<void>;
+}
+
+/** Starts a TCP relay. */
+export function startTcpRelay(path: Path, link: Link): Promise<Relay> {
+  const sockets = new Set<Socket>();
+  const server = createServer({ allowHalfOpen: true }, accept);
+
+  return new Promise((resolve, reject) => {
+    server.on("error", reject);
+    server.listen(path.port, path.address, () => {
+      resolve({ port: getPort(server), reset, close });
+    });
+  });
+
+  async function accept(caller: Socket): Promise<void> {
+    keep(caller);
+    caller.pause();
+    // A cut path takes no new connection through to the target.
+    await link.waitForHeal("to_target");
+    if (caller.destroyed) return;
+    const target = connect({
+      host: path.targetAddress,
+      port: path.targetPort,
+      allowHalfOpen: true,
+    });
+    keep(target);
+    caller.on("close", () => target.destroy());
+    target.on("close", () => caller.destroy());
+    target.on("connect", () => {
+      pass(caller, target, "to_target");
+      pass(target, caller, "from_target");
+    });
+  }
+
+  function keep(socket: Socket): void {
+    sockets.add(socket);
+    socket.setNoDelay(true);
+    socket.on("error", () => socket.destroy());
+    socket.on("close", () => sockets.delete(socket));
+  }
+
+  /** Passes data on in order, one piece at a time. */
+  function pass(from: Socket, to: Socket, direction: Direction): void {
+    let last = Promise.resolve();
+    from.on("data", (data) => {
+      from.pause();
+      last = last.then(() => hold(direction)).then(() => {
+        if (!to.destroyed) to.write(data);
+        from.resume();
+      });
+    });
+    from.on("end", () => {
+      last = last.then(() => hold(direction)).then(() => {
+        if (!to.destroyed) to.end();
+      });
+    });
+    from.resume();
+  }
+
+  async function hold(direction: Direction): Promise<void> {
+    const { delayMs } = link.getState();
+    if (delayMs > 0) await sleep(delayMs);
+    await link.waitForHeal(direction);
+  }
+
+  function reset(): void {
+    sockets.forEach((socket) => socket.destroy());
+  }
+
+  function close(): Promise<void> {
+    return new Promise((resolve) => {
+      server.close(() => resolve());
+      reset();
+    });
+  }
+}
+
+function getPort(server: Server): number {
+  const address = server.address();
+  return typeof address === "object" && address !== null ? address.port : 0;
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/test/stand_ins/service/server.ts
@@ -0,0 +1,148 @@
+/** A plain service that counts how often it ran each call. */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  createServer,
+  getNumber,
+  handle,
+  listen,
+  type Listening,
+  readBody,
+  readFields,
+  sendJson,
+} from "../http.ts";
+
+/** How the service behaves. */
+export interface ServiceSettings {
+  readonly id: string;
+  /** Time that a call takes, in milliseconds. */
+  delayMs: number;
+  /** Calls to come whose answer is cut off after they ran. */
+  lostAnswers: number;
+  /** A call whose body holds this text stops the process after it ran. */
+  readonly crashMarker: string;
+}
+
+/** Runs since the start. */
+export interface ServiceCounts {
+  /** Runs by call id. */
+  readonly counts: Readonly<Record<string, number>>;
+  readonly total: number;
+  readonly running: number;
+}
+
+/** A plain service that listens. */
+export interface ServiceServer extends Listening {
+  readonly settings: ServiceSettings;
+  getCounts(): ServiceCounts;
+}
+
+/** Usual settings of a plain service. */
+export const usualServiceSettings: Omit<ServiceSettings, "id"> = {
+  delayMs: 0,
+  lostAnswers: 0,
+  crashMarker: "__crash__",
+};
+
+/** Starts a plain service; it answers any method and path. */
+export async function startService(
+  settings: ServiceSettings,
+  options: {
+    readonly port: number;
+    readonly address?: string;
+    readonly crash?: () => void;
+  },
+): Promise<ServiceServer> {
+  const server = createServer({ onNoMatch: run });
+  const counts: Record<string, number> = {};
+  let total = 0;
+  let running = 0;
+
+  server.get(
+    "/counts",
+    handle((_request, response) => {
+      sendJson(response, getCounts());
+    }),
+  );
+  server.get(
+    "/health",
+    handle((_request, response) => {
+      sendJson(response, { status: "ok" });
+    }),
+  );
+  server.post(
+    "/faults",
+    handle(async (request, response) => {
+      const fields = await readFields(request);
+      settings.delayMs = getNumber(fields, "delayMs", settings.delayMs);
+      settings.lostAnswers = getNumber(
+        fields,
+        "lostAnswers",
+        settings.lostAnswers,
+      );
+      sendJson(response, settings);
+    }),
+  );
+
+  const listening = await listen(server, options);
+  return { ...listening, settings, getCounts };
+
+  function getCounts(): ServiceCounts {
+    return { counts: { ...counts }, total, running };
+  }
+
+  async function run(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = await readBody(request);
+    const id = getCallId(request, body);
+    total++;
+    running++;
+    const runs = (counts[id] ?? 0) + 1;
+    counts[id] = runs;
+    await sleep(getDelayMs(request, settings));
+    running--;
+    if (body.includes(settings.crashMarker)) {
+      options.crash?.();
+      return;
+    }
+    if (settings.lostAnswers > 0) {
+      settings.lostAnswers--;
+      response.destroy();
+      return;
+    }
+    sendJson(response, { service: settings.id, call: id, runs });
+  }
+}
+
+/** Names a call by header, by body, or by method and path. */
+function getCallId(request: IncomingMessage, body: Buffer): string {
+  const header = request.headers["x-call-id"];
+  if (typeof header === "string") return header;
+  return tryGetBodyId(body) ?? `${request.method} ${request.url}`;
+}
+
+function tryGetBodyId(body: Buffer): string | undefined {
+  try {
+    const value: unknown = JSON.parse(body.toString("utf8"));
+    const { callId } = value as { callId?: unknown };
+    return typeof callId === "string" ? callId : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function getDelayMs(
+  request: IncomingMessage,
+  settings: ServiceSettings,
+): number {
+  const query = new URL(request.url ?? "/", "http://localhost").searchParams;
+  return Number(query.get("delay_ms") ?? settings.delayMs);
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
