Route callers' requests to agents

Cause: the router role was a stub. What it does: takes chats and service calls over HTTP, ranks targets, claims idempotency keys before dispatch, settles lost attempts, joins them again at the offset, checks length and digest, and holds the end marker of a stream until the answer is known to be whole.

--- /dev/null
+++ b/src/connection/agent_client.ts
@@ -0,0 +1,269 @@
+/** Calls agents over gRPC, with one channel for each agent incarnation. */
+
+import {
+  type ClientOptions,
+  type ClientReadableStream,
+  connectivityState,
+  credentials,
+} from "@grpc/grpc-js";
+import {
+  AgentServiceClient,
+  type RunEvent,
+} from "../generated/mimosatray/v1/agent.ts";
+import {
+  type AgentCalls,
+  type AgentEvent,
+  type AgentEvents,
+  type Dispatch,
+  type PlacedAttempt,
+  type SettleState,
+  settleStates,
+  type Target,
+} from "../types/agent_calls.ts";
+import type { Dump } from "../types/role.ts";
+import { fromRunEvent, toRunRequest } from "./agent_wire.ts";
+
+/** Time that a connection may take to be made, in milliseconds. */
+const connectMs = 500;
+
+/** Time that an agent may take to answer a short call, in milliseconds. */
+const shortCallMs = 1_000;
+
+/** Time after the caller's deadline at which a stream is closed, in ms. */
+const deadlineGraceMs = 2_000;
+
+/** Time that an attached stream may take, in milliseconds. */
+const attachMs = 600_000;
+
+/** Idle time after which a channel is closed, in milliseconds. */
+const channelIdleMs = 60_000;
+
+/** Interval at which idle channels are looked for, in milliseconds. */
+const sweepMs = 10_000;
+
+const channelOptions: ClientOptions = {
+  // A hidden retry could send an attempt that has been given up.
+  "grpc.enable_retries": 0,
+  "grpc.keepalive_time_ms": 2_000,
+  "grpc.keepalive_timeout_ms": 2_000,
+  "grpc.initial_reconnect_backoff_ms": 100,
+  "grpc.max_reconnect_backoff_ms": 2_000,
+  "grpc.max_receive_message_length": 8 * 1024 * 1024,
+  "grpc.use_local_subchannel_pool": 1,
+};
+
+/** Calls to agents, and the channels behind them. */
+export interface AgentClient extends AgentCalls {
+  close(): void;
+  dump(): Dump;
+}
+
+type ClientChannel = ReturnType<AgentServiceClient["getChannel"]>;
+
+interface Connection {
+  readonly client: AgentServiceClient;
+  inUse: number;
+  lastUsedAt: number;
+}
+
+/** Creates a client without connections. */
+export function createAgentClient(): AgentClient {
+  const connections = new Map<string, Connection>();
+  const sweep = setInterval(closeIdleConnections, sweepMs);
+  sweep.unref();
+
+  return { run, attach, settle, cancel, close, dump };
+
+  function run(dispatch: Dispatch): AgentEvents {
+    const deadline = dispatch.work.deadlineAt + deadlineGraceMs;
+    return openEvents(
+      dispatch.target,
+      (client) => client.run(toRunRequest(dispatch), { deadline }),
+    );
+  }
+
+  function attach(placed: PlacedAttempt, offset: number): AgentEvents {
+    const request = {
+      attempt: placed.attempt,
+      targetIncarnation: placed.target.incarnation,
+      offset,
+    };
+    return openEvents(
+      placed.target,
+      (client) => client.attach(request, { deadline: Date.now() + attachMs }),
+    );
+  }
+
+  function openEvents(
+    target: Target,
+    open: (client: AgentServiceClient) => ClientReadableStream<RunEvent>,
+  ): AgentEvents {
+    const connection = getConnection(target);
+    let stream: ClientReadableStream<RunEvent> | undefined;
+    let closed = false;
+    const events = readEvents();
+    return {
+      next: () => events.next(),
+      return: () => {
+        closed = true;
+        // A pending read ends at once, which `return` alone would await.
+        stream?.cancel();
+        return events.return(undefined);
+      },
+      [Symbol.asyncIterator]() {
+        return this;
+      },
+    };
+
+    async function* readEvents(): AsyncGenerator<AgentEvent, void> {
+      connection.inUse++;
+      try {
+        const ready = await isReady(connection.client.getChannel());
+        if (!ready || closed) {
+          yield { kind: "lost", sent: false };
+          return;
+        }
+        stream = open(connection.client);
+        stream.on("error", () => undefined);
+        yield* readStream(stream);
+      } finally {
+        stream?.cancel();
+        connection.inUse--;
+        connection.lastUsedAt = performance.now();
+      }
+    }
+  }
+
+  async function settle(placed: PlacedAttempt): Promise<SettleState> {
+    const { client } = getConnection(placed.target);
+    if (!await isReady(client.getChannel())) return "no_answer";
+    return await new Promise((resolve) => {
+      client.settle(
+        toAttemptRequest(placed),
+        undefined as never,
+        { deadline: Date.now() + shortCallMs },
+        (error, response) => {
+          resolve(error ? "no_answer" : toSettleState(response.state));
+        },
+      );
+    });
+  }
+
+  function cancel(placed: PlacedAttempt): void {
+    const { client } = getConnection(placed.target);
+    client.cancel(
+      toAttemptRequest(placed),
+      undefined as never,
+      { deadline: Date.now() + shortCallMs },
+      () => undefined,
+    );
+  }
+
+  function getConnection(target: Target): Connection {
+    const key = getConnectionKey(target);
+    const held = connections.get(key);
+    if (held !== undefined) {
+      held.lastUsedAt = performance.now();
+      return held;
+    }
+    const client = new AgentServiceClient(
+      `${target.address}:${target.grpcPort}`,
+      credentials.createInsecure(),
+      channelOptions,
+    );
+    const connection = { client, inUse: 0, lastUsedAt: performance.now() };
+    connections.set(key, connection);
+    return connection;
+  }
+
+  function closeIdleConnections(): void {
+    const oldest = performance.now() - channelIdleMs;
+    connections.forEach((connection, key) => {
+      if (connection.inUse > 0 || connection.lastUsedAt > oldest) return;
+      connection.client.close();
+      connections.delete(key);
+    });
+  }
+
+  function close(): void {
+    clearInterval(sweep);
+    connections.forEach(({ client }) => client.close());
+    connections.clear();
+  }
+
+  function dump(): Dump {
+    return [...connections].map(([key, connection]) => ({
+      agent: key,
+      inUse: connection.inUse,
+      state: connectivityState[
+        connection.client.getChannel().getConnectivityState(false)
+      ],
+    }));
+  }
+}
+
+/** Names one incarnation of an agent. */
+function getConnectionKey(target: Target): string {
+  return `${target.id}/${target.incarnation}` +
+    `@${target.address}:${target.grpcPort}`;
+}
+
+/** Waits until the channel is connected; false when it fails or is late. */
+async function isReady(channel: ClientChannel): Promise<boolean> {
+  const deadline = Date.now() + connectMs;
+  let failures = 0;
+  while (true) {
+    const state = channel.getConnectivityState(true);
+    if (state === connectivityState.READY) return true;
+    if (state === connectivityState.SHUTDOWN) return false;
+    // The first failure may be an old one that a new try has to follow.
+    if (state === connectivityState.TRANSIENT_FAILURE) failures++;
+    if (failures > 1) return false;
+    const changed = await waitForChange(channel, { state, deadline });
+    if (!changed) return false;
+  }
+}
+
+/** Waits for another state of the channel; false at the deadline. */
+function waitForChange(
+  channel: ClientChannel,
+  options: { readonly state: connectivityState; readonly deadline: number },
+): Promise<boolean> {
+  return new Promise((resolve) => {
+    channel.watchConnectivityState(
+      options.state,
+      options.deadline,
+      (error) => resolve(error === undefined),
+    );
+  });
+}
+
+/** Reads one stream up to its last event; ends with a loss otherwise. */
+async function* readStream(
+  stream: ClientReadableStream<RunEvent>,
+): AsyncGenerator<AgentEvent, void> {
+  try {
+    for await (const message of stream) {
+      const event = fromRunEvent(message as RunEvent);
+      if (event === undefined) continue;
+      yield event;
+      if (event.kind !== "head" && event.kind !== "chunk") return;
+    }
+  } catch {
+    // What the library says of the error proves nothing about the attempt.
+  }
+  yield { kind: "lost", sent: true };
+}
+
+/** Builds the request of a call about one attempt. */
+function toAttemptRequest(placed: PlacedAttempt) {
+  return {
+    attempt: placed.attempt,
+    targetIncarnation: placed.target.incarnation,
+  };
+}
+
+/** Reads a state; an unknown word proves nothing. */
+function toSettleState(text: string): SettleState {
+  return settleStates.find((state) => state === text) ?? "no_answer";
+}
--- /dev/null
+++ b/src/connection/agent_wire.ts
@@ -0,0 +1,80 @@
+/** Turns the messages between router and agent into plain data and back. */
+
+import type { RunEvent, RunRequest } from "../generated/mimosatray/v1/agent.ts";
+import type { AgentEvent, Dispatch } from "../types/agent_calls.ts";
+import { type DiagnosticCode, isDiagnosticCode } from "../types/diagnostics.ts";
+
+/** Largest value of an unsigned 32-bit field. */
+const maxUint32 = 0xffff_ffff;
+
+/** Builds the request of one attempt. */
+export function toRunRequest(dispatch: Dispatch): RunRequest {
+  const { work } = dispatch;
+  return {
+    attempt: dispatch.attempt,
+    targetIncarnation: dispatch.target.incarnation,
+    requestId: work.requestId,
+    service: work.service,
+    workspace: work.workspace,
+    priority: work.priority,
+    deadlineMs: clampUint32(work.deadlineAt - Date.now()),
+    repeatable: work.repeatable,
+    fingerprint: work.fingerprint,
+    promptTokens: clampUint32(work.estimate.promptTokens),
+    outputTokens: clampUint32(work.estimate.outputTokens),
+    cachedTokens: clampUint32(dispatch.cachedTokens),
+    crashes: dispatch.crashes,
+    method: work.method,
+    path: work.path,
+    headers: work.headers.map((header) => ({ ...header })),
+    body: Buffer.from(
+      work.body.buffer,
+      work.body.byteOffset,
+      work.body.byteLength,
+    ),
+    isChat: work.kind === "chat",
+    claim: dispatch.claim,
+    configurationVersion: dispatch.configurationVersion,
+    observedLoads: [...dispatch.observedLoads],
+    conversationHash: dispatch.conversationHash,
+  };
+}
+
+/** Reads one event; undefined for one that this version does not know. */
+export function fromRunEvent(message: RunEvent): AgentEvent | undefined {
+  const { event } = message;
+  if (event === undefined) return undefined;
+  switch (event.$case) {
+    case "refusal":
+      return {
+        kind: "refusal",
+        code: toCode(event.value.code, "target_full"),
+        retryAfterMs: event.value.retryAfterMs,
+        load: message.load,
+      };
+    case "head":
+      return { kind: "head", ...event.value };
+    case "chunk":
+      return { kind: "chunk", ...event.value };
+    case "end": {
+      const { length, digest, ...usage } = event.value;
+      return { kind: "end", length, digest, usage };
+    }
+    case "failure":
+      return {
+        kind: "failure",
+        code: toCode(event.value.code, "target_error"),
+        mayHaveRun: event.value.mayHaveRun,
+      };
+  }
+}
+
+/** Reads a code; one of a newer version is replaced by a general one. */
+function toCode(text: string, general: DiagnosticCode): DiagnosticCode {
+  return isDiagnosticCode(text) ? text : general;
+}
+
+/** Brings a count into the range of an unsigned 32-bit field. */
+function clampUint32(value: number): number {
+  return Math.min(maxUint32, Math.max(0, Math.round(value)));
+}
--- /dev/null
+++ b/src/connection/caller_reply.ts
@@ -0,0 +1,132 @@
+/** Writes one answer to a caller's HTTP connection. */
+
+import type { ServerResponse } from "node:http";
+import { formatReport, getDiagnostic } from "../types/diagnostics.ts";
+import type { Reply, ReplyHead, RequestEnd } from "../types/reply.ts";
+
+/** Status of an end without a report of its own. */
+const doneStatus = 200;
+
+/** An error as callers read it. */
+export interface FormattedError {
+  readonly status: number;
+  /** JSON text. */
+  readonly body: string;
+}
+
+/** Formats the error of an end that is not `done`. */
+export function formatError(
+  end: RequestEnd,
+  requestId: string,
+): FormattedError {
+  if (end.report === undefined) return { status: doneStatus, body: "{}" };
+  const { code, retryAfterMs } = end.report;
+  const error = {
+    code,
+    message: formatReport(end.report),
+    outcome: end.outcome,
+    request_id: requestId,
+    ...(retryAfterMs > 0 ? { retry_after_ms: retryAfterMs } : {}),
+  };
+  return {
+    status: getDiagnostic(code).status,
+    body: JSON.stringify({ error }),
+  };
+}
+
+/** Creates the reply that writes to a response. */
+export function createHttpReply(
+  response: ServerResponse,
+  options: { readonly requestId: string },
+): Reply {
+  const gone = new AbortController();
+  let isEventStream = false;
+  let isWhole = false;
+  response.on("close", () => {
+    if (!response.writableFinished) gone.abort();
+  });
+  response.on("error", () => gone.abort());
+
+  return { gone: gone.signal, start, write, end };
+
+  function start(head: ReplyHead): void {
+    for (const { name, value } of head.headers) {
+      response.setHeader(name, value);
+      if (name.toLowerCase() !== "content-type") continue;
+      isEventStream = value.startsWith("text/event-stream");
+    }
+    response.setHeader("x-request-id", options.requestId);
+    response.setHeader("x-place", head.place);
+    isWhole = head.length !== undefined;
+    if (head.length === undefined) {
+      // How it ends is only known later.
+      response.setHeader("trailer", "x-outcome, x-code");
+    } else {
+      response.setHeader("content-length", head.length);
+      response.setHeader("x-outcome", "done");
+    }
+    response.writeHead(head.status);
+  }
+
+  function write(data: Uint8Array): Promise<void> | undefined {
+    if (gone.signal.aborted || response.write(data)) return undefined;
+    return new Promise((resolve) => {
+      response.once("drain", finish);
+      response.once("close", finish);
+
+      function finish(): void {
+        response.off("drain", finish);
+        response.off("close", finish);
+        resolve();
+      }
+    });
+  }
+
+  function end(value: RequestEnd): void {
+    if (gone.signal.aborted) response.destroy();
+    else if (!response.headersSent) endUnstarted(value);
+    else endStarted(value);
+  }
+
+  function endUnstarted(value: RequestEnd): void {
+    const { status, body } = formatError(value, options.requestId);
+    response.writeHead(status, {
+      "content-type": "application/json",
+      "content-length": Buffer.byteLength(body),
+      "x-request-id": options.requestId,
+      ...getEndHeaders(value),
+    });
+    response.end(body);
+  }
+
+  function endStarted(value: RequestEnd): void {
+    if (isWhole) {
+      response.end();
+      return;
+    }
+    if (value.outcome !== "done") {
+      // Without an end marker, or cut, it cannot be taken for whole.
+      if (!isEventStream) return void response.destroy();
+      const { body } = formatError(value, options.requestId);
+      response.write(`event: error\ndata: ${body}\n\n`);
+    }
+    response.addTrailers({
+      "x-outcome": value.outcome,
+      "x-code": value.report?.code ?? "done",
+    });
+    response.end();
+  }
+}
+
+/** Headers that name the end of a request. */
+function getEndHeaders(end: RequestEnd): Record<string, string> {
+  const headers: Record<string, string> = { "x-outcome": end.outcome };
+  if (end.report === undefined) return headers;
+  headers["x-code"] = end.report.code;
+  const { retryAfterMs } = end.report;
+  if (retryAfterMs > 0) {
+    headers["retry-after"] = String(Math.ceil(retryAfterMs / 1_000));
+    headers["retry-after-ms"] = String(Math.ceil(retryAfterMs));
+  }
+  return headers;
+}
--- /dev/null
+++ b/src/process/attempt_numbers.ts
@@ -0,0 +1,26 @@
+/** Numbers the attempts of this process; a number is never used twice. */
+
+import type { Attempt } from "../types/attempt.ts";
+
+/** Hands out attempts. */
+export interface AttemptNumbers {
+  createAttempt(): Attempt;
+}
+
+/** Creates a counter for one incarnation of a router. */
+export function createAttemptNumbers(
+  options: { readonly router: string; readonly routerIncarnation: number },
+): AttemptNumbers {
+  let number = 0;
+
+  return { createAttempt };
+
+  function createAttempt(): Attempt {
+    number++;
+    return {
+      router: options.router,
+      routerIncarnation: options.routerIncarnation,
+      number,
+    };
+  }
+}
--- /dev/null
+++ b/src/process/claim_leases.ts
@@ -0,0 +1,60 @@
+/**
+ * Leases that many claims share, so that claims expire without a call each.
+ * A lease takes claims for a short period and then lives on, unrenewed.
+ */
+
+import { EitherAsync, Left, Right } from "purify-ts";
+import type { Platform, PlatformError } from "../types/platform.ts";
+
+/** Time that a claim lives at least, in milliseconds. */
+export const claimWindowMs = 3_600_000;
+
+/** Time that one lease takes new claims, in milliseconds. */
+const leaseUseMs = 600_000;
+
+/** The lease for new claims. */
+export interface ClaimLeases {
+  /** Returns the lease for claims made now. */
+  getLease(): EitherAsync<PlatformError, string>;
+}
+
+/** Creates a holder that asks for its first lease when it is needed. */
+export function createClaimLeases(
+  host: { readonly platform: Pick<Platform, "createLease"> },
+): ClaimLeases {
+  let current: { readonly id: string; readonly until: number } | undefined;
+  let pending: Promise<void> | undefined;
+  let lastError: PlatformError | undefined;
+
+  return { getLease: () => EitherAsync.fromPromise(readLease) };
+
+  async function readLease() {
+    if (!isUsable()) await (pending ??= renew());
+    if (current !== undefined && isUsable()) return Right(current.id);
+    return Left(
+      lastError ?? {
+        kind: "unavailable" as const,
+        message: "There is no lease for claims",
+        retryAfterMs: 0,
+      },
+    );
+  }
+
+  function isUsable(): boolean {
+    return current !== undefined && Date.now() < current.until;
+  }
+
+  async function renew(): Promise<void> {
+    const until = Date.now() + leaseUseMs;
+    const answer = await host.platform.createLease(claimWindowMs + leaseUseMs);
+    answer.caseOf({
+      Left: (error) => {
+        lastError = error;
+      },
+      Right: (id) => {
+        current = { id, until };
+      },
+    });
+    pending = undefined;
+  }
+}
--- /dev/null
+++ b/src/request/attempt_run.ts
@@ -0,0 +1,272 @@
+/**
+ * Follows one attempt from its dispatch to a verdict: reads its events, and
+ * after a lost connection settles it and joins it again where it stopped.
+ */
+
+import type {
+  AgentCalls,
+  AgentEvent,
+  AgentEvents,
+  Dispatch,
+  PlacedAttempt,
+} from "../types/agent_calls.ts";
+import type { Usage } from "../types/answer.ts";
+import type { DiagnosticCode } from "../types/diagnostics.ts";
+import type { Answer } from "./answer.ts";
+import type { Delivery } from "./delivery.ts";
+import { settleAttempt, waitUnlessAborted } from "./settlement.ts";
+
+/** Times that one attempt is joined again after a loss. */
+const maxResumes = 4;
+
+/** What following an attempt needs from outside. */
+export interface AttemptHost {
+  readonly calls: AgentCalls;
+  /** Tells the member view of a direct contact. */
+  noteContact(target: string, contact: "answered" | "failed"): void;
+}
+
+/** What one attempt works with. */
+export interface AttemptOptions {
+  readonly answer: Answer;
+  readonly delivery: Delivery;
+  /** Aborted at the deadline, or when the caller has gone. */
+  readonly signal: AbortSignal;
+  /** Tries to settle the attempt after a loss. */
+  readonly settleTries: number;
+  /**
+   * Time that a joined attempt may still take to reach its target before it
+   * is settled, in milliseconds.
+   */
+  readonly settleAfterMs?: number;
+}
+
+/**
+ * - `not_run`: proof that the attempt never ran and never will.
+ * - `failed`: the target says that it ended badly and may have run.
+ * - `unknown`: nothing more can be learned of it.
+ * - `answer_gone`: it ran, and its answer is no longer kept.
+ * - `cut`: what has reached the caller cannot be continued.
+ * - `stopped`: the signal came first.
+ */
+export type AttemptVerdict =
+  | { readonly kind: "done"; readonly usage: Usage }
+  | {
+    readonly kind: "not_run";
+    readonly code: DiagnosticCode;
+    readonly retryAfterMs: number;
+    /** Load of the target that refused, undefined when it was not reached. */
+    readonly load: number | undefined;
+  }
+  | { readonly kind: "failed"; readonly code: DiagnosticCode }
+  | { readonly kind: "unknown" }
+  | { readonly kind: "answer_gone" }
+  | { readonly kind: "cut" }
+  | { readonly kind: "stopped" };
+
+type ReadResult =
+  | AttemptVerdict
+  | { readonly kind: "lost"; readonly sent: boolean }
+  | { readonly kind: "damaged" };
+
+/** Sends an attempt and follows it. */
+export function runAttempt(
+  host: AttemptHost,
+  dispatch: Dispatch,
+  options: AttemptOptions,
+): Promise<AttemptVerdict> {
+  options.answer.beginAttempt();
+  return follow(host, dispatch, {
+    ...options,
+    first: () => host.calls.run(dispatch),
+  });
+}
+
+/** Joins an attempt that a target holds, from its first byte. */
+export function joinAttempt(
+  host: AttemptHost,
+  placed: PlacedAttempt,
+  options: AttemptOptions,
+): Promise<AttemptVerdict> {
+  options.answer.beginAttempt();
+  return follow(host, placed, { ...options, first: undefined });
+}
+
+/** Reads events and settles losses until there is a verdict. */
+async function follow(
+  host: AttemptHost,
+  placed: PlacedAttempt,
+  options: AttemptOptions & {
+    readonly first: (() => AgentEvents) | undefined;
+  },
+): Promise<AttemptVerdict> {
+  const { answer, delivery, signal } = options;
+  let events = options.first?.() ?? host.calls.attach(placed, 0);
+  let isRun = options.first !== undefined;
+  for (let resumes = 0; resumes <= maxResumes; resumes++) {
+    const result = await readEvents(host, events, {
+      ...options,
+      placed,
+      isRun,
+    });
+    if (result.kind === "damaged") {
+      if (!delivery.isPending()) return { kind: "cut" };
+      delivery.reset();
+      answer.reset();
+    } else if (result.kind !== "lost") {
+      return result;
+    } else if (!result.sent && isRun) {
+      return notReached;
+    }
+    if (resumes === 0 && options.settleAfterMs !== undefined) {
+      await waitUnlessAborted(options.settleAfterMs, signal);
+    }
+    const verdict = await settleLoss(host, placed, options);
+    if (verdict !== undefined) return verdict;
+    if (resumes > 0) await waitUnlessAborted(resumes * 100, signal);
+    if (signal.aborted) return { kind: "stopped" };
+    events = host.calls.attach(placed, answer.getOffset());
+    isRun = false;
+  }
+  return { kind: "unknown" };
+}
+
+/** The attempt was never sent, so it never runs. */
+const notReached: AttemptVerdict = {
+  kind: "not_run",
+  code: "no_target",
+  retryAfterMs: 0,
+  load: undefined,
+};
+
+/** Settles after a loss; undefined when the attempt can be joined. */
+async function settleLoss(
+  host: AttemptHost,
+  placed: PlacedAttempt,
+  options: AttemptOptions,
+): Promise<AttemptVerdict | undefined> {
+  const state = await settleAttempt(host, placed, {
+    tries: options.settleTries,
+    signal: options.signal,
+  });
+  if (options.signal.aborted) return { kind: "stopped" };
+  switch (state) {
+    case "not_run":
+      return {
+        kind: "not_run",
+        code: "attempt_settled",
+        retryAfterMs: 0,
+        load: undefined,
+      };
+    case "running":
+    case "done":
+      return undefined;
+    case "done_answer_gone":
+      return { kind: "answer_gone" };
+    case "wrong_incarnation":
+    case "no_answer":
+      return { kind: "unknown" };
+  }
+}
+
+/** Reads one stream of events; an abort of the signal ends it. */
+async function readEvents(
+  host: AttemptHost,
+  events: AgentEvents,
+  options: AttemptOptions & {
+    readonly placed: PlacedAttempt;
+    /** False when the stream joins an attempt that was sent before. */
+    readonly isRun: boolean;
+  },
+): Promise<ReadResult> {
+  const { signal } = options;
+  const target = options.placed.target.id;
+  const close = (): void => void events.return?.(undefined);
+  let isAnswered = false;
+  signal.addEventListener("abort", close, { once: true });
+  try {
+    if (signal.aborted) return { kind: "stopped" };
+    for await (const event of events) {
+      if (signal.aborted) return { kind: "stopped" };
+      if (event.kind === "lost") host.noteContact(target, "failed");
+      else if (!isAnswered) host.noteContact(target, "answered");
+      isAnswered = true;
+      const result = takeEvent(event, options);
+      if (result instanceof Promise) await waitForRoom(result, signal);
+      else if (result !== undefined) return result;
+    }
+    return signal.aborted ? { kind: "stopped" } : { kind: "lost", sent: true };
+  } finally {
+    signal.removeEventListener("abort", close);
+  }
+}
+
+/** Waits until the caller has read; an abort ends the wait. */
+function waitForRoom(room: Promise<void>, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    signal.addEventListener("abort", finish, { once: true });
+    void room.then(finish);
+
+    function finish(): void {
+      signal.removeEventListener("abort", finish);
+      resolve();
+    }
+  });
+}
+
+/** Acts on one event; a promise means that the caller has to read first. */
+function takeEvent(
+  event: AgentEvent,
+  options: AttemptOptions & {
+    readonly placed: PlacedAttempt;
+    readonly isRun: boolean;
+  },
+): ReadResult | Promise<void> | undefined {
+  switch (event.kind) {
+    case "lost":
+      return event;
+    case "refusal":
+      // A repeated or unknown attempt proves nothing about the first one.
+      if (!options.isRun || event.code === "attempt_repeated") {
+        return { kind: "lost", sent: true };
+      }
+      return { ...event, kind: "not_run" };
+    case "failure":
+      if (event.mayHaveRun) return { kind: "failed", code: event.code };
+      return {
+        kind: "not_run",
+        code: event.code,
+        retryAfterMs: 0,
+        load: undefined,
+      };
+    case "head":
+    case "chunk":
+    case "end":
+      return takePart(event, options);
+  }
+}
+
+/** Adds one part to the answer and brings it to the caller. */
+function takePart(
+  event: Extract<AgentEvent, { readonly kind: "head" | "chunk" | "end" }>,
+  options: AttemptOptions & { readonly placed: PlacedAttempt },
+): ReadResult | Promise<void> | undefined {
+  const { answer, delivery, placed } = options;
+  const step = answer.take(event);
+  switch (step.kind) {
+    case "head":
+      delivery.head(step.head, placed.target.id);
+      return undefined;
+    case "data":
+      return delivery.write(step.data);
+    case "nothing":
+      return undefined;
+    case "done":
+      return event.kind === "end"
+        ? { kind: "done", usage: event.usage }
+        : undefined;
+    case "broken":
+      if (step.fault === "gap") return { kind: "lost", sent: true };
+      return { kind: step.fault === "damaged" ? "damaged" : "cut" };
+  }
+}
--- /dev/null
+++ b/src/request/claimed_request.ts
@@ -0,0 +1,121 @@
+/**
+ * Brings a request with an idempotency key to the one attempt that may run
+ * it: its own, or the one that an earlier request with the key has named.
+ */
+
+import type { PlacedAttempt } from "../types/agent_calls.ts";
+import { createReport } from "../types/diagnostics.ts";
+import type { RequestEnd } from "../types/reply.ts";
+import type { Work } from "../types/work.ts";
+import type { AttemptVerdict } from "./attempt_run.ts";
+import {
+  type Claim,
+  type ClaimHost,
+  createClaimRecord,
+  getClaimKey,
+  writeClaim,
+} from "./claim.ts";
+import { createEnd } from "./request_end.ts";
+
+/** Claims that one request takes over at most. */
+const maxTakeovers = 5;
+
+/** Time to come back while an outcome may still become known, in ms. */
+const askAgainMs = 2_000;
+
+/** What a claimed request needs from outside. */
+export interface ClaimedRequestHost {
+  readonly claims: ClaimHost;
+  /** Follows the attempt that a claim names, from its first byte. */
+  join(placed: PlacedAttempt): Promise<AttemptVerdict>;
+}
+
+/** The claim of one request. */
+export interface ClaimedRequest {
+  /** Hash of the key, sent with each attempt. */
+  readonly key: string;
+  /**
+   * Makes the claim name an attempt before it is sent. The earlier attempts
+   * of this request must be proved not to run. Undefined when the attempt may
+   * be sent, else the end of the request.
+   */
+  claim(placed: PlacedAttempt): Promise<RequestEnd | undefined>;
+  /**
+   * Gives the key back; every attempt of this request must be proved not to
+   * run. False when another request may have run it meanwhile.
+   */
+  release(): Promise<boolean>;
+  /** True once it is known what the key has been used for. */
+  isKnown(): boolean;
+}
+
+/** Creates the claim of a request that carries a key. */
+export function createClaimedRequest(
+  host: ClaimedRequestHost,
+  work: Work,
+): ClaimedRequest {
+  const key = getClaimKey(work);
+  let held: Claim | undefined;
+
+  return { key, claim, release, isKnown: () => held !== undefined };
+
+  async function claim(
+    placed: PlacedAttempt,
+  ): Promise<RequestEnd | undefined> {
+    const record = createClaimRecord(placed, work.fingerprint);
+    for (let takeovers = 0; takeovers <= maxTakeovers; takeovers++) {
+      const result = await writeClaim(host.claims, { key, record }, held);
+      if (result.kind === "unavailable") {
+        return endUnavailable(result.retryAfterMs);
+      }
+      if (result.kind === "mine") {
+        held = result.claim;
+        return undefined;
+      }
+      const end = await followTheirs(result.claim);
+      if (end !== undefined) return end;
+      // Their attempt is proved not to run, so the claim may be replaced.
+      held = result.claim;
+    }
+    return endUnavailable(askAgainMs);
+  }
+
+  /** The end of the request, or undefined when their attempt never runs. */
+  async function followTheirs(claim: Claim): Promise<RequestEnd | undefined> {
+    if (claim.record.fingerprint !== work.fingerprint) {
+      return createEnd(createReport("key_reused"));
+    }
+    const verdict = await host.join(claim.record);
+    switch (verdict.kind) {
+      case "done":
+        return { outcome: "done", report: undefined };
+      case "not_run":
+        return undefined;
+      case "failed":
+      case "unknown":
+      case "cut":
+        return createEnd(createReport("outcome_unknown", {}, {
+          retryAfterMs: askAgainMs,
+        }));
+      case "answer_gone":
+        return createEnd(createReport("answer_gone"));
+      case "stopped":
+        return createEnd(createReport("request_running", {}, {
+          retryAfterMs: askAgainMs,
+        }));
+    }
+  }
+
+  async function release(): Promise<boolean> {
+    if (held === undefined) return false;
+    const { platform } = host.claims;
+    const removed = await platform.remove(key, held.revision);
+    return removed.isRight();
+  }
+
+  /** An earlier request with the key may have run, so this is unknown. */
+  function endUnavailable(retryAfterMs: number): RequestEnd {
+    const report = createReport("claims_unavailable", {}, { retryAfterMs });
+    return { outcome: "unknown", report };
+  }
+}
--- /dev/null
+++ b/src/request/request_host.ts
@@ -0,0 +1,42 @@
+/** What running a request needs from the rest of the process. */
+
+import type { AttemptNumbers } from "../process/attempt_numbers.ts";
+import type { BodyDigests } from "../process/body_digest.ts";
+import type { Placement } from "../process/placement.ts";
+import type { RefusalMemory } from "../process/refusal_memory.ts";
+import type { RetryBudget } from "../process/retry_budget.ts";
+import type { AgentCalls } from "../types/agent_calls.ts";
+import type { RequestEnd } from "../types/reply.ts";
+import type {
+  ConfigurationView,
+  CrashView,
+  LimitView,
+  MemberView,
+} from "../types/view.ts";
+import type { ClaimHost } from "./claim.ts";
+
+/** The long-lived parts that every request uses. */
+export interface RequestHost {
+  readonly calls: AgentCalls;
+  readonly members: Pick<MemberView, "getAvailableAgents" | "noteContact">;
+  readonly configuration: Pick<ConfigurationView, "getConfiguration">;
+  readonly crashes: Pick<CrashView, "getCrashes">;
+  readonly limits: LimitView;
+  readonly placement: Placement;
+  readonly refusals: RefusalMemory;
+  readonly retries: RetryBudget;
+  readonly attempts: AttemptNumbers;
+  readonly digests: BodyDigests;
+  readonly claims: ClaimHost;
+  /** Hashes the key of a conversation to 32 bits. */
+  hashConversation(key: string): number;
+}
+
+/** What the log says of a request. */
+export interface RequestSummary {
+  readonly end: RequestEnd;
+  /** The last target that was asked; empty when there was none. */
+  readonly target: string;
+  /** Attempts that were made. */
+  readonly tries: number;
+}
--- /dev/null
+++ b/src/request/request_run.ts
@@ -0,0 +1,302 @@
+/**
+ * Runs one request: asks targets one after the other until there is an end
+ * that the caller can be told. A request that may not run twice moves on only
+ * with proof that its last attempt never runs.
+ */
+
+import type { PlacedAttempt } from "../types/agent_calls.ts";
+import { createReport, type DiagnosticCode } from "../types/diagnostics.ts";
+import type { Member } from "../types/member.ts";
+import type { Reply, RequestEnd } from "../types/reply.ts";
+import type { Work } from "../types/work.ts";
+import { createAnswer } from "./answer.ts";
+import {
+  type AttemptOptions,
+  type AttemptVerdict,
+  joinAttempt,
+  runAttempt,
+} from "./attempt_run.ts";
+import { createClaimedRequest } from "./claimed_request.ts";
+import { createDelivery } from "./delivery.ts";
+import { createEnd } from "./request_end.ts";
+import type { RequestHost, RequestSummary } from "./request_host.ts";
+import { createRequestStop } from "./request_stop.ts";
+import { createRouting, getPlacementKey } from "./routing.ts";
+
+/** Crashes of targets after which a request is not tried again. */
+const maxCrashes = 2;
+
+/** Tries to settle a lost attempt that may not run twice. */
+const settleTriesOnce = 5;
+
+/** Tries to settle a lost attempt that can run elsewhere as well. */
+const settleTriesRepeatable = 1;
+
+/** Time that another router's attempt may take to arrive, in ms. */
+const joinGraceMs = 150;
+
+/** Time to come back when no target gave one, in milliseconds. */
+const defaultRetryAfterMs = 1_000;
+
+/** Time that an unreachable target is asked last, in milliseconds. */
+const unreachableMs = 1_000;
+
+/** Refusals that cost a target nothing; the next rank is asked at once. */
+const freeRefusals: ReadonlySet<DiagnosticCode> = new Set([
+  "target_full",
+  "queue_wait_too_long",
+  "target_leaving",
+  "wrong_incarnation",
+]);
+
+/** Refusals that hold for every target. */
+const finalRefusals: ReadonlySet<DiagnosticCode> = new Set([
+  "request_quarantined",
+  "deadline_passed",
+]);
+
+/** Runs a request to its end and tells the caller. */
+export async function runRequest(
+  host: RequestHost,
+  work: Work,
+  reply: Reply,
+): Promise<RequestSummary> {
+  const stop = createRequestStop({
+    deadlineAt: work.deadlineAt,
+    gone: reply.gone,
+  });
+  const answer = createAnswer(host);
+  const delivery = createDelivery(reply);
+  const routing = createRouting(host, work);
+  const attemptHost = {
+    calls: host.calls,
+    noteContact: host.members.noteContact,
+  };
+  const attemptOptions: AttemptOptions = {
+    answer,
+    delivery,
+    signal: stop.signal,
+    settleTries: work.repeatable ? settleTriesRepeatable : settleTriesOnce,
+  };
+  const isClaimed = !work.repeatable && work.idempotencyKey !== undefined;
+  const claimed = isClaimed
+    ? createClaimedRequest({ claims: host.claims, join }, work)
+    : undefined;
+  const observedLoads: number[] = [];
+  /** What became of an attempt that may have run; none has otherwise. */
+  let lastFailure: DiagnosticCode | undefined;
+  let crashes = 0;
+  let tries = 0;
+  let target = "";
+  let lastRefusal = createReport("no_target", { service: work.service }, {
+    retryAfterMs: defaultRetryAfterMs,
+  });
+
+  try {
+    const end = await checkLimit() ?? await tryTargets();
+    if (end.outcome === "done") delivery.finish();
+    reply.end(end);
+    return { end, target, tries };
+  } finally {
+    stop.clear();
+  }
+
+  async function checkLimit(): Promise<RequestEnd | undefined> {
+    const decision = await host.limits.acquire(work.workspace);
+    if (decision.kind === "granted") return undefined;
+    return await endNotRun("workspace_limited", decision.retryAfterMs);
+  }
+
+  async function tryTargets(): Promise<RequestEnd> {
+    host.retries.noteFirstTry(work.service, getRetryBudget());
+    while (true) {
+      if (stop.getReason() !== undefined) return await endStoppedEarly();
+      const member = routing.tryGetNext();
+      if (member === undefined) return await endRefused();
+      const end = await tryTarget(member);
+      if (end !== undefined) return end;
+    }
+  }
+
+  /** Tries one target; undefined when the next one should be tried. */
+  async function tryTarget(member: Member): Promise<RequestEnd | undefined> {
+    const attempt = host.attempts.createAttempt();
+    const placed = { attempt, target: member };
+    target = member.id;
+    const claimEnd = await claimed?.claim(placed);
+    if (claimEnd !== undefined) return claimEnd;
+    if (stop.getReason() !== undefined) return await endStoppedEarly();
+    tries++;
+    if (delivery.isPending()) forgetDraft();
+    const verdict = await runAttempt(attemptHost, {
+      ...placed,
+      work,
+      cachedTokens: member.id === work.lastPlace
+        ? work.estimate.cachedTokens
+        : 0,
+      crashes: Math.max(crashes, host.crashes.getCrashes(work.fingerprint)),
+      claim: claimed?.key ?? "",
+      configurationVersion: host.configuration.getConfiguration().version,
+      observedLoads,
+      conversationHash: work.kind === "chat"
+        ? host.hashConversation(getPlacementKey(work))
+        : 0,
+    }, attemptOptions);
+    return await act(verdict, placed);
+  }
+
+  function forgetDraft(): void {
+    delivery.reset();
+    answer.reset();
+  }
+
+  /** Acts on a verdict; undefined when the next target should be tried. */
+  async function act(
+    verdict: AttemptVerdict,
+    placed: PlacedAttempt,
+  ): Promise<RequestEnd | undefined> {
+    switch (verdict.kind) {
+      case "done":
+        host.refusals.noteAccepted(placed.target.id);
+        return { outcome: "done", report: undefined };
+      case "not_run":
+        return await actOnRefusal(verdict, placed);
+      case "failed":
+        return actOnFailure(verdict.code);
+      case "unknown":
+        return actOnUnknown(placed);
+      case "answer_gone":
+        return work.repeatable
+          ? tryAgain("answer_gone")
+          : createEnd(createReport("answer_gone"));
+      case "cut":
+        host.calls.cancel(placed);
+        return endTried("answer_cut");
+      case "stopped":
+        return await endStoppedLate(placed);
+    }
+  }
+
+  async function actOnRefusal(
+    refusal: Extract<AttemptVerdict, { readonly kind: "not_run" }>,
+    placed: PlacedAttempt,
+  ): Promise<RequestEnd | undefined> {
+    const { code, retryAfterMs, load } = refusal;
+    if (finalRefusals.has(code)) return await endNotRun(code, retryAfterMs);
+    lastRefusal = createReport(code, { service: work.service }, {
+      retryAfterMs: retryAfterMs || defaultRetryAfterMs,
+    });
+    if (load !== undefined) observedLoads.push(load);
+    host.refusals.noteRefusal(
+      placed.target.id,
+      freeRefusals.has(code) ? retryAfterMs : unreachableMs,
+    );
+    if (freeRefusals.has(code)) return undefined;
+    if (host.retries.trySpend(work.service)) return undefined;
+    return await endNotRun("retry_budget_spent", defaultRetryAfterMs);
+  }
+
+  function actOnFailure(code: DiagnosticCode): RequestEnd | undefined {
+    if (!work.repeatable) return endUnknown();
+    if (code === "target_crashed") crashes++;
+    if (code === "deadline_exceeded" || crashes >= maxCrashes) {
+      return endTried(code);
+    }
+    return tryAgain(code);
+  }
+
+  function actOnUnknown(placed: PlacedAttempt): RequestEnd | undefined {
+    if (!work.repeatable) return endUnknown();
+    host.calls.cancel(placed);
+    host.refusals.noteRefusal(placed.target.id, unreachableMs);
+    return tryAgain("outcome_unknown");
+  }
+
+  /** Spends a retry of work that may run again, or ends with `code`. */
+  function tryAgain(code: DiagnosticCode): RequestEnd | undefined {
+    lastFailure = code;
+    return host.retries.trySpend(work.service) ? undefined : endTried(code);
+  }
+
+  /** Ends a request of which an attempt may have run, and ended badly. */
+  function endTried(code: DiagnosticCode): RequestEnd {
+    const bytes = answer.getReleased();
+    if (!delivery.isPending()) {
+      return createEnd(createReport("answer_cut", { bytes }));
+    }
+    return createEnd(createReport(code, { bytes }, {
+      retryAfterMs: defaultRetryAfterMs,
+    }));
+  }
+
+  function endUnknown(): RequestEnd {
+    return createEnd(createReport("outcome_unknown", {}, {
+      retryAfterMs: isClaimed ? defaultRetryAfterMs : 0,
+    }));
+  }
+
+  /** No target is left to ask. */
+  function endRefused(): Promise<RequestEnd> {
+    return endNotRun(lastRefusal.code, lastRefusal.retryAfterMs);
+  }
+
+  /** Given up while no attempt was on its way. */
+  async function endStoppedEarly(): Promise<RequestEnd> {
+    if (stop.getReason() === "caller_gone") {
+      await claimed?.release();
+      return createEnd(createReport("caller_gone"));
+    }
+    return await endNotRun("deadline_passed", 0);
+  }
+
+  /** Given up while an attempt was on its way. */
+  async function endStoppedLate(
+    placed: PlacedAttempt,
+  ): Promise<RequestEnd> {
+    const isGone = stop.getReason() === "caller_gone";
+    if (work.repeatable) {
+      host.calls.cancel(placed);
+      return createEnd(
+        createReport(isGone ? "caller_gone" : "deadline_exceeded"),
+      );
+    }
+    // Work that may not run twice is withdrawn if it has not started, and
+    // otherwise left to run to its end.
+    const state = await host.calls.settle(placed);
+    if (isGone) return createEnd(createReport("caller_gone"));
+    return state === "not_run"
+      ? await endNotRun("deadline_passed", 0)
+      : endUnknown();
+  }
+
+  /** Ends a request whose last attempt is proved not to run. */
+  async function endNotRun(
+    code: DiagnosticCode,
+    retryAfterMs: number,
+  ): Promise<RequestEnd> {
+    // Proof about the last attempt says nothing of an earlier one.
+    if (lastFailure !== undefined) return endTried(lastFailure);
+    const report = createReport(code, {
+      service: work.service,
+      workspace: work.workspace,
+      crashes: host.crashes.getCrashes(work.fingerprint),
+    }, { retryAfterMs });
+    if (claimed === undefined) return createEnd(report);
+    // An earlier or concurrent request with the key may have run.
+    const isProved = claimed.isKnown() && await claimed.release();
+    return isProved ? createEnd(report) : { outcome: "unknown", report };
+  }
+
+  function join(placed: PlacedAttempt): Promise<AttemptVerdict> {
+    forgetDraft();
+    return joinAttempt(attemptHost, placed, {
+      ...attemptOptions,
+      settleAfterMs: joinGraceMs,
+    });
+  }
+
+  function getRetryBudget(): number {
+    const { services } = host.configuration.getConfiguration();
+    return services.get(work.service)?.retryBudget ?? 0;
+  }
+}
--- /dev/null
+++ b/src/request/request_stop.ts
@@ -0,0 +1,53 @@
+/** The moment from which a request is given up: deadline or caller gone. */
+
+/** Why a request is given up. */
+export type StopReason = "deadline" | "caller_gone";
+
+/** Watches the deadline and the caller of one request. */
+export interface RequestStop {
+  readonly signal: AbortSignal;
+  /** Undefined while the request goes on. */
+  getReason(): StopReason | undefined;
+  /** Ends the watch. */
+  clear(): void;
+}
+
+/** Starts to watch. */
+export function createRequestStop(
+  options: { readonly deadlineAt: number; readonly gone: AbortSignal },
+): RequestStop {
+  const controller = new AbortController();
+  let reason: StopReason | undefined;
+  const timer = setTimeout(
+    () => stop("deadline"),
+    Math.max(0, options.deadlineAt - Date.now()),
+  );
+  const onGone = (): void => stop("caller_gone");
+  options.gone.addEventListener("abort", onGone, { once: true });
+  if (options.gone.aborted) onGone();
+
+  return {
+    signal: controller.signal,
+    getReason,
+    clear,
+  };
+
+  function getReason(): StopReason | undefined {
+    // A process that was paused sees the clock before it sees the timer.
+    if (reason === undefined && Date.now() >= options.deadlineAt) {
+      stop("deadline");
+    }
+    return reason;
+  }
+
+  function stop(cause: StopReason): void {
+    if (reason !== undefined) return;
+    reason = cause;
+    controller.abort();
+  }
+
+  function clear(): void {
+    clearTimeout(timer);
+    options.gone.removeEventListener("abort", onGone);
+  }
+}
--- /dev/null
+++ b/src/request/routing.ts
@@ -0,0 +1,76 @@
+/**
+ * Chooses the targets of one request one after the other: by rank for its
+ * conversation, those that have just refused others last.
+ */
+
+import type { Placement } from "../process/placement.ts";
+import type { RefusalMemory } from "../process/refusal_memory.ts";
+import type { Member } from "../types/member.ts";
+import type { MemberView } from "../types/view.ts";
+import type { Work } from "../types/work.ts";
+
+/** Targets that one request asks at most. */
+const maxTargets = 8;
+
+/** Targets asked although they have just refused another request. */
+const maxRemembered = 2;
+
+/** What routing needs from outside. */
+export interface RoutingHost {
+  readonly members: Pick<MemberView, "getAvailableAgents">;
+  readonly placement: Placement;
+  readonly refusals: RefusalMemory;
+}
+
+/** The choice of targets for one request. */
+export interface Routing {
+  /** The next target to ask; undefined when there is none left. */
+  tryGetNext(): Member | undefined;
+  /** Targets returned so far. */
+  getAsked(): number;
+}
+
+/** Returns the key by which a request is placed. */
+export function getPlacementKey(work: Work): string {
+  const name = work.conversation || work.requestId;
+  return `${work.workspace}/${name}`;
+}
+
+/** Creates the choice for one request. */
+export function createRouting(host: RoutingHost, work: Work): Routing {
+  const asked = new Set<string>();
+  let rememberedAsked = 0;
+
+  return { tryGetNext, getAsked: () => asked.size };
+
+  function tryGetNext(): Member | undefined {
+    if (asked.size >= maxTargets) return undefined;
+    // The members are read again: they may have changed since the last ask.
+    const ranked = rank().filter((member) => !asked.has(getKey(member)));
+    const fresh = ranked.find((member) =>
+      !host.refusals.isRemembered(member.id)
+    );
+    const next = fresh ?? tryGetRemembered(ranked);
+    if (next !== undefined) asked.add(getKey(next));
+    return next;
+  }
+
+  function rank(): readonly Member[] {
+    const members = host.members.getAvailableAgents(work.service);
+    return host.placement.rankTargets(getPlacementKey(work), members, {
+      hint: work.lastPlace,
+      limit: maxTargets * 2,
+    });
+  }
+
+  function tryGetRemembered(ranked: readonly Member[]): Member | undefined {
+    if (rememberedAsked >= maxRemembered) return undefined;
+    rememberedAsked++;
+    return ranked[0];
+  }
+}
+
+/** Names one incarnation of a target. */
+function getKey(member: Member): string {
+  return `${member.id}/${member.incarnation}`;
+}
--- a/src/roles/router.ts
+++ b/src/roles/router.ts
@@ -1,18 +1,203 @@
 /** The router role: takes callers' requests and places them. */
 
-import type { Role } from "../types/role.ts";
+import { randomUUID } from "node:crypto";
+import { createAgentClient } from "../connection/agent_client.ts";
+import {
+  type CallerRequest,
+  createCallerServer,
+} from "../connection/caller_server.ts";
+import { createAttemptNumbers } from "../process/attempt_numbers.ts";
+import { loadBodyDigests } from "../process/body_digest.ts";
+import { createClaimLeases } from "../process/claim_leases.ts";
+import { createPlacement, loadPlacementHost } from "../process/placement.ts";
+import { createRefusalMemory } from "../process/refusal_memory.ts";
+import { createRetryBudget } from "../process/retry_budget.ts";
+import { createMeasuredReply } from "../request/measured_reply.ts";
+import { checkRequest } from "../request/request_check.ts";
+import { createEnd } from "../request/request_end.ts";
+import type { RequestHost, RequestSummary } from "../request/request_host.ts";
+import { runRequest } from "../request/request_run.ts";
+import { createReport, type Report } from "../types/diagnostics.ts";
+import type { Reply } from "../types/reply.ts";
+import type { Dump, Role, StopResult } from "../types/role.ts";
+import type { Work } from "../types/work.ts";
 import type { RouterHost } from "./host.ts";
 
+/** Time in which the body of a request must arrive, in milliseconds. */
+const bodyTimeoutMs = 30_000;
+
+/** Interval at which a shutdown looks for work in flight, in milliseconds. */
+const shutdownPollMs = 20;
+
+/** Requests in flight that a dump lists. */
+const maxDumped = 100;
+
+interface InFlight {
+  readonly work: Work;
+  readonly startedAt: number;
+}
+
 /** Creates the router role of a process. */
-export function createRouterRole(host: RouterHost): Promise<Role> {
-  let ready = true;
-  return Promise.resolve({
-    isReady: () => ready,
-    drain: () => {
-      ready = false;
-      host.fleet.announceLeaving();
+export async function createRouterRole(host: RouterHost): Promise<Role> {
+  const { settings, fleet, metrics, log } = host;
+  const inFlight = new Map<symbol, InFlight>();
+  let isDraining = false;
+  const calls = createAgentClient();
+  const placementHost = await loadPlacementHost();
+  const encoder = new TextEncoder();
+  const requestHost: RequestHost = {
+    calls,
+    members: fleet.members,
+    configuration: host.configuration,
+    crashes: fleet.crashes,
+    limits: fleet.limits,
+    placement: createPlacement(placementHost),
+    refusals: createRefusalMemory(),
+    retries: createRetryBudget(),
+    attempts: createAttemptNumbers({
+      router: settings.id,
+      routerIncarnation: fleet.getSelf().incarnation,
+    }),
+    digests: await loadBodyDigests(),
+    claims: {
+      platform: host.platform,
+      leases: createClaimLeases({ platform: host.platform }),
     },
-    stop: () => Promise.resolve({ cutOff: 0, tookMs: 0 }),
-    dump: () => ({}),
+    hashConversation: (key) => placementHost.hash(encoder.encode(key), 0),
+  };
+  const server = await createCallerServer({
+    createRequestId: randomUUID,
+    tryAdmit,
+    handle,
+    noteRejected: (code) =>
+      metrics.count("requests_total", { outcome: "not_run", code }),
+  }, {
+    address: settings.address,
+    port: settings.callerPort,
+    maxBodyBytes: settings.maxBodyBytes,
+    bodyTimeoutMs,
+  });
+  host.configuration.onPatch(() => {
+    const { services } = host.configuration.getConfiguration();
+    requestHost.retries.retain((service) => services.has(service));
   });
+  metrics.gauge("requests_in_flight", () => inFlight.size);
+
+  return { isReady: () => !isDraining, drain, stop, dump };
+
+  function tryAdmit(): Report | undefined {
+    if (isDraining) {
+      return createReport("router_stopping", {}, { retryAfterMs: 100 });
+    }
+    if (inFlight.size >= settings.maxInFlight) {
+      return createReport("router_busy", {}, { retryAfterMs: 1_000 });
+    }
+    return undefined;
+  }
+
+  async function handle(request: CallerRequest, reply: Reply): Promise<void> {
+    const checked = checkRequest({
+      configuration: host.configuration.getConfiguration(),
+      digests: requestHost.digests,
+    }, request);
+    await checked.caseOf({
+      Left: (report) => Promise.resolve(rejectChecked(report, reply)),
+      Right: (work) => run(work, reply),
+    });
+  }
+
+  function rejectChecked(report: Report, reply: Reply): void {
+    metrics.count("requests_total", { outcome: "not_run", code: report.code });
+    reply.end(createEnd(report));
+  }
+
+  async function run(work: Work, reply: Reply): Promise<void> {
+    const id = Symbol(work.requestId);
+    const measured = createMeasuredReply(reply, metrics);
+    inFlight.set(id, { work, startedAt: performance.now() });
+    try {
+      const summary = await runRequest(requestHost, work, measured.reply);
+      report(work, summary, measured);
+    } catch (error) {
+      log.error("The request broke an invariant", {
+        request: work.requestId,
+        error: error instanceof Error ? error.stack : String(error),
+      });
+      reply.end(createEnd(createReport("outcome_unknown")));
+    } finally {
+      inFlight.delete(id);
+    }
+  }
+
+  function report(
+    work: Work,
+    summary: RequestSummary,
+    measured: ReturnType<typeof createMeasuredReply>,
+  ): void {
+    const { outcome, report: reason } = summary.end;
+    const code = reason?.code ?? "done";
+    const { priority, service } = work;
+    const firstByteMs = measured.getFirstByteMs();
+    const totalMs = measured.getTotalMs();
+    metrics.count("requests_total", { outcome, code });
+    metrics.count("tries_total", { service }, summary.tries);
+    metrics.record("request_ms", totalMs, { service, priority });
+    if (firstByteMs !== undefined) {
+      metrics.record("first_byte_ms", firstByteMs, { service, priority });
+    }
+    log.info("Request ended", {
+      request: work.requestId,
+      service,
+      workspace: work.workspace,
+      outcome,
+      code,
+      target: summary.target,
+      tries: summary.tries,
+      firstByteMs: firstByteMs && Math.round(firstByteMs),
+      totalMs: Math.round(totalMs),
+    });
+  }
+
+  function drain(operator: string): void {
+    if (isDraining) return;
+    isDraining = true;
+    log.info("The router takes no new requests", { operator });
+    fleet.announceLeaving();
+  }
+
+  async function stop(): Promise<StopResult> {
+    const startedAt = performance.now();
+    drain(settings.id);
+    const end = startedAt + settings.shutdownMs;
+    while (inFlight.size > 0 && performance.now() < end) {
+      await new Promise((resolve) => setTimeout(resolve, shutdownPollMs));
+    }
+    const cutOff = inFlight.size;
+    // Answers that have ended may still be on their way to slow callers.
+    await server.stop(Math.max(0, end - performance.now()));
+    calls.close();
+    const tookMs = Math.round(performance.now() - startedAt);
+    log.info("The router has stopped", { cutOff, tookMs });
+    return { cutOff, tookMs };
+  }
+
+  function dump(): Dump {
+    const now = performance.now();
+    const listed = [...inFlight.values()].slice(0, maxDumped);
+    return {
+      ready: !isDraining,
+      inFlight: {
+        count: inFlight.size,
+        requests: listed.map(({ work, startedAt }) => ({
+          request: work.requestId,
+          service: work.service,
+          workspace: work.workspace,
+          ageMs: Math.round(now - startedAt),
+        })),
+      },
+      channels: calls.dump(),
+      retryCredits: Object.fromEntries(requestHost.retries.getCredits()),
+      refusals: Object.fromEntries(requestHost.refusals.getRemembered()),
+    };
+  }
 }
