--- a/src/roles/configuration.ts
+++ b/src/roles/configuration.ts
@@ -9,6 +9,7 @@
 import { isOnWatchDuty } from "../process/watch_duty.ts";
 import type { Platform } from "../types/platform.ts";
 import type { Fleet } from "../types/role.ts";
+import { createCodec } from "../version/codec.ts";
 import {
   createConfigurationStore,
   type LocalConfigurationStore,
@@ -35,13 +36,12 @@
   host: ConfigurationHost,
 ): Promise<LocalConfiguration> {
   const { platform, log, metrics, server, getFleet } = host;
-  const hash = await loadHash();
   const client = createConfigurationClient();
   const store = createConfigurationStore({
     platform,
     log,
     metrics,
-    hash,
+    codec: createCodec({ hash: await loadHash() }),
     pull: client.pull,
     getPeers: () => {
       const { id } = getFleet().getSelf();
--- a/src/version/compaction.ts
+++ b/src/version/compaction.ts
@@ -5,7 +5,8 @@
 
 import { EitherAsync } from "purify-ts";
 import type { Platform, PlatformError } from "../types/platform.ts";
-import type { ConfigurationState, Hash } from "./configuration_state.ts";
+import type { Codec } from "./codec.ts";
+import type { ConfigurationState } from "./configuration_state.ts";
 import {
   getKeyVersion,
   getPartKey,
@@ -17,8 +18,8 @@
 import { readHead, type SnapshotHead } from "./platform_reader.ts";
 import { encodeSnapshot } from "./snapshot.ts";
 
-/** Patches after the newest snapshot that call for another. */
-export const patchesPerSnapshot = 200;
+/** Usual number of patches after a snapshot that call for another. */
+export const usualPatchesPerSnapshot = 200;
 
 /**
  * Time that patches stay in the log at the least, far above the time that a
@@ -32,8 +33,10 @@
 /** Options of one run. */
 export interface CompactionOptions {
   readonly state: ConfigurationState;
-  readonly hash: Hash;
+  readonly codec: Codec;
   readonly partLength?: number;
+  /** Patches after the newest snapshot that call for another. */
+  readonly patchesPerSnapshot: number;
 }
 
 /** Runs one compaction and returns the version of the newest snapshot. */
@@ -41,13 +44,15 @@
   platform: Platform,
   options: CompactionOptions,
 ): EitherAsync<PlatformError, number> {
-  const { state, hash } = options;
+  const { state, codec } = options;
   const { version } = state.configuration;
   return EitherAsync(async ({ fromPromise }) => {
     const before = await fromPromise(readHead(platform));
-    if (version - before.version < patchesPerSnapshot) return before.version;
+    if (version - before.version < options.patchesPerSnapshot) {
+      return before.version;
+    }
     const encoded = await encodeSnapshot(state, {
-      hash,
+      codec,
       ...(options.partLength === undefined
         ? {}
         : { partLength: options.partLength }),
--- a/src/version/configuration_state.ts
+++ b/src/version/configuration_state.ts
@@ -9,12 +9,10 @@
   Service,
   Workspace,
 } from "../types/configuration.ts";
+import type { Hash } from "./codec.ts";
 import { getEntryName } from "./patch_text.ts";
 import { createShardedMap, type ShardedMap } from "./sharded_map.ts";
 
-/** Hashes a text to 32 bits. */
-export type Hash = (text: string) => number;
-
 /** What is remembered of a patch after it came into force. */
 export interface PatchRecord {
   readonly version: number;
--- a/src/version/configuration_store.ts
+++ b/src/version/configuration_store.ts
@@ -6,7 +6,9 @@
 import type { Member } from "../types/member.ts";
 import type { Platform, PlatformError } from "../types/platform.ts";
 import type { ConfigurationStore, Dump } from "../types/role.ts";
-import { getChecksum, type Hash } from "./configuration_state.ts";
+import { getChecksum } from "./configuration_state.ts";
+import type { Codec } from "./codec.ts";
+import { usualPatchesPerSnapshot } from "./compaction.ts";
 import { createOperatorCalls, type OperatorCalls } from "./operator_calls.ts";
 import { createPatchSequence } from "./patch_sequence.ts";
 import { createPatchTail } from "./patch_tail.ts";
@@ -22,7 +24,7 @@
   readonly platform: Platform;
   readonly log: Log;
   readonly metrics: Metrics;
-  readonly hash: Hash;
+  readonly codec: Codec;
   /** Members that may be asked, without the process itself. */
   getPeers(): readonly Member[];
   /** True when this process watches the platform for others. */
@@ -33,6 +35,12 @@
   readonly pull: PullFromMember;
 }
 
+/** Options of one store. */
+export interface ConfigurationStoreOptions {
+  /** Patches after the newest snapshot that call for another. */
+  readonly patchesPerSnapshot?: number;
+}
+
 /** What a member is sent when it asks for what follows a version. */
 export type ServedConfiguration =
   | { readonly kind: "patches"; readonly texts: readonly string[] }
@@ -56,8 +64,10 @@
 /** Creates a store at version 0. */
 export function createConfigurationStore(
   host: ConfigurationStoreHost,
+  options: ConfigurationStoreOptions = {},
 ): LocalConfigurationStore {
-  const { platform, log, metrics, hash } = host;
+  const { platform, log, metrics, codec } = host;
+  const { hash } = codec;
   const listeners: ((patch: Patch) => void)[] = [];
   const sequence = createPatchSequence({ hash });
   const tail = createPatchTail();
@@ -70,7 +80,7 @@
   const peerPull = createPeerPull({
     log,
     metrics,
-    hash,
+    codec,
     pull: host.pull,
     getPeers: host.getPeers,
     getVersion,
@@ -88,7 +98,9 @@
     platform,
     log,
     metrics,
-    hash,
+    codec,
+    patchesPerSnapshot: options.patchesPerSnapshot ??
+      usualPatchesPerSnapshot,
     isWatcher: host.isWatcher,
     getState: sequence.getState,
     refresh: refreshAndSpread,
@@ -195,7 +207,7 @@
 
   async function readOnce(): Promise<Newest | PlatformError> {
     const from = sequence.getState();
-    const read = await readNewest(platform, { from, hash }).run();
+    const read = await readNewest(platform, { from, codec }).run();
     return read.caseOf<Newest | PlatformError>({
       Left: (error) => error,
       Right: (newest) => {
@@ -227,7 +239,7 @@
     });
     const fresh = createPatchSequence({ hash });
     const from = fresh.getState();
-    const read = await readNewest(platform, { from, hash }).run();
+    const read = await readNewest(platform, { from, codec }).run();
     read.ifRight((newest) => {
       if (newest.snapshot !== undefined) fresh.adopt(newest.snapshot);
       fresh.take(newest.patches);
@@ -258,7 +270,7 @@
   function getEncoded(): Promise<Snapshot> {
     if (encoded === undefined || encodedVersion !== getVersion()) {
       encodedVersion = getVersion();
-      encoded = encodeSnapshot(sequence.getState(), { hash });
+      encoded = encodeSnapshot(sequence.getState(), { codec });
     }
     return encoded;
   }
--- a/src/version/patch_commit.ts
+++ b/src/version/patch_commit.ts
@@ -3,13 +3,13 @@
  * the commit. A lost answer is settled by reading the key back.
  */
 
+import type { Hash } from "./codec.ts";
 import { type Either, EitherAsync, Left, Right } from "purify-ts";
 import type { Patch, PatchDraft } from "../types/configuration.ts";
 import { createReport, type Report } from "../types/diagnostics.ts";
 import type { Platform, PlatformError } from "../types/platform.ts";
 import {
   type ConfigurationState,
-  type Hash,
   hashDraft,
   tryFindRecord,
 } from "./configuration_state.ts";
--- a/src/version/patch_sequence.ts
+++ b/src/version/patch_sequence.ts
@@ -4,11 +4,11 @@
  */
 
 import type { Patch } from "../types/configuration.ts";
+import type { Hash } from "./codec.ts";
 import {
   applyPatch,
   type ConfigurationState,
   createEmptyState,
-  type Hash,
 } from "./configuration_state.ts";
 
 /** The configuration of one process as it grows. */
--- a/src/version/peer_pull.ts
+++ b/src/version/peer_pull.ts
@@ -9,7 +9,8 @@
 import type { Metrics } from "../process/metrics.ts";
 import type { Member } from "../types/member.ts";
 import type { Dump } from "../types/role.ts";
-import type { ConfigurationState, Hash } from "./configuration_state.ts";
+import type { Codec } from "./codec.ts";
+import type { ConfigurationState } from "./configuration_state.ts";
 import { decodeSnapshot, type Snapshot } from "./snapshot.ts";
 
 /** Why a member gave nothing. */
@@ -33,7 +34,7 @@
 export interface PeerPullHost {
   readonly log: Log;
   readonly metrics: Metrics;
-  readonly hash: Hash;
+  readonly codec: Codec;
   readonly pull: PullFromMember;
   getPeers(): readonly Member[];
   getVersion(): number;
@@ -147,8 +148,8 @@
       host.takeTexts(pulled.texts);
       return true;
     }
-    const { hash } = host;
-    const state = await decodeSnapshot(pulled.snapshot, { hash });
+    const { codec } = host;
+    const state = await decodeSnapshot(pulled.snapshot, { codec });
     if (state === undefined) return false;
     host.adopt(state);
     return true;
--- a/src/version/platform_reader.ts
+++ b/src/version/platform_reader.ts
@@ -8,7 +8,8 @@
 import { EitherAsync, Left } from "purify-ts";
 import type { Patch } from "../types/configuration.ts";
 import type { Platform, PlatformError } from "../types/platform.ts";
-import type { ConfigurationState, Hash } from "./configuration_state.ts";
+import type { Codec } from "./codec.ts";
+import type { ConfigurationState } from "./configuration_state.ts";
 import {
   getKeyVersion,
   getPartKey,
@@ -96,9 +97,9 @@
  */
 export function readSnapshot(
   platform: Platform,
-  options: { readonly head: SnapshotHead; readonly hash: Hash },
+  options: { readonly head: SnapshotHead; readonly codec: Codec },
 ): EitherAsync<PlatformError, ConfigurationState | undefined> {
-  const { head, hash } = options;
+  const { head, codec } = options;
   return EitherAsync(async ({ fromPromise, liftEither }) => {
     const parts: string[] = [];
     for (let index = 0; index < head.parts; index++) {
@@ -108,7 +109,7 @@
       parts.push(entry.value);
     }
     const { version, checksum } = head;
-    const state = await decodeSnapshot({ version, checksum, parts }, { hash });
+    const state = await decodeSnapshot({ version, checksum, parts }, { codec });
     if (state !== undefined) return state;
     return await liftEither(Left(createDamageError(version)));
   });
@@ -123,9 +124,9 @@
  */
 export function readNewest(
   platform: Platform,
-  options: { readonly from: ConfigurationState; readonly hash: Hash },
+  options: { readonly from: ConfigurationState; readonly codec: Codec },
 ): EitherAsync<PlatformError, Newest> {
-  const { from, hash } = options;
+  const { from, codec } = options;
   return EitherAsync(async ({ fromPromise, liftEither }) => {
     let snapshot: ConfigurationState | undefined;
     const patches: Patch[] = [];
@@ -143,7 +144,7 @@
       }
       restarts++;
       const { head } = run;
-      const loaded = await fromPromise(readSnapshot(platform, { head, hash }));
+      const loaded = await fromPromise(readSnapshot(platform, { head, codec }));
       if (loaded === undefined) continue;
       snapshot = loaded;
       patches.length = 0;
--- a/src/version/snapshot.ts
+++ b/src/version/snapshot.ts
@@ -1,14 +1,13 @@
 /** Snapshots: a whole configuration as compressed pieces under a size limit. */
 
-import { promisify } from "node:util";
-import { deflateRaw, inflateRaw } from "node:zlib";
+import { assertInvariant } from "../types/assert.ts";
 import type { Service, Workspace } from "../types/configuration.ts";
 import {
   type ConfigurationState,
-  type Hash,
   hashEntries,
   type PatchRecord,
 } from "./configuration_state.ts";
+import type { Codec } from "./codec.ts";
 import { createShardedMap } from "./sharded_map.ts";
 
 /** A snapshot as it is kept or sent. */
@@ -20,7 +19,10 @@
   readonly parts: readonly string[];
 }
 
-/** Longest piece, in characters; the platform takes values up to 1 MB. */
+/**
+ * Longest piece, in characters; the platform takes values up to 1 MB. Four
+ * characters of base64 hold whole bytes, so pieces are cut at multiples of 4.
+ */
 export const maxPartLength = 700_000;
 
 interface SnapshotContent {
@@ -30,13 +32,10 @@
   readonly records: readonly PatchRecord[];
 }
 
-const compress = promisify(deflateRaw);
-const decompress = promisify(inflateRaw);
-
 /** Encodes a state; equal states give equal snapshots. */
 export async function encodeSnapshot(
   state: ConfigurationState,
-  options: { readonly hash: Hash; readonly partLength?: number },
+  options: { readonly codec: Codec; readonly partLength?: number },
 ): Promise<Snapshot> {
   const { version, services, workspaces } = state.configuration;
   const content: SnapshotContent = {
@@ -45,26 +44,29 @@
     workspaces: sortByName(workspaces),
     records: state.records,
   };
-  const compressed = await compress(JSON.stringify(content));
-  const text = (compressed as Buffer).toString("base64");
+  const { codec, partLength = maxPartLength } = options;
+  assertInvariant(partLength % 4 === 0, "pieces hold whole bytes");
+  const compressed = await codec.compress(JSON.stringify(content));
+  const text = compressed.toString("base64");
   return {
     version,
-    checksum: formatChecksum(options.hash(text)),
-    parts: splitText(text, options.partLength ?? maxPartLength),
+    checksum: formatChecksum(codec.hash(text)),
+    parts: splitText(text, partLength),
   };
 }
 
 /** Decodes a snapshot; undefined when it is damaged or incomplete. */
 export async function decodeSnapshot(
   snapshot: Snapshot,
-  options: { readonly hash: Hash },
+  options: { readonly codec: Codec },
 ): Promise<ConfigurationState | undefined> {
+  const { codec } = options;
   const text = snapshot.parts.join("");
-  if (formatChecksum(options.hash(text)) !== snapshot.checksum) {
+  if (formatChecksum(codec.hash(text)) !== snapshot.checksum) {
     return undefined;
   }
-  const data = await decompress(Buffer.from(text, "base64"));
-  const content = JSON.parse((data as Buffer).toString()) as SnapshotContent;
+  const data = await codec.decompress(Buffer.from(text, "base64"));
+  const content = JSON.parse(data) as SnapshotContent;
   if (content.version !== snapshot.version) return undefined;
   const configuration = {
     version: content.version,
@@ -73,7 +75,7 @@
   };
   return {
     configuration,
-    entriesHash: hashEntries(configuration, options.hash),
+    entriesHash: hashEntries(configuration, codec.hash),
     records: content.records,
   };
 }
--- a/src/version/watch_loop.ts
+++ b/src/version/watch_loop.ts
@@ -9,8 +9,9 @@
 import type { Metrics } from "../process/metrics.ts";
 import type { Platform, PlatformError } from "../types/platform.ts";
 import type { Dump } from "../types/role.ts";
-import { compact, patchesPerSnapshot } from "./compaction.ts";
-import type { ConfigurationState, Hash } from "./configuration_state.ts";
+import { compact } from "./compaction.ts";
+import type { Codec } from "./codec.ts";
+import type { ConfigurationState } from "./configuration_state.ts";
 import { patchPrefix } from "./patch_text.ts";
 import { type Newest, readHead } from "./platform_reader.ts";
 
@@ -19,7 +20,9 @@
   readonly platform: Platform;
   readonly log: Log;
   readonly metrics: Metrics;
-  readonly hash: Hash;
+  readonly codec: Codec;
+  /** Patches after the newest snapshot that call for another. */
+  readonly patchesPerSnapshot: number;
   isWatcher(): boolean;
   getState(): ConfigurationState;
   /** Reads from the platform and passes on what is new. */
@@ -119,7 +122,7 @@
 
   function scheduleCompaction(): void {
     const { version } = host.getState().configuration;
-    const isDue = version - snapshotVersion >= patchesPerSnapshot;
+    const isDue = version - snapshotVersion >= host.patchesPerSnapshot;
     if (!isDue || compaction !== undefined) return;
     compaction = setTimeout(() => {
       void runCompaction().finally(() => {
@@ -130,9 +133,13 @@
   }
 
   async function runCompaction(): Promise<void> {
-    const { hash } = host;
+    const { codec, patchesPerSnapshot } = host;
     const state = host.getState();
-    const result = await compact(platform, { state, hash }).run();
+    const result = await compact(platform, {
+      state,
+      codec,
+      patchesPerSnapshot,
+    }).run();
     result.caseOf<void>({
       Left: (error) =>
         log.info("Compaction did not finish", { reason: error.message }),
