--- /dev/null
+++ b/bench/support/clock.ts
@@ -0,0 +1,120 @@
+/** A simulated clock in place of the runtime's, for measurements. */
+
+/** Runs what is due; time stands still in between. */
+export interface SimulatedClock {
+  /** Milliseconds since the start of the simulation. */
+  getNow(): number;
+  /** Runs all timers of the next `ms` milliseconds, with their promises. */
+  advance(ms: number): Promise<void>;
+}
+
+interface Timer {
+  readonly id: number;
+  readonly at: number;
+  readonly run: () => void;
+  readonly intervalMs: number | undefined;
+}
+
+/** Start of simulated time, in epoch milliseconds. */
+const epochMs = 1_700_000_000_000;
+
+/** Replaces the clock and the timers of this process. */
+export function installSimulatedClock(): SimulatedClock {
+  const heap: Timer[] = [];
+  const cancelled = new Set<number>();
+  let now = 0;
+  let lastId = 0;
+
+  const setTimer = (
+    run: () => void,
+    ms: number | undefined,
+    repeats: boolean,
+  ): number => {
+    lastId++;
+    const wait = Math.max(0, ms ?? 0);
+    push({
+      id: lastId,
+      at: now + wait,
+      run,
+      intervalMs: repeats ? Math.max(1, wait) : undefined,
+    });
+    return lastId;
+  };
+  const clear = (id: number | undefined): void => {
+    if (id !== undefined) cancelled.add(id);
+  };
+  Object.assign(globalThis, {
+    setTimeout: (run: () => void, ms?: number) => setTimer(run, ms, false),
+    setInterval: (run: () => void, ms?: number) => setTimer(run, ms, true),
+    clearTimeout: clear,
+    clearInterval: clear,
+  });
+  Date.now = () => epochMs + Math.floor(now);
+  performance.now = () => now;
+
+  return { getNow: () => now, advance };
+
+  async function advance(ms: number): Promise<void> {
+    const end = now + ms;
+    let next = heap[0];
+    while (next !== undefined && next.at <= end) {
+      pop();
+      now = next.at;
+      runTimer(next);
+      // A round of promises for what the timer resolved.
+      await Promise.resolve();
+      next = heap[0];
+    }
+    now = end;
+  }
+
+  function runTimer(timer: Timer): void {
+    if (cancelled.delete(timer.id)) return;
+    if (timer.intervalMs !== undefined) {
+      push({ ...timer, at: timer.at + timer.intervalMs });
+    }
+    timer.run();
+  }
+
+  function push(timer: Timer): void {
+    let index = heap.push(timer) - 1;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!isBefore(index, parent)) return;
+      swap(index, parent);
+      index = parent;
+    }
+  }
+
+  function pop(): void {
+    const last = heap.pop();
+    if (last === undefined || heap.length === 0) return;
+    heap[0] = last;
+    let index = 0;
+    for (;;) {
+      const left = index * 2 + 1;
+      const right = left + 1;
+      let first = index;
+      if (left < heap.length && isBefore(left, first)) first = left;
+      if (right < heap.length && isBefore(right, first)) first = right;
+      if (first === index) return;
+      swap(index, first);
+      index = first;
+    }
+  }
+
+  function isBefore(left: number, right: number): boolean {
+    const one = heap[left];
+    const other = heap[right];
+    if (one === undefined || other === undefined) return false;
+    return one.at < other.at || (one.at === other.at && one.id < other.id);
+  }
+
+  function swap(left: number, right: number): void {
+    const one = heap[left];
+    const other = heap[right];
+    if (one === undefined || other === undefined) return;
+    heap[left] = other;
+    heap[right] = one;
+  }
+}
