Measure the error of the mean load against the bytes spent

Averaging in the peers' own estimates was ruled out: at 213 targets, 4 probes a second, window 2 s, reports 1 to 3 s late, the median error is 5.7% without and 7.6% with half weight (p99 17.4% and 16.2%), since averages of averages lag. Windows of 1, 1.5, 2 and 3 s give 5.5%, 5.5%, 5.7% and 6.6% (p99 20.6%, 18.3%, 17.4%, 17.3%). One, 2, 4 and 8 probes a second give a median of 6.5%, 6.2%, 5.7%, 5.2% (p99 24.2%, 20.6%, 17.4%, 15.6%) at 491, 775, 1,340 and 2,480 bytes a second. Chosen: 4 a second, 2 s, no peers' estimates.

--- /dev/null
+++ b/bench/mean.ts
@@ -0,0 +1,177 @@
+/**
+ * Measures the error of the mean load that agents work with against the bytes
+ * spent: loads that move, reports of loads 1 to 3 s old, 6, 13 and 213
+ * targets.
+ */
+
+import { usualExchangeOptions } from "../src/process/exchange.ts";
+import {
+  createMember,
+  createNetwork,
+  type Network,
+  type Node,
+} from "../test/support/exchange_network.ts";
+import { installSimulatedClock } from "./support/clock.ts";
+
+const seed = 11;
+const stepMs = 250;
+const warmUpSteps = 60;
+const steps = 260;
+
+/** Load of one target, moved in steps, with a history for late reports. */
+interface Target {
+  readonly node: Node;
+  readonly lagSteps: number;
+  readonly history: number[];
+  /** Deviation from the common mean, as a fraction. */
+  deviation: number;
+}
+
+interface Plan {
+  readonly targets: number;
+  readonly peersPerSecond: number;
+  readonly wholeServiceRate: number;
+  readonly windowMs: number;
+  readonly peerMeanWeight: number;
+  /** Reports 1 to 3 s old, or at the moment's load. */
+  readonly isLate: boolean;
+  readonly loss: number;
+}
+
+const clock = installSimulatedClock();
+
+void main();
+
+async function main(): Promise<void> {
+  for (const plan of getPlans()) await measurePlan(plan);
+}
+
+/** Groups of plans; a word names the one to run, none runs all. */
+function getPlans(): readonly Plan[] {
+  const base: Plan = {
+    targets: 213,
+    isLate: true,
+    loss: 0,
+    peersPerSecond: usualExchangeOptions.peersPerSecond,
+    wholeServiceRate: usualExchangeOptions.wholeServiceRate,
+    ...usualExchangeOptions.mean,
+  };
+  const vary = (changes: readonly Partial<Plan>[]): readonly Plan[] =>
+    changes.map((change) => ({ ...base, ...change }));
+  const groups: Readonly<Record<string, readonly Plan[]>> = {
+    small: vary(
+      [6, 13].flatMap((targets) =>
+        [0.5, 1].flatMap((wholeServiceRate) =>
+          [false, true].map((isLate) => ({ targets, wholeServiceRate, isLate }))
+        )
+      ),
+    ),
+    peers: vary([1, 2, 4, 8].map((peersPerSecond) => ({ peersPerSecond }))),
+    windows: vary(
+      [1_000, 1_500, 2_000, 3_000].flatMap((windowMs) =>
+        [2, 4].map((peersPerSecond) => ({ windowMs, peersPerSecond }))
+      ),
+    ),
+    weights: vary([0, 0.25, 0.5].map((peerMeanWeight) => ({ peerMeanWeight }))),
+    prompt: vary([1, 2, 4, 8].map((peersPerSecond) => ({
+      peersPerSecond,
+      isLate: false,
+    }))),
+    faults: vary([{ loss: 0.2 }, { targets: 1_065 }]),
+  };
+  const word = process.argv[2];
+  return word === undefined ? Object.values(groups).flat() : groups[word] ?? [];
+}
+
+async function measurePlan(plan: Plan): Promise<void> {
+  const network = createNetwork({
+    seed,
+    exchange: {
+      peersPerSecond: plan.peersPerSecond,
+      wholeServiceRate: plan.wholeServiceRate,
+      mean: {
+        windowMs: plan.windowMs,
+        peerMeanWeight: plan.peerMeanWeight,
+      },
+    },
+  });
+  network.setDisturbance({ loss: plan.loss });
+  const targets = createTargets(network, plan);
+  network.introduceAll();
+  const errors: number[] = [];
+  const surgeErrors: number[] = [];
+  for (let step = 0; step < steps; step++) {
+    const mean = moveLoads(targets, { step, network, plan });
+    await clock.advance(stepMs);
+    if (step < warmUpSteps) continue;
+    const isSurge = step >= steps - 40;
+    const list = isSurge ? surgeErrors : errors;
+    for (const { node } of targets) {
+      const estimate = node.exchange.getMean("chat").mean;
+      list.push((estimate - mean) / mean);
+    }
+  }
+  const seconds = steps * stepMs / 1_000;
+  const bytes = network.nodes.flatMap(({ budget }) => budget.getTotals())
+    .filter(({ purpose }) => purpose === "loads")
+    .reduce((sum, total) => sum + total.bytes, 0);
+  network.nodes.forEach(network.kill);
+  print(plan, {
+    ...describe(errors),
+    surgeP99: describe(surgeErrors)["errorP99"],
+    bytesPerSecond: Math.round(bytes / seconds / plan.targets),
+  });
+}
+
+function createTargets(network: Network, plan: Plan): readonly Target[] {
+  return Array.from({ length: plan.targets }, (_value, number) => ({
+    node: network.add(createMember(number)),
+    lagSteps: plan.isLate ? 4 + Math.floor(network.random() * 9) : 0,
+    history: [],
+    deviation: 0,
+  }));
+}
+
+/** Moves all loads one step and returns their true mean. */
+function moveLoads(
+  targets: readonly Target[],
+  { step, network, plan }: {
+    readonly step: number;
+    readonly network: Network;
+    readonly plan: Plan;
+  },
+): number {
+  // The common load swings by 30% in a minute; a surge adds half of it.
+  const swing = 1 + 0.3 * Math.sin(step * stepMs / 60_000 * 2 * Math.PI);
+  const surge = step >= steps - 40 ? 1.5 : 1;
+  let sum = 0;
+  for (const target of targets) {
+    const noise = (network.random() + network.random() - 1) * 0.2;
+    target.deviation = target.deviation * 0.9 + noise;
+    const load = 25_000 * swing * surge * (1 + target.deviation);
+    target.history.push(load);
+    sum += load;
+    const late = target.history.length - 1 -
+      (plan.isLate ? target.lagSteps : 0);
+    target.node.load = target.history[Math.max(0, late)] ?? load;
+  }
+  return sum / targets.length;
+}
+
+function describe(errors: readonly number[]): Record<string, number> {
+  const sizes = errors.map(Math.abs).sort((left, right) => left - right);
+  const bias = errors.reduce((sum, error) => sum + error, 0) / errors.length;
+  return {
+    errorP50: sizes[Math.floor(sizes.length / 2)] ?? 0,
+    errorP99: sizes[Math.floor(sizes.length * 0.99)] ?? 0,
+    bias,
+  };
+}
+
+function print(plan: Plan, values: Readonly<Record<string, unknown>>): void {
+  console.log(JSON.stringify(
+    { bench: "mean", seed, ...plan, ...values },
+    (_key, value: unknown) =>
+      typeof value === "number" ? Number(value.toPrecision(3)) : value,
+  ));
+}
--- a/src/process/exchange.ts
+++ b/src/process/exchange.ts
@@ -92,9 +92,11 @@
 export interface ExchangeOptions {
   readonly self: Member;
   readonly peersPerSecond: number;
+  readonly wholeServiceRate: number;
   readonly membersPerSecond: number;
   readonly fanOut: number;
-  readonly peerMeanWeight: number;
+  /** How the mean load is worked out; see `createMean`. */
+  readonly mean: Parameters<typeof createMean>[0];
   /** Random numbers from 0 up to 1. */
   readonly random: () => number;
 }
@@ -102,9 +104,10 @@
 /** The usual numbers. */
 export const usualExchangeOptions = {
   peersPerSecond: 4,
+  wholeServiceRate: 1,
   membersPerSecond: 1,
   fanOut: 3,
-  peerMeanWeight: 0.5,
+  mean: { windowMs: 2_000, peerMeanWeight: 0 },
 } as const;
 
 /** The exchange of one process. */
@@ -152,6 +155,7 @@
   const probes = createProbeSchedule({
     tickMs,
     peersPerSecond: options.peersPerSecond,
+    wholeServiceRate: options.wholeServiceRate,
     membersPerSecond: options.membersPerSecond,
     deadPerSecond: 0.5,
     random: options.random,
@@ -332,7 +336,7 @@
   function getOrCreateMean(service: string): Mean {
     let mean = means.get(service);
     if (mean === undefined) {
-      mean = createMean({ peerMeanWeight: options.peerMeanWeight });
+      mean = createMean(options.mean);
       means.set(service, mean);
     }
     return mean;
--- a/src/process/mean_estimate.ts
+++ b/src/process/mean_estimate.ts
@@ -2,9 +2,6 @@
 
 import type { MeanEstimate } from "../types/view.ts";
 
-/** Reports older than this count no more while newer ones are there. */
-export const reportWindowMs = 3_000;
-
 /** A member's report of its load. */
 export interface Report {
   /** Work in flight and queued, in work units per weight of 100. */
@@ -31,9 +28,12 @@
 }
 
 /** Creates an estimate without reports. */
-export function createMean(
-  options: { readonly peerMeanWeight: number },
-): Mean {
+export function createMean(options: {
+  /** Age from which a report counts no more, in milliseconds. */
+  readonly windowMs: number;
+  /** Share of the reporters' own estimates in the result, 0 to 1. */
+  readonly peerMeanWeight: number;
+}): Mean {
   const reports = new Map<string, HeldReport>();
   let newestAt = performance.now();
   /** Mean of the other targets' loads as last worked out. */
@@ -75,7 +75,7 @@
 
   function dropOld(now: number): void {
     for (const [id, { at }] of reports) {
-      if (now - at <= reportWindowMs) return;
+      if (now - at <= options.windowMs) return;
       reports.delete(id);
     }
   }
--- a/src/process/probe_schedule.ts
+++ b/src/process/probe_schedule.ts
@@ -8,8 +8,8 @@
 /** Probes in a row that stay unanswered before a member is suspected. */
 export const probeTries = 4;
 
-/** Services up to this size are probed whole every second. */
-const wholeServiceTargets = 16;
+/** Services with fewer peers than this are probed whole. */
+const wholeServicePeers = 16;
 
 /** One probe to send. */
 export interface ProbeOrder {
@@ -61,6 +61,8 @@
   readonly tickMs: number;
   /** Peers of the own service probed a second when there are many. */
   readonly peersPerSecond: number;
+  /** Turns a second through all peers when there are few. */
+  readonly wholeServiceRate: number;
   /** Members of any kind probed a second. */
   readonly membersPerSecond: number;
   /** Members believed dead that are probed a second. */
@@ -78,8 +80,8 @@
   function tick(candidates: ProbeCandidates): ProbeDecision {
     const { orders, failed } = checkOutstanding();
     const { peers, members, dead } = candidates;
-    const perSecond = peers.length < wholeServiceTargets
-      ? peers.length
+    const perSecond = peers.length < wholeServicePeers
+      ? peers.length * options.wholeServiceRate
       : options.peersPerSecond;
     for (const member of ofPeers.take(peers, getShare(perSecond))) {
       orders.push(send(member, { purpose: "loads", counts: true }));
