Let orders through by fencing number, with a lease where engines ignore it

Orders went nowhere before. The number is swapped into the platform's service before each order; for engines that ignore numbers a new holder waits out the lease and the longest order, counted from its own swap so that no clocks of two machines are compared.

--- /dev/null
+++ b/src/process/order_gate.ts
@@ -0,0 +1,200 @@
+/**
+ * Lets orders through to one engine, one at a time, by fencing number.
+ *
+ * The highest number is kept by the platform's service and swapped in before
+ * an order is sent, so it survives the agent. An engine that refuses old
+ * numbers is safe with that. For one that ignores them, the swap also starts
+ * a lease: its holder sends only within the lease, and a new holder first
+ * waits out the lease of the one before and the longest order. Both count
+ * from their own swap, so no two clocks are compared.
+ */
+
+import PQueue from "p-queue";
+import type { DiagnosticCode } from "../types/diagnostics.ts";
+import type { Entry, Platform, PlatformError } from "../types/platform.ts";
+
+/** An order to an engine. */
+export interface TargetOrder {
+  readonly action: string;
+  readonly adapter: string;
+  readonly fencingNumber: number;
+  readonly operator: string;
+}
+
+/** What the engine did with an order. */
+export type OrderOutcome = "accepted" | "fenced" | "bad_action" | "unknown";
+
+/** The answer to an order. */
+export type OrderDecision =
+  | { readonly kind: "accepted" }
+  | { readonly kind: "refused"; readonly code: DiagnosticCode };
+
+/** What the gate needs from outside. */
+export interface OrderGateHost {
+  readonly platform: Pick<Platform, "get" | "put">;
+  /** Sends an order; it must not take effect after `longestOrderMs`. */
+  send(order: TargetOrder): Promise<OrderOutcome>;
+  /** True when the engine refuses orders with old numbers. */
+  checksFencing(): boolean;
+}
+
+/** Key and times of a gate. */
+export interface OrderGateOptions {
+  /** Key of the record in the platform's service. */
+  readonly key: string;
+  /** Names this process among all that ever hold the record. */
+  readonly holder: string;
+  /** Time from the swap in which an order may be sent, in milliseconds. */
+  readonly leaseMs: number;
+  /** Longest time from sending to the effect, in milliseconds. */
+  readonly longestOrderMs: number;
+}
+
+/** The order path of one engine. */
+export interface OrderGate {
+  submit(order: TargetOrder): Promise<OrderDecision>;
+  /** The highest number seen by this process. */
+  getHighest(): number;
+}
+
+/** The record in the platform's service. */
+interface OrderRecord {
+  readonly fencingNumber: number;
+  readonly operator: string;
+  readonly holder: string;
+}
+
+/** Swaps tried before an order is given up. */
+const maxSwaps = 4;
+
+/** Outcomes that refuse an order, with their codes. */
+const refusalCodes: Readonly<
+  Record<Exclude<OrderOutcome, "accepted">, DiagnosticCode>
+> = {
+  fenced: "order_fenced",
+  bad_action: "bad_field",
+  unknown: "outcome_unknown",
+};
+
+/** Creates the gate of one engine. */
+export function createOrderGate(
+  host: OrderGateHost,
+  options: OrderGateOptions,
+): OrderGate {
+  const line = new PQueue({ concurrency: 1 });
+  let highest = 0;
+
+  return { submit, getHighest: () => highest };
+
+  async function submit(order: TargetOrder): Promise<OrderDecision> {
+    if (order.fencingNumber < highest) return refuse("order_fenced");
+    const decision = await line.add(() => carryOut(order));
+    return decision ?? refuse("outcome_unknown");
+  }
+
+  async function carryOut(order: TargetOrder): Promise<OrderDecision> {
+    const swap = await takeRecord(order);
+    if (swap.kind === "refused") return swap;
+    if (swap.replaced && !host.checksFencing()) {
+      await wait(options.leaseMs + options.longestOrderMs);
+      // The wait has used the lease up, and another holder may have come.
+      const renewed = await takeRecord(order);
+      if (renewed.kind === "refused") return renewed;
+      if (renewed.replaced) return refuse("order_fenced");
+      return await send(order, renewed.leaseUntil);
+    }
+    return await send(order, swap.leaseUntil);
+  }
+
+  async function send(
+    order: TargetOrder,
+    leaseUntil: number,
+  ): Promise<OrderDecision> {
+    if (Date.now() >= leaseUntil) return refuse("order_fenced");
+    const outcome = await host.send(order);
+    return outcome === "accepted"
+      ? { kind: "accepted" }
+      : refuse(refusalCodes[outcome]);
+  }
+
+  /** Swaps the order's number in unless a higher one is there. */
+  async function takeRecord(order: TargetOrder): Promise<
+    | Extract<OrderDecision, { kind: "refused" }>
+    | {
+      readonly kind: "taken";
+      /** True when another holder or number was there before. */
+      readonly replaced: boolean;
+      readonly leaseUntil: number;
+    }
+  > {
+    let replaced = false;
+    for (let swaps = 0; swaps < maxSwaps; swaps++) {
+      const read = await host.platform.get(options.key).run();
+      if (read.isLeft()) return refuse("platform_unavailable");
+      const entry = read.unsafeCoerce();
+      const record = readRecord(entry);
+      highest = Math.max(highest, record?.fencingNumber ?? 0);
+      if (record !== undefined && isAhead(record, order)) {
+        return refuse("order_fenced");
+      }
+      replaced ||= record !== undefined && !isOwn(record, order);
+      // The lease counts from before the swap is sent.
+      const leaseUntil = Date.now() + options.leaseMs;
+      const put = await putRecord(order, entry);
+      if (put.isRight()) {
+        highest = Math.max(highest, order.fencingNumber);
+        return { kind: "taken", replaced, leaseUntil };
+      }
+      const { kind } = put.extract() as PlatformError;
+      if (kind === "unavailable" || kind === "over_budget") {
+        return refuse("platform_unavailable");
+      }
+    }
+    return refuse("platform_unavailable");
+  }
+
+  function putRecord(order: TargetOrder, entry: Entry | undefined) {
+    const record: OrderRecord = {
+      fencingNumber: order.fencingNumber,
+      operator: order.operator,
+      holder: options.holder,
+    };
+    return host.platform.put(options.key, JSON.stringify(record), {
+      expectedRevision: entry?.revision ?? 0,
+    }).run();
+  }
+
+  /** Two operators with one number are as good as one of them being late. */
+  function isAhead(record: OrderRecord, order: TargetOrder): boolean {
+    return record.fencingNumber > order.fencingNumber ||
+      record.fencingNumber === order.fencingNumber &&
+        record.operator !== order.operator;
+  }
+
+  function isOwn(record: OrderRecord, order: TargetOrder): boolean {
+    return record.holder === options.holder &&
+      record.fencingNumber === order.fencingNumber;
+  }
+}
+
+function refuse(
+  code: DiagnosticCode,
+): Extract<OrderDecision, { kind: "refused" }> {
+  return { kind: "refused", code };
+}
+
+function readRecord(entry: Entry | undefined): OrderRecord | undefined {
+  if (entry === undefined) return undefined;
+  const value = JSON.parse(entry.value) as Partial<OrderRecord>;
+  return {
+    fencingNumber: value.fencingNumber ?? Number.MAX_SAFE_INTEGER,
+    operator: value.operator ?? "",
+    holder: value.holder ?? "",
+  };
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
