--- a/src/connection/target_client.ts
+++ b/src/connection/target_client.ts
@@ -2,6 +2,7 @@
 
 import { EitherAsync } from "purify-ts";
 import { type Dispatcher, Pool } from "undici";
+import type { OrderOutcome, TargetOrder } from "../process/order_gate.ts";
 import type { HealthReport } from "../process/target_watch.ts";
 import type { Header } from "../types/work.ts";
 
@@ -40,6 +41,19 @@
 /** Calls to one target. */
 export interface TargetClient {
   send(request: TargetRequest): EitherAsync<TargetError, TargetAnswer>;
+  /** Reads a stream of an engine on from an offset in events. */
+  resume(stream: {
+    readonly id: string;
+    readonly offset: number;
+    readonly signal: AbortSignal;
+  }): EitherAsync<TargetError, TargetAnswer>;
+  /** Stops a stream of an engine; its answer is not awaited. */
+  cancelStream(id: string): void;
+  /** Orders the engine to load or unload an adapter. */
+  order(
+    order: TargetOrder,
+    options: { readonly longestMs: number },
+  ): Promise<OrderOutcome>;
   checkHealth(): Promise<HealthReport>;
   /** The load the target reports, in tokens; undefined when it tells none. */
   tryReadLoad(): Promise<number | undefined>;
@@ -49,8 +63,8 @@
 /** Longest wait for a connection, in milliseconds. */
 const connectMs = 1_000;
 
-/** Longest wait for an answer to a health check, in milliseconds. */
-const healthMs = 1_000;
+/** Longest wait for the answer to a short call, in milliseconds. */
+const shortCallMs = 1_000;
 
 /** Headers that belong to one connection and are not passed on. */
 const connectionHeaders = new Set([
@@ -65,6 +79,13 @@
   "trailer",
 ]);
 
+/** What the status of an answer to an order says. */
+const orderOutcomes: ReadonlyMap<number, OrderOutcome> = new Map([
+  [200, "accepted"],
+  [409, "fenced"],
+  [400, "bad_action"],
+]);
+
 /** Codes of errors that come before a connection is made. */
 const notSentCodes = new Set([
   "ECONNREFUSED",
@@ -86,7 +107,7 @@
   // whether a call has run, so calls that may not repeat get fresh ones.
   const freshPool = new Pool(target, { ...common, pipelining: 0 });
 
-  return { send, checkHealth, tryReadLoad, close };
+  return { send, resume, cancelStream, order, checkHealth, tryReadLoad, close };
 
   function send(
     request: TargetRequest,
@@ -116,12 +137,69 @@
     });
   }
 
+  function resume(
+    { id, offset, signal }: {
+      readonly id: string;
+      readonly offset: number;
+      readonly signal: AbortSignal;
+    },
+  ): EitherAsync<TargetError, TargetAnswer> {
+    return EitherAsync<TargetError, TargetAnswer>(async ({ throwE }) => {
+      try {
+        const data = await pool.request({
+          method: "GET",
+          path: `/v1/streams/${encodeURIComponent(id)}?offset=${offset}`,
+          signal,
+        });
+        if (data.statusCode === 200) return toAnswer(data);
+        await data.body.dump();
+      } catch (error) {
+        return throwE(toTargetError(error));
+      }
+      return throwE({ kind: "lost", message: "The stream is gone" });
+    });
+  }
+
+  function cancelStream(id: string): void {
+    pool.request({
+      method: "POST",
+      path: `/v1/streams/${encodeURIComponent(id)}/cancel`,
+      signal: AbortSignal.timeout(shortCallMs),
+    }).then(
+      ({ body }) => body.dump(),
+      // The stream ends with its connection, this call only speeds it up.
+    ).catch(() => undefined);
+  }
+
+  async function order(
+    { action, adapter, fencingNumber }: TargetOrder,
+    { longestMs }: { readonly longestMs: number },
+  ): Promise<OrderOutcome> {
+    try {
+      const { statusCode, body } = await freshPool.request({
+        method: "POST",
+        path: "/adapters",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify({
+          action,
+          adapter,
+          fencing_number: fencingNumber,
+        }),
+        signal: AbortSignal.timeout(longestMs),
+      });
+      await body.dump();
+      return orderOutcomes.get(statusCode) ?? "unknown";
+    } catch {
+      return "unknown";
+    }
+  }
+
   async function checkHealth(): Promise<HealthReport> {
     try {
       const { statusCode, body } = await freshPool.request({
         method: "GET",
         path: "/health",
-        signal: AbortSignal.timeout(healthMs),
+        signal: AbortSignal.timeout(shortCallMs),
       });
       const text = await body.text();
       const state = statusCode < 500 ? "healthy" : "silent";
@@ -138,7 +216,7 @@
       const { statusCode, body } = await pool.request({
         method: "GET",
         path: "/load",
-        signal: AbortSignal.timeout(healthMs),
+        signal: AbortSignal.timeout(shortCallMs),
       });
       const report = tryParseObject(await body.text());
       const load = report?.["tokens"] ?? report?.["load"];
--- a/src/request/execution.ts
+++ b/src/request/execution.ts
@@ -19,6 +19,7 @@
 import type { DiagnosticCode } from "../types/diagnostics.ts";
 import type { RunOrder } from "../types/run_order.ts";
 import { createAnswerScan } from "./answer_scan.ts";
+import { readTargetStream, tryGetStreamId } from "./target_stream.ts";
 import { createWorkShare } from "./work_share.ts";
 
 /** What an execution uses of its agent. */
@@ -27,7 +28,7 @@
   readonly gate: LoadGate;
   readonly queue: WorkQueue;
   readonly quarantine: CrashQuarantine;
-  readonly target: Pick<TargetClient, "send">;
+  readonly target: Pick<TargetClient, "send" | "resume" | "cancelStream">;
   readonly watch: Pick<TargetWatch, "isUp" | "checkCrash">;
   readonly digests: BodyDigests;
   readonly log: Log;
@@ -74,7 +75,7 @@
   });
   const startedAt = Date.now();
   let abortCode: DiagnosticCode = "caller_gone";
-  let crashed = false;
+  let streamId: string | undefined;
   let graceTimer: ReturnType<typeof setTimeout> | undefined;
   let deadlineTimer: ReturnType<typeof setTimeout> | undefined;
   let noteRead = (): void => undefined;
@@ -156,7 +157,7 @@
     const digest = host.digests.create();
     answer.append({ kind: "head", status, headers });
     try {
-      for await (const data of target.body) {
+      for await (const data of readBody(target)) {
         digest.update(data);
         scan.add(data);
         share.noteTokens(scan.getTokens());
@@ -177,6 +178,15 @@
     finish("done");
   }
 
+  function readBody(target: TargetAnswer): AsyncIterable<Uint8Array> {
+    streamId = tryGetStreamId(target);
+    return readTargetStream(
+      { target: host.target, checkCrash: host.watch.checkCrash },
+      target,
+      abort.signal,
+    );
+  }
+
   /** Waits until some reader has taken bytes, or nobody reads any more. */
   async function waitForReader(): Promise<void> {
     while (answer.getUnreadBytes() >= unreadBytes && !abort.signal.aborted) {
@@ -193,7 +203,7 @@
       void host.watch.checkCrash();
       return refuse(createRefusal("no_target", downRetryAfterMs));
     }
-    crashed = await host.watch.checkCrash();
+    const crashed = await host.watch.checkCrash();
     finishFailed(crashed ? "target_crashed" : "target_error");
   }
 
@@ -260,6 +270,7 @@
   function stop(code: DiagnosticCode): void {
     abortCode = code;
     abort.abort();
+    if (streamId !== undefined) host.target.cancelStream(streamId);
     noteRead();
   }
 }
--- a/src/roles/agent.ts
+++ b/src/roles/agent.ts
@@ -2,10 +2,15 @@
 
 import { addAgentService } from "../connection/agent_server.ts";
 import { createTargetClient } from "../connection/target_client.ts";
+import type {
+  OrderRequest,
+  OrderResponse,
+} from "../generated/mimosatray/v1/agent.ts";
 import { createAttemptTable } from "../process/attempt_table.ts";
 import { loadBodyDigests } from "../process/body_digest.ts";
 import { createCrashQuarantine } from "../process/crash_quarantine.ts";
 import { createLoadGate } from "../process/load_gate.ts";
+import { createOrderGate } from "../process/order_gate.ts";
 import { createTargetWatch } from "../process/target_watch.ts";
 import { createWorkQueue } from "../process/work_queue.ts";
 import { createAttemptService } from "../request/attempt_service.ts";
@@ -16,12 +21,17 @@
 /** Limits of a service that the configuration does not name yet. */
 const defaultPolicy: Pick<
   Service,
-  "loadMultiple" | "slots" | "queueLimit" | "priorityWeights"
+  | "loadMultiple"
+  | "slots"
+  | "queueLimit"
+  | "priorityWeights"
+  | "checksFencing"
 > = {
   loadMultiple: 1.25,
   slots: 64,
   queueLimit: 128,
   priorityWeights: { interactive: 4, background: 1 },
+  checksFencing: false,
 };
 
 /** Time that an attempt without an answer is remembered, in milliseconds. */
@@ -30,12 +40,19 @@
 /** Attempts that are over and still remembered. */
 const maxRememberedAttempts = 20_000;
 
+/** Time in which the holder of the order path may send, in milliseconds. */
+const orderLeaseMs = 2_000;
+
+/** Longest time from sending an order to its effect, in milliseconds. */
+const longestOrderMs = 3_000;
+
 /** Time between sweeps of what is old, in milliseconds. */
 const sweepMs = 1_000;
 
 /** Creates the agent role of a process. */
 export async function createAgentRole(host: AgentHost): Promise<Role> {
   const { settings, fleet, configuration, log, metrics } = host;
+  const { incarnation } = fleet.getSelf();
   let leaving = false;
   const digests = await loadBodyDigests();
   const target = createTargetClient(settings.target);
@@ -61,6 +78,16 @@
     getWorkspaceWeight: (workspace) =>
       configuration.getConfiguration().workspaces.get(workspace)?.weight ?? 1,
   });
+  const orders = createOrderGate({
+    platform: host.platform,
+    checksFencing: () => getPolicy().checksFencing,
+    send: (given) => target.order(given, { longestMs: longestOrderMs }),
+  }, {
+    key: `order/${settings.id}`,
+    holder: `${settings.id}/${incarnation}`,
+    leaseMs: orderLeaseMs,
+    longestOrderMs,
+  });
   const service = createAttemptService({
     table,
     gate,
@@ -71,14 +98,14 @@
     digests,
     log,
     metrics,
-    incarnation: fleet.getSelf().incarnation,
+    incarnation,
     getWeight: () => settings.weight,
     isLeaving: () => leaving,
   });
   addAgentService(host.server, {
     ...service,
     getLoad: gate.getLoad,
-    order: () => Promise.resolve({ accepted: false, code: "order_fenced" }),
+    order,
     drain: (operator) => {
       drain(operator);
       return service.getInFlight();
@@ -112,6 +139,17 @@
       defaultPolicy;
   }
 
+  async function order(request: OrderRequest): Promise<OrderResponse> {
+    if (request.targetIncarnation !== incarnation) {
+      return { accepted: false, code: "wrong_incarnation" };
+    }
+    const decision = await orders.submit(request);
+    const code = decision.kind === "accepted" ? "" : decision.code;
+    const { action, adapter, operator, fencingNumber } = request;
+    log.info("Order ended", { action, adapter, operator, fencingNumber, code });
+    return { accepted: decision.kind === "accepted", code };
+  }
+
   function noteCrash(): void {
     const suspects = quarantine.noteCrash();
     metrics.count("target_crashes_total");
