--- a/src/process/crash_quarantine.ts
+++ b/src/process/crash_quarantine.ts
@@ -16,6 +16,13 @@
   | { readonly kind: "suspect"; readonly crashes: number }
   | { readonly kind: "condemned"; readonly crashes: number };
 
+/** A request that may crash its target. */
+export interface CrashCandidate {
+  readonly fingerprint: string;
+  /** Crashes that its router knows of. */
+  readonly knownCrashes: number;
+}
+
 /** What the quarantine needs from outside. */
 export interface CrashQuarantineHost {
   /** The records that all agents share. */
@@ -27,7 +34,7 @@
   /** Judges a request by the shared records and by what its router knows. */
   check(fingerprint: string, knownCrashes: number): QuarantineVerdict;
   /** Tells that the target gets the request now. */
-  enter(key: string, fingerprint: string): void;
+  enter(key: string, request: CrashCandidate): void;
   /** Tells that the request ended; `lived` when its target answered whole. */
   leave(key: string, options: { readonly lived: boolean }): void;
   /** Tells that the target crashed; returns what was in flight. */
@@ -39,12 +46,12 @@
 export function createCrashQuarantine(
   host: CrashQuarantineHost,
 ): CrashQuarantine {
-  const inFlight = new Map<string, string>();
+  const inFlight = new Map<string, CrashCandidate>();
 
   return {
     check,
-    enter: (key, fingerprint) => {
-      inFlight.set(key, fingerprint);
+    enter: (key, request) => {
+      inFlight.set(key, request);
     },
     leave,
     noteCrash,
@@ -65,20 +72,35 @@
     key: string,
     { lived }: { readonly lived: boolean },
   ): void {
-    const fingerprint = inFlight.get(key);
-    if (fingerprint === undefined) return;
+    const request = inFlight.get(key);
+    if (request === undefined) return;
     inFlight.delete(key);
+    const { fingerprint } = request;
     const recorded = host.crashes.getCrashes(fingerprint);
     const suspect = recorded > 0 && recorded < condemnedAfterCrashes;
     if (lived && suspect) host.crashes.clearCrashes(fingerprint);
   }
 
   function noteCrash(): readonly string[] {
-    const fingerprints = [...new Set(inFlight.values())];
+    const crashes = new Map<string, number>();
+    inFlight.forEach(({ fingerprint, knownCrashes }) => {
+      const before = crashes.get(fingerprint) ?? 0;
+      crashes.set(fingerprint, Math.max(before, knownCrashes));
+    });
     inFlight.clear();
-    fingerprints.forEach((fingerprint) => {
+    crashes.forEach((known, fingerprint) => record(fingerprint, known));
+    return [...crashes.keys()];
+  }
+
+  /**
+   * Adds one crash, and those that only the router knew of: their record may
+   * still be on its way, and records that meet keep the larger number.
+   */
+  function record(fingerprint: string, knownCrashes: number): void {
+    const recorded = host.crashes.getCrashes(fingerprint);
+    const missing = Math.max(0, knownCrashes - recorded);
+    for (let count = 0; count <= missing; count++) {
       host.crashes.recordCrash(fingerprint);
-    });
-    return fingerprints;
+    }
   }
 }
--- /dev/null
+++ b/src/request/attempt_service_test.ts
@@ -0,0 +1,340 @@
+import {
+  type Arbitrary,
+  array,
+  assert,
+  asyncProperty,
+  constant,
+  constantFrom,
+  nat,
+  oneof,
+  record,
+} from "fast-check";
+import {
+  collectEvents,
+  createAgentParts,
+  createRunOrder,
+  joinBody,
+} from "../../test/fakes/agent_parts.ts";
+import {
+  createFakeTarget,
+  type FakeTarget,
+} from "../../test/fakes/fake_target.ts";
+import type { AnswerEvent, AnswerReader } from "../types/answer.ts";
+import type { RunOrder } from "../types/run_order.ts";
+import type { AttemptService, PlacedAttempt } from "./attempt_service.ts";
+
+/** One message that reaches the agent, or time that passes. */
+type Step =
+  | {
+    readonly kind: "run" | "settle" | "cancel" | "attach";
+    readonly attempt: number;
+  }
+  | { readonly kind: "advance"; readonly ms: number }
+  | { readonly kind: "restart" };
+
+const attempts = 4;
+
+const steps = array(
+  oneof(
+    {
+      weight: 8,
+      arbitrary: record({
+        kind: constantFrom("run", "run", "settle", "cancel", "attach"),
+        attempt: nat(attempts - 1),
+      }),
+    },
+    {
+      weight: 3,
+      arbitrary: record({ kind: constant("advance"), ms: nat(30) }),
+    },
+    { weight: 1, arbitrary: constant({ kind: "restart" } as const) },
+  ),
+  { maxLength: 30 },
+) as Arbitrary<Step[]>;
+
+type Service = Pick<AttemptService, "run" | "attach" | "settle" | "cancel">;
+
+describe("attempt service", () => {
+  beforeEach(() => jest.useFakeTimers());
+  afterEach(() => jest.useRealTimers());
+
+  describe("under doubled and reordered messages and restarts", () => {
+    it("runs an attempt once at most and never after a proof", async () => {
+      await checkHistories((target, incarnation) =>
+        createAgentParts(target, { incarnation, slots: 1 }).service
+      );
+    });
+
+    it("is broken without the attempt table", async () => {
+      await expect(checkHistories(createNaiveService))
+        .rejects.toThrow("Counterexample");
+    });
+
+    it("is broken without the check of the incarnation", async () => {
+      await expect(checkHistories((target) => {
+        const { service } = createAgentParts(target, { slots: 1 });
+        const forgetful = (placed: PlacedAttempt) => ({
+          ...placed,
+          targetIncarnation: 1,
+        });
+        return {
+          run: (order) => service.run({ ...order, targetIncarnation: 1 }),
+          attach: (placed, offset) => service.attach(forgetful(placed), offset),
+          settle: (placed) => service.settle(forgetful(placed)),
+          cancel: (placed) => service.cancel(forgetful(placed)),
+        };
+      })).rejects.toThrow("Counterexample");
+    });
+  });
+
+  describe("forgotten attempts", () => {
+    it("are neither run nor called not run", async () => {
+      const target = createFakeTarget(() => createCall("a"));
+      const { service } = createAgentParts(target, { tombstoneMs: 0 });
+      collectEvents(service.run(createRunOrder(7)));
+      await jest.advanceTimersByTimeAsync(100);
+      // A later attempt of the same router pushes the first one out.
+      for (let number = 8; number < 1_100; number++) {
+        const { attempt } = createRunOrder(number);
+        service.settle({ attempt, targetIncarnation: 1 });
+      }
+      const { attempt } = createRunOrder(7);
+      expect(service.settle({ attempt, targetIncarnation: 1 }))
+        .toBe("forgotten");
+      expect(collectEvents(service.run(createRunOrder(7))))
+        .toEqual([{
+          kind: "failure",
+          code: "outcome_unknown",
+          mayHaveRun: true,
+        }]);
+      expect(target.runs.get("r7")).toBe(1);
+    });
+  });
+
+  describe("a router that goes away", () => {
+    it("finds the rest of the answer when it comes back in time", async () => {
+      const target = createFakeTarget(() => createCall("ab"));
+      const { service } = createAgentParts(target);
+      const reader = service.run(createRunOrder(1));
+      await jest.advanceTimersByTimeAsync(10);
+      reader.tryRead();
+      reader.tryRead();
+      reader.close();
+      await jest.advanceTimersByTimeAsync(5_000);
+      const { attempt } = createRunOrder(1);
+      const events = collectEvents(
+        service.attach({ attempt, targetIncarnation: 1 }, 1),
+      );
+      expect(joinBody(events)).toBe("b");
+    });
+
+    it("costs the target no more work after a while", async () => {
+      const target = createFakeTarget(() => ({
+        ...createCall("ab"),
+        delayMs: 60_000,
+      }));
+      const { service, getLoad } = createAgentParts(target);
+      service.run(createRunOrder(1)).close();
+      service.run(createRunOrder(2, { repeatable: false })).close();
+      await jest.advanceTimersByTimeAsync(11_000);
+      expect([...target.aborted]).toEqual(["r1"]);
+      expect([...target.running]).toEqual(["r2"]);
+      expect(getLoad()).toBe(20);
+    });
+  });
+
+  describe("a slow reader", () => {
+    it("stops the reading from the target", async () => {
+      const part = "x".repeat(64 * 1024);
+      let taken = 0;
+      const target = createFakeTarget(() => ({
+        ...createCall(""),
+        body: Array.from({ length: 100 }, () => part),
+      }));
+      const counting = {
+        ...target,
+        send: (request: Parameters<FakeTarget["send"]>[0]) =>
+          target.send(request).map((answer) => ({
+            ...answer,
+            body: (async function* () {
+              for await (const data of answer.body) {
+                taken += data.byteLength;
+                yield data;
+              }
+            })(),
+          })),
+      };
+      const { service } = createAgentParts(counting);
+      const reader = service.run(createRunOrder(1));
+      await jest.advanceTimersByTimeAsync(1_000);
+      expect(taken).toBeLessThanOrEqual(320 * 1024);
+      const events = collectEvents(reader);
+      await jest.advanceTimersByTimeAsync(1_000);
+      expect(joinBody(events)).toHaveLength(100 * part.length);
+      expect(events.at(-1)?.kind).toBe("end");
+    });
+  });
+
+  describe("the deadline", () => {
+    it("stops a chat and lets a call that may not repeat run on", async () => {
+      const target = createFakeTarget(() => ({
+        ...createCall("ab"),
+        delayMs: 2_000,
+      }));
+      const { service } = createAgentParts(target);
+      const deadlineAt = Date.now() + 1_000;
+      const chat = collectEvents(
+        service.run(createRunOrder(1, { deadlineAt })),
+      );
+      const call = collectEvents(
+        service.run(createRunOrder(2, { deadlineAt, repeatable: false })),
+      );
+      await jest.advanceTimersByTimeAsync(1_500);
+      expect(chat).toEqual([{
+        kind: "failure",
+        code: "deadline_exceeded",
+        mayHaveRun: true,
+      }]);
+      await jest.advanceTimersByTimeAsync(1_500);
+      expect(call.at(-1)?.kind).toBe("end");
+    });
+  });
+
+  describe("a target that is not there", () => {
+    it("is proof that nothing ran", async () => {
+      const target = createFakeTarget(() => ({
+        ...createCall(""),
+        end: "not_sent",
+      }));
+      const { service, quarantine } = createAgentParts(target);
+      const events = collectEvents(
+        service.run(createRunOrder(1, { repeatable: false })),
+      );
+      await jest.advanceTimersByTimeAsync(10);
+      expect(events).toEqual([{
+        kind: "refusal",
+        code: "no_target",
+        retryAfterMs: 1_000,
+      }]);
+      expect(quarantine.getInFlight()).toBe(0);
+    });
+  });
+});
+
+function createCall(body: string) {
+  return { delayMs: 5, body: [...body], end: "whole" as const };
+}
+
+/** Runs all it is told to and forgets it at once. */
+function createNaiveService(
+  target: FakeTarget,
+  incarnation: number,
+): Service {
+  const running = new Set<number>();
+  return {
+    run: (order) => {
+      const { service } = createAgentParts(target, { incarnation });
+      running.add(order.attempt.number);
+      return service.run({ ...order, targetIncarnation: incarnation });
+    },
+    attach: () =>
+      createAgentParts(target).service.attach({
+        attempt: createRunOrder(99).attempt,
+        targetIncarnation: 0,
+      }, 0),
+    settle: ({ attempt }) =>
+      running.has(attempt.number) ? "running" : "not_run",
+    cancel: () => undefined,
+  };
+}
+
+/** Seeded histories against the referee of what routers were told. */
+async function checkHistories(
+  createService: (target: FakeTarget, incarnation: number) => Service,
+): Promise<void> {
+  await assert(
+    asyncProperty(steps, async (history) => {
+      await checkHistory(history, createService);
+    }),
+    { numRuns: 400, seed: 20_261_203 },
+  );
+}
+
+async function checkHistory(
+  history: readonly Step[],
+  createService: (target: FakeTarget, incarnation: number) => Service,
+): Promise<void> {
+  const target = createFakeTarget(({ requestId }) => createCall(requestId));
+  let incarnation = 1;
+  let service = createService(target, incarnation);
+  const orders = new Map<number, RunOrder>();
+  const deliveredTo = new Map<number, number>();
+  const proved = new Set<number>();
+  const answers: { attempt: number; events: AnswerEvent[] }[] = [];
+
+  for (const step of history) {
+    if (step.kind === "advance") {
+      await jest.advanceTimersByTimeAsync(step.ms);
+    } else if (step.kind === "restart") {
+      incarnation++;
+      service = createService(target, incarnation);
+    } else deliver(step.kind, step.attempt);
+  }
+  await jest.advanceTimersByTimeAsync(30_000);
+
+  for (let attempt = 0; attempt < attempts; attempt++) {
+    const runs = target.runs.get(`r${attempt}`) ?? 0;
+    expect(runs).toBeLessThanOrEqual(1);
+    if (isProved(attempt)) expect(runs).toBe(0);
+  }
+  for (const { attempt, events } of answers) {
+    if (events.at(-1)?.kind !== "end") continue;
+    const offset = events.find(({ kind }) => kind === "chunk");
+    const from = offset?.kind === "chunk" ? offset.offset : 2;
+    expect(joinBody(events)).toBe(`r${attempt}`.slice(from));
+  }
+
+  function deliver(
+    kind: "run" | "settle" | "cancel" | "attach",
+    attempt: number,
+  ): void {
+    const order = getOrder(attempt);
+    if (kind === "settle") {
+      if (service.settle(order) === "not_run") proved.add(attempt);
+    } else if (kind === "cancel") service.cancel(order);
+    else if (kind === "attach") note(attempt, service.attach(order, 1));
+    else if (mayDeliver(attempt)) {
+      deliveredTo.set(attempt, incarnation);
+      note(attempt, service.run(order));
+    }
+  }
+
+  /** A connection that is doubled ends with the process it leads to. */
+  function mayDeliver(attempt: number): boolean {
+    return (deliveredTo.get(attempt) ?? incarnation) === incarnation;
+  }
+
+  /** An attempt is meant for the incarnation of its first message. */
+  function getOrder(attempt: number): RunOrder {
+    const known = orders.get(attempt);
+    if (known !== undefined) return known;
+    const order = createRunOrder(attempt, {
+      targetIncarnation: incarnation,
+      repeatable: attempt % 2 === 0,
+    });
+    orders.set(attempt, order);
+    return order;
+  }
+
+  function note(attempt: number, reader: AnswerReader): void {
+    answers.push({ attempt, events: collectEvents(reader) });
+  }
+
+  function isProved(attempt: number): boolean {
+    return proved.has(attempt) ||
+      answers.some((answer) =>
+        answer.attempt === attempt &&
+        answer.events.some(({ kind }) => kind === "refusal")
+      );
+  }
+}
--- a/src/request/execution.ts
+++ b/src/request/execution.ts
@@ -142,7 +142,10 @@
   async function run(): Promise<void> {
     if (!host.table.tryStart(entry)) return;
     host.metrics.record("queue_ms", Date.now() - startedAt);
-    host.quarantine.enter(entry.key, order.fingerprint);
+    host.quarantine.enter(entry.key, {
+      fingerprint: order.fingerprint,
+      knownCrashes: order.crashes,
+    });
     if (order.repeatable) watchDeadline();
     const sent = await host.target.send({ ...order, signal: abort.signal });
     await sent.caseOf({
--- /dev/null
+++ b/test/fakes/agent_parts.ts
@@ -0,0 +1,149 @@
+/** An agent's attempt service over a target in memory, without sockets. */
+
+import { createAttemptTable } from "../../src/process/attempt_table.ts";
+import type { BodyDigests } from "../../src/process/body_digest.ts";
+import {
+  type CrashQuarantine,
+  createCrashQuarantine,
+} from "../../src/process/crash_quarantine.ts";
+import { createLoadGate } from "../../src/process/load_gate.ts";
+import { createSilentLog } from "../../src/process/log.ts";
+import { createMetrics } from "../../src/process/metrics.ts";
+import { createWorkQueue } from "../../src/process/work_queue.ts";
+import {
+  type AttemptService,
+  createAttemptService,
+} from "../../src/request/attempt_service.ts";
+import type { AnswerEvent, AnswerReader } from "../../src/types/answer.ts";
+import { isLastEvent } from "../../src/types/answer.ts";
+import type { RunOrder } from "../../src/types/run_order.ts";
+import type { CrashView } from "../../src/types/view.ts";
+import { createCrashes } from "./agent_host.ts";
+import type { FakeTarget } from "./fake_target.ts";
+
+/** Settings of an agent under test. */
+export interface AgentPartsOptions {
+  readonly incarnation?: number;
+  readonly slots?: number;
+  readonly queueLimit?: number;
+  readonly crashes?: CrashView;
+  readonly isUp?: () => boolean;
+  /** True when a lost connection was a crash of the target. */
+  readonly hasCrashed?: () => boolean;
+  readonly isLeaving?: () => boolean;
+  readonly tombstoneMs?: number;
+  /** Lets suspects run beside each other, as without the quarantine. */
+  readonly togetherWithSuspects?: boolean;
+}
+
+/** An agent's attempt service with what is behind it. */
+export interface AgentParts {
+  readonly service: AttemptService;
+  readonly quarantine: CrashQuarantine;
+  getLoad(): number;
+}
+
+/** Digests that cost nothing. */
+const digests: BodyDigests = {
+  create: () => ({ update: () => undefined, getText: () => "digest" }),
+};
+
+/** Puts an agent's decisions together. */
+export function createAgentParts(
+  target: FakeTarget,
+  options: AgentPartsOptions = {},
+): AgentParts {
+  const quarantine = createCrashQuarantine({
+    crashes: options.crashes ?? createCrashes(),
+  });
+  const gate = createLoadGate({
+    getMean: () => ({ mean: 1_000_000, targets: 3, ageMs: 0 }),
+    getLoadMultiple: () => 1.25,
+  });
+  const queue = createWorkQueue({
+    getSlots: () => options.slots ?? 2,
+    getQueueLimit: () => options.queueLimit ?? 8,
+    getPriorityWeight: (priority) => priority === "interactive" ? 4 : 1,
+    getWorkspaceWeight: () => 1,
+  });
+  const together = options.togetherWithSuspects ?? false;
+  const service = createAttemptService({
+    table: createAttemptTable({
+      keptAnswerBytes: 1_000_000,
+      keptAnswerMs: 60_000,
+      tombstoneMs: options.tombstoneMs ?? 60_000,
+      maxEntries: 1_000,
+    }),
+    gate,
+    queue: {
+      ...queue,
+      add: (job) => queue.add(together ? { ...job, alone: false } : job),
+    },
+    quarantine,
+    target,
+    watch: {
+      isUp: options.isUp ?? (() => true),
+      checkCrash: () => Promise.resolve(options.hasCrashed?.() ?? false),
+    },
+    digests,
+    log: createSilentLog(),
+    metrics: createMetrics(),
+    incarnation: options.incarnation ?? 1,
+    getWeight: () => 100,
+    isLeaving: options.isLeaving ?? (() => false),
+  });
+  return { service, quarantine, getLoad: gate.getLoad };
+}
+
+/** An order for attempt `number`, whose request id is `r<number>`. */
+export function createRunOrder(
+  number: number,
+  fields: Partial<RunOrder> = {},
+): RunOrder {
+  return {
+    attempt: { router: "router-a1", routerIncarnation: 5, number },
+    targetIncarnation: 1,
+    requestId: `r${number}`,
+    service: "chat",
+    workspace: "w1",
+    priority: "interactive",
+    deadlineAt: Date.now() + 60_000,
+    repeatable: true,
+    fingerprint: `f${number}`,
+    estimate: { promptTokens: 10, outputTokens: 10, cachedTokens: 0 },
+    crashes: 0,
+    method: "POST",
+    path: "/",
+    headers: [],
+    body: new Uint8Array(),
+    isChat: true,
+    claim: "",
+    observedLoads: [],
+    ...fields,
+  };
+}
+
+/** Collects the events of a reader as they come. */
+export function collectEvents(reader: AnswerReader): AnswerEvent[] {
+  const events: AnswerEvent[] = [];
+  const read = (): void => {
+    for (;;) {
+      const event = reader.tryRead();
+      if (event === undefined) return;
+      events.push(event);
+      if (isLastEvent(event)) reader.close();
+    }
+  };
+  reader.onReadable(read);
+  read();
+  return events;
+}
+
+/** Returns the body that the events carry. */
+export function joinBody(events: readonly AnswerEvent[]): string {
+  return events
+    .map((event) =>
+      event.kind === "chunk" ? Buffer.from(event.data).toString() : ""
+    )
+    .join("");
+}
--- /dev/null
+++ b/test/fakes/fake_target.ts
@@ -0,0 +1,130 @@
+/** A target in memory that counts its runs and does what it is told. */
+
+import { setMaxListeners } from "node:events";
+import { EitherAsync } from "purify-ts";
+import {
+  type TargetAnswer,
+  type TargetClient,
+  type TargetError,
+  type TargetRequest,
+  toTargetError,
+} from "../../src/connection/target_client.ts";
+
+/** How a call to the target goes. */
+export interface FakeCall {
+  /** Time until the answer begins, in milliseconds. */
+  readonly delayMs: number;
+  readonly body: readonly string[];
+  /** How the call ends. */
+  readonly end: "whole" | "cut" | "not_sent" | "crash";
+}
+
+/** A target in memory. */
+export interface FakeTarget
+  extends Pick<TargetClient, "send" | "resume" | "cancelStream"> {
+  /** Runs begun, by request id. */
+  readonly runs: ReadonlyMap<string, number>;
+  /** Runs in flight now, by request id. */
+  readonly running: ReadonlySet<string>;
+  /** Runs that were stopped from outside. */
+  readonly aborted: ReadonlySet<string>;
+}
+
+/** Creates a target whose calls go as `plan` says. */
+export function createFakeTarget(
+  plan: (request: TargetRequest) => FakeCall,
+  host: { readonly onCrash?: () => void } = {},
+): FakeTarget {
+  const runs = new Map<string, number>();
+  const running = new Set<string>();
+  const aborted = new Set<string>();
+  let process = new AbortController();
+
+  return {
+    runs,
+    running,
+    aborted,
+    send,
+    resume: () =>
+      EitherAsync<TargetError, TargetAnswer>(({ throwE }) =>
+        throwE({ kind: "lost", message: "gone" })
+      ),
+    cancelStream: () => undefined,
+  };
+
+  function send(
+    request: TargetRequest,
+  ): EitherAsync<TargetError, TargetAnswer> {
+    return EitherAsync<TargetError, TargetAnswer>(async ({ throwE }) => {
+      const call = plan(request);
+      if (call.end === "not_sent") {
+        return throwE({ kind: "not_sent", message: "refused" });
+      }
+      const body = run(request, call);
+      const { requestId } = request;
+      runs.set(requestId, (runs.get(requestId) ?? 0) + 1);
+      running.add(requestId);
+      try {
+        // The first part is empty and says that the answer begins.
+        await body.next();
+      } catch (error) {
+        return throwE(toTargetError(error));
+      }
+      return { status: 200, headers: [], body };
+    });
+  }
+
+  async function* run(
+    { requestId, signal }: TargetRequest,
+    call: FakeCall,
+  ): AsyncGenerator<Uint8Array, void> {
+    const ends = [process.signal, signal];
+    try {
+      await waitOrAbort(call.delayMs, ends);
+      throwIfEnded();
+      if (call.end === "crash") crash();
+      throwIfEnded();
+      yield new Uint8Array();
+      for (const text of call.body) {
+        yield Buffer.from(text);
+        await waitOrAbort(1, ends);
+        throwIfEnded();
+      }
+      if (call.end === "cut") throw new Error("socket closed");
+    } finally {
+      running.delete(requestId);
+    }
+
+    function throwIfEnded(): void {
+      if (ends[0]?.aborted) throw new Error("connection reset");
+      if (!signal.aborted) return;
+      aborted.add(requestId);
+      throw Object.assign(new Error("stop"), { name: "AbortError" });
+    }
+  }
+
+  /** Ends all that is in flight; the next call meets a new process. */
+  function crash(): void {
+    const crashed = process;
+    process = new AbortController();
+    setMaxListeners(0, process.signal);
+    host.onCrash?.();
+    crashed.abort();
+  }
+}
+
+function waitOrAbort(
+  ms: number,
+  signals: readonly AbortSignal[],
+): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(finish, ms);
+    signals.forEach((signal) => signal.addEventListener("abort", finish));
+
+    function finish(): void {
+      clearTimeout(timer);
+      signals.forEach((signal) => signal.removeEventListener("abort", finish));
+      resolve();
+    }
+  });
+}
