--- a/src/connection/target_client.ts
+++ b/src/connection/target_client.ts
@@ -3,6 +3,7 @@
 import { EitherAsync } from "purify-ts";
 import { type Dispatcher, Pool } from "undici";
 import type { OrderOutcome, TargetOrder } from "../process/order_gate.ts";
+import type { LoadReport } from "../process/orphan_load.ts";
 import type { HealthReport } from "../process/target_watch.ts";
 import type { Header } from "../types/work.ts";
 
@@ -55,8 +56,8 @@
     options: { readonly longestMs: number },
   ): Promise<OrderOutcome>;
   checkHealth(): Promise<HealthReport>;
-  /** The load the target reports, in tokens; undefined when it tells none. */
-  tryReadLoad(): Promise<number | undefined>;
+  /** The load that the target reports; undefined when it tells none. */
+  tryReadLoad(): Promise<LoadReport | undefined>;
   close(): Promise<void>;
 }
 
@@ -211,7 +212,7 @@
     }
   }
 
-  async function tryReadLoad(): Promise<number | undefined> {
+  async function tryReadLoad(): Promise<LoadReport | undefined> {
     try {
       const { statusCode, body } = await pool.request({
         method: "GET",
@@ -219,8 +220,11 @@
         signal: AbortSignal.timeout(shortCallMs),
       });
       const report = tryParseObject(await body.text());
-      const load = report?.["tokens"] ?? report?.["load"];
-      return statusCode === 200 && typeof load === "number" ? load : undefined;
+      const running = report?.["running"];
+      const waiting = report?.["waiting"];
+      const at = report?.["at"];
+      if (statusCode !== 200 || typeof at !== "number") return undefined;
+      return { requests: Number(running) + Number(waiting), at };
     } catch {
       return undefined;
     }
--- /dev/null
+++ b/src/process/orphan_load_test.ts
@@ -0,0 +1,72 @@
+import { createOrphanLoad, type LoadReport } from "./orphan_load.ts";
+
+/** Age of the target's reports, in milliseconds. */
+const lagMs = 2_000;
+
+const usualWork = 100;
+
+describe("orphan load", () => {
+  let running: number;
+  let foreignLoad: number;
+
+  beforeEach(() => {
+    jest.useFakeTimers();
+    running = 0;
+    foreignLoad = 0;
+  });
+
+  afterEach(() => jest.useRealTimers());
+
+  function create() {
+    return createOrphanLoad({
+      getRunning: () => running,
+      getUsualWork: () => usualWork,
+      setForeignLoad: (load) => {
+        foreignLoad = load;
+      },
+    });
+  }
+
+  function report(requests: number): LoadReport {
+    return { requests, at: Date.now() - lagMs };
+  }
+
+  it("counts what an earlier process left until the report drops", () => {
+    const orphans = create();
+    orphans.noteReport(report(5));
+    expect(foreignLoad).toBe(5 * usualWork);
+    jest.advanceTimersByTime(4_000);
+    orphans.noteReport(report(3));
+    expect(foreignLoad).toBe(3 * usualWork);
+    jest.advanceTimersByTime(1_000);
+    orphans.noteReport(report(0));
+    expect(foreignLoad).toBe(0);
+  });
+
+  it("does not take own work for left work", () => {
+    const orphans = create();
+    for (let second = 0; second < 10; second++) {
+      running = Math.min(4, second);
+      orphans.noteReport(report(Math.max(0, Math.min(4, second - 2))));
+      jest.advanceTimersByTime(1_000);
+    }
+    orphans.noteReport(report(4));
+    expect(foreignLoad).toBe(0);
+  });
+
+  it("keeps what it knows while reports are missing", () => {
+    const orphans = create();
+    orphans.noteReport(report(5));
+    jest.advanceTimersByTime(1_000);
+    orphans.noteReport(undefined);
+    expect(orphans.getOrphans()).toBe(5);
+    expect(foreignLoad).toBe(5 * usualWork);
+  });
+
+  it("does not grow once reports reach past its start", () => {
+    const orphans = create();
+    jest.advanceTimersByTime(10_000);
+    orphans.noteReport(report(9));
+    expect(foreignLoad).toBe(0);
+  });
+});
--- a/src/roles/agent.ts
+++ b/src/roles/agent.ts
@@ -11,6 +11,7 @@
 import { createCrashQuarantine } from "../process/crash_quarantine.ts";
 import { createLoadGate } from "../process/load_gate.ts";
 import { createOrderGate } from "../process/order_gate.ts";
+import { createOrphanLoad } from "../process/orphan_load.ts";
 import { createTargetWatch } from "../process/target_watch.ts";
 import { createWorkQueue } from "../process/work_queue.ts";
 import { createAttemptService } from "../request/attempt_service.ts";
@@ -40,6 +41,9 @@
 /** Attempts that are over and still remembered. */
 const maxRememberedAttempts = 20_000;
 
+/** Work counted for a request that an earlier process left, in work units. */
+const usualOrphanWork = 256;
+
 /** Time in which the holder of the order path may send, in milliseconds. */
 const orderLeaseMs = 2_000;
 
@@ -88,6 +92,11 @@
     leaseMs: orderLeaseMs,
     longestOrderMs,
   });
+  const orphans = createOrphanLoad({
+    getRunning: queue.getRunning,
+    getUsualWork: () => usualOrphanWork * 100 / settings.weight,
+    setForeignLoad: gate.setForeignLoad,
+  });
   const service = createAttemptService({
     table,
     gate,
@@ -116,9 +125,10 @@
   metrics.gauge("load", gate.getLoad);
   metrics.gauge("running", queue.getRunning);
   metrics.gauge("waiting", queue.getWaiting);
-  const sweep = setInterval(table.sweep, sweepMs);
+  const sweep = setInterval(tick, sweepMs);
   sweep.unref();
   await watch.start();
+  if (settings.kind === "model") await readLoad();
 
   return {
     isReady: () => !leaving && watch.isUp(),
@@ -130,6 +140,9 @@
       load: gate.getLoad(),
       running: queue.getRunning(),
       waiting: queue.getWaiting(),
+      orphans: orphans.getOrphans(),
+      inFlight: quarantine.getInFlight(),
+      highestOrder: orders.getHighest(),
       attempts: { ...table.getCounts() },
     }),
   };
@@ -150,6 +163,15 @@
     return { accepted: decision.kind === "accepted", code };
   }
 
+  function tick(): void {
+    table.sweep();
+    if (settings.kind === "model") void readLoad();
+  }
+
+  async function readLoad(): Promise<void> {
+    orphans.noteReport(await target.tryReadLoad());
+  }
+
   function noteCrash(): void {
     const suspects = quarantine.noteCrash();
     metrics.count("target_crashes_total");
