Add the fleet harness on loopback and the demo

The harness starts stand-ins and the built binary on free ports with generated settings, waits for readiness by asking, and ends every process by its id.

--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -14,6 +14,8 @@
 
 module.exports = {
   testEnvironment: "node",
+  // Tests on real processes need the build; npm run test:processes runs them.
+  testPathIgnorePatterns: ["/node_modules/", "<rootDir>/test/processes/"],
   testMatch: ["<rootDir>/src/**/*_test.ts", "<rootDir>/test/**/*_test.ts"],
   transform: {
     "^.+\\.(t|j)s$": ["@swc/jest", {
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -10,8 +10,9 @@
 
 mkdirSync("dist", { recursive: true });
 await bundle("src/main.ts", "dist/mimosatray.cjs");
-// The stand-ins of tests and demo never become part of the binary.
+// The stand-ins and the demo never become part of the binary.
 await bundle("test/stand_ins/main.ts", "dist/stand_ins.cjs");
+await bundle("test/demo/demo.ts", "dist/demo.cjs");
 writeFileSync(
   "dist/sea.json",
   JSON.stringify({
--- /dev/null
+++ b/test/demo/idle.ts
@@ -0,0 +1,42 @@
+/** What idle processes cost: start time, memory, size of the binary. */
+
+import { readFileSync, statSync } from "node:fs";
+import type { Running, TestFleet } from "../harness/fleet.ts";
+import type { Report } from "./report.ts";
+
+const bytesPerMegabyte = 1_000_000;
+
+/** Reports the cost of the processes as they are now. */
+export function showIdle(
+  { fleet, report, binary }: {
+    readonly fleet: TestFleet;
+    readonly report: Report;
+    readonly binary: string;
+  },
+): void {
+  report.section("Idle processes");
+  const [router] = fleet.routers;
+  const [agent] = fleet.engineAgents;
+  if (router !== undefined) showProcess(report, "router", router);
+  if (agent !== undefined) showProcess(report, "agent", agent);
+  const megabytes = statSync(binary).size / bytesPerMegabyte;
+  report.say(`the binary has ${megabytes.toFixed(1)} MB`);
+  report.note("binary_mb", Number(megabytes.toFixed(1)));
+}
+
+function showProcess(report: Report, name: string, running: Running): void {
+  const megabytes = readResidentBytes(running.child.pid) / bytesPerMegabyte;
+  report.say(
+    `a ${name} was ready after ${running.readyMs} ms` +
+      ` and holds ${megabytes.toFixed(1)} MB`,
+  );
+  report.note(`${name}_ready_ms`, running.readyMs);
+  report.note(`${name}_resident_mb`, Number(megabytes.toFixed(1)));
+}
+
+/** Resident memory of a process, in bytes; 0 when it cannot be read. */
+function readResidentBytes(pid: number): number {
+  const status = readFileSync(`/proc/${pid}/status`, "utf8");
+  const kilobytes = /^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1] ?? "0";
+  return Number(kilobytes) * 1024;
+}
--- /dev/null
+++ b/test/harness/child.ts
@@ -0,0 +1,87 @@
+/** One process under test: started, signalled and ended by its id. */
+
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+
+/** How a process ended. */
+export interface Exit {
+  readonly code: number | undefined;
+  readonly signal: string | undefined;
+}
+
+/** A process that was started. */
+export interface Child {
+  readonly name: string;
+  readonly pid: number;
+  /** Time of the start, in milliseconds of the monotonic clock. */
+  readonly startedAt: number;
+  /** Lines of standard output and standard error so far. */
+  getLines(): readonly string[];
+  getStandardOutput(): string;
+  isRunning(): boolean;
+  signal(signal: NodeJS.Signals): void;
+  /** Resolves when the process has ended. */
+  waitForExit(): Promise<Exit>;
+  /** Ends the process at once, also when it is stopped. */
+  kill(): Promise<void>;
+}
+
+/** Lines that are kept of one process. */
+const keptLines = 5000;
+
+const running = new Set<ChildProcess>();
+
+process.on("exit", () => {
+  running.forEach((child) => child.kill("SIGKILL"));
+});
+
+/** Starts a process; it never outlives this one. */
+export function startChild(
+  name: string,
+  command: readonly string[],
+  options: { readonly echo?: boolean } = {},
+): Child {
+  const [file = "", ...args] = command;
+  const child = spawn(file, args, { stdio: ["ignore", "pipe", "pipe"] });
+  const startedAt = performance.now();
+  const lines: string[] = [];
+  let output = "";
+  let exit: Exit | undefined;
+  running.add(child);
+  child.stdout.on("data", (data) => {
+    output += String(data);
+    keep(data);
+  });
+  child.stderr.on("data", keep);
+  const ended = once(child, "close").then(([code, signal]) => {
+    running.delete(child);
+    exit = { code: code ?? undefined, signal: signal ?? undefined };
+    return exit;
+  });
+  ended.catch((error) => keep(String(error)));
+
+  return {
+    name,
+    pid: child.pid ?? 0,
+    startedAt,
+    getLines: () => lines,
+    getStandardOutput: () => output,
+    isRunning: () => exit === undefined,
+    signal: (signal) => {
+      child.kill(signal);
+    },
+    waitForExit: () => ended,
+    kill,
+  };
+
+  function keep(data: unknown): void {
+    if (options.echo === true) process.stderr.write(String(data));
+    lines.push(...String(data).split("\n").filter((line) => line !== ""));
+    if (lines.length > keptLines) lines.splice(0, lines.length - keptLines);
+  }
+
+  async function kill(): Promise<void> {
+    child.kill("SIGKILL");
+    await ended;
+  }
+}
--- /dev/null
+++ b/test/harness/fleet.ts
@@ -0,0 +1,361 @@
+/** A whole fleet on loopback: stand-ins and product processes. */
+
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { type Child, startChild } from "./child.ts";
+import { callHttp, tryCallHttp } from "./http.ts";
+import {
+  formatSettings,
+  getFirstOperations,
+  type PlannedProcess,
+  zones,
+} from "./plan.ts";
+import { createPorts } from "./ports.ts";
+import { waitFor } from "./wait.ts";
+
+/** How large a fleet is and how it is started. */
+export interface FleetOptions {
+  readonly routers: number;
+  readonly engines: number;
+  readonly services: number;
+  /** Settings of the engine stand-ins that differ from the usual ones. */
+  readonly engineSettings?: object;
+  readonly serviceSettings?: object;
+  /** The product's command; the binary by default. */
+  readonly product?: readonly string[];
+  readonly shutdownMs?: number;
+  /** Writes all logs to standard error. */
+  readonly echo?: boolean;
+}
+
+/** A stand-in that runs. */
+export interface StandIn {
+  readonly id: string;
+  readonly url: string;
+  readonly child: Child;
+}
+
+/** A product process that runs. */
+export interface Running extends PlannedProcess {
+  readonly child: Child;
+  readonly settingsFile: string;
+  readonly adminUrl: string;
+  /** Base URL for callers; only of a router. */
+  readonly callerUrl: string;
+  /** Time from start until it was ready, in milliseconds. */
+  readonly readyMs: number;
+}
+
+/** A fleet that runs. */
+export interface TestFleet {
+  readonly platform: StandIn;
+  readonly relay: StandIn;
+  readonly engines: readonly StandIn[];
+  readonly services: readonly StandIn[];
+  readonly routers: readonly Running[];
+  /** Agents of the engines, in their order. */
+  readonly engineAgents: readonly Running[];
+  /** Agents of the plain services, in their order. */
+  readonly serviceAgents: readonly Running[];
+  getProcesses(): readonly Running[];
+  getChildren(): readonly Child[];
+  /** Starts a planned process again, as it was. */
+  restart(running: Running): Promise<Running>;
+  /** Starts a target's stand-in again, as it was. */
+  restartStandIn(standIn: StandIn): Promise<StandIn>;
+  /** Starts one more router; `platform` may lead through the relay. */
+  addRouter(
+    id: string,
+    options?: { readonly platform?: string },
+  ): Promise<Running>;
+  /** Submits a patch on top of a version through a router. */
+  patch(
+    router: Running,
+    options: {
+      readonly id: string;
+      readonly baseVersion: number;
+      readonly operations: readonly object[];
+    },
+  ): Promise<number>;
+  /** Ends everything and leaves nothing running. */
+  stop(): Promise<void>;
+}
+
+const standInsBundle = "dist/stand_ins.cjs";
+
+/** The product as it ships. */
+export const binary: readonly string[] = ["dist/mimosatray"];
+
+/** Starts a fleet, fills its configuration and waits until all are ready. */
+export async function startFleet(options: FleetOptions): Promise<TestFleet> {
+  const ports = createPorts();
+  const directory = mkdtempSync(join(tmpdir(), "mimosatray-"));
+  const product = options.product ?? binary;
+  const children: Child[] = [];
+  const standInCommands = new Map<string, readonly string[]>();
+  const processes = new Map<string, Running>();
+  const seeds: string[] = [];
+
+  try {
+    return await start();
+  } catch (error) {
+    await stop();
+    throw error;
+  }
+
+  async function start(): Promise<TestFleet> {
+    const [platform, relay, engines, services] = await Promise.all([
+      startStandIn("platform", "platform"),
+      startStandIn("relay", "relay"),
+      startTargets("engine", options.engines, options.engineSettings),
+      startTargets("service", options.services, options.serviceSettings),
+    ]);
+    const routerPlans = await Promise.all(
+      range(options.routers).map((index) =>
+        planRouter(`router-${index + 1}`, { index, platform: platform.url })
+      ),
+    );
+    const engineAgentPlans = await Promise.all(
+      engines.map((target, index) =>
+        planAgent(target, { index, service: "verse-model", kind: "model" })
+      ),
+    );
+    const serviceAgentPlans = await Promise.all(
+      services.map((target, index) =>
+        planAgent(target, { index, service: "order-desk", kind: "plain" })
+      ),
+    );
+    const [routers, engineAgents, serviceAgents] = await Promise.all(
+      [routerPlans, engineAgentPlans, serviceAgentPlans]
+        .map((plans) => Promise.all(plans.map((plan) => startProduct(plan)))),
+    ) as [Running[], Running[], Running[]];
+    const fleet: TestFleet = {
+      platform,
+      relay,
+      engines,
+      services,
+      routers,
+      engineAgents,
+      serviceAgents,
+      getProcesses: () => [...processes.values()],
+      getChildren: () => children,
+      restart: startProduct,
+      restartStandIn,
+      addRouter,
+      patch,
+      stop,
+    };
+    await fill(fleet);
+    return fleet;
+
+    function planAgent(
+      target: StandIn,
+      { index, service, kind }: {
+        readonly index: number;
+        readonly service: string;
+        readonly kind: "model" | "plain";
+      },
+    ): Promise<PlannedProcess> {
+      return plan({
+        id: `agent-${target.id}`,
+        role: "agent",
+        index,
+        service,
+        kind,
+        target: target.url,
+        platform: platform.url,
+      });
+    }
+
+    async function addRouter(
+      id: string,
+      added: { readonly platform?: string } = {},
+    ): Promise<Running> {
+      const index = processes.size;
+      const base = added.platform ?? platform.url;
+      return await startProduct(
+        await planRouter(id, { index, platform: base }),
+      );
+    }
+  }
+
+  /** Puts the first configuration in place and waits until it is in force. */
+  async function fill(fleet: TestFleet): Promise<void> {
+    const [first] = fleet.routers;
+    if (first === undefined) return;
+    const version = await patch(first, {
+      id: "first",
+      baseVersion: 0,
+      operations: getFirstOperations(),
+    });
+    await Promise.all(
+      fleet.getProcesses().map((running) => waitForVersion(running, version)),
+    );
+    await Promise.all(
+      fleet.routers.map((router) =>
+        waitFor(`all agents at ${router.id}`, async () => {
+          const status = await tryCallHttp(`${router.adminUrl}/status`);
+          const live = status?.json?.["members"]?.["agents_live"];
+          return Number(live) === options.engines + options.services;
+        })
+      ),
+    );
+  }
+
+  function planRouter(
+    id: string,
+    options: { readonly index: number; readonly platform: string },
+  ): Promise<PlannedProcess> {
+    return plan({
+      ...options,
+      id,
+      role: "router",
+      service: "",
+      kind: "model",
+      target: "",
+    });
+  }
+
+  async function plan(
+    given:
+      & Pick<
+        PlannedProcess,
+        "id" | "role" | "service" | "kind" | "target" | "platform"
+      >
+      & { readonly index: number },
+  ): Promise<PlannedProcess> {
+    const { index, ...fields } = given;
+    const planned = {
+      ...fields,
+      zone: zones[index % zones.length] ?? "",
+      grpcPort: await ports.take(),
+      gossipPort: await ports.take(),
+      adminPort: await ports.take(),
+      callerPort: await ports.take(),
+      seeds: [...seeds],
+      shutdownMs: options.shutdownMs ?? 10_000,
+    };
+    seeds.push(`127.0.0.1:${planned.gossipPort}`);
+    return planned;
+  }
+
+  async function startProduct(planned: PlannedProcess): Promise<Running> {
+    const settingsFile = join(directory, `${planned.id}.jsonc`);
+    writeFileSync(settingsFile, formatSettings(planned));
+    const child = keep(startChild(
+      planned.id,
+      [...product, planned.role, "--settings", settingsFile],
+      { echo: options.echo ?? false },
+    ));
+    const adminUrl = `http://127.0.0.1:${planned.adminPort}`;
+    await waitFor(`${planned.id} to be ready`, async () => {
+      if (!child.isRunning()) throw createStartError(child);
+      return (await tryCallHttp(`${adminUrl}/readyz`))?.status === 200;
+    });
+    const running = {
+      ...planned,
+      child,
+      settingsFile,
+      adminUrl,
+      callerUrl: `http://127.0.0.1:${planned.callerPort}`,
+      readyMs: Math.round(performance.now() - child.startedAt),
+    };
+    processes.set(planned.id, running);
+    return running;
+  }
+
+  async function startTargets(
+    kind: "engine" | "service",
+    count: number,
+    settings: object = {},
+  ): Promise<readonly StandIn[]> {
+    return await Promise.all(
+      range(count).map((index) =>
+        startStandIn(kind, `${kind}-${index + 1}`, settings)
+      ),
+    );
+  }
+
+  async function startStandIn(
+    kind: string,
+    id: string,
+    settings: object = {},
+  ): Promise<StandIn> {
+    const port = await ports.take();
+    standInCommands.set(id, [
+      process.execPath,
+      standInsBundle,
+      kind,
+      "--id",
+      id,
+      "--port",
+      String(port),
+      "--settings",
+      JSON.stringify(settings),
+    ]);
+    return await startStandInAt(id, `http://127.0.0.1:${port}`);
+  }
+
+  async function startStandInAt(id: string, url: string): Promise<StandIn> {
+    const command = standInCommands.get(id) ?? [];
+    const child = keep(startChild(id, command));
+    await waitFor(`${id} to listen`, () => {
+      if (!child.isRunning()) throw createStartError(child);
+      return child.getStandardOutput().includes('"ready"');
+    });
+    return { id, url, child };
+  }
+
+  async function restartStandIn({ id, url }: StandIn): Promise<StandIn> {
+    return await startStandInAt(id, url);
+  }
+
+  function keep(child: Child): Child {
+    children.push(child);
+    return child;
+  }
+
+  async function patch(
+    router: Running,
+    draft: {
+      readonly id: string;
+      readonly baseVersion: number;
+      readonly operations: readonly object[];
+    },
+  ): Promise<number> {
+    const answer = await callHttp(`${router.adminUrl}/config/patches`, {
+      body: { operator: "harness", ...draft },
+    });
+    const version = Number(answer.json?.["version"]);
+    if (!Number.isInteger(version)) {
+      throw new Error(`Patch ${draft.id}: ${answer.status} ${answer.text}`);
+    }
+    return version;
+  }
+
+  async function stop(): Promise<void> {
+    await Promise.all(children.map((child) => child.kill()));
+    rmSync(directory, { recursive: true, force: true });
+  }
+}
+
+/** Waits until a process has a version of the configuration in force. */
+export async function waitForVersion(
+  running: Running,
+  version: number,
+): Promise<void> {
+  await waitFor(`version ${version} at ${running.id}`, async () => {
+    const status = await tryCallHttp(`${running.adminUrl}/status`);
+    return Number(status?.json?.["configurationVersion"]) >= version;
+  });
+}
+
+function createStartError(child: Child): Error {
+  const lines = child.getLines().slice(-10).join("\n");
+  return new Error(`${child.name} ended at its start:\n${lines}`);
+}
+
+function range(count: number): readonly number[] {
+  return Array.from({ length: count }, (_, index) => index);
+}
--- /dev/null
+++ b/test/harness/http.ts
@@ -0,0 +1,84 @@
+/** HTTP calls of tests and the demo. */
+
+import { Agent, request } from "undici";
+
+/** An answer that was read to its end. */
+export interface HttpAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly trailers: Readonly<Record<string, string>>;
+  readonly text: string;
+  /** The body when it is JSON, otherwise undefined. */
+  readonly json: JsonValue;
+}
+
+/** Any JSON value, read without further types. */
+export type JsonValue =
+  | { readonly [name: string]: JsonValue }
+  | undefined;
+
+/** What a call sends besides its address. */
+export interface HttpOptions {
+  readonly method?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  /** An object is sent as JSON, text as it stands. */
+  readonly body?: object | string;
+  readonly signal?: AbortSignal;
+}
+
+const dispatcher = new Agent({ keepAliveTimeout: 1, connections: 500 });
+
+/** Calls and reads the whole answer. */
+export async function callHttp(
+  url: string,
+  options: HttpOptions = {},
+): Promise<HttpAnswer> {
+  const { body } = options;
+  const response = await request(url, {
+    dispatcher,
+    method: (options.method ?? (body === undefined ? "GET" : "POST")) as "GET",
+    headers: { "content-type": "application/json", ...options.headers },
+    ...(options.signal === undefined ? {} : { signal: options.signal }),
+    ...(body === undefined
+      ? {}
+      : { body: typeof body === "string" ? body : JSON.stringify(body) }),
+  });
+  const text = await response.body.text();
+  return {
+    status: response.statusCode,
+    headers: response.headers,
+    trailers: response.trailers,
+    text,
+    json: tryParse(text),
+  };
+}
+
+/** Calls; undefined when nothing answers. */
+export async function tryCallHttp(
+  url: string,
+  options: HttpOptions = {},
+): Promise<HttpAnswer | undefined> {
+  try {
+    return await callHttp(url, options);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Reads a field of JSON by its path, such as `usage.prompt_tokens`. */
+export function readPath(value: JsonValue, path: string): unknown {
+  let held: JsonValue = value;
+  for (const name of path.split(".")) {
+    if (typeof held !== "object" || held === null) return undefined;
+    held = held[name];
+  }
+  return held;
+}
+
+function tryParse(text: string): JsonValue {
+  try {
+    return JSON.parse(text) as JsonValue;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/test/harness/plan.ts
@@ -0,0 +1,105 @@
+/** What a fleet on loopback consists of, and the settings of its processes. */
+
+/** Ports of one product process. */
+export interface ProcessPorts {
+  readonly grpcPort: number;
+  readonly gossipPort: number;
+  readonly adminPort: number;
+  /** Only of a router. */
+  readonly callerPort: number;
+}
+
+/** One product process as it is planned. */
+export interface PlannedProcess extends ProcessPorts {
+  readonly id: string;
+  readonly role: "router" | "agent";
+  readonly zone: string;
+  /** Service of an agent's target. */
+  readonly service: string;
+  readonly kind: "model" | "plain";
+  /** Base URL of an agent's target. */
+  readonly target: string;
+  /** Base URL of the platform as this process reaches it. */
+  readonly platform: string;
+  readonly seeds: readonly string[];
+  readonly shutdownMs: number;
+}
+
+/** Availability zones of the fleet on loopback. */
+export const zones: readonly string[] = ["coast-a", "coast-b", "coast-c"];
+
+/** Returns the settings file of a process, as JSON with comments. */
+export function formatSettings(planned: PlannedProcess): string {
+  const common = {
+    role: planned.role,
+    id: planned.id,
+    address: "127.0.0.1",
+    zone: planned.zone,
+    region: "bc-coast",
+    vm: `vm-${planned.id}`,
+    platform: {
+      keyValue: planned.platform,
+      vmList: planned.platform,
+      callsPerSecond: 200,
+    },
+    seeds: planned.seeds,
+    grpcPort: planned.grpcPort,
+    gossipPort: planned.gossipPort,
+    adminPort: planned.adminPort,
+    controlBytesPerSecond: 22_000,
+    shutdownMs: planned.shutdownMs,
+    logLevel: "info",
+  };
+  const special = planned.role === "router"
+    ? {
+      callerPort: planned.callerPort,
+      maxBodyBytes: 1_048_576,
+      maxInFlight: 1000,
+    }
+    : {
+      service: planned.service,
+      target: planned.target,
+      kind: planned.kind,
+      weight: 100,
+      keptAnswerBytes: 33_554_432,
+      keptAnswerMs: 600_000,
+    };
+  const settings = JSON.stringify({ ...common, ...special }, undefined, 2);
+  return `// Settings of ${planned.id}, written by the test harness.\n${settings}\n`;
+}
+
+/** The operations of the first patch: services and workspaces. */
+export function getFirstOperations(): readonly object[] {
+  const policy = {
+    loadMultiple: 1.25,
+    slots: 8,
+    queueLimit: 32,
+    priorityWeights: { interactive: 4, background: 1 },
+    retryBudget: 0.2,
+    checksFencing: true,
+  };
+  return [
+    {
+      kind: "put_service",
+      name: "verse-model",
+      value: { ...policy, kind: "model", routes: [] },
+    },
+    {
+      kind: "put_service",
+      name: "order-desk",
+      value: {
+        ...policy,
+        kind: "plain",
+        routes: [
+          { method: "GET", pathPrefix: "/proofs/", repeatable: true },
+          { method: "POST", pathPrefix: "/orders", repeatable: false },
+        ],
+      },
+    },
+    {
+      kind: "put_workspace",
+      name: "counter",
+      value: { weight: 1, requestsPerSecond: 0, services: [] },
+    },
+  ];
+}
