--- /dev/null
+++ b/src/connection/configuration_server.ts
@@ -0,0 +1,74 @@
+/** Serves the configuration to other members over gRPC. */
+
+import { type Server, type ServerWritableStream, status } from "@grpc/grpc-js";
+import {
+  ControlServiceService,
+  type PullConfigurationRequest,
+  type PullConfigurationResponse,
+} from "../generated/mimosatray/v1/control.ts";
+import type {
+  LocalConfigurationStore,
+  ServedConfiguration,
+} from "../version/configuration_store.ts";
+import type { Snapshot } from "../version/snapshot.ts";
+
+/** What serving needs of the process. */
+export interface ConfigurationServerHost {
+  readonly server: Server;
+  readonly store: Pick<LocalConfigurationStore, "serve">;
+}
+
+type Call = ServerWritableStream<
+  PullConfigurationRequest,
+  PullConfigurationResponse
+>;
+
+/** Adds the method that sends the configuration to the process's server. */
+export function addConfigurationServer(host: ConfigurationServerHost): void {
+  // Another part adds the other method of the service.
+  const { pullConfiguration } = ControlServiceService;
+  host.server.addService({ pullConfiguration }, {
+    pullConfiguration: (call: Call) => {
+      void answer(call);
+    },
+  });
+
+  async function answer(call: Call): Promise<void> {
+    const served = await host.store.serve(call.request.afterVersion);
+    if (served === undefined) {
+      call.emit("error", {
+        code: status.UNAVAILABLE,
+        details: "No configuration is loaded yet",
+      });
+      return;
+    }
+    for (const response of toResponses(served)) call.write(response);
+    call.end();
+  }
+}
+
+function toResponses(
+  served: ServedConfiguration,
+): readonly PullConfigurationResponse[] {
+  return served.kind === "patches"
+    ? served.texts.map((value) => ({ part: { $case: "patch", value } }))
+    : toSnapshotResponses(served.snapshot);
+}
+
+function toSnapshotResponses(
+  snapshot: Snapshot,
+): readonly PullConfigurationResponse[] {
+  const { version, checksum, parts } = snapshot;
+  return parts.map((part, index) => ({
+    part: {
+      $case: "snapshot",
+      value: {
+        version,
+        index,
+        count: parts.length,
+        checksum,
+        data: Buffer.from(part, "base64"),
+      },
+    },
+  }));
+}
--- /dev/null
+++ b/src/roles/order_route.ts
@@ -0,0 +1,128 @@
+/** The route by which operators send fenced orders to engines. */
+
+import type { EitherAsync } from "purify-ts";
+import type {
+  AdminAnswer,
+  AdminCall,
+  AdminRoute,
+} from "../connection/admin_listener.ts";
+import type { EngineOrder } from "../connection/order_client.ts";
+import { takeFencingNumber } from "../process/fencing_numbers.ts";
+import { createReport, type Report } from "../types/diagnostics.ts";
+import type { Member } from "../types/member.ts";
+import type { Platform } from "../types/platform.ts";
+import type { Fleet } from "../types/role.ts";
+
+/** Sends an order to the agent that the member record names. */
+export type SendOrder = (
+  member: Member,
+  order: EngineOrder,
+) => EitherAsync<Report, void>;
+
+/** What the route needs of the process. */
+export interface OrderRouteHost {
+  readonly fleet: Fleet;
+  readonly platform: Platform;
+  readonly sendOrder: SendOrder;
+}
+
+interface OrderBody {
+  readonly target?: unknown;
+  readonly action?: unknown;
+  readonly adapter?: unknown;
+  readonly operator?: unknown;
+  readonly fencingNumber?: unknown;
+}
+
+type Field = keyof OrderBody;
+
+const expectations: Readonly<
+  Record<Field, { readonly expected: string; accepts(value: unknown): boolean }>
+> = {
+  target: {
+    expected: "the id of an agent",
+    accepts: (value) => value === undefined || isText(value),
+  },
+  action: {
+    expected: '"load_adapter" or "unload_adapter"',
+    accepts: (value) => value === "load_adapter" || value === "unload_adapter",
+  },
+  adapter: { expected: "the name of an adapter", accepts: isText },
+  operator: { expected: "the operator's name", accepts: isText },
+  fencingNumber: {
+    expected: "a whole number above 0, or left out to take the next one",
+    accepts: (value) =>
+      value === undefined || (Number.isSafeInteger(value) && Number(value) > 0),
+  },
+};
+
+/** Creates the route. */
+export function createOrderRoute(host: OrderRouteHost): AdminRoute {
+  return { method: "POST", path: "/orders", handle };
+
+  async function handle(call: AdminCall): Promise<AdminAnswer> {
+    const body = (call.body ?? {}) as OrderBody;
+    const wrong = (Object.keys(expectations) as Field[])
+      .filter((field) => !expectations[field].accepts(body[field]))
+      .map((field) => {
+        const { expected } = expectations[field];
+        return createReport("bad_field", { field, expected });
+      });
+    if (wrong.length > 0) return toReports(wrong);
+    const id = String(body.target ?? host.fleet.getSelf().id);
+    const member = host.fleet.members.tryGetMember(id);
+    if (member?.role !== "agent") {
+      const { expected } = expectations.target;
+      return toReports([
+        createReport("bad_field", { field: "target", expected }),
+      ]);
+    }
+    return await sendOrder(member, body);
+  }
+
+  async function sendOrder(
+    member: Member,
+    body: OrderBody,
+  ): Promise<AdminAnswer> {
+    const operator = String(body.operator);
+    const fencingNumber = body.fencingNumber === undefined
+      ? await takeNumber(member, operator)
+      : Number(body.fencingNumber);
+    if (fencingNumber === undefined) {
+      return toReports([createReport("platform_unavailable")]);
+    }
+    const sent = await host.sendOrder(member, {
+      action: body.action as EngineOrder["action"],
+      adapter: String(body.adapter),
+      fencingNumber,
+      operator,
+    }).run();
+    return sent.caseOf<AdminAnswer>({
+      Left: (report) => toReports([report]),
+      Right: () => ({
+        kind: "json",
+        status: 200,
+        body: { target: member.id, accepted: true, fencingNumber },
+      }),
+    });
+  }
+
+  async function takeNumber(
+    member: Member,
+    operator: string,
+  ): Promise<number | undefined> {
+    const taken = await takeFencingNumber(host.platform, {
+      target: member.id,
+      operator,
+    }).run();
+    return taken.toMaybe().extract();
+  }
+}
+
+function isText(value: unknown): boolean {
+  return typeof value === "string" && value.length > 0;
+}
+
+function toReports(reports: readonly Report[]): AdminAnswer {
+  return { kind: "reports", reports };
+}
