--- a/test/demo/idle.ts
+++ b/test/demo/idle.ts
@@ -27,7 +27,7 @@
 function showProcess(report: Report, name: string, running: Running): void {
   const megabytes = readResidentBytes(running.child.pid) / bytesPerMegabyte;
   report.say(
-    `a ${name} was ready after ${running.readyMs} ms` +
+    `the ${name} was ready after ${running.readyMs} ms` +
       ` and holds ${megabytes.toFixed(1)} MB`,
   );
   report.note(`${name}_ready_ms`, running.readyMs);
--- a/test/demo/steps.ts
+++ b/test/demo/steps.ts
@@ -159,6 +159,10 @@
   const result = await load.stop();
   const lateMs = Math.max(0, lastRunAt - drainedAt);
   report.say(`${result.sent} chats in all, ${result.whole} whole`);
+  new Set(result.ends).forEach((end) => {
+    const count = result.ends.filter((other) => other === end).length;
+    report.say(`not whole: ${count} with ${end}`);
+  });
   report.say(`its last new work came ${lateMs.toFixed(0)} ms after the drain`);
   report.check("no new work after 3 s", lateMs < drainBoundMs);
   report.check("no chat was cut or refused", result.whole === result.sent);
@@ -188,16 +192,17 @@
   let stopped = false;
   let sent = 0;
   let whole = 0;
+  const ends: string[] = [];
   const callers = routers.flatMap((router) =>
     Array.from({ length: 4 }, (_, index) => run(router, index))
   );
 
   return { stop };
 
-  async function stop(): Promise<{ sent: number; whole: number }> {
+  async function stop() {
     stopped = true;
     await Promise.all(callers);
-    return { sent, whole };
+    return { sent, whole, ends };
   }
 
   async function run(router: Running, caller: number): Promise<void> {
@@ -211,6 +216,7 @@
       const isWhole = answer.isWhole &&
         checkDraft(answer.text, answerTokens) === "whole";
       if (isWhole) whole++;
+      else ends.push(`${answer.status} ${answer.code || "no code"}`);
     }
   }
 }
--- a/test/harness/fleet.ts
+++ b/test/harness/fleet.ts
@@ -245,7 +245,7 @@
     writeFileSync(settingsFile, formatSettings(planned));
     const child = keep(startChild(
       planned.id,
-      [...product, planned.role, "--settings", settingsFile],
+      [...product, planned.role, settingsFile],
       { echo: options.echo ?? false },
     ));
     const adminUrl = `http://127.0.0.1:${planned.adminPort}`;
