Ask the least loaded target again when all refused

The router now keeps the last load of each target that refused and asks the least loaded again, at most three times, with the loads of the others; the gate's own rule decides as before, so the bound is untouched. Three remembered targets are asked in place of two, as the gate corrects its mean from three loads.

--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -82,7 +82,6 @@
   const claimed = isClaimed
     ? createClaimedRequest({ claims: host.claims, join }, work)
     : undefined;
-  const observedLoads: number[] = [];
   /** What became of an attempt that may have run; none has otherwise. */
   let lastFailure: DiagnosticCode | undefined;
   let crashes = 0;
@@ -137,7 +136,7 @@
       crashes: Math.max(crashes, host.crashes.getCrashes(work.fingerprint)),
       claim: claimed?.key ?? "",
       configurationVersion: host.configuration.getConfiguration().version,
-      observedLoads,
+      observedLoads: routing.getOtherLoads(member.id),
       conversationHash: work.kind === "chat"
         ? host.hashConversation(getPlacementKey(work))
         : 0,
@@ -186,7 +185,9 @@
     lastRefusal = createReport(code, { service: work.service }, {
       retryAfterMs: retryAfterMs || defaultRetryAfterMs,
     });
-    if (load !== undefined) observedLoads.push(load);
+    if (load !== undefined && code === "target_full") {
+      routing.noteLoad(placed.target.id, load);
+    }
     host.refusals.noteRefusal(
       placed.target.id,
       freeRefusals.has(code) ? retryAfterMs : unreachableMs,
--- a/src/request/routing.ts
+++ b/src/request/routing.ts
@@ -1,6 +1,8 @@
 /**
  * Chooses the targets of one request one after the other: by rank for its
- * conversation, those that have just refused others last.
+ * conversation, those that have just refused others last. When all refused, the
+ * least loaded ones are asked again: they learn the loads of the others by
+ * then, and a target at or below the mean takes one more request.
  */
 
 import type { Placement } from "../process/placement.ts";
@@ -13,7 +15,13 @@
 const maxTargets = 8;
 
 /** Targets asked although they have just refused another request. */
-const maxRemembered = 2;
+const maxRemembered = 3;
+
+/** Loads that make another ask of the least loaded target useful. */
+const minRefusedLoads = 2;
+
+/** Asks of targets that have refused the same request before. */
+const maxAskedAgain = 3;
 
 /** What routing needs from outside. */
 export interface RoutingHost {
@@ -26,6 +34,10 @@
 export interface Routing {
   /** The next target to ask; undefined when there is none left. */
   tryGetNext(): Member | undefined;
+  /** Notes the load at which a target refused, in work units. */
+  noteLoad(target: string, load: number): void;
+  /** Last loads of the other targets that refused. */
+  getOtherLoads(target: string): readonly number[];
   /** Targets returned so far. */
   getAsked(): number;
 }
@@ -39,11 +51,45 @@
 /** Creates the choice for one request. */
 export function createRouting(host: RoutingHost, work: Work): Routing {
   const asked = new Set<string>();
+  const loads = new Map<string, number>();
   let rememberedAsked = 0;
+  let askedAgain = 0;
 
-  return { tryGetNext, getAsked: () => asked.size };
+  return {
+    tryGetNext,
+    noteLoad,
+    getOtherLoads,
+    getAsked: () => asked.size,
+  };
 
   function tryGetNext(): Member | undefined {
+    return tryGetUnasked() ?? tryGetLeastLoaded();
+  }
+
+  function noteLoad(target: string, load: number): void {
+    loads.set(target, load);
+  }
+
+  function getOtherLoads(target: string): readonly number[] {
+    return [...loads]
+      .filter(([id]) => id !== target)
+      .map(([_id, load]) => load);
+  }
+
+  function tryGetLeastLoaded(): Member | undefined {
+    if (loads.size < minRefusedLoads) return undefined;
+    if (askedAgain >= maxAskedAgain) return undefined;
+    askedAgain++;
+    return host.members.getAvailableAgents(work.service)
+      .filter(({ id }) => loads.has(id))
+      .sort((left, right) => getLoad(left) - getLoad(right))[0];
+  }
+
+  function getLoad(member: Member): number {
+    return loads.get(member.id) ?? Infinity;
+  }
+
+  function tryGetUnasked(): Member | undefined {
     if (asked.size >= maxTargets) return undefined;
     // The members are read again: they may have changed since the last ask.
     const ranked = rank().filter((member) => !asked.has(getKey(member)));
