Weigh the ways to place returning chats

Cause: the starting design left churn, late means, unequal lengths and small fleets open. Conclusion: a policy bench with fakes of engines around the product's gate.

--- /dev/null
+++ b/bench/placement.ts
@@ -0,0 +1,72 @@
+/**
+ * Weighs the ways to place returning chats. Prints one JSON line a run.
+ *
+ * Arguments: scenario names, or none for all.
+ */
+
+import { loadHashes, runExperiment } from "./placement/driver.ts";
+import { policies } from "./placement/policies.ts";
+import type { Experiment } from "./placement/shapes.ts";
+
+const base: Experiment = {
+  engines: 210,
+  ratePerEngine: 4.76,
+  chatsPerEngine: 286,
+  cacheSize: 1_500,
+  loadMultiple: 1.25,
+  coldMultiple: Number(process.env.COLD ?? 1.25),
+  margin: Number(process.env.MARGIN ?? 0),
+  turns: Number(process.env.TURNS ?? 1e9),
+  reportAge: 1,
+  samples: Number(process.env.SAMPLES ?? 4),
+  lengthSigma: 0,
+  surgeShare: 0,
+  warmUpSeconds: 150,
+  seconds: 180,
+  seed: 11,
+  churn: "none",
+};
+
+/** All scenarios by name. */
+const scenarios: Readonly<Record<string, Experiment>> = {
+  steady_210: base,
+  unequal_210: { ...base, lengthSigma: 1 },
+  stale_210: { ...base, lengthSigma: 1, reportAge: 3 },
+  surge_210: { ...base, lengthSigma: 1, surgeShare: 0.4 },
+  churn_210: { ...base, lengthSigma: 1, churn: "leave_and_join" },
+  planned_210: { ...base, lengthSigma: 1, churn: "planned_leave_with_export" },
+  flap_210: { ...base, lengthSigma: 1, churn: "flap" },
+  zone_210: { ...base, lengthSigma: 1, churn: "zone_lost_and_back" },
+  tight_210: { ...base, lengthSigma: 1, loadMultiple: 1.1 },
+  steady_13: { ...base, engines: 13 },
+  unequal_13: { ...base, engines: 13, lengthSigma: 1 },
+  churn_13: { ...base, engines: 13, lengthSigma: 1, churn: "leave_and_join" },
+  planned_13: {
+    ...base,
+    engines: 13,
+    lengthSigma: 1,
+    churn: "planned_leave_with_export",
+  },
+  steady_6: { ...base, engines: 6 },
+  unequal_6: { ...base, engines: 6, lengthSigma: 1 },
+  churn_6: { ...base, engines: 6, lengthSigma: 1, churn: "leave_and_join" },
+};
+
+/** Runs the named scenarios with every policy. */
+async function main(names: readonly string[]): Promise<void> {
+  const hashes = await loadHashes();
+  const chosen = names.length > 0 ? names : Object.keys(scenarios);
+  for (const name of chosen) {
+    const experiment = scenarios[name];
+    if (experiment === undefined) throw new Error(`No scenario ${name}`);
+    const wanted = process.env.POLICIES?.split(",") ?? Object.keys(policies);
+    for (const policy of wanted) {
+      const result = runExperiment(policy, experiment, hashes);
+      console.log(
+        JSON.stringify({ bench: "placement", scenario: name, ...result }),
+      );
+    }
+  }
+}
+
+void main(process.argv.slice(2));
--- /dev/null
+++ b/bench/placement/policies.ts
@@ -0,0 +1,153 @@
+/** The ways to place a chat that are weighed against each other. */
+
+import type { Engine } from "./engine.ts";
+import type { Chat } from "./shapes.ts";
+import type { Random } from "./random.ts";
+
+/** What a policy sees of the world. */
+export interface World {
+  readonly now: number;
+  /** Engines that the router believes are there. */
+  readonly engines: readonly Engine[];
+  readonly random: Random;
+  /** Engines in rendezvous order for a chat. */
+  rank(key: string): readonly Engine[];
+  /** Engines in ring order for a chat. */
+  walkRing(key: string): readonly Engine[];
+  /** Hash of a chat's key. */
+  hash(key: string): number;
+  /** Asks an engine's gate. */
+  asks(engine: Engine, loads: readonly number[]): boolean;
+}
+
+/** Where a request goes. */
+export interface Choice {
+  readonly engine: Engine | undefined;
+  readonly asked: number;
+}
+
+/** Most engines that one request asks before a second pass. */
+const maxAsked = 8;
+
+/** Most engines asked whether they hold a context. */
+const maxHoldersAsked = 4;
+
+let roundRobinIndex = 0;
+
+/** All policies by name. */
+export const policies: Readonly<
+  Record<string, (chat: Chat, world: World) => Choice>
+> = {
+  round_robin: (_chat, { engines }) => {
+    roundRobinIndex = (roundRobinIndex + 1) % engines.length;
+    return { engine: engines[roundRobinIndex], asked: 1 };
+  },
+  two_choices: (_chat, { engines, random, now }) => {
+    const left = engines[random.below(engines.length)] as Engine;
+    const right = engines[random.below(engines.length)] as Engine;
+    const engine = left.getLoad(now) <= right.getLoad(now) ? left : right;
+    return { engine, asked: 1 };
+  },
+  modulo: (chat, { engines, hash }) => ({
+    engine: engines[hash(chat.key) % engines.length],
+    asked: 1,
+  }),
+  rendezvous: (chat, world) => ({
+    engine: world.rank(chat.key)[0],
+    asked: 1,
+  }),
+  ring_bounded: (chat, world) => askInOrder(world.walkRing(chat.key), world),
+  rendezvous_bounded: (chat, world) => askInOrder(world.rank(chat.key), world),
+  rendezvous_bounded_hint: (chat, world) =>
+    askInOrder(withHint(chat, world), world),
+  rendezvous_bounded_memory: (chat, world) =>
+    askWithMemory(chat, world.rank(chat.key), world),
+  rendezvous_bounded_held: (chat, world) =>
+    askHolders(chat, world.rank(chat.key), world),
+  rendezvous_bounded_held_hint: (chat, world) =>
+    askHolders(chat, withHint(chat, world), world),
+};
+
+/** Puts the last place in front. */
+function withHint(chat: Chat, world: World): readonly Engine[] {
+  const place = world.engines.find(({ id }) => id === chat.lastPlace);
+  const ranked = world.rank(chat.key);
+  if (place === undefined) return ranked;
+  return [place, ...ranked.filter((engine) => engine !== place)];
+}
+
+/** Asks in order, then the least loaded of those asked with all loads. */
+function askInOrder(order: readonly Engine[], world: World): Choice {
+  const loads: number[] = [];
+  const asked = order.slice(0, maxAsked);
+  for (const engine of asked) {
+    if (world.asks(engine, loads)) return { engine, asked: loads.length + 1 };
+    loads.push(engine.getLoad(world.now));
+  }
+  return askLeastLoaded(asked, world);
+}
+
+function askLeastLoaded(asked: readonly Engine[], world: World): Choice {
+  const { now } = world;
+  const [best, ...others] = [...asked].sort((left, right) =>
+    left.getLoad(now) - right.getLoad(now)
+  );
+  if (best === undefined) return { engine: undefined, asked: 0 };
+  const loads = others.map((engine) => engine.getLoad(now));
+  const engine = world.asks(best, loads) ? best : undefined;
+  return { engine, asked: asked.length + 1 };
+}
+
+/**
+ * A returning chat asks the first ranks whether they hold its context, and
+ * only then any engine that may take it cold.
+ */
+function askHolders(
+  chat: Chat,
+  order: readonly Engine[],
+  world: World,
+): Choice {
+  if (chat.turn === 0) return askInOrder(order, world);
+  const holders = order.slice(0, maxHoldersAsked);
+  for (const [index, engine] of holders.entries()) {
+    if (!engine.holds(chat.key, chat.turn)) continue;
+    if (world.asks(engine, [])) return { engine, asked: index + 1 };
+  }
+  const choice = askInOrder(order, world);
+  return { ...choice, asked: choice.asked + holders.length };
+}
+
+/**
+ * An engine that has sent a chat on sends it on again, so that the chat finds
+ * the engine that took it, with no hint from the caller.
+ */
+function askWithMemory(
+  chat: Chat,
+  order: readonly Engine[],
+  world: World,
+): Choice {
+  const asked = order.slice(0, maxAsked);
+  const sentOn = asked.filter((engine) => engine.isSentOn(chat.key, world.now));
+  const first = asked.filter((engine) => !sentOn.includes(engine));
+  const loads: number[] = [];
+  let count = 0;
+  for (const engine of [...first, ...sentOn]) {
+    count++;
+    if (world.asks(engine, loads)) {
+      engine.forgetSentOn(chat.key);
+      return {
+        engine,
+        asked: count + (sentOn.includes(engine) ? 0 : getSkipped(engine)),
+      };
+    }
+    engine.noteSentOn(chat.key, world.now);
+    loads.push(engine.getLoad(world.now));
+  }
+  return askLeastLoaded(asked, world);
+
+  function getSkipped(engine: Engine): number {
+    const index = asked.indexOf(engine);
+    return asked.slice(0, index).filter((other) => sentOn.includes(other))
+      .length;
+  }
+}
