--- /dev/null
+++ b/src/connection/peer_connections.ts
@@ -0,0 +1,61 @@
+/** Keeps one connection of a kind to each member that is called. */
+
+import { type Client, credentials } from "@grpc/grpc-js";
+import type { Member } from "../types/member.ts";
+
+/** A generated client of one service. */
+export type ClientConstructor<C extends Client> = new (
+  address: string,
+  channelCredentials: ReturnType<typeof credentials.createInsecure>,
+  options?: Record<string, number>,
+) => C;
+
+/** Connections to members by address. */
+export interface PeerConnections<C extends Client> {
+  get(member: Member): C;
+  close(): void;
+}
+
+/** Connections that are kept; the one opened first is closed first. */
+const maxConnections = 16;
+
+/** Largest message between processes, in bytes. */
+export const maxMessageBytes = 64 * 1_048_576;
+
+/** Creates an empty collection. */
+export function createPeerConnections<C extends Client>(
+  createClient: ClientConstructor<C>,
+): PeerConnections<C> {
+  const clients = new Map<string, C>();
+
+  return { get, close };
+
+  function get(member: Member): C {
+    const address = formatAddress(member.address, member.grpcPort);
+    const held = clients.get(address);
+    if (held !== undefined) return held;
+    if (clients.size >= maxConnections) closeOldest();
+    const client = new createClient(address, credentials.createInsecure(), {
+      "grpc.max_receive_message_length": maxMessageBytes,
+    });
+    clients.set(address, client);
+    return client;
+  }
+
+  function closeOldest(): void {
+    const [oldest] = clients;
+    if (oldest === undefined) return;
+    clients.delete(oldest[0]);
+    oldest[1].close();
+  }
+
+  function close(): void {
+    clients.forEach((client) => client.close());
+    clients.clear();
+  }
+}
+
+/** Returns an IP number and a port as one text. */
+export function formatAddress(address: string, port: number): string {
+  return address.includes(":") ? `[${address}]:${port}` : `${address}:${port}`;
+}
--- /dev/null
+++ b/src/process/fencing_numbers.ts
@@ -0,0 +1,32 @@
+/**
+ * Numbers that fence orders to one target: each is the revision of a key in
+ * the platform's service, so a later order always has a higher number.
+ */
+
+import { EitherAsync } from "purify-ts";
+import type { Platform, PlatformError } from "../types/platform.ts";
+
+/** Tries against other operators before giving up. */
+const maxTries = 8;
+
+/** Takes the next number for the orders to a target. */
+export function takeFencingNumber(
+  platform: Platform,
+  options: { readonly target: string; readonly operator: string },
+): EitherAsync<PlatformError, number> {
+  const key = `order/${options.target}`;
+  return EitherAsync(async ({ fromPromise, throwE }) => {
+    for (let tries = 1;; tries++) {
+      const entry = await fromPromise(platform.get(key));
+      const expectedRevision = entry?.revision ?? 0;
+      const written = await platform
+        .put(key, options.operator, { expectedRevision })
+        .run();
+      const error = written.swap().toMaybe().extract();
+      if (error === undefined) return written.orDefault(0);
+      // A number whose answer was lost is never used; the next one is higher.
+      const mayRetry = error.kind === "conflict" || error.kind === "unknown";
+      if (!mayRetry || tries >= maxTries) return throwE(error);
+    }
+  });
+}
--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -163,6 +163,21 @@
     status: 400,
     text: "The body ended before its announced length",
   },
+  body_late: {
+    category: "not_run",
+    status: 408,
+    text: "The body did not arrive within {limit} ms",
+  },
+  headers_too_large: {
+    category: "not_run",
+    status: 431,
+    text: "The headers are larger than {limit} bytes",
+  },
+  bad_http: {
+    category: "not_run",
+    status: 400,
+    text: "The request is not valid HTTP: {reason}",
+  },
   not_found: {
     category: "not_run",
     status: 404,
@@ -198,6 +213,31 @@
     status: 503,
     text: "The platform's service does not answer, nothing was changed",
   },
+  patch_id_reused: {
+    category: "operator",
+    status: 409,
+    text: "Patch id {id} was used for version {version} with other content",
+  },
+  patch_base_old: {
+    category: "operator",
+    status: 409,
+    text: "Base version {base} is older than version {oldest}, read it again",
+  },
+  patch_contended: {
+    category: "operator",
+    status: 503,
+    text: "Other operators were faster {tries} times, nothing was changed",
+  },
+  admin_unreachable: {
+    category: "operator",
+    status: 0,
+    text: "{address} does not answer: {reason}",
+  },
+  usage_invalid: {
+    category: "settings",
+    status: 0,
+    text: "{argument} must be {expected}",
+  },
   order_fenced: {
     category: "operator",
     status: 409,
@@ -213,6 +253,21 @@
     status: 0,
     text: "{file}:{line}:{column}: {field} is not a setting",
   },
+  settings_missing: {
+    category: "settings",
+    status: 0,
+    text: "{file}:{line}:{column}: {field} is missing, it must be {expected}",
+  },
+  settings_repeated: {
+    category: "settings",
+    status: 0,
+    text: "{file}:{line}:{column}: {field} is given twice",
+  },
+  settings_syntax: {
+    category: "settings",
+    status: 0,
+    text: "{file}:{line}:{column}: the text is not JSON: {reason}",
+  },
   settings_unreadable: {
     category: "settings",
     status: 0,
