Keep greeting seeds at which no member is known to live

When 7 processes started at once, 2 of 15 starts of the demo's fleet fell into groups that never met (a router had not seen all agents after 20 s): each process stopped greeting as soon as it knew any one member. It now greets one unknown seed a second beside its watch.

Ruled out: a lost datagram (the groups stayed apart for the whole 20 s).

--- a/src/roles/fleet_join.ts
+++ b/src/roles/fleet_join.ts
@@ -70,7 +70,9 @@
 
   function greet(): void {
     const endpoints = [...seeds, ...listed].filter(isOther);
-    for (const endpoint of takeSome(endpoints)) exchange.sayHello(endpoint);
+    for (const endpoint of takeSome(endpoints, greetedAtOnce)) {
+      exchange.sayHello(endpoint);
+    }
   }
 
   function isOther({ address, port }: Endpoint): boolean {
@@ -86,6 +88,8 @@
 
   async function watchOnce(): Promise<void> {
     const { membership } = exchange;
+    // Processes that start together may first find each other in groups.
+    greetUnknown(seeds, 1);
     if (!hasMembers()) {
       await readList();
       greet();
@@ -93,7 +97,7 @@
       isOnWatchDuty(membership.getSelf(), membership.table.getAll())
     ) {
       await readList();
-      greetUnknown();
+      greetUnknown(listed, greetedAtOnce);
     }
   }
 
@@ -123,23 +127,30 @@
     exchange.mergeVms(vms);
   }
 
-  /** Greets some live VMs from which no record is held. */
-  function greetUnknown(): void {
+  /** Greets some endpoints at which no member is known to live. */
+  function greetUnknown(endpoints: readonly Endpoint[], atMost: number): void {
     const known = new Set(
-      exchange.membership.getPeers().map(({ address }) => address),
+      exchange.membership.getPeers().map(({ address, gossipPort }) =>
+        `${address}:${gossipPort}`
+      ),
+    );
+    const unknown = endpoints.filter((endpoint) =>
+      isOther(endpoint) && !known.has(`${endpoint.address}:${endpoint.port}`)
     );
-    const unknown = listed.filter(({ address }) => !known.has(address));
-    for (const endpoint of takeSome(unknown.filter(isOther))) {
+    for (const endpoint of takeSome(unknown, atMost)) {
       exchange.sayHello(endpoint);
     }
   }
 }
 
-/** Takes at most a round's number of endpoints, in random order. */
-function takeSome(endpoints: readonly Endpoint[]): readonly Endpoint[] {
+/** Takes at most some endpoints, in random order. */
+function takeSome(
+  endpoints: readonly Endpoint[],
+  atMost: number,
+): readonly Endpoint[] {
   const left = [...endpoints];
   const taken: Endpoint[] = [];
-  while (left.length > 0 && taken.length < greetedAtOnce) {
+  while (left.length > 0 && taken.length < atMost) {
     taken.push(...left.splice(Math.floor(Math.random() * left.length), 1));
   }
   return taken;
--- a/test/harness/fleet.ts
+++ b/test/harness/fleet.ts
@@ -126,6 +126,11 @@
         planAgent(target, { index, service: "order-desk", kind: "plain" })
       ),
     );
+    await publishVms(platform, [
+      ...routerPlans,
+      ...engineAgentPlans,
+      ...serviceAgentPlans,
+    ]);
     const [routers, engineAgents, serviceAgents] = await Promise.all(
       [routerPlans, engineAgentPlans, serviceAgentPlans]
         .map((plans) => Promise.all(plans.map((plan) => startProduct(plan)))),
@@ -180,6 +185,20 @@
     }
   }
 
+  /** Sets the platform's list of VMs, one for each process. */
+  async function publishVms(
+    platform: StandIn,
+    plans: readonly PlannedProcess[],
+  ): Promise<void> {
+    const vms = plans.map(({ id, zone, gossipPort }) => ({
+      id: `vm-${id}`,
+      address: `127.0.0.1:${gossipPort}`,
+      zone,
+      state: "live",
+    }));
+    await callHttp(`${platform.url}/faults/vms`, { body: { vms } });
+  }
+
   /** Puts the first configuration in place and waits until it is in force. */
   async function fill(fleet: TestFleet): Promise<void> {
     const [first] = fleet.routers;
