--- a/src/roles/agent.ts
+++ b/src/roles/agent.ts
@@ -2,10 +2,16 @@
 
 import { addAgentService } from "../connection/agent_server.ts";
 import { createTargetClient } from "../connection/target_client.ts";
+import type {
+  OrderRequest,
+  OrderResponse,
+} from "../generated/mimosatray/v1/agent.ts";
 import { createAttemptTable } from "../process/attempt_table.ts";
 import { loadBodyDigests } from "../process/body_digest.ts";
 import { createCrashQuarantine } from "../process/crash_quarantine.ts";
 import { createLoadGate } from "../process/load_gate.ts";
+import { createOrderGate } from "../process/order_gate.ts";
+import { createOrphanLoad } from "../process/orphan_load.ts";
 import { createTargetWatch } from "../process/target_watch.ts";
 import { createWorkQueue } from "../process/work_queue.ts";
 import { createAttemptService } from "../request/attempt_service.ts";
@@ -16,12 +22,17 @@
 /** Limits of a service that the configuration does not name yet. */
 const defaultPolicy: Pick<
   Service,
-  "loadMultiple" | "slots" | "queueLimit" | "priorityWeights"
+  | "loadMultiple"
+  | "slots"
+  | "queueLimit"
+  | "priorityWeights"
+  | "checksFencing"
 > = {
   loadMultiple: 1.25,
   slots: 64,
   queueLimit: 128,
   priorityWeights: { interactive: 4, background: 1 },
+  checksFencing: false,
 };
 
 /** Time that an attempt without an answer is remembered, in milliseconds. */
@@ -30,12 +41,22 @@
 /** Attempts that are over and still remembered. */
 const maxRememberedAttempts = 20_000;
 
+/** Work counted for a request that an earlier process left, in work units. */
+const usualOrphanWork = 256;
+
+/** Time in which the holder of the order path may send, in milliseconds. */
+const orderLeaseMs = 2_000;
+
+/** Longest time from sending an order to its effect, in milliseconds. */
+const longestOrderMs = 3_000;
+
 /** Time between sweeps of what is old, in milliseconds. */
 const sweepMs = 1_000;
 
 /** Creates the agent role of a process. */
 export async function createAgentRole(host: AgentHost): Promise<Role> {
   const { settings, fleet, configuration, log, metrics } = host;
+  const { incarnation } = fleet.getSelf();
   let leaving = false;
   const digests = await loadBodyDigests();
   const target = createTargetClient(settings.target);
@@ -61,6 +82,21 @@
     getWorkspaceWeight: (workspace) =>
       configuration.getConfiguration().workspaces.get(workspace)?.weight ?? 1,
   });
+  const orders = createOrderGate({
+    platform: host.platform,
+    checksFencing: () => getPolicy().checksFencing,
+    send: (given) => target.order(given, { longestMs: longestOrderMs }),
+  }, {
+    key: `order/${settings.id}`,
+    holder: `${settings.id}/${incarnation}`,
+    leaseMs: orderLeaseMs,
+    longestOrderMs,
+  });
+  const orphans = createOrphanLoad({
+    getRunning: queue.getRunning,
+    getUsualWork: () => usualOrphanWork * 100 / settings.weight,
+    setForeignLoad: gate.setForeignLoad,
+  });
   const service = createAttemptService({
     table,
     gate,
@@ -71,14 +107,14 @@
     digests,
     log,
     metrics,
-    incarnation: fleet.getSelf().incarnation,
+    incarnation,
     getWeight: () => settings.weight,
     isLeaving: () => leaving,
   });
   addAgentService(host.server, {
     ...service,
     getLoad: gate.getLoad,
-    order: () => Promise.resolve({ accepted: false, code: "order_fenced" }),
+    order,
     drain: (operator) => {
       drain(operator);
       return service.getInFlight();
@@ -89,9 +125,10 @@
   metrics.gauge("load", gate.getLoad);
   metrics.gauge("running", queue.getRunning);
   metrics.gauge("waiting", queue.getWaiting);
-  const sweep = setInterval(table.sweep, sweepMs);
+  const sweep = setInterval(tick, sweepMs);
   sweep.unref();
   await watch.start();
+  if (settings.kind === "model") await readLoad();
 
   return {
     isReady: () => !leaving && watch.isUp(),
@@ -103,6 +140,9 @@
       load: gate.getLoad(),
       running: queue.getRunning(),
       waiting: queue.getWaiting(),
+      orphans: orphans.getOrphans(),
+      inFlight: quarantine.getInFlight(),
+      highestOrder: orders.getHighest(),
       attempts: { ...table.getCounts() },
     }),
   };
@@ -112,6 +152,26 @@
       defaultPolicy;
   }
 
+  async function order(request: OrderRequest): Promise<OrderResponse> {
+    if (request.targetIncarnation !== incarnation) {
+      return { accepted: false, code: "wrong_incarnation" };
+    }
+    const decision = await orders.submit(request);
+    const code = decision.kind === "accepted" ? "" : decision.code;
+    const { action, adapter, operator, fencingNumber } = request;
+    log.info("Order ended", { action, adapter, operator, fencingNumber, code });
+    return { accepted: decision.kind === "accepted", code };
+  }
+
+  function tick(): void {
+    table.sweep();
+    if (settings.kind === "model") void readLoad();
+  }
+
+  async function readLoad(): Promise<void> {
+    orphans.noteReport(await target.tryReadLoad());
+  }
+
   function noteCrash(): void {
     const suspects = quarantine.noteCrash();
     metrics.count("target_crashes_total");
