Prove each fault of a patch's life, with and without its mechanism

Racing operators, answers and requests lost, outages after acceptance, starts during an outage, cuts, late news, and a compaction racing readers and a paused writer. A create of a removed key is the trap: the writer looks at the head again after a pause, and readers take patches only with a look at the head made after them.

--- a/src/version/compaction.ts
+++ b/src/version/compaction.ts
@@ -22,14 +22,25 @@
 export const usualPatchesPerSnapshot = 200;
 
 /**
- * Time that patches stay in the log at the least, far above the time that a
- * commit takes and the difference between clocks; in milliseconds.
+ * Usual time that patches stay in the log at the least, far above the time
+ * that a commit takes and the difference between clocks; in milliseconds.
  */
-export const keptPatchMs = 1_800_000;
+export const usualKeptPatchMs = 1_800_000;
+
+/** Share of the kept time in which a commit needs no second look. */
+const sureShare = 1 / 30;
 
 /** Removals in one run, so that the write budget is kept. */
 const maxRemovals = 400;
 
+/**
+ * Returns the time within which a commit is sure that the compaction has not
+ * passed its version, in milliseconds.
+ */
+export function getSureCommitMs(keptPatchMs: number): number {
+  return keptPatchMs * sureShare;
+}
+
 /** Options of one run. */
 export interface CompactionOptions {
   readonly state: ConfigurationState;
@@ -37,6 +48,8 @@
   readonly partLength?: number;
   /** Patches after the newest snapshot that call for another. */
   readonly patchesPerSnapshot: number;
+  /** Time that patches stay in the log at the least, in milliseconds. */
+  readonly keptPatchMs: number;
 }
 
 /** Runs one compaction and returns the version of the newest snapshot. */
@@ -70,7 +83,7 @@
         expectedRevision: before.revision,
       }),
     );
-    await fromPromise(removeOld(platform, before));
+    await fromPromise(removeOld(platform, before, options));
     return version;
   });
 }
@@ -97,6 +110,7 @@
 function removeOld(
   platform: Platform,
   previous: SnapshotHead,
+  { keptPatchMs }: { readonly keptPatchMs: number },
 ): EitherAsync<PlatformError, void> {
   return EitherAsync(async ({ fromPromise }) => {
     const limit = maxRemovals;
--- a/src/version/configuration_store.ts
+++ b/src/version/configuration_store.ts
@@ -8,7 +8,11 @@
 import type { ConfigurationStore, Dump } from "../types/role.ts";
 import { getChecksum } from "./configuration_state.ts";
 import type { Codec } from "./codec.ts";
-import { usualPatchesPerSnapshot } from "./compaction.ts";
+import {
+  getSureCommitMs,
+  usualKeptPatchMs,
+  usualPatchesPerSnapshot,
+} from "./compaction.ts";
 import { createOperatorCalls, type OperatorCalls } from "./operator_calls.ts";
 import { createPatchSequence } from "./patch_sequence.ts";
 import { createPatchTail } from "./patch_tail.ts";
@@ -39,6 +43,8 @@
 export interface ConfigurationStoreOptions {
   /** Patches after the newest snapshot that call for another. */
   readonly patchesPerSnapshot?: number;
+  /** Time that patches stay in the log at the least, in milliseconds. */
+  readonly keptPatchMs?: number;
 }
 
 /** What a member is sent when it asks for what follows a version. */
@@ -68,6 +74,10 @@
 ): LocalConfigurationStore {
   const { platform, log, metrics, codec } = host;
   const { hash } = codec;
+  const {
+    patchesPerSnapshot = usualPatchesPerSnapshot,
+    keptPatchMs = usualKeptPatchMs,
+  } = options;
   const listeners: ((patch: Patch) => void)[] = [];
   const sequence = createPatchSequence({ hash });
   const tail = createPatchTail();
@@ -99,8 +109,8 @@
     log,
     metrics,
     codec,
-    patchesPerSnapshot: options.patchesPerSnapshot ??
-      usualPatchesPerSnapshot,
+    patchesPerSnapshot,
+    keptPatchMs,
     isWatcher: host.isWatcher,
     getState: sequence.getState,
     refresh: refreshAndSpread,
@@ -108,6 +118,7 @@
   const operator = createOperatorCalls({
     platform,
     hash,
+    sureCommitMs: getSureCommitMs(keptPatchMs),
     getState: sequence.getState,
     refresh,
     accept,
--- a/src/version/operator_calls.ts
+++ b/src/version/operator_calls.ts
@@ -18,6 +18,8 @@
 export interface OperatorCallsHost {
   readonly platform: Platform;
   readonly hash: Hash;
+  /** Time within which the compaction cannot have passed a commit. */
+  readonly sureCommitMs: number;
   getState(): ConfigurationState;
   refresh(): Promise<PlatformError | undefined>;
   /** Puts a committed patch into force and passes it on. */
@@ -42,8 +44,8 @@
 
 /** Creates the calls of one store. */
 export function createOperatorCalls(host: OperatorCallsHost): OperatorCalls {
-  const { platform, hash, getState } = host;
-  const commitHost = { platform, hash, getState, refresh };
+  const { platform, hash, sureCommitMs, getState } = host;
+  const commitHost = { platform, hash, sureCommitMs, getState, refresh };
 
   return { submit, findPatch, getHistory };
 
--- a/src/version/patch_commit.ts
+++ b/src/version/patch_commit.ts
@@ -26,6 +26,8 @@
 export interface CommitHost {
   readonly platform: Platform;
   readonly hash: Hash;
+  /** Time within which the compaction cannot have passed a commit. */
+  readonly sureCommitMs: number;
   getState(): ConfigurationState;
   /** Brings the state to the newest version that the platform keeps. */
   refresh(): EitherAsync<PlatformError, void>;
@@ -49,12 +51,6 @@
 /** Wait before the first repeated read, in milliseconds. */
 const readBackMs = 100;
 
-/**
- * Time within which a commit is sure that the compaction has not passed its
- * version: patches stay much longer in the log; in milliseconds.
- */
-export const sureCommitMs = 60_000;
-
 type Step =
   | { readonly kind: "accepted"; readonly patch: Patch }
   | { readonly kind: "again" }
@@ -163,7 +159,7 @@
     patch: Patch,
     written: { readonly revision: number; readonly readAt: number },
   ): Promise<Step> {
-    if (performance.now() - written.readAt < sureCommitMs) {
+    if (performance.now() - written.readAt < host.sureCommitMs) {
       return { kind: "accepted", patch };
     }
     const head = await readHead(platform).run();
--- a/src/version/watch_loop.ts
+++ b/src/version/watch_loop.ts
@@ -23,6 +23,8 @@
   readonly codec: Codec;
   /** Patches after the newest snapshot that call for another. */
   readonly patchesPerSnapshot: number;
+  /** Time that patches stay in the log at the least, in milliseconds. */
+  readonly keptPatchMs: number;
   isWatcher(): boolean;
   getState(): ConfigurationState;
   /** Reads from the platform and passes on what is new. */
@@ -133,12 +135,13 @@
   }
 
   async function runCompaction(): Promise<void> {
-    const { codec, patchesPerSnapshot } = host;
+    const { codec, patchesPerSnapshot, keptPatchMs } = host;
     const state = host.getState();
     const result = await compact(platform, {
       state,
       codec,
       patchesPerSnapshot,
+      keptPatchMs,
     }).run();
     result.caseOf<void>({
       Left: (error) =>
--- /dev/null
+++ b/test/configuration/compaction_test.ts
@@ -0,0 +1,314 @@
+/** The compaction of the patch log, racing with readers and writers. */
+
+import { createHash } from "node:crypto";
+import { EitherAsync } from "purify-ts";
+import type { Patch } from "../../src/types/configuration.ts";
+import type { Platform } from "../../src/types/platform.ts";
+import { compact } from "../../src/version/compaction.ts";
+import {
+  applyPatch,
+  type ConfigurationState,
+  createEmptyState,
+  getChecksum,
+} from "../../src/version/configuration_state.ts";
+import { commitPatch } from "../../src/version/patch_commit.ts";
+import { createPatchSequence } from "../../src/version/patch_sequence.ts";
+import {
+  formatPatch,
+  getPatchKey,
+  patchPrefix,
+  snapshotPrefix,
+  tryParsePatch,
+} from "../../src/version/patch_text.ts";
+import { readHead, readNewest } from "../../src/version/platform_reader.ts";
+import {
+  createMemoryPlatform,
+  type MemoryPlatform,
+} from "../fakes/memory_platform.ts";
+import { createTestCodec } from "../support/codec.ts";
+import {
+  createDraft,
+  createWorkspace,
+  putWorkspace,
+} from "../support/drafts.ts";
+
+const codec = createTestCodec();
+const patchesPerSnapshot = 10;
+const dayMs = 86_400_000;
+
+/** Largest value that the platform takes, in bytes. */
+const maxValueBytes = 1_000_000;
+
+let platform: MemoryPlatform;
+let writer: ConfigurationState;
+
+beforeEach(() => {
+  jest.useFakeTimers({ doNotFake: ["nextTick", "queueMicrotask"] });
+  platform = createMemoryPlatform();
+  writer = createEmptyState();
+});
+
+afterEach(() => {
+  jest.useRealTimers();
+});
+
+describe("compact", () => {
+  it("keeps the previous snapshot and removes what is older", async () => {
+    await writePatches(10);
+    await run();
+    await writePatches(10);
+    jest.advanceTimersByTime(dayMs);
+    await run();
+    expect(getKeyCount(patchPrefix)).toBe(10);
+    expect(getKeyCount(snapshotPrefix)).toBe(2);
+    await writePatches(10);
+    await run();
+    expect(getKeyCount(snapshotPrefix)).toBe(2);
+    expect(await readChecksum(platform)).toBe(getChecksum(writer));
+  });
+
+  it("does nothing while the log is short", async () => {
+    await writePatches(9);
+    await run();
+    expect(getKeyCount(snapshotPrefix)).toBe(0);
+  });
+
+  it("lets one of two that run at once move the head", async () => {
+    await writePatches(10);
+    const results = await Promise.all([
+      compactWith(platform.connect()),
+      compactWith(platform.connect()),
+    ]);
+    expect(results.filter((result) => result.isRight())).toHaveLength(1);
+    expect(await readChecksum(platform)).toBe(getChecksum(writer));
+  });
+
+  it("leaves a whole configuration wherever it is interrupted", async () => {
+    await writePatches(10);
+    await run();
+    await writePatches(10);
+    jest.advanceTimersByTime(dayMs);
+    for (let calls = 0; calls < 40; calls++) {
+      await compactWith(failAfter(platform.connect(), calls));
+      expect(await readChecksum(platform)).toBe(getChecksum(writer));
+    }
+  });
+});
+
+describe("readers that a compaction overtakes", () => {
+  it("still read a whole configuration", async () => {
+    await writePatches(25);
+    for (let calls = 0; calls < 12; calls++) {
+      jest.advanceTimersByTime(dayMs);
+      const reader = onCall(platform.connect(), calls, async () => {
+        await writePatches(10);
+        await run();
+        jest.advanceTimersByTime(dayMs);
+        await writePatches(10);
+        await run();
+      });
+      const state = await read(reader);
+      expect(state.configuration.version).toBeGreaterThanOrEqual(25);
+      expect(checksumAt(state.configuration.version))
+        .toBe(getChecksum(state));
+    }
+  });
+
+  it("read a hole without the look at the head", async () => {
+    await writePatches(25);
+    await run();
+    jest.advanceTimersByTime(dayMs);
+    await writePatches(10);
+    await run();
+    const listed = platform.store.list(patchPrefix, { limit: 1 });
+    expect(tryParsePatch(listed[0]?.value ?? "")?.version).toBe(26);
+  });
+});
+
+describe("a writer that was paused past the compaction", () => {
+  const paused = createDraft({ id: "late", operations: [putWorkspace("x")] });
+
+  it("finds that its key was a removed one, and commits anew", async () => {
+    await writePatches(4);
+    const stale = createPatchSequence({ hash: codec.hash });
+    stale.adopt(writer);
+    await writePatches(30);
+    await run();
+    jest.advanceTimersByTime(dayMs);
+    await writePatches(30);
+    await run();
+    expect(platform.store.get(getPatchKey(5))).toBeUndefined();
+    let reads = 0;
+    const committing = commitPatch({
+      platform,
+      hash: codec.hash,
+      sureCommitMs: 60_000,
+      getState: stale.getState,
+      // The first read took place before the pause.
+      refresh: () =>
+        EitherAsync(async ({ fromPromise }) => {
+          reads++;
+          if (reads === 1) return;
+          const newest = await fromPromise(
+            readNewest(platform, { from: stale.getState(), codec }),
+          );
+          if (newest.snapshot !== undefined) stale.adopt(newest.snapshot);
+          stale.take(newest.patches);
+        }),
+    }, paused).run();
+    jest.advanceTimersByTime(dayMs);
+    await jest.advanceTimersByTimeAsync(1_000);
+    const result = await committing;
+    expect(result.map(({ version }) => version).extract()).toBe(65);
+    expect(platform.store.get(getPatchKey(5))).toBeUndefined();
+  });
+
+  it("takes no reader in while its key stands", async () => {
+    await writePatches(4);
+    const behind = writer;
+    await writePatches(30);
+    await run();
+    jest.advanceTimersByTime(dayMs);
+    await writePatches(30);
+    await run();
+    const ghost: Patch = { ...paused, version: 5, acceptedAt: Date.now() };
+    platform.store.put(getPatchKey(5), formatPatch(ghost), {
+      expectedRevision: 0,
+    });
+    const state = await read(platform, behind);
+    expect(getChecksum(state)).toBe(getChecksum(writer));
+    // A reader that takes the log as it stands believes the old key.
+    const [first] = platform.store.list(patchPrefix, {
+      after: getPatchKey(4),
+      limit: 1,
+    });
+    expect(tryParsePatch(first?.value ?? "")?.id).toBe("late");
+  });
+});
+
+describe("a configuration of 30,000 workspaces", () => {
+  it("fits values of a megabyte and is read back whole", async () => {
+    for (let start = 0; start < 30_000; start += 1_000) {
+      const operations = Array.from(
+        { length: 1_000 },
+        (_, index) => createLargeOperation(start + index),
+      );
+      write(operations);
+    }
+    await run();
+    const entries = platform.store.list("config/", { limit: 1_000 });
+    const sizes = entries.map(({ value }) => Buffer.byteLength(value));
+    expect(Math.max(...sizes)).toBeLessThan(maxValueBytes);
+    expect(getKeyCount(snapshotPrefix)).toBeGreaterThan(1);
+    const state = await read(platform);
+    expect(state.configuration.workspaces.size).toBe(30_000);
+    expect(getChecksum(state)).toBe(getChecksum(writer));
+  });
+});
+
+/** A workspace whose text does not compress well. */
+function createLargeOperation(index: number): Patch["operations"][number] {
+  const name = createHash("sha256").update(String(index)).digest("hex");
+  const value = createWorkspace({ services: [name.slice(0, 40)] });
+  return { kind: "put_workspace", name: `studio-${index}`, value };
+}
+
+const checksums = new Map<number, number>();
+
+function checksumAt(version: number): number | undefined {
+  return checksums.get(version);
+}
+
+/** Writes one patch straight into the log. */
+function write(operations: Patch["operations"]): void {
+  const version = writer.configuration.version + 1;
+  const draft = createDraft({ id: `p-${version}`, operations });
+  const patch = { ...draft, version, acceptedAt: Date.now() };
+  platform.store.put(getPatchKey(version), formatPatch(patch), {
+    expectedRevision: 0,
+  });
+  writer = applyPatch(writer, patch, codec);
+  checksums.set(version, getChecksum(writer));
+}
+
+function writePatches(count: number): Promise<void> {
+  for (let index = 0; index < count; index++) {
+    const { version } = writer.configuration;
+    write([putWorkspace(`studio-${version % 7}`, version + 1)]);
+  }
+  return Promise.resolve();
+}
+
+function compactWith(
+  client: Platform,
+): Promise<Awaited<ReturnType<ReturnType<typeof compact>["run"]>>> {
+  return compact(client, {
+    state: writer,
+    codec,
+    patchesPerSnapshot,
+    keptPatchMs: 60_000,
+  }).run();
+}
+
+async function run(): Promise<void> {
+  const result = await compactWith(platform);
+  expect(result.isRight()).toBe(true);
+}
+
+async function read(
+  client: Platform,
+  from: ConfigurationState = createEmptyState(),
+): Promise<ConfigurationState> {
+  const sequence = createPatchSequence({ hash: codec.hash });
+  if (from.configuration.version > 0) sequence.adopt(from);
+  const result = await readNewest(client, { from, codec }).run();
+  result.ifRight((newest) => {
+    if (newest.snapshot !== undefined) sequence.adopt(newest.snapshot);
+    sequence.take(newest.patches);
+  });
+  expect(result.isRight()).toBe(true);
+  return sequence.getState();
+}
+
+async function readChecksum(client: Platform): Promise<number> {
+  const head = await readHead(client).run();
+  expect(head.isRight()).toBe(true);
+  return getChecksum(await read(client));
+}
+
+function getKeyCount(prefix: string): number {
+  return platform.store.list(prefix, { limit: 1_000 }).length;
+}
+
+/** A client that loses the platform after a number of calls. */
+function failAfter(client: MemoryPlatform, calls: number): Platform {
+  return onCall(client, calls, () => {
+    client.faults.outage = true;
+    return Promise.resolve();
+  });
+}
+
+/** A client that does something before its call of the given number. */
+function onCall(
+  client: MemoryPlatform,
+  number: number,
+  act: () => Promise<void>,
+): Platform {
+  let calls = 0;
+  return {
+    ...client,
+    get: (key) => before(() => client.get(key)),
+    list: (prefix, options) => before(() => client.list(prefix, options)),
+    put: (key, value, options) => before(() => client.put(key, value, options)),
+    remove: (key, revision) => before(() => client.remove(key, revision)),
+  };
+
+  function before<L, R>(call: () => EitherAsync<L, R>): EitherAsync<L, R> {
+    return EitherAsync.fromPromise(async () => {
+      const isDue = calls === number;
+      calls++;
+      if (isDue) await act();
+      return await call().run();
+    });
+  }
+}
--- /dev/null
+++ b/test/configuration/patch_faults_test.ts
@@ -0,0 +1,350 @@
+/** Each fault of a patch's life, with the mechanism and without it. */
+
+import { type Either, EitherAsync, Left } from "purify-ts";
+import type { PatchDraft } from "../../src/types/configuration.ts";
+import { formatReport, type Report } from "../../src/types/diagnostics.ts";
+import { createConfigurationStore } from "../../src/version/configuration_store.ts";
+import { patchPrefix } from "../../src/version/patch_text.ts";
+import { createNaiveStore } from "../naive/configuration_store.ts";
+import {
+  createNetwork,
+  type CreateStore,
+  type Network,
+  type NetworkOptions,
+  type Node,
+} from "../support/configuration_network.ts";
+import { inForceMs } from "../support/configuration_referee.ts";
+import { createDraft, putWorkspace } from "../support/drafts.ts";
+import { createSeededRandom } from "../support/seeded_random.ts";
+
+/** A store that cannot ask other members. */
+const createLonelyStore: CreateStore = (host) =>
+  createConfigurationStore({
+    ...host,
+    pull: () =>
+      EitherAsync.liftEither(Left({ kind: "unreachable", message: "Off" })),
+  });
+
+/** A store whose patches are not passed on at once. */
+const createSilentStore: CreateStore = (host) =>
+  createConfigurationStore({ ...host, spreadPatch: () => undefined });
+
+/** The naive version, with the same interface. */
+const createNaive: CreateStore = createNaiveStore;
+
+let network: Network;
+
+beforeEach(() => {
+  jest.useFakeTimers({ doNotFake: ["nextTick", "queueMicrotask"] });
+  jest.spyOn(Math, "random").mockImplementation(createSeededRandom(1));
+});
+
+afterEach(async () => {
+  await network.stop();
+  jest.restoreAllMocks();
+  jest.useRealTimers();
+});
+
+describe("racing operators", () => {
+  it("accepts one of two that change the same entry", async () => {
+    const [first, second] = await start(2);
+    const results = await Promise.all([
+      submit(first, { id: "a", operations: [putWorkspace("studio-1", 2)] }),
+      submit(second, {
+        id: "b",
+        operator: "noor",
+        operations: [putWorkspace("studio-1", 3)],
+      }),
+    ]);
+    expect(results).toEqual([
+      "accepted 1",
+      "Version 1 by mina already changed workspace studio-1",
+    ]);
+  });
+
+  it("accepts both that change different entries of the same base", async () => {
+    const [first, second] = await start(2);
+    const results = await Promise.all([
+      submit(first, { id: "a", operations: [putWorkspace("studio-1")] }),
+      submit(second, { id: "b", operations: [putWorkspace("studio-2")] }),
+    ]);
+    expect(results).toEqual(["accepted 1", "accepted 2"]);
+  });
+
+  it("names a base that is ahead", async () => {
+    const [first] = await start(1);
+    expect(await submit(first, { baseVersion: 3 })).toBe(
+      "Base version 3 is ahead of version 0",
+    );
+  });
+});
+
+describe("an answer lost after the commit", () => {
+  it("is settled by reading back, and the patch is there once", async () => {
+    const [first, second] = await start(2);
+    first.platform.faults.lostAnswers = 1;
+    expect(await submit(first)).toBe("accepted 1");
+    expect(await submit(second)).toBe("accepted 1");
+    expect(getLogLength()).toBe(1);
+  });
+
+  it("is told wrongly by the naive version, which then repeats it", async () => {
+    const [first, second] = await start(2, { createStore: createNaive });
+    first.platform.faults.lostAnswers = 1;
+    expect(await submit(first)).toContain("nothing was changed");
+    expect(getLogLength()).toBe(1);
+    second.store.offerPatches(
+      network.platform.store.list(patchPrefix, { limit: 1 })
+        .map(({ value }) => value),
+      {} as never,
+    );
+    expect(await submit(second)).toBe("accepted 2");
+  });
+
+  it("stays open while the platform is down, and is answered by id", async () => {
+    const [first, second] = await start(2);
+    first.platform.faults.lostAnswers = 1;
+    network.platform.serviceFaults.delayMs = 20;
+    const submitted = first.store.operator.submit(createDraft()).run();
+    // Two reads and the write take 60 ms; the outage meets the read-back.
+    await jest.advanceTimersByTimeAsync(65);
+    network.platform.serviceFaults.outage = true;
+    await jest.advanceTimersByTimeAsync(20_000);
+    expect(describeResult(await submitted)).toBe(
+      "The platform gave no answer, ask for patch patch-1 again",
+    );
+    expect(await find(second)).toBe(
+      "The platform gave no answer, ask for patch patch-1 again",
+    );
+    network.platform.serviceFaults.outage = false;
+    network.platform.serviceFaults.delayMs = 0;
+    expect(await find(second)).toBe("version 1 by mina");
+    expect(await submit(first)).toBe("accepted 1");
+    expect(getLogLength()).toBe(1);
+  });
+
+  it("commits once when the request itself was lost", async () => {
+    const [first] = await start(1);
+    first.platform.faults.lostRequests = 1;
+    expect(await submit(first)).toBe("accepted 1");
+    expect(getLogLength()).toBe(1);
+  });
+});
+
+describe("ids of patches", () => {
+  it("refuses an id that was used with other content", async () => {
+    const [first] = await start(1);
+    await submit(first);
+    const other = { operations: [putWorkspace("studio-9")] };
+    expect(await submit(first, other)).toBe(
+      "Patch id patch-1 was used for version 1 with other content",
+    );
+  });
+
+  it("says that a patch was never accepted", async () => {
+    const [first] = await start(1);
+    expect(await find(first)).toBe(
+      "No patch with id patch-1 has been accepted",
+    );
+  });
+});
+
+describe("an outage right after the acceptance", () => {
+  it("does not keep the patch from the other stores", async () => {
+    const [first, ...others] = await start(5);
+    await submit(first);
+    network.platform.serviceFaults.outage = true;
+    await jest.advanceTimersByTimeAsync(inForceMs);
+    expect(getVersions(others)).toEqual([1, 1, 1, 1]);
+  });
+
+  it("does not when every first datagram is lost, by comparing", async () => {
+    const [first, ...others] = await start(5, {
+      createStore: createSilentStore,
+    });
+    await submit(first);
+    network.platform.serviceFaults.outage = true;
+    await jest.advanceTimersByTimeAsync(inForceMs);
+    expect(getVersions(others)).toEqual([1, 1, 1, 1]);
+  });
+
+  it("does without spreading and comparing", async () => {
+    const [first, ...others] = await start(5, {
+      createStore: createSilentStore,
+      announceMs: 0,
+    });
+    await submit(first);
+    network.platform.serviceFaults.outage = true;
+    await jest.advanceTimersByTimeAsync(inForceMs);
+    expect(getVersions(others)).toEqual([0, 0, 0, 0]);
+  });
+
+  it("leaves the last configuration in force", async () => {
+    const [first] = await start(1);
+    await submit(first);
+    network.platform.serviceFaults.outage = true;
+    await jest.advanceTimersByTimeAsync(600_000);
+    expect(getVersions([first])).toEqual([1]);
+    expect(await submit(first, { id: "b" })).toContain("nothing was changed");
+  });
+});
+
+describe("a store that starts during an outage", () => {
+  it("loads from another member", async () => {
+    const [first] = await start(3);
+    await submit(first);
+    await jest.advanceTimersByTimeAsync(1_000);
+    network.platform.serviceFaults.outage = true;
+    const late = network.addNode();
+    await jest.advanceTimersByTimeAsync(inForceMs);
+    expect(getVersions([late])).toEqual([1]);
+  });
+
+  it("stays empty when it cannot ask members", async () => {
+    const [first] = await start(3, { createStore: createLonelyStore });
+    await submit(first);
+    await jest.advanceTimersByTimeAsync(1_000);
+    network.platform.serviceFaults.outage = true;
+    const late = network.addNode();
+    await jest.advanceTimersByTimeAsync(60_000);
+    expect(late.store.isLoaded()).toBe(false);
+    network.platform.serviceFaults.outage = false;
+    await jest.advanceTimersByTimeAsync(inForceMs);
+    expect(getVersions([late])).toEqual([1]);
+  });
+});
+
+describe("a store that was cut off", () => {
+  it("catches up within the time after it is healed", async () => {
+    const [first, second] = await start(2);
+    network.setCut(second, true);
+    for (let count = 1; count <= 30; count++) {
+      const operations = [putWorkspace(`studio-${count}`)];
+      await submit(first, {
+        id: `p-${count}`,
+        baseVersion: count - 1,
+        operations,
+      });
+    }
+    await jest.advanceTimersByTimeAsync(60_000);
+    expect(getVersions([second])).toEqual([0]);
+    network.setCut(second, false);
+    await jest.advanceTimersByTimeAsync(inForceMs);
+    expect(getVersions([second])).toEqual([30]);
+    expect(second.store.getChecksum()).toBe(first.store.getChecksum());
+  });
+
+  it("leaves the watch to the next when it was the watcher", async () => {
+    const [first, second] = await start(2);
+    const submitted = submit(first);
+    network.setCut(first, true);
+    first.platform.faults.outage = false;
+    await submitted;
+    first.platform.faults.outage = true;
+    await jest.advanceTimersByTimeAsync(inForceMs);
+    expect(getVersions([second])).toEqual([1]);
+  });
+});
+
+describe("news that arrive late, twice or crossed", () => {
+  it("never take a store back", async () => {
+    const [first, second] = await start(2, { lossRate: 1 });
+    const texts = await submitThree(first);
+    second.store.offerPatches([texts[2], texts[0]], {} as never);
+    expect(getVersions([second])).toEqual([1]);
+    second.store.offerPatches([texts[1], texts[1]], {} as never);
+    expect(getVersions([second])).toEqual([3]);
+    second.store.offerPatches([texts[0]], {} as never);
+    expect(getVersions([second])).toEqual([3]);
+    expect(second.store.getChecksum()).toBe(first.store.getChecksum());
+  });
+
+  it("take the naive store back", async () => {
+    const [first, second] = await start(2, {
+      createStore: createNaive,
+      lossRate: 1,
+    });
+    const texts = await submitThree(first);
+    second.store.offerPatches(texts, {} as never);
+    second.store.offerPatches([texts[0]], {} as never);
+    expect(getVersions([second])).toEqual([1]);
+  });
+
+  it("replace content that differs at the same version", async () => {
+    const [first, second] = await start(2, { lossRate: 1, watchers: 0 });
+    const texts = await submitThree(first);
+    const forged = texts[2].replace(/"weight":3/, '"weight":9');
+    second.store.offerPatches([texts[0], texts[1], forged], {} as never);
+    const checksum = first.store.getChecksum();
+    expect(second.store.getChecksum()).not.toBe(checksum);
+    second.store.noteVersion(3, checksum, {} as never);
+    await jest.advanceTimersByTimeAsync(1_000);
+    expect(second.store.getChecksum()).toBe(checksum);
+    expect(getVersions([second])).toEqual([3]);
+  });
+});
+
+/** Starts a network and returns its first processes. */
+async function start(
+  count: number,
+  options: Partial<NetworkOptions> = {},
+): Promise<[Node, Node, ...Node[]]> {
+  network = createNetwork({
+    random: createSeededRandom(2),
+    lossRate: 0,
+    doubleRate: 0,
+    delayMs: 50,
+    watchers: 1,
+    ...options,
+  });
+  for (let index = 0; index < count; index++) network.addNode();
+  await jest.advanceTimersByTimeAsync(1_000);
+  return network.nodes as [Node, Node, ...Node[]];
+}
+
+/** Submits a patch and returns what the operator is told. */
+async function submit(
+  node: Node,
+  changes: Partial<PatchDraft> = {},
+): Promise<string> {
+  const submitting = node.store.operator.submit(createDraft(changes)).run();
+  await jest.advanceTimersByTimeAsync(500);
+  return describeResult(await submitting);
+}
+
+/** Returns what an operator is told. */
+function describeResult(
+  result: Either<readonly Report[], { readonly version: number }>,
+): string {
+  return result.caseOf({
+    Left: (reports) => reports.map(formatReport).join(", "),
+    Right: ({ version }) => `accepted ${version}`,
+  });
+}
+
+/** Asks for a patch by its id. */
+async function find(node: Node): Promise<string> {
+  const result = await node.store.operator.findPatch("patch-1").run();
+  return result.caseOf({
+    Left: (reports) => reports.map(formatReport).join(", "),
+    Right: ({ record }) => `version ${record.version} by ${record.operator}`,
+  });
+}
+
+/** Commits three patches and returns their texts. */
+async function submitThree(node: Node): Promise<[string, string, string]> {
+  for (let base = 0; base < 3; base++) {
+    const operations = [putWorkspace("studio-1", base + 1)];
+    await submit(node, { id: `p-${base}`, baseVersion: base, operations });
+  }
+  const entries = network.platform.store.list(patchPrefix, { limit: 3 });
+  return entries.map(({ value }) => value) as [string, string, string];
+}
+
+function getLogLength(): number {
+  return network.platform.store.list(patchPrefix, { limit: 100 }).length;
+}
+
+function getVersions(nodes: readonly Node[]): readonly number[] {
+  return nodes.map((node) => node.store.getConfiguration().version);
+}
--- a/test/support/configuration_network.ts
+++ b/test/support/configuration_network.ts
@@ -69,6 +69,9 @@
 /** Patches after a snapshot that call for another, few for tests. */
 export const testPatchesPerSnapshot = 6;
 
+/** Time that patches stay in the log, short for tests; in milliseconds. */
+export const testKeptPatchMs = 9_000;
+
 /** Creates a network without processes. */
 export function createNetwork(options: NetworkOptions): Network {
   const { random } = options;
@@ -79,6 +82,7 @@
     ((host) =>
       createConfigurationStore(host, {
         patchesPerSnapshot: testPatchesPerSnapshot,
+        keptPatchMs: testKeptPatchMs,
       }));
   const announceMs = options.announceMs ?? usualAnnounceMs;
   const timer = announceMs === 0
--- a/test/support/configuration_script.ts
+++ b/test/support/configuration_script.ts
@@ -20,6 +20,7 @@
   }
   | { readonly kind: "resubmit"; readonly node: number }
   | { readonly kind: "outage"; readonly isOut: boolean }
+  | { readonly kind: "slow"; readonly delayMs: number }
   | { readonly kind: "lose_answer"; readonly node: number }
   | { readonly kind: "lose_request"; readonly node: number }
   | { readonly kind: "cut"; readonly node: number; readonly isCut: boolean }
@@ -92,6 +93,13 @@
       isCut: fc.boolean(),
     }),
   },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant("slow" as const),
+      delayMs: fc.constantFrom(0, 20, 300),
+    }),
+  },
   {
     weight: 1,
     arbitrary: fc.record({ kind: fc.constant("start" as const) }),
@@ -167,6 +175,9 @@
       case "outage":
         network.platform.serviceFaults.outage = event.isOut;
         return;
+      case "slow":
+        network.platform.serviceFaults.delayMs = event.delayMs;
+        return;
       case "lose_answer":
         getNode(event.node).platform.faults.lostAnswers++;
         return;
@@ -204,6 +215,7 @@
 
 function heal(network: Network): void {
   network.platform.serviceFaults.outage = false;
+  network.platform.serviceFaults.delayMs = 0;
   for (const node of network.nodes) {
     if (node.isCut) network.setCut(node, false);
   }
