Let a suspect run at one target of the fleet at a time

A record created if absent in the platform's service now lets one agent run it; crashes are rare, so are these writes. With the platform down a suspect is turned away with proof that it did not run.

--- a/src/process/crash_quarantine_test.ts
+++ b/src/process/crash_quarantine_test.ts
@@ -4,6 +4,7 @@
   createAgentParts,
   createRunOrder,
 } from "../../test/fakes/agent_parts.ts";
+import { createMemoryPlatform } from "../../test/fakes/memory_platform.ts";
 import { createFakeTarget } from "../../test/fakes/fake_target.ts";
 import type { AttemptService } from "../request/attempt_service.ts";
 import {
@@ -13,6 +14,7 @@
 } from "../types/answer.ts";
 import type { CrashView } from "../types/view.ts";
 import { createCrashQuarantine } from "./crash_quarantine.ts";
+import { createSuspectClaims } from "./suspect_claims.ts";
 
 /** Fingerprint of the request that crashes every target that runs it. */
 const crasher = "crasher";
@@ -23,10 +25,22 @@
 /** Time in which a crash record reaches the other agents, in milliseconds. */
 const spreadMs = 500;
 
+/** Parts of the quarantine that are on. */
+interface FleetOptions {
+  /** Suspects run while no other suspect runs at the same agent. */
+  readonly alone: boolean;
+  /** A suspect runs at one agent of the fleet at a time. */
+  readonly claims: boolean;
+}
+
 /** A fleet of agents that share their crash records with a delay. */
 interface Fleet {
   /** Sends a request to targets in turn until one serves it. */
-  send(fingerprint: string, first: number): Promise<string>;
+  send(
+    fingerprint: string,
+    first: number,
+    knownCrashes?: number,
+  ): Promise<string>;
   getCrashedTargets(): number;
 }
 
@@ -47,10 +61,35 @@
   });
 
   it("holds innocents back when suspects run together", async () => {
-    await expect(checkFleets((crashes) => crashes, { alone: false }))
+    await expect(checkFleets((crashes) => crashes, {
+      alone: false,
+      claims: true,
+    }))
       .rejects.toThrow("Counterexample");
   });
 
+  describe("sent again through several routers at once", () => {
+    /** All routers know of the first crash, no agent but one does. */
+    async function countCrashes(claims: boolean): Promise<number> {
+      const fleet = createFleet((crashes) => crashes, { alone: true, claims });
+      const first = fleet.send(crasher, 0);
+      await jest.advanceTimersByTimeAsync(160);
+      const resends = [1, 2, 3].map((target) => fleet.send(crasher, target, 1));
+      await jest.advanceTimersByTimeAsync(120_000);
+      const outcomes = await Promise.all([first, ...resends]);
+      expect(outcomes.at(-1)).toBe("request_quarantined");
+      return fleet.getCrashedTargets();
+    }
+
+    it("costs two targets at most", async () => {
+      expect(await countCrashes(true)).toBe(2);
+    });
+
+    it("costs more without the claim", async () => {
+      expect(await countCrashes(false)).toBeGreaterThan(2);
+    });
+  });
+
   it("clears a suspect whose target lived", () => {
     const crashes = createCrashes();
     const quarantine = createCrashQuarantine({ crashes });
@@ -89,7 +128,7 @@
 /** Seeded loads of innocents with one crasher that is sent again and again. */
 async function checkFleets(
   change: (crashes: CrashView) => CrashView,
-  options: { readonly alone: boolean } = { alone: true },
+  options: FleetOptions = { alone: true, claims: true },
 ): Promise<void> {
   const starts = array(nat(400), { minLength: 10, maxLength: 30 });
   await assert(
@@ -119,10 +158,11 @@
 /** Agents whose crash records reach each other after a while. */
 function createFleet(
   change: (crashes: CrashView) => CrashView,
-  { alone }: { readonly alone: boolean },
+  { alone, claims }: FleetOptions,
 ): Fleet {
   let crashedTargets = 0;
   let number = 0;
+  const platform = createMemoryPlatform();
   const records = Array.from({ length: targets }, () => createCrashes());
   const services = records.map((_record, index) => createAgent(index));
 
@@ -142,6 +182,12 @@
       queueLimit: 64,
       crashes: change(createSharedRecords(index)),
       togetherWithSuspects: !alone,
+      suspects: claims
+        ? createSuspectClaims(
+          { platform: platform.connect() },
+          `agent-${index}`,
+        )
+        : undefined,
       isUp: () => Date.now() >= upAt,
       hasCrashed: () => true,
     });
@@ -180,8 +226,12 @@
   }
 
   /** What a router does: on to the next target, knowing the crashes. */
-  async function send(fingerprint: string, first: number): Promise<string> {
-    let crashes = 0;
+  async function send(
+    fingerprint: string,
+    first: number,
+    knownCrashes = 0,
+  ): Promise<string> {
+    let crashes = knownCrashes;
     let outcome = "";
     for (let turn = 0; turn < 40; turn++) {
       const service = services[(first + turn) % targets];
--- a/src/request/execution.ts
+++ b/src/request/execution.ts
@@ -13,6 +13,7 @@
 import type { LoadGate } from "../process/load_gate.ts";
 import type { Log } from "../process/log.ts";
 import type { Metrics } from "../process/metrics.ts";
+import type { SuspectClaims } from "../process/suspect_claims.ts";
 import type { TargetWatch } from "../process/target_watch.ts";
 import type { WorkQueue } from "../process/work_queue.ts";
 import type { Failure, Refusal } from "../types/answer.ts";
@@ -28,6 +29,7 @@
   readonly gate: LoadGate;
   readonly queue: WorkQueue;
   readonly quarantine: CrashQuarantine;
+  readonly suspects: SuspectClaims;
   readonly target: Pick<TargetClient, "send" | "resume" | "cancelStream">;
   readonly watch: Pick<TargetWatch, "isUp" | "checkCrash">;
   readonly digests: BodyDigests;
@@ -58,6 +60,9 @@
 /** Time after which a refused router may try this target again, in ms. */
 const downRetryAfterMs = 1_000;
 
+/** Time after which a suspect that waits its turn may come back, in ms. */
+const suspectRetryAfterMs = 200;
+
 /** Creates the execution of a new entry, whose answer must be set. */
 export function createExecution(
   host: ExecutionHost,
@@ -76,6 +81,9 @@
   const startedAt = Date.now();
   let abortCode: DiagnosticCode = "caller_gone";
   let streamId: string | undefined;
+  /** True when it runs only while no other suspect does. */
+  let alone = false;
+  let claimed = false;
   let graceTimer: ReturnType<typeof setTimeout> | undefined;
   let deadlineTimer: ReturnType<typeof setTimeout> | undefined;
   let noteRead = (): void => undefined;
@@ -92,13 +100,14 @@
     const refusal = tryRefuse();
     if (refusal !== undefined) return refuse(refusal);
     const verdict = host.quarantine.check(order.fingerprint, order.crashes);
+    alone = verdict.kind === "suspect";
     share.add();
     const decision = host.queue.add({
       priority: order.priority,
       workspace: order.workspace,
       cost: share.work,
       deadlineAt: order.deadlineAt,
-      alone: verdict.kind === "suspect",
+      alone,
       run,
       onRefused: refuse,
     });
@@ -140,7 +149,44 @@
   }
 
   async function run(): Promise<void> {
-    if (!host.table.tryStart(entry)) return;
+    try {
+      if (await tryStart()) await dispatch();
+    } catch (error) {
+      host.log.error("Attempt broke", {
+        request: order.requestId,
+        attempt: entry.key,
+        error: String(error),
+      });
+      if (entry.phase === "running") finishFailed("target_error");
+    }
+  }
+
+  /** Starts unless the attempt was withdrawn or must not run now. */
+  async function tryStart(): Promise<boolean> {
+    const verdict = host.quarantine.check(order.fingerprint, order.crashes);
+    if (verdict.kind === "clean") return host.table.tryStart(entry);
+    if (verdict.kind === "condemned") {
+      return turnAway(createRefusal("request_quarantined", 0));
+    }
+    // A crash since its admission: it has to come back as a suspect.
+    if (!alone) return turnAway(createRefusal("target_full", 0));
+    const claim = await host.suspects.tryClaim(order.fingerprint, {
+      longestMs: Math.max(0, order.deadlineAt - Date.now()),
+    });
+    if (claim !== "claimed") {
+      return turnAway(createRefusal("target_full", suspectRetryAfterMs));
+    }
+    claimed = host.table.tryStart(entry);
+    if (!claimed) void host.suspects.release(order.fingerprint);
+    return claimed;
+  }
+
+  function turnAway(refusal: Refusal): false {
+    if (entry.phase === "queued") refuse(refusal);
+    return false;
+  }
+
+  async function dispatch(): Promise<void> {
     host.metrics.record("queue_ms", Date.now() - startedAt);
     host.quarantine.enter(entry.key, {
       fingerprint: order.fingerprint,
@@ -207,6 +253,8 @@
       return refuse(createRefusal("no_target", downRetryAfterMs));
     }
     const crashed = await host.watch.checkCrash();
+    // The claim of a crasher covers the time that its record needs to spread.
+    if (crashed) claimed = false;
     finishFailed(crashed ? "target_crashed" : "target_error");
   }
 
@@ -232,6 +280,7 @@
 
   function release(): void {
     clearTimeout(deadlineTimer);
+    if (claimed) void host.suspects.release(order.fingerprint);
     share.remove();
     resolveDone();
     onRead();
--- a/src/roles/agent.ts
+++ b/src/roles/agent.ts
@@ -12,6 +12,7 @@
 import { createLoadGate } from "../process/load_gate.ts";
 import { createOrderGate } from "../process/order_gate.ts";
 import { createOrphanLoad } from "../process/orphan_load.ts";
+import { createSuspectClaims } from "../process/suspect_claims.ts";
 import { createTargetWatch } from "../process/target_watch.ts";
 import { createWorkQueue } from "../process/work_queue.ts";
 import { createAttemptService } from "../request/attempt_service.ts";
@@ -102,6 +103,10 @@
     gate,
     queue,
     quarantine,
+    suspects: createSuspectClaims(
+      { platform: host.platform },
+      `${settings.id}/${incarnation}`,
+    ),
     target,
     watch,
     digests,
--- a/test/fakes/agent_parts.ts
+++ b/test/fakes/agent_parts.ts
@@ -9,6 +9,7 @@
 import { createLoadGate } from "../../src/process/load_gate.ts";
 import { createSilentLog } from "../../src/process/log.ts";
 import { createMetrics } from "../../src/process/metrics.ts";
+import type { SuspectClaims } from "../../src/process/suspect_claims.ts";
 import { createWorkQueue } from "../../src/process/work_queue.ts";
 import {
   type AttemptService,
@@ -31,6 +32,7 @@
   /** True when a lost connection was a crash of the target. */
   readonly hasCrashed?: () => boolean;
   readonly isLeaving?: () => boolean;
+  readonly suspects?: SuspectClaims | undefined;
   readonly tombstoneMs?: number;
   /** Lets suspects run beside each other, as without the quarantine. */
   readonly togetherWithSuspects?: boolean;
@@ -80,6 +82,10 @@
       add: (job) => queue.add(together ? { ...job, alone: false } : job),
     },
     quarantine,
+    suspects: options.suspects ?? {
+      tryClaim: () => Promise.resolve("claimed"),
+      release: () => Promise.resolve(),
+    },
     target,
     watch: {
       isUp: options.isUp ?? (() => true),
