Prove at-most-once and whole answers of the router under faults

Tests: histories by fast-check with lost, late, cut, doubled, swapped, missing and crossed messages, replaced agents, crashes, refusals, key-value outages and lost answers, and routers that die between any two steps; the targets' count of runs judges.

--- a/src/process/claim_leases.ts
+++ b/src/process/claim_leases.ts
@@ -16,6 +16,8 @@
 export interface ClaimLeases {
   /** Returns the lease for claims made now. */
   getLease(): EitherAsync<PlatformError, string>;
+  /** Takes no more claims under a lease that may have ended. */
+  discard(lease: string): void;
 }
 
 /** Creates a holder that asks for its first lease when it is needed. */
@@ -26,7 +28,11 @@
   let pending: Promise<void> | undefined;
   let lastError: PlatformError | undefined;
 
-  return { getLease: () => EitherAsync.fromPromise(readLease) };
+  return { getLease: () => EitherAsync.fromPromise(readLease), discard };
+
+  function discard(lease: string): void {
+    if (current?.id === lease) current = undefined;
+  }
 
   async function readLease() {
     if (!isUsable()) await (pending ??= renew());
--- a/src/request/claim.ts
+++ b/src/request/claim.ts
@@ -90,16 +90,13 @@
   next: { readonly key: string; readonly record: ClaimRecord },
   before: Claim | undefined,
 ): Promise<WriteAnswer> {
-  const lease = await host.leases.getLease();
-  if (lease.isLeft()) return toUnavailable(lease.extract() as PlatformError);
-  const written = await host.platform.put(
-    next.key,
-    JSON.stringify(next.record),
-    {
-      expectedRevision: before?.revision ?? 0,
-      lease: lease.extract() as string,
-    },
-  );
+  const leased = await host.leases.getLease();
+  if (leased.isLeft()) return toUnavailable(leased.extract() as PlatformError);
+  const lease = leased.extract() as string;
+  const value = JSON.stringify(next.record);
+  const expectedRevision = before?.revision ?? 0;
+  const options = { expectedRevision, lease };
+  const written = await host.platform.put(next.key, value, options);
   if (written.isRight()) {
     const revision = written.extract() as number;
     return { kind: "mine", claim: { ...next, revision } };
@@ -108,7 +105,10 @@
   if (error.kind === "unavailable" || error.kind === "over_budget") {
     return toUnavailable(error);
   }
-  return await readBack(host, next, before);
+  const found = await readBack(host, next, before);
+  // A conflict over an absent key can come from a lease that has ended.
+  if (found.kind === "unavailable") host.leases.discard(lease);
+  return found;
 }
 
 /** Reads the claim after a write whose effect is in doubt. */
--- /dev/null
+++ b/src/request/request_run_test.ts
@@ -0,0 +1,504 @@
+import fc from "fast-check";
+import {
+  createFakeTargets,
+  type FakeTargets,
+  type Fate,
+  type Fault,
+} from "../../test/fakes/fake_targets.ts";
+import {
+  createMemoryPlatform,
+  type MemoryPlatform,
+} from "../../test/fakes/memory_platform.ts";
+import { createNaiveRouter } from "../../test/naive/router.ts";
+import {
+  createMortalHost,
+  type Death,
+} from "../../test/support/mortal_host.ts";
+import {
+  createCaller,
+  createRequestHost,
+  createWork,
+  findViolations,
+  type Libraries,
+  service,
+  type Told,
+} from "../../test/support/request_history.ts";
+import { createAttemptNumbers } from "../process/attempt_numbers.ts";
+import { loadBodyDigests } from "../process/body_digest.ts";
+import { loadPlacementHost } from "../process/placement.ts";
+import type { Work } from "../types/work.ts";
+import type { RequestHost } from "./request_host.ts";
+import { runRequest } from "./request_run.ts";
+import { createRouting } from "./routing.ts";
+
+const ids = ["target-a", "target-b", "target-c"];
+
+/** Time that a history runs, in milliseconds of the paused clock. */
+const historyMs = 60_000;
+
+const faults: readonly Fault[] = [
+  "none",
+  "lost",
+  "late",
+  "unsent",
+  "cut",
+  "doubled",
+  "swapped",
+  "hole",
+  "crossed",
+];
+
+const anyFate: fc.Arbitrary<Fate> = fc.record({
+  fault: fc.constantFrom(...faults),
+  delayMs: fc.integer({ min: 0, max: 100 }),
+  events: fc.integer({ min: 0, max: 6 }),
+});
+
+const anyReplacements = fc.array(
+  fc.record({
+    id: fc.constantFrom(...ids),
+    atMs: fc.integer({ min: 0, max: 400 }),
+  }),
+  { maxLength: 3 },
+);
+
+/** What happens in one history. */
+interface History {
+  readonly fates: readonly Fate[];
+  readonly replacements: readonly { readonly id: string; atMs: number }[];
+  readonly queueMs: number;
+  readonly crashing: readonly string[];
+  readonly sameDrafts: boolean;
+  readonly streams: boolean;
+  /** Targets that refuse all work at first. */
+  readonly refusing: readonly string[];
+  readonly refusingMs: number;
+}
+
+const historyFields = {
+  fates: fc.array(anyFate, { maxLength: 16 }),
+  replacements: anyReplacements,
+  queueMs: fc.integer({ min: 0, max: 300 }),
+  crashing: fc.subarray(ids),
+  sameDrafts: fc.boolean(),
+  streams: fc.boolean(),
+  refusing: fc.subarray(ids),
+  refusingMs: fc.integer({ min: 0, max: 1_000 }),
+};
+
+const anyHistory: fc.Arbitrary<History> = fc.record(historyFields);
+
+/** What happens in a history of one idempotency key. */
+interface KeyHistory extends History {
+  readonly sends: readonly {
+    readonly router: number;
+    readonly atMs: number;
+    readonly death: Death | undefined;
+  }[];
+  readonly lostAnswers: number;
+  readonly lostRequests: number;
+  readonly outage: { readonly fromMs: number; readonly forMs: number };
+}
+
+const anyKeyHistory: fc.Arbitrary<KeyHistory> = fc.record({
+  ...historyFields,
+  sends: fc.array(
+    fc.record({
+      router: fc.integer({ min: 0, max: 1 }),
+      atMs: fc.integer({ min: 0, max: 3_000 }),
+      death: fc.option(
+        fc.record({
+          step: fc.integer({ min: 0, max: 8 }),
+          after: fc.boolean(),
+        }),
+        { nil: undefined },
+      ),
+    }),
+    { minLength: 2, maxLength: 5 },
+  ),
+  lostAnswers: fc.integer({ min: 0, max: 4 }),
+  lostRequests: fc.integer({ min: 0, max: 3 }),
+  outage: fc.record({
+    fromMs: fc.integer({ min: 0, max: 1_000 }),
+    forMs: fc.constantFrom(0, 0, 300, 3_000),
+  }),
+});
+
+const runs = { seed: 20_261_203, numRuns: 300 };
+
+describe("runRequest", () => {
+  let libraries: Libraries;
+
+  beforeAll(async () => {
+    libraries = {
+      digests: await loadBodyDigests(),
+      placement: await loadPlacementHost(),
+    };
+  });
+
+  beforeEach(() => {
+    jest.useFakeTimers();
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  describe("with lost, late, cut, doubled and crossed messages", () => {
+    it("keeps its word for calls that may not repeat", async () => {
+      await fc.assert(
+        fc.asyncProperty(anyHistory, async (history) => {
+          expect(await runCalls(history, { repeatable: false })).toEqual([]);
+        }),
+        runs,
+      );
+    });
+
+    it("never splices answers of calls that may repeat", async () => {
+      await fc.assert(
+        fc.asyncProperty(anyHistory, async (history) => {
+          expect(await runCalls(history, { repeatable: true })).toEqual([]);
+        }),
+        runs,
+      );
+    });
+
+    it.each([false, true])(
+      "is needed: the naive router breaks its word, repeatable %s",
+      async (repeatable) => {
+        const result = await fc.check(
+          fc.asyncProperty(anyHistory, async (history) => {
+            const options = { repeatable, isNaive: true };
+            return (await runCalls(history, options)).length === 0;
+          }),
+          runs,
+        );
+        expect(result.failed).toBe(true);
+      },
+    );
+  });
+
+  describe("with a part of another answer in a stream", () => {
+    // Parts of a stream reach the caller before the digest can be checked.
+    it("tells an error and never the end marker", async () => {
+      const targets = createTargets({
+        ...quietHistory,
+        streams: true,
+        fates: [{ fault: "crossed", delayMs: 0, events: 0 }],
+      });
+      const host = createRequestHost(libraries, {
+        id: "router-a",
+        targets,
+        platform: createMemoryPlatform(),
+      });
+      const work = createWork({ requestId: "request-1", call: "call-1" });
+      const caller = createCaller(targets, work);
+      void runRequest(host, work, caller.reply);
+      await jest.advanceTimersByTimeAsync(historyMs);
+      expect(caller.end()?.report?.code).toBe("answer_cut");
+      expect(caller.text()).not.toContain("[DONE]");
+    });
+  });
+
+  describe("after a crash before the end of a whole answer", () => {
+    it("gives the answer of the next target", async () => {
+      const targets = createTargets({ ...quietHistory, crashing: ids });
+      const host = createRequestHost(libraries, {
+        id: "router-a",
+        targets,
+        platform: createMemoryPlatform(),
+      });
+      const work = createWork({
+        requestId: "request-1",
+        call: "call-1",
+        repeatable: true,
+      });
+      const caller = createCaller(targets, work);
+      const first = findFirstTarget(host, work);
+      targets.behaviour.crashesAfter.clear();
+      targets.behaviour.crashesAfter.set(first, 6);
+      void runRequest(host, work, caller.reply);
+      await jest.advanceTimersByTimeAsync(historyMs);
+      expect(caller.end()?.outcome).toBe("done");
+      expect(targets.runs).toHaveLength(2);
+      expect(findViolations(targets, [caller])).toEqual([]);
+    });
+  });
+
+  describe("with an idempotency key", () => {
+    it("runs the call once through losses, outages and deaths", async () => {
+      await fc.assert(
+        fc.asyncProperty(anyKeyHistory, async (history) => {
+          expect(await runKey(history)).toEqual([]);
+        }),
+        { ...runs, numRuns: 600 },
+      );
+    });
+
+    it("is needed: without claims a resend runs again", async () => {
+      const result = await fc.check(
+        fc.asyncProperty(
+          anyKeyHistory,
+          async (history) =>
+            (await runKey(history, { isKeyIgnored: true })).length === 0,
+        ),
+        runs,
+      );
+      expect(result.failed).toBe(true);
+    });
+
+    it("gives the kept answer to a resend at another router", async () => {
+      const { targets, callers } = await runKeyHistory({
+        ...quietKeyHistory,
+        sends: [
+          { router: 0, atMs: 0, death: undefined },
+          { router: 1, atMs: 2_000, death: undefined },
+        ],
+      });
+      expect(callers.map((caller) => caller.end()?.outcome))
+        .toEqual(["done", "done"]);
+      expect(targets.runs).toHaveLength(1);
+    });
+
+    it("runs a call whose router died after its claim", async () => {
+      // Steps: the lease, the claim, the dispatch.
+      const { targets, callers } = await runKeyHistory({
+        ...quietKeyHistory,
+        sends: [
+          { router: 0, atMs: 0, death: { step: 1, after: true } },
+          { router: 1, atMs: 2_000, death: undefined },
+        ],
+      });
+      expect(callers.map((caller) => caller.end()?.outcome))
+        .toEqual([undefined, "done"]);
+      expect(targets.runs).toHaveLength(1);
+    });
+
+    it("says unknown after the target was replaced", async () => {
+      const { targets, callers } = await runKeyHistory({
+        ...quietKeyHistory,
+        sends: [
+          { router: 0, atMs: 0, death: { step: 2, after: true } },
+          { router: 1, atMs: 2_000, death: undefined },
+        ],
+        replacements: ids.map((id) => ({ id, atMs: 1_000 })),
+      });
+      expect(callers[1]?.end()?.report?.code).toBe("outcome_unknown");
+      expect(targets.runs).toHaveLength(1);
+    });
+
+    it("does not say not run when another router has taken over", async () => {
+      const targets = createTargets({
+        ...quietHistory,
+        refusing: ids,
+        refusingMs: 50,
+        // The refusal is lost, and the first router settles it slowly.
+        fates: [
+          { fault: "cut", delayMs: 0, events: 0 },
+          { fault: "none", delayMs: 900, events: 0 },
+        ],
+      });
+      const platform = createMemoryPlatform();
+      const callers = [0, 100].map((atMs, index) => {
+        const host = createRequestHost(libraries, {
+          id: `router-${index}`,
+          targets,
+          platform: platform.connect(),
+        });
+        const work = createWork({
+          requestId: `request-${index}`,
+          call: "call-1",
+          idempotencyKey: "key-1",
+          deadlineAt: Date.now() + (index === 0 ? 800 : 5_000),
+        });
+        const caller = createCaller(targets, work);
+        setTimeout(() => void runRequest(host, work, caller.reply), atMs);
+        return caller;
+      });
+      await jest.advanceTimersByTimeAsync(historyMs);
+      expect(callers.map((caller) => caller.end()?.outcome))
+        .toEqual(["unknown", "done"]);
+      expect(findViolations(targets, callers)).toEqual([]);
+    });
+
+    it("runs nothing while claims cannot be made", async () => {
+      const { targets, callers } = await runKeyHistory({
+        ...quietKeyHistory,
+        sends: [{ router: 0, atMs: 0, death: undefined }],
+        outage: { fromMs: 0, forMs: historyMs },
+      });
+      expect(callers[0]?.end()?.report?.code).toBe("claims_unavailable");
+      expect(targets.runs).toHaveLength(0);
+    });
+  });
+
+  const quietHistory: History = {
+    fates: [],
+    replacements: [],
+    queueMs: 0,
+    crashing: [],
+    sameDrafts: false,
+    streams: false,
+    refusing: [],
+    refusingMs: 0,
+  };
+
+  const quietKeyHistory: Omit<KeyHistory, "sends"> = {
+    ...quietHistory,
+    lostAnswers: 0,
+    lostRequests: 0,
+    outage: { fromMs: 0, forMs: 0 },
+  };
+
+  /** Runs three calls at the same time and returns what was broken. */
+  async function runCalls(
+    generated: History,
+    options: { readonly repeatable: boolean; readonly isNaive?: boolean },
+  ): Promise<readonly string[]> {
+    const history = withoutCrossedStreams(generated);
+    const targets = createTargets(history);
+    const host = createRequestHost(libraries, {
+      id: "router-a",
+      targets,
+      platform: createMemoryPlatform(),
+    });
+    const naive = createNaiveRouter({
+      calls: targets.calls,
+      attempts: createAttemptNumbers({
+        router: "router-a",
+        routerIncarnation: 1,
+      }),
+      getMembers: targets.getMembers,
+    });
+    const callers = ["call-1", "call-2", "call-3"].map((call) =>
+      createCaller(
+        targets,
+        createWork({
+          requestId: `request-${call}`,
+          call,
+          repeatable: options.repeatable,
+        }),
+      )
+    );
+    for (const { work, reply } of callers) {
+      void (options.isNaive === true
+        ? naive.run(work, reply)
+        : runRequest(host, work, reply));
+    }
+    await jest.advanceTimersByTimeAsync(historyMs);
+    const silent = options.isNaive === true ? [] : findSilent(callers);
+    return [...findViolations(targets, callers), ...silent];
+  }
+
+  async function runKey(
+    history: KeyHistory,
+    options: { readonly isKeyIgnored?: boolean } = {},
+  ): Promise<readonly string[]> {
+    const { targets, callers, isDead } = await runKeyHistory(history, options);
+    const alive = callers.filter((_caller, index) => !isDead(index));
+    return [...findViolations(targets, callers), ...findSilent(alive)];
+  }
+
+  /** Sends one call several times with the same key. */
+  async function runKeyHistory(
+    generated: KeyHistory,
+    options: { readonly isKeyIgnored?: boolean } = {},
+  ) {
+    const history = withoutCrossedStreams(generated);
+    const targets = createTargets(history);
+    const platform = createMemoryPlatform();
+    scheduleFaults(platform, history);
+    const sends = history.sends.map((send, index) => {
+      const work = createWork({
+        requestId: `request-${index}`,
+        call: "call-1",
+        idempotencyKey: "key-1",
+      });
+      return { ...send, caller: createCaller(targets, work) };
+    });
+    const hosts = sends.map((send, index) => {
+      const outside = { calls: targets.calls, platform: platform.connect() };
+      const mortal = createMortalHost(outside, send.death);
+      const host = createRequestHost(libraries, {
+        id: `router-${send.router}-${index}`,
+        targets,
+        ...mortal,
+      });
+      setTimeout(() => {
+        const { work, reply } = send.caller;
+        const isIgnored = options.isKeyIgnored === true;
+        void runRequest(
+          host,
+          isIgnored ? { ...work, idempotencyKey: undefined } : work,
+          mortal.wrapReply(reply),
+        );
+      }, send.atMs);
+      return mortal;
+    });
+    await jest.advanceTimersByTimeAsync(historyMs);
+    return {
+      targets,
+      callers: sends.map(({ caller }) => caller),
+      isDead: (index: number) => hosts[index]?.isDead() ?? false,
+    };
+  }
+
+  function createTargets(history: History): FakeTargets {
+    const targets = createFakeTargets(libraries, {
+      ids,
+      service,
+      fates: history.fates,
+    });
+    targets.behaviour.queueMs = history.queueMs;
+    targets.behaviour.sameDrafts = history.sameDrafts;
+    targets.behaviour.streams = history.streams;
+    history.refusing.forEach((id) => {
+      targets.behaviour.refuses.set(id, "target_full");
+    });
+    setTimeout(() => targets.behaviour.refuses.clear(), history.refusingMs);
+    history.crashing.forEach((id, index) => {
+      targets.behaviour.crashesAfter.set(id, index * 2);
+    });
+    history.replacements.forEach(({ id, atMs }) => {
+      setTimeout(() => targets.replace(id), atMs);
+    });
+    return targets;
+  }
+});
+
+/** What a crossed part does to a stream has a test of its own. */
+function withoutCrossedStreams<T extends History>(history: T): T {
+  if (!history.streams) return history;
+  const fates = history.fates.filter(({ fault }) => fault !== "crossed");
+  return { ...history, fates };
+}
+
+/** The target that a request asks first. */
+function findFirstTarget(host: RequestHost, work: Work): string {
+  return createRouting(host, work).tryGetNext()?.id ?? "";
+}
+
+function scheduleFaults(
+  platform: MemoryPlatform,
+  history: KeyHistory,
+): void {
+  const { serviceFaults } = platform;
+  serviceFaults.lostPrefix = "claim/";
+  serviceFaults.lostAnswers = history.lostAnswers;
+  serviceFaults.lostRequests = history.lostRequests;
+  const { fromMs, forMs } = history.outage;
+  if (forMs === 0) return;
+  setTimeout(() => {
+    serviceFaults.outage = true;
+  }, fromMs);
+  setTimeout(() => {
+    serviceFaults.outage = false;
+  }, fromMs + forMs);
+}
+
+/** Callers that were never told anything. */
+function findSilent(callers: readonly Told[]): readonly string[] {
+  return callers
+    .filter((caller) => caller.end() === undefined)
+    .map((caller) => `${caller.work.requestId} was told nothing`);
+}
--- /dev/null
+++ b/test/fakes/event_queue.ts
@@ -0,0 +1,54 @@
+/** A stream of events that a fake writes and a router reads. */
+
+import type { AgentEvent, AgentEvents } from "../../src/types/agent_calls.ts";
+
+/** Both ends of one stream. */
+export interface EventQueue {
+  readonly events: AgentEvents;
+  push(event: AgentEvent): void;
+  isClosed(): boolean;
+}
+
+/** Creates an empty stream. */
+export function createEventQueue(): EventQueue {
+  const queued: AgentEvent[] = [];
+  let waiting: ((result: IteratorResult<AgentEvent>) => void) | undefined;
+  let closed = false;
+
+  return {
+    events: {
+      next,
+      return: () => {
+        closed = true;
+        waiting?.(finished);
+        return Promise.resolve(finished);
+      },
+      [Symbol.asyncIterator]() {
+        return this;
+      },
+    },
+    push,
+    isClosed: () => closed,
+  };
+
+  function next(): Promise<IteratorResult<AgentEvent>> {
+    const event = queued.shift();
+    if (event !== undefined) {
+      return Promise.resolve({ done: false, value: event });
+    }
+    if (closed) return Promise.resolve(finished);
+    return new Promise((resolve) => {
+      waiting = resolve;
+    });
+  }
+
+  function push(event: AgentEvent): void {
+    if (closed) return;
+    const resolve = waiting;
+    waiting = undefined;
+    if (resolve === undefined) queued.push(event);
+    else resolve({ done: false, value: event });
+  }
+}
+
+const finished: IteratorResult<AgentEvent> = { done: true, value: undefined };
--- /dev/null
+++ b/test/naive/router.ts
@@ -0,0 +1,74 @@
+/**
+ * The naive router: round robin, another try after any error, no claims, no
+ * check of the end. It stays as the reference of differential tests.
+ */
+
+import type { AgentCalls, AgentEvent } from "../../src/types/agent_calls.ts";
+import type { AttemptNumbers } from "../../src/process/attempt_numbers.ts";
+import { createReport } from "../../src/types/diagnostics.ts";
+import type { Member } from "../../src/types/member.ts";
+import type { Reply } from "../../src/types/reply.ts";
+import type { Work } from "../../src/types/work.ts";
+
+/** Tries of one request. */
+const maxTries = 3;
+
+/** What the naive router needs from outside. */
+export interface NaiveHost {
+  readonly calls: AgentCalls;
+  readonly attempts: AttemptNumbers;
+  getMembers(): readonly Member[];
+}
+
+/** Runs requests. */
+export interface NaiveRouter {
+  run(work: Work, reply: Reply): Promise<void>;
+}
+
+/** Creates the naive router. */
+export function createNaiveRouter(host: NaiveHost): NaiveRouter {
+  let turn = 0;
+
+  return { run };
+
+  async function run(work: Work, reply: Reply): Promise<void> {
+    for (let tries = 0; tries < maxTries; tries++) {
+      if (await tryOnce(work, reply)) return;
+    }
+    const report = createReport("no_target", { service: work.service });
+    reply.end({ outcome: "not_run", report });
+  }
+
+  async function tryOnce(work: Work, reply: Reply): Promise<boolean> {
+    const members = host.getMembers();
+    const target = members[turn++ % members.length];
+    if (target === undefined) return false;
+    let hasBody = false;
+    const events = host.calls.run({
+      attempt: host.attempts.createAttempt(),
+      target,
+      work,
+      cachedTokens: 0,
+      crashes: 0,
+      claim: "",
+      configurationVersion: 0,
+      observedLoads: [],
+      conversationHash: 0,
+    });
+    for await (const event of events) {
+      if (event.kind === "chunk") {
+        hasBody = true;
+        void reply.write(event.data);
+      } else if (isEnd(event)) {
+        break;
+      }
+    }
+    // A stream that ends looks like an end.
+    if (hasBody) reply.end({ outcome: "done", report: undefined });
+    return hasBody;
+  }
+}
+
+function isEnd(event: AgentEvent): boolean {
+  return event.kind !== "head" && event.kind !== "chunk";
+}
--- /dev/null
+++ b/test/support/request_history.ts
@@ -0,0 +1,198 @@
+/**
+ * Runs requests through routers without sockets, under faults, and checks
+ * with a trivial referee what each caller was told.
+ */
+
+import { createAttemptNumbers } from "../../src/process/attempt_numbers.ts";
+import type { BodyDigests } from "../../src/process/body_digest.ts";
+import { createClaimLeases } from "../../src/process/claim_leases.ts";
+import {
+  createPlacement,
+  type PlacementHost,
+} from "../../src/process/placement.ts";
+import { createRefusalMemory } from "../../src/process/refusal_memory.ts";
+import { createRetryBudget } from "../../src/process/retry_budget.ts";
+import type { RequestHost } from "../../src/request/request_host.ts";
+import type { AgentCalls } from "../../src/types/agent_calls.ts";
+import type { Configuration } from "../../src/types/configuration.ts";
+import type { Platform } from "../../src/types/platform.ts";
+import type { Reply, RequestEnd } from "../../src/types/reply.ts";
+import type { Work } from "../../src/types/work.ts";
+import type { FakeTargets } from "../fakes/fake_targets.ts";
+
+/** The one service of a history. */
+export const service = "desk";
+
+/** What one caller has seen. */
+export interface Told {
+  readonly work: Work;
+  readonly text: () => string;
+  readonly reply: Reply;
+  /** Undefined while there is no end, and for ever when the router died. */
+  readonly end: () => RequestEnd | undefined;
+  /** Runs of the call at the moment of the end. */
+  readonly runsAtEnd: () => number;
+  hangUp(): void;
+}
+
+/** Libraries that are loaded once for a test file. */
+export interface Libraries {
+  readonly digests: BodyDigests;
+  readonly placement: PlacementHost;
+}
+
+const configuration: Configuration = {
+  version: 1,
+  services: new Map([[service, {
+    kind: "plain",
+    loadMultiple: 1.25,
+    slots: 4,
+    queueLimit: 4,
+    priorityWeights: { interactive: 4, background: 1 },
+    retryBudget: 0.2,
+    checksFencing: true,
+    routes: [],
+  }]]),
+  workspaces: new Map(),
+};
+
+/** Creates the host of one router. */
+export function createRequestHost(
+  libraries: Libraries,
+  options: {
+    readonly id: string;
+    readonly targets: FakeTargets;
+    readonly platform: Platform;
+    readonly calls?: AgentCalls;
+  },
+): RequestHost {
+  const { targets, platform } = options;
+  return {
+    calls: options.calls ?? targets.calls,
+    members: {
+      getAvailableAgents: targets.getMembers,
+      noteContact: () => undefined,
+    },
+    configuration: { getConfiguration: () => configuration },
+    crashes: { getCrashes: () => 0 },
+    limits: { acquire: () => Promise.resolve({ kind: "granted" }) },
+    placement: createPlacement(libraries.placement),
+    refusals: createRefusalMemory(),
+    retries: createRetryBudget(),
+    attempts: createAttemptNumbers({
+      router: options.id,
+      routerIncarnation: 1,
+    }),
+    digests: libraries.digests,
+    claims: { platform, leases: createClaimLeases({ platform }) },
+    hashConversation: () => 0,
+  };
+}
+
+/** Builds a request; its body names the call. */
+export function createWork(
+  fields: Partial<Work> & { readonly requestId: string; readonly call: string },
+): Work {
+  const { call, ...rest } = fields;
+  return {
+    kind: "call",
+    service,
+    workspace: "team",
+    conversation: "",
+    priority: "interactive",
+    deadlineAt: Date.now() + 10_000,
+    repeatable: false,
+    idempotencyKey: undefined,
+    fingerprint: call,
+    estimate: { promptTokens: 0, outputTokens: 1, cachedTokens: 0 },
+    method: "POST",
+    path: "/",
+    headers: [],
+    body: Buffer.from(call),
+    lastPlace: undefined,
+    ...rest,
+  };
+}
+
+/** Creates a caller that reads all it gets. */
+export function createCaller(
+  targets: Pick<FakeTargets, "countRuns">,
+  work: Work,
+): Told {
+  const gone = new AbortController();
+  let text = "";
+  let end: RequestEnd | undefined;
+  let runsAtEnd = 0;
+  const call = Buffer.from(work.body).toString();
+  const reply: Reply = {
+    gone: gone.signal,
+    start: () => undefined,
+    write: (data) => {
+      text += Buffer.from(data).toString();
+      return undefined;
+    },
+    end: (value) => {
+      end = value;
+      runsAtEnd = targets.countRuns(call);
+    },
+  };
+  return {
+    work,
+    reply,
+    text: () => text,
+    end: () => end,
+    runsAtEnd: () => runsAtEnd,
+    hangUp: () => gone.abort(),
+  };
+}
+
+/** Returns what the referee finds wrong; empty when all was kept. */
+export function findViolations(
+  targets: FakeTargets,
+  callers: readonly Told[],
+): readonly string[] {
+  return callers.flatMap((caller) => [
+    ...findAnswerFaults(targets, caller),
+    ...findRunFaults(targets, caller),
+  ]);
+}
+
+/** A done answer is one draft, and what came before an error begins one. */
+function findAnswerFaults(targets: FakeTargets, caller: Told): string[] {
+  const call = Buffer.from(caller.work.body).toString();
+  const drafts = targets.runs.filter((run) => run.call === call);
+  const text = caller.text();
+  const isDone = caller.end()?.outcome === "done";
+  if (isDone && !drafts.some((run) => run.draft === text)) {
+    return [`${caller.work.requestId} was told done with "${text}"`];
+  }
+  if (!drafts.some((run) => run.draft.startsWith(text)) && text !== "") {
+    return [`${caller.work.requestId} received a splice: "${text}"`];
+  }
+  if (!isDone && text.includes("[DONE]")) {
+    return [`${caller.work.requestId} received the marker of a whole answer`];
+  }
+  return [];
+}
+
+/** Work that may not repeat runs once, and "not run" is true. */
+function findRunFaults(targets: FakeTargets, caller: Told): string[] {
+  const { work } = caller;
+  const call = Buffer.from(work.body).toString();
+  const faults: string[] = [];
+  const own = targets.runs.filter((run) => run.requestId === work.requestId);
+  if (work.repeatable) {
+    const isTrue = caller.end()?.outcome !== "not_run" || own.length === 0;
+    return isTrue ? [] : [`${work.requestId} ran, told not run`];
+  }
+  const sum = work.idempotencyKey === undefined
+    ? own.length
+    : targets.countRuns(call);
+  if (sum > 1) faults.push(`${call} ran ${sum} times`);
+  if (caller.end()?.outcome !== "not_run") return faults;
+  if (own.length > 0) faults.push(`${work.requestId} ran, told not run`);
+  if (work.idempotencyKey !== undefined && caller.runsAtEnd() > 0) {
+    faults.push(`${call} had run when ${work.requestId} was told not run`);
+  }
+  return faults;
+}
