--- a/src/version/operator_calls.ts
+++ b/src/version/operator_calls.ts
@@ -4,9 +4,9 @@
 import type { Patch } from "../types/configuration.ts";
 import { createReport, type Report } from "../types/diagnostics.ts";
 import type { Platform, PlatformError } from "../types/platform.ts";
+import type { Hash } from "./codec.ts";
 import {
   type ConfigurationState,
-  type Hash,
   type PatchRecord,
   tryFindRecord,
 } from "./configuration_state.ts";
