--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -22,6 +22,7 @@
 import type { RequestHost, RequestSummary } from "./request_host.ts";
 import { createRequestStop } from "./request_stop.ts";
 import { createRouting, getPlacementKey } from "./routing.ts";
+import { waitUnlessAborted } from "./settlement.ts";
 
 /** Crashes of targets after which a request is not tried again. */
 const maxCrashes = 2;
@@ -110,9 +111,10 @@
     host.retries.noteFirstTry(work.service, getRetryBudget());
     while (true) {
       if (stop.getReason() !== undefined) return await endStoppedEarly();
-      const member = routing.tryGetNext();
-      if (member === undefined) return await endRefused();
-      const end = await tryTarget(member);
+      const choice = routing.tryGetNext();
+      if (choice === undefined) return await endRefused();
+      await waitUnlessAborted(choice.pauseMs, stop.signal);
+      const end = await tryTarget(choice.member);
       if (end !== undefined) return end;
     }
   }
--- a/src/request/routing.ts
+++ b/src/request/routing.ts
@@ -20,8 +20,14 @@
 /** Loads that make another ask of the least loaded target useful. */
 const minRefusedLoads = 2;
 
+/**
+ * Wait before the first such ask, in milliseconds; each further one waits
+ * longer, so that requests that came together do not ask together again.
+ */
+const firstPauseMs = 5;
+
 /** Asks of targets that have refused the same request before. */
-const maxAskedAgain = 3;
+const maxAskedAgain = 5;
 
 /** What routing needs from outside. */
 export interface RoutingHost {
@@ -30,10 +36,17 @@
   readonly refusals: RefusalMemory;
 }
 
+/** A target to ask next. */
+export interface Choice {
+  readonly member: Member;
+  /** Time to wait before it is asked, in milliseconds. */
+  readonly pauseMs: number;
+}
+
 /** The choice of targets for one request. */
 export interface Routing {
   /** The next target to ask; undefined when there is none left. */
-  tryGetNext(): Member | undefined;
+  tryGetNext(): Choice | undefined;
   /** Notes the load at which a target refused, in work units. */
   noteLoad(target: string, load: number): void;
   /** Last loads of the other targets that refused. */
@@ -62,8 +75,12 @@
     getAsked: () => asked.size,
   };
 
-  function tryGetNext(): Member | undefined {
-    return tryGetUnasked() ?? tryGetLeastLoaded();
+  function tryGetNext(): Choice | undefined {
+    const unasked = tryGetUnasked();
+    if (unasked !== undefined) return { member: unasked, pauseMs: 0 };
+    const member = tryGetLeastLoaded();
+    if (member === undefined) return undefined;
+    return { member, pauseMs: firstPauseMs * askedAgain };
   }
 
   function noteLoad(target: string, load: number): void {
--- a/src/request/settlement.ts
+++ b/src/request/settlement.ts
@@ -43,7 +43,7 @@
   signal: AbortSignal,
 ): Promise<void> {
   return new Promise((resolve) => {
-    if (signal.aborted) return resolve();
+    if (signal.aborted || waitMs <= 0) return resolve();
     const timer = setTimeout(finish, waitMs);
     signal.addEventListener("abort", finish, { once: true });
 
