--- a/src/request/request_run_test.ts
+++ b/src/request/request_run_test.ts
@@ -475,7 +475,7 @@
 
 /** The target that a request asks first. */
 function findFirstTarget(host: RequestHost, work: Work): string {
-  return createRouting(host, work).tryGetNext()?.id ?? "";
+  return createRouting(host, work).tryGetNext()?.member.id ?? "";
 }
 
 function scheduleFaults(
