--- /dev/null
+++ b/bench/configuration.ts
@@ -0,0 +1,184 @@
+/**
+ * Measures the configuration at the design size: patches, lookups, checks,
+ * snapshots and memory at 30,000 workspaces. Prints one JSON object a line.
+ * A word sets another number of workspaces.
+ */
+
+import { monitorEventLoopDelay } from "node:perf_hooks";
+import { Bench } from "tinybench";
+import { loadHash } from "../src/process/hash.ts";
+import type { Patch, PatchOperation } from "../src/types/configuration.ts";
+import { createCodec } from "../src/version/codec.ts";
+import {
+  applyPatch,
+  type ConfigurationState,
+  createEmptyState,
+} from "../src/version/configuration_state.ts";
+import { checkDraft } from "../src/version/patch_check.ts";
+import { checkFollows } from "../src/version/patch_conflict.ts";
+import { formatPatch, tryParsePatch } from "../src/version/patch_text.ts";
+import { decodeSnapshot, encodeSnapshot } from "../src/version/snapshot.ts";
+import {
+  createDraft,
+  createService,
+  createWorkspace,
+} from "../test/support/drafts.ts";
+
+const usualWorkspaces = 30_000;
+const services = ["verse-model", "order-desk", "assistant-pool"];
+const operationsPerPatch = 1_000;
+
+/** Patches with one operation each, as on an ordinary day. */
+const recentPatches = 3_800;
+
+/** Time for each measurement, in milliseconds. */
+const measureMs = 1_000;
+
+/** Runs in which the longest block is looked for. */
+const blockRuns = 10;
+
+const bytesPerMegabyte = 1_048_576;
+
+void main();
+
+async function main(): Promise<void> {
+  const workspaces = Number(process.argv[2] ?? usualWorkspaces);
+  const codec = createCodec({ hash: await loadHash() });
+  const heapBefore = measureHeap();
+  const state = fill(workspaces, codec);
+  const heapMb = (measureHeap() - heapBefore) / bytesPerMegabyte;
+  print({ name: "configuration_heap_mb", workspaces, value: round(heapMb) });
+
+  const snapshot = await encodeSnapshot(state, { codec });
+  const length = snapshot.parts.reduce((sum, part) => sum + part.length, 0);
+  print({
+    name: "snapshot_size",
+    workspaces,
+    characters: length,
+    parts: snapshot.parts.length,
+  });
+
+  const { version } = state.configuration;
+  const draft = createDraft({
+    id: "next",
+    baseVersion: version,
+    operations: [putOne(17, 2)],
+  });
+  const patch: Patch = { ...draft, version: version + 1, acceptedAt: 0 };
+  const text = formatPatch(patch);
+  let next = 0;
+
+  const bench = new Bench({ time: measureMs });
+  bench
+    .add("patch_apply", () => {
+      applyPatch(state, patch, codec);
+    })
+    .add("patch_check", () => {
+      checkDraft(draft).map((checked) => checkFollows(checked, state));
+    })
+    .add("patch_parse", () => {
+      tryParsePatch(text);
+    })
+    .add("workspace_lookup", () => {
+      next = (next + 7_919) % workspaces;
+      state.configuration.workspaces.get(`studio-${next}`);
+    })
+    .add("map_copy_and_set_for_comparison", () => {
+      const copy = new Map(plain);
+      copy.set("studio-17", createWorkspace());
+    })
+    .add("snapshot_encode", async () => {
+      await encodeSnapshot(state, { codec });
+    })
+    .add("snapshot_decode", async () => {
+      await decodeSnapshot(snapshot, { codec });
+    });
+  const plain = new Map(state.configuration.workspaces);
+  await bench.run();
+  for (const task of bench.tasks) {
+    const { result } = task;
+    if (!("latency" in result)) continue;
+    print({
+      name: task.name,
+      workspaces,
+      meanMicroseconds: round(result.latency.mean * 1_000),
+      p99Microseconds: round(result.latency.p99 * 1_000),
+      samples: result.latency.samplesCount,
+    });
+  }
+  print({
+    name: "longest_block_ms",
+    workspaces,
+    encode: await measureBlock(() => encodeSnapshot(state, { codec })),
+    decode: await measureBlock(() => decodeSnapshot(snapshot, { codec })),
+  });
+}
+
+/** Builds a configuration by patches, with a day of small ones at the end. */
+function fill(
+  workspaces: number,
+  codec: ReturnType<typeof createCodec>,
+): ConfigurationState {
+  let state = createEmptyState();
+  apply(services.map((name) => ({
+    kind: "put_service",
+    name,
+    value: createService(),
+  })));
+  for (let start = 0; start < workspaces; start += operationsPerPatch) {
+    const count = Math.min(operationsPerPatch, workspaces - start);
+    apply(Array.from({ length: count }, (_, index) => putOne(start + index)));
+  }
+  for (let index = 0; index < recentPatches; index++) {
+    apply([putOne(index, 1 + index % 3)]);
+  }
+  return state;
+
+  function apply(operations: readonly PatchOperation[]): void {
+    const version = state.configuration.version + 1;
+    const draft = createDraft({ id: `patch-${version}`, operations });
+    // Through its text, as patches arrive.
+    const text = formatPatch({ ...draft, version, acceptedAt: 1.7e12 });
+    const patch = tryParsePatch(text);
+    if (patch !== undefined) state = applyPatch(state, patch, codec);
+  }
+}
+
+function putOne(index: number, weight = 1): PatchOperation {
+  const service = services[index % services.length] ?? "verse-model";
+  const value = createWorkspace({
+    weight,
+    requestsPerSecond: index % 50,
+    services: [service],
+  });
+  return { kind: "put_workspace", name: `studio-${index}`, value };
+}
+
+function measureHeap(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed;
+}
+
+/** Returns the longest time in which no other work could run. */
+async function measureBlock(act: () => Promise<unknown>): Promise<number> {
+  const delays = monitorEventLoopDelay({ resolution: 1 });
+  let longestMs = 0;
+  for (let run = 0; run < blockRuns; run++) {
+    delays.enable();
+    await act();
+    // The monitor sees a block with its first tick after it.
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    delays.disable();
+    longestMs = Math.max(longestMs, delays.max / 1e6);
+    delays.reset();
+  }
+  return round(longestMs);
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
+function print(line: Readonly<Record<string, string | number>>): void {
+  console.log(JSON.stringify(line));
+}
--- a/src/version/codec.ts
+++ b/src/version/codec.ts
@@ -12,6 +12,8 @@
   compress(text: string): Promise<Buffer>;
   /** Rejects when the data is damaged. */
   decompress(data: Buffer): Promise<string>;
+  /** Lets other work of the process go first. */
+  pause(): Promise<void>;
 }
 
 const deflate = promisify<string, Buffer>(deflateRaw);
@@ -23,5 +25,9 @@
     hash: options.hash,
     compress: (text) => deflate(text),
     decompress: async (data) => (await inflate(data)).toString(),
+    pause: () =>
+      new Promise((resolve) => {
+        setImmediate(resolve);
+      }),
   };
 }
--- a/src/version/configuration_state.ts
+++ b/src/version/configuration_state.ts
@@ -119,18 +119,16 @@
   return (state.entriesHash ^ Math.imul(version, 0x9e3779b1)) >>> 0;
 }
 
-/** Returns the hash of all entries, worked out from nothing. */
+/** Returns the hash of entries of one group, to be summed over all. */
 export function hashEntries(
-  configuration: Configuration,
+  group: "service" | "workspace",
+  entries: Iterable<readonly [string, Service | Workspace]>,
   hash: Hash,
 ): number {
   let sum = 0;
-  configuration.services.forEach((value, name) => {
-    sum = (sum + hashEntry(`service ${name}`, value, hash)) >>> 0;
-  });
-  configuration.workspaces.forEach((value, name) => {
-    sum = (sum + hashEntry(`workspace ${name}`, value, hash)) >>> 0;
-  });
+  for (const [name, value] of entries) {
+    sum = (sum + hashEntry(`${group} ${name}`, value, hash)) >>> 0;
+  }
   return sum;
 }
 
--- a/src/version/snapshot.ts
+++ b/src/version/snapshot.ts
@@ -1,13 +1,17 @@
-/** Snapshots: a whole configuration as compressed pieces under a size limit. */
+/**
+ * Snapshots: a whole configuration as compressed pieces under a size limit.
+ * The text has one JSON object a line, so that a large configuration is
+ * written and read in slices and other work of the process goes on between.
+ */
 
 import { assertInvariant } from "../types/assert.ts";
 import type { Service, Workspace } from "../types/configuration.ts";
+import type { Codec } from "./codec.ts";
 import {
   type ConfigurationState,
   hashEntries,
   type PatchRecord,
 } from "./configuration_state.ts";
-import type { Codec } from "./codec.ts";
 import { createShardedMap } from "./sharded_map.ts";
 
 /** A snapshot as it is kept or sent. */
@@ -25,11 +29,15 @@
  */
 export const maxPartLength = 700_000;
 
-interface SnapshotContent {
-  readonly version: number;
-  readonly services: readonly (readonly [string, Service])[];
-  readonly workspaces: readonly (readonly [string, Workspace])[];
-  readonly records: readonly PatchRecord[];
+/** Entries in one line of the text. */
+const entriesPerLine = 500;
+
+/** One line of the text; each has one of the fields. */
+interface Line {
+  readonly version?: number;
+  readonly services?: readonly (readonly [string, Service])[];
+  readonly workspaces?: readonly (readonly [string, Workspace])[];
+  readonly records?: readonly PatchRecord[];
 }
 
 /** Encodes a state; equal states give equal snapshots. */
@@ -38,21 +46,30 @@
   options: { readonly codec: Codec; readonly partLength?: number },
 ): Promise<Snapshot> {
   const { version, services, workspaces } = state.configuration;
-  const content: SnapshotContent = {
-    version,
-    services: sortByName(services),
-    workspaces: sortByName(workspaces),
-    records: state.records,
-  };
   const { codec, partLength = maxPartLength } = options;
   assertInvariant(partLength % 4 === 0, "pieces hold whole bytes");
-  const compressed = await codec.compress(JSON.stringify(content));
+  const texts = [JSON.stringify({ version } satisfies Line)];
+  await addLines("services", sortByName(services));
+  await addLines("workspaces", sortByName(workspaces));
+  await addLines("records", state.records);
+  const compressed = await codec.compress(texts.join("\n"));
   const text = compressed.toString("base64");
   return {
     version,
     checksum: formatChecksum(codec.hash(text)),
     parts: splitText(text, partLength),
   };
+
+  async function addLines(
+    field: keyof Line,
+    values: readonly unknown[],
+  ): Promise<void> {
+    for (let start = 0; start < values.length; start += entriesPerLine) {
+      const slice = values.slice(start, start + entriesPerLine);
+      texts.push(JSON.stringify({ [field]: slice }));
+      await codec.pause();
+    }
+  }
 }
 
 /** Decodes a snapshot; undefined when it is damaged or incomplete. */
@@ -65,19 +82,39 @@
   if (formatChecksum(codec.hash(text)) !== snapshot.checksum) {
     return undefined;
   }
-  const data = await codec.decompress(Buffer.from(text, "base64"));
-  const content = JSON.parse(data) as SnapshotContent;
-  if (content.version !== snapshot.version) return undefined;
-  const configuration = {
-    version: content.version,
-    services: createShardedMap(content.services),
-    workspaces: createShardedMap(content.workspaces),
-  };
+  const lines = await codec.decompress(Buffer.from(text, "base64"));
+  const services: (readonly [string, Service])[] = [];
+  const workspaces: (readonly [string, Workspace])[] = [];
+  const records: PatchRecord[] = [];
+  let version = 0;
+  let entriesHash = 0;
+  for (const line of lines.split("\n")) {
+    takeLine(JSON.parse(line) as Line);
+    await codec.pause();
+  }
+  if (version !== snapshot.version) return undefined;
   return {
-    configuration,
-    entriesHash: hashEntries(configuration, codec.hash),
-    records: content.records,
+    configuration: {
+      version,
+      services: createShardedMap(services),
+      workspaces: createShardedMap(workspaces),
+    },
+    entriesHash,
+    records,
   };
+
+  function takeLine(line: Line): void {
+    version = line.version ?? version;
+    services.push(...line.services ?? []);
+    workspaces.push(...line.workspaces ?? []);
+    records.push(...line.records ?? []);
+    addHash(hashEntries("service", line.services ?? [], codec.hash));
+    addHash(hashEntries("workspace", line.workspaces ?? [], codec.hash));
+  }
+
+  function addHash(hash: number): void {
+    entriesHash = (entriesHash + hash) >>> 0;
+  }
 }
 
 function sortByName<V>(map: ReadonlyMap<string, V>): [string, V][] {
