--- /dev/null
+++ b/src/process/table_sync.ts
@@ -0,0 +1,114 @@
+/** Compares the own table with others' and repairs differences. */
+
+import type { Datagram } from "../generated/mimosatray/v1/control.ts";
+import type { Member } from "../types/member.ts";
+import type { Endpoint } from "./control_sender.ts";
+import type { MemberTable } from "./member_table.ts";
+
+/** Quiet time of the own table after which a difference is looked into. */
+const quietBeforePullMs = 1_000;
+
+/** Shortest time between two pulls. */
+const pullIntervalMs = 1_000;
+
+/** Shortest time between two corrections of the same member. */
+const correctionIntervalMs = 500;
+
+/** Members whose corrections are remembered. */
+const maxCorrections = 1_024;
+
+/** Records with which a process has only just joined. */
+const newTableSize = 2;
+
+/** What the repair needs from outside. */
+export interface TableSyncHost {
+  readonly table: MemberTable;
+  /** Tells a member what is believed of it, so that it can refute. */
+  correct(believed: Member, to: Endpoint): void;
+  /** Asks a member for the records of buckets that differ. */
+  pullMembers(
+    from: Member,
+    bucketHashes: readonly number[],
+  ): Promise<readonly Member[] | undefined>;
+  mergeMembers(members: readonly Member[]): void;
+}
+
+/** Keeps the table in step with others'. */
+export interface TableSync {
+  /**
+   * Compares what a datagram's fields say. Returns the sender's record when
+   * it is believed to be well.
+   */
+  checkSender(datagram: Datagram, from: Endpoint): Member | undefined;
+  /** Records that the own table changed just now. */
+  noteChanged(): void;
+}
+
+/** Creates the repair of one table. */
+export function createTableSync(host: TableSyncHost): TableSync {
+  const { table } = host;
+  const correctedAt = new Map<string, number>();
+  let changedAt = -Infinity;
+  let pulledAt = -Infinity;
+
+  return {
+    checkSender,
+    noteChanged: () => {
+      changedAt = performance.now();
+    },
+  };
+
+  function checkSender(
+    datagram: Datagram,
+    from: Endpoint,
+  ): Member | undefined {
+    const held = table.tryGet(datagram.sender);
+    const isCurrent = held !== undefined &&
+      held.incarnation === datagram.senderIncarnation;
+    if (!isCurrent || held.state === "suspect" || held.state === "dead") {
+      correct(held ?? createStub(datagram.sender, from), from);
+      return undefined;
+    }
+    if (datagram.membersHash !== table.getHash()) considerPull(held);
+    return held;
+  }
+
+  function correct(believed: Member, to: Endpoint): void {
+    const now = performance.now();
+    const last = correctedAt.get(believed.id) ?? -Infinity;
+    if (now - last < correctionIntervalMs) return;
+    if (correctedAt.size >= maxCorrections) correctedAt.clear();
+    correctedAt.set(believed.id, now);
+    host.correct(believed, to);
+  }
+
+  function considerPull(from: Member): void {
+    const now = performance.now();
+    if (now - pulledAt < pullIntervalMs) return;
+    const isNew = table.getAll().length <= newTableSize;
+    if (!isNew && now - changedAt < quietBeforePullMs) return;
+    pulledAt = now;
+    void host.pullMembers(from, table.getBucketHashes()).then((members) => {
+      if (members !== undefined) host.mergeMembers(members);
+    });
+  }
+}
+
+/** A record so old that any member answers it with its own. */
+function createStub(id: string, from: Endpoint): Member {
+  return {
+    id,
+    role: "router",
+    address: from.address,
+    grpcPort: 0,
+    gossipPort: from.port,
+    zone: "",
+    region: "",
+    vm: "",
+    service: "",
+    incarnation: 0,
+    version: 0,
+    state: "dead",
+    weight: 0,
+  };
+}
--- a/test/support/exchange_network.ts
+++ b/test/support/exchange_network.ts
@@ -54,10 +54,13 @@
   readonly seed: number;
   readonly bytesPerSecond?: number;
   readonly exchange?: Partial<ExchangeOptions>;
+  /** Requests per second of workspaces. */
+  readonly limits?: ReadonlyMap<string, number>;
 }): Network {
   const nodes: Node[] = [];
   const byEndpoint = new Map<string, Node>();
   const random = createRandom(options.seed);
+  const configuration = createConfiguration(options.limits ?? new Map());
   let disturbance: Disturbance = { delayMs: [1, 3], loss: 0, doubling: 0 };
   let passes: (from: Node, to: Node) => boolean = () => true;
 
@@ -86,7 +89,7 @@
       pullMembers,
       configuration: {
         getChecksum: () => 0,
-        getConfiguration: () => emptyConfiguration,
+        getConfiguration: () => configuration,
         noteVersion: () => undefined,
         offerPatches: (texts) =>
           texts.forEach((text) => patches.set(text, performance.now())),
@@ -215,11 +218,17 @@
   };
 }
 
-const emptyConfiguration: Configuration = {
-  version: 0,
-  services: new Map(),
-  workspaces: new Map(),
-};
+function createConfiguration(
+  limits: ReadonlyMap<string, number>,
+): Configuration {
+  const workspaces = new Map(
+    [...limits].map(([name, requestsPerSecond]) => [
+      name,
+      { weight: 1, requestsPerSecond, services: [] },
+    ]),
+  );
+  return { version: 0, services: new Map(), workspaces };
+}
 
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
