--- a/bench/placement/driver.ts
+++ b/bench/placement/driver.ts
@@ -36,9 +36,6 @@
 /** Availability zones over which the engines are spread. */
 const zoneCount = 4;
 
-/** Engines that refuse a cold request by the lower multiple. */
-const coldTries = 3;
-
 /** Contexts that a planned leave exports. */
 const exportedContexts = 1_500;
 
@@ -237,14 +234,9 @@
     const question = {
       work: output + (holds ? newPromptTokens : promptTokens),
       observedLoads: loads,
+      isHeld: holds,
     };
-    // Once several engines have refused, the whole multiple is open to all.
-    const isCold = !holds && loads.length < coldTries;
-    const multiple = experiment.loadMultiple * (1 - experiment.margin);
-    return engine.askGate(
-      question,
-      isCold ? Math.min(multiple, experiment.coldMultiple) : multiple,
-    );
+    return engine.gate.check(question).kind === "admitted";
   }
 
   function rank(key: string): readonly Engine[] {
@@ -339,6 +331,8 @@
       createEngine(`engine-${nextEngine++}`, {
         zone,
         cacheSize: experiment.cacheSize,
+        loadMultiple: experiment.loadMultiple * (1 - experiment.margin),
+        coldMultiple: experiment.coldMultiple,
       }),
     ];
     epoch++;
--- a/bench/placement/engine.ts
+++ b/bench/placement/engine.ts
@@ -1,10 +1,6 @@
 /** A small fake of one model engine: its load, its cache and its gate. */
 
-import {
-  createLoadGate,
-  type GateQuestion,
-  type LoadGate,
-} from "../../src/process/load_gate.ts";
+import { createLoadGate, type LoadGate } from "../../src/process/load_gate.ts";
 import type { MeanEstimate } from "../../src/types/view.ts";
 
 /** One fake engine. */
@@ -14,8 +10,6 @@
   readonly zone: number;
   readonly gate: LoadGate;
   mean: MeanEstimate;
-  /** Asks the gate under a multiple of the mean. */
-  askGate(question: GateQuestion, multiple: number): boolean;
   /** Load left at a moment, in tokens; work declines evenly as it runs. */
   getLoad(now: number): number;
   addWork(work: number, start: number, end: number): void;
@@ -44,6 +38,8 @@
   options: {
     readonly zone: number;
     readonly cacheSize: number;
+    readonly loadMultiple: number;
+    readonly coldMultiple: number;
   },
 ): Engine {
   const cache = new Map<string, number>();
@@ -51,19 +47,18 @@
   let constant = 0;
   let slope = 0;
 
-  let loadMultiple = 1;
-
   const engine: Engine = {
     id,
     weight: 100,
     zone: options.zone,
     gate: createLoadGate({
       getMean: () => engine.mean,
-      getLoadMultiple: () => loadMultiple,
+      getLoadMultiple: () => options.loadMultiple,
+      getColdMultiple: () =>
+        Math.min(options.loadMultiple, options.coldMultiple),
     }),
     mean: { mean: 0, targets: 1, ageMs: 0 },
     inFlight: 0,
-    askGate,
     getLoad: (now) => Math.max(0, constant - slope * now),
     addWork: (work, start, end) => change(work, { start, end, sign: 1 }),
     endWork: (work, start, end) => change(work, { start, end, sign: -1 }),
@@ -77,11 +72,6 @@
   };
   return engine;
 
-  function askGate(question: GateQuestion, multiple: number): boolean {
-    loadMultiple = multiple;
-    return engine.gate.check(question).kind === "admitted";
-  }
-
   function change(
     work: number,
     span: {
--- a/src/connection/agent_messages.ts
+++ b/src/connection/agent_messages.ts
@@ -45,6 +45,9 @@
     isChat: message.isChat,
     claim: message.claim,
     observedLoads: message.observedLoads,
+    conversationHash: message.conversationHash,
+    messageCount: message.messageCount,
+    onlyIfHeld: message.onlyIfHeld,
   };
 }
 
--- a/src/connection/agent_wire.ts
+++ b/src/connection/agent_wire.ts
@@ -22,7 +22,7 @@
     fingerprint: work.fingerprint,
     promptTokens: clampUint32(work.estimate.promptTokens),
     outputTokens: clampUint32(work.estimate.outputTokens),
-    cachedTokens: clampUint32(dispatch.cachedTokens),
+    cachedTokens: clampUint32(work.estimate.cachedTokens),
     crashes: dispatch.crashes,
     method: work.method,
     path: work.path,
@@ -37,6 +37,8 @@
     configurationVersion: dispatch.configurationVersion,
     observedLoads: [...dispatch.observedLoads],
     conversationHash: dispatch.conversationHash,
+    messageCount: work.messageCount,
+    onlyIfHeld: dispatch.onlyIfHeld,
   };
 }
 
--- /dev/null
+++ b/src/process/context_index_test.ts
@@ -0,0 +1,33 @@
+import { createContextIndex } from "./context_index.ts";
+
+describe("context index", () => {
+  const chat = 17;
+
+  it("holds a chat whose last turn ran here", () => {
+    const index = createContextIndex();
+    expect(index.isHeld({ conversationHash: chat, messageCount: 3 }))
+      .toBe(false);
+    index.noteHeld({ conversationHash: chat, messageCount: 1 });
+    expect(index.isHeld({ conversationHash: chat, messageCount: 3 }))
+      .toBe(true);
+  });
+
+  it("does not hold a chat that has had a turn elsewhere since", () => {
+    const index = createContextIndex();
+    index.noteHeld({ conversationHash: chat, messageCount: 1 });
+    expect(index.isHeld({ conversationHash: chat, messageCount: 5 }))
+      .toBe(false);
+  });
+
+  it("stays bounded and drops the chat that ran longest ago", () => {
+    const index = createContextIndex();
+    for (let hash = 0; hash < 10_000; hash++) {
+      index.noteHeld({ conversationHash: hash, messageCount: 1 });
+    }
+    expect(index.getSize()).toBe(8_192);
+    expect(index.isHeld({ conversationHash: 0, messageCount: 3 }))
+      .toBe(false);
+    expect(index.isHeld({ conversationHash: 9_999, messageCount: 3 }))
+      .toBe(true);
+  });
+});
--- a/src/process/load_gate.ts
+++ b/src/process/load_gate.ts
@@ -6,6 +6,9 @@
  * `l + w <= max(multiple * m, m + w)`, where `m` is the mean with the new work
  * counted in. The second term lets a target at or below the mean take one
  * request, so some target always admits and small fleets make progress.
+ *
+ * Work whose context is not here is held to a lower multiple: it loses nothing
+ * elsewhere, and the room above is kept for chats that return.
  */
 
 import type { MeanEstimate } from "../types/view.ts";
@@ -16,6 +19,8 @@
   getMean(): MeanEstimate;
   /** The configured multiple; above 1. */
   getLoadMultiple(): number;
+  /** The multiple for work whose context the target does not hold. */
+  getColdMultiple(): number;
 }
 
 /** What the gate decided. */
@@ -36,6 +41,8 @@
    * request, chosen by hash alone, in work units per weight of 100.
    */
   readonly observedLoads: readonly number[];
+  /** True when the target holds the context of the request. */
+  readonly isHeld: boolean;
 }
 
 /** Holds the load of one target. */
@@ -55,6 +62,23 @@
 /** Observed loads that are enough to correct a mean that is behind. */
 const minObservedLoads = 3;
 
+/** Part of the room above the mean that is open to work without a context. */
+const coldShare = 0.4;
+
+/**
+ * Returns the multiple for work whose context the target does not hold: the
+ * configured one, never above the load multiple.
+ *
+ * With a load multiple of 1.25 and none configured it is 1.1.
+ */
+export function getColdMultiple(
+  loadMultiple: number,
+  configured: number | undefined,
+): number {
+  const multiple = configured ?? 1 + (loadMultiple - 1) * coldShare;
+  return Math.min(loadMultiple, multiple);
+}
+
 /** Creates a gate with no load. */
 export function createLoadGate(host: LoadGateHost): LoadGate {
   let ownLoad = 0;
@@ -62,14 +86,15 @@
 
   return { check, add, remove, setForeignLoad, getLoad };
 
-  function check({ work, observedLoads }: GateQuestion): GateDecision {
-    const bound = getBound(work, observedLoads);
+  function check(question: GateQuestion): GateDecision {
+    const { work } = question;
+    const bound = getBound(question);
     return getLoad() + work <= bound
       ? { kind: "admitted" }
       : { kind: "refused", bound };
   }
 
-  function getBound(work: number, observedLoads: readonly number[]): number {
+  function getBound({ work, observedLoads, isHeld }: GateQuestion): number {
     const estimate = host.getMean();
     const targets = Math.max(1, estimate.targets);
     const mean = Math.max(
@@ -77,7 +102,10 @@
       getObservedMean(observedLoads, targets),
     );
     const meanWithWork = mean + work / targets;
-    return Math.max(host.getLoadMultiple() * meanWithWork, mean + work);
+    // Once several targets have refused, the whole multiple is open to all.
+    const isCold = !isHeld && observedLoads.length < minObservedLoads;
+    const multiple = isCold ? host.getColdMultiple() : host.getLoadMultiple();
+    return Math.max(multiple * meanWithWork, mean + work);
   }
 
   /**
--- a/src/process/load_gate_test.ts
+++ b/src/process/load_gate_test.ts
@@ -8,6 +8,7 @@
     gates.push(createLoadGate({
       getMean: () => ({ mean: getMean(gates), targets: count, ageMs: 0 }),
       getLoadMultiple: () => loadMultiple,
+      getColdMultiple: () => loadMultiple,
     }));
   }
   return gates;
@@ -36,7 +37,8 @@
               gates[(first + index) % count] as LoadGate
             );
             const place = order.find((gate) =>
-              gate.check({ work, observedLoads: [] }).kind === "admitted"
+              gate.check({ work, observedLoads: [], isHeld: true }).kind ===
+                "admitted"
             );
             expect(place).toBeDefined();
             const meanBefore = getMean(gates);
@@ -54,7 +56,7 @@
     const gates = createGates(6, 1.25);
     for (let index = 0; index < 60; index++) gates[0]?.add(100);
     expect(gates[0]?.getLoad()).toBeGreaterThan(1.25 * getMean(gates));
-    expect(gates[0]?.check({ work: 100, observedLoads: [] }).kind)
+    expect(gates[0]?.check({ work: 100, observedLoads: [], isHeld: true }).kind)
       .toBe("refused");
   });
 
@@ -63,14 +65,20 @@
       const gate = createLoadGate({
         getMean: () => ({ mean: 0, targets: 13, ageMs: 900 }),
         getLoadMultiple: () => 1.25,
+        getColdMultiple: () => 1.1,
       });
       gate.add(1_000);
-      expect(gate.check({ work: 100, observedLoads: [] }).kind)
+      expect(gate.check({ work: 100, observedLoads: [], isHeld: true }).kind)
         .toBe("refused");
-      expect(gate.check({ work: 100, observedLoads: [1_100, 1_000] }).kind)
+      expect(
+        gate.check({ work: 100, observedLoads: [1_100, 1_000], isHeld: true })
+          .kind,
+      )
         .toBe("refused");
       const observedLoads = [1_100, 1_000, 1_050];
-      expect(gate.check({ work: 100, observedLoads }).kind).toBe("admitted");
+      expect(gate.check({ work: 100, observedLoads, isHeld: true }).kind).toBe(
+        "admitted",
+      );
     });
   });
 
@@ -78,19 +86,40 @@
     const gate = createLoadGate({
       getMean: () => ({ mean: 0, targets: 1, ageMs: 0 }),
       getLoadMultiple: () => 1.25,
+      getColdMultiple: () => 1.1,
     });
     gate.add(1_000);
-    expect(gate.check({ work: 100, observedLoads: [] }).kind).toBe("admitted");
+    expect(gate.check({ work: 100, observedLoads: [], isHeld: true }).kind)
+      .toBe("admitted");
   });
 
   it("counts work that another process left at the target", () => {
     const gate = createLoadGate({
       getMean: () => ({ mean: 500, targets: 6, ageMs: 0 }),
       getLoadMultiple: () => 1.25,
+      getColdMultiple: () => 1.1,
     });
     gate.setForeignLoad(700);
-    expect(gate.check({ work: 10, observedLoads: [] }).kind).toBe("refused");
+    expect(gate.check({ work: 10, observedLoads: [], isHeld: true }).kind).toBe(
+      "refused",
+    );
     gate.setForeignLoad(0);
-    expect(gate.check({ work: 10, observedLoads: [] }).kind).toBe("admitted");
+    expect(gate.check({ work: 10, observedLoads: [], isHeld: true }).kind).toBe(
+      "admitted",
+    );
+  });
+
+  it("keeps room above the cold multiple for held contexts", () => {
+    const gate = createLoadGate({
+      getMean: () => ({ mean: 1_000, targets: 13, ageMs: 0 }),
+      getLoadMultiple: () => 1.25,
+      getColdMultiple: () => 1.1,
+    });
+    gate.add(1_120);
+    const question = { work: 20, observedLoads: [], isHeld: false };
+    expect(gate.check(question).kind).toBe("refused");
+    expect(gate.check({ ...question, isHeld: true }).kind).toBe("admitted");
+    const observedLoads = [1_110, 1_120, 1_130];
+    expect(gate.check({ ...question, observedLoads }).kind).toBe("admitted");
   });
 });
--- a/src/request/chat_body.ts
+++ b/src/request/chat_body.ts
@@ -20,6 +20,7 @@
   /** Tokens of all messages but the last one. */
   readonly earlierTokens: number;
   readonly maxOutputTokens: number;
+  readonly messageCount: number;
 }
 
 type JsonObject = Readonly<Record<string, unknown>>;
@@ -37,6 +38,7 @@
       promptTokens,
       earlierTokens: Math.max(0, promptTokens - lastTokens),
       maxOutputTokens: getOutputTokens(fields),
+      messageCount: messages.length,
     });
   });
 }
--- a/src/request/execution.ts
+++ b/src/request/execution.ts
@@ -9,13 +9,14 @@
 import type { AnswerBuffer } from "../process/answer_buffer.ts";
 import type { AttemptEntry, AttemptTable } from "../process/attempt_table.ts";
 import type { BodyDigests } from "../process/body_digest.ts";
+import type { ContextIndex } from "../process/context_index.ts";
 import type { CrashQuarantine } from "../process/crash_quarantine.ts";
 import type { LoadGate } from "../process/load_gate.ts";
 import type { Log } from "../process/log.ts";
 import type { Metrics } from "../process/metrics.ts";
 import type { TargetWatch } from "../process/target_watch.ts";
 import type { WorkQueue } from "../process/work_queue.ts";
-import type { Failure, Refusal } from "../types/answer.ts";
+import type { Failure, Refusal, Usage } from "../types/answer.ts";
 import type { DiagnosticCode } from "../types/diagnostics.ts";
 import type { RunOrder } from "../types/run_order.ts";
 import { createAnswerScan } from "./answer_scan.ts";
@@ -25,6 +26,7 @@
 /** What an execution uses of its agent. */
 export interface ExecutionHost {
   readonly table: AttemptTable;
+  readonly contexts: ContextIndex;
   readonly gate: LoadGate;
   readonly queue: WorkQueue;
   readonly quarantine: CrashQuarantine;
@@ -69,8 +71,9 @@
 ): Execution {
   const { order, entry, answer } = options;
   const abort = new AbortController();
+  const isHeld = order.isChat && host.contexts.isHeld(order);
   const share = createWorkShare(host.gate, {
-    estimate: order.estimate,
+    estimate: isHeld ? order.estimate : { ...order.estimate, cachedTokens: 0 },
     weight: host.getWeight(),
   });
   const startedAt = Date.now();
@@ -117,9 +120,13 @@
     if (verdict.kind === "condemned") {
       return createRefusal("request_quarantined", 0);
     }
+    if (order.onlyIfHeld && !isHeld) {
+      return createRefusal("context_not_held", 0);
+    }
     const decision = host.gate.check({
       work: share.work,
       observedLoads: order.observedLoads,
+      isHeld: isHeld || !order.isChat,
     });
     if (decision.kind === "admitted") return undefined;
     const excess = host.gate.getLoad() + share.work - decision.bound;
@@ -172,15 +179,24 @@
     }
     if (!scan.isWhole()) return finishFailed("answer_cut");
     host.quarantine.leave(entry.key, { lived: true });
+    const usage = scan.getUsage();
+    noteContext(usage);
     answer.append({
       kind: "end",
       length: answer.getLength(),
       digest: digest.getText(),
-      usage: scan.getUsage(),
+      usage,
     });
     finish("done");
   }
 
+  function noteContext(usage: Usage): void {
+    if (!order.isChat) return;
+    host.contexts.noteHeld(order);
+    host.metrics.count("prompt_tokens_total", {}, usage.promptTokens);
+    host.metrics.count("cached_tokens_total", {}, usage.cachedTokens);
+  }
+
   function readBody(target: TargetAnswer): AsyncIterable<Uint8Array> {
     streamId = tryGetStreamId(target);
     return readTargetStream(
--- a/src/request/request_check.ts
+++ b/src/request/request_check.ts
@@ -62,6 +62,7 @@
         ...createCommonWork(host, { request, headers, service: chat.model }),
         kind: "chat",
         conversation: headers.conversation,
+        messageCount: chat.messageCount,
         repeatable: true,
         estimate: {
           promptTokens: chat.promptTokens,
@@ -85,6 +86,7 @@
     ...createCommonWork(host, { request, headers, service: name }),
     kind: "call",
     conversation: "",
+    messageCount: 0,
     repeatable: isRepeatable(service, { method: request.method, path }),
     estimate: {
       promptTokens: 0,
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -6,7 +6,6 @@
 
 import type { PlacedAttempt } from "../types/agent_calls.ts";
 import { createReport, type DiagnosticCode } from "../types/diagnostics.ts";
-import type { Member } from "../types/member.ts";
 import type { Reply, RequestEnd } from "../types/reply.ts";
 import type { Work } from "../types/work.ts";
 import { createAnswer } from "./answer.ts";
@@ -21,7 +20,11 @@
 import { createEnd } from "./request_end.ts";
 import type { RequestHost, RequestSummary } from "./request_host.ts";
 import { createRequestStop } from "./request_stop.ts";
-import { createRouting, getPlacementKey } from "./routing.ts";
+import {
+  createRouting,
+  getPlacementKey,
+  type RoutingChoice,
+} from "./routing.ts";
 
 /** Crashes of targets after which a request is not tried again. */
 const maxCrashes = 2;
@@ -44,6 +47,7 @@
 /** Refusals that cost a target nothing; the next rank is asked at once. */
 const freeRefusals: ReadonlySet<DiagnosticCode> = new Set([
   "target_full",
+  "context_not_held",
   "queue_wait_too_long",
   "target_leaving",
   "wrong_incarnation",
@@ -82,7 +86,6 @@
   const claimed = isClaimed
     ? createClaimedRequest({ claims: host.claims, join }, work)
     : undefined;
-  const observedLoads: number[] = [];
   /** What became of an attempt that may have run; none has otherwise. */
   let lastFailure: DiagnosticCode | undefined;
   let crashes = 0;
@@ -111,15 +114,17 @@
     host.retries.noteFirstTry(work.service, getRetryBudget());
     while (true) {
       if (stop.getReason() !== undefined) return await endStoppedEarly();
-      const member = routing.tryGetNext();
-      if (member === undefined) return await endRefused();
-      const end = await tryTarget(member);
+      const choice = routing.tryGetNext();
+      if (choice === undefined) return await endRefused();
+      const end = await tryTarget(choice);
       if (end !== undefined) return end;
     }
   }
 
   /** Tries one target; undefined when the next one should be tried. */
-  async function tryTarget(member: Member): Promise<RequestEnd | undefined> {
+  async function tryTarget(
+    { member, onlyIfHeld, observedLoads }: RoutingChoice,
+  ): Promise<RequestEnd | undefined> {
     const attempt = host.attempts.createAttempt();
     const placed = { attempt, target: member };
     target = member.id;
@@ -131,9 +136,6 @@
     const verdict = await runAttempt(attemptHost, {
       ...placed,
       work,
-      cachedTokens: member.id === work.lastPlace
-        ? work.estimate.cachedTokens
-        : 0,
       crashes: Math.max(crashes, host.crashes.getCrashes(work.fingerprint)),
       claim: claimed?.key ?? "",
       configurationVersion: host.configuration.getConfiguration().version,
@@ -141,6 +143,7 @@
       conversationHash: work.kind === "chat"
         ? host.hashConversation(getPlacementKey(work))
         : 0,
+      onlyIfHeld,
     }, attemptOptions);
     return await act(verdict, placed);
   }
@@ -186,7 +189,9 @@
     lastRefusal = createReport(code, { service: work.service }, {
       retryAfterMs: retryAfterMs || defaultRetryAfterMs,
     });
-    if (load !== undefined) observedLoads.push(load);
+    routing.noteRefusal({ code, load });
+    // The target may have room for any request but this one.
+    if (code === "context_not_held") return undefined;
     host.refusals.noteRefusal(
       placed.target.id,
       freeRefusals.has(code) ? retryAfterMs : unreachableMs,
--- a/src/request/routing.ts
+++ b/src/request/routing.ts
@@ -1,15 +1,23 @@
 /**
- * Chooses the targets of one request one after the other: by rank for its
- * conversation, those that have just refused others last.
+ * Chooses the targets of one request one after the other, in three passes:
+ *
+ * 1. a returning chat asks the first ranks whether they hold its context;
+ * 2. any target is asked by rank, those that have just refused others last;
+ * 3. the least loaded of those that refused is asked again, with the loads of
+ *    the others, since a mean that is behind makes all of them refuse.
  */
 
 import type { Placement } from "../process/placement.ts";
 import type { RefusalMemory } from "../process/refusal_memory.ts";
+import type { DiagnosticCode } from "../types/diagnostics.ts";
 import type { Member } from "../types/member.ts";
 import type { MemberView } from "../types/view.ts";
 import type { Work } from "../types/work.ts";
 
-/** Targets that one request asks at most. */
+/** Targets that one request asks whether they hold its context. */
+const maxHoldersAsked = 4;
+
+/** Targets that one request asks to take it, whatever they hold. */
 const maxTargets = 8;
 
 /** Targets asked although they have just refused another request. */
@@ -22,12 +30,28 @@
   readonly refusals: RefusalMemory;
 }
 
+/** One target to ask. */
+export interface RoutingChoice {
+  readonly member: Member;
+  /** The target should refuse unless it holds the chat's context. */
+  readonly onlyIfHeld: boolean;
+  /** Loads of targets that refused for load, in the order of asking. */
+  readonly observedLoads: readonly number[];
+}
+
+/** What a target answered that did not take the request. */
+export interface RefusalNote {
+  readonly code: DiagnosticCode;
+  /** Load of the target, undefined when it was not reached. */
+  readonly load: number | undefined;
+}
+
 /** The choice of targets for one request. */
 export interface Routing {
   /** The next target to ask; undefined when there is none left. */
-  tryGetNext(): Member | undefined;
-  /** Targets returned so far. */
-  getAsked(): number;
+  tryGetNext(): RoutingChoice | undefined;
+  /** Tells how the target that was returned last refused. */
+  noteRefusal(note: RefusalNote): void;
 }
 
 /** Returns the key by which a request is placed. */
@@ -36,23 +60,30 @@
   return `${work.workspace}/${name}`;
 }
 
+/** True when an earlier turn of the chat has run somewhere. */
+export function isReturningChat(work: Work): boolean {
+  return work.kind === "chat" && work.conversation !== "" &&
+    work.messageCount > 1;
+}
+
 /** Creates the choice for one request. */
 export function createRouting(host: RoutingHost, work: Work): Routing {
-  const asked = new Set<string>();
+  const askedForContext = new Set<string>();
+  const askedForAny = new Set<string>();
+  const fullLoads = new Map<string, number>();
+  const observedLoads: number[] = [];
   let rememberedAsked = 0;
+  let isLastPassDone = false;
+  let last: RoutingChoice | undefined;
 
-  return { tryGetNext, getAsked: () => asked.size };
+  return { tryGetNext, noteRefusal };
 
-  function tryGetNext(): Member | undefined {
-    if (asked.size >= maxTargets) return undefined;
+  function tryGetNext(): RoutingChoice | undefined {
     // The members are read again: they may have changed since the last ask.
-    const ranked = rank().filter((member) => !asked.has(getKey(member)));
-    const fresh = ranked.find((member) =>
-      !host.refusals.isRemembered(member.id)
-    );
-    const next = fresh ?? tryGetRemembered(ranked);
-    if (next !== undefined) asked.add(getKey(next));
-    return next;
+    const ranked = rank();
+    last = tryGetHolder(ranked) ?? tryGetAny(ranked) ??
+      tryGetLeastLoaded(ranked);
+    return last;
   }
 
   function rank(): readonly Member[] {
@@ -63,10 +94,61 @@
     });
   }
 
-  function tryGetRemembered(ranked: readonly Member[]): Member | undefined {
+  function tryGetHolder(
+    ranked: readonly Member[],
+  ): RoutingChoice | undefined {
+    if (!isReturningChat(work) || askedForAny.size > 0) return undefined;
+    if (askedForContext.size >= maxHoldersAsked) return undefined;
+    // A target that refused others for load may still hold this context.
+    const member = ranked.slice(0, maxHoldersAsked)
+      .find((candidate) => !askedForContext.has(getKey(candidate)));
+    if (member === undefined) return undefined;
+    askedForContext.add(getKey(member));
+    return { member, onlyIfHeld: true, observedLoads: [] };
+  }
+
+  function tryGetAny(ranked: readonly Member[]): RoutingChoice | undefined {
+    if (askedForAny.size >= maxTargets) return undefined;
+    const left = ranked.filter((member) =>
+      !askedForAny.has(getKey(member)) && !fullLoads.has(getKey(member))
+    );
+    const fresh = left.find((member) => !host.refusals.isRemembered(member.id));
+    const member = fresh ?? tryGetRemembered(left);
+    if (member === undefined) return undefined;
+    askedForAny.add(getKey(member));
+    return { member, onlyIfHeld: false, observedLoads: [...observedLoads] };
+  }
+
+  function tryGetRemembered(left: readonly Member[]): Member | undefined {
     if (rememberedAsked >= maxRemembered) return undefined;
     rememberedAsked++;
-    return ranked[0];
+    return left[0];
+  }
+
+  function tryGetLeastLoaded(
+    ranked: readonly Member[],
+  ): RoutingChoice | undefined {
+    if (isLastPassDone) return undefined;
+    isLastPassDone = true;
+    const member = ranked
+      .filter((candidate) => fullLoads.has(getKey(candidate)))
+      .sort((left, right) => getFullLoad(left) - getFullLoad(right))[0];
+    if (member === undefined) return undefined;
+    const others = [...fullLoads]
+      .filter(([key]) => key !== getKey(member))
+      .map(([, load]) => load);
+    return { member, onlyIfHeld: false, observedLoads: others };
+  }
+
+  function getFullLoad(member: Member): number {
+    return fullLoads.get(getKey(member)) ?? Number.POSITIVE_INFINITY;
+  }
+
+  function noteRefusal({ code, load }: RefusalNote): void {
+    if (last === undefined || load === undefined) return;
+    if (code !== "target_full") return;
+    fullLoads.set(getKey(last.member), load);
+    if (!last.onlyIfHeld) observedLoads.push(load);
   }
 }
 
--- a/src/roles/agent.ts
+++ b/src/roles/agent.ts
@@ -8,8 +8,9 @@
 } from "../generated/mimosatray/v1/agent.ts";
 import { createAttemptTable } from "../process/attempt_table.ts";
 import { loadBodyDigests } from "../process/body_digest.ts";
+import { createContextIndex } from "../process/context_index.ts";
 import { createCrashQuarantine } from "../process/crash_quarantine.ts";
-import { createLoadGate } from "../process/load_gate.ts";
+import { createLoadGate, getColdMultiple } from "../process/load_gate.ts";
 import { createOrderGate } from "../process/order_gate.ts";
 import { createTargetWatch } from "../process/target_watch.ts";
 import { createWorkQueue } from "../process/work_queue.ts";
@@ -22,6 +23,7 @@
 const defaultPolicy: Pick<
   Service,
   | "loadMultiple"
+  | "coldMultiple"
   | "slots"
   | "queueLimit"
   | "priorityWeights"
@@ -70,6 +72,10 @@
   const gate = createLoadGate({
     getMean: () => fleet.means.getMean(settings.service),
     getLoadMultiple: () => getPolicy().loadMultiple,
+    getColdMultiple: () => {
+      const { loadMultiple, coldMultiple } = getPolicy();
+      return getColdMultiple(loadMultiple, coldMultiple);
+    },
   });
   const queue = createWorkQueue({
     getSlots: () => getPolicy().slots,
@@ -88,8 +94,10 @@
     leaseMs: orderLeaseMs,
     longestOrderMs,
   });
+  const contexts = createContextIndex();
   const service = createAttemptService({
     table,
+    contexts,
     gate,
     queue,
     quarantine,
@@ -130,6 +138,7 @@
       load: gate.getLoad(),
       running: queue.getRunning(),
       waiting: queue.getWaiting(),
+      contexts: contexts.getSize(),
       attempts: { ...table.getCounts() },
     }),
   };
--- a/src/types/agent_calls.ts
+++ b/src/types/agent_calls.ts
@@ -20,8 +20,6 @@
   readonly attempt: Attempt;
   readonly target: Target;
   readonly work: Work;
-  /** Prompt tokens that this target should hold in its cache. */
-  readonly cachedTokens: number;
   /** Crashes that the request is known to have taken part in. */
   readonly crashes: number;
   /** Hash of the workspace, service and idempotency key, or empty. */
@@ -31,6 +29,8 @@
   readonly observedLoads: readonly number[];
   /** Hash of the conversation's key, 0 for a service call. */
   readonly conversationHash: number;
+  /** The target refuses unless it holds the chat's latest context. */
+  readonly onlyIfHeld: boolean;
 }
 
 /**
--- a/src/types/configuration.ts
+++ b/src/types/configuration.ts
@@ -17,6 +17,11 @@
   readonly kind: ServiceKind;
   /** No target is loaded beyond this multiple of the mean; above 1. */
   readonly loadMultiple: number;
+  /**
+   * Work whose context a target does not hold is taken up to this multiple,
+   * so that room is left for chats that return; see `getColdMultiple`.
+   */
+  readonly coldMultiple?: number;
   /** Requests that one target runs at the same time. */
   readonly slots: number;
   /** Requests that may wait at one target. */
--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -18,6 +18,11 @@
     status: 503,
     text: "All targets of {service} are at their load limit",
   },
+  context_not_held: {
+    category: "not_run",
+    status: 503,
+    text: "The target of {service} does not hold the chat's context",
+  },
   queue_wait_too_long: {
     category: "not_run",
     status: 503,
--- a/src/types/run_order.ts
+++ b/src/types/run_order.ts
@@ -30,4 +30,10 @@
   readonly claim: string;
   /** Loads of the targets that refused this request just before. */
   readonly observedLoads: readonly number[];
+  /** Hash of the conversation's key, 0 for a service call. */
+  readonly conversationHash: number;
+  /** Messages of the chat, 0 for a service call. */
+  readonly messageCount: number;
+  /** Refuse unless the target holds the chat's latest context. */
+  readonly onlyIfHeld: boolean;
 }
--- a/src/types/work.ts
+++ b/src/types/work.ts
@@ -29,6 +29,8 @@
   readonly workspace: string;
   /** Conversation id of a chat; empty for a service call. */
   readonly conversation: string;
+  /** Messages of a chat; 0 for a service call. */
+  readonly messageCount: number;
   readonly priority: Priority;
   /** Moment by which the caller wants the answer, in epoch milliseconds. */
   readonly deadlineAt: number;
--- a/src/version/patch_check.ts
+++ b/src/version/patch_check.ts
@@ -122,6 +122,7 @@
         addReport(`${prefix}${path}`, field.expected);
         return;
       }
+      if (held === undefined) return;
       if (name === undefined) result[key] = held;
       else {
         const target = (result[group ?? ""] ??= {}) as Record<string, unknown>;
--- a/src/version/patch_fields.ts
+++ b/src/version/patch_fields.ts
@@ -38,6 +38,12 @@
     expected: "a number above 1 and up to 100",
     accepts: (value) => typeof value === "number" && value > 1 && value <= 100,
   },
+  coldMultiple: {
+    expected: "absent, or a number from 1 to 100",
+    accepts: (value) =>
+      value === undefined ||
+      (typeof value === "number" && value >= 1 && value <= 100),
+  },
   slots: wholeNumber(1, highestCount),
   queueLimit: wholeNumber(0, highestCount),
   "priorityWeights.interactive": positiveNumber(),
--- a/test/fakes/agent_parts.ts
+++ b/test/fakes/agent_parts.ts
@@ -2,6 +2,7 @@
 
 import { createAttemptTable } from "../../src/process/attempt_table.ts";
 import type { BodyDigests } from "../../src/process/body_digest.ts";
+import { createContextIndex } from "../../src/process/context_index.ts";
 import {
   type CrashQuarantine,
   createCrashQuarantine,
@@ -59,6 +60,7 @@
   const gate = createLoadGate({
     getMean: () => ({ mean: 1_000_000, targets: 3, ageMs: 0 }),
     getLoadMultiple: () => 1.25,
+    getColdMultiple: () => 1.1,
   });
   const queue = createWorkQueue({
     getSlots: () => options.slots ?? 2,
@@ -68,6 +70,7 @@
   });
   const together = options.togetherWithSuspects ?? false;
   const service = createAttemptService({
+    contexts: createContextIndex(),
     table: createAttemptTable({
       keptAnswerBytes: 1_000_000,
       keptAnswerMs: 60_000,
@@ -119,6 +122,9 @@
     isChat: true,
     claim: "",
     observedLoads: [],
+    conversationHash: number,
+    messageCount: 1,
+    onlyIfHeld: false,
     ...fields,
   };
 }
