--- a/src/request/routing.ts
+++ b/src/request/routing.ts
@@ -23,6 +23,12 @@
 /** Targets asked although they have just refused another request. */
 const maxRemembered = 2;
 
+/** Loads that make another ask of the least loaded target useful. */
+const minRefusedLoads = 2;
+
+/** Asks of targets that have refused the same request before. */
+const maxAskedAgain = 3;
+
 /** What routing needs from outside. */
 export interface RoutingHost {
   readonly members: Pick<MemberView, "getAvailableAgents">;
@@ -73,7 +79,7 @@
   const fullLoads = new Map<string, number>();
   const observedLoads: number[] = [];
   let rememberedAsked = 0;
-  let isLastPassDone = false;
+  let askedAgain = 0;
   let last: RoutingChoice | undefined;
 
   return { tryGetNext, noteRefusal };
@@ -128,8 +134,9 @@
   function tryGetLeastLoaded(
     ranked: readonly Member[],
   ): RoutingChoice | undefined {
-    if (isLastPassDone) return undefined;
-    isLastPassDone = true;
+    if (fullLoads.size < minRefusedLoads) return undefined;
+    if (askedAgain >= maxAskedAgain) return undefined;
+    askedAgain++;
     const member = ranked
       .filter((candidate) => fullLoads.has(getKey(candidate)))
       .sort((left, right) => getFullLoad(left) - getFullLoad(right))[0];
--- a/src/roles/agent.ts
+++ b/src/roles/agent.ts
@@ -12,6 +12,7 @@
 import { createCrashQuarantine } from "../process/crash_quarantine.ts";
 import { createLoadGate, getColdMultiple } from "../process/load_gate.ts";
 import { createOrderGate } from "../process/order_gate.ts";
+import { createOrphanLoad } from "../process/orphan_load.ts";
 import { createTargetWatch } from "../process/target_watch.ts";
 import { createWorkQueue } from "../process/work_queue.ts";
 import { createAttemptService } from "../request/attempt_service.ts";
@@ -42,6 +43,9 @@
 /** Attempts that are over and still remembered. */
 const maxRememberedAttempts = 20_000;
 
+/** Work counted for a request that an earlier process left, in work units. */
+const usualOrphanWork = 256;
+
 /** Time in which the holder of the order path may send, in milliseconds. */
 const orderLeaseMs = 2_000;
 
@@ -95,6 +99,11 @@
     longestOrderMs,
   });
   const contexts = createContextIndex();
+  const orphans = createOrphanLoad({
+    getRunning: queue.getRunning,
+    getUsualWork: () => usualOrphanWork * 100 / settings.weight,
+    setForeignLoad: gate.setForeignLoad,
+  });
   const service = createAttemptService({
     table,
     contexts,
@@ -124,9 +133,10 @@
   metrics.gauge("load", gate.getLoad);
   metrics.gauge("running", queue.getRunning);
   metrics.gauge("waiting", queue.getWaiting);
-  const sweep = setInterval(table.sweep, sweepMs);
+  const sweep = setInterval(tick, sweepMs);
   sweep.unref();
   await watch.start();
+  if (settings.kind === "model") await readLoad();
 
   return {
     isReady: () => !leaving && watch.isUp(),
@@ -139,6 +149,9 @@
       running: queue.getRunning(),
       waiting: queue.getWaiting(),
       contexts: contexts.getSize(),
+      orphans: orphans.getOrphans(),
+      inFlight: quarantine.getInFlight(),
+      highestOrder: orders.getHighest(),
       attempts: { ...table.getCounts() },
     }),
   };
@@ -159,6 +172,15 @@
     return { accepted: decision.kind === "accepted", code };
   }
 
+  function tick(): void {
+    table.sweep();
+    if (settings.kind === "model") void readLoad();
+  }
+
+  async function readLoad(): Promise<void> {
+    orphans.noteReport(await target.tryReadLoad());
+  }
+
   function noteCrash(): void {
     const suspects = quarantine.noteCrash();
     metrics.count("target_crashes_total");
--- a/src/types/work.ts
+++ b/src/types/work.ts
@@ -1,6 +1,6 @@
 /** Requests in the shape that every decision module reads. */
 
-/** Who waits: a person at the counter, or work that may take its time. */
+/** How soon the answer is needed: a person waits for it, or nobody does. */
 export type Priority = "interactive" | "background";
 
 /** All priorities, the most urgent first. */
