Drive the product's routing in the placement bench

Cause: the bench held its own copy of the chosen policy. Ruled out: none. Conclusion: two rows named product use src/request/routing.ts itself.

--- a/bench/placement/driver.ts
+++ b/bench/placement/driver.ts
@@ -5,6 +5,7 @@
   createPlacement,
   type PlacementHost,
 } from "../../src/process/placement.ts";
+import type { Member } from "../../src/types/member.ts";
 import { createEngine, type Engine } from "./engine.ts";
 import { policies, type World } from "./policies.ts";
 import { createRandom } from "./random.ts";
@@ -71,6 +72,9 @@
   >();
   let ring: { readonly point: number; readonly engine: Engine }[] = [];
   let ringEpoch = -1;
+  let members: readonly Member[] = [];
+  let membersEpoch = -1;
+  let enginesById = new Map<string, Engine>();
   const chats: Chat[] = [];
   const endings = new Map<number, Ended[]>();
   const snapshots: { engine: Engine; load: number }[][] = [];
@@ -110,6 +114,12 @@
     get engines() {
       return engines;
     },
+    get members() {
+      if (membersEpoch !== epoch) updateMembers();
+      return members;
+    },
+    placement,
+    getEngine: (id) => enginesById.get(id) as Engine,
     random,
     rank,
     walkRing,
@@ -247,6 +257,26 @@
     return order;
   }
 
+  function updateMembers(): void {
+    membersEpoch = epoch;
+    enginesById = new Map(engines.map((engine) => [engine.id, engine]));
+    members = engines.map(({ id, weight }) => ({
+      id,
+      weight,
+      role: "agent",
+      address: "127.0.0.1",
+      grpcPort: 0,
+      gossipPort: 0,
+      zone: "",
+      region: "",
+      vm: id,
+      service: "model",
+      incarnation: 1,
+      version: 1,
+      state: "live",
+    }));
+  }
+
   function walkRing(key: string): readonly Engine[] {
     if (ringEpoch !== epoch) buildRing();
     const point = hashes.hash(encoder.encode(key), 2);
--- a/bench/placement/policies.ts
+++ b/bench/placement/policies.ts
@@ -1,5 +1,10 @@
 /** The ways to place a chat that are weighed against each other. */
 
+import type { Placement } from "../../src/process/placement.ts";
+import type { RefusalMemory } from "../../src/process/refusal_memory.ts";
+import { createRouting } from "../../src/request/routing.ts";
+import type { Member } from "../../src/types/member.ts";
+import type { Work } from "../../src/types/work.ts";
 import type { Engine } from "./engine.ts";
 import type { Chat } from "./shapes.ts";
 import type { Random } from "./random.ts";
@@ -10,6 +15,10 @@
   /** Engines that the router believes are there. */
   readonly engines: readonly Engine[];
   readonly random: Random;
+  /** The same engines as member records. */
+  readonly members: readonly Member[];
+  readonly placement: Placement;
+  getEngine(id: string): Engine;
   /** Engines in rendezvous order for a chat. */
   rank(key: string): readonly Engine[];
   /** Engines in ring order for a chat. */
@@ -62,6 +71,8 @@
     askInOrder(withHint(chat, world), world),
   rendezvous_bounded_memory: (chat, world) =>
     askWithMemory(chat, world.rank(chat.key), world),
+  product: (chat, world) => askAsRouter(chat, world, undefined),
+  product_hint: (chat, world) => askAsRouter(chat, world, chat.lastPlace),
   rendezvous_bounded_held: (chat, world) =>
     askHolders(chat, world.rank(chat.key), world),
   rendezvous_bounded_held_hint: (chat, world) =>
@@ -117,6 +128,64 @@
   return { ...choice, asked: choice.asked + holders.length };
 }
 
+/** Asks in the order of the product's own routing. */
+function askAsRouter(
+  chat: Chat,
+  world: World,
+  lastPlace: string | undefined,
+): Choice {
+  const routing = createRouting({
+    members: { getAvailableAgents: () => world.members },
+    placement: world.placement,
+    refusals: noRefusals,
+  }, createWork(chat, lastPlace));
+  let asked = 0;
+  for (let next = routing.tryGetNext(); next !== undefined; asked++) {
+    const { member, onlyIfHeld, observedLoads } = next;
+    const engine = world.getEngine(member.id);
+    const isRefused = onlyIfHeld && !engine.holds(chat.key, chat.turn);
+    if (!isRefused && world.asks(engine, observedLoads)) {
+      return { engine, asked: asked + 1 };
+    }
+    routing.noteRefusal({
+      code: isRefused ? "context_not_held" : "target_full",
+      load: engine.getLoad(world.now),
+    });
+    next = routing.tryGetNext();
+  }
+  return { engine: undefined, asked };
+}
+
+/** The refusal memory of a router that sees a sliver is nearly empty. */
+const noRefusals: RefusalMemory = {
+  noteRefusal: () => undefined,
+  noteAccepted: () => undefined,
+  isRemembered: () => false,
+  getRemembered: () => new Map(),
+};
+
+function createWork(chat: Chat, lastPlace: string | undefined): Work {
+  return {
+    requestId: chat.key,
+    kind: "chat",
+    service: "model",
+    workspace: "workspace",
+    conversation: chat.key,
+    messageCount: 1 + 2 * chat.turn,
+    priority: "interactive",
+    deadlineAt: 0,
+    repeatable: true,
+    idempotencyKey: undefined,
+    fingerprint: "",
+    estimate: { promptTokens: 0, outputTokens: 0, cachedTokens: 0 },
+    method: "POST",
+    path: "/",
+    headers: [],
+    body: new Uint8Array(),
+    lastPlace,
+  };
+}
+
 /**
  * An engine that has sent a chat on sends it on again, so that the chat finds
  * the engine that took it, with no hint from the caller.
