--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -25,6 +25,7 @@
   getPlacementKey,
   type RoutingChoice,
 } from "./routing.ts";
+import { waitUnlessAborted } from "./settlement.ts";
 
 /** Crashes of targets after which a request is not tried again. */
 const maxCrashes = 2;
@@ -116,6 +117,7 @@
       if (stop.getReason() !== undefined) return await endStoppedEarly();
       const choice = routing.tryGetNext();
       if (choice === undefined) return await endRefused();
+      await waitUnlessAborted(choice.pauseMs, stop.signal);
       const end = await tryTarget(choice);
       if (end !== undefined) return end;
     }
--- a/src/request/routing.ts
+++ b/src/request/routing.ts
@@ -21,13 +21,19 @@
 const maxTargets = 8;
 
 /** Targets asked although they have just refused another request. */
-const maxRemembered = 2;
+const maxRemembered = 3;
 
 /** Loads that make another ask of the least loaded target useful. */
 const minRefusedLoads = 2;
 
+/**
+ * Wait before the first such ask, in milliseconds; each further one waits
+ * longer, so that requests that came together do not ask together again.
+ */
+const firstPauseMs = 5;
+
 /** Asks of targets that have refused the same request before. */
-const maxAskedAgain = 3;
+const maxAskedAgain = 5;
 
 /** What routing needs from outside. */
 export interface RoutingHost {
@@ -43,6 +49,8 @@
   readonly onlyIfHeld: boolean;
   /** Loads of targets that refused for load, in the order of asking. */
   readonly observedLoads: readonly number[];
+  /** Time to wait before the target is asked, in milliseconds. */
+  readonly pauseMs: number;
 }
 
 /** What a target answered that did not take the request. */
@@ -110,7 +118,7 @@
       .find((candidate) => !askedForContext.has(getKey(candidate)));
     if (member === undefined) return undefined;
     askedForContext.add(getKey(member));
-    return { member, onlyIfHeld: true, observedLoads: [] };
+    return { member, onlyIfHeld: true, observedLoads: [], pauseMs: 0 };
   }
 
   function tryGetAny(ranked: readonly Member[]): RoutingChoice | undefined {
@@ -122,7 +130,12 @@
     const member = fresh ?? tryGetRemembered(left);
     if (member === undefined) return undefined;
     askedForAny.add(getKey(member));
-    return { member, onlyIfHeld: false, observedLoads: [...observedLoads] };
+    return {
+      member,
+      onlyIfHeld: false,
+      observedLoads: [...observedLoads],
+      pauseMs: 0,
+    };
   }
 
   function tryGetRemembered(left: readonly Member[]): Member | undefined {
@@ -144,7 +157,12 @@
     const others = [...fullLoads]
       .filter(([key]) => key !== getKey(member))
       .map(([, load]) => load);
-    return { member, onlyIfHeld: false, observedLoads: others };
+    return {
+      member,
+      onlyIfHeld: false,
+      observedLoads: others,
+      pauseMs: firstPauseMs * askedAgain,
+    };
   }
 
   function getFullLoad(member: Member): number {
--- a/src/request/routing_test.ts
+++ b/src/request/routing_test.ts
@@ -60,7 +60,8 @@
     const routing = await create(3);
     const loads = { "agent-1": 300, "agent-2": 100, "agent-3": 200 };
     const again = askAll(routing, loads).slice(3);
-    expect(getIds(again)).toEqual(["agent-2", "agent-2", "agent-2"]);
+    expect(getIds(again)).toEqual(Array.from({ length: 5 }, () => "agent-2"));
+    expect(again.map(({ pauseMs }) => pauseMs)).toEqual([5, 10, 15, 20, 25]);
     expect([...again[0]?.observedLoads ?? []].sort()).toEqual([200, 300]);
   });
 
