--- a/src/types/work.ts
+++ b/src/types/work.ts
@@ -1,6 +1,6 @@
 /** Requests in the shape that every decision module reads. */
 
-/** Who waits: a person at the counter, or work that may take its time. */
+/** How soon the answer is needed: a person waits for it, or nobody does. */
 export type Priority = "interactive" | "background";
 
 /** All priorities, the most urgent first. */
@@ -29,6 +29,8 @@
   readonly workspace: string;
   /** Conversation id of a chat; empty for a service call. */
   readonly conversation: string;
+  /** Messages of a chat; 0 for a service call. */
+  readonly messageCount: number;
   readonly priority: Priority;
   /** Moment by which the caller wants the answer, in epoch milliseconds. */
   readonly deadlineAt: number;
