--- a/src/process/exchange.ts
+++ b/src/process/exchange.ts
@@ -36,9 +36,6 @@
 /** Time between two ticks. */
 export const tickMs = 250;
 
-/** Members believed dead that are probed a second. */
-const deadPerSecond = 0.5;
-
 /** What the exchange needs from outside. */
 export interface ExchangeHost {
   send(bytes: Uint8Array, to: Endpoint): void;
@@ -71,6 +68,8 @@
   readonly wholeServiceRate: number;
   /** Members of any kind that are probed a second. */
   readonly membersPerSecond: number;
+  /** Members believed dead that are probed a second. */
+  readonly deadPerSecond: number;
   /** Members that each round of news is sent to. */
   readonly fanOut: number;
   /** How the mean load is worked out; see `createMean`. */
@@ -84,6 +83,7 @@
   peersPerSecond: 4,
   wholeServiceRate: 1,
   membersPerSecond: 1,
+  deadPerSecond: 0.5,
   fanOut: 3,
   mean: { windowMs: 2_000, peerMeanWeight: 0 },
 } as const;
@@ -144,7 +144,7 @@
     peersPerSecond: options.peersPerSecond,
     wholeServiceRate: options.wholeServiceRate,
     membersPerSecond: options.membersPerSecond,
-    deadPerSecond,
+    deadPerSecond: options.deadPerSecond,
     random,
   });
   const sync = createTableSync({
--- a/test/support/exchange_network.ts
+++ b/test/support/exchange_network.ts
@@ -54,6 +54,8 @@
   readonly seed: number;
   readonly bytesPerSecond?: number;
   readonly exchange?: Partial<ExchangeOptions>;
+  /** False when no node answers pulls; true by default. */
+  readonly pulls?: boolean;
   /** Requests per second of workspaces. */
   readonly limits?: ReadonlyMap<string, number>;
 }): Network {
@@ -134,6 +136,7 @@
     ): Promise<readonly Member[] | undefined> {
       const target = byEndpoint.get(`${from.address}:${from.gossipPort}`);
       await sleep(getDelay() * 4);
+      if (options.pulls === false) return undefined;
       if (target === undefined || !target.isUp || !node.isUp) return undefined;
       if (!passes(node, target) || !passes(target, node)) return undefined;
       const page = takePage(
