Hold the last mean load also when nobody asked for it in time

A test of held means found it: the estimate was worked out only when it was read, so that an agent whose gate was idle while the reports were fresh fell back to its own load. Ages now count from the newest report.

--- a/src/process/mean_estimate.ts
+++ b/src/process/mean_estimate.ts
@@ -29,7 +29,7 @@
 
 /** Creates an estimate without reports. */
 export function createMean(options: {
-  /** Age from which a report counts no more, in milliseconds. */
+  /** Age, against the newest report, from which a report counts no more. */
   readonly windowMs: number;
   /** Share of the reporters' own estimates in the result, 0 to 1. */
   readonly peerMeanWeight: number;
@@ -58,7 +58,7 @@
     const now = performance.now();
     const ageMs = now - newestAt;
     if (cachedAt !== now) {
-      dropOld(now);
+      dropOld();
       heldOthers = estimateOthers(targets) ?? heldOthers;
       cachedAt = now;
     }
@@ -73,9 +73,10 @@
     return (ownLoad + heldOthers * others) / (others + 1);
   }
 
-  function dropOld(now: number): void {
+  /** Ages count from the newest report, so that the last ones are held. */
+  function dropOld(): void {
     for (const [id, { at }] of reports) {
-      if (now - at <= options.windowMs) return;
+      if (newestAt - at <= options.windowMs) return;
       reports.delete(id);
     }
   }
--- /dev/null
+++ b/test/fleet/crash_spread_test.ts
@@ -0,0 +1,47 @@
+import {
+  createFleetNetwork,
+  getNode,
+  getRunning,
+  testTimeoutMs,
+} from "./fleet_network.ts";
+
+jest.setTimeout(testTimeoutMs);
+
+describe("records of crashes", () => {
+  beforeEach(() => {
+    jest.useFakeTimers();
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  it.each([
+    { fanOut: 3, known: 30 },
+    { fanOut: 0, known: 1 },
+  ])("reach $known members with a fan-out of $fanOut", async (row) => {
+    const { fanOut, known } = row;
+    const network = createFleetNetwork({
+      seed: 9,
+      routers: 10,
+      agents: 20,
+      exchange: { fanOut },
+    });
+    await jest.advanceTimersByTimeAsync(1_000);
+    network.setDisturbance({ loss: 0.1 });
+    getNode(network, "agent-2").exchange.recordCrash("print-1");
+    await jest.advanceTimersByTimeAsync(2_000);
+    const knowing = getRunning(network).filter(({ exchange }) =>
+      exchange.getCrashes("print-1") === 1
+    );
+    expect(knowing).toHaveLength(known);
+
+    getNode(network, "agent-3").exchange.clearCrashes("print-1");
+    await jest.advanceTimersByTimeAsync(2_000);
+    const left = getRunning(network).filter(({ exchange }) =>
+      exchange.getCrashes("print-1") > 0
+    );
+    expect(left).toHaveLength(fanOut === 0 ? 1 : 0);
+    getRunning(network).forEach(network.kill);
+  });
+});
