--- a/test/fakes/agent_parts.ts
+++ b/test/fakes/agent_parts.ts
@@ -2,6 +2,7 @@
 
 import { createAttemptTable } from "../../src/process/attempt_table.ts";
 import type { BodyDigests } from "../../src/process/body_digest.ts";
+import { createContextIndex } from "../../src/process/context_index.ts";
 import {
   type CrashQuarantine,
   createCrashQuarantine,
@@ -9,6 +10,7 @@
 import { createLoadGate } from "../../src/process/load_gate.ts";
 import { createSilentLog } from "../../src/process/log.ts";
 import { createMetrics } from "../../src/process/metrics.ts";
+import type { SuspectClaims } from "../../src/process/suspect_claims.ts";
 import { createWorkQueue } from "../../src/process/work_queue.ts";
 import {
   type AttemptService,
@@ -31,6 +33,7 @@
   /** True when a lost connection was a crash of the target. */
   readonly hasCrashed?: () => boolean;
   readonly isLeaving?: () => boolean;
+  readonly suspects?: SuspectClaims | undefined;
   readonly tombstoneMs?: number;
   /** Lets suspects run beside each other, as without the quarantine. */
   readonly togetherWithSuspects?: boolean;
@@ -59,6 +62,7 @@
   const gate = createLoadGate({
     getMean: () => ({ mean: 1_000_000, targets: 3, ageMs: 0 }),
     getLoadMultiple: () => 1.25,
+    getColdMultiple: () => 1.1,
   });
   const queue = createWorkQueue({
     getSlots: () => options.slots ?? 2,
@@ -68,6 +72,7 @@
   });
   const together = options.togetherWithSuspects ?? false;
   const service = createAttemptService({
+    contexts: createContextIndex(),
     table: createAttemptTable({
       keptAnswerBytes: 1_000_000,
       keptAnswerMs: 60_000,
@@ -80,6 +85,10 @@
       add: (job) => queue.add(together ? { ...job, alone: false } : job),
     },
     quarantine,
+    suspects: options.suspects ?? {
+      tryClaim: () => Promise.resolve("claimed"),
+      release: () => Promise.resolve(),
+    },
     target,
     watch: {
       isUp: options.isUp ?? (() => true),
@@ -119,6 +128,9 @@
     isChat: true,
     claim: "",
     observedLoads: [],
+    conversationHash: number,
+    messageCount: 1,
+    onlyIfHeld: false,
     ...fields,
   };
 }
