--- a/src/request/routing.ts
+++ b/src/request/routing.ts
@@ -86,6 +86,7 @@
   const askedForAny = new Set<string>();
   const fullLoads = new Map<string, number>();
   const observedLoads: number[] = [];
+  const allowedAgain = new Set<string>();
   let rememberedAsked = 0;
   let askedAgain = 0;
   let last: RoutingChoice | undefined;
@@ -170,11 +171,21 @@
   }
 
   function noteRefusal({ code, load }: RefusalNote): void {
+    if (code === "attempt_settled") allowAgain();
     if (last === undefined || load === undefined) return;
     if (code !== "target_full") return;
     fullLoads.set(getKey(last.member), load);
     if (!last.onlyIfHeld) observedLoads.push(load);
   }
+
+  /** The last target was not heard and did not start; ask it once more. */
+  function allowAgain(): void {
+    if (last === undefined || last.onlyIfHeld) return;
+    const key = getKey(last.member);
+    if (allowedAgain.has(key)) return;
+    allowedAgain.add(key);
+    askedForAny.delete(key);
+  }
 }
 
 /** Names one incarnation of a target. */
