--- a/bench/placement/driver.ts
+++ b/bench/placement/driver.ts
@@ -5,6 +5,7 @@
   createPlacement,
   type PlacementHost,
 } from "../../src/process/placement.ts";
+import type { Member } from "../../src/types/member.ts";
 import { createEngine, type Engine } from "./engine.ts";
 import { policies, type World } from "./policies.ts";
 import { createRandom } from "./random.ts";
@@ -36,9 +37,6 @@
 /** Availability zones over which the engines are spread. */
 const zoneCount = 4;
 
-/** Engines that refuse a cold request by the lower multiple. */
-const coldTries = 3;
-
 /** Contexts that a planned leave exports. */
 const exportedContexts = 1_500;
 
@@ -74,6 +72,9 @@
   >();
   let ring: { readonly point: number; readonly engine: Engine }[] = [];
   let ringEpoch = -1;
+  let members: readonly Member[] = [];
+  let membersEpoch = -1;
+  let enginesById = new Map<string, Engine>();
   const chats: Chat[] = [];
   const endings = new Map<number, Ended[]>();
   const snapshots: { engine: Engine; load: number }[][] = [];
@@ -113,6 +114,12 @@
     get engines() {
       return engines;
     },
+    get members() {
+      if (membersEpoch !== epoch) updateMembers();
+      return members;
+    },
+    placement,
+    getEngine: (id) => enginesById.get(id) as Engine,
     random,
     rank,
     walkRing,
@@ -237,14 +244,9 @@
     const question = {
       work: output + (holds ? newPromptTokens : promptTokens),
       observedLoads: loads,
+      isHeld: holds,
     };
-    // Once several engines have refused, the whole multiple is open to all.
-    const isCold = !holds && loads.length < coldTries;
-    const multiple = experiment.loadMultiple * (1 - experiment.margin);
-    return engine.askGate(
-      question,
-      isCold ? Math.min(multiple, experiment.coldMultiple) : multiple,
-    );
+    return engine.gate.check(question).kind === "admitted";
   }
 
   function rank(key: string): readonly Engine[] {
@@ -255,6 +257,26 @@
     return order;
   }
 
+  function updateMembers(): void {
+    membersEpoch = epoch;
+    enginesById = new Map(engines.map((engine) => [engine.id, engine]));
+    members = engines.map(({ id, weight }) => ({
+      id,
+      weight,
+      role: "agent",
+      address: "127.0.0.1",
+      grpcPort: 0,
+      gossipPort: 0,
+      zone: "",
+      region: "",
+      vm: id,
+      service: "model",
+      incarnation: 1,
+      version: 1,
+      state: "live",
+    }));
+  }
+
   function walkRing(key: string): readonly Engine[] {
     if (ringEpoch !== epoch) buildRing();
     const point = hashes.hash(encoder.encode(key), 2);
@@ -339,6 +361,8 @@
       createEngine(`engine-${nextEngine++}`, {
         zone,
         cacheSize: experiment.cacheSize,
+        loadMultiple: experiment.loadMultiple * (1 - experiment.margin),
+        coldMultiple: experiment.coldMultiple,
       }),
     ];
     epoch++;
