--- a/bench/agent.ts
+++ b/bench/agent.ts
@@ -64,10 +64,15 @@
   const gate = createLoadGate({
     getMean: () => ({ mean: 1_000, targets: 213, ageMs: 0 }),
     getLoadMultiple: () => 1.25,
+    getColdMultiple: () => 1.1,
   });
   gate.add(900);
   addTask(bench, "gate_check", () => {
-    gate.check({ work: 200, observedLoads: [1_000, 1_100, 1_200] });
+    gate.check({
+      work: 200,
+      observedLoads: [1_000, 1_100, 1_200],
+      isHeld: false,
+    });
   });
   addTableTasks(bench);
   addQueueTasks(bench);
