--- a/src/request/routing.ts
+++ b/src/request/routing.ts
@@ -1,17 +1,23 @@
 /**
- * Chooses the targets of one request one after the other: by rank for its
- * conversation, those that have just refused others last. When all refused, the
- * least loaded ones are asked again: they learn the loads of the others by
- * then, and a target at or below the mean takes one more request.
+ * Chooses the targets of one request one after the other, in three passes:
+ *
+ * 1. a returning chat asks the first ranks whether they hold its context;
+ * 2. any target is asked by rank, those that have just refused others last;
+ * 3. the least loaded of those that refused is asked again, with the loads of
+ *    the others, since a mean that is behind makes all of them refuse.
  */
 
 import type { Placement } from "../process/placement.ts";
 import type { RefusalMemory } from "../process/refusal_memory.ts";
+import type { DiagnosticCode } from "../types/diagnostics.ts";
 import type { Member } from "../types/member.ts";
 import type { MemberView } from "../types/view.ts";
 import type { Work } from "../types/work.ts";
 
-/** Targets that one request asks at most. */
+/** Targets that one request asks whether they hold its context. */
+const maxHoldersAsked = 4;
+
+/** Targets that one request asks to take it, whatever they hold. */
 const maxTargets = 8;
 
 /** Targets asked although they have just refused another request. */
@@ -36,23 +42,30 @@
   readonly refusals: RefusalMemory;
 }
 
-/** A target to ask next. */
-export interface Choice {
+/** One target to ask. */
+export interface RoutingChoice {
   readonly member: Member;
-  /** Time to wait before it is asked, in milliseconds. */
+  /** The target should refuse unless it holds the chat's context. */
+  readonly onlyIfHeld: boolean;
+  /** Loads of targets that refused for load, in the order of asking. */
+  readonly observedLoads: readonly number[];
+  /** Time to wait before the target is asked, in milliseconds. */
   readonly pauseMs: number;
 }
 
+/** What a target answered that did not take the request. */
+export interface RefusalNote {
+  readonly code: DiagnosticCode;
+  /** Load of the target, undefined when it was not reached. */
+  readonly load: number | undefined;
+}
+
 /** The choice of targets for one request. */
 export interface Routing {
   /** The next target to ask; undefined when there is none left. */
-  tryGetNext(): Choice | undefined;
-  /** Notes the load at which a target refused, in work units. */
-  noteLoad(target: string, load: number): void;
-  /** Last loads of the other targets that refused. */
-  getOtherLoads(target: string): readonly number[];
-  /** Targets returned so far. */
-  getAsked(): number;
+  tryGetNext(): RoutingChoice | undefined;
+  /** Tells how the target that was returned last refused. */
+  noteRefusal(note: RefusalNote): void;
 }
 
 /** Returns the key by which a request is placed. */
@@ -61,75 +74,117 @@
   return `${work.workspace}/${name}`;
 }
 
+/** True when an earlier turn of the chat has run somewhere. */
+export function isReturningChat(work: Work): boolean {
+  return work.kind === "chat" && work.conversation !== "" &&
+    work.messageCount > 1;
+}
+
 /** Creates the choice for one request. */
 export function createRouting(host: RoutingHost, work: Work): Routing {
-  const asked = new Set<string>();
-  const loads = new Map<string, number>();
+  const askedForContext = new Set<string>();
+  const askedForAny = new Set<string>();
+  const fullLoads = new Map<string, number>();
+  const observedLoads: number[] = [];
+  const allowedAgain = new Set<string>();
   let rememberedAsked = 0;
   let askedAgain = 0;
+  let last: RoutingChoice | undefined;
+
+  return { tryGetNext, noteRefusal };
+
+  function tryGetNext(): RoutingChoice | undefined {
+    // The members are read again: they may have changed since the last ask.
+    const ranked = rank();
+    last = tryGetHolder(ranked) ?? tryGetAny(ranked) ??
+      tryGetLeastLoaded(ranked);
+    return last;
+  }
+
+  function rank(): readonly Member[] {
+    const members = host.members.getAvailableAgents(work.service);
+    return host.placement.rankTargets(getPlacementKey(work), members, {
+      hint: work.lastPlace,
+      limit: maxTargets * 2,
+    });
+  }
 
-  return {
-    tryGetNext,
-    noteLoad,
-    getOtherLoads,
-    getAsked: () => asked.size,
-  };
-
-  function tryGetNext(): Choice | undefined {
-    const unasked = tryGetUnasked();
-    if (unasked !== undefined) return { member: unasked, pauseMs: 0 };
-    const member = tryGetLeastLoaded();
+  function tryGetHolder(
+    ranked: readonly Member[],
+  ): RoutingChoice | undefined {
+    if (!isReturningChat(work) || askedForAny.size > 0) return undefined;
+    if (askedForContext.size >= maxHoldersAsked) return undefined;
+    // A target that refused others for load may still hold this context.
+    const member = ranked.slice(0, maxHoldersAsked)
+      .find((candidate) => !askedForContext.has(getKey(candidate)));
     if (member === undefined) return undefined;
-    return { member, pauseMs: firstPauseMs * askedAgain };
+    askedForContext.add(getKey(member));
+    return { member, onlyIfHeld: true, observedLoads: [], pauseMs: 0 };
   }
 
-  function noteLoad(target: string, load: number): void {
-    loads.set(target, load);
+  function tryGetAny(ranked: readonly Member[]): RoutingChoice | undefined {
+    if (askedForAny.size >= maxTargets) return undefined;
+    const left = ranked.filter((member) =>
+      !askedForAny.has(getKey(member)) && !fullLoads.has(getKey(member))
+    );
+    const fresh = left.find((member) => !host.refusals.isRemembered(member.id));
+    const member = fresh ?? tryGetRemembered(left);
+    if (member === undefined) return undefined;
+    askedForAny.add(getKey(member));
+    return {
+      member,
+      onlyIfHeld: false,
+      observedLoads: [...observedLoads],
+      pauseMs: 0,
+    };
   }
 
-  function getOtherLoads(target: string): readonly number[] {
-    return [...loads]
-      .filter(([id]) => id !== target)
-      .map(([_id, load]) => load);
+  function tryGetRemembered(left: readonly Member[]): Member | undefined {
+    if (rememberedAsked >= maxRemembered) return undefined;
+    rememberedAsked++;
+    return left[0];
   }
 
-  function tryGetLeastLoaded(): Member | undefined {
-    if (loads.size < minRefusedLoads) return undefined;
+  function tryGetLeastLoaded(
+    ranked: readonly Member[],
+  ): RoutingChoice | undefined {
+    if (fullLoads.size < minRefusedLoads) return undefined;
     if (askedAgain >= maxAskedAgain) return undefined;
     askedAgain++;
-    return host.members.getAvailableAgents(work.service)
-      .filter(({ id }) => loads.has(id))
-      .sort((left, right) => getLoad(left) - getLoad(right))[0];
+    const member = ranked
+      .filter((candidate) => fullLoads.has(getKey(candidate)))
+      .sort((left, right) => getFullLoad(left) - getFullLoad(right))[0];
+    if (member === undefined) return undefined;
+    const others = [...fullLoads]
+      .filter(([key]) => key !== getKey(member))
+      .map(([, load]) => load);
+    return {
+      member,
+      onlyIfHeld: false,
+      observedLoads: others,
+      pauseMs: firstPauseMs * askedAgain,
+    };
   }
 
-  function getLoad(member: Member): number {
-    return loads.get(member.id) ?? Infinity;
+  function getFullLoad(member: Member): number {
+    return fullLoads.get(getKey(member)) ?? Number.POSITIVE_INFINITY;
   }
 
-  function tryGetUnasked(): Member | undefined {
-    if (asked.size >= maxTargets) return undefined;
-    // The members are read again: they may have changed since the last ask.
-    const ranked = rank().filter((member) => !asked.has(getKey(member)));
-    const fresh = ranked.find((member) =>
-      !host.refusals.isRemembered(member.id)
-    );
-    const next = fresh ?? tryGetRemembered(ranked);
-    if (next !== undefined) asked.add(getKey(next));
-    return next;
+  function noteRefusal({ code, load }: RefusalNote): void {
+    if (code === "attempt_settled") allowAgain();
+    if (last === undefined || load === undefined) return;
+    if (code !== "target_full") return;
+    fullLoads.set(getKey(last.member), load);
+    if (!last.onlyIfHeld) observedLoads.push(load);
   }
 
-  function rank(): readonly Member[] {
-    const members = host.members.getAvailableAgents(work.service);
-    return host.placement.rankTargets(getPlacementKey(work), members, {
-      hint: work.lastPlace,
-      limit: maxTargets * 2,
-    });
-  }
-
-  function tryGetRemembered(ranked: readonly Member[]): Member | undefined {
-    if (rememberedAsked >= maxRemembered) return undefined;
-    rememberedAsked++;
-    return ranked[0];
+  /** The last target was not heard and did not start; ask it once more. */
+  function allowAgain(): void {
+    if (last === undefined || last.onlyIfHeld) return;
+    const key = getKey(last.member);
+    if (allowedAgain.has(key)) return;
+    allowedAgain.add(key);
+    askedForAny.delete(key);
   }
 }
 
--- a/src/roles/agent.ts
+++ b/src/roles/agent.ts
@@ -8,8 +8,9 @@
 } from "../generated/mimosatray/v1/agent.ts";
 import { createAttemptTable } from "../process/attempt_table.ts";
 import { loadBodyDigests } from "../process/body_digest.ts";
+import { createContextIndex } from "../process/context_index.ts";
 import { createCrashQuarantine } from "../process/crash_quarantine.ts";
-import { createLoadGate } from "../process/load_gate.ts";
+import { createLoadGate, getColdMultiple } from "../process/load_gate.ts";
 import { createOrderGate } from "../process/order_gate.ts";
 import { createOrphanLoad } from "../process/orphan_load.ts";
 import { createSuspectClaims } from "../process/suspect_claims.ts";
@@ -24,6 +25,7 @@
 const defaultPolicy: Pick<
   Service,
   | "loadMultiple"
+  | "coldMultiple"
   | "slots"
   | "queueLimit"
   | "priorityWeights"
@@ -75,6 +77,10 @@
   const gate = createLoadGate({
     getMean: () => fleet.means.getMean(settings.service),
     getLoadMultiple: () => getPolicy().loadMultiple,
+    getColdMultiple: () => {
+      const { loadMultiple, coldMultiple } = getPolicy();
+      return getColdMultiple(loadMultiple, coldMultiple);
+    },
   });
   const queue = createWorkQueue({
     getSlots: () => getPolicy().slots,
@@ -93,6 +99,7 @@
     leaseMs: orderLeaseMs,
     longestOrderMs,
   });
+  const contexts = createContextIndex();
   const orphans = createOrphanLoad({
     getRunning: queue.getRunning,
     getUsualWork: () => usualOrphanWork * 100 / settings.weight,
@@ -100,6 +107,7 @@
   });
   const service = createAttemptService({
     table,
+    contexts,
     gate,
     queue,
     quarantine,
@@ -145,6 +153,7 @@
       load: gate.getLoad(),
       running: queue.getRunning(),
       waiting: queue.getWaiting(),
+      contexts: contexts.getSize(),
       orphans: orphans.getOrphans(),
       inFlight: quarantine.getInFlight(),
       highestOrder: orders.getHighest(),
--- a/test/fakes/agent_parts.ts
+++ b/test/fakes/agent_parts.ts
@@ -2,6 +2,7 @@
 
 import { createAttemptTable } from "../../src/process/attempt_table.ts";
 import type { BodyDigests } from "../../src/process/body_digest.ts";
+import { createContextIndex } from "../../src/process/context_index.ts";
 import {
   type CrashQuarantine,
   createCrashQuarantine,
@@ -32,6 +33,7 @@
   /** True when a lost connection was a crash of the target. */
   readonly hasCrashed?: () => boolean;
   readonly isLeaving?: () => boolean;
+  readonly digests?: BodyDigests;
   readonly suspects?: SuspectClaims | undefined;
   readonly tombstoneMs?: number;
   /** Lets suspects run beside each other, as without the quarantine. */
@@ -61,6 +63,7 @@
   const gate = createLoadGate({
     getMean: () => ({ mean: 1_000_000, targets: 3, ageMs: 0 }),
     getLoadMultiple: () => 1.25,
+    getColdMultiple: () => 1.1,
   });
   const queue = createWorkQueue({
     getSlots: () => options.slots ?? 2,
@@ -70,6 +73,7 @@
   });
   const together = options.togetherWithSuspects ?? false;
   const service = createAttemptService({
+    contexts: createContextIndex(),
     table: createAttemptTable({
       keptAnswerBytes: 1_000_000,
       keptAnswerMs: 60_000,
@@ -91,7 +95,7 @@
       isUp: options.isUp ?? (() => true),
       checkCrash: () => Promise.resolve(options.hasCrashed?.() ?? false),
     },
-    digests,
+    digests: options.digests ?? digests,
     log: createSilentLog(),
     metrics: createMetrics(),
     incarnation: options.incarnation ?? 1,
@@ -125,6 +129,9 @@
     isChat: true,
     claim: "",
     observedLoads: [],
+    conversationHash: number,
+    messageCount: 1,
+    onlyIfHeld: false,
     ...fields,
   };
 }
--- a/test/naive/router.ts
+++ b/test/naive/router.ts
@@ -48,7 +48,7 @@
       attempt: host.attempts.createAttempt(),
       target,
       work,
-      cachedTokens: 0,
+      onlyIfHeld: false,
       crashes: 0,
       claim: "",
       configurationVersion: 0,
