--- a/src/cli/commands/configuration.ts
+++ b/src/cli/commands/configuration.ts
@@ -67,7 +67,10 @@
   async execute(): Promise<number> {
     const body = await readJson(this.file, this.context.stdin);
     if (body === undefined) {
-      return this.refuseArgument(this.file, "a readable file of JSON");
+      return this.refuseArgument(
+        `The patch file ${this.file}`,
+        "readable and JSON",
+      );
     }
     return await this.callAndWrite({
       method: "POST",
--- a/src/cli/commands/run.ts
+++ b/src/cli/commands/run.ts
@@ -10,6 +10,9 @@
 import { waitForSignal } from "../signals.ts";
 import { OutputCommand } from "./base.ts";
 
+/** Stays open; a process that has joined runs until a signal. */
+const never = new Promise<never>(() => undefined);
+
 // Commands of clipanion are classes.
 // eslint-disable-next-line no-restricted-syntax
 abstract class RoleCommand extends OutputCommand {
@@ -41,7 +44,10 @@
     });
     try {
       const running = await startProcess(settings, { log });
-      const signal = await waitForSignal(log);
+      const signal = await Promise.race([
+        waitForSignal(log),
+        running.joined.then(() => never),
+      ]);
       await running.stop(signal);
       return exitCodes.done;
     } catch (error) {
--- a/src/connection/admin_listener.ts
+++ b/src/connection/admin_listener.ts
@@ -1,6 +1,7 @@
 /** The HTTP listener for operators, scrapers and health checks. */
 
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
 import polka from "polka";
 import {
   createReport,
@@ -32,6 +33,8 @@
 
 /** A listener that accepts calls. */
 export interface AdminListener {
+  /** The port that was taken; another than asked for when that was 0. */
+  readonly port: number;
   close(): Promise<void>;
 }
 
@@ -67,7 +70,8 @@
   const server = app.server as Server;
   server.requestTimeout = requestTimeoutMs;
   await waitForListening(server);
-  return { close: () => closeServer(server) };
+  const { port } = server.address() as AddressInfo;
+  return { port, close: () => closeServer(server) };
 }
 
 async function answer(
--- a/src/roles/process.ts
+++ b/src/roles/process.ts
@@ -19,6 +19,8 @@
 
 /** A process that runs. */
 export interface RunningProcess {
+  /** Rejects when the process cannot join the fleet. */
+  readonly joined: Promise<void>;
   /** Stops gracefully; a second call returns the first one's result. */
   stop(reason: string): Promise<StopResult>;
 }
@@ -84,9 +86,8 @@
     grpcPort: settings.grpcPort,
     adminPort: settings.adminPort,
   });
-  void join();
 
-  return { stop };
+  return { joined: join(), stop };
 
   async function join(): Promise<void> {
     const loading = store.start();
