Let the watchers take turns at reading the VM list

One read of a list of 990 VMs is about 100 KB, so two routers in each zone reading it every second would each spend five times the control budget. The watchers of all zones now read it one after the other, one read a second.

--- a/src/process/control_budget.ts
+++ b/src/process/control_budget.ts
@@ -9,6 +9,16 @@
   | "limits"
   | "platform";
 
+/** All purposes. */
+export const controlPurposes: readonly ControlPurpose[] = [
+  "membership",
+  "loads",
+  "configuration",
+  "crashes",
+  "limits",
+  "platform",
+];
+
 /** Bytes of the IP and UDP headers of one datagram. */
 export const datagramHeaderBytes = 28;
 
@@ -55,6 +65,8 @@
   ): boolean;
   /** Counts bytes that came in or that cannot be refused. */
   note(bytes: number, purpose: ControlPurpose, direction: Direction): void;
+  /** Bytes so far of one purpose and direction. */
+  getBytes(purpose: ControlPurpose, direction: Direction): number;
   /** Bytes so far by purpose and direction. */
   getTotals(): readonly ControlTotal[];
   /** Messages dropped so far by class. */
@@ -81,7 +93,14 @@
   let left = capacity;
   let filledAt = performance.now();
 
-  return { trySpend, note, getTotals: () => [...totals.values()], getDropped };
+  return {
+    trySpend,
+    note,
+    getBytes: (purpose, direction) =>
+      totals.get(`${purpose}/${direction}`)?.bytes ?? 0,
+    getTotals: () => [...totals.values()],
+    getDropped,
+  };
 
   function trySpend(
     bytes: number,
--- a/src/process/exchange.ts
+++ b/src/process/exchange.ts
@@ -182,6 +182,7 @@
   };
 
   function start(): void {
+    if (stopped) return;
     ticking ??= setInterval(tick, tickMs);
   }
 
--- a/src/process/watch_duty.ts
+++ b/src/process/watch_duty.ts
@@ -10,25 +10,53 @@
 /** Processes that watch in each zone. */
 export const watchersPerZone = 2;
 
-/** True when `self` is one of the first live members of its zone by rank. */
+/** True when `self` is one of the first live routers of its zone by rank. */
 export function isOnWatchDuty(
   self: Member,
   members: readonly Member[],
 ): boolean {
-  const others = members.filter((member) =>
-    member.id !== self.id && member.zone === self.zone &&
-    member.state === "live"
-  );
-  const hasRouter = others.some((member) => member.role === "router");
-  if (self.role !== "router" && hasRouter) return false;
-  const rank = getRank(self);
-  let ahead = 0;
-  for (const member of others) {
-    if (member.role !== self.role) continue;
-    const other = getRank(member);
-    if (other > rank || (other === rank && member.id < self.id)) ahead++;
+  const ofZone = members.filter(({ zone }) => zone === self.zone);
+  return getWatchers(ofZone).some(({ id }) => id === self.id);
+}
+
+/**
+ * True when it is the turn of `self` to read the platform's VM list: the
+ * watchers of all zones read it one after the other, so that the cost of each
+ * falls as the fleet grows while the list is read at the same pace.
+ */
+export function isListTurn(
+  self: Member,
+  members: readonly Member[],
+  turn: number,
+): boolean {
+  const watchers = getWatchers(members);
+  return watchers[turn % watchers.length]?.id === self.id;
+}
+
+/** The first live routers of each zone by rank, in order of id. */
+function getWatchers(members: readonly Member[]): readonly Member[] {
+  const zones = new Map<string, Member[]>();
+  for (const member of members) {
+    if (member.role !== "router" || member.state !== "live") continue;
+    const routers = zones.get(member.zone) ?? [];
+    routers.push(member);
+    zones.set(member.zone, routers);
   }
-  return ahead < watchersPerZone;
+  return [...zones.values()]
+    .flatMap((routers) =>
+      routers
+        .map((router) => ({ router, rank: getRank(router) }))
+        .sort((left, right) =>
+          right.rank - left.rank || compareIds(left.router, right.router)
+        )
+        .slice(0, watchersPerZone)
+        .map(({ router }) => router)
+    )
+    .sort(compareIds);
+}
+
+function compareIds(left: Member, right: Member): number {
+  return left.id < right.id ? -1 : 1;
 }
 
 function getRank(member: Member): number {
--- /dev/null
+++ b/src/process/watch_duty_test.ts
@@ -0,0 +1,48 @@
+import { createMember } from "../../test/support/exchange_network.ts";
+import { isListTurn, isOnWatchDuty } from "./watch_duty.ts";
+
+const routers = Array.from(
+  { length: 40 },
+  (_value, number) =>
+    createMember(number, {
+      id: `router-${number}`,
+      role: "router",
+      service: "",
+    }),
+);
+const members = [...routers, createMember(99)];
+
+describe("watch duty", () => {
+  it("falls to two routers in each zone", () => {
+    const watchers = routers.filter((self) => isOnWatchDuty(self, members));
+    const zones = watchers.map(({ zone }) => zone).sort();
+    expect(zones).toEqual([
+      "zone-0",
+      "zone-0",
+      "zone-1",
+      "zone-1",
+      "zone-2",
+      "zone-2",
+    ]);
+  });
+
+  it("passes on when a watcher is no longer live", () => {
+    const [first] = routers.filter((self) => isOnWatchDuty(self, members));
+    const left = members.map((member) =>
+      member === first ? { ...member, state: "suspect" as const } : member
+    );
+    const watchers = left.filter((self) => isOnWatchDuty(self, left));
+    expect(watchers).toHaveLength(6);
+    expect(watchers.map(({ id }) => id)).not.toContain(first?.id);
+  });
+
+  it("gives each second's read of the list to one watcher", () => {
+    const readers = new Set<string>();
+    for (let turn = 0; turn < 6; turn++) {
+      const reading = members.filter((self) => isListTurn(self, members, turn));
+      expect(reading).toHaveLength(1);
+      reading.forEach(({ id }) => readers.add(id));
+    }
+    expect(readers.size).toBe(6);
+  });
+});
--- a/src/roles/fleet.ts
+++ b/src/roles/fleet.ts
@@ -5,7 +5,10 @@
   createGossipSocket,
   type GossipSocket,
 } from "../connection/gossip_socket.ts";
-import { createControlBudget } from "../process/control_budget.ts";
+import {
+  controlPurposes,
+  createControlBudget,
+} from "../process/control_budget.ts";
 import { createExchange, usualExchangeOptions } from "../process/exchange.ts";
 import type { Member } from "../types/member.ts";
 import type { Dump, Fleet } from "../types/role.ts";
@@ -54,6 +57,7 @@
     platform: host.platform,
     log,
     exchange,
+    budget,
   });
   const { membership } = exchange;
   let starting: Promise<void> | undefined;
@@ -116,14 +120,15 @@
 
   function registerGauges(): void {
     metrics.gauge("members", () => membership.table.getAll().length);
-    metrics.gauge("control_bytes_sent_total", () => sumBytes("sent"));
-    metrics.gauge("control_bytes_received_total", () => sumBytes("received"));
-  }
-
-  function sumBytes(direction: "sent" | "received"): number {
-    return budget.getTotals()
-      .filter((total) => total.direction === direction)
-      .reduce((sum, { bytes }) => sum + bytes, 0);
+    for (const purpose of controlPurposes) {
+      for (const direction of ["sent", "received"] as const) {
+        const labels = `direction="${direction}",purpose="${purpose}"`;
+        metrics.gauge(
+          `control_bytes_total{${labels}}`,
+          () => budget.getBytes(purpose, direction),
+        );
+      }
+    }
   }
 
   function dump(): Dump {
--- a/src/roles/fleet_join.ts
+++ b/src/roles/fleet_join.ts
@@ -1,8 +1,12 @@
 /** Finds the first members of the fleet, and watches the platform's list. */
 
+import {
+  callOverheadBytes,
+  type ControlBudget,
+} from "../process/control_budget.ts";
 import type { Log } from "../process/log.ts";
 import type { Endpoint, Exchange } from "../process/exchange.ts";
-import { isOnWatchDuty } from "../process/watch_duty.ts";
+import { isListTurn } from "../process/watch_duty.ts";
 import type { Platform, Vm } from "../types/platform.ts";
 import type { Settings } from "../types/settings.ts";
 
@@ -15,9 +19,12 @@
 /** Members that are greeted in one round. */
 const greetedAtOnce = 6;
 
-/** Time between two reads of the list by a router on watch. */
+/** Time between two reads of the list by the routers on watch together. */
 const listIntervalMs = 1_000;
 
+/** Time between two looks at whose turn it is. */
+const turnCheckMs = 250;
+
 /** Longest wait between two reads while the list cannot be read. */
 const maxListIntervalMs = 10_000;
 
@@ -27,6 +34,7 @@
   readonly platform: Platform;
   readonly log: Log;
   readonly exchange: Exchange;
+  readonly budget: ControlBudget;
 }
 
 /** Joining and watching of one process. */
@@ -43,7 +51,8 @@
   let listed: readonly Endpoint[] = [];
   let stopped = false;
   let watching: NodeJS.Timeout | undefined;
-  let waitMs = listIntervalMs;
+  let waitMs = turnCheckMs;
+  let lastTurn = -1;
 
   return { join, stop };
 
@@ -87,6 +96,9 @@
   }
 
   async function watchOnce(): Promise<void> {
+    const turn = Math.floor(Date.now() / listIntervalMs);
+    if (turn === lastTurn) return;
+    lastTurn = turn;
     const { membership } = exchange;
     // Processes that start together may first find each other in groups.
     greetUnknown(seeds, 1);
@@ -94,7 +106,7 @@
       await readList();
       greet();
     } else if (
-      isOnWatchDuty(membership.getSelf(), membership.table.getAll())
+      isListTurn(membership.getSelf(), membership.table.getAll(), turn)
     ) {
       await readList();
       greetUnknown(listed, greetedAtOnce);
@@ -111,12 +123,19 @@
         );
       },
       Right: (vms) => {
-        waitMs = listIntervalMs;
+        waitMs = turnCheckMs;
+        noteListBytes(vms);
         takeList(vms);
       },
     });
   }
 
+  function noteListBytes(vms: readonly Vm[]): void {
+    const bytes = Buffer.byteLength(JSON.stringify(vms));
+    host.budget.note(callOverheadBytes, "platform", "sent");
+    host.budget.note(bytes + callOverheadBytes, "platform", "received");
+  }
+
   function takeList(vms: readonly Vm[]): void {
     if (stopped) return;
     listed = vms
--- a/src/roles/fleet_join_test.ts
+++ b/src/roles/fleet_join_test.ts
@@ -1,4 +1,5 @@
 import { createMemoryPlatform } from "../../test/fakes/memory_platform.ts";
+import { createControlBudget } from "../process/control_budget.ts";
 import type { Endpoint, Exchange } from "../process/exchange.ts";
 import { createSilentLog } from "../process/log.ts";
 import type { Member } from "../types/member.ts";
@@ -34,6 +35,7 @@
       platform: createMemoryPlatform(),
       log: createSilentLog(),
       exchange,
+      budget: createControlBudget({ bytesPerSecond: 22_000 }),
     });
   });
   afterEach(() => {
--- a/src/roles/fleet_test.ts
+++ b/src/roles/fleet_test.ts
@@ -98,7 +98,7 @@
     region: "region-1",
     vm: id,
     platform: { keyValue: "", vmList: "", callsPerSecond: 1 },
-    grpcPort: 0,
+    grpcPort: options.gossipPort,
     adminPort: 0,
     controlBytesPerSecond: 22_000,
     shutdownMs: 1_000,
