--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -14,6 +14,8 @@
 
 module.exports = {
   testEnvironment: "node",
+  // Seeded histories take seconds of processor time on a busy machine.
+  testTimeout: 120_000,
   // Tests on real processes need the build; npm run test:processes runs them.
   testPathIgnorePatterns: ["/node_modules/", "<rootDir>/test/processes/"],
   testMatch: ["<rootDir>/src/**/*_test.ts", "<rootDir>/test/**/*_test.ts"],
--- a/src/roles/agent.ts
+++ b/src/roles/agent.ts
@@ -134,7 +134,7 @@
     },
   });
   fleet.setLoadSource(gate.getLoad);
-  configuration.onPatch(queue.refresh);
+  configuration.onChange(queue.refresh);
   metrics.gauge("load", gate.getLoad);
   metrics.gauge("running", queue.getRunning);
   metrics.gauge("waiting", queue.getWaiting);
--- a/src/roles/fleet_test.ts
+++ b/src/roles/fleet_test.ts
@@ -140,6 +140,7 @@
       services: new Map(),
       workspaces: new Map(),
     }),
+    onChange: () => undefined,
     onPatch: () => undefined,
     getChecksum: () => 0,
     offerPatches: () => undefined,
--- a/src/roles/router.ts
+++ b/src/roles/router.ts
@@ -77,7 +77,7 @@
     maxBodyBytes: settings.maxBodyBytes,
     bodyTimeoutMs,
   });
-  host.configuration.onPatch(() => {
+  host.configuration.onChange(() => {
     const { services } = host.configuration.getConfiguration();
     requestHost.retries.retain((service) => services.has(service));
   });
@@ -89,6 +89,9 @@
     if (isDraining) {
       return createReport("router_stopping", {}, { retryAfterMs: 100 });
     }
+    if (host.configuration.getConfiguration().version === 0) {
+      return createReport("router_starting", {}, { retryAfterMs: 500 });
+    }
     if (inFlight.size >= settings.maxInFlight) {
       return createReport("router_busy", {}, { retryAfterMs: 1_000 });
     }
--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -73,6 +73,11 @@
     status: 503,
     text: "The router has too many requests in flight",
   },
+  router_starting: {
+    category: "not_run",
+    status: 503,
+    text: "The router has no configuration yet",
+  },
   router_stopping: {
     category: "not_run",
     status: 503,
--- a/src/types/view.ts
+++ b/src/types/view.ts
@@ -36,7 +36,9 @@
 /** The configuration in force in this process. */
 export interface ConfigurationView {
   getConfiguration(): Configuration;
-  /** Calls back after each patch that comes into force. */
+  /** Calls back after each change, by a patch or by a snapshot. */
+  onChange(listener: () => void): void;
+  /** Calls back after each patch that comes into force by itself. */
   onPatch(listener: (patch: Patch) => void): void;
 }
 
--- a/src/version/configuration_store.ts
+++ b/src/version/configuration_store.ts
@@ -79,6 +79,7 @@
     keptPatchMs = usualKeptPatchMs,
   } = options;
   const listeners: ((patch: Patch) => void)[] = [];
+  const changeListeners: (() => void)[] = [];
   const sequence = createPatchSequence({ hash });
   const tail = createPatchTail();
   let isLoaded = false;
@@ -128,6 +129,9 @@
   return {
     operator,
     getConfiguration: () => sequence.getState().configuration,
+    onChange: (listener) => {
+      changeListeners.push(listener);
+    },
     onPatch: (listener) => {
       listeners.push(listener);
     },
@@ -188,20 +192,25 @@
     for (const patch of applied) {
       for (const listener of listeners) listener(patch);
     }
-    if (applied.length > 0) isLoaded = true;
+    if (applied.length > 0) noteChange();
     return applied;
   }
 
   function adopt(state: ReturnType<typeof sequence.getState>): boolean {
     if (!sequence.adopt(state)) return false;
     tail.clear();
-    isLoaded = true;
     metrics.count("configuration_snapshots");
     log.info("Snapshot is in force", { version: getVersion() });
+    noteChange();
     takePatches([]);
     return true;
   }
 
+  function noteChange(): void {
+    isLoaded = true;
+    for (const listener of changeListeners) listener();
+  }
+
   /** Reads the newest from the platform; the error when it gave none. */
   async function refresh(): Promise<PlatformError | undefined> {
     const result = await readAndTake();
@@ -258,6 +267,7 @@
         getChecksum(sequence.getState());
       if (isSame || !sequence.replace(fresh.getState())) return;
       tail.clear();
+      noteChange();
       log.error("Configuration was replaced", { version: getVersion() });
     });
   }
--- a/test/fakes/agent_host.ts
+++ b/test/fakes/agent_host.ts
@@ -98,6 +98,7 @@
     isLeaving: () => leaving,
     configuration: {
       getConfiguration: () => configuration,
+      onChange: () => undefined,
       onPatch: () => undefined,
       getChecksum: () => 0,
       offerPatches: unused,
--- a/test/naive/configuration_store.ts
+++ b/test/naive/configuration_store.ts
@@ -33,6 +33,7 @@
   return {
     getConfiguration: () => state.configuration,
     getChecksum: () => getChecksum(state),
+    onChange: () => undefined,
     onPatch: (listener) => {
       listeners.push(listener);
     },
--- a/test/support/small_fleet.ts
+++ b/test/support/small_fleet.ts
@@ -241,6 +241,7 @@
 function createConfigurationStore(): ConfigurationStore {
   return {
     getConfiguration: () => configuration,
+    onChange: () => undefined,
     onPatch: () => undefined,
     getChecksum: () => 0,
     offerPatches: () => undefined,
