--- /dev/null
+++ b/test/agent/engine_test.ts
@@ -0,0 +1,258 @@
+/** An agent beside the stand-in engine, over sockets. */
+
+import { credentials, ServerCredentials } from "@grpc/grpc-js";
+import {
+  AgentServiceClient,
+  type OrderRequest,
+  type OrderResponse,
+  type RunEvent,
+  RunRequest,
+} from "../../src/generated/mimosatray/v1/agent.ts";
+import { createAgentRole } from "../../src/roles/agent.ts";
+import type { Role } from "../../src/types/role.ts";
+import {
+  createAgentHost,
+  type FakeAgentHost,
+  testIncarnation,
+} from "../fakes/agent_host.ts";
+import { createMemoryPlatform } from "../fakes/memory_platform.ts";
+import { usualEngineSettings } from "../stand_ins/engine/engine.ts";
+import { type EngineServer, startEngine } from "../stand_ins/engine/server.ts";
+
+/** Time between tokens, in milliseconds. */
+const tokenMs = 2;
+
+describe("agent beside an engine", () => {
+  let engine: EngineServer;
+  let host: FakeAgentHost;
+  let role: Role;
+  let client: AgentServiceClient;
+
+  beforeEach(async () => {
+    const settings = { ...usualEngineSettings, id: "engine-1", tokenMs };
+    engine = await startEngine(settings, { port: 0 });
+    host = createAgentHost(`http://127.0.0.1:${engine.port}`);
+    ({ role, client } = await startAgent(host));
+  });
+
+  afterEach(async () => {
+    client.close();
+    await role.stop();
+    host.server.forceShutdown();
+    await engine.close().catch(() => undefined);
+  });
+
+  describe("a stream that the network cuts", () => {
+    it("goes on at its offset and is one whole draft", async () => {
+      engine.settings.cutAfterTokens = 5;
+      const events = await collect(client.run(createChat(1, { tokens: 20 })));
+      expect(getLast(events)).toMatchObject({ length: getBody(events).length });
+      const text = readText(getBody(events));
+      expect(text).toBe(
+        engine.engine.tryGetGeneration("engine-1-1")?.getText(),
+      );
+      expect(engine.engine.getCounts().started).toBe(1);
+    });
+  });
+
+  describe("a stream that ends early as if it were whole", () => {
+    it("is not passed on as whole", async () => {
+      engine.settings.endAfterTokens = 5;
+      const events = await collect(client.run(createChat(1, { tokens: 20 })));
+      expect(getLast(events)).toMatchObject({ code: "answer_cut" });
+    });
+  });
+
+  describe("a cancelled chat", () => {
+    it("stops the work at the engine and frees its load", async () => {
+      const call = client.run(createChat(1, { tokens: 10_000 }));
+      const events = collect(call);
+      await new Promise((resolve) => call.once("data", resolve));
+      client.cancel({
+        attempt: createChat(1).attempt,
+        targetIncarnation: testIncarnation,
+      }, () => undefined);
+      await events;
+      await waitUntil(() => engine.engine.getCounts().running === 0);
+      expect(engine.engine.getCounts().cancelled).toBe(1);
+      expect(role.dump()).toMatchObject({ load: 0 });
+    });
+  });
+
+  describe("a request that crashes the engine", () => {
+    it("is recorded with all that was in flight beside it", async () => {
+      const innocent = collect(client.run(createChat(1, { tokens: 600 })));
+      await waitUntil(() => engine.engine.getCounts().running === 1);
+      const text = usualEngineSettings.crashMarker;
+      const crasher = collect(client.run(createChat(2, { text })));
+      for (const events of await Promise.all([innocent, crasher])) {
+        expect(getLast(events)).toEqual({
+          code: "target_crashed",
+          mayHaveRun: true,
+        });
+      }
+      expect(host.crashes.getCrashes("f1")).toBe(1);
+      expect(host.crashes.getCrashes("f2")).toBe(1);
+      const late = await collect(client.run(createChat(3)));
+      expect(getLast(late)).toMatchObject({ code: "no_target" });
+      expect(role.isReady()).toBe(false);
+    });
+  });
+
+  describe("orders", () => {
+    it("reach the engine once with the highest number", async () => {
+      expect(await order(client, 2)).toEqual({ accepted: true, code: "" });
+      expect(await order(client, 1))
+        .toEqual({ accepted: false, code: "order_fenced" });
+      const url = `http://127.0.0.1:${engine.port}/adapters`;
+      const { history } = await (await fetch(url)).json() as {
+        readonly history: readonly unknown[];
+      };
+      expect(history).toEqual([{
+        action: "load_adapter",
+        adapter: "a1",
+        fencingNumber: 2,
+      }]);
+    });
+
+    it("keep their number over a restart of the agent", async () => {
+      await order(client, 2);
+      const next = createAgentHost(`http://127.0.0.1:${engine.port}`, {
+        platform: host.platform,
+      });
+      const restarted = await startAgent(next);
+      expect(await order(restarted.client, 1))
+        .toEqual({ accepted: false, code: "order_fenced" });
+      restarted.client.close();
+      await restarted.role.stop();
+      next.server.forceShutdown();
+    });
+
+    it("are refused while the platform is down", async () => {
+      host.platform.serviceFaults.outage = true;
+      expect(await order(client, 2))
+        .toEqual({ accepted: false, code: "platform_unavailable" });
+    });
+
+    it("are refused by an engine that checks when their record is lost", async () => {
+      const alone = createAgentHost(`http://127.0.0.1:${engine.port}`, {
+        platform: createMemoryPlatform(),
+      });
+      await order(client, 2);
+      const other = await startAgent(alone);
+      // The engine checks numbers itself.
+      expect(await order(other.client, 1))
+        .toEqual({ accepted: false, code: "order_fenced" });
+      other.client.close();
+      await other.role.stop();
+      alone.server.forceShutdown();
+    });
+  });
+});
+
+async function startAgent(
+  host: FakeAgentHost,
+): Promise<{ readonly role: Role; readonly client: AgentServiceClient }> {
+  const role = await createAgentRole(host);
+  const port = await new Promise<number>((resolve, reject) => {
+    host.server.bindAsync(
+      "127.0.0.1:0",
+      ServerCredentials.createInsecure(),
+      (error, bound) => (error ? reject(error) : resolve(bound)),
+    );
+  });
+  const client = new AgentServiceClient(
+    `127.0.0.1:${port}`,
+    credentials.createInsecure(),
+  );
+  return { role, client };
+}
+
+function createChat(
+  number: number,
+  { tokens = 8, text = "hello" }: {
+    readonly tokens?: number;
+    readonly text?: string;
+  } = {},
+): RunRequest {
+  const body = {
+    messages: [{ role: "user", content: text }],
+    max_tokens: tokens,
+    stream: true,
+  };
+  return {
+    ...RunRequest.decode(new Uint8Array()),
+    attempt: { router: "router-a1", routerIncarnation: 5, number },
+    targetIncarnation: testIncarnation,
+    requestId: `r${number}`,
+    service: "chat",
+    workspace: "w1",
+    priority: "interactive",
+    deadlineMs: 60_000,
+    repeatable: true,
+    fingerprint: `f${number}`,
+    promptTokens: 5,
+    outputTokens: tokens,
+    method: "POST",
+    path: "/v1/chat/completions",
+    headers: [{ name: "content-type", value: "application/json" }],
+    body: Buffer.from(JSON.stringify(body)),
+    isChat: true,
+  };
+}
+
+function order(
+  client: AgentServiceClient,
+  fencingNumber: number,
+): Promise<OrderResponse> {
+  const request: OrderRequest = {
+    targetIncarnation: testIncarnation,
+    action: "load_adapter",
+    adapter: "a1",
+    fencingNumber,
+    operator: "op",
+  };
+  return new Promise((resolve, reject) => {
+    client.order(
+      request,
+      (error, response) => error ? reject(error) : resolve(response),
+    );
+  });
+}
+
+async function collect(call: AsyncIterable<RunEvent>): Promise<RunEvent[]> {
+  const events: RunEvent[] = [];
+  for await (const event of call) events.push(event);
+  return events;
+}
+
+function getLast(events: readonly RunEvent[]): unknown {
+  return events.at(-1)?.event?.value;
+}
+
+function getBody(events: readonly RunEvent[]): Buffer {
+  return Buffer.concat(
+    events.flatMap(({ event }) =>
+      event?.$case === "chunk" ? [event.value.data] : []
+    ),
+  );
+}
+
+/** Joins the tokens of a streamed answer. */
+function readText(body: Buffer): string {
+  return body.toString().split("\n\n")
+    .filter((event) => event.startsWith("data: {"))
+    .map((event) => {
+      const { choices } = JSON.parse(event.slice("data: ".length)) as {
+        readonly choices: readonly {
+          readonly delta: { readonly content?: string };
+        }[];
+      };
+      return choices[0]?.delta.content ?? "";
+    })
+    .join("");
+}
+
+async function waitUntil(check: () => boolean): Promise<void> {
+  while (!check()) await new Promise((resolve) => setTimeout(resolve, 5));
+}
--- a/test/stand_ins/engine/chat.ts
+++ b/test/stand_ins/engine/chat.ts
@@ -85,6 +85,8 @@
     await sendEvent(response, generation, { content: step.value });
     sent++;
     if (sent === settings.cutAfterTokens) {
+      // The network cuts it, not the caller: the work goes on.
+      response.removeAllListeners("close");
       response.destroy();
       return;
     }
