Bound retries under failure, show streams going on after cuts

Tests: 400 requests at 9 targets under paused time; all crash, a third crash, all are full. Streams and a non-repeatable call over a relay whose connections are reset. A caller that does not read. A target that failed is asked last for a second.

--- a/bench/path.ts
+++ b/bench/path.ts
@@ -3,6 +3,7 @@
  * stand-in directly, in one run. Needs `npm run build` before.
  */
 
+import { setMaxListeners } from "node:events";
 import { readFileSync } from "node:fs";
 import { Agent, request } from "undici";
 import { binary, startFleet, type TestFleet } from "../test/harness/fleet.ts";
@@ -29,6 +30,8 @@
 /** Clock ticks of the system in a second. */
 const ticksPerSecond = 100;
 
+setMaxListeners(0);
+
 const dispatcher = new Agent({ connections: 1_000, pipelining: 1 });
 
 interface Sample {
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -167,6 +167,7 @@
       case "not_run":
         return await actOnRefusal(verdict, placed);
       case "failed":
+        host.refusals.noteRefusal(placed.target.id, unreachableMs);
         return actOnFailure(verdict.code);
       case "unknown":
         return actOnUnknown(placed);
--- a/src/request/request_run_test.ts
+++ b/src/request/request_run_test.ts
@@ -201,6 +201,34 @@
     });
   });
 
+  describe("with a caller that does not read", () => {
+    it("reads no further until the caller does", async () => {
+      const targets = createTargets({ ...quietHistory, streams: true });
+      const host = createRequestHost(libraries, {
+        id: "router-a",
+        targets,
+        platform: createMemoryPlatform(),
+      });
+      const work = createWork({ requestId: "request-1", call: "call-1" });
+      const caller = createCaller(targets, work);
+      let writes = 0;
+      let goOn = (): void => undefined;
+      const write = (data: Uint8Array): Promise<void> => {
+        writes++;
+        void caller.reply.write(data);
+        return new Promise((resolve) => {
+          goOn = resolve;
+        });
+      };
+      void runRequest(host, work, { ...caller.reply, write });
+      await jest.advanceTimersByTimeAsync(1_000);
+      expect(writes).toBe(1);
+      goOn();
+      await jest.advanceTimersByTimeAsync(1_000);
+      expect(writes).toBe(2);
+    });
+  });
+
   describe("with a part of another answer in a stream", () => {
     // Parts of a stream reach the caller before the digest can be checked.
     it("tells an error and never the end marker", async () => {
--- /dev/null
+++ b/src/request/retries_test.ts
@@ -0,0 +1,144 @@
+import { createFakeTargets } from "../../test/fakes/fake_targets.ts";
+import { createMemoryPlatform } from "../../test/fakes/memory_platform.ts";
+import { createNaiveRouter } from "../../test/naive/router.ts";
+import {
+  createCaller,
+  createRequestHost,
+  createWork,
+  type Libraries,
+  service,
+  type Told,
+} from "../../test/support/request_history.ts";
+import { createAttemptNumbers } from "../process/attempt_numbers.ts";
+import { loadBodyDigests } from "../process/body_digest.ts";
+import { loadPlacementHost } from "../process/placement.ts";
+import { runRequest } from "./request_run.ts";
+
+const ids = Array.from({ length: 9 }, (_, index) => `target-${index + 1}`);
+
+/** Requests of one history, sent at an even pace. */
+const requests = 400;
+
+/** Time between two requests, in milliseconds. */
+const paceMs = 10;
+
+/** Retries of the service as a fraction of first tries. */
+const retryBudget = 0.2;
+
+/** Retries that a router may have saved up before, see the budget. */
+const firstCredit = 5;
+
+/** What one history gave. */
+interface Result {
+  readonly runs: number;
+  readonly messages: number;
+  readonly callers: readonly Told[];
+  readonly done: number;
+}
+
+describe("retries", () => {
+  let libraries: Libraries;
+
+  beforeAll(async () => {
+    libraries = {
+      digests: await loadBodyDigests(),
+      placement: await loadPlacementHost(),
+    };
+  });
+
+  beforeEach(() => {
+    jest.useFakeTimers();
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  describe("when all targets fail", () => {
+    it("stay within their budget", async () => {
+      const { runs } = await run({ crashing: ids });
+      expect(runs - requests).toBeLessThanOrEqual(
+        requests * retryBudget + firstCredit,
+      );
+    });
+
+    it("are needed to be bounded: the naive router triples the work", async () => {
+      const { runs } = await run({ crashing: ids, isNaive: true });
+      expect(runs).toBe(3 * requests);
+    });
+  });
+
+  describe("when a third of the targets fail", () => {
+    it("stay within their budget and save most requests", async () => {
+      const { runs, done } = await run({ crashing: ids.slice(0, 3) });
+      expect(runs - requests).toBeLessThanOrEqual(
+        requests * retryBudget + firstCredit,
+      );
+      expect(done).toBeGreaterThan(requests * 0.95);
+    });
+  });
+
+  describe("when all targets are full", () => {
+    it("refuses at once, with a time to come back", async () => {
+      const { callers, messages, runs } = await run({ full: ids });
+      expect(runs).toBe(0);
+      for (const caller of callers) {
+        expect(caller.end()?.report?.code).toBe("target_full");
+        expect(caller.end()?.report?.retryAfterMs).toBeGreaterThan(0);
+        expect(caller.tookMs()).toBeLessThan(200);
+      }
+      // Targets that have just refused are hardly asked.
+      expect(messages / requests).toBeLessThan(10);
+    });
+  });
+
+  async function run(
+    options: {
+      readonly crashing?: readonly string[];
+      readonly full?: readonly string[];
+      readonly isNaive?: boolean;
+    },
+  ): Promise<Result> {
+    const targets = createFakeTargets(libraries, { ids, service, fates: [] });
+    options.crashing?.forEach((id) => {
+      targets.behaviour.crashesAfter.set(id, 0);
+    });
+    options.full?.forEach((id) => {
+      targets.behaviour.refuses.set(id, "target_full");
+    });
+    const host = createRequestHost(libraries, {
+      id: "router-a",
+      targets,
+      platform: createMemoryPlatform(),
+    });
+    const naive = createNaiveRouter({
+      calls: targets.calls,
+      attempts: createAttemptNumbers({
+        router: "router-a",
+        routerIncarnation: 1,
+      }),
+      getMembers: targets.getMembers,
+    });
+    const callers: Told[] = [];
+    for (let index = 0; index < requests; index++) {
+      const work = createWork({
+        requestId: `request-${index}`,
+        call: `call-${index}`,
+        repeatable: true,
+      });
+      const caller = createCaller(targets, work);
+      callers.push(caller);
+      void (options.isNaive === true
+        ? naive.run(work, caller.reply)
+        : runRequest(host, work, caller.reply));
+      await jest.advanceTimersByTimeAsync(paceMs);
+    }
+    await jest.advanceTimersByTimeAsync(10_000);
+    return {
+      runs: targets.runs.length,
+      messages: targets.getMessages(),
+      callers,
+      done: callers.filter((caller) => caller.end()?.outcome === "done").length,
+    };
+  }
+});
--- a/src/roles/router_test.ts
+++ b/src/roles/router_test.ts
@@ -258,6 +258,74 @@
   }
 });
 
+describe("router role over connections that are cut", () => {
+  let fleet: SmallFleet;
+  let url = "";
+
+  beforeAll(async () => {
+    fleet = await startSmallFleet({
+      routers: 1,
+      engines: 2,
+      services: 2,
+      tokenMs: 5,
+    });
+    url = fleet.routers[0]?.url ?? "";
+  });
+
+  afterAll(async () => {
+    await fleet.stop();
+  });
+
+  it("goes on with a stream where it was cut", async () => {
+    const answer = await fetch(url + chatPath, {
+      method: "POST",
+      headers: { "x-workspace": "team-1" },
+      body: JSON.stringify({
+        model: modelService,
+        messages: [{ role: "user", content: "Go on" }],
+        max_tokens: 60,
+        stream: true,
+      }),
+    });
+    let text = "";
+    let cuts = 0;
+    for await (const data of answer.body ?? []) {
+      text += Buffer.from(data as Uint8Array).toString();
+      if (cuts < 2 && text.length > cuts * 2_000) {
+        cuts++;
+        fleet.resetConnections();
+      }
+    }
+    expect(cuts).toBe(2);
+    expect(text).toMatch(/data: \[DONE\]\n\n$/);
+    expect(text).not.toContain("event: error");
+    const started = fleet.engines.map(({ engine }) => engine.getCounts());
+    expect(started.reduce((sum, counts) => sum + counts.started, 0)).toBe(1);
+  });
+
+  it("gives the answer of a call that ran once", async () => {
+    const pending = fetch(
+      `${url}/services/${plainService}/orders?delay_ms=300`,
+      {
+        method: "POST",
+        headers: { "x-workspace": "team-1" },
+        body: JSON.stringify({ callId: "cut-call" }),
+      },
+    );
+    const countRuns = (): number =>
+      fleet.services.reduce(
+        (sum, service) => sum + (service.getCounts().counts["cut-call"] ?? 0),
+        0,
+      );
+    await waitUntil(() => countRuns() === 1);
+    fleet.resetConnections();
+    const answer = await pending;
+    expect(answer.status).toBe(200);
+    expect(answer.headers.get("x-outcome")).toBe("done");
+    expect(countRuns()).toBe(1);
+  });
+});
+
 describe("router role under load", () => {
   it("refuses at once when too much is in flight", async () => {
     const fleet = await startSmallFleet({
--- a/test/support/request_history.ts
+++ b/test/support/request_history.ts
@@ -32,6 +32,8 @@
   readonly end: () => RequestEnd | undefined;
   /** Runs of the call at the moment of the end. */
   readonly runsAtEnd: () => number;
+  /** Time until the end, in milliseconds. */
+  readonly tookMs: () => number;
   hangUp(): void;
 }
 
@@ -124,6 +126,8 @@
   let text = "";
   let end: RequestEnd | undefined;
   let runsAtEnd = 0;
+  let tookMs = Infinity;
+  const startedAt = performance.now();
   const call = Buffer.from(work.body).toString();
   const reply: Reply = {
     gone: gone.signal,
@@ -134,6 +138,7 @@
     },
     end: (value) => {
       end = value;
+      tookMs = performance.now() - startedAt;
       runsAtEnd = targets.countRuns(call);
     },
   };
@@ -143,6 +148,7 @@
     text: () => text,
     end: () => end,
     runsAtEnd: () => runsAtEnd,
+    tookMs: () => tookMs,
     hangUp: () => gone.abort(),
   };
 }
--- a/test/support/small_fleet.ts
+++ b/test/support/small_fleet.ts
@@ -20,6 +20,8 @@
 } from "../fakes/memory_platform.ts";
 import { usualEngineSettings } from "../stand_ins/engine/engine.ts";
 import { type EngineServer, startEngine } from "../stand_ins/engine/server.ts";
+import { createLink } from "../stand_ins/relay/link.ts";
+import { type Relay, startTcpRelay } from "../stand_ins/relay/tcp.ts";
 import {
   type ServiceServer,
   startService,
@@ -87,6 +89,8 @@
   readonly engines: readonly EngineServer[];
   readonly services: readonly ServiceServer[];
   readonly agents: readonly RunningAgent[];
+  /** Ends all connections between routers and agents at once. */
+  resetConnections(): void;
   stop(): Promise<void>;
 }
 
@@ -111,6 +115,7 @@
   const services: ServiceServer[] = [];
   const agents: RunningAgent[] = [];
   const routers: RunningRouter[] = [];
+  const relays: Relay[] = [];
   for (let index = 0; index < options.engines; index++) {
     const engine = await startEngine({
       ...usualEngineSettings,
@@ -145,7 +150,16 @@
   for (let index = 0; index < options.routers; index++) {
     routers.push(await startRouter(`router-${index}`));
   }
-  return { platform, shared, routers, engines, services, agents, stop };
+  return {
+    platform,
+    shared,
+    routers,
+    engines,
+    services,
+    agents,
+    resetConnections: () => relays.forEach((relay) => relay.reset()),
+    stop,
+  };
 
   async function startAgent(
     id: string,
@@ -155,6 +169,13 @@
   ): Promise<RunningAgent> {
     const grpc = new GrpcServer();
     const grpcPort = await findFreePort();
+    const relay = await startTcpRelay({
+      address: "127.0.0.1",
+      port: 0,
+      targetAddress: "127.0.0.1",
+      targetPort: grpcPort,
+    }, createLink());
+    relays.push(relay);
     const settings: AgentSettings = {
       ...createCommonSettings(id),
       grpcPort,
@@ -170,7 +191,7 @@
       id,
       role: "agent",
       service: target.service,
-      grpcPort,
+      grpcPort: relay.port,
       incarnation: Date.now(),
     });
     const role = await createAgentRole({
@@ -232,6 +253,7 @@
       grpc.forceShutdown();
       await role.stop();
     }
+    await Promise.all(relays.map((relay) => relay.close()));
     await Promise.all(engines.map((engine) => engine.close()));
     await Promise.all(services.map((service) => service.close()));
   }
