--- a/test/demo/steps.ts
+++ b/test/demo/steps.ts
@@ -6,8 +6,9 @@
   sendChat,
   streamChat,
 } from "../harness/chat.ts";
+import { countRuns } from "../harness/counts.ts";
 import { type Running, type TestFleet } from "../harness/fleet.ts";
-import { callHttp, readPath, tryCallHttp } from "../harness/http.ts";
+import { callHttp, tryCallHttp } from "../harness/http.ts";
 import { sleep, waitFor } from "../harness/wait.ts";
 import { checkDraft } from "../stand_ins/engine/draft.ts";
 import type { Report } from "./report.ts";
@@ -174,16 +175,6 @@
   report.note("drain_chats_cut", result.ends.length);
 }
 
-/** Counts the runs of a call over all plain services. */
-export async function countRuns(fleet: TestFleet, id: string) {
-  const counts = await Promise.all(
-    fleet.services.map(({ url }) => tryCallHttp(`${url}/counts`)),
-  );
-  return counts
-    .map((answer) => Number(readPath(answer?.json, `counts.${id}`) ?? 0))
-    .reduce((sum, runs) => sum + runs, 0);
-}
-
 function describeOutcome(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): string {
--- /dev/null
+++ b/test/processes/leaving_test.ts
@@ -0,0 +1,154 @@
+import { type ChatAnswer, sendChat, streamChat } from "../harness/chat.ts";
+import { readCount } from "../harness/counts.ts";
+import {
+  type Running,
+  type StandIn,
+  startFleet,
+  type TestFleet,
+} from "../harness/fleet.ts";
+import { callHttp, tryCallHttp } from "../harness/http.ts";
+import { sleep, waitFor } from "../harness/wait.ts";
+import { checkDraft } from "../stand_ins/engine/draft.ts";
+
+const question = { role: "user", content: "A greeting for spring" } as const;
+const manyTokens = 200;
+
+/** Time after which a leaving target gets no new work, in milliseconds. */
+const leavingBoundMs = 3000;
+
+describe("processes that leave", () => {
+  let fleet: TestFleet;
+  let first: Running;
+  let second: Running;
+
+  beforeEach(async () => {
+    fleet = await startFleet({ routers: 2, engines: 3, services: 0 });
+    [first, second] = fleet.routers as [Running, Running];
+  });
+  afterEach(() => fleet?.stop());
+
+  describe("graceful shutdown", () => {
+    it("of a router cuts off no stream and refuses new work", async () => {
+      const streams = startStreams(first, 10);
+      await waitForStreams(10);
+      first.child.signal("SIGTERM");
+      await waitFor(
+        "the router not to be ready",
+        async () =>
+          (await tryCallHttp(`${first.adminUrl}/readyz`))?.status !== 200,
+      );
+      const late = await tryCallHttp(`${first.callerUrl}/v1/chat/completions`, {
+        headers: { "x-workspace": "counter" },
+        body: { model: "verse-model", messages: [question] },
+      });
+      if (late !== undefined) {
+        expect(late.status).toBe(503);
+        expect(late.headers["x-code"]).toBe("router_stopping");
+      }
+      expectWhole(await Promise.all(streams));
+      expect(await first.child.waitForExit()).toMatchObject({ code: 0 });
+    });
+
+    it("of an agent cuts off no stream, later chats go elsewhere", async () => {
+      const [agent] = fleet.engineAgents as [Running];
+      const streams = [...startStreams(first, 6), ...startStreams(second, 6)];
+      await waitForStreams(12);
+      agent.child.signal("SIGTERM");
+      const [exit, answers] = await Promise.all([
+        agent.child.waitForExit(),
+        Promise.all(streams),
+      ]);
+      expectWhole(answers);
+      expect(answers.some(({ place }) => place === agent.id)).toBe(true);
+      expect(exit).toMatchObject({ code: 0 });
+      const later = await Promise.all(
+        Array.from({ length: 10 }, (_, index) =>
+          sendChat(second.callerUrl, {
+            messages: [question],
+            conversation: `later-${index}`,
+          })),
+      );
+      expect(later.map(({ outcome }) => outcome))
+        .toEqual(later.map(() => "done"));
+      expect(later.every(({ place }) => place !== agent.id)).toBe(true);
+    });
+  });
+
+  describe("a target that leaves", () => {
+    it("gets no new work 3 s after its drain", async () => {
+      const [agent] = fleet.engineAgents as [Running];
+      await callHttp(`${agent.adminUrl}/drain`, { body: { operator: "test" } });
+      await expectNoNewWork();
+    });
+
+    it("gets no new work 3 s after the platform's list says so", async () => {
+      const { json } = await callHttp(`${fleet.platform.url}/vms`);
+      const vms = (json?.["vms"] ?? []) as unknown as { id: string }[];
+      const [agent] = fleet.engineAgents as [Running];
+      await callHttp(`${fleet.platform.url}/faults/vms`, {
+        body: {
+          vms: vms.map((vm) =>
+            vm.id === `vm-${agent.id}` ? { ...vm, state: "leaving" } : vm
+          ),
+        },
+      });
+      await expectNoNewWork();
+    });
+
+    /** Chats go on all the time; the first engine must see none late. */
+    async function expectNoNewWork(): Promise<void> {
+      const [engine] = fleet.engines as [StandIn];
+      let isOver = false;
+      const load = [first, second].map(async (router, caller) => {
+        for (let index = 0; !isOver; index++) {
+          await sendChat(router.callerUrl, {
+            messages: [question],
+            conversation: `leaving-${caller}-${index}`,
+          });
+        }
+      });
+      await sleep(leavingBoundMs);
+      const atBound = await readCount(engine, "started");
+      await sleep(1000);
+      isOver = true;
+      await Promise.all(load);
+      expect(await readCount(engine, "started")).toBe(atBound);
+    }
+  });
+
+  function startStreams(
+    router: Running,
+    count: number,
+  ): readonly Promise<ChatAnswer>[] {
+    return Array.from(
+      { length: count },
+      (_, index) =>
+        streamChat(router.callerUrl, {
+          messages: [question],
+          conversation: `stream-${router.id}-${index}`,
+          maxTokens: manyTokens,
+        }),
+    );
+  }
+
+  /** Waits until all streams have started at the engines. */
+  async function waitForStreams(count: number): Promise<void> {
+    await waitFor(`${count} streams to run`, async () => {
+      const running = await Promise.all(
+        fleet.engines.map((engine) => readCount(engine, "running")),
+      );
+      return running.reduce((sum, value) => sum + value, 0) === count;
+    });
+  }
+
+  function expectWhole(answers: readonly ChatAnswer[]): void {
+    const seen = answers.map(({ text, isWhole, code }) => ({
+      verdict: checkDraft(text, manyTokens),
+      isWhole,
+      code,
+    }));
+    expect(seen).toEqual(
+      answers.map(() => ({ verdict: "whole", isWhole: true, code: "done" })),
+    );
+  }
+});
--- /dev/null
+++ b/test/processes/path_test.ts
@@ -0,0 +1,152 @@
+import { existsSync } from "node:fs";
+import { callService, sendChat, streamChat } from "../harness/chat.ts";
+import { type Running, startFleet, type TestFleet } from "../harness/fleet.ts";
+import { callHttp, readPath } from "../harness/http.ts";
+import { checkDraft } from "../stand_ins/engine/draft.ts";
+import { countRuns } from "../harness/counts.ts";
+
+const question = { role: "user", content: "A greeting ".repeat(40) } as const;
+
+describe("the path through the binary", () => {
+  let fleet: TestFleet;
+  let first: Running;
+  let second: Running;
+
+  beforeAll(async () => {
+    expect(existsSync("dist/mimosatray")).toBe(true);
+    fleet = await startFleet({ routers: 2, engines: 3, services: 2 });
+    [first, second] = fleet.routers as [Running, Running];
+  });
+  afterAll(() => fleet?.stop());
+
+  describe("chat", () => {
+    it("answers whole and names the outcome", async () => {
+      const answer = await sendChat(first.callerUrl, {
+        messages: [question],
+        conversation: "whole",
+      });
+      expect(answer).toMatchObject({ status: 200, outcome: "done" });
+      expect(checkDraft(answer.text, 16)).toBe("whole");
+    });
+
+    it("streams, and finds its place by the other router", async () => {
+      const options = { messages: [question], conversation: "stream" };
+      const answer = await streamChat(first.callerUrl, options);
+      expect(answer).toMatchObject({ isWhole: true, isCut: false });
+      expect(checkDraft(answer.text, 16)).toBe("whole");
+      const again = await streamChat(second.callerUrl, {
+        ...options,
+        messages: [
+          question,
+          { role: "assistant", content: answer.text },
+          { role: "user", content: "Shorter" },
+        ],
+      });
+      expect(again.place).toBe(answer.place);
+      expect(again.cachedTokens).toBeGreaterThan(100);
+    });
+
+    it("stops the work at the engine when the caller goes away", async () => {
+      const aborter = new AbortController();
+      const before = await countCancelled();
+      const chat = streamChat(first.callerUrl, {
+        messages: [question],
+        conversation: "gone",
+        maxTokens: 2000,
+        signal: aborter.signal,
+        onText: () => aborter.abort(),
+      });
+      expect((await chat).isCut).toBe(true);
+      while (await countCancelled() === before) {
+        await new Promise((resolve) => setTimeout(resolve, 10));
+      }
+    });
+  });
+
+  describe("calls", () => {
+    it("runs a call that must not repeat once for its key", async () => {
+      const call = {
+        path: "/orders",
+        body: { callId: "order-path" },
+        key: "key-path",
+      };
+      const answers = await Promise.all(
+        [first, second, first, second].map(({ callerUrl }) =>
+          callService(callerUrl, call)
+        ),
+      );
+      expect(await countRuns(fleet, "order-path")).toBe(1);
+      const late = await callService(second.callerUrl, call);
+      expect(late.status).toBe(200);
+      for (const answer of answers) {
+        if (answer.status === 200) expect(answer.text).toBe(late.text);
+        else expect(answer.headers["x-outcome"]).toBe("unknown");
+      }
+      expect(await countRuns(fleet, "order-path")).toBe(1);
+    });
+
+    it("refuses another request under the same key", async () => {
+      const key = "key-reused";
+      const path = "/orders";
+      await callService(first.callerUrl, {
+        path,
+        key,
+        body: { callId: "order-a" },
+      });
+      const other = await callService(second.callerUrl, {
+        path,
+        key,
+        body: { callId: "order-b" },
+      });
+      expect(other.status).toBe(422);
+      expect(readPath(other.json, "error.code")).toBe("key_reused");
+      expect(await countRuns(fleet, "order-b")).toBe(0);
+    });
+
+    it("passes a repeatable call on", async () => {
+      const answer = await callService(first.callerUrl, { path: "/proofs/7" });
+      expect(answer).toMatchObject({
+        status: 200,
+        json: { call: "GET /proofs/7" },
+      });
+    });
+  });
+
+  describe("operators", () => {
+    it("read health, metrics, status and the whole state", async () => {
+      const [health, metrics, status, dump] = await Promise.all(
+        ["/healthz", "/metrics", "/status", "/dump"]
+          .map((path) => callHttp(`${first.adminUrl}${path}`)),
+      );
+      expect(health?.status).toBe(200);
+      expect(metrics?.text).toContain('requests_total{code="done"');
+      expect(status?.json).toMatchObject({ id: "router-1", isReady: true });
+      expect(Object.keys(dump?.json ?? {})).toEqual(
+        expect.arrayContaining(["status", "configuration", "fleet", "role"]),
+      );
+    });
+
+    it("trace a request by its id at router and agent", async () => {
+      const answer = await sendChat(first.callerUrl, {
+        messages: [question],
+        conversation: "trace",
+        headers: { "x-request-id": "trace-me-1" },
+      });
+      expect(answer.status).toBe(200);
+      const withId = fleet.getProcesses().filter(({ child }) =>
+        child.getLines().some((line) => line.includes("trace-me-1"))
+      ).map(({ role }) => role);
+      expect(withId.sort()).toEqual(["agent", "router"]);
+    });
+  });
+
+  async function countCancelled(): Promise<number> {
+    const counts = await Promise.all(
+      fleet.engines.map(({ url }) => callHttp(`${url}/counts`)),
+    );
+    return counts.reduce(
+      (sum, { json }) => sum + Number(json?.["cancelled"]),
+      0,
+    );
+  }
+});
