--- a/src/request/routing_test.ts
+++ b/src/request/routing_test.ts
@@ -2,18 +2,23 @@
 import { createRefusalMemory } from "../process/refusal_memory.ts";
 import type { Member } from "../types/member.ts";
 import type { Work } from "../types/work.ts";
-import { createRouting, type Routing } from "./routing.ts";
+import { createRouting, type Routing, type RoutingChoice } from "./routing.ts";
 
 const chat = {
-  service: "verse-model",
-  workspace: "counter",
-  conversation: "card-7",
+  service: "chat-model",
+  workspace: "team-1",
+  conversation: "chat-7",
   requestId: "request-1",
+  kind: "chat",
+  messageCount: 1,
   lastPlace: undefined,
 } as Work;
 
 describe("routing", () => {
-  async function create(targets: number): Promise<Routing> {
+  async function create(
+    targets: number,
+    work: Work = chat,
+  ): Promise<Routing> {
     const members = Array.from({ length: targets }, (_, index) => ({
       id: `agent-${index + 1}`,
       incarnation: 1,
@@ -23,51 +28,90 @@
       members: { getAvailableAgents: () => members },
       placement: createPlacement(await loadPlacementHost()),
       refusals: createRefusalMemory(),
-    }, chat);
+    }, work);
   }
 
+  /** Asks until nobody is left; targets without a load are not reached. */
   function askAll(
     routing: Routing,
     loads: Readonly<Record<string, number>>,
-  ): readonly string[] {
-    const asked: string[] = [];
+  ): readonly RoutingChoice[] {
+    const asked: RoutingChoice[] = [];
     for (let next = routing.tryGetNext(); next !== undefined;) {
-      const { id } = next.member;
-      asked.push(id);
-      const load = loads[id];
-      if (load !== undefined) routing.noteLoad(id, load);
+      asked.push(next);
+      const load = loads[next.member.id];
+      const code = next.onlyIfHeld ? "context_not_held" : "target_full";
+      routing.noteRefusal({ code, load });
       next = routing.tryGetNext();
     }
     return asked;
   }
 
+  function getIds(asked: readonly RoutingChoice[]): readonly string[] {
+    return asked.map(({ member }) => member.id);
+  }
+
   it("asks each target once when they do not tell their loads", async () => {
-    const asked = askAll(await create(3), {});
+    const asked = getIds(askAll(await create(3), {}));
     expect([...asked].sort()).toEqual(["agent-1", "agent-2", "agent-3"]);
   });
 
   it("asks the least loaded again, a bounded number of times", async () => {
     const routing = await create(3);
     const loads = { "agent-1": 300, "agent-2": 100, "agent-3": 200 };
-    expect(askAll(routing, loads).slice(3))
-      .toEqual(Array.from({ length: 5 }, () => "agent-2"));
-    expect([...routing.getOtherLoads("agent-2")].sort()).toEqual([200, 300]);
+    const again = askAll(routing, loads).slice(3);
+    expect(getIds(again)).toEqual(Array.from({ length: 5 }, () => "agent-2"));
+    expect(again.map(({ pauseMs }) => pauseMs)).toEqual([5, 10, 15, 20, 25]);
+    expect([...again[0]?.observedLoads ?? []].sort()).toEqual([200, 300]);
   });
 
   it("goes on to the next least loaded when a load has grown", async () => {
     const routing = await create(2);
-    const first = routing.tryGetNext()?.member.id ?? "";
-    const second = routing.tryGetNext()?.member.id ?? "";
-    routing.noteLoad(first, 100);
-    routing.noteLoad(second, 200);
-    expect(routing.tryGetNext())
-      .toMatchObject({ member: { id: first }, pauseMs: 5 });
-    routing.noteLoad(first, 300);
-    expect(routing.tryGetNext())
-      .toMatchObject({ member: { id: second }, pauseMs: 10 });
+    const first = askFull(routing, 100);
+    const second = askFull(routing, 200);
+    expect(askFull(routing, 300)).toBe(first);
+    expect(askFull(routing, 300)).toBe(second);
   });
 
   it("asks a single target one time", async () => {
-    expect(askAll(await create(1), { "agent-1": 100 })).toEqual(["agent-1"]);
+    const asked = askAll(await create(1), { "agent-1": 100 });
+    expect(getIds(asked)).toEqual(["agent-1"]);
   });
+
+  describe("of a returning chat", () => {
+    const returning = { ...chat, messageCount: 3 };
+
+    it("asks four ranks for the context before it asks any target", async () => {
+      const asked = askAll(await create(6, returning), {});
+      expect(asked.map(({ onlyIfHeld }) => onlyIfHeld)).toEqual([
+        ...Array.from({ length: 4 }, () => true),
+        ...Array.from({ length: 6 }, () => false),
+      ]);
+      expect(getIds(asked.slice(0, 4))).toEqual(getIds(asked.slice(4, 8)));
+    });
+
+    it("asks the hinted target first", async () => {
+      const hinted = { ...returning, lastPlace: "agent-5" };
+      const routing = await create(6, hinted);
+      expect(routing.tryGetNext()?.member.id).toBe("agent-5");
+    });
+
+    it("does not ask a holder again that is full", async () => {
+      const routing = await create(3, returning);
+      const holder = askFull(routing, 100);
+      for (let rank = 1; rank < 3; rank++) {
+        expect(routing.tryGetNext()?.onlyIfHeld).toBe(true);
+        routing.noteRefusal({ code: "context_not_held", load: 50 });
+      }
+      const others = [askFull(routing, 100), askFull(routing, 100)];
+      expect(others).not.toContain(holder);
+    });
+  });
+
+  /** Asks one target, which is full, and returns its id. */
+  function askFull(routing: Routing, load: number): string | undefined {
+    const choice = routing.tryGetNext();
+    routing.noteRefusal({ code: "target_full", load });
+    return choice?.member.id;
+  }
 });
--- a/test/support/request_history.ts
+++ b/test/support/request_history.ts
@@ -99,6 +99,7 @@
     service,
     workspace: "team",
     conversation: "",
+    messageCount: 0,
     priority: "interactive",
     deadlineAt: Date.now() + 10_000,
     repeatable: false,
