--- a/src/request/routing.ts
+++ b/src/request/routing.ts
@@ -3,8 +3,8 @@
  *
  * 1. a returning chat asks the first ranks whether they hold its context;
  * 2. any target is asked by rank, those that have just refused others last;
- * 3. the least loaded of those that refused is asked again, with the loads of
- *    the others, since a mean that is behind makes all of them refuse.
+ * 3. those at or below the mean load of all that refused are asked again, with
+ *    the loads of the others, since a mean that is behind makes all refuse.
  */
 
 import type { Placement } from "../process/placement.ts";
@@ -23,17 +23,17 @@
 /** Targets asked although they have just refused another request. */
 const maxRemembered = 3;
 
-/** Loads that make another ask of the least loaded target useful. */
+/** Loads that make another ask useful. */
 const minRefusedLoads = 2;
 
 /**
  * Wait before the first such ask, in milliseconds; each further one waits
  * longer, so that requests that came together do not ask together again.
  */
-const firstPauseMs = 5;
+const firstPauseMs = 3;
 
 /** Asks of targets that have refused the same request before. */
-const maxAskedAgain = 5;
+const maxAskedAgain = 8;
 
 /** What routing needs from outside. */
 export interface RoutingHost {
@@ -96,7 +96,7 @@
     // The members are read again: they may have changed since the last ask.
     const ranked = rank();
     last = tryGetHolder(ranked) ?? tryGetAny(ranked) ??
-      tryGetLeastLoaded(ranked);
+      tryGetBelowMean(ranked);
     return last;
   }
 
@@ -144,15 +144,16 @@
     return left[0];
   }
 
-  function tryGetLeastLoaded(
+  function tryGetBelowMean(
     ranked: readonly Member[],
   ): RoutingChoice | undefined {
     if (fullLoads.size < minRefusedLoads) return undefined;
     if (askedAgain >= maxAskedAgain) return undefined;
     askedAgain++;
-    const member = ranked
-      .filter((candidate) => fullLoads.has(getKey(candidate)))
-      .sort((left, right) => getFullLoad(left) - getFullLoad(right))[0];
+    const mean = getMeanFullLoad();
+    // Requests that came together ask in different orders of rank, so that
+    // they do not all ask the same target.
+    const member = ranked.find((candidate) => getFullLoad(candidate) <= mean);
     if (member === undefined) return undefined;
     const others = [...fullLoads]
       .filter(([key]) => key !== getKey(member))
@@ -169,6 +170,11 @@
     return fullLoads.get(getKey(member)) ?? Number.POSITIVE_INFINITY;
   }
 
+  function getMeanFullLoad(): number {
+    const sum = [...fullLoads.values()].reduce((all, load) => all + load, 0);
+    return sum / fullLoads.size;
+  }
+
   function noteRefusal({ code, load }: RefusalNote): void {
     if (last === undefined || load === undefined) return;
     if (code !== "target_full") return;
