--- a/bench/placement/policies.ts
+++ b/bench/placement/policies.ts
@@ -159,8 +159,10 @@
 /** The refusal memory of a router that sees a sliver is nearly empty. */
 const noRefusals: RefusalMemory = {
   noteRefusal: () => undefined,
+  noteUnreachable: () => undefined,
   noteAccepted: () => undefined,
   isRemembered: () => false,
+  isUnreachable: () => false,
   getRemembered: () => new Map(),
 };
 
--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -14,6 +14,8 @@
 
 module.exports = {
   testEnvironment: "node",
+  // A busy machine must not decide the verdict; it is far above any test's time.
+  testTimeout: 60000,
   // Tests on real processes need the build; npm run test:processes runs them.
   testPathIgnorePatterns: ["/node_modules/", "<rootDir>/test/processes/"],
   testMatch: ["<rootDir>/src/**/*_test.ts", "<rootDir>/test/**/*_test.ts"],
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -42,9 +42,6 @@
 /** Time to come back when no target gave one, in milliseconds. */
 const defaultRetryAfterMs = 1_000;
 
-/** Time that an unreachable target is asked last, in milliseconds. */
-const unreachableMs = 1_000;
-
 /** Refusals that cost a target nothing; the next rank is asked at once. */
 const freeRefusals: ReadonlySet<DiagnosticCode> = new Set([
   "target_full",
@@ -194,11 +191,11 @@
     routing.noteRefusal({ code, load });
     // The target may have room for any request but this one.
     if (code === "context_not_held") return undefined;
-    host.refusals.noteRefusal(
-      placed.target.id,
-      freeRefusals.has(code) ? retryAfterMs : unreachableMs,
-    );
-    if (freeRefusals.has(code)) return undefined;
+    if (freeRefusals.has(code)) {
+      host.refusals.noteRefusal(placed.target.id, retryAfterMs);
+      return undefined;
+    }
+    host.refusals.noteUnreachable(placed.target.id);
     if (host.retries.trySpend(work.service)) return undefined;
     return await endNotRun("retry_budget_spent", defaultRetryAfterMs);
   }
@@ -215,7 +212,7 @@
   function actOnUnknown(placed: PlacedAttempt): RequestEnd | undefined {
     if (!work.repeatable) return endUnknown();
     host.calls.cancel(placed);
-    host.refusals.noteRefusal(placed.target.id, unreachableMs);
+    host.refusals.noteUnreachable(placed.target.id);
     return tryAgain("outcome_unknown");
   }
 
--- a/src/request/routing.ts
+++ b/src/request/routing.ts
@@ -4,7 +4,8 @@
  * 1. a returning chat asks the first ranks whether they hold its context;
  * 2. any target is asked by rank, those that have just refused others last;
  * 3. those at or below the mean load of all that refused are asked again, with
- *    the loads of the others, since a mean that is behind makes all refuse.
+ *    the loads of the others, since a mean that is behind makes all refuse;
+ *    what gave no answer to others shortly before comes after that.
  */
 
 import type { Placement } from "../process/placement.ts";
@@ -97,7 +98,7 @@
     // The members are read again: they may have changed since the last ask.
     const ranked = rank();
     last = tryGetHolder(ranked) ?? tryGetAny(ranked) ??
-      tryGetBelowMean(ranked);
+      tryGetBelowMean(ranked) ?? tryGetUnreachable(ranked);
     return last;
   }
 
@@ -115,8 +116,10 @@
     if (!isReturningChat(work) || askedForAny.size > 0) return undefined;
     if (askedForContext.size >= maxHoldersAsked) return undefined;
     // A target that refused others for load may still hold this context.
-    const member = ranked.slice(0, maxHoldersAsked)
-      .find((candidate) => !askedForContext.has(getKey(candidate)));
+    const member = ranked.slice(0, maxHoldersAsked).find((candidate) =>
+      !askedForContext.has(getKey(candidate)) &&
+      !host.refusals.isUnreachable(candidate.id)
+    );
     if (member === undefined) return undefined;
     askedForContext.add(getKey(member));
     return { member, onlyIfHeld: true, observedLoads: [], pauseMs: 0 };
@@ -124,11 +127,27 @@
 
   function tryGetAny(ranked: readonly Member[]): RoutingChoice | undefined {
     if (askedForAny.size >= maxTargets) return undefined;
-    const left = ranked.filter((member) =>
+    const left = getUnasked(ranked)
+      .filter((member) => !host.refusals.isUnreachable(member.id));
+    const fresh = left.find((member) => !host.refusals.isRemembered(member.id));
+    return chooseAny(fresh ?? tryGetRemembered(left));
+  }
+
+  /** Targets that gave no answer cost a wait, so they come last of all. */
+  function tryGetUnreachable(
+    ranked: readonly Member[],
+  ): RoutingChoice | undefined {
+    if (askedForAny.size >= maxTargets) return undefined;
+    return chooseAny(tryGetRemembered(getUnasked(ranked)));
+  }
+
+  function getUnasked(ranked: readonly Member[]): readonly Member[] {
+    return ranked.filter((member) =>
       !askedForAny.has(getKey(member)) && !fullLoads.has(getKey(member))
     );
-    const fresh = left.find((member) => !host.refusals.isRemembered(member.id));
-    const member = fresh ?? tryGetRemembered(left);
+  }
+
+  function chooseAny(member: Member | undefined): RoutingChoice | undefined {
     if (member === undefined) return undefined;
     askedForAny.add(getKey(member));
     return {
@@ -140,7 +159,9 @@
   }
 
   function tryGetRemembered(left: readonly Member[]): Member | undefined {
-    if (rememberedAsked >= maxRemembered) return undefined;
+    if (left.length === 0 || rememberedAsked >= maxRemembered) {
+      return undefined;
+    }
     rememberedAsked++;
     return left[0];
   }
