--- a/src/request/routing.ts
+++ b/src/request/routing.ts
@@ -3,8 +3,9 @@
  *
  * 1. a returning chat asks the first ranks whether they hold its context;
  * 2. any target is asked by rank, those that have just refused others last;
- * 3. the least loaded of those that refused is asked again, with the loads of
- *    the others, since a mean that is behind makes all of them refuse.
+ * 3. those at or below the mean load of all that refused are asked again, with
+ *    the loads of the others, since a mean that is behind makes all refuse;
+ *    what gave no answer to others shortly before comes after that.
  */
 
 import type { Placement } from "../process/placement.ts";
@@ -23,17 +24,17 @@
 /** Targets asked although they have just refused another request. */
 const maxRemembered = 3;
 
-/** Loads that make another ask of the least loaded target useful. */
+/** Loads that make another ask useful. */
 const minRefusedLoads = 2;
 
 /**
  * Wait before the first such ask, in milliseconds; each further one waits
  * longer, so that requests that came together do not ask together again.
  */
-const firstPauseMs = 5;
+const firstPauseMs = 3;
 
 /** Asks of targets that have refused the same request before. */
-const maxAskedAgain = 5;
+const maxAskedAgain = 8;
 
 /** What routing needs from outside. */
 export interface RoutingHost {
@@ -97,7 +98,7 @@
     // The members are read again: they may have changed since the last ask.
     const ranked = rank();
     last = tryGetHolder(ranked) ?? tryGetAny(ranked) ??
-      tryGetLeastLoaded(ranked);
+      tryGetBelowMean(ranked) ?? tryGetUnreachable(ranked);
     return last;
   }
 
@@ -115,8 +116,10 @@
     if (!isReturningChat(work) || askedForAny.size > 0) return undefined;
     if (askedForContext.size >= maxHoldersAsked) return undefined;
     // A target that refused others for load may still hold this context.
-    const member = ranked.slice(0, maxHoldersAsked)
-      .find((candidate) => !askedForContext.has(getKey(candidate)));
+    const member = ranked.slice(0, maxHoldersAsked).find((candidate) =>
+      !askedForContext.has(getKey(candidate)) &&
+      !host.refusals.isUnreachable(candidate.id)
+    );
     if (member === undefined) return undefined;
     askedForContext.add(getKey(member));
     return { member, onlyIfHeld: true, observedLoads: [], pauseMs: 0 };
@@ -124,11 +127,27 @@
 
   function tryGetAny(ranked: readonly Member[]): RoutingChoice | undefined {
     if (askedForAny.size >= maxTargets) return undefined;
-    const left = ranked.filter((member) =>
+    const left = getUnasked(ranked)
+      .filter((member) => !host.refusals.isUnreachable(member.id));
+    const fresh = left.find((member) => !host.refusals.isRemembered(member.id));
+    return chooseAny(fresh ?? tryGetRemembered(left));
+  }
+
+  /** Targets that gave no answer cost a wait, so they come last of all. */
+  function tryGetUnreachable(
+    ranked: readonly Member[],
+  ): RoutingChoice | undefined {
+    if (askedForAny.size >= maxTargets) return undefined;
+    return chooseAny(tryGetRemembered(getUnasked(ranked)));
+  }
+
+  function getUnasked(ranked: readonly Member[]): readonly Member[] {
+    return ranked.filter((member) =>
       !askedForAny.has(getKey(member)) && !fullLoads.has(getKey(member))
     );
-    const fresh = left.find((member) => !host.refusals.isRemembered(member.id));
-    const member = fresh ?? tryGetRemembered(left);
+  }
+
+  function chooseAny(member: Member | undefined): RoutingChoice | undefined {
     if (member === undefined) return undefined;
     askedForAny.add(getKey(member));
     return {
@@ -140,20 +159,23 @@
   }
 
   function tryGetRemembered(left: readonly Member[]): Member | undefined {
-    if (rememberedAsked >= maxRemembered) return undefined;
+    if (left.length === 0 || rememberedAsked >= maxRemembered) {
+      return undefined;
+    }
     rememberedAsked++;
     return left[0];
   }
 
-  function tryGetLeastLoaded(
+  function tryGetBelowMean(
     ranked: readonly Member[],
   ): RoutingChoice | undefined {
     if (fullLoads.size < minRefusedLoads) return undefined;
     if (askedAgain >= maxAskedAgain) return undefined;
     askedAgain++;
-    const member = ranked
-      .filter((candidate) => fullLoads.has(getKey(candidate)))
-      .sort((left, right) => getFullLoad(left) - getFullLoad(right))[0];
+    const mean = getMeanFullLoad();
+    // Requests that came together ask in different orders of rank, so that
+    // they do not all ask the same target.
+    const member = ranked.find((candidate) => getFullLoad(candidate) <= mean);
     if (member === undefined) return undefined;
     const others = [...fullLoads]
       .filter(([key]) => key !== getKey(member))
@@ -170,6 +192,11 @@
     return fullLoads.get(getKey(member)) ?? Number.POSITIVE_INFINITY;
   }
 
+  function getMeanFullLoad(): number {
+    const sum = [...fullLoads.values()].reduce((all, load) => all + load, 0);
+    return sum / fullLoads.size;
+  }
+
   function noteRefusal({ code, load }: RefusalNote): void {
     if (code === "attempt_settled") allowAgain();
     if (last === undefined || load === undefined) return;
