--- a/test/demo/steps.ts
+++ b/test/demo/steps.ts
@@ -6,8 +6,9 @@
   sendChat,
   streamChat,
 } from "../harness/chat.ts";
+import { countRuns } from "../harness/counts.ts";
 import { type Running, type TestFleet } from "../harness/fleet.ts";
-import { callHttp, readPath, tryCallHttp } from "../harness/http.ts";
+import { callHttp, tryCallHttp } from "../harness/http.ts";
 import { sleep, waitFor } from "../harness/wait.ts";
 import { checkDraft } from "../stand_ins/engine/draft.ts";
 import type { Report } from "./report.ts";
@@ -23,7 +24,7 @@
 /** A question with a prompt long enough to be worth keeping. */
 const question: ChatMessage = {
   role: "user",
-  content: "Please write a short greeting for a card. ".repeat(20),
+  content: "Please write a short note about rivers. ".repeat(20),
 };
 
 /** Tokens of each answer. */
@@ -45,7 +46,7 @@
   let firstTokenMs = 0;
   const answer = await streamChat(first.callerUrl, {
     messages: [question],
-    conversation: "card-7",
+    conversation: "chat-7",
     maxTokens: answerTokens,
     onText: () => {
       firstTokenMs ||= performance.now() - startedAt;
@@ -66,7 +67,7 @@
       { role: "assistant", content: answer.text },
       { role: "user", content: "Shorter, please" },
     ],
-    conversation: "card-7",
+    conversation: "chat-7",
     maxTokens: answerTokens,
   });
   report.say(`${second.id} placed it at ${again.place}`);
@@ -111,11 +112,11 @@
   const base = Number(status.json?.["configurationVersion"]);
   const startedAt = performance.now();
   const version = await fleet.patch(first, {
-    id: "more-counter-weight",
+    id: "more-weight",
     baseVersion: base,
     operations: [{
       kind: "put_workspace",
-      name: "counter",
+      name: "team-1",
       value: { weight: 2, requestsPerSecond: 0, services: [] },
     }],
   });
@@ -174,16 +175,6 @@
   report.note("drain_chats_cut", result.ends.length);
 }
 
-/** Counts the runs of a call over all plain services. */
-export async function countRuns(fleet: TestFleet, id: string) {
-  const counts = await Promise.all(
-    fleet.services.map(({ url }) => tryCallHttp(`${url}/counts`)),
-  );
-  return counts
-    .map((answer) => Number(readPath(answer?.json, `counts.${id}`) ?? 0))
-    .reduce((sum, runs) => sum + runs, 0);
-}
-
 function describeOutcome(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): string {
