Run every fault at every step of a request's life

Cause: the promises were proved one by one, not over all faults and steps. Ruled out: a first version whose cells were all green and all 'unknown': its agents wrote a fixed digest, so routers dropped every answer. The suite now has a control that must be done without a fault, and the grid shows outcomes.

--- a/test/fakes/agent_parts.ts
+++ b/test/fakes/agent_parts.ts
@@ -37,6 +37,8 @@
   readonly tombstoneMs?: number;
   /** Lets suspects run beside each other, as without the quarantine. */
   readonly togetherWithSuspects?: boolean;
+  /** Real digests, for routers that check them. */
+  readonly digests?: BodyDigests;
 }
 
 /** An agent's attempt service with what is behind it. */
@@ -47,7 +49,7 @@
 }
 
 /** Digests that cost nothing. */
-const digests: BodyDigests = {
+const freeDigests: BodyDigests = {
   create: () => ({ update: () => undefined, getText: () => "digest" }),
 };
 
@@ -94,7 +96,7 @@
       isUp: options.isUp ?? (() => true),
       checkCrash: () => Promise.resolve(options.hasCrashed?.() ?? false),
     },
-    digests,
+    digests: options.digests ?? freeDigests,
     log: createSilentLog(),
     metrics: createMetrics(),
     incarnation: options.incarnation ?? 1,
--- a/test/fakes/fake_target.ts
+++ b/test/fakes/fake_target.ts
@@ -10,11 +10,14 @@
   toTargetError,
 } from "../../src/connection/target_client.ts";
 
+import type { Header } from "../../src/types/work.ts";
+
 /** How a call to the target goes. */
 export interface FakeCall {
   /** Time until the answer begins, in milliseconds. */
   readonly delayMs: number;
   readonly body: readonly string[];
+  readonly headers?: readonly Header[];
   /** How the call ends. */
   readonly end: "whole" | "cut" | "not_sent" | "crash";
 }
@@ -28,6 +31,8 @@
   readonly running: ReadonlySet<string>;
   /** Runs that were stopped from outside. */
   readonly aborted: ReadonlySet<string>;
+  /** Ends all that is in flight; the next call meets a new process. */
+  crash(): void;
 }
 
 /** Creates a target whose calls go as `plan` says. */
@@ -50,6 +55,7 @@
         throwE({ kind: "lost", message: "gone" })
       ),
     cancelStream: () => undefined,
+    crash,
   };
 
   function send(
@@ -70,7 +76,7 @@
       } catch (error) {
         return throwE(toTargetError(error));
       }
-      return { status: 200, headers: [], body };
+      return { status: 200, headers: call.headers ?? [], body };
     });
   }
 
@@ -103,7 +109,6 @@
     }
   }
 
-  /** Ends all that is in flight; the next call meets a new process. */
   function crash(): void {
     const crashed = process;
     process = new AbortController();
--- /dev/null
+++ b/test/matrix/grid.ts
@@ -0,0 +1,102 @@
+/** Prints the fault matrix as Markdown. */
+
+import { findBrokenPromises } from "./referee.ts";
+import {
+  type Fault,
+  faults,
+  type Observation,
+  type Step,
+  steps,
+  type WorkKind,
+  workKinds,
+} from "./shapes.ts";
+
+/** Marks in the order in which a cell shows them. */
+const outcomeMarks: Readonly<Record<string, string>> = {
+  done: "D",
+  not_run: "N",
+  unknown: "U",
+  failed: "F",
+};
+
+/** Formats the page that the matrix writes. */
+export function formatPage(
+  observations: readonly Observation[],
+  options: { readonly date: string; readonly seeds: string },
+): string {
+  const struck = observations.filter(({ hasStruck }) => hasStruck);
+  const broken = struck.filter((each) => findBrokenPromises(each).length > 0);
+  return [
+    "# Fault matrix",
+    "",
+    "Written by `npm run matrix`. Each fault strikes at each step of a",
+    "request's life, in memory and under paused time: two routers, three",
+    "targets with agents, and the key-value service. A caller with an",
+    "idempotency key asks again twice, through the other router.",
+    "",
+    `Date: ${options.date}. Seeds: ${options.seeds}.`,
+    `Runs that were struck: ${struck.length}; broken: ${broken.length}.`,
+    "",
+    "A cell shows what the first caller was told over all seeds: D done, N not",
+    "run, U unknown, F failed, - nothing because its router died. An empty cell",
+    "was never reached: the request ended before its step, or has no such step.",
+    "`broken` counts runs in which the referee found a promise broken.",
+    "Pairs of faults are run for both kinds of calls that may not repeat and",
+    "count in the runs above; they have no table of their own.",
+    "",
+    formatGrid(observations),
+    "",
+  ].join("\n");
+}
+
+/** Formats one table for each kind of request. */
+function formatGrid(observations: readonly Observation[]): string {
+  return workKinds
+    .map((kind) => formatTable(kind, observations))
+    .join("\n\n");
+}
+
+function formatTable(
+  kind: WorkKind,
+  observations: readonly Observation[],
+): string {
+  const rows = faults.map((fault) => {
+    const cells = steps.map((step) =>
+      formatCell(
+        observations.filter(({ cell }) =>
+          cell.kind === kind && cell.step === step &&
+          cell.faults.length === 1 && cell.faults[0] === fault
+        ),
+      )
+    );
+    return `| ${fault} | ${cells.join(" | ")} |`;
+  });
+  return [
+    `### ${kind}`,
+    "",
+    `| fault | ${steps.join(" | ")} |`,
+    `| --- |${" --- |".repeat(steps.length)}`,
+    ...rows,
+  ].join("\n");
+}
+
+/** Formats the runs of one cell: what the first caller was told. */
+function formatCell(observations: readonly Observation[]): string {
+  const struck = observations.filter(({ hasStruck }) => hasStruck);
+  if (struck.length === 0) return "";
+  const broken = struck.filter((each) => findBrokenPromises(each).length > 0);
+  if (broken.length > 0) return `**broken ${broken.length}/${struck.length}**`;
+  const told = new Set(
+    struck.map(({ callers }) => outcomeMarks[callers[0]?.outcome ?? ""] ?? "-"),
+  );
+  return [...told].sort().join(" ");
+}
+
+/** Names a cell for a person. */
+export function formatCellName(
+  kind: WorkKind,
+  step: Step,
+  names: readonly Fault[],
+): string {
+  return `${kind}, ${names.join(" and ")} at ${step}`;
+}
--- /dev/null
+++ b/test/matrix/request_matrix_test.ts
@@ -0,0 +1,165 @@
+import { writeFileSync } from "node:fs";
+import { loadBodyDigests } from "../../src/process/body_digest.ts";
+import { loadPlacementHost } from "../../src/process/placement.ts";
+import { createNaiveRouter } from "../naive/router.ts";
+import { type Libraries, service } from "../support/request_history.ts";
+import { formatCellName, formatPage } from "./grid.ts";
+import { findBrokenPromises } from "./referee.ts";
+import {
+  type Cell,
+  type Fault,
+  faults,
+  type Observation,
+  type Step,
+  steps,
+  type WorkKind,
+  workKinds,
+} from "./shapes.ts";
+import { type RequestRunner, runCell } from "./world.ts";
+
+/** Seeds of each cell; `npm run matrix` sets more. */
+const seedCount = Number(process.env["MATRIX_SEEDS"] ?? 3);
+
+/** Seeds of each pair of faults. */
+const pairSeedCount = Number(process.env["MATRIX_PAIR_SEEDS"] ?? 1);
+
+/** Longest real time of one test, in milliseconds. */
+const testTimeoutMs = 600_000;
+
+/** File that the grid is written to, when one is named. */
+const gridFile = process.env["MATRIX_FILE"];
+
+const firstSeed = 7;
+
+/** Only a call with a key is claimed. */
+function getSteps(kind: WorkKind): readonly Step[] {
+  if (kind === "call_keyed") return steps;
+  return steps.filter((step) => !step.endsWith("_claim"));
+}
+
+describe("fault matrix of a request", () => {
+  let libraries: Libraries;
+  const observations: Observation[] = [];
+
+  beforeAll(async () => {
+    libraries = {
+      digests: await loadBodyDigests(),
+      placement: await loadPlacementHost(),
+    };
+  });
+
+  beforeEach(() => {
+    jest.useFakeTimers({ now: 1_700_000_000_000 });
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  afterAll(() => {
+    if (gridFile === undefined) return;
+    const date = new Date().toISOString().slice(0, 10);
+    const seeds = `${firstSeed} to ${firstSeed + seedCount - 1}`;
+    writeFileSync(gridFile, formatPage(observations, { date, seeds }));
+  });
+
+  async function observe(
+    cell: Cell,
+    runner?: RequestRunner,
+  ): Promise<Observation> {
+    let observation: Observation | undefined;
+    void runCell(cell, { libraries, ...(runner && { runner }) }).then(
+      (seen) => {
+        observation = seen;
+      },
+    );
+    while (observation === undefined) {
+      await jest.advanceTimersByTimeAsync(1_000);
+    }
+    jest.clearAllTimers();
+    return observation;
+  }
+
+  async function findBroken(
+    fields: Omit<Cell, "seed">,
+    { runner, seeds = seedCount }: {
+      readonly runner?: RequestRunner;
+      readonly seeds?: number;
+    } = {},
+  ): Promise<string[]> {
+    const broken: string[] = [];
+    for (let index = 0; index < seeds; index++) {
+      const cell = { ...fields, seed: firstSeed + index };
+      const observation = await observe(cell, runner);
+      if (runner === undefined) observations.push(observation);
+      for (const text of findBrokenPromises(observation)) {
+        broken.push(`${text} (seed ${cell.seed})`);
+      }
+    }
+    return broken;
+  }
+
+  describe.each(workKinds)("%s", (kind: WorkKind) => {
+    describe.each(faults)("%s", (fault: Fault) => {
+      it.each(getSteps(kind))("at %s", async (step: Step) => {
+        expect(await findBroken({ kind, step, faults: [fault] })).toEqual([]);
+      });
+    });
+  });
+
+  describe("without a fault", () => {
+    it.each(workKinds)("%s runs once and is done", async (kind) => {
+      const cell: Cell = { kind, step: "told", faults: [], seed: firstSeed };
+      const { callers, drafts } = await observe(cell);
+      expect(drafts).toHaveLength(1);
+      expect(callers.map(({ outcome }) => outcome))
+        .toEqual(callers.map(() => "done"));
+      expect(callers.map(({ text }) => text))
+        .toEqual(callers.map(() => drafts[0]));
+    });
+  });
+
+  describe("pairs of faults on calls that may not repeat", () => {
+    const pairs = faults.flatMap((left, index) =>
+      faults.slice(index + 1).map((right): Fault[] => [left, right])
+    );
+
+    describe.each(["call_once", "call_keyed"] as const)("%s", (kind) => {
+      it.each(getSteps(kind))("at %s", async (step: Step) => {
+        const broken: string[] = [];
+        for (const pair of pairs) {
+          const texts = await findBroken({ kind, step, faults: pair }, {
+            seeds: pairSeedCount,
+          });
+          const name = formatCellName(kind, step, pair);
+          broken.push(...texts.map((text) => `${name}: ${text}`));
+        }
+        expect(broken).toEqual([]);
+      }, testTimeoutMs);
+    });
+  });
+
+  describe("the naive router", () => {
+    it.each(
+      [
+        ["call_once", "agent_killed", "running"],
+        ["call_keyed", "router_killed", "running"],
+        ["call_once", "cut_from_agent", "running"],
+        ["call_keyed", "cut_both", "on_the_way"],
+      ] as const,
+    )("breaks a promise: %s, %s at %s", async (kind, fault, step) => {
+      const broken = await findBroken(
+        { kind, step, faults: [fault] },
+        {
+          runner: (host, work, reply) =>
+            createNaiveRouter({
+              calls: host.calls,
+              attempts: host.attempts,
+              getMembers: () => host.members.getAvailableAgents(service),
+            }).run(work, reply),
+        },
+      );
+      expect(broken).not.toEqual([]);
+    });
+  });
+});
