--- a/test/fakes/agent_parts.ts
+++ b/test/fakes/agent_parts.ts
@@ -33,12 +33,11 @@
   /** True when a lost connection was a crash of the target. */
   readonly hasCrashed?: () => boolean;
   readonly isLeaving?: () => boolean;
+  readonly digests?: BodyDigests;
   readonly suspects?: SuspectClaims | undefined;
   readonly tombstoneMs?: number;
   /** Lets suspects run beside each other, as without the quarantine. */
   readonly togetherWithSuspects?: boolean;
-  /** Real digests, for routers that check them. */
-  readonly digests?: BodyDigests;
 }
 
 /** An agent's attempt service with what is behind it. */
