--- a/bench/agent.ts
+++ b/bench/agent.ts
@@ -291,6 +291,7 @@
       throw new Error("Nothing is resumed here");
     },
     cancelStream: () => undefined,
+    crash: () => undefined,
   }, { slots: manyAttempts, queueLimit, digests });
   return parts.service;
 }
