Join a stream that has begun again after a freeze or cut

Ruled out: more tries for all repeatable work, which would keep callers that have read nothing waiting for a dead target. Conclusion: the tries depend on whether the caller has begun to read.

--- a/src/request/attempt_run.ts
+++ b/src/request/attempt_run.ts
@@ -32,8 +32,8 @@
   readonly delivery: Delivery;
   /** Aborted at the deadline, or when the caller has gone. */
   readonly signal: AbortSignal;
-  /** Tries to settle the attempt after a loss. */
-  readonly settleTries: number;
+  /** Returns how often a lost attempt is asked for, as it stands now. */
+  getSettleTries(): number;
   /**
    * Time that a joined attempt may still take to reach its target before it
    * is settled, in milliseconds.
@@ -146,7 +146,7 @@
   options: AttemptOptions,
 ): Promise<AttemptVerdict | undefined> {
   const state = await settleAttempt(host, placed, {
-    tries: options.settleTries,
+    tries: options.getSettleTries(),
     signal: options.signal,
   });
   if (options.signal.aborted) return { kind: "stopped" };
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -30,11 +30,11 @@
 /** Crashes of targets after which a request is not tried again. */
 const maxCrashes = 2;
 
-/** Tries to settle a lost attempt that may not run twice. */
-const settleTriesOnce = 5;
+/** Tries to settle a lost attempt that can go on nowhere else. */
+const settleTriesFixed = 5;
 
 /** Tries to settle a lost attempt that can run elsewhere as well. */
-const settleTriesRepeatable = 1;
+const settleTriesMovable = 1;
 
 /** Time that another router's attempt may take to arrive, in ms. */
 const joinGraceMs = 150;
@@ -78,7 +78,7 @@
     answer,
     delivery,
     signal: stop.signal,
-    settleTries: work.repeatable ? settleTriesRepeatable : settleTriesOnce,
+    getSettleTries,
   };
   const isClaimed = !work.repeatable && work.idempotencyKey !== undefined;
   const claimed = isClaimed
@@ -147,6 +147,12 @@
     return await act(verdict, placed);
   }
 
+  /** A draft that the caller has begun to read goes on nowhere else. */
+  function getSettleTries(): number {
+    const canMove = work.repeatable && delivery.isPending();
+    return canMove ? settleTriesMovable : settleTriesFixed;
+  }
+
   function forgetDraft(): void {
     delivery.reset();
     answer.reset();
--- a/test/matrix/request_matrix_test.ts
+++ b/test/matrix/request_matrix_test.ts
@@ -119,6 +119,22 @@
     });
   });
 
+  describe("a stream that has begun", () => {
+    const healing = ["agent_frozen", "cut_from_agent", "cut_both"] as const;
+
+    it.each(healing)("is whole after %s heals", async (fault) => {
+      for (const step of ["mid_answer", "answered"] as const) {
+        const { callers } = await observe({
+          kind: "chat_streamed",
+          step,
+          faults: [fault],
+          seed: firstSeed,
+        });
+        expect(callers[0]?.outcome).toBe("done");
+      }
+    });
+  });
+
   describe("pairs of faults on calls that may not repeat", () => {
     const pairs = faults.flatMap((left, index) =>
       faults.slice(index + 1).map((right): Fault[] => [left, right])
