Place chats in the bench by the key of the product

Cause: exported contexts went to the first rank of another key than the one that routing uses, so that a planned leave showed almost no gain. Ruled out: the cache size of the importing engine (same in all policies). Conclusion: one key in driver and policies; the cold multiple comes from the product's own rule.

--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -4,6 +4,7 @@
  * Arguments: scenario names, or none for all.
  */
 
+import { getColdMultiple } from "../src/process/load_gate.ts";
 import { loadHashes, runExperiment } from "./placement/driver.ts";
 import { policies } from "./placement/policies.ts";
 import type { Experiment } from "./placement/shapes.ts";
@@ -60,7 +61,9 @@
     const experiment = scenarios[name];
     if (experiment === undefined) throw new Error(`No scenario ${name}`);
     for (const policy of Object.keys(policies)) {
-      const cold = policy.startsWith("product") ? 1.1 : experiment.coldMultiple;
+      const cold = policy.startsWith("product")
+        ? getColdMultiple(experiment.loadMultiple, undefined)
+        : experiment.coldMultiple;
       const result = runExperiment(policy, {
         ...experiment,
         coldMultiple: cold,
--- a/bench/placement/driver.ts
+++ b/bench/placement/driver.ts
@@ -37,6 +37,9 @@
 /** Availability zones over which the engines are spread. */
 const zoneCount = 4;
 
+/** Workspace of all chats. */
+const workspace = "workspace";
+
 /** Contexts that a planned leave exports. */
 const exportedContexts = 1_500;
 
@@ -99,7 +102,7 @@
   const chatCount = experiment.engines * experiment.chatsPerEngine;
   for (let index = 0; index < chatCount; index++) {
     chats.push({
-      key: `chat-${nextChat++}`,
+      key: `${workspace}/chat-${nextChat++}`,
       lastPlace: undefined,
       turn: 0,
       busyUntil: 0,
@@ -196,7 +199,7 @@
 
   function restart(chat: Chat): void {
     rankings.delete(chat.key);
-    chat.key = `chat-${nextChat++}`;
+    chat.key = `${workspace}/chat-${nextChat++}`;
     chat.turn = 0;
     chat.lastPlace = undefined;
   }
