Test patches and bad input on real processes

Bad input from callers, peers, operators and settings files: each ends in a clear error and a chat is served after each.

--- a/test/harness/fleet.ts
+++ b/test/harness/fleet.ts
@@ -363,11 +363,12 @@
 export async function waitForVersion(
   running: Running,
   version: number,
+  options: { readonly timeoutMs?: number } = {},
 ): Promise<void> {
   await waitFor(`version ${version} at ${running.id}`, async () => {
     const status = await tryCallHttp(`${running.adminUrl}/status`);
     return Number(status?.json?.["configurationVersion"]) >= version;
-  });
+  }, options);
 }
 
 function createStartError(child: Child): Error {
--- /dev/null
+++ b/test/processes/bad_input_test.ts
@@ -0,0 +1,261 @@
+import { createSocket } from "node:dgram";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { connect, type Socket } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { sendChat } from "../harness/chat.ts";
+import { startChild } from "../harness/child.ts";
+import {
+  binary,
+  type Running,
+  startFleet,
+  type TestFleet,
+} from "../harness/fleet.ts";
+import { callHttp, readPath } from "../harness/http.ts";
+import { formatSettings } from "../harness/plan.ts";
+
+const question = { role: "user", content: "A note about spring" } as const;
+const body = { model: "chat-model", messages: [question] };
+const headers = { "x-workspace": "team-1" };
+const garbage = Buffer.from(
+  Array.from({ length: 4096 }, (_, index) => index * 131 % 256),
+);
+
+describe("bad input on running processes", () => {
+  let fleet: TestFleet;
+  let router: Running;
+  let agent: Running;
+
+  beforeAll(async () => {
+    fleet = await startFleet({ routers: 1, engines: 1, services: 0 });
+    [router] = fleet.routers as [Running];
+    [agent] = fleet.engineAgents as [Running];
+  });
+  afterAll(() => fleet?.stop());
+  afterEach(async () => {
+    const answer = await sendChat(router.callerUrl, {
+      messages: [question],
+      conversation: "still-alive",
+    });
+    expect(answer.outcome).toBe("done");
+    expect(fleet.getProcesses().every(({ child }) => child.isRunning()))
+      .toBe(true);
+  });
+
+  describe("from callers", () => {
+    it.each([
+      ["broken JSON", { body: '{"model":', headers }, 400, "bad_json"],
+      ["no JSON", { body: "\u0000\u0001", headers }, 400, "bad_json"],
+      ["a list", { body: "[]", headers }, 400, "bad_field"],
+      [
+        "a wrong type",
+        { body: { ...body, messages: "hello" }, headers },
+        400,
+        "bad_field",
+      ],
+      [
+        "a wrong message",
+        { body: { ...body, messages: [7] }, headers },
+        400,
+        "bad_field",
+      ],
+      ["no workspace", { body }, 400, "bad_field"],
+      [
+        "an unknown workspace",
+        { body, headers: { "x-workspace": "nobody" } },
+        404,
+        "unknown_workspace",
+      ],
+      [
+        "an unknown service",
+        { body: { ...body, model: "nothing" }, headers },
+        404,
+        "unknown_service",
+      ],
+      [
+        "a wrong priority",
+        { body, headers: { ...headers, "x-priority": "now" } },
+        400,
+        "bad_field",
+      ],
+      [
+        "a wrong deadline",
+        { body, headers: { ...headers, "x-deadline-ms": "-1" } },
+        400,
+        "bad_field",
+      ],
+      [
+        "too large a body",
+        { body: "x".repeat(1_048_577), headers },
+        413,
+        "body_too_large",
+      ],
+    ])("%s is refused", async (_name, call, status, code) => {
+      const answer = await callHttp(
+        `${router.callerUrl}/v1/chat/completions`,
+        call as { body: object; headers: Record<string, string> },
+      );
+      expect(answer.status).toBe(status);
+      expect(readPath(answer.json, "error.code")).toBe(code);
+      expect(answer.headers["x-outcome"]).toBe("not_run");
+    });
+
+    it("an unknown path is refused", async () => {
+      const answer = await callHttp(`${router.callerUrl}/nowhere`);
+      expect(answer.status).toBe(404);
+      expect(readPath(answer.json, "error.code")).toBe("not_found");
+    });
+
+    it("too large headers are refused", async () => {
+      const answer = await talk(router.callerPort, [
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n",
+        `x-large: ${"x".repeat(40_000)}\r\n\r\n`,
+      ]);
+      expect(answer).toContain("headers_too_large");
+    });
+
+    it("a request that is not HTTP is refused", async () => {
+      const answer = await talk(router.callerPort, [garbage]);
+      expect(answer).toContain("bad_http");
+    });
+
+    it("a body that ends early runs nothing", async () => {
+      const before = await countRuns();
+      const answer = await talk(router.callerPort, [
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n",
+        'x-workspace: team-1\r\ncontent-length: 500\r\n\r\n{"model":',
+      ], { end: true });
+      expect(answer === "" || answer.includes("body_cut")).toBe(true);
+      expect(await countRuns()).toBe(before);
+    });
+
+    it("a slow body holds up nobody else", async () => {
+      const slow = connect(router.callerPort, "127.0.0.1");
+      slow.on("error", () => undefined);
+      slow.write(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n" +
+          "x-workspace: team-1\r\ncontent-length: 500\r\n\r\n{",
+      );
+      const answer = await sendChat(router.callerUrl, {
+        messages: [question],
+        conversation: "beside-a-slow-one",
+      });
+      expect(answer.outcome).toBe("done");
+      slow.destroy();
+    });
+  });
+
+  describe("from peers", () => {
+    it.each(["router", "agent"])(
+      "garbage on the gRPC port of the %s is dropped",
+      async (role) => {
+        const { grpcPort } = role === "router" ? router : agent;
+        await talk(grpcPort, [garbage], { end: true });
+        await talk(grpcPort, [
+          "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+          garbage,
+        ], { end: true });
+      },
+    );
+
+    it.each(["router", "agent"])(
+      "garbage on the gossip port of the %s is dropped",
+      async (role) => {
+        const { gossipPort } = role === "router" ? router : agent;
+        const socket = createSocket("udp4");
+        for (let size = 0; size < 1400; size += 50) {
+          await new Promise<void>((resolve) => {
+            const part = garbage.subarray(0, size);
+            socket.send(part, gossipPort, "127.0.0.1", () => resolve());
+          });
+        }
+        socket.close();
+      },
+    );
+  });
+
+  describe("from operators", () => {
+    it.each(["{", "[]", "7", "null", '{"operations": 3}'])(
+      "the patch %s is refused",
+      async (text) => {
+        const answer = await callHttp(`${router.adminUrl}/config/patches`, {
+          body: text,
+        });
+        expect(answer.status).toBeGreaterThanOrEqual(400);
+        expect(answer.status).toBeLessThan(500);
+      },
+    );
+
+    it("garbage on the admin port is dropped", async () => {
+      await talk(router.adminPort, [garbage], { end: true });
+    });
+  });
+
+  describe("settings", () => {
+    const directory = mkdtempSync(join(tmpdir(), "settings-"));
+    afterAll(() => rmSync(directory, { recursive: true, force: true }));
+
+    it.each([
+      ["no settings at all", garbage.toString("latin1"), /:1:\d+: /],
+      ["a list", "[]", /:1:1: .*must be/],
+      ["nothing", "", /:1:1: /],
+    ])("a file that holds %s ends with code 2", async (_name, text, line) => {
+      const { code, output } = await run("router", text);
+      expect(code).toBe(2);
+      expect(output).toMatch(line);
+    });
+
+    it("all faults of a file are named at once", async () => {
+      const good = formatSettings(router);
+      const bad = good
+        .replace(/"grpcPort": \d+/, '"grpcPort": "many"')
+        .replace('"zone"', '"zoen"');
+      const { code, output } = await run("check", bad);
+      expect(code).toBe(2);
+      expect(output).toMatch(/:\d+:\d+: grpcPort must be/);
+      expect(output).toMatch(/:\d+:\d+: zoen is not a setting/);
+      expect(output).toMatch(/zone/);
+    });
+
+    it("a file that is not there ends with code 2", async () => {
+      const child = startChild("router", [...binary, "router", "/no/such"]);
+      expect((await child.waitForExit()).code).toBe(2);
+      expect(child.getLines().join("\n")).toContain("cannot be read");
+    });
+
+    async function run(command: string, text: string) {
+      const file = join(directory, "settings.jsonc");
+      writeFileSync(file, text);
+      const child = startChild(command, [...binary, command, file]);
+      const { code } = await child.waitForExit();
+      return { code, output: child.getLines().join("\n") };
+    }
+  });
+
+  async function countRuns(): Promise<number> {
+    const { json } = await callHttp(`${fleet.engines[0]?.url}/counts`);
+    return Number(json?.["started"]);
+  }
+});
+
+/** Sends pieces over a connection and returns all that comes back. */
+function talk(
+  port: number,
+  pieces: readonly (string | Buffer)[],
+  options: { readonly end?: boolean } = {},
+): Promise<string> {
+  return new Promise((resolve) => {
+    const socket: Socket = connect(port, "127.0.0.1");
+    let answer = "";
+    socket.on("data", (data) => {
+      answer += String(data);
+    });
+    socket.on("error", () => undefined);
+    socket.on("close", () => resolve(answer));
+    socket.on("end", () => socket.end());
+    pieces.forEach((piece) => socket.write(piece));
+    if (options.end === true) socket.end();
+    // A peer that answers nothing and keeps the connection is left alone.
+    socket.setTimeout(2000, () => socket.destroy());
+  });
+}
