--- a/test/fakes/agent_parts.ts
+++ b/test/fakes/agent_parts.ts
@@ -48,7 +48,7 @@
 }
 
 /** Digests that cost nothing. */
-const digests: BodyDigests = {
+const freeDigests: BodyDigests = {
   create: () => ({ update: () => undefined, getText: () => "digest" }),
 };
 
@@ -95,7 +95,7 @@
       isUp: options.isUp ?? (() => true),
       checkCrash: () => Promise.resolve(options.hasCrashed?.() ?? false),
     },
-    digests: options.digests ?? digests,
+    digests: options.digests ?? freeDigests,
     log: createSilentLog(),
     metrics: createMetrics(),
     incarnation: options.incarnation ?? 1,
