--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -164,7 +164,7 @@
       case "not_run":
         return await actOnRefusal(verdict, placed);
       case "failed":
-        host.refusals.noteRefusal(placed.target.id, unreachableMs);
+        host.refusals.noteUnreachable(placed.target.id);
         return actOnFailure(verdict.code);
       case "unknown":
         return actOnUnknown(placed);
--- a/test/fakes/fake_targets.ts
+++ b/test/fakes/fake_targets.ts
@@ -81,6 +81,8 @@
   countRuns(call: string): number;
   /** Messages that were sent to targets. */
   getMessages(): number;
+  /** Targets that were asked to run a request, each counted once. */
+  countAsked(requestId: string): number;
 }
 
 interface Entry {
@@ -115,6 +117,7 @@
     options.ids.map((id) => [id, new Map<string, Entry>()]),
   );
   const runs: Run[] = [];
+  const asked = new Map<string, Set<string>>();
   let messages = 0;
   const behaviour: TargetBehaviour = {
     refuses: new Map(),
@@ -133,6 +136,7 @@
     replace,
     countRuns: (call) => runs.filter((run) => run.call === call).length,
     getMessages: () => messages,
+    countAsked: (requestId) => asked.get(requestId)?.size ?? 0,
   };
 
   function createAgent(id: string, incarnation: number): Member {
@@ -157,6 +161,9 @@
   }
 
   function run(dispatch: Dispatch): AgentEvents {
+    const { requestId } = dispatch.work;
+    const targets = asked.get(requestId) ?? new Set();
+    asked.set(requestId, targets.add(dispatch.target.id));
     return send((deliver) => startRun(dispatch, deliver));
   }
 
