Hold a stream back from its first end marker on; test claims

Cause: an engine that sends the end marker twice, or anything after it, had the first marker passed to the caller before the answer was known to be whole; streams with CRLF line breaks were held up to 256 KiB. Seen red: 'changes nothing, however the bytes are cut' of the event hold, shrunk to two markers cut into single bytes. Also: tests of claims alone (lost answers and requests, races, leases that the platform ended). Tests that open sockets take their ports from one place: fleet_test met EADDRINUSE in a landing, as its port was free when it was probed and taken when it was bound.

--- /dev/null
+++ b/src/request/claim_test.ts
@@ -0,0 +1,127 @@
+import {
+  createMemoryPlatform,
+  type MemoryPlatform,
+} from "../../test/fakes/memory_platform.ts";
+import { claimWindowMs, createClaimLeases } from "../process/claim_leases.ts";
+import type { PlacedAttempt } from "../types/agent_calls.ts";
+import {
+  type ClaimHost,
+  createClaimRecord,
+  getClaimKey,
+  writeClaim,
+} from "./claim.ts";
+import { createWork } from "../../test/support/request_history.ts";
+
+const key = "claim/1";
+
+function createPlaced(number: number): PlacedAttempt {
+  return {
+    attempt: { router: "router-a", routerIncarnation: 1, number },
+    target: {
+      id: "target-a",
+      address: "127.0.0.1",
+      grpcPort: 1,
+      incarnation: 1,
+    },
+  };
+}
+
+function createNext(number: number) {
+  return { key, record: createClaimRecord(createPlaced(number), "print") };
+}
+
+function createHost(platform: MemoryPlatform): ClaimHost {
+  return { platform, leases: createClaimLeases({ platform }) };
+}
+
+describe("claims", () => {
+  let platform: MemoryPlatform;
+  let host: ClaimHost;
+
+  beforeEach(() => {
+    jest.useFakeTimers();
+    platform = createMemoryPlatform();
+    host = createHost(platform);
+    platform.faults.lostPrefix = "claim/";
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  async function write(...args: Parameters<typeof writeClaim>) {
+    const result = writeClaim(...args);
+    await jest.advanceTimersByTimeAsync(2_000);
+    return await result;
+  }
+
+  it("finds out that a write whose answer was lost took effect", async () => {
+    platform.faults.lostAnswers = 1;
+    expect((await write(host, createNext(1))).kind).toBe("mine");
+    expect(platform.store.get(key)).toBeDefined();
+  });
+
+  it("writes again when the request was lost", async () => {
+    platform.faults.lostRequests = 2;
+    expect((await write(host, createNext(1))).kind).toBe("mine");
+  });
+
+  it("gives the claim of another attempt to one that is late", async () => {
+    await write(host, createNext(1));
+    const late = await write(createHost(platform), createNext(2));
+    expect(late.kind).toBe("theirs");
+  });
+
+  it("lets one of two that take over at the same time win", async () => {
+    const first = await write(host, createNext(1));
+    if (first.kind === "unavailable") throw new Error("There is no claim");
+    const results = await Promise.all([
+      write(createHost(platform), createNext(2), first.claim),
+      write(createHost(platform), createNext(3), first.claim),
+    ]);
+    expect(results.map(({ kind }) => kind).sort()).toEqual(["mine", "theirs"]);
+  });
+
+  it("says at once that the platform is down", async () => {
+    platform.faults.outage = true;
+    const result = await writeClaim(host, createNext(1));
+    expect(result.kind).toBe("unavailable");
+  });
+
+  it("goes on with a new lease when the platform has ended one", async () => {
+    await write(host, createNext(1));
+    const lease = (await host.leases.getLease()).extract();
+    platform.store.endLease(String(lease));
+    expect((await write(host, createNext(2))).kind).toBe("mine");
+  });
+
+  it("keeps a claim for its window, and not for ever", async () => {
+    await write(host, createNext(1));
+    await jest.advanceTimersByTimeAsync(claimWindowMs - 2_000);
+    expect(platform.store.get(key)).toBeDefined();
+    await jest.advanceTimersByTimeAsync(2 * claimWindowMs);
+    expect(platform.store.get(key)).toBeUndefined();
+  });
+
+  it("makes one lease for many claims", async () => {
+    for (let number = 1; number <= 5; number++) {
+      await write(host, { ...createNext(number), key: `claim/${number}` });
+    }
+    expect(platform.getCalls().writes).toBe(6);
+  });
+
+  it("keeps keys of workspaces and services apart", () => {
+    const work = createWork({
+      requestId: "request-1",
+      call: "call-1",
+      idempotencyKey: "k",
+    });
+    const keys = [
+      getClaimKey(work),
+      getClaimKey({ ...work, workspace: "other" }),
+      getClaimKey({ ...work, service: "other" }),
+      getClaimKey({ ...work, idempotencyKey: "other" }),
+    ];
+    expect(new Set(keys).size).toBe(4);
+  });
+});
--- a/src/request/event_hold.ts
+++ b/src/request/event_hold.ts
@@ -1,15 +1,19 @@
 /**
  * Holds back what must not reach the caller of a stream too early: an event
- * that is not whole yet, and the end marker until the answer is checked.
+ * that is not whole yet, and all from the end marker on until the answer is
+ * checked.
  */
 
-/** The end marker of a stream of server-sent events. */
-const endMarker = Buffer.from("data: [DONE]\n\n");
+/** Lines that mark the end of a stream of server-sent events. */
+const endMarkers = [Buffer.from("data: [DONE]"), Buffer.from("data:[DONE]")];
 
-/** The line break pair that ends an event. */
-const eventEnd = Buffer.from("\n\n");
+/** Line breaks that end an event. */
+const eventEnds = [Buffer.from("\n\n"), Buffer.from("\r\n\r\n")];
 
-/** Bytes of one unfinished event that are held; longer ones pass, in bytes. */
+/** The line break before a marker. */
+const lineBreak = 0x0a;
+
+/** Bytes that are held at most; a longer event passes in parts. */
 const maxHeldBytes = 256 * 1024;
 
 /** Holds back the tail of one stream. */
@@ -42,13 +46,34 @@
   }
 }
 
-/** Length of the leading part that consists of whole events. */
+/** Length of the leading part that is whole events before the marker. */
 function getSendableLength(bytes: Buffer): number {
-  const last = bytes.lastIndexOf(eventEnd);
-  if (last < 0) return bytes.length > maxHeldBytes ? bytes.length : 0;
-  const end = last + eventEnd.length;
-  const marker = end - endMarker.length;
-  const isMarked = marker >= 0 &&
-    bytes.subarray(marker, end).equals(endMarker);
-  return isMarked ? marker : end;
+  const marker = findMarker(bytes);
+  if (marker >= 0) return marker;
+  const end = Math.max(...eventEnds.map((text) => getEndOfLast(bytes, text)));
+  if (end > 0) return end;
+  return bytes.length > maxHeldBytes ? bytes.length : 0;
+}
+
+/** Position after the last occurrence; 0 when there is none. */
+function getEndOfLast(bytes: Buffer, text: Buffer): number {
+  const last = bytes.lastIndexOf(text);
+  return last < 0 ? 0 : last + text.length;
+}
+
+/** Position of the first marker that begins a line; -1 when there is none. */
+function findMarker(bytes: Buffer): number {
+  const found = endMarkers
+    .map((marker) => findLine(bytes, marker))
+    .filter((at) => at >= 0);
+  return found.length === 0 ? -1 : Math.min(...found);
+}
+
+/** Position of the first line that begins with a text; -1 without one. */
+function findLine(bytes: Buffer, text: Buffer): number {
+  let at = bytes.indexOf(text);
+  while (at > 0 && bytes[at - 1] !== lineBreak) {
+    at = bytes.indexOf(text, at + 1);
+  }
+  return at;
 }
--- /dev/null
+++ b/src/request/event_hold_test.ts
@@ -0,0 +1,59 @@
+import fc from "fast-check";
+import { createEventHold } from "./event_hold.ts";
+
+describe("event hold", () => {
+  it("passes whole events and holds the rest", () => {
+    const hold = createEventHold();
+    expect(push(hold, "data: a\n\ndata: b")).toBe("data: a\n\n");
+    expect(push(hold, "c\n\n")).toBe("data: bc\n\n");
+  });
+
+  it("holds the end marker until the end", () => {
+    const hold = createEventHold();
+    expect(push(hold, "data: a\n\ndata: [DONE]\n\n")).toBe("data: a\n\n");
+    expect(toText(hold.finish())).toBe("data: [DONE]\n\n");
+  });
+
+  it("passes events with either kind of line break at once", () => {
+    const hold = createEventHold();
+    expect(push(hold, "data: a\r\n\r\n")).toBe("data: a\r\n\r\n");
+    expect(push(hold, "data: b\n\n")).toBe("data: b\n\n");
+  });
+
+  it("changes nothing, however the bytes are cut", () => {
+    const anyStream = fc.array(fc.constantFrom(
+      "data: a\n\n",
+      'data: {"text":"b\\n"}\n\n',
+      ": note\n\n",
+      "data: after data: [DONE] comes\n\n",
+      "data: [DONE]\n\n",
+      "data: c\r\n\r\n",
+      "data: [DONE]\r\n\r\n",
+    ));
+    const property = fc.property(
+      anyStream,
+      fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 1 }),
+      (events, sizes) => {
+        const hold = createEventHold();
+        const text = events.join("");
+        let out = "";
+        for (let at = 0, turn = 0; at < text.length; turn++) {
+          const size = sizes[turn % sizes.length] ?? 1;
+          out += push(hold, text.slice(at, at + size));
+          at += size;
+        }
+        expect(out).not.toMatch(/^data: \[DONE\]/m);
+        expect(out + toText(hold.finish())).toBe(text);
+      },
+    );
+    fc.assert(property, { seed: 11 });
+  });
+});
+
+function push(hold: ReturnType<typeof createEventHold>, text: string): string {
+  return toText(hold.push(Buffer.from(text)));
+}
+
+function toText(bytes: Uint8Array): string {
+  return Buffer.from(bytes).toString();
+}
--- a/src/roles/fleet_test.ts
+++ b/src/roles/fleet_test.ts
@@ -1,5 +1,6 @@
 import { Server, ServerCredentials } from "@grpc/grpc-js";
 import { createSocket } from "node:dgram";
+import { createPorts } from "../../test/harness/ports.ts";
 import { EitherAsync, Left } from "purify-ts";
 import { createSilentLog } from "../process/log.ts";
 import { createMetrics, type Metrics } from "../process/metrics.ts";
@@ -8,6 +9,8 @@
 import type { Settings } from "../types/settings.ts";
 import { createFleet } from "./fleet.ts";
 
+const ports = createPorts();
+
 describe("fleet over sockets", () => {
   const running: Running[] = [];
 
@@ -50,7 +53,7 @@
   ): Promise<Running> {
     const server = new Server();
     const metrics = createMetrics();
-    const gossipPort = await findFreePort();
+    const gossipPort = await ports.take();
     const settings = createSettings(id, { seeds, gossipPort });
     const fleet = createFleet({
       settings,
@@ -151,16 +154,6 @@
   };
 }
 
-function findFreePort(): Promise<number> {
-  const socket = createSocket("udp4");
-  return new Promise((resolve) => {
-    socket.bind(0, "127.0.0.1", () => {
-      const { port } = socket.address();
-      socket.close(() => resolve(port));
-    });
-  });
-}
-
 async function waitUntil(isTrue: () => boolean): Promise<void> {
   while (!isTrue()) {
     await new Promise((resolve) => setTimeout(resolve, 10));
--- a/test/support/small_fleet.ts
+++ b/test/support/small_fleet.ts
@@ -1,6 +1,5 @@
 /** Routers, agents and stand-ins in one process, over loopback. */
 
-import { createServer, type Server } from "node:net";
 import { Server as GrpcServer, ServerCredentials } from "@grpc/grpc-js";
 import { createSilentLog } from "../../src/process/log.ts";
 import { createMetrics } from "../../src/process/metrics.ts";
@@ -27,6 +26,7 @@
   startService,
   usualServiceSettings,
 } from "../stand_ins/service/server.ts";
+import { createPorts } from "../harness/ports.ts";
 import {
   createMember,
   createStaticFleet,
@@ -37,6 +37,8 @@
 export const modelService = "chat-model";
 export const plainService = "order-desk";
 
+const ports = createPorts();
+
 const usualService: Service = {
   kind: "model",
   loadMultiple: 1.25,
@@ -168,7 +170,7 @@
     },
   ): Promise<RunningAgent> {
     const grpc = new GrpcServer();
-    const grpcPort = await findFreePort();
+    const grpcPort = await ports.take();
     const relay = await startTcpRelay({
       address: "127.0.0.1",
       port: 0,
@@ -208,7 +210,7 @@
   }
 
   async function startRouter(id: string): Promise<RunningRouter> {
-    const callerPort = await findFreePort();
+    const callerPort = await ports.take();
     const settings: RouterSettings = {
       ...createCommonSettings(id),
       role: "router",
@@ -274,19 +276,6 @@
   };
 }
 
-/** Asks the system for a port that is free now. */
-function findFreePort(): Promise<number> {
-  return new Promise((resolve, reject) => {
-    const probe: Server = createServer();
-    probe.on("error", reject);
-    probe.listen(0, "127.0.0.1", () => {
-      const address = probe.address();
-      const port = typeof address === "object" ? address?.port : undefined;
-      probe.close(() => resolve(port ?? 0));
-    });
-  });
-}
-
 function bind(server: GrpcServer, port: number): Promise<number> {
   return new Promise((resolve, reject) => {
     server.bindAsync(
