Try patches among real processes under failure

Platform down right after the acceptance, the accepting router killed, starts during the outage, a frozen process, a lost answer, a race, the second signal with a stream in flight, wrong settings and a taken port.

--- /dev/null
+++ b/test/processes/configuration_test.ts
@@ -0,0 +1,189 @@
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { streamChat } from "../harness/chat.ts";
+import { readCount } from "../harness/counts.ts";
+import {
+  binary,
+  type Running,
+  type StandIn,
+  startFleet,
+  type TestFleet,
+} from "../harness/fleet.ts";
+import { callHttp, readPath } from "../harness/http.ts";
+import { waitFor } from "../harness/wait.ts";
+
+/** Time in which an accepted patch is in force everywhere. */
+const inForceMs = 6_000;
+
+describe("patches among processes", () => {
+  let fleet: TestFleet;
+  let first: Running;
+  let others: readonly Running[];
+  let directory: string;
+
+  beforeEach(async () => {
+    directory = mkdtempSync(join(tmpdir(), "mimosatray-"));
+    fleet = await startFleet({ routers: 3, engines: 1, services: 1 });
+    first = fleet.routers[0] as Running;
+    others = fleet.getProcesses().filter((running) => running !== first);
+  });
+
+  afterEach(async () => {
+    await fleet?.stop();
+    rmSync(directory, { recursive: true });
+  });
+
+  it("is in force everywhere though the platform goes down at once", async () => {
+    const accepted = await submit(first, "next", 1);
+    await setFaults({ outage: true });
+    expect(accepted).toEqual({ exitCode: 0, version: 2 });
+    await waitForVersion(fleet.getProcesses(), 2);
+    expect(await submit(first, "refused", 2)).toMatchObject({ exitCode: 1 });
+  });
+
+  it("is in force everywhere though its router is killed at once", async () => {
+    const accepted = await submit(first, "next", 1);
+    await first.child.kill();
+    expect(accepted.exitCode).toBe(0);
+    await waitForVersion(others, 2);
+  });
+
+  it("reaches a router that starts while the platform is down", async () => {
+    await submit(first, "next", 1);
+    await setFaults({ outage: true });
+    const late = await fleet.addRouter("router-late");
+    await waitForVersion([late], 2);
+    await first.child.kill();
+    const again = await fleet.restart(first);
+    await waitForVersion([again], 2);
+  });
+
+  it("reaches a process that was frozen while it was accepted", async () => {
+    const frozen = others[0] as Running;
+    frozen.child.signal("SIGSTOP");
+    await submit(first, "next", 1);
+    await submit(first, "after", 2);
+    frozen.child.signal("SIGCONT");
+    await waitForVersion([frozen], 3);
+  });
+
+  it("is answered by its id when the platform's answer was lost", async () => {
+    await setFaults({ lostAnswers: 1, lostPrefix: "config/patch/" });
+    expect(await submit(first, "next", 1)).toMatchObject({ version: 2 });
+    const second = others.find(({ role }) => role === "router") as Running;
+    expect(await submit(second, "next", 1)).toMatchObject({ version: 2 });
+    const shown = await run(["config", "show", "next", ...at(second)]);
+    expect(shown.exitCode).toBe(0);
+    await waitForVersion(fleet.getProcesses(), 2);
+  });
+
+  it("is refused by one router when operators race at two", async () => {
+    const second = others.find(({ role }) => role === "router") as Running;
+    const results = await Promise.all([
+      submit(first, "mine", 1),
+      submit(second, "yours", 1),
+    ]);
+    const codes = results.map(({ exitCode }) => exitCode).sort();
+    expect(codes).toEqual([0, 1]);
+    await waitForVersion(fleet.getProcesses(), 2);
+  });
+
+  it("ends at once at the second signal, with work in flight", async () => {
+    const stream = streamChat(first.callerUrl, {
+      messages: [{ role: "user", content: "A long note" }],
+      conversation: "long",
+      maxTokens: 2_000,
+    }).catch(() => undefined);
+    await waitFor("the stream to run", async () => {
+      const [engine] = fleet.engines as [StandIn];
+      return await readCount(engine, "running") === 1;
+    });
+    first.child.signal("SIGTERM");
+    await waitForLine(first, "Process stops");
+    expect(first.child.isRunning()).toBe(true);
+    first.child.signal("SIGINT");
+    expect(await first.child.waitForExit()).toMatchObject({ code: 130 });
+    await stream;
+  });
+
+  it("does not start with wrong settings or at a taken port", async () => {
+    const wrong = join(directory, "wrong.jsonc");
+    writeFileSync(wrong, '{ "role": "router", }');
+    expect(await run(["router", wrong])).toMatchObject({ exitCode: 2 });
+    const { settingsFile } = first;
+    expect(await run(["agent", settingsFile])).toMatchObject({ exitCode: 2 });
+    expect(await run(["router", settingsFile])).toMatchObject({ exitCode: 4 });
+  });
+
+  /** Submits a patch of one workspace by the command line. */
+  async function submit(
+    router: Running,
+    id: string,
+    baseVersion: number,
+  ): Promise<{ readonly exitCode: number; readonly version: unknown }> {
+    const file = join(directory, `${id}.json`);
+    const value = { weight: 2, requestsPerSecond: 0, services: [] };
+    const operations = [{ kind: "put_workspace", name: "team-1", value }];
+    const patch = { id, operator: "mina", baseVersion, operations };
+    writeFileSync(file, JSON.stringify(patch));
+    const result = await run([
+      "config",
+      "patch",
+      file,
+      "--json",
+      ...at(router),
+    ]);
+    const body = JSON.parse(result.output) as { readonly version?: number };
+    return { exitCode: result.exitCode, version: body.version };
+  }
+
+  function setFaults(faults: object): Promise<unknown> {
+    return callHttp(`${fleet.platform.url}/faults`, { body: faults });
+  }
+});
+
+function at(router: Running): readonly string[] {
+  return ["--router", `127.0.0.1:${router.adminPort}`];
+}
+
+/** Waits until a process has logged a message. */
+async function waitForLine(running: Running, message: string): Promise<void> {
+  await waitFor(
+    `${running.id} to log "${message}"`,
+    () => running.child.getLines().some((line) => line.includes(message)),
+  );
+}
+
+/** Runs the binary to its end. */
+async function run(
+  argv: readonly string[],
+): Promise<{ readonly exitCode: number; readonly output: string }> {
+  const [file = "", ...before] = binary;
+  const child = spawn(file, [...before, ...argv], {
+    stdio: ["ignore", "pipe", "ignore"],
+  });
+  let output = "";
+  child.stdout.on("data", (data) => {
+    output += String(data);
+  });
+  const [exitCode] = await once(child, "close") as [number];
+  return { exitCode, output };
+}
+
+/** Waits until a version is in force at all of the processes. */
+async function waitForVersion(
+  processes: readonly Running[],
+  version: number,
+): Promise<void> {
+  await Promise.all(
+    processes.map((running) =>
+      waitFor(`version ${version} at ${running.id}`, async () => {
+        const { json } = await callHttp(`${running.adminUrl}/status`);
+        return readPath(json, "configurationVersion") === version;
+      }, { timeoutMs: inForceMs })
+    ),
+  );
+}
