--- a/src/version/configuration_store.ts
+++ b/src/version/configuration_store.ts
@@ -4,7 +4,7 @@
 import type { Metrics } from "../process/metrics.ts";
 import type { Patch } from "../types/configuration.ts";
 import type { Member } from "../types/member.ts";
-import type { Platform, PlatformError } from "../types/platform.ts";
+import type { Platform } from "../types/platform.ts";
 import type { ConfigurationStore, Dump } from "../types/role.ts";
 import { getChecksum } from "./configuration_state.ts";
 import type { Codec } from "./codec.ts";
@@ -13,12 +13,14 @@
   usualKeptPatchMs,
   usualPatchesPerSnapshot,
 } from "./compaction.ts";
+import { createContentRepair } from "./content_repair.ts";
 import { createOperatorCalls, type OperatorCalls } from "./operator_calls.ts";
 import { createPatchSequence } from "./patch_sequence.ts";
 import { createPatchTail } from "./patch_tail.ts";
 import { tryParsePatch } from "./patch_text.ts";
 import { createPeerPull, type PullFromMember } from "./peer_pull.ts";
-import { type Newest, readNewest } from "./platform_reader.ts";
+import type { Newest } from "./platform_reader.ts";
+import { createPlatformSync } from "./platform_sync.ts";
 import { encodeSnapshot, type Snapshot } from "./snapshot.ts";
 import { createStartUp } from "./start_up.ts";
 import { createWatchLoop } from "./watch_loop.ts";
@@ -61,12 +63,6 @@
   serve(afterVersion: number): Promise<ServedConfiguration | undefined>;
 }
 
-/** Least time between two reloads after a wrong checksum, in milliseconds. */
-const reloadPauseMs = 10_000;
-
-/** Patches of one read that are passed on; more are pulled by the others. */
-const maxSpread = 20;
-
 /** Creates a store at version 0. */
 export function createConfigurationStore(
   host: ConfigurationStoreHost,
@@ -83,11 +79,27 @@
   const sequence = createPatchSequence({ hash });
   const tail = createPatchTail();
   let isLoaded = false;
-  let reloadedAt = -reloadPauseMs;
-  let refreshing: Promise<Newest | PlatformError> | undefined;
   let encoded: Promise<Snapshot> | undefined;
   let encodedVersion = -1;
 
+  const sync = createPlatformSync({
+    platform,
+    codec,
+    getState: sequence.getState,
+    take: takeNewest,
+    spreadPatch: host.spreadPatch,
+  });
+  const repair = createContentRepair({
+    platform,
+    log,
+    metrics,
+    codec,
+    sequence,
+    onReplaced: () => {
+      tail.clear();
+      noteChange();
+    },
+  });
   const peerPull = createPeerPull({
     log,
     metrics,
@@ -97,11 +109,11 @@
     getVersion,
     takeTexts,
     adopt,
-    refresh: () => refresh().then((result) => result === undefined),
+    refresh: async () => await sync.refresh() === undefined,
   });
   const startUp = createStartUp({
     log,
-    refresh,
+    refresh: sync.refresh,
     pullFromPeers: peerPull.pullFromAny,
     isLoaded: () => isLoaded,
   });
@@ -114,14 +126,14 @@
     keptPatchMs,
     isWatcher: host.isWatcher,
     getState: sequence.getState,
-    refresh: refreshAndSpread,
+    refresh: sync.refreshAndSpread,
   });
   const operator = createOperatorCalls({
     platform,
     hash,
     sureCommitMs: getSureCommitMs(keptPatchMs),
     getState: sequence.getState,
-    refresh,
+    refresh: sync.refreshAnew,
     accept,
   });
   metrics.gauge("configuration_version", getVersion);
@@ -165,7 +177,7 @@
     if (version > getVersion()) peerPull.noteVersion(version, sender);
     const isWrong = version === getVersion() && isLoaded &&
       checksum !== getChecksum(sequence.getState());
-    if (isWrong) void reload(sender);
+    if (isWrong) void repair.check(sender);
   }
 
   function takeTexts(texts: readonly string[]): void {
@@ -211,65 +223,10 @@
     for (const listener of changeListeners) listener();
   }
 
-  /** Reads the newest from the platform; the error when it gave none. */
-  async function refresh(): Promise<PlatformError | undefined> {
-    const result = await readAndTake();
-    return "kind" in result ? result : undefined;
-  }
-
-  /** Shares one read among all that ask while it is under way. */
-  function readAndTake(): Promise<Newest | PlatformError> {
-    refreshing ??= readOnce().finally(() => {
-      refreshing = undefined;
-    });
-    return refreshing;
-  }
-
-  async function readOnce(): Promise<Newest | PlatformError> {
-    const from = sequence.getState();
-    const read = await readNewest(platform, { from, codec }).run();
-    return read.caseOf<Newest | PlatformError>({
-      Left: (error) => error,
-      Right: (newest) => {
-        if (newest.snapshot !== undefined) adopt(newest.snapshot);
-        takePatches(newest.patches);
-        isLoaded = true;
-        return newest;
-      },
-    });
-  }
-
-  async function refreshAndSpread(): Promise<Newest | PlatformError> {
-    const before = getVersion();
-    const result = await readAndTake();
-    if ("kind" in result) return result;
-    const fresh = result.patches.filter((patch) => patch.version > before);
-    if (fresh.length <= maxSpread) fresh.forEach(host.spreadPatch);
-    return result;
-  }
-
-  /** Takes the platform's content when a member has another at this version. */
-  async function reload(sender: Member): Promise<void> {
-    if (performance.now() - reloadedAt < reloadPauseMs) return;
-    reloadedAt = performance.now();
-    metrics.count("configuration_wrong_checksums");
-    log.error("Checksums differ at one version", {
-      version: getVersion(),
-      member: sender.id,
-    });
-    const fresh = createPatchSequence({ hash });
-    const from = fresh.getState();
-    const read = await readNewest(platform, { from, codec }).run();
-    read.ifRight((newest) => {
-      if (newest.snapshot !== undefined) fresh.adopt(newest.snapshot);
-      fresh.take(newest.patches);
-      const isSame = getChecksum(fresh.getState()) ===
-        getChecksum(sequence.getState());
-      if (isSame || !sequence.replace(fresh.getState())) return;
-      tail.clear();
-      noteChange();
-      log.error("Configuration was replaced", { version: getVersion() });
-    });
+  function takeNewest(newest: Newest): void {
+    if (newest.snapshot !== undefined) adopt(newest.snapshot);
+    takePatches(newest.patches);
+    isLoaded = true;
   }
 
   /** Puts a patch that this process has committed into force. */
--- /dev/null
+++ b/src/version/content_repair.ts
@@ -0,0 +1,69 @@
+/**
+ * Repairs a store whose content differs from another member's at one version:
+ * the platform's content decides, and the version never goes back.
+ */
+
+import type { Log } from "../process/log.ts";
+import type { Metrics } from "../process/metrics.ts";
+import type { Member } from "../types/member.ts";
+import type { Platform } from "../types/platform.ts";
+import type { Codec } from "./codec.ts";
+import { getChecksum } from "./configuration_state.ts";
+import { createPatchSequence, type PatchSequence } from "./patch_sequence.ts";
+import { readNewest } from "./platform_reader.ts";
+
+/** What the repair needs of the store. */
+export interface ContentRepairHost {
+  readonly platform: Platform;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly codec: Codec;
+  readonly sequence: PatchSequence;
+  /** Called after the content was replaced. */
+  onReplaced(): void;
+}
+
+/** The repair of one store. */
+export interface ContentRepair {
+  /** Compares with the platform after a member announced other content. */
+  check(member: Member): Promise<void>;
+}
+
+/** Least time between two repairs, in milliseconds. */
+const pauseMs = 10_000;
+
+/** Creates the repair of one store. */
+export function createContentRepair(host: ContentRepairHost): ContentRepair {
+  const { codec, log, metrics, platform, sequence } = host;
+  let checkedAt = -pauseMs;
+
+  return { check };
+
+  async function check(member: Member): Promise<void> {
+    if (performance.now() - checkedAt < pauseMs) return;
+    checkedAt = performance.now();
+    metrics.count("configuration_wrong_checksums");
+    const { version } = sequence.getState().configuration;
+    log.error("Checksums differ at one version", {
+      version,
+      member: member.id,
+    });
+    const fresh = createPatchSequence({ hash: codec.hash });
+    const from = fresh.getState();
+    const read = await readNewest(platform, { from, codec }).run();
+    read.ifRight((newest) => {
+      if (newest.snapshot !== undefined) fresh.adopt(newest.snapshot);
+      fresh.take(newest.patches);
+      replace(fresh);
+    });
+  }
+
+  function replace(fresh: PatchSequence): void {
+    const state = fresh.getState();
+    const isSame = getChecksum(state) === getChecksum(sequence.getState());
+    if (isSame || !sequence.replace(state)) return;
+    const { version } = state.configuration;
+    log.error("Configuration was replaced", { version });
+    host.onReplaced();
+  }
+}
--- a/src/version/platform_reader.ts
+++ b/src/version/platform_reader.ts
@@ -5,9 +5,9 @@
  * after them shows that the compaction had not passed them.
  */
 
-import { EitherAsync, Left } from "purify-ts";
+import { Either, EitherAsync, Left, Right } from "purify-ts";
 import type { Patch } from "../types/configuration.ts";
-import type { Platform, PlatformError } from "../types/platform.ts";
+import type { Entry, Platform, PlatformError } from "../types/platform.ts";
 import type { Codec } from "./codec.ts";
 import type { ConfigurationState } from "./configuration_state.ts";
 import {
@@ -52,13 +52,19 @@
 export function readHead(
   platform: Platform,
 ): EitherAsync<PlatformError, SnapshotHead> {
-  return platform.get(snapshotHeadKey).map((entry) => {
-    if (entry === undefined) {
-      return { version: 0, parts: 0, checksum: "", revision: 0 };
-    }
-    const head = JSON.parse(entry.value) as SnapshotHead;
-    return { ...head, revision: entry.revision };
-  });
+  return platform.get(snapshotHeadKey)
+    .chain((entry) => EitherAsync.liftEither(parseHead(entry)));
+}
+
+function parseHead(
+  entry: Entry | undefined,
+): Either<PlatformError, SnapshotHead> {
+  if (entry === undefined) {
+    return Right({ version: 0, parts: 0, checksum: "", revision: 0 });
+  }
+  return Either.encase(() => JSON.parse(entry.value) as SnapshotHead)
+    .mapLeft(() => createDamageError(0))
+    .map((head) => ({ ...head, revision: entry.revision }));
 }
 
 /** Reads the patches after a version. */
--- a/test/configuration/compaction_test.ts
+++ b/test/configuration/compaction_test.ts
@@ -17,6 +17,7 @@
   formatPatch,
   getPatchKey,
   patchPrefix,
+  snapshotHeadKey,
   snapshotPrefix,
   tryParsePatch,
 } from "../../src/version/patch_text.ts";
@@ -95,6 +96,30 @@
   });
 });
 
+describe("a damaged snapshot", () => {
+  it("is an error of the platform, not a wrong configuration", async () => {
+    await writePatches(10);
+    await run();
+    const part = platform.store.list(snapshotPrefix, { limit: 1 })[0];
+    const cut = part?.value.slice(4) ?? "";
+    platform.store.put(part?.key ?? "", cut, {
+      expectedRevision: part?.revision ?? 0,
+    });
+    expect(await readKind()).toBe("unavailable");
+    const head = platform.store.get(snapshotHeadKey);
+    platform.store.put(snapshotHeadKey, "{", {
+      expectedRevision: head?.revision ?? 0,
+    });
+    expect(await readKind()).toBe("unavailable");
+  });
+
+  async function readKind(): Promise<string | undefined> {
+    const from = createEmptyState();
+    const result = await readNewest(platform, { from, codec }).run();
+    return result.swap().toMaybe().extract()?.kind;
+  }
+});
+
 describe("readers that a compaction overtakes", () => {
   it("still read a whole configuration", async () => {
     await writePatches(25);
