--- a/src/request/attempt_service_test.ts
+++ b/src/request/attempt_service_test.ts
@@ -178,6 +178,83 @@
     });
   });
 
+  describe("the load bound", () => {
+    const mean = 100;
+
+    /** Each order has 20 work units; the mean allows one above it. */
+    function offer(service: Service, orders: number): AnswerEvent[][] {
+      return Array.from(
+        { length: orders },
+        (_unused, number) => collectEvents(service.run(createRunOrder(number))),
+      );
+    }
+
+    it("holds for running and waiting work together", async () => {
+      const target = createFakeTarget(() => ({
+        ...createCall("ab"),
+        delayMs: 1_000,
+      }));
+      const parts = createAgentParts(target, { mean, slots: 2 });
+      const answers = offer(parts.service, 20);
+      expect(parts.getLoad()).toBe(mean + 20);
+      const refused = answers.filter(([first]) => first?.kind === "refusal");
+      expect(refused).toHaveLength(14);
+      expect(refused[0]).toMatchObject([{ code: "target_full" }]);
+      await jest.advanceTimersByTimeAsync(1_100);
+      // Two are done; as much work is let in again.
+      offer({
+        ...parts.service,
+        run: (order) =>
+          parts.service.run({
+            ...order,
+            attempt: { ...order.attempt, routerIncarnation: 6 },
+          }),
+      }, 20);
+      expect(parts.getLoad()).toBe(mean + 20);
+    });
+
+    it("is broken with the gate wide open", () => {
+      const target = createFakeTarget(() => ({
+        ...createCall("ab"),
+        delayMs: 1_000,
+      }));
+      // Slots and places in the line alone bound the number, not the work.
+      const { service } = createAgentParts(target, {
+        slots: 2,
+        queueLimit: 64,
+      });
+      const taken = offer(service, 20)
+        .filter(([first]) => first?.kind !== "refusal");
+      expect(taken.length * 20).toBeGreaterThan(1.25 * mean);
+    });
+
+    it("counts what the target still has to do", async () => {
+      const events = Array.from({ length: 10 }, () => "data: x\n\n");
+      const streaming = createFakeTarget(() => ({
+        delayMs: 5,
+        body: [...events, "data: [DONE]\n\n"],
+        end: "whole",
+      }));
+      const target = {
+        ...streaming,
+        send: (request: Parameters<FakeTarget["send"]>[0]) =>
+          streaming.send(request).map((answer) => ({
+            ...answer,
+            headers: [{ name: "content-type", value: "text/event-stream" }],
+          })),
+      };
+      const { service, getLoad } = createAgentParts(target, { mean });
+      collectEvents(service.run(createRunOrder(1)));
+      expect(getLoad()).toBe(20);
+      await jest.advanceTimersByTimeAsync(10);
+      const midway = getLoad();
+      expect(midway).toBeLessThan(10);
+      expect(midway).toBeGreaterThan(0);
+      await jest.advanceTimersByTimeAsync(100);
+      expect(getLoad()).toBe(0);
+    });
+  });
+
   describe("the deadline", () => {
     it("stops a chat and lets a call that may not repeat run on", async () => {
       const target = createFakeTarget(() => ({
--- a/test/fakes/agent_parts.ts
+++ b/test/fakes/agent_parts.ts
@@ -34,6 +34,8 @@
   readonly hasCrashed?: () => boolean;
   readonly isLeaving?: () => boolean;
   readonly digests?: BodyDigests;
+  /** Mean load that the agent knows, in work units. */
+  readonly mean?: number;
   readonly suspects?: SuspectClaims | undefined;
   readonly tombstoneMs?: number;
   /** Lets suspects run beside each other, as without the quarantine. */
@@ -61,7 +63,11 @@
     crashes: options.crashes ?? createCrashes(),
   });
   const gate = createLoadGate({
-    getMean: () => ({ mean: 1_000_000, targets: 3, ageMs: 0 }),
+    getMean: () => ({
+      mean: options.mean ?? 1_000_000,
+      targets: 3,
+      ageMs: 0,
+    }),
     getLoadMultiple: () => 1.25,
     getColdMultiple: () => 1.1,
   });
