--- a/src/request/execution.ts
+++ b/src/request/execution.ts
@@ -20,6 +20,7 @@
 import type { Failure, Refusal, Usage } from "../types/answer.ts";
 import type { DiagnosticCode } from "../types/diagnostics.ts";
 import type { RunOrder } from "../types/run_order.ts";
+import { createRefusal, downRetryAfterMs, tryRefuse } from "./admission.ts";
 import { createAnswerScan } from "./answer_scan.ts";
 import { readTargetStream, tryGetStreamId } from "./target_stream.ts";
 import { createWorkShare } from "./work_share.ts";
@@ -59,9 +60,6 @@
 /** Time an attempt goes on without any router reading it, in ms. */
 const unreadGraceMs = 10_000;
 
-/** Time after which a refused router may try this target again, in ms. */
-const downRetryAfterMs = 1_000;
-
 /** Time after which a suspect that waits its turn may come back, in ms. */
 const suspectRetryAfterMs = 200;
 
@@ -100,7 +98,7 @@
   function start(): void {
     answer.onRead(onRead);
     entry.withdraw = () => undefined;
-    const refusal = tryRefuse();
+    const refusal = tryRefuse(host, { order, work: share.work, isHeld });
     if (refusal !== undefined) return refuse(refusal);
     const verdict = host.quarantine.check(order.fingerprint, order.crashes);
     alone = verdict.kind === "suspect";
@@ -121,27 +119,6 @@
     };
   }
 
-  /** Every reason to turn the attempt away before it is queued. */
-  function tryRefuse(): Refusal | undefined {
-    if (host.isLeaving()) return createRefusal("target_leaving", 0);
-    if (!host.watch.isUp()) return createRefusal("no_target", downRetryAfterMs);
-    const verdict = host.quarantine.check(order.fingerprint, order.crashes);
-    if (verdict.kind === "condemned") {
-      return createRefusal("request_quarantined", 0);
-    }
-    if (order.onlyIfHeld && !isHeld) {
-      return createRefusal("context_not_held", 0);
-    }
-    const decision = host.gate.check({
-      work: share.work,
-      observedLoads: order.observedLoads,
-      isHeld: isHeld || !order.isChat,
-    });
-    if (decision.kind === "admitted") return undefined;
-    const excess = host.gate.getLoad() + share.work - decision.bound;
-    return createRefusal("target_full", host.queue.estimateMs(excess));
-  }
-
   function refuse(refusal: Refusal): void {
     host.table.refuse(entry, refusal);
     finishRefused(refusal);
@@ -349,7 +326,3 @@
     noteRead();
   }
 }
-
-function createRefusal(code: DiagnosticCode, retryAfterMs: number): Refusal {
-  return { kind: "refusal", code, retryAfterMs: Math.round(retryAfterMs) };
-}
