Send whole buckets in answers to pulls

At 990 members a process that joined had the whole table after 22.6 s and 528 KB: a page of random records left each bucket different, so that most of it was sent again. The burst is one second, and crowded news goes out in two rounds.

--- a/bench/control.ts
+++ b/bench/control.ts
@@ -11,6 +11,8 @@
   type Network,
   type Node,
 } from "../test/support/exchange_network.ts";
+import { createMemberTable } from "../src/process/member_table.ts";
+import { assertInvariant } from "../src/types/assert.ts";
 import { installSimulatedClock } from "./support/clock.ts";
 
 const routers = 350;
@@ -33,7 +35,20 @@
   }
 }
 
+/** Memory of one process's table, whose records are its own. */
+function measureTable(size: number): void {
+  const before = getHeapBytes();
+  const table = createMemberTable();
+  for (let number = 0; number < size; number++) {
+    table.put(createMember(number, { id: `agent-${number}` }));
+  }
+  table.getAll();
+  print("table_memory", { size, heapBytes: getHeapBytes() - before });
+  assertInvariant(table.getAll().length === size, "all records are held");
+}
+
 async function measureFleet(multiple: number): Promise<void> {
+  measureTable((routers + agents) * multiple);
   const memoryBefore = getHeapBytes();
   const network = createFleet(multiple);
   await clock.advance(warmUpMs);
@@ -47,8 +62,12 @@
   await measureSteady(network, { name: "steady", seconds: 20, loss: 0 });
   await measureSteady(network, { name: "loss_1", seconds: 20, loss: 0.01 });
   network.setDisturbance({ loss: 0 });
+  measureFreshness(network);
   await measureLeaving(network);
   await measurePatch(network);
+  await measureJoin(network);
+  await measureDeath(network);
+  await measureZoneLoss(network);
   network.nodes.forEach(network.kill);
 }
 
@@ -182,6 +201,108 @@
   });
 }
 
+/** Age of the newest load report that agents hold. */
+function measureFreshness(network: Network): void {
+  const ages = network.nodes.flatMap(({ exchange }) => {
+    const { service } = exchange.membership.getSelf();
+    return service === "" ? [] : [exchange.getMean(service).ageMs];
+  }).sort((left, right) => left - right);
+  print("newest_load_report_ms", {
+    size: network.nodes.length,
+    p50: ages[Math.floor(ages.length / 2)],
+    max: ages.at(-1),
+  });
+}
+
+async function measureJoin(network: Network): Promise<void> {
+  const first = network.nodes[1]?.exchange.membership.getSelf();
+  if (first === undefined) return;
+  const joiner = network.add(createMember(60_000, { service: "model-0" }));
+  joiner.exchange.start();
+  joiner.exchange.sayHello({ address: first.address, port: first.gossipPort });
+  const times = await measureArrival(
+    network,
+    ({ exchange }) =>
+      exchange.membership.table.tryGet("agent-60000") !== undefined,
+  );
+  const before = clock.getNow();
+  const size = network.nodes.length;
+  while (joiner.exchange.membership.table.getAll().length < size) {
+    await clock.advance(50);
+    if (clock.getNow() - before > 60_000) break;
+  }
+  print("join_spread_ms", {
+    size,
+    ...times,
+    wholeTableMs: clock.getNow() - before,
+    bytesOfJoiner: joiner.budget.getTotals()
+      .reduce((sum, { bytes }) => sum + bytes, 0),
+  });
+}
+
+async function measureDeath(network: Network): Promise<void> {
+  const victim = network.nodes.at(-3);
+  if (victim === undefined) return;
+  const { id } = victim.exchange.membership.getSelf();
+  network.kill(victim);
+  const times = await measureArrival(
+    network,
+    ({ exchange }) => exchange.membership.table.tryGet(id)?.state === "dead",
+  );
+  print("death_known_ms", { size: network.nodes.length, ...times });
+}
+
+/** A zone goes without a word; the others bury its members. */
+async function measureZoneLoss(network: Network): Promise<void> {
+  const lost = network.nodes.filter(({ exchange, isUp }) =>
+    isUp && exchange.membership.getSelf().zone === "zone-1"
+  );
+  const ids = lost.map(({ exchange }) => exchange.membership.getSelf().id);
+  lost.forEach(network.kill);
+  const running = network.nodes.filter(({ isUp }) => isUp);
+  const start = clock.getNow();
+  let last = new Map(running.map((node) => [node, sumAll(node)]));
+  let peakMean = 0;
+  let peakNode = 0;
+  let allDeadMs = -1;
+  for (let second = 0; second < 40 && allDeadMs < 0; second++) {
+    await clock.advance(1_000);
+    const now = new Map(running.map((node) => [node, sumAll(node)]));
+    const rates = running.map((node) =>
+      (now.get(node) ?? 0) - (last.get(node) ?? 0)
+    );
+    peakNode = Math.max(peakNode, ...rates);
+    const sum = rates.reduce((total, rate) => total + rate, 0);
+    peakMean = Math.max(peakMean, sum / rates.length);
+    last = now;
+    const isKnown = running.every(({ exchange }) =>
+      ids.every((id) => exchange.membership.table.tryGet(id)?.state === "dead")
+    );
+    if (isKnown) allDeadMs = clock.getNow() - start;
+  }
+  await clock.advance(10_000);
+  print("zone_loss", {
+    size: network.nodes.length,
+    lost: ids.length,
+    allDeadMs,
+    peakBytesPerSecondMean: peakMean,
+    peakBytesPerSecondNode: peakNode,
+    distinctTables: countTables(network),
+    wronglyDead: running.filter(({ exchange }) =>
+      exchange.membership.getDead().some(({ id }) =>
+        !ids.includes(id) &&
+        running.some((node) =>
+          node.exchange.membership.getSelf().id === id
+        )
+      )
+    ).length,
+  });
+}
+
+function sumAll({ budget }: Node): number {
+  return budget.getTotals().reduce((sum, { bytes }) => sum + bytes, 0);
+}
+
 function sumBytes(network: Network, purpose: string): number {
   return network.nodes
     .flatMap(({ budget }) => budget.getTotals())
--- a/bench/mean.ts
+++ b/bench/mean.ts
@@ -4,7 +4,7 @@
  * targets.
  */
 
-import { usualExchangeOptions } from "../src/process/exchange.ts";
+import { usualExchangeOptions } from "../src/process/exchange_options.ts";
 import {
   createMember,
   createNetwork,
--- a/src/connection/control_server.ts
+++ b/src/connection/control_server.ts
@@ -17,7 +17,8 @@
   callOverheadBytes,
   type ControlBudget,
 } from "../process/control_budget.ts";
-import { takePage, tryReadMember } from "../process/datagram_codec.ts";
+import { tryReadMember } from "../process/datagram_codec.ts";
+import { bucketCount, type MemberTable } from "../process/member_table.ts";
 import type { Member } from "../types/member.ts";
 
 /** Longest wait for a pull. */
@@ -26,8 +27,7 @@
 /** What the server of pulls needs from outside. */
 export interface ControlServerHost {
   readonly budget: ControlBudget;
-  /** Records of the buckets whose hashes differ. */
-  getDifferent(bucketHashes: readonly number[]): readonly Member[];
+  readonly table: Pick<MemberTable, "takeDifferent">;
 }
 
 /** Adds the service that sends member records to the process's server. */
@@ -42,9 +42,12 @@
     call: ServerUnaryCall<PullMembersRequest, PullMembersResponse>,
     callback: sendUnaryData<PullMembersResponse>,
   ): void {
-    const { members, bytes } = takePage(
-      host.getDifferent(call.request.bucketHashes),
-      { maxBytes: options.maxPullBytes, random: Math.random },
+    const { members, bytes } = host.table.takeDifferent(
+      call.request.bucketHashes,
+      {
+        firstBucket: Math.floor(Math.random() * bucketCount),
+        maxBytes: options.maxPullBytes,
+      },
     );
     const isAllowed = host.budget.trySpend(bytes + callOverheadBytes, {
       purpose: "membership",
--- a/src/process/control_budget.ts
+++ b/src/process/control_budget.ts
@@ -26,7 +26,7 @@
 export const callOverheadBytes = 400;
 
 /** Seconds of traffic that may be spent at once. */
-const burstSeconds = 2;
+const burstSeconds = 1;
 
 /**
  * Kinds of messages, by the part of the budget that must be left for them:
--- a/src/process/datagram_codec.ts
+++ b/src/process/datagram_codec.ts
@@ -44,22 +44,3 @@
   if (record.gossipPort > 65_535 || record.grpcPort > 65_535) return undefined;
   return { ...record, role, state };
 }
-
-/** Takes the records that fit, from a random place on. */
-export function takePage(
-  members: readonly Member[],
-  options: { readonly maxBytes: number; readonly random: () => number },
-): { readonly members: readonly Member[]; readonly bytes: number } {
-  const start = Math.floor(options.random() * members.length);
-  const page: Member[] = [];
-  let bytes = 0;
-  for (let index = 0; index < members.length; index++) {
-    const member = members[(start + index) % members.length];
-    if (member === undefined) break;
-    const size = getMemberBytes(member);
-    if (bytes + size > options.maxBytes) break;
-    bytes += size;
-    page.push(member);
-  }
-  return { members: page, bytes };
-}
--- a/src/process/exchange.ts
+++ b/src/process/exchange.ts
@@ -23,9 +23,9 @@
 } from "./control_sender.ts";
 import { type CrashRecordNews, createCrashRecords } from "./crash_records.ts";
 import { tryDecodeDatagram, tryReadMember } from "./datagram_codec.ts";
+import type { ExchangeOptions } from "./exchange_options.ts";
 import { createFleetLimits, type FleetLimits } from "./fleet_limits.ts";
 import { createLoadReports } from "./load_reports.ts";
-import type { createMean } from "./mean_estimate.ts";
 import { createMembership, type Membership } from "./membership.ts";
 import { createNewsSpread, maxHops } from "./news_spread.ts";
 import { createTableSync } from "./table_sync.ts";
@@ -59,43 +59,16 @@
   onGarbage(from: Endpoint): void;
 }
 
-/** Numbers that set how much is sent. */
-export interface ExchangeOptions {
-  readonly self: Member;
-  /** Peers of the own service that are probed a second. */
-  readonly peersPerSecond: number;
-  /** Turns a second through all peers of a small service. */
-  readonly wholeServiceRate: number;
-  /** Members of any kind that are probed a second. */
-  readonly membersPerSecond: number;
-  /** Members believed dead that are probed a second. */
-  readonly deadPerSecond: number;
-  /** Members that each round of news is sent to. */
-  readonly fanOut: number;
-  /** How the mean load is worked out; see `createMean`. */
-  readonly mean: Parameters<typeof createMean>[0];
-  /** Random numbers from 0 up to 1. */
-  readonly random: () => number;
-}
-
-/** The usual numbers. */
-export const usualExchangeOptions = {
-  peersPerSecond: 4,
-  wholeServiceRate: 1,
-  membersPerSecond: 1,
-  deadPerSecond: 0.5,
-  fanOut: 3,
-  mean: { windowMs: 2_000, peerMeanWeight: 0 },
-} as const;
-
 /** The exchange of one process. */
 export interface Exchange {
   readonly membership: Membership;
   readonly limits: FleetLimits;
   /** Takes the bytes of one datagram. */
   receive(bytes: Uint8Array, from: Endpoint): void;
-  /** Takes records that were pulled. */
-  mergeMembers(members: readonly Member[]): void;
+  /** Takes records that were pulled; true when any was new. */
+  mergeMembers(members: readonly Member[]): boolean;
+  /** True when the last member heard from held the same table. */
+  isInStep(): boolean;
   mergeVms(vms: readonly Vm[]): void;
   /** Asks whoever listens there to let this process join. */
   sayHello(to: Endpoint): void;
@@ -164,6 +137,7 @@
     limits,
     receive,
     mergeMembers,
+    isInStep: sync.isInStep,
     mergeVms: (vms) => membership.mergeVms(vms).forEach(spreadMember),
     sayHello,
     noteContact,
@@ -340,13 +314,17 @@
     if (cleared !== undefined) news.spreadCrash(cleared, maxHops);
   }
 
-  function mergeMembers(members: readonly Member[]): void {
-    if (stopped) return;
+  function mergeMembers(members: readonly Member[]): boolean {
+    if (stopped) return false;
+    let isNews = false;
     for (const member of members) {
       const result = membership.merge(member);
-      if (result === "changed") noteChanged(member);
       if (result === "renewed_self") spreadMember(membership.getSelf());
+      if (result !== "changed") continue;
+      noteChanged(member);
+      isNews = true;
     }
+    return isNews;
   }
 
   function spreadMember(member: Member): void {
--- a/src/process/member_table.ts
+++ b/src/process/member_table.ts
@@ -2,10 +2,11 @@
 
 import type { Member } from "../types/member.ts";
 import { isAvailableAgent } from "../types/member.ts";
+import { getMemberBytes } from "./datagram_codec.ts";
 import { compareMembers, hashMember, hashText } from "./member_order.ts";
 
 /** Buckets by which two tables are compared. */
-const bucketCount = 64;
+export const bucketCount = 256;
 
 /** Holds the strongest record of each member. */
 export interface MemberTable {
@@ -21,8 +22,20 @@
   getHash(): number;
   /** The same hash for each bucket of records. */
   getBucketHashes(): readonly number[];
-  /** Records of the buckets whose hashes differ; all for no hashes. */
-  getDifferent(bucketHashes: readonly number[]): readonly Member[];
+  /**
+   * Records of whole buckets whose hashes differ, from a bucket on, as many
+   * as fit into `maxBytes`; the first bucket always fits.
+   */
+  takeDifferent(
+    bucketHashes: readonly number[],
+    options: { readonly firstBucket: number; readonly maxBytes: number },
+  ): MemberPage;
+}
+
+/** Records that are sent together. */
+export interface MemberPage {
+  readonly members: readonly Member[];
+  readonly bytes: number;
 }
 
 /** Creates an empty table. */
@@ -41,7 +54,7 @@
     getAvailableAgents,
     getHash: () => hash,
     getBucketHashes: () => bucketHashes,
-    getDifferent,
+    takeDifferent,
   };
 
   function put(member: Member): boolean {
@@ -87,12 +100,35 @@
     return found;
   }
 
-  function getDifferent(hashes: readonly number[]): readonly Member[] {
-    if (hashes.length !== bucketCount) return getAll();
-    return getAll().filter(({ id }) => {
-      const bucket = getBucket(id);
-      return hashes[bucket] !== bucketHashes[bucket];
-    });
+  function takeDifferent(
+    hashes: readonly number[],
+    { firstBucket, maxBytes }: {
+      readonly firstBucket: number;
+      readonly maxBytes: number;
+    },
+  ): MemberPage {
+    const buckets = groupByBucket();
+    const page: Member[] = [];
+    let bytes = 0;
+    for (let step = 0; step < bucketCount; step++) {
+      const bucket = (firstBucket + step) % bucketCount;
+      if (hashes[bucket] === bucketHashes[bucket]) continue;
+      const records = buckets[bucket] ?? [];
+      const size = records.reduce((sum, one) => sum + getMemberBytes(one), 0);
+      // Part of a bucket would leave it different, to be sent again.
+      if (page.length > 0 && bytes + size > maxBytes) break;
+      page.push(...records);
+      bytes += size;
+    }
+    return { members: page, bytes };
+  }
+
+  function groupByBucket(): readonly (readonly Member[])[] {
+    const buckets = Array.from({ length: bucketCount }, (): Member[] => []);
+    for (const member of members.values()) {
+      buckets[getBucket(member.id)]?.push(member);
+    }
+    return buckets;
   }
 }
 
--- a/src/process/rumor.ts
+++ b/src/process/rumor.ts
@@ -10,6 +10,12 @@
   "crash",
 ];
 
+/** News that waits at one time from which on fewer rounds are sent. */
+const crowdSize = 32;
+
+/** Rounds of news in a crowd. */
+const crowdRounds = 2;
+
 /** One piece of news. */
 export interface News<Body> {
   /** News under the same key replaces older news. */
@@ -74,12 +80,16 @@
   function takeRound(maxBytes: number): readonly News<Body>[] {
     const taken: News<Body>[] = [];
     let bytesLeft = maxBytes;
+    // In a crowd the pull repairs what fewer rounds miss.
+    const rounds = queue.size > crowdSize
+      ? Math.min(crowdRounds, options.rounds)
+      : options.rounds;
     for (const entry of [...queue.values()].sort(compareEntries)) {
       if (entry.news.bytes > bytesLeft) continue;
       bytesLeft -= entry.news.bytes;
       taken.push(entry.news);
       entry.sent++;
-      if (entry.sent >= options.rounds) queue.delete(entry.news.key);
+      if (entry.sent >= rounds) queue.delete(entry.news.key);
     }
     return taken;
   }
--- a/src/process/table_sync.ts
+++ b/src/process/table_sync.ts
@@ -11,15 +11,15 @@
 /** Shortest time between two pulls. */
 const pullIntervalMs = 1_000;
 
+/** Shortest time between two pulls when the last one brought news. */
+const nextPageMs = 200;
+
 /** Shortest time between two corrections of the same member. */
 const correctionIntervalMs = 500;
 
 /** Members whose corrections are remembered. */
 const maxCorrections = 1_024;
 
-/** Records with which a process has only just joined. */
-const newTableSize = 2;
-
 /** What the repair needs from outside. */
 export interface TableSyncHost {
   readonly table: MemberTable;
@@ -30,7 +30,8 @@
     from: Member,
     bucketHashes: readonly number[],
   ): Promise<readonly Member[] | undefined>;
-  mergeMembers(members: readonly Member[]): void;
+  /** Takes records that were pulled; true when any was new. */
+  mergeMembers(members: readonly Member[]): boolean;
 }
 
 /** Keeps the table in step with others'. */
@@ -40,6 +41,8 @@
    * it is believed to be well.
    */
   checkSender(datagram: Datagram, from: Endpoint): Member | undefined;
+  /** True when the last member heard from held the same table. */
+  isInStep(): boolean;
   /** Records that the own table changed just now. */
   noteChanged(): void;
 }
@@ -50,9 +53,14 @@
   const correctedAt = new Map<string, number>();
   let changedAt = -Infinity;
   let pulledAt = -Infinity;
+  let pullWaitMs = pullIntervalMs;
+  /** True while pages of a larger difference are being pulled. */
+  let isCatchingUp = true;
+  let inStep = false;
 
   return {
     checkSender,
+    isInStep: () => inStep,
     noteChanged: () => {
       changedAt = performance.now();
     },
@@ -69,7 +77,9 @@
       correct(held ?? createStub(datagram.sender, from), from);
       return undefined;
     }
-    if (datagram.membersHash !== table.getHash()) considerPull(held);
+    inStep = datagram.membersHash === table.getHash();
+    if (inStep) isCatchingUp = false;
+    else considerPull(held);
     return held;
   }
 
@@ -84,12 +94,14 @@
 
   function considerPull(from: Member): void {
     const now = performance.now();
-    if (now - pulledAt < pullIntervalMs) return;
-    const isNew = table.getAll().length <= newTableSize;
-    if (!isNew && now - changedAt < quietBeforePullMs) return;
+    if (now - pulledAt < pullWaitMs) return;
+    if (!isCatchingUp && now - changedAt < quietBeforePullMs) return;
     pulledAt = now;
+    pullWaitMs = pullIntervalMs;
     void host.pullMembers(from, table.getBucketHashes()).then((members) => {
-      if (members !== undefined) host.mergeMembers(members);
+      if (members === undefined) return;
+      isCatchingUp = host.mergeMembers(members);
+      if (isCatchingUp) pullWaitMs = nextPageMs;
     });
   }
 }
--- a/src/roles/fleet.ts
+++ b/src/roles/fleet.ts
@@ -9,7 +9,8 @@
   controlPurposes,
   createControlBudget,
 } from "../process/control_budget.ts";
-import { createExchange, usualExchangeOptions } from "../process/exchange.ts";
+import { createExchange } from "../process/exchange.ts";
+import { usualExchangeOptions } from "../process/exchange_options.ts";
 import type { Member } from "../types/member.ts";
 import type { Dump, Fleet } from "../types/role.ts";
 import type { Settings } from "../types/settings.ts";
@@ -20,6 +21,9 @@
 /** Time for the last news to leave before the socket closes. */
 const farewellMs = 30;
 
+/** Part of a second's budget that one answer to a pull may take. */
+const pullShare = 0.25;
+
 /** Members named in a dump, at most. */
 const dumpedMembers = 200;
 
@@ -63,10 +67,10 @@
   let starting: Promise<void> | undefined;
   addControlServer({
     budget,
-    getDifferent: membership.table.getDifferent,
+    table: membership.table,
   }, {
     server: host.server,
-    maxPullBytes: settings.controlBytesPerSecond / 2,
+    maxPullBytes: settings.controlBytesPerSecond * pullShare,
   });
   registerGauges();
 
--- a/src/roles/fleet_join.ts
+++ b/src/roles/fleet_join.ts
@@ -16,6 +16,9 @@
 /** Longest wait for a first member; a lone process goes on without. */
 const joinTimeoutMs = 3_000;
 
+/** Longest wait for a whole table from the members that are known. */
+const catchUpTimeoutMs = 8_000;
+
 /** Members that are greeted in one round. */
 const greetedAtOnce = 6;
 
@@ -39,7 +42,7 @@
 
 /** Joining and watching of one process. */
 export interface FleetJoin {
-  /** Resolves when a member is known, or after a bounded wait. */
+  /** Resolves when the table equals another's, or after a bounded wait. */
   join(): Promise<void>;
   stop(): void;
 }
@@ -57,15 +60,16 @@
   return { join, stop };
 
   async function join(): Promise<void> {
-    const endsAt = performance.now() + joinTimeoutMs;
+    const startedAt = performance.now();
     void readList().then(watch);
-    while (!stopped && !hasMembers()) {
-      greet();
+    while (!stopped) {
+      if (hasMembers() && exchange.isInStep()) return;
+      const passed = performance.now() - startedAt;
+      if (passed > (hasMembers() ? catchUpTimeoutMs : joinTimeoutMs)) break;
+      if (!hasMembers()) greet();
       await sleep(greetIntervalMs);
-      if (performance.now() < endsAt) continue;
-      host.log.warn("No other member has answered yet");
-      return;
     }
+    if (!hasMembers()) host.log.warn("No other member has answered yet");
   }
 
   function stop(): void {
--- a/src/roles/fleet_join_test.ts
+++ b/src/roles/fleet_join_test.ts
@@ -27,6 +27,7 @@
         getSelf: () => createPeer(9000),
         table: { getAll: () => peers },
       },
+      isInStep: () => true,
       sayHello: ({ port }: Endpoint) => greeted.push(port),
       mergeVms: () => undefined,
     } as unknown as Exchange;
