--- a/src/roles/fleet_test.ts
+++ b/src/roles/fleet_test.ts
@@ -50,8 +50,9 @@
   ): Promise<Running> {
     const server = new Server();
     const metrics = createMetrics();
+    const grpcPort = await bindServer(server);
     const gossipPort = await findFreePort();
-    const settings = createSettings(id, { seeds, gossipPort });
+    const settings = createSettings(id, { seeds, grpcPort, gossipPort });
     const fleet = createFleet({
       settings,
       platform: createDownPlatform(),
@@ -60,13 +61,6 @@
       metrics,
       server,
     });
-    await new Promise<void>((resolve, reject) => {
-      server.bindAsync(
-        `127.0.0.1:${settings.grpcPort}`,
-        ServerCredentials.createInsecure(),
-        (error) => (error === null ? resolve() : reject(error)),
-      );
-    });
     const process = {
       fleet,
       server,
@@ -88,7 +82,7 @@
 
 function createSettings(
   id: string,
-  options: { readonly seeds: readonly string[]; readonly gossipPort: number },
+  options: Pick<Settings, "seeds" | "grpcPort" | "gossipPort">,
 ): Settings {
   return {
     role: "agent",
@@ -98,7 +92,6 @@
     region: "region-1",
     vm: id,
     platform: { keyValue: "", vmList: "", callsPerSecond: 1 },
-    grpcPort: options.gossipPort,
     adminPort: 0,
     controlBytesPerSecond: 22_000,
     shutdownMs: 1_000,
@@ -151,6 +144,16 @@
   };
 }
 
+function bindServer(server: Server): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.bindAsync(
+      "127.0.0.1:0",
+      ServerCredentials.createInsecure(),
+      (error, port) => (error === null ? resolve(port) : reject(error)),
+    );
+  });
+}
+
 function findFreePort(): Promise<number> {
   const socket = createSocket("udp4");
   return new Promise((resolve) => {
