--- a/src/roles/fleet_test.ts
+++ b/src/roles/fleet_test.ts
@@ -1,5 +1,6 @@
 import { Server, ServerCredentials } from "@grpc/grpc-js";
 import { createSocket } from "node:dgram";
+import { createPorts } from "../../test/harness/ports.ts";
 import { EitherAsync, Left } from "purify-ts";
 import { createSilentLog } from "../process/log.ts";
 import { createMetrics, type Metrics } from "../process/metrics.ts";
@@ -8,6 +9,8 @@
 import type { Settings } from "../types/settings.ts";
 import { createFleet } from "./fleet.ts";
 
+const ports = createPorts();
+
 describe("fleet over sockets", () => {
   const running: Running[] = [];
 
@@ -50,9 +53,8 @@
   ): Promise<Running> {
     const server = new Server();
     const metrics = createMetrics();
-    const grpcPort = await bindServer(server);
-    const gossipPort = await findFreePort();
-    const settings = createSettings(id, { seeds, grpcPort, gossipPort });
+    const gossipPort = await ports.take();
+    const settings = createSettings(id, { seeds, gossipPort });
     const fleet = createFleet({
       settings,
       platform: createDownPlatform(),
@@ -61,6 +63,13 @@
       metrics,
       server,
     });
+    await new Promise<void>((resolve, reject) => {
+      server.bindAsync(
+        `127.0.0.1:${settings.grpcPort}`,
+        ServerCredentials.createInsecure(),
+        (error) => (error === null ? resolve() : reject(error)),
+      );
+    });
     const process = {
       fleet,
       server,
@@ -82,7 +91,7 @@
 
 function createSettings(
   id: string,
-  options: Pick<Settings, "seeds" | "grpcPort" | "gossipPort">,
+  options: { readonly seeds: readonly string[]; readonly gossipPort: number },
 ): Settings {
   return {
     role: "agent",
@@ -92,6 +101,7 @@
     region: "region-1",
     vm: id,
     platform: { keyValue: "", vmList: "", callsPerSecond: 1 },
+    grpcPort: options.gossipPort,
     adminPort: 0,
     controlBytesPerSecond: 22_000,
     shutdownMs: 1_000,
@@ -144,26 +154,6 @@
   };
 }
 
-function bindServer(server: Server): Promise<number> {
-  return new Promise((resolve, reject) => {
-    server.bindAsync(
-      "127.0.0.1:0",
-      ServerCredentials.createInsecure(),
-      (error, port) => (error === null ? resolve(port) : reject(error)),
-    );
-  });
-}
-
-function findFreePort(): Promise<number> {
-  const socket = createSocket("udp4");
-  return new Promise((resolve) => {
-    socket.bind(0, "127.0.0.1", () => {
-      const { port } = socket.address();
-      socket.close(() => resolve(port));
-    });
-  });
-}
-
 async function waitUntil(isTrue: () => boolean): Promise<void> {
   while (!isTrue()) {
     await new Promise((resolve) => setTimeout(resolve, 10));
