--- a/src/connection/configuration_client.ts
+++ b/src/connection/configuration_client.ts
@@ -12,8 +12,15 @@
   PullError,
   PullFromMember,
 } from "../version/peer_pull.ts";
+import { getResponseSize } from "./configuration_server.ts";
 import { createPeerConnections } from "./peer_connections.ts";
 
+/** What the client needs of the process. */
+export interface ConfigurationClientHost {
+  /** Counts the bytes of a transfer. */
+  noteBytes(bytes: number, direction: "received"): void;
+}
+
 /** A client for the configuration of other members. */
 export interface ConfigurationClient {
   readonly pull: PullFromMember;
@@ -24,7 +31,9 @@
 const pullTimeoutMs = 5_000;
 
 /** Creates a client; it connects with the first pull. */
-export function createConfigurationClient(): ConfigurationClient {
+export function createConfigurationClient(
+  host: ConfigurationClientHost,
+): ConfigurationClient {
   const connections = createPeerConnections(ControlServiceClient);
 
   return { pull, close: connections.close };
@@ -52,7 +61,11 @@
       call.on("error", (error: Error) => {
         resolve(Left({ kind: "unreachable", message: error.message }));
       });
-      call.on("end", () => resolve(readResponses(responses)));
+      call.on("end", () => {
+        const sizes = responses.map(getResponseSize);
+        host.noteBytes(sizes.reduce((sum, size) => sum + size, 0), "received");
+        resolve(readResponses(responses));
+      });
     });
   }
 }
--- /dev/null
+++ b/src/connection/configuration_client_test.ts
@@ -0,0 +1,99 @@
+import { Server, ServerCredentials } from "@grpc/grpc-js";
+import { createTestCodec } from "../../test/support/codec.ts";
+import {
+  createDraft,
+  createRouterMember,
+  putWorkspace,
+} from "../../test/support/drafts.ts";
+import type { Member } from "../types/member.ts";
+import {
+  applyPatch,
+  createEmptyState,
+  getChecksum,
+} from "../version/configuration_state.ts";
+import type { ServedConfiguration } from "../version/configuration_store.ts";
+import type { PulledConfiguration } from "../version/peer_pull.ts";
+import { decodeSnapshot, encodeSnapshot } from "../version/snapshot.ts";
+import {
+  type ConfigurationClient,
+  createConfigurationClient,
+} from "./configuration_client.ts";
+import { addConfigurationServer } from "./configuration_server.ts";
+
+const codec = createTestCodec();
+
+describe("a pull of the configuration", () => {
+  let server: Server;
+  let client: ConfigurationClient;
+  let member: Member;
+  let served: ServedConfiguration | undefined;
+  let bytes: { sent: number; received: number };
+
+  beforeEach(async () => {
+    bytes = { sent: 0, received: 0 };
+    const noteBytes = (count: number, direction: "sent" | "received"): void => {
+      bytes[direction] += count;
+    };
+    server = new Server();
+    const store = { serve: () => Promise.resolve(served) };
+    addConfigurationServer({ server, store, noteBytes });
+    client = createConfigurationClient({ noteBytes });
+    member = { ...createRouterMember("router-1"), grpcPort: await bind() };
+  });
+
+  afterEach(() => {
+    client.close();
+    server.forceShutdown();
+  });
+
+  it("brings patches in order and counts their bytes", async () => {
+    served = { kind: "patches", texts: ["one", "two"] };
+    expect(await pull()).toEqual(served);
+    expect(bytes).toEqual({ sent: 6, received: 6 });
+  });
+
+  it("brings no patches when there are none", async () => {
+    served = { kind: "patches", texts: [] };
+    expect(await pull()).toEqual(served);
+  });
+
+  it("brings a snapshot of many parts whole", async () => {
+    const operations = Array.from(
+      { length: 1_500 },
+      (_, index) => putWorkspace(`studio-${index}`, index + 1),
+    );
+    const patch = { ...createDraft({ operations }), version: 1, acceptedAt: 0 };
+    const state = applyPatch(createEmptyState(), patch, codec);
+    const snapshot = await encodeSnapshot(state, { codec, partLength: 400 });
+    expect(snapshot.parts.length).toBeGreaterThan(10);
+    served = { kind: "snapshot", snapshot };
+    const pulled = await pull();
+    expect(pulled).toEqual(served);
+    const decoded = pulled?.kind === "snapshot"
+      ? await decodeSnapshot(pulled.snapshot, { codec })
+      : undefined;
+    expect(decoded && getChecksum(decoded)).toBe(getChecksum(state));
+  });
+
+  it("gives nothing when the member has not loaded or is gone", async () => {
+    served = undefined;
+    expect(await pull()).toBeUndefined();
+    server.forceShutdown();
+    expect(await pull()).toBeUndefined();
+  });
+
+  async function pull(): Promise<PulledConfiguration | undefined> {
+    const pulled = await client.pull(member, 0).run();
+    return pulled.toMaybe().extract();
+  }
+
+  function bind(): Promise<number> {
+    return new Promise((resolve, reject) => {
+      server.bindAsync(
+        "127.0.0.1:0",
+        ServerCredentials.createInsecure(),
+        (error, port) => (error === null ? resolve(port) : reject(error)),
+      );
+    });
+  }
+});
--- a/src/connection/configuration_server.ts
+++ b/src/connection/configuration_server.ts
@@ -16,6 +16,8 @@
 export interface ConfigurationServerHost {
   readonly server: Server;
   readonly store: Pick<LocalConfigurationStore, "serve">;
+  /** Counts the bytes of a transfer. */
+  noteBytes(bytes: number, direction: "sent"): void;
 }
 
 type Call = ServerWritableStream<
@@ -42,11 +44,25 @@
       });
       return;
     }
-    for (const response of toResponses(served)) call.write(response);
+    let bytes = 0;
+    for (const response of toResponses(served)) {
+      bytes += getResponseSize(response);
+      call.write(response);
+    }
+    host.noteBytes(bytes, "sent");
     call.end();
   }
 }
 
+/** Returns the bytes that a response carries, without its frame. */
+export function getResponseSize({ part }: PullConfigurationResponse): number {
+  return part === undefined
+    ? 0
+    : part.$case === "patch"
+    ? Buffer.byteLength(part.value)
+    : part.value.data.length;
+}
+
 function toResponses(
   served: ServedConfiguration,
 ): readonly PullConfigurationResponse[] {
--- a/src/roles/configuration.ts
+++ b/src/roles/configuration.ts
@@ -3,6 +3,10 @@
 import type { Server } from "@grpc/grpc-js";
 import { createConfigurationClient } from "../connection/configuration_client.ts";
 import { addConfigurationServer } from "../connection/configuration_server.ts";
+import {
+  callOverheadBytes,
+  type ControlBudget,
+} from "../process/control_budget.ts";
 import { loadHash } from "../process/hash.ts";
 import type { Log } from "../process/log.ts";
 import type { Metrics } from "../process/metrics.ts";
@@ -21,6 +25,8 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly server: Server;
+  /** Transfers are counted here; they are too rare to be refused. */
+  readonly budget: ControlBudget;
   /** The fleet, which is created after the configuration. */
   getFleet(): Fleet;
 }
@@ -36,7 +42,9 @@
   host: ConfigurationHost,
 ): Promise<LocalConfiguration> {
   const { platform, log, metrics, server, getFleet } = host;
-  const client = createConfigurationClient();
+  const noteBytes = (bytes: number, direction: "sent" | "received"): void =>
+    host.budget.note(bytes + callOverheadBytes, "configuration", direction);
+  const client = createConfigurationClient({ noteBytes });
   const store = createConfigurationStore({
     platform,
     log,
@@ -52,6 +60,6 @@
       isOnWatchDuty(getFleet().getSelf(), getFleet().members.getMembers()),
     spreadPatch: (patch) => getFleet().spreadPatch(patch),
   });
-  addConfigurationServer({ server, store });
+  addConfigurationServer({ server, store, noteBytes });
   return { store, close: client.close };
 }
--- a/src/roles/fleet.ts
+++ b/src/roles/fleet.ts
@@ -26,7 +26,7 @@
 /** Creates the exchange with the rest of the fleet. */
 export function createFleet(host: FleetHost): Fleet {
   const { settings, log, metrics } = host;
-  const budget = createControlBudget({
+  const budget = host.budget ?? createControlBudget({
     bytesPerSecond: settings.controlBytesPerSecond,
   });
   const exchange = createExchange({
--- a/src/roles/host.ts
+++ b/src/roles/host.ts
@@ -1,6 +1,7 @@
 /** What the parts of a process are given when they are put together. */
 
 import type { Server } from "@grpc/grpc-js";
+import type { ControlBudget } from "../process/control_budget.ts";
 import type { Log } from "../process/log.ts";
 import type { Metrics } from "../process/metrics.ts";
 import type { Platform } from "../types/platform.ts";
@@ -23,6 +24,8 @@
    * created; the process shell binds it once all parts are there.
    */
   readonly server: Server;
+  /** The control budget of the process; the fleet makes one when absent. */
+  readonly budget?: ControlBudget;
 }
 
 /** What every role is given. */
--- a/src/roles/process.ts
+++ b/src/roles/process.ts
@@ -5,6 +5,7 @@
 import { createOrderClient } from "../connection/order_client.ts";
 import { maxMessageBytes } from "../connection/peer_connections.ts";
 import { createPlatformClient } from "../connection/platform_client.ts";
+import { createControlBudget } from "../process/control_budget.ts";
 import type { Log } from "../process/log.ts";
 import { createMetrics } from "../process/metrics.ts";
 import { assertNever } from "../types/assert.ts";
@@ -51,17 +52,21 @@
     "grpc.max_send_message_length": maxMessageBytes,
   });
   const platform = createPlatformClient(settings.platform);
+  const budget = createControlBudget({
+    bytesPerSecond: settings.controlBytesPerSecond,
+  });
   const orders = createOrderClient();
   const configuration = await createConfiguration({
     platform,
     log,
     metrics,
     server,
+    budget,
     getFleet: () => fleet,
   });
   const store = configuration.store;
   const parts = { settings, platform, configuration: store, log, metrics };
-  const fleet = createFleet({ ...parts, server });
+  const fleet = createFleet({ ...parts, server, budget });
   const role = await createRole({ ...parts, server, fleet });
   metrics.gauge("process_resident_bytes", () => process.memoryUsage.rss());
   metrics.gauge("process_cpu_ms", getProcessorMs);
