Follow the harness's names in the path bench, stop it on errors

Cause: the names of the harness changed, so each request of bench/path was refused and the run printed figures of refusals. A measurement with more than 2% errors now ends the run.

--- a/bench/path.ts
+++ b/bench/path.ts
@@ -27,6 +27,14 @@
 /** Chats in flight whose memory is measured. */
 const idleChats = 500;
 
+/** Names that the harness gives, see test/harness/plan.ts. */
+const modelService = "chat-model";
+const plainService = "order-service";
+const workspace = "team-1";
+
+/** Share of failed requests above which a measurement says nothing. */
+const maxErrorShare = 0.02;
+
 /** Clock ticks of the system in a second. */
 const ticksPerSecond = 100;
 
@@ -41,7 +49,10 @@
   readonly errors: number;
 }
 
-void main();
+main().catch((error: unknown) => {
+  console.error(error);
+  process.exitCode = 1;
+});
 
 async function main(): Promise<void> {
   const fleet = await startFleet({
@@ -82,12 +93,12 @@
     operations: [
       {
         kind: "put_service",
-        name: "verse-model",
+        name: modelService,
         value: { ...policy, kind: "model", routes: [] },
       },
       {
         kind: "put_service",
-        name: "order-desk",
+        name: plainService,
         value: {
           ...policy,
           kind: "plain",
@@ -107,7 +118,7 @@
     const direct = await measureLoop(count, () => get(`${target}/proofs/1`));
     const path = await measureLoop(
       count,
-      () => get(`${router}/services/order-desk/proofs/1`),
+      () => get(`${router}/services/${plainService}/proofs/1`),
     );
     print("calls", { callers: count, direct, path, ...compare(direct, path) });
   }
@@ -138,6 +149,7 @@
       if (!isGood) errors++;
     }
   }));
+  checkErrors(errors, times.length);
   return {
     perSecond: Math.round(times.length / (measureMs / 1_000)),
     p50Ms: percentile(times, 0.5),
@@ -149,7 +161,7 @@
 async function get(url: string): Promise<boolean> {
   const answer = await request(url, {
     dispatcher,
-    headers: { "x-workspace": "counter" },
+    headers: { "x-workspace": workspace },
   });
   await answer.body.dump();
   return answer.statusCode === 200;
@@ -206,6 +218,7 @@
   controller.abort();
   await ended;
   await sleep(200);
+  checkErrors(errors, count);
   return {
     tokens: seen,
     tokensPerSecond: Math.round(seen / seconds),
@@ -255,11 +268,11 @@
     dispatcher,
     method: "POST",
     headers: {
-      "x-workspace": "counter",
+      "x-workspace": workspace,
       "x-conversation": options.conversation,
     },
     body: JSON.stringify({
-      model: "verse-model",
+      model: modelService,
       messages: [{ role: "user", content: `Go on, ${options.conversation}` }],
       max_tokens: 1_000,
       stream: true,
@@ -274,6 +287,12 @@
   }
 }
 
+/** Ends the run when too much of a measurement failed. */
+function checkErrors(errors: number, all: number): void {
+  if (errors <= all * maxErrorShare) return;
+  throw new Error(`${errors} of ${all} requests failed`);
+}
+
 function findInFlight(text: string): number {
   return Number(/"inFlight":\s*\{\s*"count":\s*(\d+)/.exec(text)?.[1] ?? -1);
 }
--- a/src/roles/router_test.ts
+++ b/src/roles/router_test.ts
@@ -85,7 +85,7 @@
       expect(first.status).toBe(200);
       expect(again.status).toBe(200);
       expect(await again.text()).toBe(await first.text());
-      expect(countRuns("order-desk call order-1")).toBe(1);
+      expect(countRuns("order-service call order-1")).toBe(1);
     });
 
     it("runs a call once when it is sent twice at the same time", async () => {
--- a/test/support/small_fleet.ts
+++ b/test/support/small_fleet.ts
@@ -35,7 +35,7 @@
 
 /** Names of the services of the fleet. */
 export const modelService = "chat-model";
-export const plainService = "order-desk";
+export const plainService = "order-service";
 
 const ports = createPorts();
 
