Start the streams of the shutdown tests one by one

On a machine at a load of 36 both tests waited in vain for all streams to run at the same moment: a burst may be refused in part, and streams of 1 s ended before the last began. The streams are now started one after the other, each at the first text of the one before, and are three times as long. What is checked is unchanged: every stream whole, exit code 0.

--- a/test/processes/leaving_test.ts
+++ b/test/processes/leaving_test.ts
@@ -11,7 +11,7 @@
 import { checkDraft } from "../stand_ins/engine/draft.ts";
 
 const question = { role: "user", content: "A note about spring" } as const;
-const manyTokens = 200;
+const manyTokens = 600;
 
 /** Time after which a leaving target gets no new work, in milliseconds. */
 const leavingBoundMs = 3000;
@@ -29,8 +29,7 @@
 
   describe("graceful shutdown", () => {
     it("of a router cuts off no stream and refuses new work", async () => {
-      const streams = startStreams(first, 10);
-      await waitForStreams(10);
+      const streams = await startStreams(first, 10);
       first.child.signal("SIGTERM");
       await waitFor(
         "the router not to be ready",
@@ -51,8 +50,9 @@
 
     it("of an agent cuts off no stream, later chats go elsewhere", async () => {
       const [agent] = fleet.engineAgents as [Running];
-      const streams = [...startStreams(first, 6), ...startStreams(second, 6)];
-      await waitForStreams(12);
+      const streams = (await Promise.all(
+        [first, second].map((router) => startStreams(router, 6)),
+      )).flat();
       agent.child.signal("SIGTERM");
       const [exit, answers] = await Promise.all([
         agent.child.waitForExit(),
@@ -116,29 +116,25 @@
     }
   });
 
-  function startStreams(
+  /** Starts streams one by one, each once the one before has its text. */
+  async function startStreams(
     router: Running,
     count: number,
-  ): readonly Promise<ChatAnswer>[] {
-    return Array.from(
-      { length: count },
-      (_, index) =>
-        streamChat(router.callerUrl, {
+  ): Promise<readonly Promise<ChatAnswer>[]> {
+    const streams: Promise<ChatAnswer>[] = [];
+    for (let index = 0; index < count; index++) {
+      await new Promise<void>((resolve) => {
+        const stream = streamChat(router.callerUrl, {
           messages: [question],
           conversation: `stream-${router.id}-${index}`,
           maxTokens: manyTokens,
-        }),
-    );
-  }
-
-  /** Waits until all streams have started at the engines. */
-  async function waitForStreams(count: number): Promise<void> {
-    await waitFor(`${count} streams to run`, async () => {
-      const running = await Promise.all(
-        fleet.engines.map((engine) => readCount(engine, "running")),
-      );
-      return running.reduce((sum, value) => sum + value, 0) === count;
-    });
+          onText: () => resolve(),
+        });
+        streams.push(stream);
+        void stream.finally(resolve);
+      });
+    }
+    return streams;
   }
 
   function expectWhole(answers: readonly ChatAnswer[]): void {
