--- a/bench/configuration.ts
+++ b/bench/configuration.ts
@@ -25,7 +25,7 @@
 } from "../test/support/drafts.ts";
 
 const usualWorkspaces = 30_000;
-const services = ["verse-model", "order-desk", "assistant-pool"];
+const services = ["chat-model", "order-service", "draft-model"];
 const operationsPerPatch = 1_000;
 
 /** Patches with one operation each, as on an ordinary day. */
@@ -145,7 +145,7 @@
 }
 
 function putOne(index: number, weight = 1): PatchOperation {
-  const service = services[index % services.length] ?? "verse-model";
+  const service = services[index % services.length] ?? "chat-model";
   const value = createWorkspace({
     weight,
     requestsPerSecond: index % 50,
--- a/src/version/patch_check_test.ts
+++ b/src/version/patch_check_test.ts
@@ -19,6 +19,23 @@
     expect(JSON.stringify(checked)).toBe(JSON.stringify(createDraft()));
   });
 
+  it("takes a cold multiple or none, and keeps it", () => {
+    const read = (fields: { readonly coldMultiple?: number }) =>
+      checkDraft({
+        ...createDraft(),
+        operations: [{
+          kind: "put_service",
+          name: "chat",
+          value: createService(fields),
+        }],
+      });
+    const value = { coldMultiple: 1.05 };
+    expect(read(value).unsafeCoerce().operations[0])
+      .toMatchObject({ value });
+    expect(JSON.stringify(read({}).unsafeCoerce())).not.toContain("cold");
+    expect(read({ coldMultiple: 0.5 }).isLeft()).toBe(true);
+  });
+
   it("reports every wrong field at once", () => {
     const faults = getFaults({
       id: "",
