--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -14,6 +14,7 @@
 
 module.exports = {
   testEnvironment: "node",
+  reporters: ["default", "<rootDir>/scripts/closing_line.cjs"],
   // A busy machine must not decide the verdict; it is far above any test's time.
   testTimeout: 60000,
   // Tests on real processes need the build; npm run test:processes runs them.
