Keep chats without a conversation out of the index of contexts

Cause: read as a newcomer, the router sent the hash of the request's id for a chat that names no conversation, so each such chat took a place in an index of 8,192 that only chats that return can use. Ruled out: no place but the index reads the hash. Measured: the new test failed before and passes after; 611 tests of the touched parts pass. Conclusion: a request without a conversation has the hash 0, which the index does not keep.

--- a/src/process/context_index.ts
+++ b/src/process/context_index.ts
@@ -6,12 +6,15 @@
 /** Chats that the index knows; the oldest goes first. */
 const maxContexts = 8_192;
 
+/** Hash of a chat that names no conversation; it never returns. */
+const noConversation = 0;
+
 /** Messages that one turn adds to a chat: an answer and a new question. */
 const messagesPerTurn = 2;
 
 /** One chat's turn at this target. */
 export interface ContextTurn {
-  /** Hash of the conversation's key. */
+  /** Hash of the conversation's key, 0 for a chat without one. */
   readonly conversationHash: number;
   /** Messages of the request that ran here. */
   readonly messageCount: number;
@@ -42,6 +45,7 @@
   }
 
   function noteHeld({ conversationHash, messageCount }: ContextTurn): void {
+    if (conversationHash === noConversation) return;
     messageCounts.delete(conversationHash);
     messageCounts.set(conversationHash, messageCount);
     if (messageCounts.size > maxContexts) forgetOldest();
--- a/src/process/context_index_test.ts
+++ b/src/process/context_index_test.ts
@@ -19,13 +19,20 @@
       .toBe(false);
   });
 
+  it("takes no notice of a chat that has no conversation", () => {
+    const index = createContextIndex();
+    index.noteHeld({ conversationHash: 0, messageCount: 1 });
+    expect(index.getSize()).toBe(0);
+    expect(index.isHeld({ conversationHash: 0, messageCount: 3 })).toBe(false);
+  });
+
   it("stays bounded and drops the chat that ran longest ago", () => {
     const index = createContextIndex();
-    for (let hash = 0; hash < 10_000; hash++) {
+    for (let hash = 1; hash <= 10_000; hash++) {
       index.noteHeld({ conversationHash: hash, messageCount: 1 });
     }
     expect(index.getSize()).toBe(8_192);
-    expect(index.isHeld({ conversationHash: 0, messageCount: 3 }))
+    expect(index.isHeld({ conversationHash: 1, messageCount: 3 }))
       .toBe(false);
     expect(index.isHeld({ conversationHash: 9_999, messageCount: 3 }))
       .toBe(true);
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -139,9 +139,9 @@
       claim: claimed?.key ?? "",
       configurationVersion: host.configuration.getConfiguration().version,
       observedLoads,
-      conversationHash: work.kind === "chat"
-        ? host.hashConversation(getPlacementKey(work))
-        : 0,
+      conversationHash: work.conversation === ""
+        ? 0
+        : host.hashConversation(getPlacementKey(work)),
       onlyIfHeld,
     }, attemptOptions);
     return await act(verdict, placed);
--- a/src/types/agent_calls.ts
+++ b/src/types/agent_calls.ts
@@ -27,7 +27,7 @@
   readonly configurationVersion: number;
   /** Loads of the targets that refused this request just before. */
   readonly observedLoads: readonly number[];
-  /** Hash of the conversation's key, 0 for a service call. */
+  /** Hash of the conversation's key, 0 for a request without one. */
   readonly conversationHash: number;
   /** The target refuses unless it holds the chat's latest context. */
   readonly onlyIfHeld: boolean;
