--- a/src/request/retries_test.ts
+++ b/src/request/retries_test.ts
@@ -92,7 +92,7 @@
       // Targets that have just refused others are hardly asked, and the
       // asks of the least loaded again are bounded as well.
       expect(asked / requests).toBeLessThan(4);
-      expect(messages / requests).toBeLessThan(12);
+      expect(messages / requests).toBeLessThan(10);
     });
   });
 
