--- a/src/connection/caller_reply.ts
+++ b/src/connection/caller_reply.ts
@@ -70,16 +70,7 @@
 
   function write(data: Uint8Array): Promise<void> | undefined {
     if (gone.signal.aborted || response.write(data)) return undefined;
-    return new Promise((resolve) => {
-      response.once("drain", finish);
-      response.once("close", finish);
-
-      function finish(): void {
-        response.off("drain", finish);
-        response.off("close", finish);
-        resolve();
-      }
-    });
+    return waitForRoom(response);
   }
 
   function end(value: RequestEnd): void {
@@ -118,6 +109,20 @@
   }
 }
 
+/** Resolves once the caller has read, or has gone. */
+export function waitForRoom(response: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    response.once("drain", finish);
+    response.once("close", finish);
+
+    function finish(): void {
+      response.off("drain", finish);
+      response.off("close", finish);
+      resolve();
+    }
+  });
+}
+
 /** Headers that name the end of a request. */
 function getEndHeaders(end: RequestEnd): Record<string, string> {
   const headers: Record<string, string> = { "x-outcome": end.outcome };
--- a/src/connection/caller_server.ts
+++ b/src/connection/caller_server.ts
@@ -194,13 +194,19 @@
 }
 
 /** Waits until the server listens. */
-function listen(
+export function listen(
   server: Server,
-  options: CallerServerOptions,
+  options: {
+    readonly address: string;
+    readonly port: number;
+    /** Connections that may wait to be accepted. */
+    readonly backlog?: number;
+  },
 ): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once("error", reject);
-    server.listen(options.port, options.address, resolve);
+    const { address, port, backlog } = options;
+    server.listen({ host: address, port, backlog }, () => resolve());
   });
 }
 
--- /dev/null
+++ b/src/connection/direct_client.ts
@@ -0,0 +1,172 @@
+/** Calls targets over HTTP without an agent and tells what a failure proves. */
+
+import { type Dispatcher, Pool } from "undici";
+import type {
+  DirectCall,
+  DirectCalls,
+  DirectHead,
+  DirectResult,
+} from "../types/direct_calls.ts";
+import type { Header } from "../types/work.ts";
+import { toTargetError } from "./target_client.ts";
+
+/** How one kind of target is spoken to. */
+export interface TargetWire {
+  /** Names and values in turn. */
+  encodeHeaders(call: DirectCall): string[];
+  /** Judges whose answer has come. */
+  decodeHead(
+    status: number,
+    headers: readonly Header[],
+    call: DirectCall,
+  ):
+    | { readonly kind: "head"; readonly head: DirectHead }
+    | Extract<
+      DirectResult,
+      { readonly kind: "refused" | "wrong_target" | "spoiled" }
+    >;
+}
+
+/** What the client needs from outside. */
+export interface DirectClientHost {
+  readonly wire: TargetWire;
+  /** Connections that this process may hold to one target. */
+  getMaxConnections(service: string): number;
+}
+
+/** A client of all targets. */
+export interface DirectClient extends DirectCalls {
+  /** Closes idle connections of targets that are gone. */
+  retain(addresses: ReadonlySet<string>): void;
+  close(): Promise<void>;
+}
+
+/**
+ * Longest wait for a connection, in milliseconds: many round trips within a
+ * region, and short against the deadlines of calls.
+ */
+const connectTimeoutMs = 350;
+
+/** Time that an idle connection is kept when the target tells none, in ms. */
+const idleMs = 3_000;
+
+/** Time by which a connection is given up before the target does, in ms. */
+const idleMarginMs = 1_000;
+
+interface Pools {
+  readonly kept: Pool;
+  /** Connections that serve one request each. */
+  readonly fresh: Pool;
+}
+
+/** Creates a client; it connects with the first call to a target. */
+export function createDirectClient(host: DirectClientHost): DirectClient {
+  const pools = new Map<string, Pools>();
+
+  return { send, retain, close };
+
+  async function send(call: DirectCall): Promise<DirectResult> {
+    try {
+      return judge(call, await dispatch(call));
+    } catch (error) {
+      const { kind, message } = toTargetError(error);
+      if (call.signal.aborted) return { kind: "aborted" };
+      return kind === "not_sent"
+        ? { kind, reason: message }
+        : { kind: "lost", reason: message };
+    }
+  }
+
+  function dispatch(call: DirectCall): Promise<Dispatcher.ResponseData> {
+    const { kept, fresh } = getPools(call);
+    return (call.needsFreshConnection ? fresh : kept).request({
+      method: call.method as Dispatcher.HttpMethod,
+      path: call.path,
+      headers: host.wire.encodeHeaders(call),
+      body: call.body.length > 0 || hasBody(call.method) ? call.body : null,
+      signal: call.signal,
+      // The library's types name this option wrongly.
+      ...{ responseHeaders: "raw" },
+    });
+  }
+
+  function judge(
+    call: DirectCall,
+    data: Dispatcher.ResponseData,
+  ): DirectResult {
+    const raw = data.headers as unknown as readonly Buffer[];
+    const result = host.wire.decodeHead(data.statusCode, toHeaders(raw), call);
+    // A body that is dropped reports its end as an error; readers see it too.
+    data.body.on("error", () => undefined);
+    if (result.kind === "head") {
+      const drop = (): void => void data.body.destroy();
+      return { kind: "answer", head: result.head, body: data.body, drop };
+    }
+    if (result.kind === "spoiled") {
+      data.body.destroy();
+    } else {
+      // The rest of a refusal is short; reading it keeps the connection.
+      data.body.dump().catch(() => undefined);
+    }
+    return result;
+  }
+
+  function getPools({ target }: DirectCall): Pools {
+    const held = pools.get(target.address);
+    if (held !== undefined) return held;
+    const created = createPools(
+      target.address,
+      host.getMaxConnections(target.service),
+    );
+    pools.set(target.address, created);
+    return created;
+  }
+
+  function retain(addresses: ReadonlySet<string>): void {
+    for (const [address, { kept, fresh }] of pools) {
+      if (addresses.has(address)) continue;
+      pools.delete(address);
+      // Requests that still run there end by themselves.
+      void Promise.allSettled([kept.close(), fresh.close()]);
+    }
+  }
+
+  async function close(): Promise<void> {
+    const all = [...pools.values()];
+    await Promise.all(all.flatMap(({ kept, fresh }) => [
+      kept.destroy(),
+      fresh.destroy(),
+    ]));
+  }
+}
+
+function createPools(address: string, connections: number): Pools {
+  const common = {
+    connections,
+    connect: { timeout: connectTimeoutMs },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    keepAliveTimeout: idleMs,
+    keepAliveTimeoutThreshold: idleMarginMs,
+  };
+  const origin = `http://${address}`;
+  return {
+    kept: new Pool(origin, common),
+    fresh: new Pool(origin, { ...common, pipelining: 0 }),
+  };
+}
+
+function hasBody(method: string): boolean {
+  return method === "POST" || method === "PUT" || method === "PATCH";
+}
+
+function toHeaders(raw: readonly Buffer[]): readonly Header[] {
+  const headers: Header[] = [];
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    headers.push({
+      name: String(raw[index]),
+      value: String(raw[index + 1]),
+    });
+  }
+  return headers;
+}
--- /dev/null
+++ b/src/connection/front_server.ts
@@ -0,0 +1,153 @@
+/**
+ * Takes callers' requests on any path and passes answers back as targets gave
+ * them. Limits follow the configuration while the server runs.
+ */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import polka from "polka";
+import { createReport, type Report } from "../types/diagnostics.ts";
+import type { FrontRequest } from "../types/direct_request.ts";
+import type { SocketAddress } from "../types/direct_settings.ts";
+import type { Reply } from "../types/reply.ts";
+import type { CallerLimits } from "../types/route_table.ts";
+import { readBody } from "./caller_body.ts";
+import { listen } from "./caller_server.ts";
+import { createFrontReply } from "./front_reply.ts";
+
+/** What the server needs from outside. */
+export interface FrontServerHost {
+  decode(
+    message: IncomingMessage,
+    options: { readonly requestId: string; readonly body: Uint8Array },
+  ): FrontRequest;
+  createRequestId(): string;
+  getLimits(): CallerLimits;
+  /** Checked before the body is read; undefined when there is room. */
+  tryAdmit(): Report | undefined;
+  /** Takes a whole request; the promise ends with the request. */
+  handle(request: FrontRequest, reply: Reply): Promise<void>;
+  /** Tells of a request that was turned away before it was whole. */
+  noteRejected(requestId: string, report: Report): void;
+}
+
+/** A server that listens. */
+export interface FrontServer {
+  /** Ends each connection with its next answer; new ones are still taken. */
+  drain(): void;
+  closeIdle(): void;
+  /** Closes the listener and all connections. */
+  stop(): void;
+}
+
+/**
+ * Largest size of all headers of a request, in bytes; above any limit that an
+ * operator is likely to set, as the parser's bound cannot change later.
+ */
+const maxHeaderBytes = 64 * 1024;
+
+/** Connections that may wait to be accepted. */
+const backlog = 1_024;
+
+/** Starts to listen for callers. */
+export async function createFrontServer(
+  host: FrontServerHost,
+  address: SocketAddress,
+): Promise<FrontServer> {
+  const limits = host.getLimits();
+  let isDraining = false;
+  const server = createServer({
+    maxHeaderSize: maxHeaderBytes,
+    headersTimeout: limits.headerTimeoutMs,
+    keepAliveTimeout: limits.idleTimeoutMs,
+    requestTimeout: 0,
+    noDelay: true,
+  });
+  const app = polka({ server, onNoMatch: accept });
+  server.on("clientError", rejectBroken);
+  server.on("request", app.handler as never);
+  await listen(server, { ...address, backlog });
+
+  return {
+    drain: () => {
+      isDraining = true;
+    },
+    closeIdle: () => server.closeIdleConnections(),
+    stop: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+
+  function accept(message: IncomingMessage, response: ServerResponse): void {
+    const { headerTimeoutMs, idleTimeoutMs } = host.getLimits();
+    server.headersTimeout = headerTimeoutMs;
+    server.keepAliveTimeout = idleTimeoutMs;
+    void serve(message, response);
+  }
+
+  async function serve(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const requestId = getRequestId(message);
+    const reply = createFrontReply(response, {
+      requestId,
+      isClosing: () => isDraining,
+    });
+    const refused = host.tryAdmit();
+    if (refused !== undefined) {
+      message.resume();
+      return reject(requestId, refused);
+    }
+    const { maxBodyBytes, headerTimeoutMs } = host.getLimits();
+    const body = await readBody(message, {
+      maxBytes: maxBodyBytes,
+      timeoutMs: headerTimeoutMs * bodyTimeoutFactor,
+    });
+    if (body.kind === "gone") {
+      return host.noteRejected(requestId, createReport("caller_gone"));
+    }
+    if (body.kind === "rejected") {
+      response.setHeader("connection", "close");
+      message.resume();
+      return reject(requestId, body.report);
+    }
+    const request = host.decode(message, { requestId, body: body.data });
+    await host.handle(request, reply);
+
+    function reject(id: string, report: Report): void {
+      host.noteRejected(id, report);
+      reply.end({ outcome: "not_run", report });
+    }
+  }
+
+  function getRequestId(message: IncomingMessage): string {
+    const given = message.headers["x-request-id"];
+    return typeof given === "string" && given !== ""
+      ? given
+      : host.createRequestId();
+  }
+
+  function rejectBroken(
+    error: Error & { readonly code?: string },
+    socket: Socket,
+  ): void {
+    if (socket.writable && error.code !== "ECONNRESET") {
+      host.noteRejected(
+        "",
+        createReport("bad_http", { reason: error.message }),
+      );
+      socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n");
+      return;
+    }
+    socket.destroy();
+  }
+}
+
+/** A body may take this many times the time of the headers. */
+const bodyTimeoutFactor = 5;
--- /dev/null
+++ b/src/platform/caller_wire.ts
@@ -0,0 +1,99 @@
+/** Decodes callers' requests from the platform's headers. */
+
+import type { IncomingMessage } from "node:http";
+import type { FrontRequest } from "../types/direct_request.ts";
+import type { Prompt, PromptPart } from "../types/prompt.ts";
+import type { Header } from "../types/work.ts";
+import { headerNames, reservedHeaders } from "./wire_names.ts";
+
+/** Headers that belong to one connection only. */
+const connectionHeaders: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-connection",
+  "transfer-encoding",
+  "content-length",
+  "upgrade",
+  "expect",
+  "te",
+  "trailer",
+  headerNames.requestId,
+]);
+
+/** Decodes a request whose body has been read. */
+export function decodeRequest(
+  message: IncomingMessage,
+  { requestId, body }: {
+    readonly requestId: string;
+    readonly body: Uint8Array;
+  },
+): FrontRequest {
+  const deadlineMs = Number(getHeader(message, headerNames.deadline));
+  return {
+    requestId,
+    host: getHostName(message.headers.host ?? ""),
+    method: message.method ?? "GET",
+    path: message.url ?? "/",
+    headers: getPassedHeaders(message),
+    body,
+    deadlineMs: deadlineMs > 0 ? deadlineMs : undefined,
+    key: getHeader(message, headerNames.key),
+    prompt: tryReadPrompt(message),
+    lastEventId: getHeader(message, headerNames.lastEventId),
+  };
+}
+
+function getHeader(message: IncomingMessage, name: string): string | undefined {
+  const value = message.headers[name];
+  return typeof value === "string" ? value : undefined;
+}
+
+function getHostName(host: string): string {
+  return host.replace(/:\d+$/, "").toLowerCase();
+}
+
+/** Headers as they came, without those of the connection or the system. */
+function getPassedHeaders(message: IncomingMessage): readonly Header[] {
+  const named = new Set(
+    (message.headers.connection ?? "").toLowerCase().split(/[\s,]+/),
+  );
+  const headers: Header[] = [];
+  const { rawHeaders } = message;
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index] ?? "";
+    const lower = name.toLowerCase();
+    if (connectionHeaders.has(lower) || reservedHeaders.has(lower)) continue;
+    if (named.has(lower) && !isPromptHeader(lower)) continue;
+    headers.push({ name, value: rawHeaders[index + 1] ?? "" });
+  }
+  return headers;
+}
+
+/** What describes the prompt goes along even if the caller lists it. */
+function isPromptHeader(name: string): boolean {
+  return name === headerNames.model || name === headerNames.tokens ||
+    name === headerNames.promptParts || name === "host";
+}
+
+function tryReadPrompt(message: IncomingMessage): Prompt | undefined {
+  const model = getHeader(message, headerNames.model);
+  const tokens = getHeader(message, headerNames.tokens);
+  if (model === undefined || tokens === undefined) return undefined;
+  const [promptTokens, maxOutputTokens] = tokens.split(",").map(Number);
+  const hint = Number(getHeader(message, headerNames.lengthHint));
+  return {
+    model,
+    parts: readParts(getHeader(message, headerNames.promptParts) ?? ""),
+    promptTokens: promptTokens || 0,
+    maxOutputTokens: maxOutputTokens || 0,
+    hintedOutputTokens: hint > 0 ? hint : undefined,
+  };
+}
+
+function readParts(text: string): readonly PromptPart[] {
+  return text.split(",").flatMap((part) => {
+    const [id, tokens] = part.trim().split(":");
+    const count = Number(tokens);
+    return id && count > 0 ? [{ id, tokens: count }] : [];
+  });
+}
--- /dev/null
+++ b/src/process/direct/held_parts.ts
@@ -0,0 +1,72 @@
+/**
+ * Which target keeps which parts of prompts in its cache, from what this router
+ * and its peers have sent there. A part counts only behind all parts before it.
+ */
+
+import type { PromptPart } from "../../types/prompt.ts";
+
+/** Parts that are remembered; the part used longest ago goes first. */
+const maxParts = 20_000;
+
+/** Parts of prompts by target. */
+export interface HeldParts {
+  /** A target has read, or is reading, all these parts. */
+  note(target: string, parts: readonly PromptPart[]): void;
+  /** A peer tells that a target holds one part. */
+  notePart(target: string, part: PromptPart): void;
+  /** Tokens of the leading parts that the target holds without a gap. */
+  getHeldTokens(target: string, parts: readonly PromptPart[]): number;
+  /** True when the target is known to hold the part. */
+  isHeld(target: string, part: string): boolean;
+  /** The target is gone or has restarted empty. */
+  forgetTarget(target: string): void;
+  getSize(): number;
+}
+
+/** Creates an empty memory. */
+export function createHeldParts(): HeldParts {
+  /** Targets by part, the part used last at the end. */
+  const holders = new Map<string, Set<string>>();
+
+  return {
+    note: (target, parts) => parts.forEach((part) => notePart(target, part)),
+    notePart,
+    getHeldTokens,
+    isHeld,
+    forgetTarget,
+    getSize: () => holders.size,
+  };
+
+  function notePart(target: string, { id }: PromptPart): void {
+    const held = holders.get(id) ?? new Set();
+    held.add(target);
+    holders.delete(id);
+    holders.set(id, held);
+    if (holders.size <= maxParts) return;
+    const [oldest] = holders.keys();
+    if (oldest !== undefined) holders.delete(oldest);
+  }
+
+  function getHeldTokens(
+    target: string,
+    parts: readonly PromptPart[],
+  ): number {
+    let tokens = 0;
+    for (const part of parts) {
+      if (!isHeld(target, part.id)) break;
+      tokens += part.tokens;
+    }
+    return tokens;
+  }
+
+  function isHeld(target: string, part: string): boolean {
+    return holders.get(part)?.has(target) ?? false;
+  }
+
+  function forgetTarget(target: string): void {
+    holders.forEach((targets, part) => {
+      targets.delete(target);
+      if (targets.size === 0) holders.delete(part);
+    });
+  }
+}
--- /dev/null
+++ b/src/process/direct/peer_digests.ts
@@ -0,0 +1,123 @@
+/**
+ * What routers tell each other by datagram: their loads, the parts of prompts
+ * that they have just sent to targets, and how far they know the directory.
+ */
+
+import {
+  PeerDigest,
+  type TargetLoadReport,
+} from "../../generated/mimosatray/v1/peer.ts";
+import type { PromptPart } from "../../types/prompt.ts";
+import type { TargetLoad } from "./load_view.ts";
+
+/** Largest datagram, so that no path breaks it into fragments. */
+export const maxDigestBytes = 1_300;
+
+/** Parts told in one datagram; the rest follows in the next. */
+const maxPartsTold = 12;
+
+/** Parts that wait to be told; the oldest goes first. */
+const maxPartsWaiting = 400;
+
+/** Digests that tell the same part, as some datagrams are lost. */
+const tellings = 2;
+
+/** A target that has been sent a part. */
+export interface PartNews {
+  readonly target: string;
+  readonly part: PromptPart;
+}
+
+/** What a peer has told. */
+export interface DigestNews {
+  readonly sender: string;
+  readonly directoryRevision: number;
+  readonly loads: ReadonlyMap<string, TargetLoad>;
+  readonly parts: readonly PartNews[];
+}
+
+/** The digests that one process sends. */
+export interface DigestWriter {
+  /** The parts are told with the next digests. */
+  notePart(news: PartNews): void;
+  /** True when there is something that peers should hear soon. */
+  hasNews(): boolean;
+  /** Builds the next datagram. */
+  write(state: {
+    readonly directoryRevision: number;
+    readonly loads: ReadonlyMap<string, TargetLoad>;
+  }): Uint8Array;
+}
+
+/** Creates the writer of a process. */
+export function createDigestWriter(sender: string): DigestWriter {
+  let waiting: { readonly news: PartNews; readonly timesLeft: number }[] = [];
+
+  return { notePart, hasNews: () => waiting.length > 0, write };
+
+  function notePart(news: PartNews): void {
+    waiting.push({ news, timesLeft: tellings });
+    if (waiting.length > maxPartsWaiting) waiting.shift();
+  }
+
+  function write(
+    { directoryRevision, loads }: {
+      readonly directoryRevision: number;
+      readonly loads: ReadonlyMap<string, TargetLoad>;
+    },
+  ): Uint8Array {
+    const told = waiting.slice(0, maxPartsTold);
+    waiting = [
+      ...waiting.slice(maxPartsTold),
+      ...told.flatMap(({ news, timesLeft }) =>
+        timesLeft > 1 ? [{ news, timesLeft: timesLeft - 1 }] : []
+      ),
+    ];
+    return PeerDigest.encode({
+      sender,
+      directoryRevision,
+      loads: [...loads].map(toReport),
+      heldParts: told.map(({ news: { target, part } }) => ({
+        target,
+        part: part.id,
+        tokens: part.tokens,
+      })),
+    }).finish();
+  }
+}
+
+function toReport(
+  [target, load]: readonly [string, TargetLoad],
+): TargetLoadReport {
+  return {
+    target,
+    requests: load.requests,
+    unreadTokens: Math.max(0, Math.round(load.unreadTokens)),
+  };
+}
+
+/** Reads a datagram; undefined for what is not a digest. */
+export function tryReadDigest(bytes: Uint8Array): DigestNews | undefined {
+  if (bytes.length === 0) return undefined;
+  try {
+    const digest = PeerDigest.decode(bytes);
+    if (digest.sender === "") return undefined;
+    return {
+      sender: digest.sender,
+      directoryRevision: digest.directoryRevision,
+      loads: new Map(
+        digest.loads.map(({ target, requests, unreadTokens }) => [
+          target,
+          { requests, unreadTokens },
+        ]),
+      ),
+      parts: digest.heldParts.map(({ target, part, tokens }) => ({
+        target,
+        part: { id: part, tokens },
+      })),
+    };
+  } catch {
+    // Any process may send to the port; what is no digest is ignored.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/process/direct/retry_share.ts
@@ -0,0 +1,79 @@
+/**
+ * This router's share of the repeats that the whole fleet may send to a
+ * service in any window. Load pattern: many targets fail at once and every
+ * router wants to repeat; the shares add up to the fleet's allowance even so,
+ * as each router counts its own requests and divides what is left over by the
+ * number of routers that are registered, not by those that it hears.
+ */
+
+/** The allowance of the whole fleet. */
+export interface RetryAllowance {
+  /** Repeats as a share of the requests of the same window. */
+  readonly ratio: number;
+  /** Repeats beyond that in any window. */
+  readonly slack: number;
+  /** Length of the window, in milliseconds. */
+  readonly windowMs: number;
+}
+
+/** Part of the allowance that is spent; the rest covers clients' own bursts. */
+const spentPart = 0.8;
+
+/** Requests and repeats of one service. */
+interface Counts {
+  readonly requestTimes: number[];
+  readonly repeatTimes: number[];
+}
+
+/** The share of one router. */
+export interface RetryShare {
+  /** Counts a caller's request for a service. */
+  noteRequest(service: string): void;
+  /** Takes one repeat; false when the share is spent. */
+  trySpend(service: string): boolean;
+  /** Repeats sent in the current window, for metrics. */
+  getSpent(): number;
+}
+
+/** Creates an unspent share. */
+export function createRetryShare(
+  host: { getRouters(): number },
+  allowance: RetryAllowance,
+): RetryShare {
+  const services = new Map<string, Counts>();
+
+  return { noteRequest, trySpend, getSpent };
+
+  function noteRequest(service: string): void {
+    getCounts(service).requestTimes.push(performance.now());
+  }
+
+  function trySpend(service: string): boolean {
+    const { requestTimes, repeatTimes } = getCounts(service);
+    const earned = requestTimes.length * allowance.ratio +
+      allowance.slack / Math.max(1, host.getRouters());
+    if (repeatTimes.length + 1 > earned * spentPart) return false;
+    repeatTimes.push(performance.now());
+    return true;
+  }
+
+  function getSpent(): number {
+    return [...services.keys()]
+      .reduce((sum, name) => sum + getCounts(name).repeatTimes.length, 0);
+  }
+
+  function getCounts(service: string): Counts {
+    const counts = services.get(service) ??
+      { requestTimes: [], repeatTimes: [] };
+    services.set(service, counts);
+    const oldest = performance.now() - allowance.windowMs;
+    dropBefore(counts.requestTimes, oldest);
+    dropBefore(counts.repeatTimes, oldest);
+    return counts;
+  }
+}
+
+function dropBefore(times: number[], oldest: number): void {
+  const kept = times.findIndex((at) => at >= oldest);
+  times.splice(0, kept < 0 ? times.length : kept);
+}
--- /dev/null
+++ b/src/process/direct/route_match.ts
@@ -0,0 +1,85 @@
+/** Finds the route of a request and the service that is to serve it. */
+
+import { type Either, Left, Right } from "purify-ts";
+import { createReport, type Report } from "../../types/diagnostics.ts";
+import type {
+  DirectRoute,
+  KeyHolder,
+  RouteTable,
+} from "../../types/route_table.ts";
+
+/** What the routes of one version decide. */
+export interface RouteMatcher {
+  readonly table: RouteTable;
+  /** Checks host, path and key; the report is the caller's answer. */
+  match(request: {
+    readonly host: string;
+    readonly path: string;
+    readonly key: string | undefined;
+  }): Either<Report, RouteMatch>;
+}
+
+/** A route with the workspace that asks. */
+export interface RouteMatch {
+  readonly route: DirectRoute;
+  /** Undefined on public routes. */
+  readonly holder: KeyHolder | undefined;
+}
+
+/** Prepares the routes of a version. */
+export function createRouteMatcher(table: RouteTable): RouteMatcher {
+  const routesByHost = new Map<string, Map<string, DirectRoute>>();
+  for (const route of table.routes) {
+    const routes = routesByHost.get(route.host) ?? new Map();
+    routes.set(route.prefix, route);
+    routesByHost.set(route.host, routes);
+  }
+
+  return { table, match };
+
+  function match(
+    { host, path, key }: {
+      readonly host: string;
+      readonly path: string;
+      readonly key: string | undefined;
+    },
+  ): Either<Report, RouteMatch> {
+    const route = tryFindRoute(host, path);
+    if (route === undefined) return Left(createReport("not_found", { path }));
+    if (route.isPublic || table.keys === undefined) {
+      return Right({ route, holder: undefined });
+    }
+    const holder = key === undefined ? undefined : table.keys.get(key);
+    return holder === undefined
+      ? Left(createReport("unknown_key"))
+      : Right({ route, holder });
+  }
+
+  /** Tries the path's leading segments, the longest first. */
+  function tryFindRoute(host: string, path: string): DirectRoute | undefined {
+    const routes = routesByHost.get(host);
+    if (routes === undefined) return undefined;
+    const [plainPath = ""] = path.split("?", 1);
+    let end = plainPath.lastIndexOf("/");
+    while (end >= 0) {
+      const route = routes.get(plainPath.slice(0, end + 1));
+      if (route !== undefined) return route;
+      end = end === 0 ? -1 : plainPath.lastIndexOf("/", end - 1);
+    }
+    return undefined;
+  }
+}
+
+/** Draws the service of a request by the weights of the route's shares. */
+export function drawService(
+  route: DirectRoute,
+  random: number,
+): string | undefined {
+  const total = route.shares.reduce((sum, { weight }) => sum + weight, 0);
+  let left = random * total;
+  for (const { service, weight } of route.shares) {
+    left -= weight;
+    if (left < 0) return service;
+  }
+  return route.shares.at(-1)?.service;
+}
--- /dev/null
+++ b/src/process/direct/target_table.ts
@@ -0,0 +1,82 @@
+/**
+ * The targets that may receive new work. A target that drains or whose entry
+ * is removed gets none from that moment on, with one exception: entries that
+ * lapse while the store is away come back shortly after its return, so their
+ * targets stay in use until then.
+ */
+
+import type { DirectTarget } from "../../types/direct_target.ts";
+
+/** Targets by service. */
+export interface TargetTable {
+  /** Takes an entry as it stands now; true when it is another process. */
+  put(target: DirectTarget): boolean;
+  /** The entry is gone; it counts until `usableUntil` on the steady clock. */
+  remove(id: string, usableUntil: number): void;
+  /** Targets of a service that may receive new work, in order of id. */
+  getReady(service: string): readonly DirectTarget[];
+  /** A target that is known, whatever its state. */
+  tryGet(id: string): DirectTarget | undefined;
+  /** Addresses of all targets that are known. */
+  getAddresses(): ReadonlySet<string>;
+  /** Numbers of targets by state, for metrics. */
+  getCounts(): Readonly<Record<"ready" | "draining" | "lapsed", number>>;
+}
+
+interface Place {
+  readonly target: DirectTarget;
+  /** Undefined while the entry stands. */
+  readonly usableUntil: number | undefined;
+}
+
+/** Time that a removed target is remembered for running streams, in ms. */
+const rememberMs = 10_000;
+
+/** Creates an empty table. */
+export function createTargetTable(): TargetTable {
+  const places = new Map<string, Place>();
+
+  return { put, remove, getReady, tryGet, getAddresses, getCounts };
+
+  function put(target: DirectTarget): boolean {
+    const held = places.get(target.id)?.target;
+    places.set(target.id, { target, usableUntil: undefined });
+    return held === undefined || held.bornAtMs !== target.bornAtMs ||
+      held.address !== target.address;
+  }
+
+  function remove(id: string, usableUntil: number): void {
+    const place = places.get(id);
+    if (place !== undefined) places.set(id, { ...place, usableUntil });
+  }
+
+  function getReady(service: string): readonly DirectTarget[] {
+    const now = performance.now();
+    const ready: DirectTarget[] = [];
+    for (const [id, { target, usableUntil }] of places) {
+      if (usableUntil !== undefined && usableUntil + rememberMs < now) {
+        places.delete(id);
+      }
+      if (target.service !== service || target.state !== "ready") continue;
+      if (usableUntil === undefined || usableUntil > now) ready.push(target);
+    }
+    return ready.sort((left, right) => (left.id < right.id ? -1 : 1));
+  }
+
+  function tryGet(id: string): DirectTarget | undefined {
+    return places.get(id)?.target;
+  }
+
+  function getAddresses(): ReadonlySet<string> {
+    return new Set([...places.values()].map(({ target }) => target.address));
+  }
+
+  function getCounts() {
+    const counts = { ready: 0, draining: 0, lapsed: 0 };
+    places.forEach(({ target, usableUntil }) => {
+      if (usableUntil === undefined) counts[target.state]++;
+      else counts.lapsed++;
+    });
+    return counts;
+  }
+}
--- /dev/null
+++ b/src/request/direct_run.ts
@@ -0,0 +1,385 @@
+/**
+ * Runs one request at targets that are reached directly. A request moves on to
+ * another target only with proof that nothing ran, or where it may run again.
+ */
+
+import type { HeldParts } from "../process/direct/held_parts.ts";
+import type { LoadView } from "../process/direct/load_view.ts";
+import { getSharedParts } from "../process/direct/prefix_placement.ts";
+import type { RetryShare } from "../process/direct/retry_share.ts";
+import type {
+  TargetHealth,
+  TargetOutcome,
+} from "../process/direct/target_health.ts";
+import type { Log } from "../process/log.ts";
+import type { DirectCalls, DirectResult } from "../types/direct_calls.ts";
+import type { DirectRequest } from "../types/direct_request.ts";
+import { createReport, type DiagnosticCode } from "../types/diagnostics.ts";
+import type { Reply, RequestEnd } from "../types/reply.ts";
+import { createDirectAnswer } from "./direct_answer.ts";
+import {
+  type ChoiceHost,
+  type DirectChoice,
+  tryChooseTarget,
+} from "./direct_choice.ts";
+import { createEnd } from "./request_end.ts";
+import type { RequestSummary } from "./request_host.ts";
+import { createRequestStop } from "./request_stop.ts";
+
+/** What running a request needs from the process. */
+export interface DirectHost extends ChoiceHost {
+  readonly calls: DirectCalls;
+  readonly health: Pick<
+    TargetHealth,
+    "getUsable" | "isAside" | "note" | "noteSent"
+  >;
+  readonly loads: Pick<LoadView, "getLoad" | "begin">;
+  readonly held: Pick<HeldParts, "getHeldTokens" | "note">;
+  readonly retries: Pick<RetryShare, "noteRequest" | "trySpend">;
+  readonly log: Log;
+}
+
+/** Targets that one request is sent to at most, run or not. */
+const maxSends = 5;
+
+/** Time left below which another try is not worth its load, in ms. */
+const minTimeLeftMs = 30;
+
+/** Bounds on the silence after which repeatable work moves on, in ms. */
+const silenceBoundsMs = {
+  /** Above the usual pause of an engine that reads another long prompt. */
+  stream: { least: 900, goals: 3 },
+  /** Above the usual wait for a slot. */
+  call: { least: 250, goals: 2 },
+} as const;
+
+/** Part of the time left that a silent call may take before it moves on. */
+const silencePart = 0.45;
+
+/** Time without an answer that speaks against a target, in milliseconds. */
+const suspectSilenceMs = {
+  /** Above the wait for a first event behind a few long prompts. */
+  stream: { least: 1_200, goals: 1 },
+  /** Above the longest usual work of a call. */
+  call: { least: 300, goals: 3 },
+} as const;
+
+/** Bounds of the time to come back, in milliseconds. */
+const retryAfterBoundsMs = { least: 120, spread: 300 } as const;
+
+/** Urgency that engines are told, 0 is first and 9 last. */
+const lastPriorityClass = 9;
+
+/** Classes between one rank of workspaces and the next. */
+const classesPerWorkspaceRank = 3;
+
+/** Lowest status of an answer by which a target failed. */
+const firstErrorStatus = 500;
+
+/** What one try came to. */
+type TryEnd =
+  | { readonly kind: "done" }
+  | {
+    readonly kind: "not_run";
+    readonly code: DiagnosticCode;
+    readonly arrived: boolean;
+  }
+  | { readonly kind: "error_answer" }
+  | { readonly kind: "repeat"; readonly code: DiagnosticCode }
+  | { readonly kind: "lost"; readonly code: DiagnosticCode }
+  | { readonly kind: "stopped" };
+
+/** Runs a request to its end and tells the caller. */
+export async function runDirect(
+  host: DirectHost,
+  request: DirectRequest,
+  reply: Reply,
+): Promise<RequestSummary> {
+  const { route, service } = request;
+  const stop = createRequestStop({
+    deadlineAt: request.deadlineAt,
+    gone: reply.gone,
+    getNow: () => performance.now(),
+  });
+  const answer = createDirectAnswer(reply, request);
+  const isRepeatable = route.kind === "safe" ||
+    (route.kind === "stream" && route.isResumable);
+  const tried = new Set<string>();
+  let sends = 0;
+  /** Targets that may have run the request. */
+  let runs = 0;
+  let target = "";
+  let lastFailure: DiagnosticCode | undefined;
+  let lastRefusal: DiagnosticCode = "no_target";
+
+  try {
+    host.retries.noteRequest(service);
+    const end = await tryTargets();
+    if (end.outcome === "done") answer.finish();
+    reply.end(end);
+    return { end, target, tries: sends };
+  } finally {
+    stop.clear();
+  }
+
+  async function tryTargets(): Promise<RequestEnd> {
+    while (true) {
+      if (stop.getReason() !== undefined) return endStopped();
+      const choice = tryChooseTarget(host, request, tried);
+      if (choice === undefined || sends >= maxSends) return endUnserved();
+      const result = await tryTarget(choice);
+      const end = act(result);
+      if (end !== undefined) return end;
+    }
+  }
+
+  /** Acts on one try; undefined when the next target should be tried. */
+  function act(result: TryEnd): RequestEnd | undefined {
+    switch (result.kind) {
+      case "done":
+      case "error_answer":
+        return { outcome: "done", report: undefined };
+      case "stopped":
+        return endStopped();
+      case "not_run":
+        lastRefusal = result.code;
+        // A request that did not arrive costs the target nothing.
+        return !result.arrived || canSpend() ? undefined : endUnserved();
+      case "repeat":
+        lastFailure = result.code;
+        return undefined;
+      case "lost":
+        lastFailure = result.code;
+        return canRepeat() && canSpend() ? undefined : endUnserved();
+    }
+  }
+
+  async function tryTarget(choice: DirectChoice): Promise<TryEnd> {
+    const attempt = createAttempt(choice);
+    try {
+      const result = await host.calls.send({
+        target: choice.target,
+        requestId: request.requestId,
+        method: request.method,
+        path: request.path,
+        headers: request.headers,
+        body: request.body,
+        workspace: request.holder?.workspace,
+        deadlineMs: request.deadlineAt - performance.now(),
+        priorityClass: getPriorityClass(),
+        fetchFrom: choice.fetchFrom?.address,
+        lastEventId: answer.getLastEventId(),
+        needsFreshConnection: route.kind === "unsafe",
+        signal: attempt.signal,
+      });
+      const end = await judge(result, choice, attempt);
+      if (end.kind !== "done") noteTry(choice, result, end);
+      return end;
+    } finally {
+      attempt.end();
+    }
+  }
+
+  /** Counts the load of one try and watches for silence. */
+  function createAttempt({ target: taken, heldTokens }: DirectChoice) {
+    tried.add(taken.id);
+    target = taken.id;
+    sends++;
+    const { prompt } = request;
+    if (prompt !== undefined) {
+      host.held.note(taken.id, getSharedParts(prompt.parts));
+    }
+    host.health.noteSent(taken);
+    const load = host.loads.begin(
+      taken.id,
+      Math.max(0, (prompt?.promptTokens ?? 0) - heldTokens),
+    );
+    const controller = new AbortController();
+    const abort = (): void => controller.abort();
+    stop.signal.addEventListener("abort", abort, { once: true });
+    if (stop.signal.aborted) abort();
+    let isSilent = false;
+    let hasAnswered = false;
+    const suspicion = setTimeout(() => {
+      if (!hasAnswered) host.health.note(taken, "silent");
+    }, getSuspicionMs());
+    let silence = watchSilence();
+
+    return {
+      signal: controller.signal,
+      noteProgress,
+      isSilent: () => isSilent,
+      end,
+    };
+
+    function watchSilence(): NodeJS.Timeout | undefined {
+      if (!canMoveOn()) return undefined;
+      return setTimeout(() => {
+        isSilent = true;
+        abort();
+      }, getSilenceMs());
+    }
+
+    function noteProgress(): void {
+      if (!hasAnswered) load.noteRead();
+      hasAnswered = true;
+      clearTimeout(silence);
+      silence = route.kind === "stream" ? watchSilence() : undefined;
+    }
+
+    function end(): void {
+      clearTimeout(silence);
+      clearTimeout(suspicion);
+      load.end();
+      stop.signal.removeEventListener("abort", abort);
+    }
+  }
+
+  async function judge(
+    result: DirectResult,
+    { target: taken }: DirectChoice,
+    attempt: ReturnType<typeof createAttempt>,
+  ): Promise<TryEnd> {
+    let isCounted = false;
+    switch (result.kind) {
+      case "not_sent":
+        noteOutcome("unreachable");
+        return { kind: "not_run", code: "no_target", arrived: false };
+      case "refused":
+        return { kind: "not_run", code: "target_full", arrived: true };
+      case "wrong_target":
+        noteOutcome("unreachable");
+        return { kind: "not_run", code: "wrong_incarnation", arrived: true };
+      case "aborted":
+        return endAborted();
+      case "lost":
+      case "spoiled":
+        return endLost("outcome_unknown");
+      case "answer":
+        return await takeAnswer(result);
+    }
+
+    async function takeAnswer(
+      { head, body, drop }: Extract<DirectResult, { kind: "answer" }>,
+    ): Promise<TryEnd> {
+      countRun();
+      const isError = head.status >= firstErrorStatus;
+      if (isError) noteOutcome("failed");
+      if (isError && canRepeat() && canSpend()) {
+        drop();
+        return { kind: "repeat", code: "target_error" };
+      }
+      if (!head.isEventStream) attempt.noteProgress();
+      const end = await answer.follow(head, body, attempt);
+      if (end.kind === "whole") {
+        if (!isError) noteOutcome("served");
+        return isError ? { kind: "error_answer" } : { kind: "done" };
+      }
+      drop();
+      return attempt.signal.aborted ? endAborted() : endLost("answer_cut");
+    }
+
+    function endAborted(): TryEnd {
+      if (attempt.isSilent()) return endLost("outcome_unknown", "silent");
+      countRun();
+      return { kind: "stopped" };
+    }
+
+    function endLost(
+      code: DiagnosticCode,
+      outcome: TargetOutcome = "failed",
+    ): TryEnd {
+      countRun();
+      noteOutcome(outcome);
+      return { kind: "lost", code };
+    }
+
+    /** The target may have run the request, once for this try. */
+    function countRun(): void {
+      if (!isCounted) runs++;
+      isCounted = true;
+    }
+
+    function noteOutcome(outcome: TargetOutcome): void {
+      host.health.note(taken, outcome);
+    }
+  }
+
+  /** Whether work that may have run here may be sent to another target. */
+  function canRepeat(): boolean {
+    const left = request.deadlineAt - performance.now();
+    return isRepeatable && runs < route.maxTargets && left > minTimeLeftMs &&
+      stop.getReason() === undefined && sends < maxSends;
+  }
+
+  function canMoveOn(): boolean {
+    return isRepeatable && runs + 1 < route.maxTargets && sends < maxSends;
+  }
+
+  function canSpend(): boolean {
+    return host.retries.trySpend(service);
+  }
+
+  function getSilenceMs(): number {
+    const left = request.deadlineAt - performance.now();
+    if (route.kind === "stream") {
+      const { least, goals } = silenceBoundsMs.stream;
+      return Math.max(least, goals * route.goalMs);
+    }
+    const { least, goals } = silenceBoundsMs.call;
+    return Math.min(left * silencePart, Math.max(least, goals * route.goalMs));
+  }
+
+  function getSuspicionMs(): number {
+    const kind = route.kind === "stream" ? "stream" : "call";
+    const { least, goals } = suspectSilenceMs[kind];
+    return Math.max(least, goals * route.goalMs);
+  }
+
+  /** The workspace's rank goes before the route's. */
+  function getPriorityClass(): number {
+    const ofWorkspace = request.holder?.priority ?? 1;
+    const rank = ofWorkspace * classesPerWorkspaceRank + route.priority;
+    return Math.max(0, Math.min(lastPriorityClass, rank));
+  }
+
+  function endStopped(): RequestEnd {
+    if (stop.getReason() === "caller_gone") {
+      return createEnd(createReport("caller_gone"));
+    }
+    return createEnd(
+      createReport(runs > 0 ? "deadline_exceeded" : "deadline_passed"),
+    );
+  }
+
+  /** No target is left, or the request may not be sent to another one. */
+  function endUnserved(): RequestEnd {
+    if (runs > 0 || lastFailure !== undefined) {
+      return createEnd(createReport(lastFailure ?? "outcome_unknown"));
+    }
+    const { least, spread } = retryAfterBoundsMs;
+    return createEnd(createReport(lastRefusal, { service }, {
+      retryAfterMs: least + host.random() * spread,
+    }));
+  }
+
+  function noteTry(
+    choice: DirectChoice,
+    result: DirectResult,
+    end: TryEnd,
+  ): void {
+    host.log.info("Try ended without an answer", {
+      request: request.requestId,
+      service,
+      target: choice.target.id,
+      candidates: choice.candidates,
+      load: choice.load,
+      heldTokens: choice.heldTokens,
+      result: result.kind,
+      reason: "reason" in result ? result.reason : undefined,
+      verdict: end.kind,
+      sends,
+      leftMs: Math.round(request.deadlineAt - performance.now()),
+    });
+  }
+}
--- a/src/request/request_stop.ts
+++ b/src/request/request_stop.ts
@@ -14,13 +14,19 @@
 
 /** Starts to watch. */
 export function createRequestStop(
-  options: { readonly deadlineAt: number; readonly gone: AbortSignal },
+  options: {
+    readonly deadlineAt: number;
+    readonly gone: AbortSignal;
+    /** The clock of the deadline; the time of day when absent. */
+    getNow?(): number;
+  },
 ): RequestStop {
+  const getNow = options.getNow ?? Date.now;
   const controller = new AbortController();
   let reason: StopReason | undefined;
   const timer = setTimeout(
     () => stop("deadline"),
-    Math.max(0, options.deadlineAt - Date.now()),
+    Math.max(0, options.deadlineAt - getNow()),
   );
   const onGone = (): void => stop("caller_gone");
   options.gone.addEventListener("abort", onGone, { once: true });
@@ -34,7 +40,7 @@
 
   function getReason(): StopReason | undefined {
     // A process that was paused sees the clock before it sees the timer.
-    if (reason === undefined && Date.now() >= options.deadlineAt) {
+    if (reason === undefined && getNow() >= options.deadlineAt) {
       stop("deadline");
     }
     return reason;
--- /dev/null
+++ b/src/roles/direct_router.ts
@@ -0,0 +1,364 @@
+/** The router role for targets that are reached without agents. */
+
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import {
+  type AdminRoute,
+  openAdminListener,
+} from "../connection/admin_listener.ts";
+import {
+  createDirectClient,
+  type TargetWire,
+} from "../connection/direct_client.ts";
+import { createFrontServer } from "../connection/front_server.ts";
+import { createHeldParts } from "../process/direct/held_parts.ts";
+import { createLoadView } from "../process/direct/load_view.ts";
+import { createRetryShare } from "../process/direct/retry_share.ts";
+import {
+  createRouteMatcher,
+  drawService,
+  type RouteMatch,
+  type RouteMatcher,
+} from "../process/direct/route_match.ts";
+import { createTargetHealth } from "../process/direct/target_health.ts";
+import { createTargetTable } from "../process/direct/target_table.ts";
+import type { Log } from "../process/log.ts";
+import { createMetrics } from "../process/metrics.ts";
+import { createPlacement, loadPlacementHost } from "../process/placement.ts";
+import { runDirect } from "../request/direct_run.ts";
+import { createMeasuredReply } from "../request/measured_reply.ts";
+import { createEnd } from "../request/request_end.ts";
+import type { RequestSummary } from "../request/request_host.ts";
+import { createReport, type Report } from "../types/diagnostics.ts";
+import type { DirectRequest, FrontRequest } from "../types/direct_request.ts";
+import type { DirectSettings } from "../types/direct_settings.ts";
+import type { DirectoryStore } from "../types/directory.ts";
+import type { Reply } from "../types/reply.ts";
+import type { StopResult } from "../types/role.ts";
+import type { CallerLimits } from "../types/route_table.ts";
+import { createDirectory } from "./directory.ts";
+
+/** Requests in flight at one time; bounds memory, far above usual loads. */
+const maxInFlight = 3_000;
+
+/** Time to come back for a caller that a router cannot serve now, in ms. */
+const comeBackMs = { starting: 400, busy: 800, stopping: 50 } as const;
+
+/**
+ * Part of the grace in which requests on open connections are still served;
+ * what follows is the time of the longest usual answer.
+ */
+const servedPartOfGrace = 0.36;
+
+/** Part of the grace after which the process ends whatever still runs. */
+const lastPartOfGrace = 0.95;
+
+/** Time after which the balancer sends no new connections, in ms. */
+const balancerMs = 2_500;
+
+/** Interval at which a stop looks for work in flight, in milliseconds. */
+const stopPollMs = 50;
+
+/** Time a caller waits when it tells none, in milliseconds. */
+const usualDeadlineMs = 15_000;
+
+/** Limits until the first configuration is known. */
+const firstLimits: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 10_000,
+  idleTimeoutMs: 15_000,
+};
+
+/** What the role needs from outside. */
+export interface DirectRouterHost {
+  readonly settings: DirectSettings;
+  readonly store: DirectoryStore;
+  readonly wire: TargetWire;
+  readonly log: Log;
+  /** Path of the balancer's readiness check. */
+  readonly readinessPath: string;
+  decodeRequest(
+    message: IncomingMessage,
+    options: { readonly requestId: string; readonly body: Uint8Array },
+  ): FrontRequest;
+}
+
+/** A router that runs. */
+export interface DirectRouter {
+  /** Stops gracefully within the grace; a second call changes nothing. */
+  stop(reason: string): Promise<StopResult>;
+}
+
+/** Starts a router; rejects when an address cannot be taken. */
+export async function startDirectRouter(
+  host: DirectRouterHost,
+): Promise<DirectRouter> {
+  const { settings, log } = host;
+  const startedAt = performance.now();
+  const metrics = createMetrics();
+  const targets = createTargetTable();
+  const health = createTargetHealth();
+  const held = createHeldParts();
+  const loads = createLoadView();
+  let matcher: RouteMatcher | undefined;
+  let stopping: Promise<StopResult> | undefined;
+  let isRefusing = false;
+  let inFlight = 0;
+
+  const calls = createDirectClient({
+    wire: host.wire,
+    getMaxConnections: (service) => {
+      const limit = matcher?.table.services.get(service)?.maxConnections ?? 1;
+      return Math.max(1, Math.floor(limit / directory.getRouters()));
+    },
+  });
+  const directory = await createDirectory({
+    ...{ settings, store: host.store, log, metrics },
+    ...{ targets, health, held, loads },
+    noteTable: (table) => {
+      const isFirst = matcher === undefined;
+      matcher = createRouteMatcher(table);
+      if (isFirst) {
+        log.info("Router is ready", {
+          version: table.version,
+          tookMs: Math.round(performance.now() - startedAt),
+        });
+      }
+    },
+    noteTargets: () => calls.retain(targets.getAddresses()),
+  });
+  const requestHost = {
+    ...{ calls, targets, health, loads, log },
+    placement: createPlacement(await loadPlacementHost()),
+    held: { getHeldTokens: held.getHeldTokens, note: directory.noteParts },
+    retries: createRetryShare(directory, settings.retries),
+    zone: settings.zone,
+    loadMultiple: settings.loadMultiple,
+    random: Math.random,
+  };
+  registerGauges();
+  const front = await createFrontServer({
+    decode: host.decodeRequest,
+    createRequestId: randomUUID,
+    getLimits: () => matcher?.table.limits ?? firstLimits,
+    tryAdmit,
+    handle,
+    noteRejected,
+  }, settings.front);
+  const readiness = await openAdminListener([
+    createReadinessRoute(host.readinessPath),
+  ], settings.readiness);
+  const admin = await openAdminListener(createAdminRoutes(), settings.metrics);
+  directory.start();
+
+  return { stop };
+
+  function tryAdmit(): Report | undefined {
+    if (isRefusing) {
+      return createReport("router_stopping", {}, {
+        retryAfterMs: comeBackMs.stopping,
+      });
+    }
+    if (matcher === undefined) {
+      return createReport("router_starting", {}, {
+        retryAfterMs: comeBackMs.starting,
+      });
+    }
+    if (inFlight >= maxInFlight) {
+      return createReport("router_busy", {}, { retryAfterMs: comeBackMs.busy });
+    }
+    return undefined;
+  }
+
+  async function handle(request: FrontRequest, reply: Reply): Promise<void> {
+    const current = matcher;
+    if (current === undefined) {
+      const report = createReport("router_starting", {}, {
+        retryAfterMs: comeBackMs.starting,
+      });
+      return rejectRequest(request, { report, reply });
+    }
+    const { version } = current.table;
+    await current.match(request).caseOf({
+      Left: (report) => {
+        rejectRequest(request, { report, reply });
+        return Promise.resolve();
+      },
+      Right: (match) => run(bindRequest(request, match, version), reply),
+    });
+  }
+
+  function rejectRequest(
+    request: FrontRequest,
+    { report, reply }: { readonly report: Report; readonly reply: Reply },
+  ): void {
+    noteRejected(request.requestId, report);
+    reply.end(createEnd(report));
+  }
+
+  function noteRejected(requestId: string, report: Report): void {
+    metrics.count("requests_total", { outcome: "not_run", code: report.code });
+    log.info("Request rejected", {
+      request: requestId,
+      code: report.code,
+      version: matcher?.table.version,
+      directoryAgeMs: Math.round(directory.getAgeMs()),
+    });
+  }
+
+  async function run(request: DirectRequest, reply: Reply): Promise<void> {
+    const measured = createMeasuredReply(reply, metrics);
+    inFlight++;
+    try {
+      const summary = await runDirect(requestHost, request, measured.reply);
+      noteEnd(request, summary, measured);
+    } catch (error) {
+      log.error("The request broke an invariant", {
+        request: request.requestId,
+        error: error instanceof Error ? error.stack : String(error),
+      });
+      reply.end(createEnd(createReport("outcome_unknown")));
+    } finally {
+      inFlight--;
+    }
+  }
+
+  function noteEnd(
+    request: DirectRequest,
+    { end, target, tries }: RequestSummary,
+    measured: ReturnType<typeof createMeasuredReply>,
+  ): void {
+    const code = end.report?.code ?? "done";
+    const firstByteMs = measured.getFirstByteMs();
+    const { service, route } = request;
+    const totalMs = measured.getTotalMs();
+    metrics.count("requests_total", { outcome: end.outcome, code });
+    metrics.record("request_ms", totalMs, { service });
+    if (firstByteMs !== undefined) {
+      metrics.record("first_byte_ms", firstByteMs, { service });
+    }
+    log.info("Request ended", {
+      request: request.requestId,
+      route: route.name,
+      service,
+      workspace: request.holder?.workspace,
+      outcome: end.outcome,
+      code,
+      target,
+      tries,
+      version: request.tableVersion,
+      directoryAgeMs: Math.round(directory.getAgeMs()),
+      firstByteMs: firstByteMs && Math.round(firstByteMs),
+      totalMs: Math.round(totalMs),
+      retryAfterMs: end.report?.retryAfterMs || undefined,
+    });
+  }
+
+  function createReadinessRoute(path: string): AdminRoute {
+    return {
+      method: "GET",
+      path,
+      handle: () => {
+        const isReady = matcher !== undefined && stopping === undefined;
+        return {
+          kind: "text",
+          status: isReady ? 200 : 503,
+          body: isReady ? "ready" : "not ready",
+        };
+      },
+    };
+  }
+
+  function createAdminRoutes(): readonly AdminRoute[] {
+    return [{
+      method: "GET",
+      path: "/metrics",
+      handle: () => ({ kind: "text", status: 200, body: metrics.format() }),
+    }, {
+      method: "GET",
+      path: "/dump",
+      handle: () => ({
+        kind: "json",
+        status: 200,
+        body: {
+          version: matcher?.table.version ?? 0,
+          isReady: matcher !== undefined && stopping === undefined,
+          inFlight,
+          directory: directory.dump(),
+          targets: targets.getCounts(),
+          aside: health.getAside(),
+          loads: Object.fromEntries(loads.getOwn()),
+        },
+      }),
+    }];
+  }
+
+  function registerGauges(): void {
+    metrics.gauge("requests_in_flight", () => inFlight);
+    metrics.gauge(
+      "configuration_version",
+      () => matcher?.table.version ?? 0,
+    );
+    metrics.gauge("targets_ready", () => targets.getCounts().ready);
+    metrics.gauge("targets_aside", () => health.getAside().length);
+    metrics.gauge("held_parts", held.getSize);
+    metrics.gauge("repeats_in_window", requestHost.retries.getSpent);
+    metrics.gauge("process_resident_bytes", () => process.memoryUsage.rss());
+  }
+
+  function stop(reason: string): Promise<StopResult> {
+    stopping ??= stopOnce(reason);
+    return stopping;
+  }
+
+  async function stopOnce(reason: string): Promise<StopResult> {
+    const stopAt = performance.now();
+    const { graceMs } = settings;
+    log.info("Router stops", { reason, inFlight, graceMs });
+    front.drain();
+    await sleep(Math.min(balancerMs, graceMs * servedPartOfGrace));
+    isRefusing = true;
+    while (
+      inFlight > 0 && performance.now() - stopAt < graceMs * lastPartOfGrace
+    ) {
+      front.closeIdle();
+      await sleep(stopPollMs);
+    }
+    const cutOff = inFlight;
+    front.stop();
+    directory.stop();
+    await Promise.allSettled([readiness.close(), admin.close(), calls.close()]);
+    const tookMs = Math.round(performance.now() - stopAt);
+    log.info("Router has stopped", { cutOff, tookMs });
+    return { cutOff, tookMs };
+  }
+}
+
+/** Fixes what the configuration decides for a request. */
+function bindRequest(
+  request: FrontRequest,
+  { route, holder }: RouteMatch,
+  tableVersion: number,
+): DirectRequest {
+  const arrivedAt = performance.now();
+  const waitMs = Math.min(
+    request.deadlineMs ?? usualDeadlineMs,
+    route.timeoutMs,
+  );
+  return {
+    ...request,
+    route,
+    holder,
+    service: drawService(route, Math.random()) ?? "",
+    tableVersion,
+    arrivedAt,
+    deadlineAt: arrivedAt + waitMs,
+  };
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/src/roles/directory.ts
@@ -0,0 +1,331 @@
+/**
+ * What a router knows of the fleet: replicates the store's directory, keeps
+ * tables of targets up to date, and exchanges digests with other routers.
+ */
+
+import { createGossipSocket } from "../connection/gossip_socket.ts";
+import type { Endpoint } from "../process/exchange.ts";
+import type { DirectoryReplica } from "../process/direct/directory_replica.ts";
+import { createDirectoryReplica } from "../process/direct/directory_replica.ts";
+import { createDirectorySync } from "../process/direct/directory_sync.ts";
+import type { HeldParts } from "../process/direct/held_parts.ts";
+import type { LoadView } from "../process/direct/load_view.ts";
+import {
+  createDigestWriter,
+  type DigestNews,
+  tryReadDigest,
+} from "../process/direct/peer_digests.ts";
+import type { TargetHealth } from "../process/direct/target_health.ts";
+import type { TargetTable } from "../process/direct/target_table.ts";
+import type { Log } from "../process/log.ts";
+import type { Metrics } from "../process/metrics.ts";
+import type {
+  DirectSettings,
+  SocketAddress,
+} from "../types/direct_settings.ts";
+import type { RouterPeer } from "../types/direct_target.ts";
+import type { DirectoryStore } from "../types/directory.ts";
+import type { WatchEvent } from "../types/platform.ts";
+import type { PromptPart } from "../types/prompt.ts";
+import type { Dump } from "../types/role.ts";
+import type { RouteTable } from "../types/route_table.ts";
+
+/** Interval of digests without news, in milliseconds. */
+const digestMs = 250;
+
+/** Interval at which news are passed on, in milliseconds. */
+const newsMs = 60;
+
+/** Time for which a peer may be ahead before its copy is pulled, in ms. */
+const behindMs = 500;
+
+/** Pause between pulls, in milliseconds. */
+const pullPauseMs = 400;
+
+/** Pause before the own entry is written again after a failure, in ms. */
+const announcePauseMs = 500;
+
+/** What the directory needs from the process. */
+export interface DirectoryHost {
+  readonly settings: DirectSettings;
+  readonly store: DirectoryStore;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly targets: TargetTable;
+  readonly health: Pick<TargetHealth, "forget">;
+  readonly held: HeldParts;
+  readonly loads: Pick<LoadView, "takeReport" | "getOwn">;
+  /** A newer version of the configuration is in force. */
+  noteTable(table: RouteTable): void;
+  noteTargets(): void;
+}
+
+/** The directory of one process. */
+export interface Directory {
+  start(): void;
+  stop(): void;
+  /** A target is sent the parts of a prompt; peers are told. */
+  noteParts(target: string, parts: readonly PromptPart[]): void;
+  /** Routers that are registered, this one included; at least 1. */
+  getRouters(): number;
+  /** Time since the store last answered, in milliseconds. */
+  getAgeMs(): number;
+  dump(): Dump;
+}
+
+/** Creates the directory; it joins the fleet with `start`. */
+export async function createDirectory(
+  host: DirectoryHost,
+): Promise<Directory> {
+  const { settings, store, log, metrics, targets } = host;
+  const replica: DirectoryReplica = createDirectoryReplica();
+  const routers = new Map<string, RouterPeer>();
+  const digests = createDigestWriter(settings.id);
+  const self: RouterPeer = {
+    id: settings.id,
+    address: settings.digest.address,
+    digestPort: settings.digest.port,
+    pullPort: settings.pull.port,
+  };
+  let version = 0;
+  let isStopped = false;
+  let isPulling = false;
+  let nextSeed = 0;
+  let behindSince: number | undefined;
+  let sentAt = 0;
+  let endPulls: (() => void) | undefined;
+  const sync = createDirectorySync({
+    store,
+    replica,
+    log,
+    noteChanges,
+    countCall: (call) => metrics.count("store_calls_total", { call }),
+  });
+  const socket = createGossipSocket({
+    receive: (bytes, from) => {
+      const news = tryReadDigest(bytes);
+      if (news !== undefined) takeDigest(news, from);
+    },
+    onError: (error) =>
+      log.warn("Digest socket failed", {
+        reason: error.message,
+      }),
+  }, settings.digest);
+  await socket.bind();
+  const timer = setInterval(tick, newsMs);
+
+  return {
+    start,
+    stop,
+    noteParts,
+    getRouters: () => Math.max(1, routers.size),
+    getAgeMs: sync.getAgeMs,
+    dump,
+  };
+
+  function start(): void {
+    sync.start();
+    void announce();
+    void servePulls();
+  }
+
+  /** Loads the RPC library only when the router already serves. */
+  async function servePulls(): Promise<void> {
+    try {
+      const { serveDirectory } = await import(
+        "../connection/directory_pull.ts"
+      );
+      endPulls = await serveDirectory(replica, settings.pull);
+    } catch (error) {
+      log.error("Peers cannot pull from this router", {
+        reason: String(error),
+      });
+    }
+  }
+
+  async function announce(): Promise<void> {
+    while (!isStopped) {
+      const written = await store.announce(self).run();
+      if (written.isRight()) return;
+      await new Promise((resolve) => {
+        setTimeout(resolve, announcePauseMs).unref();
+      });
+    }
+  }
+
+  function stop(): void {
+    isStopped = true;
+    clearInterval(timer);
+    sync.stop();
+    endPulls?.();
+    void socket.close();
+    void store.close();
+  }
+
+  function noteChanges(
+    changes: readonly WatchEvent[],
+    source: "listing" | "watch" | "peer",
+  ): void {
+    changes.forEach((change) => noteChange(change, source));
+    behindSince = undefined;
+    host.noteTargets();
+  }
+
+  function noteChange(change: WatchEvent, source: string): void {
+    const { key, value, revision } = change;
+    if (value === undefined) return noteRemoval(change, source);
+    const record = store.decode({ key, value, revision });
+    switch (record.kind) {
+      case "route_table":
+        return noteTable(record.table, { revision, source });
+      case "target": {
+        const { id, service, state, address } = record.target;
+        if (targets.put(record.target)) {
+          host.held.forgetTarget(id);
+          host.health.forget(id);
+        }
+        log.info("Target changed", {
+          ...{ target: id, service, state, address, revision, source },
+        });
+        return;
+      }
+      case "router":
+        routers.set(record.router.id, record.router);
+        return;
+      case "unreadable":
+        log.warn("Entry cannot be read", {
+          ...{ key, revision, reason: record.reason },
+        });
+        return noteRemoval(change, source);
+      case "other":
+        return;
+    }
+  }
+
+  function noteTable(
+    table: RouteTable,
+    { revision, source }: {
+      readonly revision: number;
+      readonly source: string;
+    },
+  ): void {
+    if (table.version <= version) {
+      return log.warn("Older configuration was ignored", {
+        ...{ version: table.version, inForce: version, revision, source },
+      });
+    }
+    version = table.version;
+    log.info("Configuration is in force", {
+      ...{ version, revision, source },
+      routes: table.routes.length,
+    });
+    host.noteTable(table);
+  }
+
+  function noteRemoval(
+    { key, revision }: WatchEvent,
+    source: string,
+  ): void {
+    const held = store.resolveKey(key);
+    if (held === undefined) return;
+    if (held.kind === "router") return void routers.delete(held.id);
+    const usableUntil = getUsableUntil(held.id, source);
+    targets.remove(held.id, usableUntil);
+    log.info("Target is gone", {
+      target: held.id,
+      ...{ revision, source },
+      usableForMs: Math.max(0, Math.round(usableUntil - performance.now())),
+    });
+  }
+
+  /** Entries that lapsed in an outage come back if their targets live. */
+  function getUsableUntil(id: string, source: string): number {
+    const now = performance.now();
+    if (source === "peer" || targets.tryGet(id)?.state === "draining") {
+      return now;
+    }
+    return Math.max(now, sync.getOutageEndedAt() + settings.lapseReturnMs);
+  }
+
+  function noteParts(target: string, parts: readonly PromptPart[]): void {
+    for (const part of parts) {
+      if (!host.held.isHeld(target, part.id)) {
+        digests.notePart({ target, part });
+      }
+    }
+    host.held.note(target, parts);
+  }
+
+  function tick(): void {
+    const now = performance.now();
+    if (digests.hasNews() || now - sentAt >= digestMs) sendDigest(now);
+    if (version === 0 && !sync.isConnected()) pullFromSeed();
+  }
+
+  function sendDigest(now: number): void {
+    sentAt = now;
+    const bytes = digests.write({
+      directoryRevision: replica.getNewestRevision(),
+      loads: host.loads.getOwn(),
+    });
+    for (const { id, address, digestPort } of routers.values()) {
+      if (id !== self.id) socket.send(bytes, { address, port: digestPort });
+    }
+  }
+
+  function takeDigest(news: DigestNews, from: Endpoint): void {
+    if (news.sender === self.id) return;
+    host.loads.takeReport(news.sender, news.loads);
+    news.parts.forEach(({ target, part }) => host.held.notePart(target, part));
+    if (news.directoryRevision <= replica.getNewestRevision()) return;
+    const now = performance.now();
+    behindSince ??= now;
+    if (now - behindSince < behindMs) return;
+    void pull({ address: from.address, port: settings.pull.port });
+  }
+
+  function pullFromSeed(): void {
+    const seeds = settings.seeds.filter(({ address }) =>
+      address !== self.address
+    );
+    const seed = seeds[nextSeed % Math.max(1, seeds.length)];
+    if (seed === undefined || isPulling) return;
+    nextSeed++;
+    void pull(seed);
+  }
+
+  async function pull(peer: SocketAddress): Promise<void> {
+    if (isPulling) return;
+    isPulling = true;
+    const revision = replica.getNewestRevision();
+    try {
+      const { pullDirectory } = await import("../connection/directory_pull.ts");
+      const changes = await pullDirectory(peer, revision);
+      sync.takeFromPeer(changes);
+      log.info("Directory was pulled from a peer", {
+        peer: peer.address,
+        fromRevision: revision,
+        changes: changes.length,
+      });
+    } catch (error) {
+      log.warn("Peer gave no copy of the directory", {
+        peer: peer.address,
+        reason: error instanceof Error ? error.message : String(error),
+      });
+    } finally {
+      setTimeout(() => {
+        isPulling = false;
+      }, pullPauseMs).unref();
+    }
+  }
+
+  function dump(): Dump {
+    return {
+      version,
+      revision: replica.getNewestRevision(),
+      isConnected: sync.isConnected(),
+      ageMs: Math.round(sync.getAgeMs()),
+      routers: [...routers.keys()],
+    };
+  }
+}
--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -148,6 +148,11 @@
     status: 404,
     text: "There is no workspace {workspace}",
   },
+  unknown_key: {
+    category: "not_run",
+    status: 401,
+    text: "The key belongs to no workspace",
+  },
   service_not_allowed: {
     category: "not_run",
     status: 403,
