--- a/src/connection/direct_client.ts
+++ b/src/connection/direct_client.ts
@@ -1,12 +1,15 @@
 /** Calls targets over HTTP without an agent and tells what a failure proves. */
 
 import { type Dispatcher, Pool } from "undici";
+import type { Log } from "../process/log.ts";
 import type {
   DirectCall,
   DirectCalls,
   DirectHead,
   DirectResult,
 } from "../types/direct_calls.ts";
+import type { DirectTarget } from "../types/direct_target.ts";
+import type { PromptPart } from "../types/prompt.ts";
 import type { Header } from "../types/work.ts";
 import { toTargetError } from "./target_client.ts";
 
@@ -25,11 +28,15 @@
       DirectResult,
       { readonly kind: "refused" | "wrong_target" | "spoiled" }
     >;
+  /** Path of the list of cached parts. */
+  readonly partsPath: string;
+  decodeParts(body: string): readonly PromptPart[];
 }
 
 /** What the client needs from outside. */
 export interface DirectClientHost {
   readonly wire: TargetWire;
+  readonly log: Log;
   /** Connections that this process may hold to one target. */
   getMaxConnections(service: string): number;
 }
@@ -53,6 +60,9 @@
 /** Time by which a connection is given up before the target does, in ms. */
 const idleMarginMs = 1_000;
 
+/** Longest wait for the list of cached parts, in milliseconds. */
+const listTimeoutMs = 1_500;
+
 interface Pools {
   readonly kept: Pool;
   /** Connections that serve one request each. */
@@ -63,7 +73,7 @@
 export function createDirectClient(host: DirectClientHost): DirectClient {
   const pools = new Map<string, Pools>();
 
-  return { send, retain, close };
+  return { send, tryListParts, retain, close };
 
   async function send(call: DirectCall): Promise<DirectResult> {
     try {
@@ -78,7 +88,7 @@
   }
 
   function dispatch(call: DirectCall): Promise<Dispatcher.ResponseData> {
-    const { kept, fresh } = getPools(call);
+    const { kept, fresh } = getPools(call.target);
     return (call.needsFreshConnection ? fresh : kept).request({
       method: call.method as Dispatcher.HttpMethod,
       path: call.path,
@@ -111,7 +121,31 @@
     return result;
   }
 
-  function getPools({ target }: DirectCall): Pools {
+  async function tryListParts(
+    target: DirectTarget,
+  ): Promise<readonly PromptPart[] | undefined> {
+    try {
+      const { statusCode, body } = await getPools(target).kept.request({
+        method: "GET",
+        path: host.wire.partsPath,
+        signal: AbortSignal.timeout(listTimeoutMs),
+      });
+      const text = await body.text();
+      if (statusCode === 200) return host.wire.decodeParts(text);
+      host.log.warn("Engine gave no list of its cache", {
+        target: target.id,
+        status: statusCode,
+      });
+    } catch (error) {
+      host.log.warn("Engine gave no list of its cache", {
+        target: target.id,
+        reason: String(error),
+      });
+    }
+    return undefined;
+  }
+
+  function getPools(target: DirectTarget): Pools {
     const held = pools.get(target.address);
     if (held !== undefined) return held;
     const created = createPools(
--- a/src/connection/directory_pull.ts
+++ b/src/connection/directory_pull.ts
@@ -1,7 +1,8 @@
-/** Passes the directory between routers over gRPC. */
+/** Passes the directory and held parts between routers over gRPC. */
 
 import {
   credentials,
+  Metadata,
   type sendUnaryData,
   Server,
   ServerCredentials,
@@ -12,7 +13,10 @@
   PeerServiceService,
   type PullDirectoryRequest,
   type PullDirectoryResponse,
+  type PullHeldPartsRequest,
+  type PullHeldPartsResponse,
 } from "../generated/mimosatray/v1/peer.ts";
+import type { HeldPart } from "../process/direct/held_parts.ts";
 import type { SocketAddress } from "../types/direct_settings.ts";
 import type { WatchEvent } from "../types/platform.ts";
 
@@ -27,9 +31,22 @@
   "grpc.max_send_message_length": maxMessageBytes,
 };
 
-/** Serves the directory to peers; returns how to end that. */
-export async function serveDirectory(
-  host: { getSince(revision: number): readonly WatchEvent[] },
+/** What a router knows of the parts that targets hold. */
+export interface HeldPartsCopy {
+  readonly parts: readonly HeldPart[];
+  /** False while the router itself recovers from a restart. */
+  readonly isSettled: boolean;
+}
+
+/** What is served to peers. */
+export interface PullHost {
+  getSince(revision: number): readonly WatchEvent[];
+  getHeldParts(): HeldPartsCopy;
+}
+
+/** Serves pulls of peers; returns how to end that. */
+export async function servePulls(
+  host: PullHost,
   { address, port }: SocketAddress,
 ): Promise<() => void> {
   const server = new Server(channelOptions);
@@ -41,6 +58,18 @@
       const changes = host.getSince(call.request.afterRevision);
       reply(null, { changes: [...changes] });
     },
+    pullHeldParts: (
+      _call: ServerUnaryCall<PullHeldPartsRequest, PullHeldPartsResponse>,
+      reply: sendUnaryData<PullHeldPartsResponse>,
+    ) => {
+      const { parts, isSettled } = host.getHeldParts();
+      const heldParts = parts.map(({ target, part }) => ({
+        target,
+        part: part.id,
+        tokens: part.tokens,
+      }));
+      reply(null, { heldParts, isSettled });
+    },
   });
   await new Promise<void>((resolve, reject) => {
     server.bindAsync(
@@ -53,27 +82,70 @@
 }
 
 /** Pulls what a peer knows beyond a revision; rejects when it is silent. */
-export function pullDirectory(
-  { address, port }: SocketAddress,
+export async function pullDirectory(
+  peer: SocketAddress,
   afterRevision: number,
 ): Promise<readonly WatchEvent[]> {
+  const response = await call<PullDirectoryResponse>(
+    peer,
+    (client, options, reply) =>
+      client.pullDirectory(
+        { afterRevision },
+        new Metadata(),
+        options,
+        reply,
+      ),
+  );
+  return response.changes.map(({ key, value, revision }) => ({
+    key,
+    value,
+    revision,
+  }));
+}
+
+/** Pulls the parts that a peer knows to be held; rejects when it is silent. */
+export async function pullHeldParts(
+  peer: SocketAddress,
+): Promise<HeldPartsCopy> {
+  const { heldParts, isSettled } = await call<PullHeldPartsResponse>(
+    peer,
+    (client, options, reply) =>
+      client.pullHeldParts(
+        {},
+        new Metadata(),
+        options,
+        reply,
+      ),
+  );
+  const parts = heldParts.map(({ target, part, tokens }) => ({
+    target,
+    part: { id: part, tokens },
+  }));
+  return { parts, isSettled };
+}
+
+type CallOptions = { readonly deadline: number };
+type CallReply<T> = (error: Error | null, response: T) => void;
+
+/** Makes one call over a channel of its own. */
+function call<T>(
+  { address, port }: SocketAddress,
+  start: (
+    client: PeerServiceClient,
+    options: CallOptions,
+    reply: CallReply<T>,
+  ) => void,
+): Promise<T> {
   const client = new PeerServiceClient(
     `${address}:${port}`,
     credentials.createInsecure(),
     channelOptions,
   );
-  return new Promise<readonly WatchEvent[]>((resolve, reject) => {
-    const deadline = Date.now() + pullTimeoutMs;
-    client.pullDirectory({ afterRevision }, { deadline } as never, (
-      error: Error | null,
-      response: PullDirectoryResponse,
-    ) => {
-      if (error !== null) return reject(error);
-      resolve(response.changes.map(({ key, value, revision }) => ({
-        key,
-        value,
-        revision,
-      })));
+  return new Promise<T>((resolve, reject) => {
+    const options = { deadline: Date.now() + pullTimeoutMs };
+    start(client, options, (error, response) => {
+      if (error === null) resolve(response);
+      else reject(error);
     });
   }).finally(() => client.close());
 }
--- a/src/platform/target_wire.ts
+++ b/src/platform/target_wire.ts
@@ -2,8 +2,10 @@
 
 import type { TargetWire } from "../connection/direct_client.ts";
 import type { DirectCall, ToldLoad } from "../types/direct_calls.ts";
+import type { PromptPart } from "../types/prompt.ts";
 import type { Header } from "../types/work.ts";
-import { headerNames } from "./wire_names.ts";
+import { getList, tryGetFields } from "./fields.ts";
+import { cachedPartsPath, headerNames } from "./wire_names.ts";
 
 /** Headers of an answer that belong to its connection. */
 const connectionHeaders: ReadonlySet<string> = new Set([
@@ -24,6 +26,8 @@
 export const targetWire: TargetWire = {
   encodeHeaders,
   decodeHead,
+  partsPath: cachedPartsPath,
+  decodeParts,
 };
 
 function encodeHeaders(call: DirectCall): string[] {
@@ -89,3 +93,14 @@
   }
   return { running, waiting, slots };
 }
+
+/** Each row holds an empty text, the part's id, its tokens and the model. */
+function decodeParts(body: string): readonly PromptPart[] {
+  const { held } = tryGetFields(JSON.parse(body)) ?? {};
+  return getList(held).flatMap((row) => {
+    const [, id, tokens] = getList(row);
+    return typeof id === "string" && typeof tokens === "number"
+      ? [{ id, tokens }]
+      : [];
+  });
+}
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -56,6 +56,9 @@
   write: "/-/kv-txn",
 } as const;
 
+/** Path at a model engine that lists the parts in its cache. */
+export const cachedPartsPath = "/-/kv-list";
+
 /** Path of the readiness check. */
 export const readinessPath = "/-/readyz";
 
--- /dev/null
+++ b/src/process/direct/cache_recovery.ts
@@ -0,0 +1,107 @@
+/**
+ * Learns again what engines hold after this router has missed it.
+ *
+ * Load pattern: routers restart, one by one or all together, while chats go on;
+ * what is not known to be held would be read again elsewhere, all at once. A
+ * peer that has kept its knowledge is asked first. Where none has, each router
+ * asks some of the engines, so that every engine is asked by one router, and
+ * tells the others.
+ */
+
+import type { DirectTarget, RouterPeer } from "../../types/direct_target.ts";
+import type { PromptPart } from "../../types/prompt.ts";
+import type { Log } from "../log.ts";
+import type { Placement } from "../placement.ts";
+import type { HeldPart } from "./held_parts.ts";
+
+/** What recovery needs from outside. */
+export interface CacheRecoveryHost {
+  readonly placement: Placement;
+  readonly log: Log;
+  getPeers(): readonly RouterPeer[];
+  /** Engines of all services that may receive work. */
+  getEngines(): readonly DirectTarget[];
+  /** What a peer knows; undefined when it is silent or has not recovered. */
+  tryPull(peer: RouterPeer): Promise<readonly HeldPart[] | undefined>;
+  tryListParts(
+    target: DirectTarget,
+  ): Promise<readonly PromptPart[] | undefined>;
+  /** Takes what a peer knows. */
+  takeParts(parts: readonly HeldPart[]): void;
+  /** Takes what an engine holds; peers are to be told. */
+  noteParts(target: string, parts: readonly PromptPart[]): void;
+}
+
+/** Peers that are asked at once. */
+const maxPeersAsked = 3;
+
+/**
+ * Time after which what was learned from engines counts as whole, in ms: the
+ * routers that started together have told their shares by then.
+ */
+const shareMs = 1_500;
+
+/** Weight of each router when engines are dealt out; all are alike. */
+const routerWeight = 100;
+
+/** The recovery of one process. */
+export interface CacheRecovery {
+  /** Runs once the directory is known. */
+  recover(selfId: string): Promise<void>;
+  /** True once there is nothing left to recover. */
+  isSettled(): boolean;
+}
+
+/** Creates a recovery that has not run. */
+export function createCacheRecovery(host: CacheRecoveryHost): CacheRecovery {
+  let settledAt = Number.POSITIVE_INFINITY;
+
+  return { recover, isSettled: () => performance.now() >= settledAt };
+
+  async function recover(selfId: string): Promise<void> {
+    const peers = host.getPeers().filter(({ id }) => id !== selfId);
+    const copy = await tryPullFromPeers(peers);
+    if (copy !== undefined) {
+      host.takeParts(copy);
+      settledAt = performance.now();
+      host.log.info("Held parts were pulled", { parts: copy.length });
+    } else {
+      await askEngines(selfId);
+      settledAt = performance.now() + shareMs;
+    }
+  }
+
+  async function tryPullFromPeers(
+    peers: readonly RouterPeer[],
+  ): Promise<readonly HeldPart[] | undefined> {
+    const asked = host.placement.rankTargets(
+      "recovery",
+      peers.map((peer) => ({ id: peer.id, weight: routerWeight, peer })),
+      { limit: maxPeersAsked },
+    );
+    const copies = await Promise.all(
+      asked.map(({ peer }) => host.tryPull(peer)),
+    );
+    return copies.find((copy) => copy !== undefined);
+  }
+
+  async function askEngines(selfId: string): Promise<void> {
+    const routers = host.getPeers().map(({ id }) => ({
+      id,
+      weight: routerWeight,
+    }));
+    const own = host.getEngines().filter(({ id }) => {
+      const [asker] = host.placement.rankTargets(id, routers, { limit: 1 });
+      return asker === undefined || asker.id === selfId;
+    });
+    await Promise.all(own.map(async (target) => {
+      const parts = await host.tryListParts(target);
+      if (parts === undefined) return;
+      host.noteParts(target.id, parts);
+      host.log.info("Engine told its cache", {
+        target: target.id,
+        parts: parts.length,
+      });
+    }));
+  }
+}
--- a/src/process/direct/directory_sync.ts
+++ b/src/process/direct/directory_sync.ts
@@ -31,6 +31,8 @@
   takeFromPeer(changes: readonly WatchEvent[]): void;
   /** True while the last call to the store was answered. */
   isConnected(): boolean;
+  /** True when the last call to the store has failed. */
+  hasFailed(): boolean;
   /** End of the last outage, on the steady clock; see `minOutageMs`. */
   getOutageEndedAt(): number;
   /** Time since the store last answered, in milliseconds. */
@@ -70,6 +72,7 @@
     takeFromPeer: (changes) =>
       notify(host.replica.applyChanges(changes), "peer"),
     isConnected: () => isConnected,
+    hasFailed: () => failures > 0,
     getOutageEndedAt: () => outageEndedAt,
     getAgeMs: () => performance.now() - answeredAt,
   };
--- a/src/process/direct/held_parts.ts
+++ b/src/process/direct/held_parts.ts
@@ -8,6 +8,12 @@
 /** Parts that are remembered; the part used longest ago goes first. */
 const maxParts = 20_000;
 
+/** A part that a target holds. */
+export interface HeldPart {
+  readonly target: string;
+  readonly part: PromptPart;
+}
+
 /** Parts of prompts by target. */
 export interface HeldParts {
   /** A target has read, or is reading, all these parts. */
@@ -18,30 +24,38 @@
   getHeldTokens(target: string, parts: readonly PromptPart[]): number;
   /** True when the target is known to hold the part. */
   isHeld(target: string, part: string): boolean;
+  /** All that is known, the part used last at the end. */
+  getAll(): readonly HeldPart[];
   /** The target is gone or has restarted empty. */
   forgetTarget(target: string): void;
   getSize(): number;
 }
 
+interface Holders {
+  readonly tokens: number;
+  readonly targets: Set<string>;
+}
+
 /** Creates an empty memory. */
 export function createHeldParts(): HeldParts {
   /** Targets by part, the part used last at the end. */
-  const holders = new Map<string, Set<string>>();
+  const holders = new Map<string, Holders>();
 
   return {
     note: (target, parts) => parts.forEach((part) => notePart(target, part)),
     notePart,
     getHeldTokens,
     isHeld,
+    getAll,
     forgetTarget,
     getSize: () => holders.size,
   };
 
-  function notePart(target: string, { id }: PromptPart): void {
-    const held = holders.get(id) ?? new Set();
-    held.add(target);
+  function notePart(target: string, { id, tokens }: PromptPart): void {
+    const targets = holders.get(id)?.targets ?? new Set();
+    targets.add(target);
     holders.delete(id);
-    holders.set(id, held);
+    holders.set(id, { tokens, targets });
     if (holders.size <= maxParts) return;
     const [oldest] = holders.keys();
     if (oldest !== undefined) holders.delete(oldest);
@@ -60,11 +74,17 @@
   }
 
   function isHeld(target: string, part: string): boolean {
-    return holders.get(part)?.has(target) ?? false;
+    return holders.get(part)?.targets.has(target) ?? false;
+  }
+
+  function getAll(): readonly HeldPart[] {
+    return [...holders].flatMap(([id, { tokens, targets }]) =>
+      [...targets].map((target) => ({ target, part: { id, tokens } }))
+    );
   }
 
   function forgetTarget(target: string): void {
-    holders.forEach((targets, part) => {
+    holders.forEach(({ targets }, part) => {
       targets.delete(target);
       if (targets.size === 0) holders.delete(part);
     });
--- a/src/process/direct/peer_digests.ts
+++ b/src/process/direct/peer_digests.ts
@@ -7,14 +7,14 @@
   PeerDigest,
   type TargetLoadReport,
 } from "../../generated/mimosatray/v1/peer.ts";
-import type { PromptPart } from "../../types/prompt.ts";
+import type { HeldPart } from "./held_parts.ts";
 import type { TargetLoad } from "./load_view.ts";
 
 /** Largest datagram, so that no path breaks it into fragments. */
 export const maxDigestBytes = 1_300;
 
 /** Parts told in one datagram; the rest follows in the next. */
-const maxPartsTold = 12;
+const maxPartsTold = 20;
 
 /** Parts that wait to be told; the oldest goes first. */
 const maxPartsWaiting = 400;
@@ -22,24 +22,18 @@
 /** Digests that tell the same part, as some datagrams are lost. */
 const tellings = 2;
 
-/** A target that has been sent a part. */
-export interface PartNews {
-  readonly target: string;
-  readonly part: PromptPart;
-}
-
 /** What a peer has told. */
 export interface DigestNews {
   readonly sender: string;
   readonly directoryRevision: number;
   readonly loads: ReadonlyMap<string, TargetLoad>;
-  readonly parts: readonly PartNews[];
+  readonly parts: readonly HeldPart[];
 }
 
 /** The digests that one process sends. */
 export interface DigestWriter {
   /** The parts are told with the next digests. */
-  notePart(news: PartNews): void;
+  notePart(news: HeldPart): void;
   /** True when there is something that peers should hear soon. */
   hasNews(): boolean;
   /** Builds the next datagram. */
@@ -51,11 +45,11 @@
 
 /** Creates the writer of a process. */
 export function createDigestWriter(sender: string): DigestWriter {
-  let waiting: { readonly news: PartNews; readonly timesLeft: number }[] = [];
+  let waiting: { readonly news: HeldPart; readonly timesLeft: number }[] = [];
 
   return { notePart, hasNews: () => waiting.length > 0, write };
 
-  function notePart(news: PartNews): void {
+  function notePart(news: HeldPart): void {
     waiting.push({ news, timesLeft: tellings });
     if (waiting.length > maxPartsWaiting) waiting.shift();
   }
--- a/src/process/direct/prefix_placement.ts
+++ b/src/process/direct/prefix_placement.ts
@@ -23,6 +23,12 @@
   readonly heldTokens: number;
 }
 
+/** An engine that takes no new work but still has its cache. */
+export interface LeavingHolder {
+  readonly target: DirectTarget;
+  readonly heldTokens: number;
+}
+
 /** What is to be placed. */
 export interface PlacementRequest {
   /** Tokens of the parts that other requests share. */
@@ -31,6 +37,8 @@
   readonly zone: string;
   /** No engine takes work above this multiple of the mean. */
   readonly loadMultiple: number;
+  /** Engines that are leaving; they can still be copied from. */
+  readonly leaving: readonly LeavingHolder[];
 }
 
 /** Where a request goes. */
@@ -85,7 +93,10 @@
 ): PlacementChoice | undefined {
   const mean = getMeanLoad(candidates);
   const bound = request.loadMultiple * multipleInUse * mean + loadSlack;
-  const best = Math.max(0, ...candidates.map(({ heldTokens }) => heldTokens));
+  const best = Math.max(
+    0,
+    ...[...candidates, ...request.leaving].map(({ heldTokens }) => heldTokens),
+  );
   const allowed = candidates.filter(({ load }) => load + 1 <= bound);
   const open = allowed.length > 0 ? allowed : getLightest(candidates);
   let chosen: EngineCandidate | undefined;
@@ -123,7 +134,10 @@
   function tryGetSource(taken: EngineCandidate): DirectTarget | undefined {
     if (best - taken.heldTokens < minCopiedTokens) return undefined;
     const holders = candidates.filter(({ heldTokens }) => heldTokens === best);
-    return getLightest(holders)[0]?.target;
+    const leaving = request.leaving.find(({ heldTokens }) =>
+      heldTokens === best
+    );
+    return (getLightest(holders)[0] ?? leaving)?.target;
   }
 }
 
--- a/src/process/direct/target_table.ts
+++ b/src/process/direct/target_table.ts
@@ -15,6 +15,10 @@
   remove(id: string, usableUntil: number): void;
   /** Targets of a service that may receive new work, in order of id. */
   getReady(service: string): readonly DirectTarget[];
+  /** Targets of all services that are registered and ready. */
+  getAllReady(): readonly DirectTarget[];
+  /** Targets that take no new work but may still answer for a while. */
+  getLeaving(service: string): readonly DirectTarget[];
   /** A target that is known, whatever its state. */
   tryGet(id: string): DirectTarget | undefined;
   /** Addresses of all targets that are known. */
@@ -32,11 +36,26 @@
 /** Time that a removed target is remembered for running streams, in ms. */
 const rememberMs = 10_000;
 
+/**
+ * Time for which a target whose entry has gone is still expected to answer, in
+ * milliseconds; targets serve on for some seconds after they leave.
+ */
+const lingerMs = 1_500;
+
 /** Creates an empty table. */
 export function createTargetTable(): TargetTable {
   const places = new Map<string, Place>();
 
-  return { put, remove, getReady, tryGet, getAddresses, getCounts };
+  return {
+    put,
+    remove,
+    getReady,
+    getAllReady,
+    getLeaving,
+    tryGet,
+    getAddresses,
+    getCounts,
+  };
 
   function put(target: DirectTarget): boolean {
     const held = places.get(target.id)?.target;
@@ -63,6 +82,26 @@
     return ready.sort((left, right) => (left.id < right.id ? -1 : 1));
   }
 
+  function getAllReady(): readonly DirectTarget[] {
+    return [...places.values()]
+      .filter(({ target, usableUntil }) =>
+        target.state === "ready" && usableUntil === undefined
+      )
+      .map(({ target }) => target);
+  }
+
+  function getLeaving(service: string): readonly DirectTarget[] {
+    const now = performance.now();
+    return [...places.values()]
+      .filter(({ target, usableUntil }) =>
+        target.service === service &&
+        (usableUntil === undefined
+          ? target.state === "draining"
+          : usableUntil <= now && now < usableUntil + lingerMs)
+      )
+      .map(({ target }) => target);
+  }
+
   function tryGet(id: string): DirectTarget | undefined {
     return places.get(id)?.target;
   }
--- a/src/request/direct_choice.ts
+++ b/src/request/direct_choice.ts
@@ -15,7 +15,7 @@
 
 /** What choosing needs from the process. */
 export interface ChoiceHost {
-  readonly targets: Pick<TargetTable, "getReady">;
+  readonly targets: Pick<TargetTable, "getReady" | "getLeaving">;
   readonly health: Pick<TargetHealth, "getUsable" | "isAside">;
   readonly loads: Pick<LoadView, "getLoad">;
   readonly held: Pick<HeldParts, "getHeldTokens">;
@@ -94,6 +94,12 @@
     sharedTokens: shared.reduce((sum, { tokens }) => sum + tokens, 0),
     zone: host.zone,
     loadMultiple: host.loadMultiple,
+    leaving: host.targets.getLeaving(request.service)
+      .filter(({ id }) => !host.health.isAside(id))
+      .map((target) => ({
+        target,
+        heldTokens: host.held.getHeldTokens(target.id, shared),
+      })),
   }, candidates);
   return chosen && { ...chosen, candidates: candidates.length };
 }
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -109,6 +109,7 @@
   /** Targets that may have run the request. */
   let runs = 0;
   let target = "";
+  let decision: RequestSummary["decision"];
   let lastFailure: DiagnosticCode | undefined;
   let lastRefusal: DiagnosticCode = "no_target";
 
@@ -117,7 +118,7 @@
     const end = await tryTargets();
     if (end.outcome === "done") answer.finish();
     reply.end(end);
-    return { end, target, tries: sends };
+    return { end, target, tries: sends, decision };
   } finally {
     stop.clear();
   }
@@ -181,9 +182,11 @@
   }
 
   /** Counts the load of one try and watches for silence. */
-  function createAttempt({ target: taken, heldTokens }: DirectChoice) {
+  function createAttempt(choice: DirectChoice) {
+    const { target: taken, heldTokens } = choice;
     tried.add(taken.id);
     target = taken.id;
+    decision = describeChoice(choice, request);
     sends++;
     const { prompt } = request;
     if (prompt !== undefined) {
@@ -372,9 +375,7 @@
       request: request.requestId,
       service,
       target: choice.target.id,
-      candidates: choice.candidates,
-      load: choice.load,
-      heldTokens: choice.heldTokens,
+      ...describeChoice(choice, request),
       result: result.kind,
       reason: "reason" in result ? result.reason : undefined,
       verdict: end.kind,
@@ -383,3 +384,20 @@
     });
   }
 }
+
+/** The inputs that decided for a target. */
+function describeChoice(
+  { candidates, load, heldTokens, fetchFrom }: DirectChoice,
+  { prompt }: DirectRequest,
+): Readonly<Record<string, string | number>> {
+  if (prompt === undefined) return { candidates, load };
+  const shared = getSharedParts(prompt.parts);
+  return {
+    candidates,
+    load,
+    part: shared.at(-1)?.id ?? "",
+    sharedTokens: shared.reduce((sum, { tokens }) => sum + tokens, 0),
+    heldTokens,
+    ...(fetchFrom === undefined ? {} : { fetchFrom: fetchFrom.id }),
+  };
+}
--- a/src/request/request_host.ts
+++ b/src/request/request_host.ts
@@ -39,4 +39,6 @@
   readonly target: string;
   /** Attempts that were made. */
   readonly tries: number;
+  /** What decided for the last target, for the log. */
+  readonly decision?: Readonly<Record<string, string | number>>;
 }
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -42,7 +42,14 @@
 const maxInFlight = 3_000;
 
 /** Time to come back for a caller that a router cannot serve now, in ms. */
-const comeBackMs = { starting: 400, busy: 800, stopping: 50 } as const;
+const comeBackMs = {
+  /** The first listing takes a few round trips. */
+  starting: 150,
+  /** The store is away; callers cap it by their own deadlines. */
+  storeAway: { least: 1_000, spread: 3_000 },
+  busy: 800,
+  stopping: 50,
+} as const;
 
 /**
  * Part of the grace in which requests on open connections are still served;
@@ -108,14 +115,16 @@
 
   const calls = createDirectClient({
     wire: host.wire,
+    log,
     getMaxConnections: (service) => {
       const limit = matcher?.table.services.get(service)?.maxConnections ?? 1;
       return Math.max(1, Math.floor(limit / directory.getRouters()));
     },
   });
+  const placement = createPlacement(await loadPlacementHost());
   const directory = await createDirectory({
     ...{ settings, store: host.store, log, metrics },
-    ...{ targets, health, held, loads },
+    ...{ targets, health, held, loads, placement, calls },
     noteTable: (table) => {
       const isFirst = matcher === undefined;
       matcher = createRouteMatcher(table);
@@ -129,8 +138,7 @@
     noteTargets: () => calls.retain(targets.getAddresses()),
   });
   const requestHost = {
-    ...{ calls, targets, health, loads, log },
-    placement: createPlacement(await loadPlacementHost()),
+    ...{ calls, targets, health, loads, placement, log },
     held: { getHeldTokens: held.getHeldTokens, note: directory.noteParts },
     retries: createRetryShare(directory, settings.retries),
     zone: settings.zone,
@@ -160,24 +168,27 @@
         retryAfterMs: comeBackMs.stopping,
       });
     }
-    if (matcher === undefined) {
-      return createReport("router_starting", {}, {
-        retryAfterMs: comeBackMs.starting,
-      });
-    }
+    if (matcher === undefined) return createStartingReport();
     if (inFlight >= maxInFlight) {
       return createReport("router_busy", {}, { retryAfterMs: comeBackMs.busy });
     }
     return undefined;
   }
 
+  /** Callers come back spread over the time that an outage may last. */
+  function createStartingReport(): Report {
+    const { least, spread } = comeBackMs.storeAway;
+    return createReport("router_starting", {}, {
+      retryAfterMs: directory.isStoreAway()
+        ? least + Math.random() * spread
+        : comeBackMs.starting,
+    });
+  }
+
   async function handle(request: FrontRequest, reply: Reply): Promise<void> {
     const current = matcher;
     if (current === undefined) {
-      const report = createReport("router_starting", {}, {
-        retryAfterMs: comeBackMs.starting,
-      });
-      return rejectRequest(request, { report, reply });
+      return rejectRequest(request, { report: createStartingReport(), reply });
     }
     const { version } = current.table;
     await current.match(request).caseOf({
@@ -226,7 +237,7 @@
 
   function noteEnd(
     request: DirectRequest,
-    { end, target, tries }: RequestSummary,
+    { end, target, tries, decision }: RequestSummary,
     measured: ReturnType<typeof createMeasuredReply>,
   ): void {
     const code = end.report?.code ?? "done";
@@ -247,6 +258,7 @@
       code,
       target,
       tries,
+      ...decision,
       version: request.tableVersion,
       directoryAgeMs: Math.round(directory.getAgeMs()),
       firstByteMs: firstByteMs && Math.round(firstByteMs),
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -7,8 +7,9 @@
 import type { Endpoint } from "../process/exchange.ts";
 import type { DirectoryReplica } from "../process/direct/directory_replica.ts";
 import { createDirectoryReplica } from "../process/direct/directory_replica.ts";
+import { createCacheRecovery } from "../process/direct/cache_recovery.ts";
 import { createDirectorySync } from "../process/direct/directory_sync.ts";
-import type { HeldParts } from "../process/direct/held_parts.ts";
+import type { HeldPart, HeldParts } from "../process/direct/held_parts.ts";
 import type { LoadView } from "../process/direct/load_view.ts";
 import {
   createDigestWriter,
@@ -19,11 +20,13 @@
 import type { TargetTable } from "../process/direct/target_table.ts";
 import type { Log } from "../process/log.ts";
 import type { Metrics } from "../process/metrics.ts";
+import type { Placement } from "../process/placement.ts";
+import type { DirectCalls } from "../types/direct_calls.ts";
 import type {
   DirectSettings,
   SocketAddress,
 } from "../types/direct_settings.ts";
-import type { RouterPeer } from "../types/direct_target.ts";
+import type { DirectTarget, RouterPeer } from "../types/direct_target.ts";
 import type { DirectoryStore } from "../types/directory.ts";
 import type { WatchEvent } from "../types/platform.ts";
 import type { PromptPart } from "../types/prompt.ts";
@@ -39,6 +42,9 @@
 /** Time for which a peer may be ahead before its copy is pulled, in ms. */
 const behindMs = 500;
 
+/** Silence of a peer after which news may have been missed, in ms. */
+const silentMs = 1_500;
+
 /** Pause between pulls, in milliseconds. */
 const pullPauseMs = 400;
 
@@ -58,6 +64,8 @@
   /** A newer version of the configuration is in force. */
   noteTable(table: RouteTable): void;
   noteTargets(): void;
+  readonly calls: Pick<DirectCalls, "tryListParts">;
+  readonly placement: Placement;
 }
 
 /** The directory of one process. */
@@ -70,6 +78,8 @@
   getRouters(): number;
   /** Time since the store last answered, in milliseconds. */
   getAgeMs(): number;
+  /** True when the last call to the store has failed. */
+  isStoreAway(): boolean;
   dump(): Dump;
 }
 
@@ -88,6 +98,7 @@
     pullPort: settings.pull.port,
   };
   let version = 0;
+  let engineServices: ReadonlySet<string> = new Set();
   let isStopped = false;
   let isPulling = false;
   let nextSeed = 0;
@@ -101,6 +112,20 @@
     noteChanges,
     countCall: (call) => metrics.count("store_calls_total", { call }),
   });
+  const recovery = createCacheRecovery({
+    log,
+    placement: host.placement,
+    getPeers: () => [...routers.values()],
+    getEngines: () => targets.getAllReady().filter(isEngine),
+    tryPull,
+    tryListParts: host.calls.tryListParts,
+    takeParts: (parts) =>
+      parts.forEach(({ target, part }) => host.held.notePart(target, part)),
+    noteParts,
+  });
+  let isRecovering = false;
+  /** Moments at which peers were last heard. */
+  const heardAt = new Map<string, number>();
   const socket = createGossipSocket({
     receive: (bytes, from) => {
       const news = tryReadDigest(bytes);
@@ -120,6 +145,7 @@
     noteParts,
     getRouters: () => Math.max(1, routers.size),
     getAgeMs: sync.getAgeMs,
+    isStoreAway: sync.hasFailed,
     dump,
   };
 
@@ -132,10 +158,16 @@
   /** Loads the RPC library only when the router already serves. */
   async function servePulls(): Promise<void> {
     try {
-      const { serveDirectory } = await import(
+      const { servePulls: serve } = await import(
         "../connection/directory_pull.ts"
       );
-      endPulls = await serveDirectory(replica, settings.pull);
+      endPulls = await serve({
+        getSince: replica.getSince,
+        getHeldParts: () => ({
+          parts: host.held.getAll(),
+          isSettled: recovery.isSettled(),
+        }),
+      }, settings.pull);
     } catch (error) {
       log.error("Peers cannot pull from this router", {
         reason: String(error),
@@ -169,6 +201,9 @@
     changes.forEach((change) => noteChange(change, source));
     behindSince = undefined;
     host.noteTargets();
+    if (isRecovering || version === 0) return;
+    isRecovering = true;
+    void recovery.recover(self.id);
   }
 
   function noteChange(change: WatchEvent, source: string): void {
@@ -215,6 +250,11 @@
       });
     }
     version = table.version;
+    engineServices = new Set(
+      [...table.services.values()]
+        .filter(({ engine }) => engine !== undefined)
+        .map(({ name }) => name),
+    );
     log.info("Configuration is in force", {
       ...{ version, revision, source },
       routes: table.routes.length,
@@ -276,6 +316,7 @@
   function takeDigest(news: DigestNews, from: Endpoint): void {
     if (news.sender === self.id) return;
     host.loads.takeReport(news.sender, news.loads);
+    noteHeard(news.sender);
     news.parts.forEach(({ target, part }) => host.held.notePart(target, part));
     if (news.directoryRevision <= replica.getNewestRevision()) return;
     const now = performance.now();
@@ -284,6 +325,42 @@
     void pull({ address: from.address, port: settings.pull.port });
   }
 
+  /** What a peer has told while it was not heard is pulled from it. */
+  function noteHeard(sender: string): void {
+    const now = performance.now();
+    const before = heardAt.get(sender);
+    heardAt.set(sender, now);
+    if (before === undefined || now - before < silentMs) return;
+    const peer = routers.get(sender);
+    if (peer === undefined) return;
+    void tryPull(peer).then((parts) =>
+      parts?.forEach(({ target, part }) => host.held.notePart(target, part))
+    );
+  }
+
+  async function tryPull(
+    peer: RouterPeer,
+  ): Promise<readonly HeldPart[] | undefined> {
+    try {
+      const { pullHeldParts } = await import("../connection/directory_pull.ts");
+      const { parts, isSettled } = await pullHeldParts({
+        address: peer.address,
+        port: peer.pullPort,
+      });
+      return isSettled ? parts : undefined;
+    } catch (error) {
+      log.warn("Peer gave no copy of held parts", {
+        peer: peer.id,
+        reason: error instanceof Error ? error.message : String(error),
+      });
+      return undefined;
+    }
+  }
+
+  function isEngine({ service }: DirectTarget): boolean {
+    return engineServices.has(service);
+  }
+
   function pullFromSeed(): void {
     const seeds = settings.seeds.filter(({ address }) =>
       address !== self.address
--- a/src/types/direct_calls.ts
+++ b/src/types/direct_calls.ts
@@ -1,6 +1,7 @@
 /** Calls that a router makes to targets without an agent, as a narrow host. */
 
 import type { DirectTarget } from "./direct_target.ts";
+import type { PromptPart } from "./prompt.ts";
 import type { Header } from "./work.ts";
 
 /** One try of one request at one target. */
@@ -73,4 +74,11 @@
 /** Calls to targets. */
 export interface DirectCalls {
   send(call: DirectCall): Promise<DirectResult>;
+  /**
+   * Asks an engine for the parts in its cache. The call costs the engine time;
+   * undefined when it gave no list.
+   */
+  tryListParts(
+    target: DirectTarget,
+  ): Promise<readonly PromptPart[] | undefined>;
 }
