Recover held parts after restarts; requests wait for the first configuration

Cause: a restarted router knew neither what engines hold nor, while the store was away, any configuration; parts were read again elsewhere and callers with no try left were refused.

--- a/src/process/direct/cache_recovery.ts
+++ b/src/process/direct/cache_recovery.ts
@@ -41,6 +41,12 @@
  */
 const shareMs = 1_500;
 
+/** Time in which the other routers tell their shares, in milliseconds. */
+const tellMs = 150;
+
+/** Longest time for which requests wait for a recovery, in milliseconds. */
+const longestWaitMs = 500;
+
 /** Weight of each router when engines are dealt out; all are alike. */
 const routerWeight = 100;
 
@@ -50,15 +56,30 @@
   recover(selfId: string): Promise<void>;
   /** True once there is nothing left to recover. */
   isSettled(): boolean;
+  /** Resolves when placing by what is held makes sense; soon in any case. */
+  wait(): Promise<void>;
 }
 
 /** Creates a recovery that has not run. */
 export function createCacheRecovery(host: CacheRecoveryHost): CacheRecovery {
   let settledAt = Number.POSITIVE_INFINITY;
+  let recovering: Promise<void> | undefined;
 
-  return { recover, isSettled: () => performance.now() >= settledAt };
+  return {
+    recover,
+    isSettled: () => performance.now() >= settledAt,
+    wait: () => recovering ?? Promise.resolve(),
+  };
 
-  async function recover(selfId: string): Promise<void> {
+  function recover(selfId: string): Promise<void> {
+    const pulled = recoverOnce(selfId);
+    recovering = Promise.race([pulled, sleep(longestWaitMs)]).then(() => {
+      recovering = undefined;
+    });
+    return pulled;
+  }
+
+  async function recoverOnce(selfId: string): Promise<void> {
     const peers = host.getPeers().filter(({ id }) => id !== selfId);
     const copy = await tryPullFromPeers(peers);
     if (copy !== undefined) {
@@ -68,6 +89,7 @@
     } else {
       await askEngines(selfId);
       settledAt = performance.now() + shareMs;
+      await sleep(tellMs);
     }
   }
 
@@ -105,3 +127,9 @@
     }));
   }
 }
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms).unref();
+  });
+}
--- a/src/process/direct/prefix_placement.ts
+++ b/src/process/direct/prefix_placement.ts
@@ -63,7 +63,7 @@
 /** Costs, in milliseconds of an engine's time. */
 const costs = {
   /** Reading one token: its prefill and what that holds up beside it. */
-  readToken: 0.08,
+  readToken: 0.1,
   /** Copying one token: transfer and the link that it occupies. */
   copyToken: 0.01,
   /** Each request that runs there slows the others' tokens. */
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -46,11 +46,18 @@
   /** The first listing takes a few round trips. */
   starting: 150,
   /** The store is away; callers cap it by their own deadlines. */
-  storeAway: { least: 1_000, spread: 3_000 },
+  storeAway: { least: 500, spread: 1_500 },
   busy: 800,
   stopping: 50,
 } as const;
 
+/**
+ * Bounds on the wait of a request for the first configuration. A restarted
+ * router mostly has it within a few round trips, and a caller that is refused
+ * may have no try left.
+ */
+const firstTableWait = { partOfDeadline: 0.2, mostMs: 1_000 } as const;
+
 /**
  * Part of the grace in which requests on open connections are still served;
  * what follows is the time of the longest usual answer.
@@ -112,6 +119,8 @@
   let stopping: Promise<StopResult> | undefined;
   let isRefusing = false;
   let inFlight = 0;
+  /** Requests that wait for the first configuration. */
+  const waiting = new Set<() => void>();
 
   const calls = createDirectClient({
     wire: host.wire,
@@ -128,6 +137,7 @@
     noteTable: (table) => {
       const isFirst = matcher === undefined;
       matcher = createRouteMatcher(table);
+      waiting.forEach((finish) => finish());
       if (isFirst) {
         log.info("Router is ready", {
           version: table.version,
@@ -168,13 +178,31 @@
         retryAfterMs: comeBackMs.stopping,
       });
     }
-    if (matcher === undefined) return createStartingReport();
-    if (inFlight >= maxInFlight) {
+    if (inFlight + waiting.size >= maxInFlight) {
       return createReport("router_busy", {}, { retryAfterMs: comeBackMs.busy });
     }
     return undefined;
   }
 
+  /** Undefined when no configuration has come in the request's time. */
+  function waitForTable(
+    { deadlineMs = usualDeadlineMs }: FrontRequest,
+  ): Promise<RouteMatcher | undefined> {
+    const { partOfDeadline, mostMs } = firstTableWait;
+    return new Promise((resolve) => {
+      const finish = (): void => {
+        clearTimeout(timer);
+        waiting.delete(finish);
+        resolve(matcher);
+      };
+      const timer = setTimeout(
+        finish,
+        Math.min(mostMs, deadlineMs * partOfDeadline),
+      );
+      waiting.add(finish);
+    });
+  }
+
   /** Callers come back spread over the time that an outage may last. */
   function createStartingReport(): Report {
     const { least, spread } = comeBackMs.storeAway;
@@ -186,10 +214,11 @@
   }
 
   async function handle(request: FrontRequest, reply: Reply): Promise<void> {
-    const current = matcher;
+    const current = matcher ?? await waitForTable(request);
     if (current === undefined) {
       return rejectRequest(request, { report: createStartingReport(), reply });
     }
+    if (request.prompt !== undefined) await directory.waitForCaches();
     const { version } = current.table;
     await current.match(request).caseOf({
       Left: (report) => {
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -80,6 +80,8 @@
   getAgeMs(): number;
   /** True when the last call to the store has failed. */
   isStoreAway(): boolean;
+  /** Resolves when it is known again which engines hold what. */
+  waitForCaches(): Promise<void>;
   dump(): Dump;
 }
 
@@ -124,6 +126,7 @@
     noteParts,
   });
   let isRecovering = false;
+  let firstTable: RouteTable | undefined;
   /** Moments at which peers were last heard. */
   const heardAt = new Map<string, number>();
   const socket = createGossipSocket({
@@ -146,6 +149,7 @@
     getRouters: () => Math.max(1, routers.size),
     getAgeMs: sync.getAgeMs,
     isStoreAway: sync.hasFailed,
+    waitForCaches: recovery.wait,
     dump,
   };
 
@@ -199,8 +203,15 @@
     source: "listing" | "watch" | "peer",
   ): void {
     changes.forEach((change) => noteChange(change, source));
+    recoverOnce();
+    if (firstTable !== undefined) host.noteTable(firstTable);
+    firstTable = undefined;
     behindSince = undefined;
     host.noteTargets();
+  }
+
+  /** Begins once, when the first configuration and targets are known. */
+  function recoverOnce(): void {
     if (isRecovering || version === 0) return;
     isRecovering = true;
     void recovery.recover(self.id);
@@ -259,7 +270,9 @@
       ...{ version, revision, source },
       routes: table.routes.length,
     });
-    host.noteTable(table);
+    // The targets of the same listing should be known before requests are.
+    if (isRecovering) host.noteTable(table);
+    else firstTable = table;
   }
 
   function noteRemoval(
