Never take a reset for the end of an answer

Two places hide the reset: undici ends such an answer on ECONNRESET, and libuv reports a reset that arrives with data as an end of file.

Ruled out: refusing all answers without a length (loses sound ones); SO_ERROR (not reachable from Node.js).

Change: the connector gives resets a code of their own, and an end without a peer address counts as a reset. direct_client_test.ts replays both, red before.

--- a/src/connection/direct_client.ts
+++ b/src/connection/direct_client.ts
@@ -1,6 +1,7 @@
 /** Calls targets over HTTP without an agent and tells what a failure proves. */
 
-import { type Dispatcher, Pool } from "undici";
+import type { Socket } from "node:net";
+import { buildConnector, type Dispatcher, Pool } from "undici";
 import type { Log } from "../process/log.ts";
 import type {
   DirectCall,
@@ -63,6 +64,9 @@
 /** Longest wait for the list of cached parts, in milliseconds. */
 const listTimeoutMs = 1_500;
 
+/** Code of the error of a connection that was reset. */
+const resetCode = "ANSWER_RESET";
+
 interface Pools {
   readonly kept: Pool;
   /** Connections that serve one request each. */
@@ -177,7 +181,7 @@
 function createPools(address: string, connections: number): Pools {
   const common = {
     connections,
-    connect: { timeout: connectTimeoutMs },
+    connect: createConnector(),
     headersTimeout: 0,
     bodyTimeout: 0,
     keepAliveTimeout: idleMs,
@@ -190,6 +194,41 @@
   };
 }
 
+/**
+ * A reset must not end an answer without a length as if it were whole. The HTTP
+ * library takes the error of a reset for such an end, so the error gets a code
+ * of its own. The runtime reports a reset that comes together with data as an
+ * end without any error; the peer's address is then no longer known.
+ */
+function createConnector(): buildConnector.connector {
+  const connect = buildConnector({ timeout: connectTimeoutMs });
+  return (options, callback) =>
+    connect(options, (...[error, socket]) => {
+      if (error !== null) return callback(error, null);
+      socket.prependListener("error", (cause: NodeJS.ErrnoException) => {
+        if (cause.code === "ECONNRESET") cause.code = resetCode;
+      });
+      guardEnd(socket);
+      callback(null, socket);
+    });
+}
+
+/** Turns the end of a connection that was reset into an error. */
+function guardEnd(socket: Socket): void {
+  const emit: (event: string | symbol, ...args: unknown[]) => boolean = socket
+    .emit.bind(socket);
+  socket.emit = (event: string | symbol, ...args: unknown[]) => {
+    // Asked for the first time here, as the runtime keeps the address.
+    if (event !== "end" || socket.remoteAddress !== undefined) {
+      return emit(event, ...args);
+    }
+    const reset: NodeJS.ErrnoException = new Error("The answer was reset");
+    reset.code = resetCode;
+    socket.destroy(reset);
+    return true;
+  };
+}
+
 function hasBody(method: string): boolean {
   return method === "POST" || method === "PUT" || method === "PATCH";
 }
--- /dev/null
+++ b/src/connection/direct_client_test.ts
@@ -0,0 +1,158 @@
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { createSilentLog } from "../process/log.ts";
+import type { DirectCall, DirectResult } from "../types/direct_calls.ts";
+import type { DirectTarget } from "../types/direct_target.ts";
+import { createDirectClient, type TargetWire } from "./direct_client.ts";
+
+/** A wire without names of its own. */
+const wire: TargetWire = {
+  encodeHeaders: ({ requestId }) => ["x-request-id", requestId],
+  decodeHead: (status, headers) => ({
+    kind: "head",
+    head: {
+      status,
+      headers,
+      isEventStream: false,
+      length: undefined,
+      load: undefined,
+    },
+  }),
+  partsPath: "/parts",
+  decodeParts: () => [],
+};
+
+const head = "HTTP/1.1 200 OK\r\n";
+
+describe("the client of targets", () => {
+  describe("an answer that breaks off", () => {
+    const framings = {
+      "with a length": `${head}content-length: 100\r\n\r\nhalf`,
+      "in chunks": `${head}transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n`,
+      "without a length": `${head}connection: close\r\n\r\nhalf`,
+    };
+    const ends = {
+      reset: (socket: Socket) => socket.resetAndDestroy(),
+      close: (socket: Socket) => socket.end(),
+    };
+
+    for (const needsFreshConnection of [false, true]) {
+      const kind = needsFreshConnection ? "fresh" : "kept";
+      it(`reset together with its last bytes, ${kind} connection`, async () => {
+        const body = await readAnswer({
+          bytes: framings["without a length"],
+          act: () => undefined,
+          actAtOnce: ends.reset,
+          needsFreshConnection,
+        });
+        expect(body).toBe("broken");
+      });
+    }
+
+    for (const [framing, bytes] of Object.entries(framings)) {
+      for (const [end, act] of Object.entries(ends)) {
+        const isWhole = framing === "without a length" && end === "close";
+        for (const needsFreshConnection of [false, true]) {
+          const kind = needsFreshConnection ? "fresh" : "kept";
+          it(`${framing}, ${end}, ${kind} connection`, async () => {
+            const body = await readAnswer({
+              bytes,
+              act,
+              needsFreshConnection,
+            });
+            expect(body).toBe(isWhole ? "half" : "broken");
+          });
+        }
+      }
+    }
+  });
+
+  it("says that nothing was sent when no connection is made", async () => {
+    const server = createServer();
+    const port = await listen(server);
+    await new Promise((resolve) => server.close(resolve));
+    const result = await send(port, false);
+    expect(result.kind).toBe("not_sent");
+  });
+});
+
+/** Reads the body of the answer that a stand-in gives and breaks off. */
+async function readAnswer(
+  { bytes, act, actAtOnce, needsFreshConnection }: {
+    readonly bytes: string;
+    /** Called together with the write of the bytes. */
+    actAtOnce?(socket: Socket): void;
+    act(socket: Socket): void;
+    readonly needsFreshConnection: boolean;
+  },
+): Promise<string> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => undefined);
+    socket.once("data", () => {
+      socket.write(bytes);
+      actAtOnce?.(socket);
+    });
+  });
+  const port = await listen(server);
+  try {
+    const result = await send(port, needsFreshConnection);
+    if (result.kind !== "answer") return result.kind;
+    let text = "";
+    for await (const data of result.body) {
+      text += Buffer.from(data).toString();
+      sockets.forEach(act);
+    }
+    return text;
+  } catch {
+    return "broken";
+  } finally {
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+  }
+}
+
+async function send(
+  port: number,
+  needsFreshConnection: boolean,
+): Promise<DirectResult> {
+  const client = createDirectClient({
+    wire,
+    log: createSilentLog(),
+    getMaxConnections: () => 2,
+  });
+  const target: DirectTarget = {
+    id: "target-1",
+    service: "calls",
+    address: `127.0.0.1:${port}`,
+    zone: "zone-a",
+    slots: 1,
+    state: "ready",
+    coldLeftMs: 0,
+    bornAtMs: 0,
+  };
+  const call: DirectCall = {
+    target,
+    requestId: "request-1",
+    method: "GET",
+    path: "/",
+    headers: [],
+    body: new Uint8Array(),
+    workspace: undefined,
+    deadlineMs: 1_000,
+    priorityClass: 5,
+    fetchFrom: undefined,
+    lastEventId: undefined,
+    needsFreshConnection,
+    signal: new AbortController().signal,
+  };
+  return await client.send(call);
+}
+
+function listen(server: ReturnType<typeof createServer>): Promise<number> {
+  return new Promise((resolve) => {
+    server.listen(0, "127.0.0.1", () => {
+      resolve((server.address() as AddressInfo).port);
+    });
+  });
+}
--- a/src/process/direct/peer_digests.ts
+++ b/src/process/direct/peer_digests.ts
@@ -17,7 +17,7 @@
 const maxPartsTold = 20;
 
 /** Parts that wait to be told; the oldest goes first. */
-const maxPartsWaiting = 400;
+const maxPartsWaiting = 8_000;
 
 /** Digests that tell the same part, as some datagrams are lost. */
 const tellings = 2;
@@ -34,8 +34,8 @@
 export interface DigestWriter {
   /** The parts are told with the next digests. */
   notePart(news: HeldPart): void;
-  /** True when there is something that peers should hear soon. */
-  hasNews(): boolean;
+  /** Parts that peers have not been told yet. */
+  getWaiting(): number;
   /** Builds the next datagram. */
   write(state: {
     readonly directoryRevision: number;
@@ -47,7 +47,7 @@
 export function createDigestWriter(sender: string): DigestWriter {
   let waiting: { readonly news: HeldPart; readonly timesLeft: number }[] = [];
 
-  return { notePart, hasNews: () => waiting.length > 0, write };
+  return { notePart, getWaiting: () => waiting.length, write };
 
   function notePart(news: HeldPart): void {
     waiting.push({ news, timesLeft: tellings });
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -39,6 +39,9 @@
 /** Interval at which news are passed on, in milliseconds. */
 const newsMs = 60;
 
+/** Digests to each peer in one interval; bounds a burst after a restart. */
+const maxDigestsAtOnce = 16;
+
 /** Time for which a peer may be ahead before its copy is pulled, in ms. */
 const behindMs = 500;
 
@@ -311,7 +314,10 @@
 
   function tick(): void {
     const now = performance.now();
-    if (digests.hasNews() || now - sentAt >= digestMs) sendDigest(now);
+    let left = maxDigestsAtOnce;
+    // A restarted router tells whole caches of engines at once.
+    while (digests.getWaiting() > 0 && left-- > 0) sendDigest(now);
+    if (now - sentAt >= digestMs) sendDigest(now);
     if (version === 0 && !sync.isConnected()) pullFromSeed();
   }
 
