Test the decisions of routers that reach targets directly

Each decision module has a test that replays the load or fault that it answers; all run on a paused clock.

--- /dev/null
+++ b/src/process/direct/directory_sync_test.ts
@@ -0,0 +1,123 @@
+import { EitherAsync, Left, Right } from "purify-ts";
+import type {
+  Changes,
+  DirectoryError,
+  Listing,
+} from "../../types/directory.ts";
+import { createSilentLog } from "../log.ts";
+import { createDirectoryReplica } from "./directory_replica.ts";
+import { createDirectorySync } from "./directory_sync.ts";
+
+type Step =
+  | { readonly kind: "listing"; readonly listing: Listing }
+  | { readonly kind: "changes"; readonly changes: Changes }
+  | { readonly kind: "error"; readonly error: DirectoryError };
+
+/** A store that answers by a script, then never again. */
+function createScriptedStore(script: readonly Step[]) {
+  const calls: string[] = [];
+  const steps = [...script];
+
+  return { calls, list: () => answer<Listing>("list"), watch };
+
+  function watch({ afterRevision }: { readonly afterRevision: number }) {
+    return answer<Changes>(`watch ${afterRevision}`);
+  }
+
+  function answer<T>(call: string): EitherAsync<DirectoryError, T> {
+    calls.push(call);
+    const step = steps.shift();
+    return EitherAsync.fromPromise(async () => {
+      if (step === undefined) return await new Promise<never>(() => undefined);
+      if (step.kind === "error") return Left(step.error);
+      const value: unknown = step.kind === "listing"
+        ? step.listing
+        : step.changes;
+      return Right(value as T);
+    });
+  }
+}
+
+const unavailable: Step = {
+  kind: "error",
+  error: { kind: "unavailable", message: "down" },
+};
+
+describe("the directory's synchronisation", () => {
+  beforeEach(() => void jest.useFakeTimers());
+  afterEach(() => void jest.useRealTimers());
+
+  function start(script: readonly Step[]) {
+    const store = createScriptedStore(script);
+    const changes: string[] = [];
+    const sync = createDirectorySync({
+      store,
+      replica: createDirectoryReplica(),
+      log: createSilentLog(),
+      noteChanges: (events, source) =>
+        events.forEach(({ key }) => changes.push(`${key} by ${source}`)),
+      countCall: () => undefined,
+    });
+    sync.start();
+    return { store, changes, sync };
+  }
+
+  const listing: Step = {
+    kind: "listing",
+    listing: {
+      entries: [{ key: "a", value: "x", revision: 3 }],
+      revision: 4,
+    },
+  };
+
+  it("lists, then watches from the revision of the listing", async () => {
+    const { store, changes } = start([listing, {
+      kind: "changes",
+      changes: {
+        events: [{ key: "b", value: "y", revision: 6 }],
+        revision: 8,
+      },
+    }]);
+    await jest.advanceTimersByTimeAsync(0);
+    expect(store.calls).toEqual(["list", "watch 4", "watch 8"]);
+    expect(changes).toEqual(["a by listing", "b by watch"]);
+  });
+
+  it("lists again at once when the history has gone", async () => {
+    const gone: Step = {
+      kind: "error",
+      error: { kind: "compacted", message: "gone" },
+    };
+    const { store, sync } = start([listing, gone, listing]);
+    await jest.advanceTimersByTimeAsync(0);
+    expect(store.calls).toEqual(["list", "watch 4", "list", "watch 4"]);
+    expect(sync.isConnected()).toBe(true);
+  });
+
+  describe("an outage", () => {
+    it("is told apart from a watch that was cut", async () => {
+      const { sync } = start([listing, unavailable, listing]);
+      await jest.advanceTimersByTimeAsync(500);
+      expect(sync.isConnected()).toBe(true);
+      expect(sync.getOutageEndedAt()).toBe(Number.NEGATIVE_INFINITY);
+    });
+
+    it("ends with the first answer after a second and more", async () => {
+      const failures = Array.from({ length: 8 }, () => unavailable);
+      const { sync } = start([listing, ...failures, listing]);
+      await jest.advanceTimersByTimeAsync(1_000);
+      expect(sync.isConnected()).toBe(false);
+      await jest.advanceTimersByTimeAsync(4_000);
+      expect(sync.isConnected()).toBe(true);
+      expect(sync.getOutageEndedAt()).toBeGreaterThan(0);
+    });
+  });
+
+  it("takes a peer's changes while the store is away", async () => {
+    const { sync, changes } = start([unavailable]);
+    await jest.advanceTimersByTimeAsync(0);
+    sync.takeFromPeer([{ key: "c", value: "z", revision: 9 }]);
+    sync.takeFromPeer([{ key: "c", value: "old", revision: 7 }]);
+    expect(changes).toEqual(["c by peer"]);
+  });
+});
--- a/src/process/direct/peer_digests.ts
+++ b/src/process/direct/peer_digests.ts
@@ -14,7 +14,7 @@
 export const maxDigestBytes = 1_300;
 
 /** Parts told in one datagram; the rest follows in the next. */
-const maxPartsTold = 20;
+const maxPartsTold = 14;
 
 /** Parts that wait to be told; the oldest goes first. */
 const maxPartsWaiting = 8_000;
--- /dev/null
+++ b/src/process/direct/peer_digests_test.ts
@@ -0,0 +1,56 @@
+import {
+  createDigestWriter,
+  maxDigestBytes,
+  tryReadDigest,
+} from "./peer_digests.ts";
+
+const noLoads = { directoryRevision: 7, loads: new Map() };
+
+describe("digests between routers", () => {
+  it("carry loads, parts and the directory's revision", () => {
+    const writer = createDigestWriter("router-1");
+    writer.notePart({ target: "a", part: { id: "p", tokens: 9 } });
+    const news = tryReadDigest(writer.write({
+      directoryRevision: 7,
+      loads: new Map([["a", { requests: 2, unreadTokens: 30 }]]),
+    }));
+    expect(news).toEqual({
+      sender: "router-1",
+      directoryRevision: 7,
+      loads: new Map([["a", { requests: 2, unreadTokens: 30 }]]),
+      parts: [{ target: "a", part: { id: "p", tokens: 9 } }],
+    });
+  });
+
+  it("tell each part twice, as some datagrams are lost", () => {
+    const writer = createDigestWriter("router-1");
+    writer.notePart({ target: "a", part: { id: "p", tokens: 9 } });
+    const told = [1, 2, 3].map(() =>
+      tryReadDigest(writer.write(noLoads))?.parts.length
+    );
+    expect(told).toEqual([1, 1, 0]);
+  });
+
+  it("stay within a datagram at the size of a large service", () => {
+    const writer = createDigestWriter("edge-coast-a-1");
+    for (let index = 0; index < 100; index++) {
+      writer.notePart({
+        target: `i-0123456789${index}`,
+        part: { id: `0123456789abc${index}`, tokens: 30_000 },
+      });
+    }
+    const loads = new Map(
+      Array.from({ length: 20 }, (_, index) => [
+        `i-0123456789${index}`,
+        { requests: 20, unreadTokens: 40_000 },
+      ]),
+    );
+    const { length } = writer.write({ directoryRevision: 9_999_999, loads });
+    expect(length).toBeLessThanOrEqual(maxDigestBytes);
+  });
+
+  it("read nothing from other bytes", () => {
+    expect(tryReadDigest(new Uint8Array())).toBeUndefined();
+    expect(tryReadDigest(Buffer.from("GET / HTTP/1.1"))).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/src/process/direct/target_health_test.ts
@@ -0,0 +1,85 @@
+import { createTarget } from "../../../test/support/direct.ts";
+import { createTargetHealth, type TargetOutcome } from "./target_health.ts";
+
+const targets = ["a", "b", "c"].map((id) => createTarget(id));
+const [first, second, third] = targets as [
+  ReturnType<typeof createTarget>,
+  ReturnType<typeof createTarget>,
+  ReturnType<typeof createTarget>,
+];
+
+describe("health by outcomes", () => {
+  beforeEach(() => void jest.useFakeTimers());
+  afterEach(() => void jest.useRealTimers());
+
+  function getUsable(health: ReturnType<typeof createTargetHealth>) {
+    return health.getUsable(targets).map(({ id }) => id);
+  }
+
+  it("sets a target aside that fails a part of its requests", () => {
+    const health = createTargetHealth();
+    for (let round = 0; round < 6; round++) {
+      health.note(first, round % 2 === 0 ? "failed" : "served");
+      health.note(second, "served");
+      health.note(third, "served");
+    }
+    expect(getUsable(health)).toEqual(["b", "c"]);
+  });
+
+  it("blames no target while all fail alike", () => {
+    const health = createTargetHealth();
+    for (let round = 0; round < 12; round++) {
+      const outcome: TargetOutcome = round % 2 === 0 ? "failed" : "served";
+      targets.forEach((target) => health.note(target, outcome));
+    }
+    expect(getUsable(health)).toEqual(["a", "b", "c"]);
+  });
+
+  for (const outcome of ["silent", "unreachable"] as const) {
+    it(`sets a target aside that is ${outcome} once`, () => {
+      const health = createTargetHealth();
+      health.note(first, outcome);
+      expect(getUsable(health)).toEqual(["b", "c"]);
+    });
+  }
+
+  it("uses all targets when none is sound", () => {
+    const health = createTargetHealth();
+    targets.forEach((target) => health.note(target, "unreachable"));
+    expect(getUsable(health)).toEqual(["a", "b", "c"]);
+  });
+
+  describe("the return of a target", () => {
+    function createReturning() {
+      const health = createTargetHealth();
+      health.note(first, "unreachable");
+      jest.advanceTimersByTime(401);
+      return health;
+    }
+
+    it("begins with a single request", () => {
+      const health = createReturning();
+      expect(getUsable(health)).toEqual(["a", "b", "c"]);
+      health.noteSent(first);
+      expect(getUsable(health)).toEqual(["b", "c"]);
+    });
+
+    it("is whole after one sound answer", () => {
+      const health = createReturning();
+      health.noteSent(first);
+      health.note(first, "served");
+      health.noteSent(first);
+      expect(getUsable(health)).toEqual(["a", "b", "c"]);
+    });
+
+    it("takes twice as long after a failed trial", () => {
+      const health = createReturning();
+      health.noteSent(first);
+      health.note(first, "unreachable");
+      jest.advanceTimersByTime(799);
+      expect(getUsable(health)).toEqual(["b", "c"]);
+      jest.advanceTimersByTime(2);
+      expect(getUsable(health)).toEqual(["a", "b", "c"]);
+    });
+  });
+});
--- /dev/null
+++ b/test/support/direct.ts
@@ -0,0 +1,86 @@
+/** Targets, routes and requests of routers that reach targets directly. */
+
+import type { DirectRequest } from "../../src/types/direct_request.ts";
+import type { DirectTarget } from "../../src/types/direct_target.ts";
+import type { DirectRoute, RouteTable } from "../../src/types/route_table.ts";
+
+/** A target with usual values. */
+export function createTarget(
+  id: string,
+  changes: Partial<DirectTarget> = {},
+): DirectTarget {
+  return {
+    id,
+    service: "cards",
+    address: "127.0.0.1:1",
+    zone: "zone-a",
+    slots: 64,
+    state: "ready",
+    coldLeftMs: 0,
+    bornAtMs: 1,
+    ...changes,
+  };
+}
+
+/** A route with usual values. */
+export function createRoute(changes: Partial<DirectRoute> = {}): DirectRoute {
+  return {
+    name: "route",
+    host: "cards.example",
+    prefix: "/draft/",
+    kind: "safe",
+    timeoutMs: 1_000,
+    goalMs: 100,
+    gapGoalMs: 250,
+    priority: 1,
+    shares: [{ service: "cards", weight: 1 }],
+    maxTargets: 2,
+    isPublic: false,
+    isResumable: false,
+    ...changes,
+  };
+}
+
+/** A table of routes with usual values. */
+export function createTable(changes: Partial<RouteTable> = {}): RouteTable {
+  return {
+    version: 1,
+    routes: [createRoute()],
+    services: new Map(),
+    keys: new Map([["key-1", { workspace: "artists", priority: 1 }]]),
+    limits: {
+      maxHeaderBytes: 1_024,
+      maxBodyBytes: 1_024,
+      headerTimeoutMs: 1_000,
+      idleTimeoutMs: 1_000,
+    },
+    ...changes,
+  };
+}
+
+/** A request on a route, for the paused clock of a test. */
+export function createRequest(
+  route: DirectRoute,
+  changes: Partial<DirectRequest> = {},
+): DirectRequest {
+  const now = performance.now();
+  return {
+    requestId: "request-1",
+    host: route.host,
+    method: "GET",
+    path: `${route.prefix}1`,
+    headers: [],
+    body: new Uint8Array(),
+    deadlineMs: route.timeoutMs,
+    key: "key-1",
+    prompt: undefined,
+    lastEventId: undefined,
+    route,
+    service: "cards",
+    holder: { workspace: "artists", priority: 1 },
+    tableVersion: 1,
+    arrivedAt: now,
+    deadlineAt: now + route.timeoutMs,
+    ...changes,
+  };
+}
