--- a/src/cli/commands/run.ts
+++ b/src/cli/commands/run.ts
@@ -66,7 +66,7 @@
     description: "Run a router on an entry VM",
     details: `
       Takes callers' requests and places them at targets. Ends gracefully on
-      SIGTERM or SIGINT within the setting shutdownMs; a second signal ends at
+      SIGTERM or SIGINT within the setting shutdownMs; a second SIGINT ends at
       once. Logs are JSON lines on standard error.
     `,
     examples: [["Run a router", "$0 router /etc/mimosatray/router.jsonc"]],
@@ -84,7 +84,7 @@
     details: `
       Admits, queues and carries out the requests of one target. Ends
       gracefully on SIGTERM or SIGINT within the setting shutdownMs; a second
-      signal ends at once. Logs are JSON lines on standard error.
+      SIGINT ends at once. Logs are JSON lines on standard error.
     `,
     examples: [["Run an agent", "$0 agent /etc/mimosatray/agent.jsonc"]],
   });
--- a/src/cli/signals.ts
+++ b/src/cli/signals.ts
@@ -10,12 +10,24 @@
 
 type StopSignal = keyof typeof stopSignals;
 
-/** Resolves at the first signal; a second one ends the process at once. */
-export function waitForSignal(log: Log): Promise<StopSignal> {
+/** The process that receives the signals. */
+export interface SignalHost {
+  on(signal: StopSignal, listener: () => void): void;
+  exit(code: number): void;
+}
+
+/**
+ * Resolves at the first signal. A second SIGINT ends the process at once;
+ * supervisors send SIGTERM more than once, so a further one changes nothing.
+ */
+export function waitForSignal(
+  log: Log,
+  host: SignalHost = getProcessHost(),
+): Promise<StopSignal> {
   return new Promise((resolve) => {
     let isStopping = false;
     for (const signal of Object.keys(stopSignals) as StopSignal[]) {
-      process.on(signal, () => handle(signal));
+      host.on(signal, () => handle(signal));
     }
 
     function handle(signal: StopSignal): void {
@@ -24,8 +36,19 @@
         resolve(signal);
         return;
       }
+      if (signal === "SIGTERM") {
+        log.info("Process is already stopping", { signal });
+        return;
+      }
       log.warn("Process ends at once", { signal });
-      process.exit(signalExitBase + stopSignals[signal]);
+      host.exit(signalExitBase + stopSignals[signal]);
     }
   });
 }
+
+function getProcessHost(): SignalHost {
+  return {
+    on: (signal, listener) => void process.on(signal, listener),
+    exit: (code) => process.exit(code),
+  };
+}
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -2,6 +2,7 @@
 
 import { write } from "node:fs";
 import { readFile } from "node:fs/promises";
+import { waitForSignal } from "../cli/signals.ts";
 import { createLineWriter } from "../process/line_writer.ts";
 import { createLog, type Log } from "../process/log.ts";
 import {
@@ -44,10 +45,7 @@
   log: Log,
 ): Promise<void> {
   log.info("Router starts", { zone: settings.zone, store: settings.store });
-  const stopped = new Promise<string>((resolve) => {
-    process.on("SIGTERM", () => resolve("SIGTERM"));
-    process.on("SIGINT", () => resolve("SIGINT"));
-  });
+  const stopped = waitForSignal(log);
   const router: DirectRouter = await startDirectRouter({
     settings,
     store: createStoreClient(settings.store),
