Serve metrics on the address of the deploy file; pull from seeds by address and port

Cause: seeds on the same address were taken for the router itself, and peers' pull ports were guessed though the directory tells them; the new test of a store that turns one router away was red. Metrics stood on a port that the deploy file cannot name.

--- a/src/platform/node_settings.ts
+++ b/src/platform/node_settings.ts
@@ -24,6 +24,9 @@
   lapseReturnMs: 2_200,
 } as const;
 
+/** Port of the metrics, as deploy/system.toml names it. */
+const metricsPort = 9_464;
+
 /** Checks the text of the file; the error names the field at fault. */
 export function readNodeSettings(text: string): Either<string, DirectSettings> {
   return Either.encase(() => tryGetFields(parse(text)) ?? {})
@@ -57,7 +60,7 @@
     readiness,
     pull: control ?? { address, port: firstPort + 1 },
     digest: { address, port: firstPort },
-    metrics: { address, port: firstPort + 2 },
+    metrics: { address, port: metricsPort },
     seeds: getList(fields["Seeds"]).flatMap((seed) =>
       tryGetAddress(seed) ?? []
     ),
--- /dev/null
+++ b/src/platform/store_records_test.ts
@@ -0,0 +1,100 @@
+import { decodeEntry } from "./store_records.ts";
+
+function decode(key: string, value: unknown) {
+  const text = typeof value === "string" ? value : JSON.stringify(value);
+  return decodeEntry({ key, value: text, revision: 1 });
+}
+
+const target = {
+  Service: "desk",
+  Address: "10.0.0.1:80",
+  Zone: "a",
+  Slots: 6,
+  State: "ready",
+};
+
+describe("the store's entries", () => {
+  describe("of targets", () => {
+    it("become targets", () => {
+      expect(decode("servers/i-1", { ...target, born: 7 })).toEqual({
+        kind: "target",
+        target: {
+          id: "i-1",
+          service: "desk",
+          address: "10.0.0.1:80",
+          zone: "a",
+          slots: 6,
+          state: "ready",
+          coldLeftMs: 0,
+          bornAtMs: 7,
+        },
+      });
+    });
+
+    const faults = {
+      "bytes that are no JSON": "{",
+      "a list": [],
+      "no service": { ...target, Service: undefined },
+      "a state that is not known": { ...target, State: "dozing" },
+      "an address of another type": { ...target, Address: 80 },
+      "an address without a port": { ...target, Address: "10.0.0.1" },
+      "slots of another type": { ...target, Slots: "6" },
+    };
+    for (const [name, value] of Object.entries(faults)) {
+      it(`name no target with ${name}`, () => {
+        expect(decode("servers/i-1", value).kind).toBe("unreadable");
+      });
+    }
+  });
+
+  describe("of the configuration", () => {
+    it("become routes, services and keys", () => {
+      const record = decode("op/config", {
+        Version: 7,
+        Routes: [{
+          Host: "A.example",
+          Prefix: "/x/",
+          Type: "stream",
+          TimeoutMs: 9,
+          GoalMs: 3,
+          Priority: 0,
+          Attempts: 2,
+          Resumable: true,
+          Split: [
+            { Service: "old", Weight: 90 },
+            { Service: "new", Weight: 10 },
+          ],
+        }, { Host: "B", Prefix: "/y/", Type: "unheard of" }],
+        Services: [{ Name: "old", MaxConns: 5, Engine: { Slots: 4 } }],
+        Tenants: [{ Name: "artists", ApiKeys: ["k1", 2], Priority: 0 }],
+      });
+      if (record.kind !== "route_table") throw new Error(record.kind);
+      const { table } = record;
+      expect(table.version).toBe(7);
+      expect(table.routes).toMatchObject([{
+        host: "a.example",
+        kind: "stream",
+        isResumable: true,
+        shares: [{ service: "old", weight: 90 }, {
+          service: "new",
+          weight: 10,
+        }],
+      }]);
+      expect(table.services.get("old")?.engine?.slots).toBe(4);
+      expect([...table.keys ?? []]).toEqual([
+        ["k1", { workspace: "artists", priority: 0 }],
+      ]);
+    });
+
+    it("need no keys when it names no workspaces", () => {
+      const record = decode("op/config", { Version: 1 });
+      expect(record.kind === "route_table" && record.table.keys).toBe(
+        undefined,
+      );
+    });
+  });
+
+  it("of others say nothing", () => {
+    expect(decode("status/x", {}).kind).toBe("other");
+  });
+});
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -3,6 +3,7 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage } from "node:http";
 import {
+  type AdminListener,
   type AdminRoute,
   openAdminListener,
 } from "../connection/admin_listener.ts";
@@ -167,7 +168,7 @@
   const readiness = await openAdminListener([
     createReadinessRoute(host.readinessPath),
   ], settings.readiness);
-  const admin = await openAdminListener(createAdminRoutes(), settings.metrics);
+  const admin = await openMetrics();
   directory.start();
 
   return { stop };
@@ -311,6 +312,16 @@
     };
   }
 
+  /** Callers are served without metrics rather than not at all. */
+  async function openMetrics(): Promise<AdminListener | undefined> {
+    try {
+      return await openAdminListener(createAdminRoutes(), settings.metrics);
+    } catch (error) {
+      log.error("Metrics are not served", { reason: String(error) });
+      return undefined;
+    }
+  }
+
   function createAdminRoutes(): readonly AdminRoute[] {
     return [{
       method: "GET",
@@ -369,7 +380,11 @@
     const cutOff = inFlight;
     front.stop();
     directory.stop();
-    await Promise.allSettled([readiness.close(), admin.close(), calls.close()]);
+    await Promise.allSettled([
+      readiness.close(),
+      admin?.close(),
+      calls.close(),
+    ]);
     const tookMs = Math.round(performance.now() - stopAt);
     log.info("Router has stopped", { cutOff, tookMs });
     return { cutOff, tookMs };
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -341,7 +341,9 @@
     const now = performance.now();
     behindSince ??= now;
     if (now - behindSince < behindMs) return;
-    void pull({ address: from.address, port: settings.pull.port });
+    // A peer that the store has not told of yet uses the same ports.
+    const port = routers.get(news.sender)?.pullPort ?? settings.pull.port;
+    void pull({ address: from.address, port });
   }
 
   /** What a peer has told while it was not heard is pulled from it. */
@@ -381,8 +383,8 @@
   }
 
   function pullFromSeed(): void {
-    const seeds = settings.seeds.filter(({ address }) =>
-      address !== self.address
+    const seeds = settings.seeds.filter(({ address, port }) =>
+      address !== settings.pull.address || port !== settings.pull.port
     );
     const seed = seeds[nextSeed % Math.max(1, seeds.length)];
     if (seed === undefined || isPulling) return;
--- /dev/null
+++ b/test/platform/direct_fleet.ts
@@ -0,0 +1,202 @@
+/** A store, targets and direct routers in this process, on loopback. */
+
+import { request as httpRequest } from "node:http";
+import { createServer } from "node:net";
+import { decodeRequest } from "../../src/platform/caller_wire.ts";
+import { createStoreClient } from "../../src/platform/store_client.ts";
+import { targetWire } from "../../src/platform/target_wire.ts";
+import { readinessPath } from "../../src/platform/wire_names.ts";
+import { createLog } from "../../src/process/log.ts";
+import {
+  type DirectRouter,
+  startDirectRouter,
+} from "../../src/roles/direct_router.ts";
+import type {
+  DirectSettings,
+  SocketAddress,
+} from "../../src/types/direct_settings.ts";
+import { startStore, type StoreStandIn } from "./store_stand_in.ts";
+
+/** One router that runs in the test. */
+export interface FleetRouter {
+  readonly id: string;
+  readonly settings: DirectSettings;
+  readonly running: DirectRouter;
+  /** Log lines, decoded. */
+  readonly lines: readonly Readonly<Record<string, unknown>>[];
+}
+
+/** An answer as a caller sees it. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, unknown>>;
+  readonly body: string;
+  /** False when the connection broke before the end. */
+  readonly isWhole: boolean;
+}
+
+/** The configuration of the tests at a version. */
+export function describeConfiguration(
+  version: number,
+  changes: Readonly<Record<string, unknown>> = {},
+): Readonly<Record<string, unknown>> {
+  return {
+    Version: version,
+    Routes: [
+      describeRoute("/orders/", "unsafe"),
+      describeRoute("/proofs/", "safe"),
+      { ...describeRoute("/draft/", "stream"), Resumable: true },
+    ],
+    Services: [{ Name: "desk", HealthPath: "/healthz", MaxConns: 50 }],
+    Limits: {
+      MaxHeaderBytes: 16_384,
+      MaxBodyBytes: 1_000,
+      HeaderTimeoutMs: 3_000,
+      IdleTimeoutMs: 15_000,
+    },
+    Tenants: [{ Name: "artists", ApiKeys: ["key-1"], Priority: 1 }],
+    ...changes,
+  };
+}
+
+/** A route to the service of the tests. */
+export function describeRoute(prefix: string, type: string) {
+  return {
+    Name: prefix,
+    Host: "cards.example",
+    Prefix: prefix,
+    Type: type,
+    TimeoutMs: 10_000,
+    GoalMs: 500,
+    Priority: 1,
+    Service: "desk",
+    Attempts: type === "unsafe" ? 1 : 2,
+    Public: false,
+  };
+}
+
+/** Starts a store with the configuration in force. */
+export async function startConfiguredStore(): Promise<StoreStandIn> {
+  const store = await startStore();
+  store.put("op/config", describeConfiguration(1));
+  return store;
+}
+
+/** Starts a router; it is ready once it knows a configuration. */
+export async function startFleetRouter(
+  id: string,
+  store: Pick<StoreStandIn, "address">,
+  options: { readonly seeds?: readonly SocketAddress[] } = {},
+): Promise<FleetRouter> {
+  const [front, readiness, pull, digest, metrics] = await Promise.all(
+    Array.from({ length: 5 }, reservePort),
+  ) as [number, number, number, number, number];
+  const at = (port: number) => ({ address: "127.0.0.1", port });
+  const settings: DirectSettings = {
+    id,
+    zone: "zone-a",
+    front: at(front),
+    readiness: at(readiness),
+    pull: at(pull),
+    digest: at(digest),
+    metrics: at(metrics),
+    seeds: options.seeds ?? [],
+    store: `http://${store.address}`,
+    loadMultiple: 2,
+    retries: { ratio: 0.2, slack: 50, windowMs: 10_000 },
+    graceMs: 1_000,
+    lapseReturnMs: 2_200,
+  };
+  const lines: Readonly<Record<string, unknown>>[] = [];
+  const log = createLog({
+    writeLine: (line) => lines.push(JSON.parse(line) as never),
+  }, { level: "info", fields: { process: id } });
+  const running = await startDirectRouter({
+    settings,
+    store: createStoreClient(settings.store),
+    wire: targetWire,
+    log,
+    readinessPath,
+    decodeRequest,
+  });
+  return { id, settings, running, lines };
+}
+
+/** Sends one request as a caller does. */
+export function send(
+  { settings }: FleetRouter,
+  path: string,
+  options: {
+    readonly method?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: string;
+  } = {},
+): Promise<CallerAnswer> {
+  return new Promise((resolve, reject) => {
+    const request = httpRequest({
+      host: settings.front.address,
+      port: settings.front.port,
+      method: options.method ?? "GET",
+      path,
+      headers: {
+        host: "cards.example",
+        "x-request-id": `id-${path}`,
+        "x-deadline-ms": "5000",
+        "x-credential": "key-1",
+        ...options.headers,
+      },
+    }, (response) => {
+      const parts: Buffer[] = [];
+      response.on("data", (part: Buffer) => parts.push(part));
+      response.on("error", () => undefined);
+      response.on("close", () =>
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body: Buffer.concat(parts).toString(),
+          isWhole: response.complete,
+        }));
+    });
+    request.on("error", reject);
+    request.end(options.body);
+  });
+}
+
+/** Asks a router whether it is ready. */
+export function askReadiness({ settings }: FleetRouter): Promise<number> {
+  return fetch(
+    `http://127.0.0.1:${settings.readiness.port}${readinessPath}`,
+  ).then(({ status }) => status);
+}
+
+/** Waits until a check holds; the test's own time limit ends it. */
+export async function waitUntil(
+  check: () => boolean | Promise<boolean>,
+): Promise<void> {
+  while (!await check()) {
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+}
+
+/** True once the router has logged a message with the given fields. */
+export function hasLogged(
+  { lines }: FleetRouter,
+  message: string,
+  fields: Readonly<Record<string, unknown>> = {},
+): boolean {
+  return lines.some((line) =>
+    line["message"] === message &&
+    Object.entries(fields).every(([name, value]) => line[name] === value)
+  );
+}
+
+function reservePort(): Promise<number> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.listen(0, "127.0.0.1", () => {
+      const address = server.address();
+      const port = typeof address === "object" ? address?.port ?? 0 : 0;
+      server.close(() => resolve(port));
+    });
+  });
+}
--- /dev/null
+++ b/test/platform/direct_router_test.ts
@@ -0,0 +1,285 @@
+import {
+  askReadiness,
+  describeConfiguration,
+  describeRoute,
+  type FleetRouter,
+  hasLogged,
+  send,
+  startConfiguredStore,
+  startFleetRouter,
+  waitUntil,
+} from "./direct_fleet.ts";
+import type { StoreStandIn } from "./store_stand_in.ts";
+import { sign, startTarget, type TargetStandIn } from "./target_stand_in.ts";
+
+describe("a direct router", () => {
+  let store: StoreStandIn;
+  let routers: FleetRouter[];
+  let targets: TargetStandIn[];
+
+  beforeEach(async () => {
+    store = await startConfiguredStore();
+    routers = [];
+    targets = [];
+  });
+
+  afterEach(async () => {
+    await Promise.all(routers.map(({ running }) => running.stop("test")));
+    await Promise.all(targets.map((target) => target.close()));
+    await store.close();
+  });
+
+  async function addTarget(id: string): Promise<TargetStandIn> {
+    const target = await startTarget(id, "desk");
+    targets.push(target);
+    store.put(`servers/${id}`, target.describe());
+    return target;
+  }
+
+  async function addRouter(id = "router-1"): Promise<FleetRouter> {
+    const seeds = routers.map(({ settings }) => settings.pull);
+    const router = await startFleetRouter(id, store, { seeds });
+    routers.push(router);
+    return router;
+  }
+
+  async function startOne() {
+    const target = await addTarget("target-1");
+    const router = await addRouter();
+    await waitUntil(() => hasLogged(router, "Router is ready"));
+    return { target, router };
+  }
+
+  it("passes a request on and its answer back unchanged", async () => {
+    const { target, router } = await startOne();
+    const answer = await send(router, "/orders/7?copy=2", {
+      method: "POST",
+      body: "print",
+    });
+    expect(answer).toMatchObject({
+      status: 200,
+      body: "done /orders/7?copy=2",
+      headers: {
+        "x-server-stamp": "stamp of target-1",
+        "x-request-id": "id-/orders/7?copy=2",
+      },
+    });
+    expect(target.getReceived()).toMatchObject([{
+      method: "POST",
+      body: "print",
+      headers: { "x-tenant": "artists", "x-expect-instance": "target-1" },
+    }]);
+  });
+
+  it("drops what only the system may say to a target", async () => {
+    const { target, router } = await startOne();
+    await send(router, "/proofs/1", {
+      headers: {
+        "x-tenant": "forged",
+        "x-hold": "1",
+        "x-pin-ms": "9",
+        "kv-from": "127.0.0.1:1/x",
+        "x-kv-backup": "127.0.0.1:1",
+        "x-priority-class": "0",
+        "x-own": "kept",
+      },
+    });
+    const [received] = target.getReceived();
+    expect(received?.headers).toMatchObject({
+      "x-tenant": "artists",
+      "x-own": "kept",
+    });
+    for (const name of ["x-hold", "x-pin-ms", "kv-from", "x-kv-backup"]) {
+      expect(received?.headers[name]).toBeUndefined();
+    }
+    expect(received?.headers["x-credential"]).toBeUndefined();
+    expect(received?.headers["x-priority-class"]).not.toBe("0");
+  });
+
+  describe("the configuration", () => {
+    it("decides about paths and keys", async () => {
+      const { router } = await startOne();
+      const unknownPath = await send(router, "/none/1");
+      const unknownKey = await send(router, "/proofs/1", {
+        headers: { "x-credential": "key-9" },
+      });
+      expect([unknownPath.status, unknownKey.status]).toEqual([404, 401]);
+    });
+
+    it("comes into force with the store's change", async () => {
+      const { router } = await startOne();
+      store.put(
+        "op/config",
+        describeConfiguration(5, {
+          Routes: [describeRoute("/new/", "safe")],
+          Tenants: [{ Name: "artists", ApiKeys: ["key-2"] }],
+        }),
+      );
+      const inForce = { version: 5 };
+      await waitUntil(() =>
+        hasLogged(router, "Configuration is in force", inForce)
+      );
+      const headers = { "x-credential": "key-2" };
+      const statuses = await Promise.all([
+        send(router, "/new/1", { headers }),
+        send(router, "/new/1"),
+        send(router, "/proofs/1", { headers }),
+      ]);
+      expect(statuses.map(({ status }) => status)).toEqual([200, 401, 404]);
+    });
+
+    it("never goes back to an older version", async () => {
+      const { router } = await startOne();
+      store.put("op/config", describeConfiguration(5));
+      store.put("op/config", describeConfiguration(4, { Routes: [] }));
+      await waitUntil(() =>
+        hasLogged(router, "Older configuration was ignored", { version: 4 })
+      );
+      expect((await send(router, "/proofs/1")).status).toBe(200);
+    });
+
+    it("survives a history that the store has dropped", async () => {
+      const { router } = await startOne();
+      store.compact();
+      store.put("op/config", describeConfiguration(6));
+      await waitUntil(() =>
+        hasLogged(router, "Configuration is in force", { version: 6 })
+      );
+    });
+
+    it("comes from a peer while the store turns the router away", async () => {
+      const { router: first } = await startOne();
+      store.setMood("refuse");
+      const second = await startFleetRouter("router-2", store, {
+        seeds: [first.settings.pull],
+      });
+      routers.push(second);
+      await waitUntil(() => hasLogged(second, "Router is ready"));
+      expect((await send(second, "/proofs/1")).status).toBe(200);
+      store.setMood("serve");
+    });
+  });
+
+  describe("without a configuration", () => {
+    it("is not ready, and proves that a request has not run", async () => {
+      store.setMood("refuse");
+      const router = await addRouter();
+      expect(await askReadiness(router)).toBe(503);
+      const answer = await send(router, "/proofs/1", {
+        headers: { "x-deadline-ms": "300" },
+      });
+      expect(answer.status).toBe(503);
+      expect(Number(answer.headers["retry-after"])).toBeGreaterThan(0);
+      store.setMood("serve");
+    });
+
+    it("serves a waiting request once the store is back", async () => {
+      await addTarget("target-1");
+      store.setMood("refuse");
+      const router = await addRouter();
+      const answer = send(router, "/proofs/1");
+      await waitUntil(() => hasLogged(router, "Store call failed"));
+      store.setMood("serve");
+      expect((await answer).status).toBe(200);
+    });
+  });
+
+  describe("a target", () => {
+    it("gets no new work once it drains", async () => {
+      const { target, router } = await startOne();
+      const other = await addTarget("target-2");
+      store.put("servers/target-1", target.describe("draining"));
+      await waitUntil(() =>
+        hasLogged(router, "Target changed", { state: "draining" })
+      );
+      const before = target.getReceived().length;
+      for (let index = 0; index < 6; index++) {
+        await send(router, `/proofs/${index}`);
+      }
+      expect(target.getReceived().length).toBe(before);
+      expect(other.getReceived().length).toBe(6);
+    });
+
+    it("whose entry cannot be read is not used", async () => {
+      const { router } = await startOne();
+      store.put("servers/target-1", "not JSON");
+      await waitUntil(() => hasLogged(router, "Entry cannot be read"));
+      expect((await send(router, "/proofs/1")).status).toBe(503);
+    });
+
+    it("that answers for another request is not believed", async () => {
+      const { target, router } = await startOne();
+      target.behave((request, response) => {
+        sign(request, response, target.id);
+        response.setHeader("X-Request-Id", "another");
+        response.end("another answer");
+      });
+      const answer = await send(router, "/orders/1", { method: "POST" });
+      expect(answer.status).toBe(502);
+      expect(answer.body).not.toContain("another answer");
+    });
+
+    it("that answers without a signature is not believed", async () => {
+      const { target, router } = await startOne();
+      target.behave((request, response) => {
+        response.setHeader(
+          "X-Request-Id",
+          String(request.headers["x-request-id"]),
+        );
+        response.end("unsigned");
+      });
+      const answer = await send(router, "/orders/1", { method: "POST" });
+      expect(answer.status).toBe(502);
+    });
+  });
+
+  describe("a stop", () => {
+    it("lets a stream in flight end whole", async () => {
+      const { target, router } = await startOne();
+      let finish: (() => void) | undefined;
+      target.behave((request, response) => {
+        sign(request, response, target.id);
+        response.setHeader("Content-Type", "text/event-stream");
+        response.write("id: 1\ndata: a\n\n");
+        finish = () => response.end("id: 2\ndata: b\n\n");
+      });
+      const answer = send(router, "/draft/1", { method: "POST" });
+      await waitUntil(() => finish !== undefined);
+      const stopped = router.running.stop("test");
+      expect(await askReadiness(router)).toBe(503);
+      finish?.();
+      expect(await answer).toMatchObject({
+        body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+        isWhole: true,
+      });
+      expect((await stopped).cutOff).toBe(0);
+    });
+
+    it("ends connections with their next answer", async () => {
+      const { router } = await startOne();
+      const stopped = router.running.stop("test");
+      const answer = await send(router, "/proofs/1");
+      expect(answer.status).toBe(200);
+      expect(answer.headers["connection"]).toBe("close");
+      await stopped;
+    });
+  });
+
+  it("refuses a body above the limit at once", async () => {
+    const { target, router } = await startOne();
+    const answer = await send(router, "/orders/1", {
+      method: "POST",
+      body: "x".repeat(2_000),
+    });
+    expect(answer.status).toBe(413);
+    expect(target.getReceived().length).toBe(0);
+  });
+
+  it("announces itself to its peers", async () => {
+    const { router } = await startOne();
+    await waitUntil(() => store.tryGet("routers/router-1") !== undefined);
+    expect(store.tryGet("routers/router-1")).toContain(
+      String(router.settings.digest.port),
+    );
+  });
+});
--- /dev/null
+++ b/test/platform/target_stand_in.ts
@@ -0,0 +1,109 @@
+/** A stand-in for a target on the users' platform, over HTTP on loopback. */
+
+import {
+  createServer,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** One request as the target received it. */
+export interface ReceivedRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+}
+
+/** How the target treats a request that is meant for it. */
+export type TargetBehaviour = (
+  request: ReceivedRequest,
+  response: ServerResponse,
+) => void;
+
+/** A target that a test drives. */
+export interface TargetStandIn {
+  readonly id: string;
+  /** Host and port. */
+  readonly address: string;
+  behave(behaviour: TargetBehaviour): void;
+  /** Requests that ran, in order of arrival. */
+  getReceived(): readonly ReceivedRequest[];
+  /** The entry under which it registers. */
+  describe(state?: "ready" | "draining"): Readonly<Record<string, unknown>>;
+  close(): Promise<void>;
+}
+
+/** Starts a target that answers each request with its path. */
+export async function startTarget(
+  id: string,
+  service: string,
+): Promise<TargetStandIn> {
+  const received: ReceivedRequest[] = [];
+  let behaviour: TargetBehaviour = (request, response) => {
+    sign(request, response, id);
+    response.end(`done ${request.path}`);
+  };
+  const server = createServer((message, response) => {
+    void answer(message, response);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+
+  return {
+    id,
+    address,
+    behave: (value) => {
+      behaviour = value;
+    },
+    getReceived: () => received,
+    describe: (state = "ready") => ({
+      Service: service,
+      Address: address,
+      Zone: "zone-a",
+      Version: "v1",
+      Slots: 8,
+      State: state,
+      ColdLeftMs: 0,
+      Seq: 1,
+    }),
+    close: async () => {
+      server.closeAllConnections();
+      await new Promise((resolve) => server.close(resolve));
+    },
+  };
+
+  async function answer(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const parts: Buffer[] = [];
+    for await (const part of message) parts.push(part as Buffer);
+    if (message.headers["x-expect-instance"] !== id) {
+      response.writeHead(421, { "X-Instance": id });
+      response.end();
+      return;
+    }
+    const request: ReceivedRequest = {
+      method: message.method ?? "",
+      path: message.url ?? "",
+      headers: message.headers,
+      body: Buffer.concat(parts).toString(),
+    };
+    received.push(request);
+    behaviour(request, response);
+  }
+}
+
+/** Sets the headers that mark an answer as this target's. */
+export function sign(
+  request: ReceivedRequest,
+  response: ServerResponse,
+  id: string,
+): void {
+  response.setHeader("X-Request-Id", request.headers["x-request-id"] ?? "");
+  response.setHeader("X-Server-Stamp", `stamp of ${id}`);
+}
