--- a/src/process/direct/cache_recovery.ts
+++ b/src/process/direct/cache_recovery.ts
@@ -19,6 +19,10 @@
   readonly placement: Placement;
   readonly log: Log;
   getPeers(): readonly RouterPeer[];
+  /** Tells peers that this router recovers; settled ones answer at once. */
+  askPeers(): void;
+  /** True when the peer has told that it has nothing to recover. */
+  isPeerSettled(id: string): boolean;
   /** Engines of all services that may receive work. */
   getEngines(): readonly DirectTarget[];
   /** What a peer knows; undefined when it is silent or has not recovered. */
@@ -32,6 +36,9 @@
   noteParts(target: string, parts: readonly PromptPart[]): void;
 }
 
+/** Time in which settled peers answer, in milliseconds; many round trips. */
+const answerMs = 60;
+
 /** Peers that are asked at once. */
 const maxPeersAsked = 3;
 
@@ -80,7 +87,11 @@
   }
 
   async function recoverOnce(selfId: string): Promise<void> {
-    const peers = host.getPeers().filter(({ id }) => id !== selfId);
+    host.askPeers();
+    await sleep(answerMs);
+    const peers = host.getPeers().filter(({ id }) =>
+      id !== selfId && host.isPeerSettled(id)
+    );
     const copy = await tryPullFromPeers(peers);
     if (copy !== undefined) {
       host.takeParts(copy);
--- /dev/null
+++ b/src/process/direct/cache_recovery_test.ts
@@ -0,0 +1,116 @@
+import { createTarget } from "../../../test/support/direct.ts";
+import type { RouterPeer } from "../../types/direct_target.ts";
+import { createSilentLog } from "../log.ts";
+import { createPlacement } from "../placement.ts";
+import { createCacheRecovery } from "./cache_recovery.ts";
+import { createHeldParts, type HeldPart } from "./held_parts.ts";
+
+const peers: readonly RouterPeer[] = ["r1", "r2", "r3"].map((id) => ({
+  id,
+  address: "127.0.0.1",
+  digestPort: 1,
+  pullPort: 2,
+}));
+
+const engines = ["a", "b", "c", "d", "e", "f"].map((id) => createTarget(id));
+
+/** Routers that restart together and hear each other's digests. */
+function createRouters(
+  options: { readonly copyOf?: readonly HeldPart[] } = {},
+) {
+  const asked: string[] = [];
+  const memories = new Map(peers.map(({ id }) => [id, createHeldParts()]));
+  const recoveries = peers.map(({ id }) => ({
+    id,
+    recovery: createCacheRecovery({
+      placement: createPlacement({
+        hash: (key, seed) => ((key[0] ?? 0) * 2_654_435_761 + seed) >>> 0,
+      }),
+      log: createSilentLog(),
+      getPeers: () => peers,
+      askPeers: () => undefined,
+      isPeerSettled: () => options.copyOf !== undefined,
+      getEngines: () => engines,
+      tryPull: () => Promise.resolve(options.copyOf),
+      tryListParts: (target) => {
+        asked.push(target.id);
+        return Promise.resolve([{ id: `part of ${target.id}`, tokens: 900 }]);
+      },
+      takeParts: (parts) =>
+        parts.forEach(({ target, part }) =>
+          memories.get(id)?.notePart(target, part)
+        ),
+      noteParts: (target, parts) =>
+        memories.forEach((memory) => memory.note(target, parts)),
+    }),
+  }));
+  return { asked, memories, recoveries };
+}
+
+describe("recovery of what engines hold", () => {
+  beforeEach(() => void jest.useFakeTimers());
+  afterEach(() => void jest.useRealTimers());
+
+  it("takes a peer's copy and asks no engine", async () => {
+    const copy = [{ target: "a", part: { id: "p", tokens: 900 } }];
+    const { asked, memories, recoveries } = createRouters({ copyOf: copy });
+    const [first] = recoveries;
+    const recovered = first?.recovery.recover("r1");
+    await jest.advanceTimersByTimeAsync(100);
+    await recovered;
+    expect(asked).toEqual([]);
+    expect(memories.get("r1")?.isHeld("a", "p")).toBe(true);
+    expect(first?.recovery.isSettled()).toBe(true);
+  });
+
+  describe("after a restart of all routers", () => {
+    it("asks each engine once, and all routers learn of it", async () => {
+      const { asked, memories, recoveries } = createRouters();
+      const all = Promise.all(
+        recoveries.map(({ id, recovery }) => recovery.recover(id)),
+      );
+      await jest.advanceTimersByTimeAsync(1_000);
+      await all;
+      expect([...asked].sort()).toEqual(engines.map(({ id }) => id));
+      for (const memory of memories.values()) {
+        engines.forEach(({ id }) =>
+          expect(memory.isHeld(id, `part of ${id}`)).toBe(true)
+        );
+      }
+    });
+
+    it("gives no peer a copy before the others have told", async () => {
+      const { recoveries } = createRouters();
+      const recovery = recoveries[0]?.recovery;
+      void recovery?.recover("r1");
+      await jest.advanceTimersByTimeAsync(1_000);
+      expect(recovery?.isSettled()).toBe(false);
+      await jest.advanceTimersByTimeAsync(1_000);
+      expect(recovery?.isSettled()).toBe(true);
+    });
+  });
+
+  it("holds requests up for half a second at most", async () => {
+    const recovery = createCacheRecovery({
+      placement: createPlacement({ hash: () => 1 }),
+      log: createSilentLog(),
+      getPeers: () => [],
+      askPeers: () => undefined,
+      isPeerSettled: () => false,
+      getEngines: () => engines,
+      tryPull: () => Promise.resolve(undefined),
+      tryListParts: () => new Promise(() => undefined),
+      takeParts: () => undefined,
+      noteParts: () => undefined,
+    });
+    void recovery.recover("r1");
+    let isOpen = false;
+    void recovery.wait().then(() => {
+      isOpen = true;
+    });
+    await jest.advanceTimersByTimeAsync(499);
+    expect(isOpen).toBe(false);
+    await jest.advanceTimersByTimeAsync(2);
+    expect(isOpen).toBe(true);
+  });
+});
--- a/src/process/direct/peer_digests.ts
+++ b/src/process/direct/peer_digests.ts
@@ -6,7 +6,7 @@
 import {
   PeerDigest,
   type TargetLoadReport,
-} from "../../generated/mimosatray/v1/peer.ts";
+} from "../../generated/mimosatray/v1/peer_digest.ts";
 import type { HeldPart } from "./held_parts.ts";
 import type { TargetLoad } from "./load_view.ts";
 
@@ -26,40 +26,47 @@
 export interface DigestNews {
   readonly sender: string;
   readonly directoryRevision: number;
+  /** False while the sender recovers what engines hold. */
+  readonly isSettled: boolean;
   readonly loads: ReadonlyMap<string, TargetLoad>;
   readonly parts: readonly HeldPart[];
 }
 
+/** What a process tells of itself. */
+export type DigestState = Pick<
+  DigestNews,
+  "directoryRevision" | "isSettled" | "loads"
+>;
+
 /** The digests that one process sends. */
 export interface DigestWriter {
   /** The parts are told with the next digests. */
   notePart(news: HeldPart): void;
   /** Parts that peers have not been told yet. */
   getWaiting(): number;
-  /** Builds the next datagram. */
-  write(state: {
-    readonly directoryRevision: number;
-    readonly loads: ReadonlyMap<string, TargetLoad>;
-  }): Uint8Array;
+  /** Builds the next datagram to all peers. */
+  write(state: DigestState): Uint8Array;
+  /** Builds an answer to one peer; parts wait for the next datagram to all. */
+  writeAnswer(state: DigestState): Uint8Array;
 }
 
 /** Creates the writer of a process. */
 export function createDigestWriter(sender: string): DigestWriter {
   let waiting: { readonly news: HeldPart; readonly timesLeft: number }[] = [];
 
-  return { notePart, getWaiting: () => waiting.length, write };
+  return {
+    notePart,
+    getWaiting: () => waiting.length,
+    write,
+    writeAnswer: (state) => encode(state, []),
+  };
 
   function notePart(news: HeldPart): void {
     waiting.push({ news, timesLeft: tellings });
     if (waiting.length > maxPartsWaiting) waiting.shift();
   }
 
-  function write(
-    { directoryRevision, loads }: {
-      readonly directoryRevision: number;
-      readonly loads: ReadonlyMap<string, TargetLoad>;
-    },
-  ): Uint8Array {
+  function write(state: DigestState): Uint8Array {
     const told = waiting.slice(0, maxPartsTold);
     waiting = [
       ...waiting.slice(maxPartsTold),
@@ -67,11 +74,19 @@
         timesLeft > 1 ? [{ news, timesLeft: timesLeft - 1 }] : []
       ),
     ];
+    return encode(state, told.map(({ news }) => news));
+  }
+
+  function encode(
+    { directoryRevision, isSettled, loads }: DigestState,
+    parts: readonly HeldPart[],
+  ): Uint8Array {
     return PeerDigest.encode({
       sender,
       directoryRevision,
+      isSettled,
       loads: [...loads].map(toReport),
-      heldParts: told.map(({ news: { target, part } }) => ({
+      heldParts: parts.map(({ target, part }) => ({
         target,
         part: part.id,
         tokens: part.tokens,
@@ -99,6 +114,7 @@
     return {
       sender: digest.sender,
       directoryRevision: digest.directoryRevision,
+      isSettled: digest.isSettled,
       loads: new Map(
         digest.loads.map(({ target, requests, unreadTokens }) => [
           target,
--- a/src/process/direct/peer_digests_test.ts
+++ b/src/process/direct/peer_digests_test.ts
@@ -4,7 +4,7 @@
   tryReadDigest,
 } from "./peer_digests.ts";
 
-const noLoads = { directoryRevision: 7, loads: new Map() };
+const noLoads = { directoryRevision: 7, isSettled: true, loads: new Map() };
 
 describe("digests between routers", () => {
   it("carry loads, parts and the directory's revision", () => {
@@ -12,11 +12,13 @@
     writer.notePart({ target: "a", part: { id: "p", tokens: 9 } });
     const news = tryReadDigest(writer.write({
       directoryRevision: 7,
+      isSettled: true,
       loads: new Map([["a", { requests: 2, unreadTokens: 30 }]]),
     }));
     expect(news).toEqual({
       sender: "router-1",
       directoryRevision: 7,
+      isSettled: true,
       loads: new Map([["a", { requests: 2, unreadTokens: 30 }]]),
       parts: [{ target: "a", part: { id: "p", tokens: 9 } }],
     });
@@ -45,7 +47,11 @@
         { requests: 20, unreadTokens: 40_000 },
       ]),
     );
-    const { length } = writer.write({ directoryRevision: 9_999_999, loads });
+    const { length } = writer.write({
+      directoryRevision: 9_999_999,
+      isSettled: true,
+      loads,
+    });
     expect(length).toBeLessThanOrEqual(maxDigestBytes);
   });
 
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -14,6 +14,7 @@
 import {
   createDigestWriter,
   type DigestNews,
+  type DigestState,
   tryReadDigest,
 } from "../process/direct/peer_digests.ts";
 import type { TargetHealth } from "../process/direct/target_health.ts";
@@ -39,6 +40,12 @@
 /** Interval at which news are passed on, in milliseconds. */
 const newsMs = 60;
 
+/**
+ * Time after the start at which peers may pull, in milliseconds. Loading the
+ * RPC library takes as long as the rest of a start, and callers wait for that.
+ */
+const servePullsAfterMs = 1_500;
+
 /** Digests to each peer in one interval; bounds a burst after a restart. */
 const maxDigestsAtOnce = 16;
 
@@ -121,6 +128,8 @@
     log,
     placement: host.placement,
     getPeers: () => [...routers.values()],
+    askPeers: () => sendDigest(performance.now()),
+    isPeerSettled: (id) => settledPeers.has(id),
     getEngines: () => targets.getAllReady().filter(isEngine),
     tryPull,
     tryListParts: host.calls.tryListParts,
@@ -130,6 +139,8 @@
   });
   let isRecovering = false;
   let firstTable: RouteTable | undefined;
+  /** Peers that had nothing to recover when they were last heard. */
+  const settledPeers = new Set<string>();
   /** Moments at which peers were last heard. */
   const heardAt = new Map<string, number>();
   const socket = createGossipSocket({
@@ -159,11 +170,12 @@
   function start(): void {
     sync.start();
     void announce();
-    void servePulls();
+    setTimeout(() => void servePulls(), servePullsAfterMs).unref();
   }
 
   /** Loads the RPC library only when the router already serves. */
   async function servePulls(): Promise<void> {
+    if (isStopped) return;
     try {
       const { servePulls: serve } = await import(
         "../connection/directory_pull.ts"
@@ -323,19 +335,31 @@
 
   function sendDigest(now: number): void {
     sentAt = now;
-    const bytes = digests.write({
-      directoryRevision: replica.getNewestRevision(),
-      loads: host.loads.getOwn(),
-    });
+    const bytes = digests.write(getDigestState());
     for (const { id, address, digestPort } of routers.values()) {
       if (id !== self.id) socket.send(bytes, { address, port: digestPort });
     }
   }
 
+  function getDigestState(): DigestState {
+    return {
+      directoryRevision: replica.getNewestRevision(),
+      isSettled: recovery.isSettled(),
+      loads: host.loads.getOwn(),
+    };
+  }
+
   function takeDigest(news: DigestNews, from: Endpoint): void {
     if (news.sender === self.id) return;
     host.loads.takeReport(news.sender, news.loads);
     noteHeard(news.sender);
+    if (news.isSettled) settledPeers.add(news.sender);
+    else {
+      settledPeers.delete(news.sender);
+      if (recovery.isSettled()) {
+        socket.send(digests.writeAnswer(getDigestState()), from);
+      }
+    }
     news.parts.forEach(({ target, part }) => host.held.notePart(target, part));
     if (news.directoryRevision <= replica.getNewestRevision()) return;
     const now = performance.now();
