Log why targets are set aside and why tries were lost

Cause: a request that ended as answer_cut could not be followed to its cause, as the reason of the break and the judgement of the target were not in the logs.

--- a/src/process/direct/target_health.ts
+++ b/src/process/direct/target_health.ts
@@ -9,6 +9,7 @@
  */
 
 import type { DirectTarget } from "../../types/direct_target.ts";
+import type { Log } from "../log.ts";
 
 /**
  * - `served`: a sound answer, whatever its status below 500.
@@ -70,7 +71,9 @@
 }
 
 /** Creates a judge that trusts every target. */
-export function createTargetHealth(): TargetHealth {
+export function createTargetHealth(
+  host: { readonly log: Log },
+): TargetHealth {
   const byTarget = new Map<string, Health>();
   const byService = new Map<string, Set<string>>();
 
@@ -91,26 +94,43 @@
     health.outcomes.push({ at: now, isFailure: outcome !== "served" });
     if (health.outcomes.length > rememberedOutcomes) health.outcomes.shift();
     if (outcome === "served") {
-      if (isTrial) recover(health);
+      if (isTrial) recover(target, health);
       return;
     }
     const isClear = outcome === "unreachable" || outcome === "silent";
     if (isClear || isTrial || isWorseThanOthers(target, health)) {
-      setAside(health, outcome);
+      setAside(target, health, outcome);
     }
   }
 
-  function recover(health: Health): void {
+  function recover({ id }: DirectTarget, health: Health): void {
+    host.log.info("Target is back", {
+      target: id,
+      timesAside: health.timesAside,
+    });
     health.timesAside = 0;
     health.outcomes = [];
   }
 
-  function setAside(health: Health, outcome: TargetOutcome): void {
+  function setAside(
+    { id, service }: DirectTarget,
+    health: Health,
+    outcome: TargetOutcome,
+  ): void {
     const now = performance.now();
     if (health.asideUntil > now) return;
-    const asideMs = firstAsideMs[outcome] * 2 ** health.timesAside;
-    health.asideUntil = now + Math.min(longestAsideMs, asideMs);
+    const asideMs = Math.min(
+      longestAsideMs,
+      firstAsideMs[outcome] * 2 ** health.timesAside,
+    );
+    health.asideUntil = now + asideMs;
     health.timesAside++;
+    const { all, failures } = countOutcomes([health]);
+    host.log.warn("Target is set aside", {
+      ...{ target: id, service, outcome, asideMs, failures },
+      outcomes: all,
+      timesAside: health.timesAside,
+    });
   }
 
   function isWorseThanOthers(target: DirectTarget, health: Health): boolean {
--- a/src/process/direct/target_health_test.ts
+++ b/src/process/direct/target_health_test.ts
@@ -1,4 +1,5 @@
 import { createTarget } from "../../../test/support/direct.ts";
+import { createSilentLog } from "../log.ts";
 import { createTargetHealth, type TargetOutcome } from "./target_health.ts";
 
 const targets = ["a", "b", "c"].map((id) => createTarget(id));
@@ -17,7 +18,7 @@
   }
 
   it("sets a target aside that fails a part of its requests", () => {
-    const health = createTargetHealth();
+    const health = createTargetHealth({ log: createSilentLog() });
     for (let round = 0; round < 6; round++) {
       health.note(first, round % 2 === 0 ? "failed" : "served");
       health.note(second, "served");
@@ -27,7 +28,7 @@
   });
 
   it("blames no target while all fail alike", () => {
-    const health = createTargetHealth();
+    const health = createTargetHealth({ log: createSilentLog() });
     for (let round = 0; round < 12; round++) {
       const outcome: TargetOutcome = round % 2 === 0 ? "failed" : "served";
       targets.forEach((target) => health.note(target, outcome));
@@ -37,21 +38,21 @@
 
   for (const outcome of ["silent", "unreachable"] as const) {
     it(`sets a target aside that is ${outcome} once`, () => {
-      const health = createTargetHealth();
+      const health = createTargetHealth({ log: createSilentLog() });
       health.note(first, outcome);
       expect(getUsable(health)).toEqual(["b", "c"]);
     });
   }
 
   it("uses all targets when none is sound", () => {
-    const health = createTargetHealth();
+    const health = createTargetHealth({ log: createSilentLog() });
     targets.forEach((target) => health.note(target, "unreachable"));
     expect(getUsable(health)).toEqual(["a", "b", "c"]);
   });
 
   describe("the return of a target", () => {
     function createReturning() {
-      const health = createTargetHealth();
+      const health = createTargetHealth({ log: createSilentLog() });
       health.note(first, "unreachable");
       jest.advanceTimersByTime(401);
       return health;
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -86,7 +86,11 @@
   }
   | { readonly kind: "error_answer" }
   | { readonly kind: "repeat"; readonly code: DiagnosticCode }
-  | { readonly kind: "lost"; readonly code: DiagnosticCode }
+  | {
+    readonly kind: "lost";
+    readonly code: DiagnosticCode;
+    readonly reason: string;
+  }
   | { readonly kind: "stopped" };
 
 /** Runs a request to its end and tells the caller. */
@@ -257,7 +261,7 @@
         return endAborted();
       case "lost":
       case "spoiled":
-        return endLost("outcome_unknown");
+        return endLost("outcome_unknown", { reason: result.reason });
       case "answer":
         return await takeAnswer(result);
     }
@@ -279,22 +283,32 @@
         return isError ? { kind: "error_answer" } : { kind: "done" };
       }
       drop();
-      return attempt.signal.aborted ? endAborted() : endLost("answer_cut");
+      return attempt.signal.aborted
+        ? endAborted()
+        : endLost("answer_cut", { reason: end.reason });
     }
 
     function endAborted(): TryEnd {
-      if (attempt.isSilent()) return endLost("outcome_unknown", "silent");
+      if (attempt.isSilent()) {
+        return endLost("outcome_unknown", {
+          outcome: "silent",
+          reason: "The target stayed silent",
+        });
+      }
       countRun();
       return { kind: "stopped" };
     }
 
     function endLost(
       code: DiagnosticCode,
-      outcome: TargetOutcome = "failed",
+      { reason, outcome = "failed" }: {
+        readonly reason: string;
+        readonly outcome?: TargetOutcome;
+      },
     ): TryEnd {
       countRun();
       noteOutcome(outcome);
-      return { kind: "lost", code };
+      return { kind: "lost", code, reason };
     }
 
     /** The target may have run the request, once for this try. */
@@ -377,7 +391,7 @@
       target: choice.target.id,
       ...describeChoice(choice, request),
       result: result.kind,
-      reason: "reason" in result ? result.reason : undefined,
+      reason: getReason(result) ?? getReason(end),
       verdict: end.kind,
       sends,
       leftMs: Math.round(request.deadlineAt - performance.now()),
@@ -401,3 +415,7 @@
     ...(fetchFrom === undefined ? {} : { fetchFrom: fetchFrom.id }),
   };
 }
+
+function getReason(step: DirectResult | TryEnd): string | undefined {
+  return "reason" in step ? step.reason : undefined;
+}
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -98,7 +98,7 @@
         tryListParts: () => Promise.resolve(undefined),
       },
       targets,
-      health: createTargetHealth(),
+      health: createTargetHealth({ log: createSilentLog() }),
       loads,
       held: createHeldParts(),
       placement: createPlacement({
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -113,7 +113,7 @@
   const startedAt = performance.now();
   const metrics = createMetrics();
   const targets = createTargetTable();
-  const health = createTargetHealth();
+  const health = createTargetHealth({ log });
   const held = createHeldParts();
   const loads = createLoadView();
   let matcher: RouteMatcher | undefined;
