--- a/src/cli/cli.ts
+++ b/src/cli/cli.ts
@@ -7,6 +7,7 @@
   PatchCommand,
   ShowCommand,
 } from "./commands/configuration.ts";
+import { ExplainCommand } from "./commands/explain.ts";
 import { DiffCommand, WatchCommand } from "./commands/follow.ts";
 import {
   DrainCommand,
@@ -38,6 +39,7 @@
   DumpCommand,
   DrainCommand,
   OrderCommand,
+  ExplainCommand,
   Builtins.HelpCommand,
   Builtins.VersionCommand,
 ];
--- /dev/null
+++ b/src/cli/explanation.ts
@@ -0,0 +1,89 @@
+/** Puts the log lines that bear on one request into an order to read. */
+
+/** A decoded log line. */
+type Line = Readonly<Record<string, unknown>>;
+
+/** Fields that stand at the start of a line or say nothing here. */
+const framedFields = new Set([
+  "time",
+  "level",
+  "message",
+  "process",
+  "request",
+]);
+
+/**
+ * Time around the request in which news of its targets bears on it, in ms;
+ * wide enough for clocks that differ between processes by some seconds.
+ */
+const aroundMs = 10_000;
+
+/** Lines for a person; empty when the logs do not know the request. */
+export function explainRequest(
+  logs: string,
+  requestId: string,
+): readonly string[] {
+  const lines = logs.split("\n").flatMap(parseLine);
+  const own = lines.filter(({ request }) => request === requestId);
+  if (own.length === 0) return [];
+  const targets = new Set(
+    own.map(({ target }) => target).filter((target) => target !== undefined),
+  );
+  const processes = new Set(own.map((line) => line["process"]));
+  const times = own.map(getTime);
+  const from = Math.min(...times) - aroundMs;
+  const to = Math.max(...times) + aroundMs;
+  // Clocks differ between processes, so each process is told by itself.
+  return [...processes].flatMap((process) => [
+    `${String(process)}:`,
+    ...lines.filter((line) =>
+      line["process"] === process && getTime(line) >= from &&
+      getTime(line) <= to && bearsOn(line)
+    ).map(formatLine),
+  ]);
+
+  /** News of a target, or of the store and the configuration. */
+  function bearsOn(line: Line): boolean {
+    const { request, target, message } = line;
+    if (request !== undefined) return request === requestId;
+    return target === undefined
+      ? generalMessages.has(message)
+      : targets.has(target);
+  }
+}
+
+/** Lines without a request or target that decide about requests. */
+const generalMessages: ReadonlySet<unknown> = new Set([
+  "Configuration is in force",
+  "Directory was pulled from a peer",
+  "Log lines were left out",
+  "Peer gave no copy of the directory",
+  "Router is ready",
+  "Router starts",
+  "Router stops",
+  "Store call failed",
+  "Store is reached",
+]);
+
+function parseLine(text: string): readonly Line[] {
+  const start = text.indexOf("{");
+  if (start < 0) return [];
+  try {
+    return [JSON.parse(text.slice(start)) as Line];
+  } catch {
+    // Logs of other programs may stand between ours.
+    return [];
+  }
+}
+
+function getTime(line: Line): number {
+  return Date.parse(String(line["time"]));
+}
+
+function formatLine(line: Line): string {
+  const fields = Object.entries(line)
+    .filter(([name]) => !framedFields.has(name))
+    .map(([name, value]) => `${name}=${String(value)}`);
+  const clock = String(line["time"]).slice(11, 23);
+  return [`  ${clock} ${String(line["message"])}`, ...fields].join("  ");
+}
--- /dev/null
+++ b/src/cli/explanation_test.ts
@@ -0,0 +1,43 @@
+import { explainRequest } from "./explanation.ts";
+
+function createLine(
+  second: number,
+  message: string,
+  fields: Readonly<Record<string, unknown>> = {},
+): string {
+  return JSON.stringify({
+    time: new Date(Date.UTC(2026, 0, 1, 0, 0, second)).toISOString(),
+    level: "info",
+    message,
+    process: "router-1",
+    ...fields,
+  });
+}
+
+const logs = [
+  createLine(1, "Target is set aside", { target: "t1", failures: 3 }),
+  createLine(2, "Target is set aside", { target: "t9" }),
+  createLine(3, "Try ended without an answer", { request: "r1", target: "t1" }),
+  "no JSON at all",
+  createLine(4, "Request ended", { request: "r1", target: "t2", code: "done" }),
+  createLine(4, "Request ended", { request: "r2", target: "t2" }),
+  createLine(5, "Store call failed", { kind: "unavailable" }),
+  createLine(40, "Target is gone", { target: "t1" }),
+  createLine(4, "Target is gone", { target: "t1", process: "router-2" }),
+].join("\n");
+
+describe("the explanation of a request", () => {
+  it("tells its tries, what was known of its targets, and the store", () => {
+    expect(explainRequest(logs, "r1")).toEqual([
+      "router-1:",
+      "  00:00:01.000 Target is set aside  target=t1  failures=3",
+      "  00:00:03.000 Try ended without an answer  target=t1",
+      "  00:00:04.000 Request ended  target=t2  code=done",
+      "  00:00:05.000 Store call failed  kind=unavailable",
+    ]);
+  });
+
+  it("is empty for a request that the logs do not know", () => {
+    expect(explainRequest(logs, "r3")).toEqual([]);
+  });
+});
--- a/test/cli/help_test.ts
+++ b/test/cli/help_test.ts
@@ -22,6 +22,7 @@
   ["dump"],
   ["drain"],
   ["order"],
+  ["explain"],
 ];
 
 const badSettings = `{
