Split patience, readiness and operator routes from the request's run

Pure moves, no change of behaviour: time limits and urgency of a try are now a decision module of their own (direct_patience.ts); the router's routes for the balancer and for operators stand in direct_routes.ts.

--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -22,6 +22,11 @@
   type DirectChoice,
   tryChooseTarget,
 } from "./direct_choice.ts";
+import {
+  getPriorityClass,
+  getSilenceMs,
+  getSuspicionMs,
+} from "./direct_patience.ts";
 import { createEnd } from "./request_end.ts";
 import type { RequestSummary } from "./request_host.ts";
 import { createRequestStop } from "./request_stop.ts";
@@ -45,34 +50,9 @@
 /** Time left below which another try is not worth its load, in ms. */
 const minTimeLeftMs = 30;
 
-/** Bounds on the silence after which repeatable work moves on, in ms. */
-const silenceBoundsMs = {
-  /** Above the usual pause of an engine that reads another long prompt. */
-  stream: { least: 900, goals: 3 },
-  /** Above the usual wait for a slot. */
-  call: { least: 250, goals: 2 },
-} as const;
-
-/** Part of the time left that a silent call may take before it moves on. */
-const silencePart = 0.45;
-
-/** Time without an answer that speaks against a target, in milliseconds. */
-const suspectSilenceMs = {
-  /** Above the wait for a first event behind a few long prompts. */
-  stream: { least: 1_200, goals: 1 },
-  /** Above the longest usual work of a call. */
-  call: { least: 300, goals: 3 },
-} as const;
-
 /** Bounds of the time to come back, in milliseconds. */
 const retryAfterBoundsMs = { least: 120, spread: 300 } as const;
 
-/** Urgency that engines are told, 0 is first and 9 last. */
-const lastPriorityClass = 9;
-
-/** Classes between one rank of workspaces and the next. */
-const classesPerWorkspaceRank = 3;
-
 /** Lowest status of an answer by which a target failed. */
 const firstErrorStatus = 500;
 
@@ -171,7 +151,7 @@
         body: request.body,
         workspace: request.holder?.workspace,
         deadlineMs: request.deadlineAt - performance.now(),
-        priorityClass: getPriorityClass(),
+        priorityClass: getPriorityClass(request),
         fetchFrom: choice.fetchFrom?.address,
         lastEventId: answer.getLastEventId(),
         needsFreshConnection: route.kind === "unsafe",
@@ -209,7 +189,7 @@
     let hasAnswered = false;
     const suspicion = setTimeout(() => {
       if (!hasAnswered) host.health.note(taken, "silent");
-    }, getSuspicionMs());
+    }, getSuspicionMs(route));
     let silence = watchSilence();
 
     return {
@@ -224,7 +204,7 @@
       return setTimeout(() => {
         isSilent = true;
         abort();
-      }, getSilenceMs());
+      }, getSilenceMs(route, request.deadlineAt - performance.now()));
     }
 
     function noteProgress(): void {
@@ -337,29 +317,6 @@
     return host.retries.trySpend(service);
   }
 
-  function getSilenceMs(): number {
-    const left = request.deadlineAt - performance.now();
-    if (route.kind === "stream") {
-      const { least, goals } = silenceBoundsMs.stream;
-      return Math.max(least, goals * route.goalMs);
-    }
-    const { least, goals } = silenceBoundsMs.call;
-    return Math.min(left * silencePart, Math.max(least, goals * route.goalMs));
-  }
-
-  function getSuspicionMs(): number {
-    const kind = route.kind === "stream" ? "stream" : "call";
-    const { least, goals } = suspectSilenceMs[kind];
-    return Math.max(least, goals * route.goalMs);
-  }
-
-  /** The workspace's rank goes before the route's. */
-  function getPriorityClass(): number {
-    const ofWorkspace = request.holder?.priority ?? 1;
-    const rank = ofWorkspace * classesPerWorkspaceRank + route.priority;
-    return Math.max(0, Math.min(lastPriorityClass, rank));
-  }
-
   function endStopped(): RequestEnd {
     if (stop.getReason() === "caller_gone") {
       return createEnd(createReport("caller_gone"));
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -4,7 +4,6 @@
 import type { IncomingMessage } from "node:http";
 import {
   type AdminListener,
-  type AdminRoute,
   openAdminListener,
 } from "../connection/admin_listener.ts";
 import {
@@ -35,8 +34,9 @@
 import type { DirectSettings } from "../types/direct_settings.ts";
 import type { DirectoryStore } from "../types/directory.ts";
 import type { Reply } from "../types/reply.ts";
-import type { StopResult } from "../types/role.ts";
+import type { Dump, StopResult } from "../types/role.ts";
 import type { CallerLimits } from "../types/route_table.ts";
+import { createOperatorRoutes, createReadinessRoute } from "./direct_routes.ts";
 import { createDirectory } from "./directory.ts";
 
 /** Requests in flight at one time; bounds memory, far above usual loads. */
@@ -166,7 +166,7 @@
     noteRejected,
   }, settings.front);
   const readiness = await openAdminListener([
-    createReadinessRoute(host.readinessPath),
+    createReadinessRoute(host.readinessPath, isReady),
   ], settings.readiness);
   const admin = await openMetrics();
   directory.start();
@@ -297,53 +297,35 @@
     });
   }
 
-  function createReadinessRoute(path: string): AdminRoute {
-    return {
-      method: "GET",
-      path,
-      handle: () => {
-        const isReady = matcher !== undefined && stopping === undefined;
-        return {
-          kind: "text",
-          status: isReady ? 200 : 503,
-          body: isReady ? "ready" : "not ready",
-        };
-      },
-    };
-  }
-
   /** Callers are served without metrics rather than not at all. */
   async function openMetrics(): Promise<AdminListener | undefined> {
     try {
-      return await openAdminListener(createAdminRoutes(), settings.metrics);
+      return await openAdminListener(
+        createOperatorRoutes({ metrics, dump }),
+        settings.metrics,
+      );
     } catch (error) {
       log.error("Metrics are not served", { reason: String(error) });
       return undefined;
     }
   }
 
-  function createAdminRoutes(): readonly AdminRoute[] {
-    return [{
-      method: "GET",
-      path: "/metrics",
-      handle: () => ({ kind: "text", status: 200, body: metrics.format() }),
-    }, {
-      method: "GET",
-      path: "/dump",
-      handle: () => ({
-        kind: "json",
-        status: 200,
-        body: {
-          version: matcher?.table.version ?? 0,
-          isReady: matcher !== undefined && stopping === undefined,
-          inFlight,
-          directory: directory.dump(),
-          targets: targets.getCounts(),
-          aside: health.getAside(),
-          loads: Object.fromEntries(loads.getOwn()),
-        },
-      }),
-    }];
+  function isReady(): boolean {
+    return matcher !== undefined && stopping === undefined;
+  }
+
+  function dump(): Dump {
+    return {
+      version: matcher?.table.version ?? 0,
+      isReady: isReady(),
+      inFlight,
+      directory: directory.dump(),
+      targets: targets.getCounts(),
+      aside: health.getAside(),
+      loads: Object.fromEntries(
+        [...loads.getOwn()].map(([target, load]) => [target, { ...load }]),
+      ),
+    };
   }
 
   function registerGauges(): void {
