Pass on no request whose caller has already left

Ruled out: a check of the deadline (it is told as time left, so a late reading cannot know it).

Change: two turns of the event loop between the body and the first try; the caller's end counts as soon as it is read.

--- a/src/connection/front_reply.ts
+++ b/src/connection/front_reply.ts
@@ -1,12 +1,15 @@
 /** Writes an answer as its target gave it, or an error of the router's own. */
 
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Reply, ReplyHead, RequestEnd } from "../types/reply.ts";
 import { formatError, waitForRoom } from "./caller_reply.ts";
 
 /** Creates the reply that writes to a response. */
 export function createFrontReply(
-  response: ServerResponse,
+  { message, response }: {
+    readonly message: IncomingMessage;
+    readonly response: ServerResponse;
+  },
   options: {
     readonly requestId: string;
     /** True when the connection should end with this answer. */
@@ -18,6 +21,9 @@
     if (!response.writableFinished) gone.abort();
   });
   response.on("error", () => gone.abort());
+  // Comes with the caller's end, before the connection is closed.
+  message.on("aborted", () => gone.abort());
+  message.on("error", () => gone.abort());
 
   return { gone: gone.signal, start, write, end };
 
--- a/src/connection/front_server.ts
+++ b/src/connection/front_server.ts
@@ -95,7 +95,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const requestId = getRequestId(message);
-    const reply = createFrontReply(response, {
+    const reply = createFrontReply({ message, response }, {
       requestId,
       isClosing: () => isDraining,
     });
@@ -117,6 +117,11 @@
       message.resume();
       return reject(requestId, body.report);
     }
+    await letCloseArrive();
+    if (reply.gone.aborted) {
+      response.destroy();
+      return host.noteRejected(requestId, createReport("caller_gone"));
+    }
     const request = host.decode(message, { requestId, body: body.data });
     await host.handle(request, reply);
 
@@ -149,5 +154,20 @@
   }
 }
 
+/**
+ * Lets the sockets be read once more. After a pause of the process a request
+ * may be read long after its caller has left, and its end comes right behind.
+ */
+async function letCloseArrive(): Promise<void> {
+  for (let turn = 0; turn < closeTurns; turn++) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+}
+
+/** Turns of the event loop in which a close that is there is seen. */
+const closeTurns = 2;
+
 /** A body may take this many times the time of the headers. */
 const bodyTimeoutFactor = 5;
--- a/test/platform/direct_router_test.ts
+++ b/test/platform/direct_router_test.ts
@@ -1,3 +1,4 @@
+import { connect } from "node:net";
 import {
   askReadiness,
   describeConfiguration,
@@ -275,6 +276,25 @@
     expect(target.getReceived().length).toBe(0);
   });
 
+  it("passes on no request of a caller that has already left", async () => {
+    const { target, router } = await startOne();
+    const { address, port } = router.settings.front;
+    for (let index = 0; index < 20; index++) {
+      const socket = connect(port, address);
+      socket.on("error", () => undefined);
+      // What the router finds after a pause: a whole request and its end.
+      socket.end(
+        `GET /proofs/${index} HTTP/1.1\r\nhost: cards.example\r\n` +
+          `x-request-id: left-${index}\r\nx-credential: key-1\r\n\r\n`,
+      );
+      await new Promise((resolve) => socket.on("close", resolve));
+    }
+    expect((await send(router, "/proofs/last")).status).toBe(200);
+    expect(target.getReceived().map(({ path }) => path)).toEqual([
+      "/proofs/last",
+    ]);
+  });
+
   it("announces itself to its peers", async () => {
     const { router } = await startOne();
     await waitUntil(() => store.tryGet("routers/router-1") !== undefined);
