Serve a burst beside a silent agent

Ruled out: the retry budget (no end of the red runs was retry_budget_spent); a longer wait before asking again (the gates refuse on any load).

Change: the router tells the gate how many targets gave it no answer just before; the gate shares the load among the others.

--- a/bench/agent.ts
+++ b/bench/agent.ts
@@ -71,6 +71,7 @@
     gate.check({
       work: 200,
       observedLoads: [1_000, 1_100, 1_200],
+      silentTargets: 0,
       isHeld: false,
     });
   });
--- a/bench/placement/driver.ts
+++ b/bench/placement/driver.ts
@@ -247,6 +247,7 @@
     const question = {
       work: output + (holds ? newPromptTokens : promptTokens),
       observedLoads: loads,
+      silentTargets: 0,
       isHeld: holds,
     };
     return engine.gate.check(question).kind === "admitted";
--- a/src/connection/agent_messages.ts
+++ b/src/connection/agent_messages.ts
@@ -45,6 +45,7 @@
     isChat: message.isChat,
     claim: message.claim,
     observedLoads: message.observedLoads,
+    silentTargets: message.silentTargets,
     conversationHash: message.conversationHash,
     messageCount: message.messageCount,
     onlyIfHeld: message.onlyIfHeld,
--- a/src/connection/agent_wire.ts
+++ b/src/connection/agent_wire.ts
@@ -36,6 +36,7 @@
     claim: dispatch.claim,
     configurationVersion: dispatch.configurationVersion,
     observedLoads: [...dispatch.observedLoads],
+    silentTargets: dispatch.silentTargets,
     conversationHash: dispatch.conversationHash,
     messageCount: work.messageCount,
     onlyIfHeld: dispatch.onlyIfHeld,
--- a/src/process/load_gate.ts
+++ b/src/process/load_gate.ts
@@ -41,6 +41,8 @@
    * request, chosen by hash alone, in work units per weight of 100.
    */
   readonly observedLoads: readonly number[];
+  /** Targets that gave the router no answer just before; 0 when none. */
+  readonly silentTargets: number;
   /** True when the target holds the context of the request. */
   readonly isHeld: boolean;
 }
@@ -97,9 +99,11 @@
       : { kind: "refused", bound };
   }
 
-  function getBound({ work, observedLoads, isHeld }: GateQuestion): number {
+  function getBound(question: GateQuestion): number {
+    const { work, observedLoads, silentTargets, isHeld } = question;
     const estimate = host.getMean();
-    const targets = Math.max(1, estimate.targets);
+    // A target that gives no answer can take no part of the load.
+    const targets = Math.max(1, estimate.targets - silentTargets);
     const mean = Math.max(
       targets === 1 ? getLoad() : estimate.mean,
       getObservedMean(observedLoads, targets),
--- a/src/process/load_gate_test.ts
+++ b/src/process/load_gate_test.ts
@@ -37,7 +37,12 @@
               gates[(first + index) % count] as LoadGate
             );
             const place = order.find((gate) =>
-              gate.check({ work, observedLoads: [], isHeld: true }).kind ===
+              gate.check({
+                work,
+                observedLoads: [],
+                silentTargets: 0,
+                isHeld: true,
+              }).kind ===
                 "admitted"
             );
             expect(place).toBeDefined();
@@ -56,7 +61,14 @@
     const gates = createGates(6, 1.25);
     for (let index = 0; index < 60; index++) gates[0]?.add(100);
     expect(gates[0]?.getLoad()).toBeGreaterThan(1.25 * getMean(gates));
-    expect(gates[0]?.check({ work: 100, observedLoads: [], isHeld: true }).kind)
+    expect(
+      gates[0]?.check({
+        work: 100,
+        observedLoads: [],
+        silentTargets: 0,
+        isHeld: true,
+      }).kind,
+    )
       .toBe("refused");
   });
 
@@ -68,20 +80,63 @@
         getColdMultiple: () => 1.1,
       });
       gate.add(1_000);
-      expect(gate.check({ work: 100, observedLoads: [], isHeld: true }).kind)
+      expect(
+        gate.check({
+          work: 100,
+          observedLoads: [],
+          silentTargets: 0,
+          isHeld: true,
+        }).kind,
+      )
         .toBe("refused");
       expect(
-        gate.check({ work: 100, observedLoads: [1_100, 1_000], isHeld: true })
+        gate.check({
+          work: 100,
+          observedLoads: [1_100, 1_000],
+          silentTargets: 0,
+          isHeld: true,
+        })
           .kind,
       )
         .toBe("refused");
       const observedLoads = [1_100, 1_000, 1_050];
-      expect(gate.check({ work: 100, observedLoads, isHeld: true }).kind).toBe(
+      expect(
+        gate.check({ work: 100, observedLoads, silentTargets: 0, isHeld: true })
+          .kind,
+      ).toBe(
         "admitted",
       );
     });
   });
 
+  describe("beside a target that gives no answer", () => {
+    it("shares the load among those that do", () => {
+      const gate = createLoadGate({
+        getMean: () => ({ mean: 667, targets: 3, ageMs: 0 }),
+        getLoadMultiple: () => 1.25,
+        getColdMultiple: () => 1.1,
+      });
+      gate.add(1_000);
+      const question = { work: 1_000, observedLoads: [1_000], isHeld: true };
+      expect(gate.check({ ...question, silentTargets: 0 }).kind)
+        .toBe("refused");
+      expect(gate.check({ ...question, silentTargets: 1 }).kind)
+        .toBe("admitted");
+    });
+
+    it("still refuses above the multiple of what answers", () => {
+      const gate = createLoadGate({
+        getMean: () => ({ mean: 1_000, targets: 3, ageMs: 0 }),
+        getLoadMultiple: () => 1.25,
+        getColdMultiple: () => 1.1,
+      });
+      gate.add(2_000);
+      const question = { work: 1_000, observedLoads: [1_000], isHeld: true };
+      expect(gate.check({ ...question, silentTargets: 1 }).kind)
+        .toBe("refused");
+    });
+  });
+
   it("holds no bound for the only target of a service", () => {
     const gate = createLoadGate({
       getMean: () => ({ mean: 0, targets: 1, ageMs: 0 }),
@@ -89,7 +144,14 @@
       getColdMultiple: () => 1.1,
     });
     gate.add(1_000);
-    expect(gate.check({ work: 100, observedLoads: [], isHeld: true }).kind)
+    expect(
+      gate.check({
+        work: 100,
+        observedLoads: [],
+        silentTargets: 0,
+        isHeld: true,
+      }).kind,
+    )
       .toBe("admitted");
   });
 
@@ -100,11 +162,25 @@
       getColdMultiple: () => 1.1,
     });
     gate.setForeignLoad(700);
-    expect(gate.check({ work: 10, observedLoads: [], isHeld: true }).kind).toBe(
+    expect(
+      gate.check({
+        work: 10,
+        observedLoads: [],
+        silentTargets: 0,
+        isHeld: true,
+      }).kind,
+    ).toBe(
       "refused",
     );
     gate.setForeignLoad(0);
-    expect(gate.check({ work: 10, observedLoads: [], isHeld: true }).kind).toBe(
+    expect(
+      gate.check({
+        work: 10,
+        observedLoads: [],
+        silentTargets: 0,
+        isHeld: true,
+      }).kind,
+    ).toBe(
       "admitted",
     );
   });
@@ -116,7 +192,12 @@
       getColdMultiple: () => 1.1,
     });
     gate.add(1_120);
-    const question = { work: 20, observedLoads: [], isHeld: false };
+    const question = {
+      work: 20,
+      observedLoads: [],
+      silentTargets: 0,
+      isHeld: false,
+    };
     expect(gate.check(question).kind).toBe("refused");
     expect(gate.check({ ...question, isHeld: true }).kind).toBe("admitted");
     const observedLoads = [1_110, 1_120, 1_130];
--- a/src/request/admission.ts
+++ b/src/request/admission.ts
@@ -47,6 +47,7 @@
   const decision = host.gate.check({
     work,
     observedLoads: order.observedLoads,
+    silentTargets: order.silentTargets,
     isHeld: isHeld || !order.isChat,
   });
   if (decision.kind === "admitted") return undefined;
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -122,7 +122,7 @@
 
   /** Tries one target; undefined when the next one should be tried. */
   async function tryTarget(
-    { member, onlyIfHeld, observedLoads }: RoutingChoice,
+    { member, onlyIfHeld, observedLoads, silentTargets }: RoutingChoice,
   ): Promise<RequestEnd | undefined> {
     const attempt = host.attempts.createAttempt();
     const placed = { attempt, target: member };
@@ -139,6 +139,7 @@
       claim: claimed?.key ?? "",
       configurationVersion: host.configuration.getConfiguration().version,
       observedLoads,
+      silentTargets,
       conversationHash: work.conversation === ""
         ? 0
         : host.hashConversation(getPlacementKey(work)),
--- a/src/request/routing.ts
+++ b/src/request/routing.ts
@@ -50,6 +50,8 @@
   readonly onlyIfHeld: boolean;
   /** Loads of targets that refused for load, in the order of asking. */
   readonly observedLoads: readonly number[];
+  /** Targets that gave this router no answer just before. */
+  readonly silentTargets: number;
   /** Time to wait before the target is asked, in milliseconds. */
   readonly pauseMs: number;
 }
@@ -122,7 +124,13 @@
     );
     if (member === undefined) return undefined;
     askedForContext.add(getKey(member));
-    return { member, onlyIfHeld: true, observedLoads: [], pauseMs: 0 };
+    return {
+      member,
+      onlyIfHeld: true,
+      observedLoads: [],
+      silentTargets: 0,
+      pauseMs: 0,
+    };
   }
 
   function tryGetAny(ranked: readonly Member[]): RoutingChoice | undefined {
@@ -154,6 +162,7 @@
       member,
       onlyIfHeld: false,
       observedLoads: [...observedLoads],
+      silentTargets: countSilent(),
       pauseMs: 0,
     };
   }
@@ -184,10 +193,16 @@
       member,
       onlyIfHeld: false,
       observedLoads: others,
+      silentTargets: countSilent(),
       pauseMs: firstPauseMs * askedAgain,
     };
   }
 
+  function countSilent(): number {
+    return host.members.getAvailableAgents(work.service)
+      .filter(({ id }) => host.refusals.isUnreachable(id)).length;
+  }
+
   function getFullLoad(member: Member): number {
     return fullLoads.get(getKey(member)) ?? Number.POSITIVE_INFINITY;
   }
--- a/src/request/routing_test.ts
+++ b/src/request/routing_test.ts
@@ -76,6 +76,15 @@
     expect(asked.indexOf("agent-1")).toBe(asked.length - 1);
   });
 
+  it("tells those asked again how many gave no answer", async () => {
+    const refusals = createRefusalMemory();
+    const routing = await create(3, chat, refusals);
+    refusals.noteUnreachable("agent-1");
+    const asked = askAll(routing, { "agent-2": 100, "agent-3": 290 });
+    expect(asked.map(({ silentTargets }) => silentTargets))
+      .toEqual(asked.map(() => 1));
+  });
+
   it("spreads requests over all targets at or below the mean", async () => {
     const loads = { "agent-1": 300, "agent-2": 100, "agent-3": 100 };
     const again = new Set<string | undefined>();
--- a/src/types/agent_calls.ts
+++ b/src/types/agent_calls.ts
@@ -27,6 +27,8 @@
   readonly configurationVersion: number;
   /** Loads of the targets that refused this request just before. */
   readonly observedLoads: readonly number[];
+  /** Targets of the service that gave no answer just before. */
+  readonly silentTargets: number;
   /** Hash of the conversation's key, 0 for a request without one. */
   readonly conversationHash: number;
   /** The target refuses unless it holds the chat's latest context. */
--- a/src/types/run_order.ts
+++ b/src/types/run_order.ts
@@ -30,6 +30,8 @@
   readonly claim: string;
   /** Loads of the targets that refused this request just before. */
   readonly observedLoads: readonly number[];
+  /** Targets of the service that gave no answer just before. */
+  readonly silentTargets: number;
   /** Hash of the conversation's key, 0 for a request without one. */
   readonly conversationHash: number;
   /** Messages of the chat, 0 for a service call. */
--- a/test/fakes/agent_parts.ts
+++ b/test/fakes/agent_parts.ts
@@ -135,6 +135,7 @@
     isChat: true,
     claim: "",
     observedLoads: [],
+    silentTargets: 0,
     conversationHash: number,
     messageCount: 1,
     onlyIfHeld: false,
--- a/test/naive/router.ts
+++ b/test/naive/router.ts
@@ -53,6 +53,7 @@
       claim: "",
       configurationVersion: 0,
       observedLoads: [],
+      silentTargets: 0,
       conversationHash: 0,
     });
     for await (const event of events) {
