Start the router from compiled code and ask peers later

Cause: after a power loss of all routers, two of five were ready 0.6 s after the others: a tick of 60 ms asked a peer for its directory while the store's answer was on its way, and loading the RPC library held that answer up. The rest of a start compiled 925 KB and set up writers of histogram logs, with locales, that the router never uses.

--- a/scripts/build_platform.js
+++ b/scripts/build_platform.js
@@ -1,5 +1,7 @@
 /** Bundles the router of the users' platform for the plain Node.js runtime. */
+import { execFileSync } from "node:child_process";
 import { mkdirSync } from "node:fs";
+import { resolve } from "node:path";
 import { build } from "esbuild";
 
 /**
@@ -15,15 +17,25 @@
   };
 `;
 
+/** The package's index also sets up writers of log files, with locales. */
+const leanHistograms = `
+  module.exports = require("hdr-histogram-js/dist/HistogramBuilder.js");
+`;
+
+const leanContents = {
+  undici: leanUndici,
+  "hdr-histogram-js": leanHistograms,
+};
+
 const leanLibraries = {
   name: "lean-libraries",
   setup({ onLoad, onResolve }) {
-    onResolve({ filter: /^undici$/ }, () => ({
-      path: "undici",
+    onResolve({ filter: /^(undici|hdr-histogram-js)$/ }, ({ path }) => ({
+      path,
       namespace: "lean",
     }));
-    onLoad({ filter: /.*/, namespace: "lean" }, () => ({
-      contents: leanUndici,
+    onLoad({ filter: /.*/, namespace: "lean" }, ({ path }) => ({
+      contents: leanContents[path],
       resolveDir: process.cwd(),
     }));
   },
@@ -40,10 +52,15 @@
   },
 };
 
+/** Flags with which deploy/system.toml runs the router. */
+const runtimeFlags = ["--max-old-space-size=127"];
+
 mkdirSync("target", { recursive: true });
 await build({
   entryPoints: {
-    mimosatray: "src/platform/main.ts",
+    mimosatray: "src/platform/launch.ts",
+    router: "src/platform/main.ts",
+    code_cache: "src/cli/code_cache.ts",
     directory_pull: "src/connection/directory_pull.ts",
   },
   outdir: "target",
@@ -60,3 +77,8 @@
   logLevel: "warning",
   plugins: [leanLibraries, lazyPulls],
 });
+execFileSync(process.execPath, [
+  ...runtimeFlags,
+  "scripts/write_code_cache.cjs",
+  resolve("target/router.cjs"),
+], { stdio: ["ignore", "ignore", "inherit"], env: {} });
--- a/src/process/direct/directory_sync.ts
+++ b/src/process/direct/directory_sync.ts
@@ -31,6 +31,8 @@
   takeFromPeer(changes: readonly WatchEvent[]): void;
   /** True while the last call to the store was answered. */
   isConnected(): boolean;
+  /** True when peers should be asked for what the store does not give. */
+  needsPeers(): boolean;
   /** True when the last call to the store has failed. */
   hasFailed(): boolean;
   /** End of the last outage, on the steady clock; see `minOutageMs`. */
@@ -51,6 +53,13 @@
  */
 const minOutageMs = 1_000;
 
+/**
+ * Time for a first answer before peers are asked, in milliseconds. It is above
+ * that of a sound store when all routers start at once, as asking loads the RPC
+ * library and holds up the answer itself.
+ */
+const firstAnswerMs = 500;
+
 /** Pause after a failed call; short against the time to apply a change. */
 const failurePause = { firstMs: 60, mostMs: 500 } as const;
 
@@ -63,6 +72,7 @@
   /** First failure since the store was reached. */
   let lostAt = performance.now();
   let answeredAt = performance.now();
+  const createdAt = performance.now();
 
   return {
     start: () => void run(),
@@ -72,11 +82,17 @@
     takeFromPeer: (changes) =>
       notify(host.replica.applyChanges(changes), "peer"),
     isConnected: () => isConnected,
+    needsPeers,
     hasFailed: () => failures > 0,
     getOutageEndedAt: () => outageEndedAt,
     getAgeMs: () => performance.now() - answeredAt,
   };
 
+  function needsPeers(): boolean {
+    if (isConnected) return false;
+    return failures > 0 || performance.now() - createdAt >= firstAnswerMs;
+  }
+
   async function run(): Promise<void> {
     let revision: number | undefined;
     while (!isStopped) {
--- a/src/process/direct/directory_sync_test.ts
+++ b/src/process/direct/directory_sync_test.ts
@@ -62,6 +62,26 @@
     return { store, changes, sync };
   }
 
+  describe("before the first answer", () => {
+    it("leaves peers alone while a sound store may still answer", async () => {
+      const { sync } = start([]);
+      await jest.advanceTimersByTimeAsync(400);
+      expect(sync.needsPeers()).toBe(false);
+    });
+
+    it("asks peers when the store stays silent", async () => {
+      const { sync } = start([]);
+      await jest.advanceTimersByTimeAsync(600);
+      expect(sync.needsPeers()).toBe(true);
+    });
+
+    it("asks peers at once when the store turns it away", async () => {
+      const { sync } = start([unavailable]);
+      await jest.advanceTimersByTimeAsync(1);
+      expect(sync.needsPeers()).toBe(true);
+    });
+  });
+
   const listing: Step = {
     kind: "listing",
     listing: {
--- a/src/process/log.ts
+++ b/src/process/log.ts
@@ -1,6 +1,6 @@
 /** Logs of a process: one JSON object a line, on standard error. */
 
-import { createConsola, type LogObject } from "consola";
+import { createConsola, type LogObject } from "consola/core";
 
 /** Values that a log line may carry. */
 export type LogFields = Readonly<
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -42,9 +42,10 @@
 
 /**
  * Time after the start at which peers may pull, in milliseconds. Loading the
- * RPC library takes as long as the rest of a start, and callers wait for that.
+ * RPC library takes as long as the rest of a start, so it waits until callers
+ * of an outage have been answered.
  */
-const servePullsAfterMs = 1_500;
+const servePullsAfterMs = 4_000;
 
 /** Digests to each peer in one interval; bounds a burst after a restart. */
 const maxDigestsAtOnce = 16;
@@ -330,7 +331,7 @@
     // A restarted router tells whole caches of engines at once.
     while (digests.getWaiting() > 0 && left-- > 0) sendDigest(now);
     if (now - sentAt >= digestMs) sendDigest(now);
-    if (version === 0 && !sync.isConnected()) pullFromSeed();
+    if (version === 0 && sync.needsPeers()) pullFromSeed();
   }
 
   function sendDigest(now: number): void {
