Wait while a shared part is being read

Cause: a part counts as held from the moment at which an engine is sent it. Seen beside it: time waited for the first configuration was not taken off the deadline that targets are given.

Ruled out: memory that engines gave up (parts last used seconds before were found), crashes alone (half of the tokens).

Change: part_reads knows what is being read, from own requests and from the peers' digests; a request waits up to 0.3 of its goal for its reader, once, and chooses again.

--- a/src/connection/directory_pull.ts
+++ b/src/connection/directory_pull.ts
@@ -67,6 +67,7 @@
         target,
         part: part.id,
         tokens: part.tokens,
+        isBeingRead: false,
       }));
       reply(null, { heldParts, isSettled });
     },
--- a/src/process/direct/held_parts.ts
+++ b/src/process/direct/held_parts.ts
@@ -14,6 +14,12 @@
   readonly part: PromptPart;
 }
 
+/** A part that a target has just been given. */
+export interface GivenPart extends HeldPart {
+  /** True when the target reads it; false when it copies it or has it. */
+  readonly isBeingRead: boolean;
+}
+
 /** Parts of prompts by target. */
 export interface HeldParts {
   /** A target has read, or is reading, all these parts. */
--- a/src/process/direct/peer_digests.ts
+++ b/src/process/direct/peer_digests.ts
@@ -7,7 +7,7 @@
   PeerDigest,
   type TargetLoadReport,
 } from "../../generated/mimosatray/v1/peer_digest.ts";
-import type { HeldPart } from "./held_parts.ts";
+import type { GivenPart } from "./held_parts.ts";
 import type { TargetLoad } from "./load_view.ts";
 
 /** Largest datagram, so that no path breaks it into fragments. */
@@ -29,7 +29,7 @@
   /** False while the sender recovers what engines hold. */
   readonly isSettled: boolean;
   readonly loads: ReadonlyMap<string, TargetLoad>;
-  readonly parts: readonly HeldPart[];
+  readonly parts: readonly GivenPart[];
 }
 
 /** What a process tells of itself. */
@@ -41,7 +41,7 @@
 /** The digests that one process sends. */
 export interface DigestWriter {
   /** The parts are told with the next digests. */
-  notePart(news: HeldPart): void;
+  notePart(news: GivenPart): void;
   /** Parts that peers have not been told yet. */
   getWaiting(): number;
   /** Builds the next datagram to all peers. */
@@ -52,7 +52,7 @@
 
 /** Creates the writer of a process. */
 export function createDigestWriter(sender: string): DigestWriter {
-  let waiting: { readonly news: HeldPart; readonly timesLeft: number }[] = [];
+  let waiting: { readonly news: GivenPart; readonly timesLeft: number }[] = [];
 
   return {
     notePart,
@@ -61,7 +61,7 @@
     writeAnswer: (state) => encode(state, []),
   };
 
-  function notePart(news: HeldPart): void {
+  function notePart(news: GivenPart): void {
     waiting.push({ news, timesLeft: tellings });
     if (waiting.length > maxPartsWaiting) waiting.shift();
   }
@@ -79,17 +79,18 @@
 
   function encode(
     { directoryRevision, isSettled, loads }: DigestState,
-    parts: readonly HeldPart[],
+    parts: readonly GivenPart[],
   ): Uint8Array {
     return PeerDigest.encode({
       sender,
       directoryRevision,
       isSettled,
       loads: [...loads].map(toReport),
-      heldParts: parts.map(({ target, part }) => ({
+      heldParts: parts.map(({ target, part, isBeingRead }) => ({
         target,
         part: part.id,
         tokens: part.tokens,
+        isBeingRead,
       })),
     }).finish();
   }
@@ -121,10 +122,13 @@
           { requests, unreadTokens },
         ]),
       ),
-      parts: digest.heldParts.map(({ target, part, tokens }) => ({
-        target,
-        part: { id: part, tokens },
-      })),
+      parts: digest.heldParts.map(
+        ({ target, part, tokens, isBeingRead }) => ({
+          target,
+          part: { id: part, tokens },
+          isBeingRead,
+        }),
+      ),
     };
   } catch {
     // Any process may send to the port; what is no digest is ignored.
--- a/src/process/direct/peer_digests_test.ts
+++ b/src/process/direct/peer_digests_test.ts
@@ -9,7 +9,11 @@
 describe("digests between routers", () => {
   it("carry loads, parts and the directory's revision", () => {
     const writer = createDigestWriter("router-1");
-    writer.notePart({ target: "a", part: { id: "p", tokens: 9 } });
+    writer.notePart({
+      target: "a",
+      part: { id: "p", tokens: 9 },
+      isBeingRead: true,
+    });
     const news = tryReadDigest(writer.write({
       directoryRevision: 7,
       isSettled: true,
@@ -20,13 +24,17 @@
       directoryRevision: 7,
       isSettled: true,
       loads: new Map([["a", { requests: 2, unreadTokens: 30 }]]),
-      parts: [{ target: "a", part: { id: "p", tokens: 9 } }],
+      parts: [{ target: "a", part: { id: "p", tokens: 9 }, isBeingRead: true }],
     });
   });
 
   it("tell each part twice, as some datagrams are lost", () => {
     const writer = createDigestWriter("router-1");
-    writer.notePart({ target: "a", part: { id: "p", tokens: 9 } });
+    writer.notePart({
+      target: "a",
+      part: { id: "p", tokens: 9 },
+      isBeingRead: true,
+    });
     const told = [1, 2, 3].map(() =>
       tryReadDigest(writer.write(noLoads))?.parts.length
     );
@@ -39,6 +47,7 @@
       writer.notePart({
         target: `i-0123456789${index}`,
         part: { id: `0123456789abc${index}`, tokens: 30_000 },
+        isBeingRead: true,
       });
     }
     const loads = new Map(
--- a/src/request/direct_choice.ts
+++ b/src/request/direct_choice.ts
@@ -11,6 +11,7 @@
 import type { TargetTable } from "../process/direct/target_table.ts";
 import type { Placement } from "../process/placement.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
+import type { PromptPart } from "../types/prompt.ts";
 import type { DirectTarget } from "../types/direct_target.ts";
 
 /** What choosing needs from the process. */
@@ -18,7 +19,7 @@
   readonly targets: Pick<TargetTable, "getReady" | "getLeaving">;
   readonly health: Pick<TargetHealth, "getUsable" | "isAside">;
   readonly loads: Pick<LoadView, "getLoad">;
-  readonly held: Pick<HeldParts, "getHeldTokens">;
+  readonly held: Pick<HeldParts, "getHeldTokens" | "isHeld">;
   readonly placement: Placement;
   /** Availability zone of this router. */
   readonly zone: string;
@@ -32,6 +33,8 @@
   readonly fetchFrom: DirectTarget | undefined;
   /** Tokens of the request's shared parts that the target holds. */
   readonly heldTokens: number;
+  /** Shared parts that it reads, as neither it nor the source holds them. */
+  readonly readParts: readonly PromptPart[];
   /** Requests at the target before this one. */
   readonly load: number;
   /** Targets that could have been chosen. */
@@ -65,6 +68,7 @@
     ...chosen,
     fetchFrom: undefined,
     heldTokens: 0,
+    readParts: [],
     candidates: candidates.length,
   };
 }
@@ -101,5 +105,24 @@
         heldTokens: host.held.getHeldTokens(target.id, shared),
       })),
   }, candidates);
-  return chosen && { ...chosen, candidates: candidates.length };
+  if (chosen === undefined) return undefined;
+  const { target, fetchFrom } = chosen;
+  const holders = fetchFrom === undefined ? [target] : [target, fetchFrom];
+  return {
+    ...chosen,
+    candidates: candidates.length,
+    readParts: getUnheldParts(
+      shared,
+      (part) => holders.some(({ id }) => host.held.isHeld(id, part.id)),
+    ),
+  };
+}
+
+/** A part counts as held only behind parts that are all held. */
+function getUnheldParts(
+  parts: readonly PromptPart[],
+  isHeld: (part: PromptPart) => boolean,
+): readonly PromptPart[] {
+  const first = parts.findIndex((part) => !isHeld(part));
+  return first < 0 ? [] : parts.slice(first);
 }
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -4,6 +4,7 @@
  */
 
 import type { HeldParts } from "../process/direct/held_parts.ts";
+import type { PartReads } from "../process/direct/part_reads.ts";
 import type { LoadView } from "../process/direct/load_view.ts";
 import { getSharedParts } from "../process/direct/prefix_placement.ts";
 import type { RetryShare } from "../process/direct/retry_share.ts";
@@ -15,6 +16,7 @@
 import type { DirectCalls, DirectResult } from "../types/direct_calls.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
 import { createReport, type DiagnosticCode } from "../types/diagnostics.ts";
+import type { PromptPart } from "../types/prompt.ts";
 import type { Reply, RequestEnd } from "../types/reply.ts";
 import { createDirectAnswer } from "./direct_answer.ts";
 import {
@@ -39,7 +41,15 @@
     "getUsable" | "isAside" | "note" | "noteSent"
   >;
   readonly loads: Pick<LoadView, "getLoad" | "begin">;
-  readonly held: Pick<HeldParts, "getHeldTokens" | "note">;
+  readonly held: Pick<HeldParts, "getHeldTokens" | "isHeld"> & {
+    /** A target is given parts, of which it reads some. */
+    note(
+      target: string,
+      parts: readonly PromptPart[],
+      read: readonly PromptPart[],
+    ): void;
+  };
+  readonly reads: Pick<PartReads, "begin" | "wait">;
   readonly retries: Pick<RetryShare, "noteRequest" | "trySpend">;
   readonly log: Log;
 }
@@ -47,6 +57,12 @@
 /** Targets that one request is sent to at most, run or not. */
 const maxSends = 5;
 
+/**
+ * Part of the goal that a request may wait for a part that is being read; the
+ * rest is for its own reading.
+ */
+const readWaitPartOfGoal = 0.3;
+
 /** Time left below which another try is not worth its load, in ms. */
 const minTimeLeftMs = 30;
 
@@ -90,6 +106,8 @@
     (route.kind === "stream" && route.isResumable);
   const tried = new Set<string>();
   let sends = 0;
+  /** Time waited for parts that were being read, in milliseconds. */
+  let readWaitMs = 0;
   /** Targets that may have run the request. */
   let runs = 0;
   let target = "";
@@ -110,7 +128,8 @@
   async function tryTargets(): Promise<RequestEnd> {
     while (true) {
       if (stop.getReason() !== undefined) return endStopped();
-      const choice = tryChooseTarget(host, request, tried);
+      const choice = await tryChooseReadTarget();
+      if (stop.getReason() !== undefined) return endStopped();
       if (choice === undefined || sends >= maxSends) return endUnserved();
       const result = await tryTarget(choice);
       const end = act(result);
@@ -118,6 +137,24 @@
     }
   }
 
+  /**
+   * Waits once while the parts to be used are still being read, then chooses
+   * again: the place, or where to copy from, may have changed.
+   */
+  async function tryChooseReadTarget(): Promise<DirectChoice | undefined> {
+    const choice = tryChooseTarget(host, request, tried);
+    if (choice === undefined || request.prompt === undefined) return choice;
+    const holder = choice.fetchFrom ?? choice.target;
+    const waitedMs = await host.reads.wait(
+      holder.id,
+      getSharedParts(request.prompt.parts),
+      { mostMs: route.goalMs * readWaitPartOfGoal },
+    );
+    if (waitedMs === 0) return choice;
+    readWaitMs += waitedMs;
+    return tryChooseTarget(host, request, tried);
+  }
+
   /** Acts on one try; undefined when the next target should be tried. */
   function act(result: TryEnd): RequestEnd | undefined {
     switch (result.kind) {
@@ -167,15 +204,19 @@
 
   /** Counts the load of one try and watches for silence. */
   function createAttempt(choice: DirectChoice) {
-    const { target: taken, heldTokens } = choice;
+    const { target: taken, heldTokens, readParts } = choice;
     tried.add(taken.id);
     target = taken.id;
-    decision = describeChoice(choice, request);
+    decision = {
+      ...describeChoice(choice, request),
+      ...(readWaitMs > 0 ? { readWaitMs: Math.round(readWaitMs) } : {}),
+    };
     sends++;
     const { prompt } = request;
     if (prompt !== undefined) {
-      host.held.note(taken.id, getSharedParts(prompt.parts));
+      host.held.note(taken.id, getSharedParts(prompt.parts), readParts);
     }
+    const read = host.reads.begin(taken.id, readParts);
     host.health.noteSent(taken);
     const load = host.loads.begin(
       taken.id,
@@ -208,7 +249,10 @@
     }
 
     function noteProgress(): void {
-      if (!hasAnswered) load.noteRead();
+      if (!hasAnswered) {
+        load.noteRead();
+        read.finish();
+      }
       hasAnswered = true;
       clearTimeout(silence);
       silence = route.kind === "stream" ? watchSilence() : undefined;
@@ -218,6 +262,7 @@
       clearTimeout(silence);
       clearTimeout(suspicion);
       load.end();
+      read.abandon();
       stop.signal.removeEventListener("abort", abort);
     }
   }
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -4,6 +4,7 @@
   createTarget,
 } from "../../test/support/direct.ts";
 import { createHeldParts } from "../process/direct/held_parts.ts";
+import { createPartReads } from "../process/direct/part_reads.ts";
 import { createLoadView } from "../process/direct/load_view.ts";
 import { createTargetHealth } from "../process/direct/target_health.ts";
 import { createTargetTable } from "../process/direct/target_table.ts";
@@ -11,6 +12,7 @@
 import { createPlacement } from "../process/placement.ts";
 import type { DirectCall, DirectResult } from "../types/direct_calls.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
+import type { PromptPart } from "../types/prompt.ts";
 import type { Reply, RequestEnd } from "../types/reply.ts";
 import type { DirectRoute } from "../types/route_table.ts";
 import { runDirect } from "./direct_run.ts";
@@ -63,9 +65,16 @@
     readonly repeats?: number;
     readonly goneAfterMs?: number;
     readonly forMs?: number;
+    /** Parts that a peer has just sent to an engine to be read. */
+    readonly peerReads?: {
+      readonly target: string;
+      readonly part: PromptPart;
+    };
   } = {},
 ) {
   const calls: DirectCall[] = [];
+  const sentAt: number[] = [];
+  const startedAt = performance.now();
   const targets = createTargetTable();
   ["a", "b", "c"].forEach((id) => targets.put(createTarget(id)));
   let repeats = options.repeats ?? 10;
@@ -87,11 +96,19 @@
     },
   };
   const loads = createLoadView();
+  const held = createHeldParts();
+  const reads = createPartReads();
+  if (options.peerReads !== undefined) {
+    const { target, part } = options.peerReads;
+    held.notePart(target, part);
+    reads.notePeerRead(target, part);
+  }
   const running = runDirect(
     {
       calls: {
         send: (call) => {
           calls.push(call);
+          sentAt.push(performance.now() - startedAt);
           const behave = behaviours[calls.length - 1] ?? hang;
           return Promise.resolve(behave(call));
         },
@@ -100,7 +117,8 @@
       targets,
       health: createTargetHealth({ log: createSilentLog() }),
       loads,
-      held: createHeldParts(),
+      held,
+      reads,
       placement: createPlacement({
         hash: (key, seed) => key.length * 7 + seed,
       }),
@@ -123,6 +141,7 @@
   await running;
   return {
     calls,
+    sentAt,
     targets: calls.map(({ target }) => target.id),
     text,
     status,
@@ -152,6 +171,47 @@
   beforeEach(() => void jest.useFakeTimers());
   afterEach(() => void jest.useRealTimers());
 
+  describe("whose shared part is being read", () => {
+    const part = { id: "long", tokens: 6_000 };
+    const prompt = {
+      model: "writer",
+      parts: [part, { id: "own", tokens: 100 }],
+      promptTokens: 6_100,
+      maxOutputTokens: 80,
+      hintedOutputTokens: undefined,
+    };
+    const longGoal = createRoute({
+      kind: "stream",
+      maxTargets: 1,
+      goalMs: 800,
+    });
+
+    it("is sent to its reader when it has been read", async () => {
+      const result = await run(longGoal, [() => stream(event(1))], {
+        request: { prompt },
+        peerReads: { target: "b", part },
+      });
+      expect(result.targets).toEqual(["b"]);
+      expect(result.sentAt).toEqual([120]);
+    });
+
+    it("is sent before its goal is at risk", async () => {
+      const slow = { id: "long", tokens: 60_000 };
+      const result = await run(fixedStream, [() => stream(event(1))], {
+        request: { prompt },
+        peerReads: { target: "b", part: slow },
+      });
+      expect(result.sentAt).toEqual([fixedStream.goalMs * 0.3]);
+    });
+
+    it("leaves others alone", async () => {
+      const result = await run(fixedStream, [() => stream(event(1))], {
+        request: { prompt },
+      });
+      expect(result.sentAt).toEqual([0]);
+    });
+  });
+
   describe("that may run once", () => {
     for (const [name, behaviour] of Object.entries({ lost, spoiled })) {
       it(`is sent to no other target once its answer is ${name}`, async () => {
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -12,6 +12,7 @@
 } from "../connection/direct_client.ts";
 import { createFrontServer } from "../connection/front_server.ts";
 import { createHeldParts } from "../process/direct/held_parts.ts";
+import { createPartReads } from "../process/direct/part_reads.ts";
 import { createLoadView } from "../process/direct/load_view.ts";
 import { createRetryShare } from "../process/direct/retry_share.ts";
 import {
@@ -115,6 +116,7 @@
   const targets = createTargetTable();
   const health = createTargetHealth({ log });
   const held = createHeldParts();
+  const reads = createPartReads();
   const loads = createLoadView();
   let matcher: RouteMatcher | undefined;
   let stopping: Promise<StopResult> | undefined;
@@ -134,7 +136,7 @@
   const placement = createPlacement(await loadPlacementHost());
   const directory = await createDirectory({
     ...{ settings, store: host.store, log, metrics },
-    ...{ targets, health, held, loads, placement, calls },
+    ...{ targets, health, held, reads, loads, placement, calls },
     noteTable: (table) => {
       const isFirst = matcher === undefined;
       matcher = createRouteMatcher(table);
@@ -149,8 +151,8 @@
     noteTargets: () => calls.retain(targets.getAddresses()),
   });
   const requestHost = {
-    ...{ calls, targets, health, loads, placement, log },
-    held: { getHeldTokens: held.getHeldTokens, note: directory.noteParts },
+    ...{ calls, targets, health, loads, reads, placement, log },
+    held: { ...held, note: directory.noteParts },
     retries: createRetryShare(directory, settings.retries),
     zone: settings.zone,
     loadMultiple: settings.loadMultiple,
@@ -215,6 +217,7 @@
   }
 
   async function handle(request: FrontRequest, reply: Reply): Promise<void> {
+    const arrivedAt = performance.now();
     const current = matcher ?? await waitForTable(request);
     if (current === undefined) {
       return rejectRequest(request, { report: createStartingReport(), reply });
@@ -226,7 +229,11 @@
         rejectRequest(request, { report, reply });
         return Promise.resolve();
       },
-      Right: (match) => run(bindRequest(request, match, version), reply),
+      Right: (match) =>
+        run(
+          bindRequest(request, match, { arrivedAt, tableVersion: version }),
+          reply,
+        ),
     });
   }
 
@@ -377,9 +384,12 @@
 function bindRequest(
   request: FrontRequest,
   { route, holder }: RouteMatch,
-  tableVersion: number,
+  { arrivedAt, tableVersion }: {
+    /** Before any wait: what waiting took is no longer left to a target. */
+    readonly arrivedAt: number;
+    readonly tableVersion: number;
+  },
 ): DirectRequest {
-  const arrivedAt = performance.now();
   const waitMs = Math.min(
     request.deadlineMs ?? usualDeadlineMs,
     route.timeoutMs,
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -10,6 +10,7 @@
 import { createCacheRecovery } from "../process/direct/cache_recovery.ts";
 import { createDirectorySync } from "../process/direct/directory_sync.ts";
 import type { HeldPart, HeldParts } from "../process/direct/held_parts.ts";
+import type { PartReads } from "../process/direct/part_reads.ts";
 import type { LoadView } from "../process/direct/load_view.ts";
 import {
   createDigestWriter,
@@ -71,6 +72,7 @@
   readonly targets: TargetTable;
   readonly health: Pick<TargetHealth, "forget">;
   readonly held: HeldParts;
+  readonly reads: Pick<PartReads, "notePeerRead">;
   readonly loads: Pick<LoadView, "takeReport" | "getOwn">;
   /** A newer version of the configuration is in force. */
   noteTable(table: RouteTable): void;
@@ -83,8 +85,12 @@
 export interface Directory {
   start(): void;
   stop(): void;
-  /** A target is sent the parts of a prompt; peers are told. */
-  noteParts(target: string, parts: readonly PromptPart[]): void;
+  /** A target is given the parts of a prompt; peers are told. */
+  noteParts(
+    target: string,
+    parts: readonly PromptPart[],
+    read: readonly PromptPart[],
+  ): void;
   /** Routers that are registered, this one included; at least 1. */
   getRouters(): number;
   /** Time since the store last answered, in milliseconds. */
@@ -136,7 +142,7 @@
     tryListParts: host.calls.tryListParts,
     takeParts: (parts) =>
       parts.forEach(({ target, part }) => host.held.notePart(target, part)),
-    noteParts,
+    noteParts: (target, parts) => noteParts(target, parts, []),
   });
   let isRecovering = false;
   let firstTable: RouteTable | undefined;
@@ -316,10 +322,14 @@
     return Math.max(now, sync.getOutageEndedAt() + settings.lapseReturnMs);
   }
 
-  function noteParts(target: string, parts: readonly PromptPart[]): void {
+  function noteParts(
+    target: string,
+    parts: readonly PromptPart[],
+    read: readonly PromptPart[],
+  ): void {
     for (const part of parts) {
       if (!host.held.isHeld(target, part.id)) {
-        digests.notePart({ target, part });
+        digests.notePart({ target, part, isBeingRead: read.includes(part) });
       }
     }
     host.held.note(target, parts);
@@ -361,7 +371,12 @@
         socket.send(digests.writeAnswer(getDigestState()), from);
       }
     }
-    news.parts.forEach(({ target, part }) => host.held.notePart(target, part));
+    for (const { target, part, isBeingRead } of news.parts) {
+      if (isBeingRead && !host.held.isHeld(target, part.id)) {
+        host.reads.notePeerRead(target, part);
+      }
+      host.held.notePart(target, part);
+    }
     if (news.directoryRevision <= replica.getNewestRevision()) return;
     const now = performance.now();
     behindSince ??= now;
