Load the RPC library with the first pull of a peer

Ruled out: loading it in a second thread (more memory than the library).

Change: a plain listener accepts pulls from the start and hands connections to the library's server, which is loaded with the first one.

Conclusion: kept for what it spares callers after a restart.

--- a/src/connection/directory_pull.ts
+++ b/src/connection/directory_pull.ts
@@ -1,5 +1,6 @@
 /** Passes the directory and held parts between routers over gRPC. */
 
+import type { Duplex } from "node:stream";
 import {
   credentials,
   Metadata,
@@ -44,11 +45,14 @@
   getHeldParts(): HeldPartsCopy;
 }
 
-/** Serves pulls of peers; returns how to end that. */
-export async function servePulls(
-  host: PullHost,
-  { address, port }: SocketAddress,
-): Promise<() => void> {
+/** Answers pulls of peers on connections that were accepted elsewhere. */
+export interface PullServer {
+  take(connection: Duplex): void;
+  stop(): void;
+}
+
+/** Creates a server without connections. */
+export function createPullServer(host: PullHost): PullServer {
   const server = new Server(channelOptions);
   server.addService(PeerServiceService, {
     pullDirectory: (
@@ -72,14 +76,13 @@
       reply(null, { heldParts, isSettled });
     },
   });
-  await new Promise<void>((resolve, reject) => {
-    server.bindAsync(
-      `${address}:${port}`,
-      ServerCredentials.createInsecure(),
-      (error) => (error === null ? resolve() : reject(error)),
-    );
-  });
-  return () => server.forceShutdown();
+  const injector = server.createConnectionInjector(
+    ServerCredentials.createInsecure(),
+  );
+  return {
+    take: (connection) => injector.injectConnection(connection),
+    stop: () => server.forceShutdown(),
+  };
 }
 
 /** Pulls what a peer knows beyond a revision; rejects when it is silent. */
--- /dev/null
+++ b/src/connection/pull_listener.ts
@@ -0,0 +1,68 @@
+/**
+ * Accepts the pulls of peers, and loads the RPC library only with the first
+ * one: in most lives of a router no peer ever pulls.
+ */
+
+import { createServer, type Socket } from "node:net";
+import type { SocketAddress } from "../types/direct_settings.ts";
+import type { PullHost, PullServer } from "./directory_pull.ts";
+
+/** Connections of peers at one time; each peer opens one a pull. */
+const maxConnections = 64;
+
+/** What the listener needs from outside. */
+export interface PullListenerHost extends PullHost {
+  /** A connection failed, or the library could not be loaded. */
+  onError(error: Error): void;
+}
+
+/** A listener for pulls. */
+export interface PullListener {
+  close(): void;
+}
+
+/** Opens the listener; rejects when the address cannot be taken. */
+export async function openPullListener(
+  host: PullListenerHost,
+  { address, port }: SocketAddress,
+): Promise<PullListener> {
+  let pullServer: Promise<PullServer> | undefined;
+  const sockets = new Set<Socket>();
+  const listener = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", host.onError);
+    socket.on("close", () => sockets.delete(socket));
+    void take(socket);
+  });
+  listener.maxConnections = maxConnections;
+  await new Promise<void>((resolve, reject) => {
+    listener.once("error", reject);
+    listener.listen(port, address, resolve);
+  });
+  listener.on("error", host.onError);
+
+  return { close };
+
+  async function take(socket: Socket): Promise<void> {
+    try {
+      pullServer ??= loadPullServer();
+      const server = await pullServer;
+      if (!socket.destroyed) server.take(socket);
+    } catch (error) {
+      pullServer = undefined;
+      socket.destroy();
+      host.onError(error instanceof Error ? error : new Error(String(error)));
+    }
+  }
+
+  async function loadPullServer(): Promise<PullServer> {
+    const { createPullServer } = await import("./directory_pull.ts");
+    return createPullServer(host);
+  }
+
+  function close(): void {
+    listener.close();
+    void pullServer?.then((server) => server.stop(), () => undefined);
+    sockets.forEach((socket) => socket.destroy());
+  }
+}
--- /dev/null
+++ b/src/connection/pull_listener_test.ts
@@ -0,0 +1,59 @@
+import { createServer } from "node:net";
+import type { SocketAddress } from "../types/direct_settings.ts";
+import { pullDirectory, pullHeldParts } from "./directory_pull.ts";
+import { openPullListener, type PullListener } from "./pull_listener.ts";
+
+/** An address on loopback that is free now. */
+async function getFreeAddress(): Promise<SocketAddress> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as { readonly port: number };
+  await new Promise((resolve) => server.close(resolve));
+  return { address: "127.0.0.1", port };
+}
+
+describe("the listener for pulls", () => {
+  const change = { key: "a", value: "x", revision: 8 };
+  const part = { target: "t", part: { id: "p", tokens: 9 } };
+  let address: SocketAddress;
+  let listener: PullListener;
+  let errors: string[];
+
+  beforeEach(async () => {
+    errors = [];
+    address = await getFreeAddress();
+    listener = await openPullListener({
+      getSince: (revision) => revision < change.revision ? [change] : [],
+      getHeldParts: () => ({ parts: [part], isSettled: true }),
+      onError: (error) => errors.push(error.message),
+    }, address);
+  });
+  afterEach(() => listener.close());
+
+  it("answers the first pull and those that follow", async () => {
+    await expect(pullDirectory(address, 7)).resolves.toEqual([change]);
+    await expect(pullDirectory(address, 8)).resolves.toEqual([]);
+    await expect(pullHeldParts(address)).resolves.toEqual({
+      parts: [part],
+      isSettled: true,
+    });
+    expect(errors).toEqual([]);
+  });
+
+  it("answers pulls that come at once", async () => {
+    const pulled = await Promise.all(
+      [1, 2, 3].map(() => pullDirectory(address, 0)),
+    );
+    expect(pulled).toEqual([[change], [change], [change]]);
+  });
+
+  it("rejects an address that is taken", async () => {
+    await expect(openPullListener({
+      getSince: () => [],
+      getHeldParts: () => ({ parts: [], isSettled: true }),
+      onError: () => undefined,
+    }, address)).rejects.toThrow("EADDRINUSE");
+  });
+});
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -3,6 +3,10 @@
  * tables of targets up to date, and exchanges digests with other routers.
  */
 
+import {
+  openPullListener,
+  type PullListener,
+} from "../connection/pull_listener.ts";
 import { createGossipSocket } from "../connection/gossip_socket.ts";
 import type { Endpoint } from "../process/exchange.ts";
 import type { DirectoryReplica } from "../process/direct/directory_replica.ts";
@@ -41,13 +45,6 @@
 /** Interval at which news are passed on, in milliseconds. */
 const newsMs = 60;
 
-/**
- * Time after the start at which peers may pull, in milliseconds. Loading the
- * RPC library takes as long as the rest of a start, so it waits until callers
- * of an outage have been answered.
- */
-const servePullsAfterMs = 4_000;
-
 /** Digests to each peer in one interval; bounds a burst after a restart. */
 const maxDigestsAtOnce = 16;
 
@@ -123,7 +120,7 @@
   let nextSeed = 0;
   let behindSince: number | undefined;
   let sentAt = 0;
-  let endPulls: (() => void) | undefined;
+  let pulls: PullListener | undefined;
   const sync = createDirectorySync({
     store,
     replica,
@@ -177,23 +174,22 @@
   function start(): void {
     sync.start();
     void announce();
-    setTimeout(() => void servePulls(), servePullsAfterMs).unref();
+    void servePulls();
   }
 
-  /** Loads the RPC library only when the router already serves. */
+  /** A router whose peers cannot pull still serves its callers. */
   async function servePulls(): Promise<void> {
-    if (isStopped) return;
     try {
-      const { servePulls: serve } = await import(
-        "../connection/directory_pull.ts"
-      );
-      endPulls = await serve({
+      pulls = await openPullListener({
         getSince: replica.getSince,
         getHeldParts: () => ({
           parts: host.held.getAll(),
           isSettled: recovery.isSettled(),
         }),
+        onError: (error) =>
+          log.warn("Pull of a peer failed", { reason: error.message }),
       }, settings.pull);
+      if (isStopped) pulls.close();
     } catch (error) {
       log.error("Peers cannot pull from this router", {
         reason: String(error),
@@ -215,7 +211,7 @@
     isStopped = true;
     clearInterval(timer);
     sync.stop();
-    endPulls?.();
+    pulls?.close();
     void socket.close();
     void store.close();
   }
