Pull a first copy only from peers that are heard; collect changes

(2) After a power loss of all, while the store was busy, each router loaded the RPC library to ask seeds that knew nothing, or all the one peer that was ready first, and was 0.2 to 0.5 s later for it.

Ruled out: import() with the runtime's default loader (experimental, and it fails for functions from the cache); a longer watch (a silent store would be noticed too late for entries that lapse).

Change: the bundle uses require, which the build checks; a first copy is pulled from a peer that was heard, 0.4 s after the start; seeds after 1 s. A watch that brought changes is followed by a pause of 250 ms. The runtime is told to save memory. directory_sync_test: the test that expected the next watch at once now expects it after exactly 250 ms, and not before.

--- a/scripts/build_platform.js
+++ b/scripts/build_platform.js
@@ -1,6 +1,6 @@
 /** Bundles the router of the users' platform for the plain Node.js runtime. */
 import { execFileSync } from "node:child_process";
-import { mkdirSync } from "node:fs";
+import { mkdirSync, readFileSync } from "node:fs";
 import { resolve } from "node:path";
 import { build } from "esbuild";
 
@@ -53,7 +53,7 @@
 };
 
 /** Flags with which deploy/system.toml runs the router. */
-const runtimeFlags = ["--max-old-space-size=127"];
+const runtimeFlags = ["--max-old-space-size=127", "--optimize-for-size"];
 
 mkdirSync("target", { recursive: true });
 await build({
@@ -75,8 +75,13 @@
   minifySyntax: true,
   legalComments: "none",
   logLevel: "warning",
+  // Code that comes from a cache cannot use import().
+  supported: { "dynamic-import": false },
   plugins: [leanLibraries, lazyPulls],
 });
+if (/\bimport\(/.test(readFileSync("target/router.cjs", "utf8"))) {
+  throw new Error("target/router.cjs uses import(), which a cache breaks");
+}
 execFileSync(process.execPath, [
   ...runtimeFlags,
   "scripts/write_code_cache.cjs",
--- a/src/cli/code_cache.ts
+++ b/src/cli/code_cache.ts
@@ -23,6 +23,8 @@
 /**
  * Compiles a bundle. Code of another runtime or with other flags is not used;
  * the bundle is then compiled from its source. Throws when it cannot be read.
+ * The bundle must load other files by `require`: compiled code that comes from
+ * a cache cannot use `import()`.
  */
 export function compileBundle(file: string): Bundle {
   const script = new Script(wrap(readFileSync(file, "utf8")), {
--- a/src/cli/code_cache_test.ts
+++ b/src/cli/code_cache_test.ts
@@ -1,7 +1,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { compileBundle, getCacheFile } from "./code_cache.ts";
+import { type Bundle, compileBundle, getCacheFile } from "./code_cache.ts";
 
 describe("the code cache", () => {
   let folder: string;
@@ -32,6 +32,20 @@
     expect(second.run()).toEqual(["function", file]);
   });
 
+  it("lets a bundle load another file later", async () => {
+    writeFileSync(join(folder, "later.cjs"), "exports.name = 'later';");
+    writeFileSync(
+      file,
+      `exports.load = async () => (await require("./later.cjs")).name;`,
+    );
+    const first = compileBundle(file);
+    await expect(load(first)).resolves.toBe("later");
+    writeFileSync(getCacheFile(file), first.createCache());
+    const second = compileBundle(file);
+    expect(second.isCached).toBe(true);
+    await expect(load(second)).resolves.toBe("later");
+  });
+
   it("compiles the source when the cache is spoiled", () => {
     writeFileSync(getCacheFile(file), "not machine code");
     const bundle = compileBundle(file);
@@ -39,3 +53,10 @@
     expect(bundle.run()).toEqual(["function", file]);
   });
 });
+
+function load(bundle: Bundle): Promise<unknown> {
+  const { load: loadLater } = bundle.run() as {
+    readonly load: () => Promise<unknown>;
+  };
+  return loadLater();
+}
--- a/src/process/direct/directory_sync.ts
+++ b/src/process/direct/directory_sync.ts
@@ -47,6 +47,13 @@
  */
 const watchMs = 2_500;
 
+/**
+ * Pause after a watch that brought changes, in milliseconds. Changes come in
+ * series, and each answer is a call of every router; the pause is short against
+ * the seconds within which a change must be in force.
+ */
+const collectMs = 250;
+
 /**
  * Time without the store, in milliseconds, after which entries may have lapsed
  * although their targets live. A watch that is cut alone is no outage.
@@ -120,6 +127,7 @@
     // Changes may have been missed while the store was away.
     if (changes === undefined) return undefined;
     notify(host.replica.applyChanges(changes.events), "watch");
+    if (changes.events.length > 0) await sleep(collectMs);
     return changes.revision;
   }
 
@@ -170,9 +178,7 @@
   }
 
   async function pause(): Promise<void> {
-    await new Promise((resolve) => {
-      setTimeout(resolve, getBackOffMs(failures, failurePause)).unref();
-    });
+    await sleep(getBackOffMs(failures, failurePause));
   }
 
   function notify(
@@ -182,3 +188,9 @@
     if (changes.length > 0) host.noteChanges(changes, source);
   }
 }
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms).unref();
+  });
+}
--- a/src/process/direct/directory_sync_test.ts
+++ b/src/process/direct/directory_sync_test.ts
@@ -99,8 +99,30 @@
       },
     }]);
     await jest.advanceTimersByTimeAsync(0);
-    expect(store.calls).toEqual(["list", "watch 4", "watch 8"]);
     expect(changes).toEqual(["a by listing", "b by watch"]);
+    await jest.advanceTimersByTimeAsync(249);
+    expect(store.calls).toEqual(["list", "watch 4"]);
+    await jest.advanceTimersByTimeAsync(1);
+    expect(store.calls).toEqual(["list", "watch 4", "watch 8"]);
+  });
+
+  it("collects changes that come in a series", async () => {
+    const { changes, store } = start([
+      listing,
+      ...[6, 7, 8].map((
+        revision,
+      ): Step => ({
+        kind: "changes",
+        changes: {
+          events: [{ key: `k${revision}`, value: "y", revision }],
+          revision,
+        },
+      })),
+    ]);
+    await jest.advanceTimersByTimeAsync(500);
+    expect(store.calls)
+      .toEqual(["list", "watch 4", "watch 6", "watch 7"]);
+    expect(changes.length).toBe(4);
   });
 
   it("lists again at once when the history has gone", async () => {
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -51,6 +51,19 @@
 /** Time for which a peer may be ahead before its copy is pulled, in ms. */
 const behindMs = 500;
 
+/**
+ * Time after the start at which a first copy is pulled from a peer that is
+ * heard, in milliseconds. A store that was only busy has answered by then.
+ */
+const firstPullAfterMs = 400;
+
+/**
+ * Time after the start at which seeds are asked, in milliseconds. Peers that
+ * know this router are heard before; after an outage of all, seeds know nothing
+ * and loading the RPC library holds up the answer of the store.
+ */
+const askSeedsAfterMs = 1_000;
+
 /** Silence of a peer after which news may have been missed, in ms. */
 const silentMs = 1_500;
 
@@ -113,6 +126,7 @@
     digestPort: settings.digest.port,
     pullPort: settings.pull.port,
   };
+  const createdAt = performance.now();
   let version = 0;
   let engineServices: ReadonlySet<string> = new Set();
   let isStopped = false;
@@ -337,7 +351,8 @@
     // A restarted router tells whole caches of engines at once.
     while (digests.getWaiting() > 0 && left-- > 0) sendDigest(now);
     if (now - sentAt >= digestMs) sendDigest(now);
-    if (version === 0 && sync.needsPeers()) pullFromSeed();
+    if (version > 0 || now - createdAt < askSeedsAfterMs) return;
+    if (sync.needsPeers()) pullFromSeed();
   }
 
   function sendDigest(now: number): void {
@@ -376,7 +391,10 @@
     if (news.directoryRevision <= replica.getNewestRevision()) return;
     const now = performance.now();
     behindSince ??= now;
-    if (now - behindSince < behindMs) return;
+    const mayPull = version === 0
+      ? sync.needsPeers() && now - createdAt >= firstPullAfterMs
+      : now - behindSince >= behindMs;
+    if (!mayPull) return;
     // A peer that the store has not told of yet uses the same ports.
     const port = routers.get(news.sender)?.pullPort ?? settings.pull.port;
     void pull({ address: from.address, port });
