Report no loss of the store when a router stops

Ruled out: closing the client later (the watch may wait 2.5 s, which the stop would last longer). Test red first: directory_sync_test.

--- a/src/process/direct/directory_sync.ts
+++ b/src/process/direct/directory_sync.ts
@@ -137,6 +137,8 @@
     const result = await call.run();
     return await result.caseOf<Promise<T | undefined>>({
       Left: async (error) => {
+        // The process itself has closed the client.
+        if (isStopped) return undefined;
         noteFailure(error);
         if (error.kind !== "compacted") await pause();
         return undefined;
--- a/src/process/direct/directory_sync_test.ts
+++ b/src/process/direct/directory_sync_test.ts
@@ -1,10 +1,10 @@
-import { EitherAsync, Left, Right } from "purify-ts";
+import { type Either, EitherAsync, Left, Right } from "purify-ts";
 import type {
   Changes,
   DirectoryError,
   Listing,
 } from "../../types/directory.ts";
-import { createSilentLog } from "../log.ts";
+import { createLog, createSilentLog } from "../log.ts";
 import { createDirectoryReplica } from "./directory_replica.ts";
 import { createDirectorySync } from "./directory_sync.ts";
 
@@ -136,6 +136,35 @@
     expect(sync.isConnected()).toBe(true);
   });
 
+  it("reports no loss of the store when it is stopped", async () => {
+    const lines: string[] = [];
+    const log = createLog({ writeLine: (line) => lines.push(line) }, {
+      level: "info",
+      fields: {},
+    });
+    let endWatch: (result: Either<DirectoryError, Changes>) => void;
+    const watched = new Promise<Either<DirectoryError, Changes>>((resolve) => {
+      endWatch = resolve;
+    });
+    const sync = createDirectorySync({
+      store: {
+        list: createScriptedStore([listing]).list,
+        watch: () => EitherAsync.fromPromise(() => watched),
+      },
+      replica: createDirectoryReplica(),
+      log,
+      noteChanges: () => undefined,
+      countCall: () => undefined,
+    });
+    sync.start();
+    await jest.advanceTimersByTimeAsync(0);
+    sync.stop();
+    endWatch!(Left({ kind: "unavailable", message: "client destroyed" }));
+    await jest.advanceTimersByTimeAsync(100);
+    expect(lines.filter((line) => line.includes("Store call failed")))
+      .toEqual([]);
+  });
+
   describe("an outage", () => {
     it("is told apart from a watch that was cut", async () => {
       const { sync } = start([listing, unavailable, listing]);
