--- a/bench/agent.ts
+++ b/bench/agent.ts
@@ -9,11 +9,14 @@
 import {
   type AttemptTable,
   createAttemptTable,
-} from "../src/process/attempt_table.ts";
-import { loadBodyDigests } from "../src/process/body_digest.ts";
-import { createFairQueue } from "../src/process/fair_queue.ts";
-import { createLoadGate } from "../src/process/load_gate.ts";
-import { createWorkQueue, type Job } from "../src/process/work_queue.ts";
+} from "../src/process/attempts/attempt_table.ts";
+import { loadBodyDigests } from "../src/process/attempts/body_digest.ts";
+import { createFairQueue } from "../src/process/admission/fair_queue.ts";
+import { createLoadGate } from "../src/process/admission/load_gate.ts";
+import {
+  createWorkQueue,
+  type Job,
+} from "../src/process/admission/work_queue.ts";
 import type {
   TargetAnswer,
   TargetError,
--- a/bench/configuration.ts
+++ b/bench/configuration.ts
@@ -6,7 +6,7 @@
 
 import { monitorEventLoopDelay } from "node:perf_hooks";
 import { Bench } from "tinybench";
-import { loadHash } from "../src/process/hash.ts";
+import { loadHash } from "../src/process/placement/hash.ts";
 import type { Patch, PatchOperation } from "../src/types/configuration.ts";
 import { createCodec } from "../src/version/codec.ts";
 import {
--- a/bench/control.ts
+++ b/bench/control.ts
@@ -11,7 +11,7 @@
   type Network,
   type Node,
 } from "../test/support/exchange_network.ts";
-import { createMemberTable } from "../src/process/member_table.ts";
+import { createMemberTable } from "../src/process/membership/member_table.ts";
 import { assertInvariant } from "../src/types/assert.ts";
 import { installSimulatedClock } from "./support/clock.ts";
 
--- a/bench/mean.ts
+++ b/bench/mean.ts
@@ -4,7 +4,7 @@
  * targets.
  */
 
-import { usualExchangeOptions } from "../src/process/exchange_options.ts";
+import { usualExchangeOptions } from "../src/process/membership/exchange_options.ts";
 import {
   createMember,
   createNetwork,
--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -4,7 +4,7 @@
  * Arguments: scenario names, or none for all.
  */
 
-import { getColdMultiple } from "../src/process/load_gate.ts";
+import { getColdMultiple } from "../src/process/admission/load_gate.ts";
 import { loadHashes, runExperiment } from "./placement/driver.ts";
 import { policies } from "./placement/policies.ts";
 import type { Experiment } from "./placement/shapes.ts";
--- a/bench/placement/driver.ts
+++ b/bench/placement/driver.ts
@@ -4,7 +4,7 @@
 import {
   createPlacement,
   type PlacementHost,
-} from "../../src/process/placement.ts";
+} from "../../src/process/placement/placement.ts";
 import type { Member } from "../../src/types/member.ts";
 import { createEngine, type Engine } from "./engine.ts";
 import { policies, type World } from "./policies.ts";
--- a/bench/placement/engine.ts
+++ b/bench/placement/engine.ts
@@ -1,6 +1,9 @@
 /** A small fake of one model engine: its load, its cache and its gate. */
 
-import { createLoadGate, type LoadGate } from "../../src/process/load_gate.ts";
+import {
+  createLoadGate,
+  type LoadGate,
+} from "../../src/process/admission/load_gate.ts";
 import type { MeanEstimate } from "../../src/types/view.ts";
 
 /** One fake engine. */
--- a/bench/placement/policies.ts
+++ b/bench/placement/policies.ts
@@ -1,7 +1,7 @@
 /** The ways to place a chat that are weighed against each other. */
 
-import type { Placement } from "../../src/process/placement.ts";
-import type { RefusalMemory } from "../../src/process/refusal_memory.ts";
+import type { Placement } from "../../src/process/placement/placement.ts";
+import type { RefusalMemory } from "../../src/process/placement/refusal_memory.ts";
 import { createRouting } from "../../src/request/routing.ts";
 import type { Member } from "../../src/types/member.ts";
 import type { Work } from "../../src/types/work.ts";
--- a/src/cli/commands/run.ts
+++ b/src/cli/commands/run.ts
@@ -1,7 +1,10 @@
 /** Commands that run a role or check its settings. */
 
 import { Command, Option } from "clipanion";
-import { createLog, createStandardErrorHost } from "../../process/log.ts";
+import {
+  createLog,
+  createStandardErrorHost,
+} from "../../process/telemetry/log.ts";
 import { startProcess } from "../../roles/process.ts";
 import { createReport } from "../../types/diagnostics.ts";
 import type { Settings } from "../../types/settings.ts";
--- a/src/cli/settings_file.ts
+++ b/src/cli/settings_file.ts
@@ -2,7 +2,7 @@
 
 import { readFile } from "node:fs/promises";
 import { type Either, Left } from "purify-ts";
-import { parseSettings } from "../process/settings.ts";
+import { parseSettings } from "../process/settings/settings.ts";
 import { createReport, type Report } from "../types/diagnostics.ts";
 import type { Settings } from "../types/settings.ts";
 
--- a/src/cli/signals.ts
+++ b/src/cli/signals.ts
@@ -1,6 +1,6 @@
 /** Turns signals into the graceful stop of a process. */
 
-import type { Log } from "../process/log.ts";
+import type { Log } from "../process/telemetry/log.ts";
 
 /** Signals that ask for a stop, with their numbers. */
 const stopSignals = { SIGINT: 2, SIGTERM: 15 } as const;
--- a/src/cli/signals_test.ts
+++ b/src/cli/signals_test.ts
@@ -1,4 +1,4 @@
-import { createSilentLog } from "../process/log.ts";
+import { createSilentLog } from "../process/telemetry/log.ts";
 import { type SignalHost, waitForSignal } from "./signals.ts";
 
 describe("signals", () => {
--- a/src/connection/control_server.ts
+++ b/src/connection/control_server.ts
@@ -16,9 +16,12 @@
 import {
   callOverheadBytes,
   type ControlBudget,
-} from "../process/control_budget.ts";
-import { tryReadMember } from "../process/datagram_codec.ts";
-import { bucketCount, type MemberTable } from "../process/member_table.ts";
+} from "../process/membership/control_budget.ts";
+import { tryReadMember } from "../process/membership/datagram_codec.ts";
+import {
+  bucketCount,
+  type MemberTable,
+} from "../process/membership/member_table.ts";
 import type { Member } from "../types/member.ts";
 
 /** Longest wait for a pull. */
--- a/src/connection/direct_client.ts
+++ b/src/connection/direct_client.ts
@@ -2,7 +2,7 @@
 
 import type { Socket } from "node:net";
 import { buildConnector, type Dispatcher, Pool } from "undici";
-import type { Log } from "../process/log.ts";
+import type { Log } from "../process/telemetry/log.ts";
 import type {
   DirectCall,
   DirectCalls,
--- a/src/connection/direct_client_test.ts
+++ b/src/connection/direct_client_test.ts
@@ -1,5 +1,5 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
-import { createSilentLog } from "../process/log.ts";
+import { createSilentLog } from "../process/telemetry/log.ts";
 import type { DirectCall, DirectResult } from "../types/direct_calls.ts";
 import type { DirectTarget } from "../types/direct_target.ts";
 import { createDirectClient, type TargetWire } from "./direct_client.ts";
--- a/src/connection/gossip_socket.ts
+++ b/src/connection/gossip_socket.ts
@@ -1,7 +1,7 @@
 /** The UDP socket over which members exchange datagrams. */
 
 import { createSocket } from "node:dgram";
-import type { Endpoint } from "../process/exchange.ts";
+import type { Endpoint } from "../process/membership/exchange.ts";
 
 /** What the socket needs from outside. */
 export interface GossipSocketHost {
--- a/src/connection/target_client.ts
+++ b/src/connection/target_client.ts
@@ -2,9 +2,12 @@
 
 import { EitherAsync } from "purify-ts";
 import { type Dispatcher, Pool } from "undici";
-import type { OrderOutcome, TargetOrder } from "../process/order_gate.ts";
-import type { LoadReport } from "../process/orphan_load.ts";
-import type { HealthReport } from "../process/target_watch.ts";
+import type {
+  OrderOutcome,
+  TargetOrder,
+} from "../process/attempts/order_gate.ts";
+import type { LoadReport } from "../process/admission/orphan_load.ts";
+import type { HealthReport } from "../process/membership/target_watch.ts";
 import type { Header } from "../types/work.ts";
 
 /**
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -3,8 +3,8 @@
 import { write } from "node:fs";
 import { readFile } from "node:fs/promises";
 import { waitForSignal } from "../cli/signals.ts";
-import { createLineWriter } from "../process/line_writer.ts";
-import { createLog, type Log } from "../process/log.ts";
+import { createLineWriter } from "../process/telemetry/line_writer.ts";
+import { createLog, type Log } from "../process/telemetry/log.ts";
 import {
   type DirectRouter,
   startDirectRouter,
--- a/src/process/fair_queue.ts
+++ b/src/process/admission/fair_queue.ts
@@ -5,7 +5,7 @@
  * with much waiting work delays the others no more than its share allows.
  */
 
-import { priorities, type Priority } from "../types/work.ts";
+import { priorities, type Priority } from "../../types/work.ts";
 
 /** Weights, read whenever work is taken. */
 export interface FairQueueHost {
--- a/src/process/load_gate.ts
+++ b/src/process/admission/load_gate.ts
@@ -11,7 +11,7 @@
  * elsewhere, and the room above is kept for chats that return.
  */
 
-import type { MeanEstimate } from "../types/view.ts";
+import type { MeanEstimate } from "../../types/view.ts";
 
 /** What the gate needs from outside. */
 export interface LoadGateHost {
--- a/src/process/load_reports.ts
+++ b/src/process/admission/load_reports.ts
@@ -1,10 +1,10 @@
 /** Reports the own load and keeps the mean loads that others' reports give. */
 
-import type { LoadReport } from "../generated/mimosatray/v1/control.ts";
-import type { Member } from "../types/member.ts";
-import type { MeanEstimate } from "../types/view.ts";
+import type { LoadReport } from "../../generated/mimosatray/v1/control.ts";
+import type { Member } from "../../types/member.ts";
+import type { MeanEstimate } from "../../types/view.ts";
 import { createMean, type Mean } from "./mean_estimate.ts";
-import type { Membership } from "./membership.ts";
+import type { Membership } from "../membership/membership.ts";
 
 /** Loads of the own service and of others. */
 export interface LoadReports {
--- a/src/process/mean_estimate.ts
+++ b/src/process/admission/mean_estimate.ts
@@ -1,6 +1,6 @@
 /** Estimates the mean load of a service from reports of some members. */
 
-import type { MeanEstimate } from "../types/view.ts";
+import type { MeanEstimate } from "../../types/view.ts";
 
 /** A member's report of its load. */
 export interface Report {
--- a/src/process/work_queue.ts
+++ b/src/process/admission/work_queue.ts
@@ -5,8 +5,8 @@
  */
 
 import PQueue from "p-queue";
-import type { Refusal } from "../types/answer.ts";
-import { priorities, type Priority } from "../types/work.ts";
+import type { Refusal } from "../../types/answer.ts";
+import { priorities, type Priority } from "../../types/work.ts";
 import { createDrainRate } from "./drain_rate.ts";
 import {
   createFairQueue,
--- a/src/process/work_queue_test.ts
+++ b/src/process/admission/work_queue_test.ts
@@ -1,6 +1,6 @@
 import PQueue from "p-queue";
-import type { Refusal } from "../types/answer.ts";
-import type { Priority } from "../types/work.ts";
+import type { Refusal } from "../../types/answer.ts";
+import type { Priority } from "../../types/work.ts";
 import { createWorkQueue, type Job, type QueueDecision } from "./work_queue.ts";
 
 const slots = 4;
--- a/src/process/answer_buffer.ts
+++ b/src/process/attempts/answer_buffer.ts
@@ -9,8 +9,8 @@
   AnswerReader,
   Chunk,
   Head,
-} from "../types/answer.ts";
-import { assertInvariant } from "../types/assert.ts";
+} from "../../types/answer.ts";
+import { assertInvariant } from "../../types/assert.ts";
 
 /** Largest chunk given to a reader that has fallen behind, in bytes. */
 const maxChunkBytes = 64 * 1024;
--- a/src/process/answer_buffer_test.ts
+++ b/src/process/attempts/answer_buffer_test.ts
@@ -1,5 +1,5 @@
 import { array, assert, nat, property, tuple } from "fast-check";
-import { collectEvents, joinBody } from "../../test/fakes/agent_parts.ts";
+import { collectEvents, joinBody } from "../../../test/fakes/agent_parts.ts";
 import { createAnswerBuffer } from "./answer_buffer.ts";
 
 describe("answer buffer", () => {
--- a/src/process/attempt_numbers.ts
+++ b/src/process/attempts/attempt_numbers.ts
@@ -1,6 +1,6 @@
 /** Numbers the attempts of this process; a number is never used twice. */
 
-import type { Attempt } from "../types/attempt.ts";
+import type { Attempt } from "../../types/attempt.ts";
 
 /** Hands out attempts. */
 export interface AttemptNumbers {
--- a/src/process/attempt_table.ts
+++ b/src/process/attempts/attempt_table.ts
@@ -8,9 +8,9 @@
  * did not run.
  */
 
-import type { Refusal } from "../types/answer.ts";
-import { assertInvariant } from "../types/assert.ts";
-import { type Attempt, getAttemptKey } from "../types/attempt.ts";
+import type { Refusal } from "../../types/answer.ts";
+import { assertInvariant } from "../../types/assert.ts";
+import { type Attempt, getAttemptKey } from "../../types/attempt.ts";
 import type { AnswerBuffer } from "./answer_buffer.ts";
 
 /** Where an attempt stands. */
--- a/src/process/claim_leases.ts
+++ b/src/process/attempts/claim_leases.ts
@@ -4,7 +4,7 @@
  */
 
 import { EitherAsync, Left, Right } from "purify-ts";
-import type { Platform, PlatformError } from "../types/platform.ts";
+import type { Platform, PlatformError } from "../../types/platform.ts";
 
 /** Time that a claim lives at least, in milliseconds. */
 export const claimWindowMs = 3_600_000;
--- a/src/process/crash_quarantine.ts
+++ b/src/process/attempts/crash_quarantine.ts
@@ -5,7 +5,7 @@
  * then held back until its record expires.
  */
 
-import type { CrashView } from "../types/view.ts";
+import type { CrashView } from "../../types/view.ts";
 
 /** Crashes after which a request is held back. */
 export const condemnedAfterCrashes = 2;
--- a/src/process/crash_quarantine_test.ts
+++ b/src/process/attempts/crash_quarantine_test.ts
@@ -1,20 +1,20 @@
 import { array, assert, asyncProperty, nat } from "fast-check";
-import { createCrashes } from "../../test/fakes/agent_host.ts";
+import { createCrashes } from "../../../test/fakes/agent_host.ts";
 import {
   createAgentParts,
   createRunOrder,
-} from "../../test/fakes/agent_parts.ts";
-import { createMemoryPlatform } from "../../test/fakes/memory_platform.ts";
-import { createFakeTarget } from "../../test/fakes/fake_target.ts";
-import type { AttemptService } from "../request/attempt_service.ts";
+} from "../../../test/fakes/agent_parts.ts";
+import { createMemoryPlatform } from "../../../test/fakes/memory_platform.ts";
+import { createFakeTarget } from "../../../test/fakes/fake_target.ts";
+import type { AttemptService } from "../../request/attempt_service.ts";
 import {
   type AnswerEvent,
   type AnswerReader,
   isLastEvent,
-} from "../types/answer.ts";
-import type { CrashView } from "../types/view.ts";
+} from "../../types/answer.ts";
+import type { CrashView } from "../../types/view.ts";
 import { createCrashQuarantine } from "./crash_quarantine.ts";
-import { createSuspectClaims } from "./suspect_claims.ts";
+import { createSuspectClaims } from "../membership/suspect_claims.ts";
 
 /** Fingerprint of the request that crashes every target that runs it. */
 const crasher = "crasher";
--- a/src/process/fencing_numbers.ts
+++ b/src/process/attempts/fencing_numbers.ts
@@ -4,7 +4,7 @@
  */
 
 import { EitherAsync } from "purify-ts";
-import type { Platform, PlatformError } from "../types/platform.ts";
+import type { Platform, PlatformError } from "../../types/platform.ts";
 
 /** Tries against other operators before giving up. */
 const maxTries = 8;
--- a/src/process/order_gate.ts
+++ b/src/process/attempts/order_gate.ts
@@ -10,8 +10,8 @@
  */
 
 import PQueue from "p-queue";
-import type { DiagnosticCode } from "../types/diagnostics.ts";
-import type { Entry, Platform, PlatformError } from "../types/platform.ts";
+import type { DiagnosticCode } from "../../types/diagnostics.ts";
+import type { Entry, Platform, PlatformError } from "../../types/platform.ts";
 
 /** An order to an engine. */
 export interface TargetOrder {
--- a/src/process/order_gate_test.ts
+++ b/src/process/attempts/order_gate_test.ts
@@ -1,5 +1,5 @@
-import { createMemoryPlatform } from "../../test/fakes/memory_platform.ts";
-import type { MemoryPlatform } from "../../test/fakes/memory_platform.ts";
+import { createMemoryPlatform } from "../../../test/fakes/memory_platform.ts";
+import type { MemoryPlatform } from "../../../test/fakes/memory_platform.ts";
 import {
   createOrderGate,
   type OrderGate,
--- a/src/process/direct/cache_recovery.ts
+++ b/src/process/direct/cache_recovery.ts
@@ -10,8 +10,8 @@
 
 import type { DirectTarget, RouterPeer } from "../../types/direct_target.ts";
 import type { PromptPart } from "../../types/prompt.ts";
-import type { Log } from "../log.ts";
-import type { Placement } from "../placement.ts";
+import type { Log } from "../telemetry/log.ts";
+import type { Placement } from "../placement/placement.ts";
 import type { HeldPart } from "./held_parts.ts";
 
 /** What recovery needs from outside. */
--- a/src/process/direct/cache_recovery_test.ts
+++ b/src/process/direct/cache_recovery_test.ts
@@ -1,7 +1,7 @@
 import { createTarget } from "../../../test/support/direct.ts";
 import type { RouterPeer } from "../../types/direct_target.ts";
-import { createSilentLog } from "../log.ts";
-import { createPlacement } from "../placement.ts";
+import { createSilentLog } from "../telemetry/log.ts";
+import { createPlacement } from "../placement/placement.ts";
 import { createCacheRecovery } from "./cache_recovery.ts";
 import { createHeldParts, type HeldPart } from "./held_parts.ts";
 
--- a/src/process/direct/directory_sync.ts
+++ b/src/process/direct/directory_sync.ts
@@ -6,8 +6,8 @@
 import type { EitherAsync } from "purify-ts";
 import type { DirectoryError, DirectoryStore } from "../../types/directory.ts";
 import type { WatchEvent } from "../../types/platform.ts";
-import { getBackOffMs } from "../jitter.ts";
-import type { Log } from "../log.ts";
+import { getBackOffMs } from "../membership/jitter.ts";
+import type { Log } from "../telemetry/log.ts";
 import type { DirectoryReplica } from "./directory_replica.ts";
 
 /** What the synchronisation needs from outside. */
--- a/src/process/direct/directory_sync_test.ts
+++ b/src/process/direct/directory_sync_test.ts
@@ -4,7 +4,7 @@
   DirectoryError,
   Listing,
 } from "../../types/directory.ts";
-import { createLog, createSilentLog } from "../log.ts";
+import { createLog, createSilentLog } from "../telemetry/log.ts";
 import { createDirectoryReplica } from "./directory_replica.ts";
 import { createDirectorySync } from "./directory_sync.ts";
 
--- a/src/process/direct/target_health.ts
+++ b/src/process/direct/target_health.ts
@@ -9,7 +9,7 @@
  */
 
 import type { DirectTarget } from "../../types/direct_target.ts";
-import type { Log } from "../log.ts";
+import type { Log } from "../telemetry/log.ts";
 
 /**
  * - `served`: a sound answer, whatever its status below 500.
--- a/src/process/fleet_limits.ts
+++ b/src/process/limits/fleet_limits.ts
@@ -3,19 +3,23 @@
 import type {
   LimitGrant,
   LimitRequest,
-} from "../generated/mimosatray/v1/control.ts";
-import type { ConfigurationStore } from "../types/role.ts";
-import type { LimitView } from "../types/view.ts";
-import { type Endpoint, getEndpoint, type Send } from "./control_sender.ts";
+} from "../../generated/mimosatray/v1/control.ts";
+import type { ConfigurationStore } from "../../types/role.ts";
+import type { LimitView } from "../../types/view.ts";
+import {
+  type Endpoint,
+  getEndpoint,
+  type Send,
+} from "../membership/control_sender.ts";
 import { createLimitHome } from "./limit_home.ts";
 import {
   createLimitShares,
   type LimitAsk,
   type LimitPlace,
 } from "./limit_shares.ts";
-import { hashText } from "./member_order.ts";
-import type { Membership } from "./membership.ts";
-import type { Member } from "../types/member.ts";
+import { hashText } from "../membership/member_order.ts";
+import type { Membership } from "../membership/membership.ts";
+import type { Member } from "../../types/member.ts";
 
 /** What the limits need from outside. */
 export interface FleetLimitsHost {
--- a/src/process/fleet_limits_test.ts
+++ b/src/process/limits/fleet_limits_test.ts
@@ -3,7 +3,7 @@
   createNetwork,
   type Network,
   type Node,
-} from "../../test/support/exchange_network.ts";
+} from "../../../test/support/exchange_network.ts";
 import { createLimitHome } from "./limit_home.ts";
 
 // Paused time makes the result the same however long the run takes.
--- a/src/process/limit_shares.ts
+++ b/src/process/limits/limit_shares.ts
@@ -1,6 +1,6 @@
 /** Admits requests under limits that other routers keep. */
 
-import type { LimitDecision } from "../types/view.ts";
+import type { LimitDecision } from "../../types/view.ts";
 import type { LimitGrantAmount } from "./limit_home.ts";
 
 /** Wait for a grant before the ask is sent again. */
--- a/src/process/control_sender.ts
+++ b/src/process/membership/control_sender.ts
@@ -1,7 +1,7 @@
 /** Sends datagrams within the budget, each with the sender's own state. */
 
-import type { Datagram } from "../generated/mimosatray/v1/control.ts";
-import type { Member } from "../types/member.ts";
+import type { Datagram } from "../../generated/mimosatray/v1/control.ts";
+import type { Member } from "../../types/member.ts";
 import {
   type ControlBudget,
   type ControlClass,
--- a/src/process/datagram_codec.ts
+++ b/src/process/membership/datagram_codec.ts
@@ -1,7 +1,10 @@
 /** Turns datagrams and member records into their wire form and back. */
 
-import { Datagram, MemberRecord } from "../generated/mimosatray/v1/control.ts";
-import type { Member } from "../types/member.ts";
+import {
+  Datagram,
+  MemberRecord,
+} from "../../generated/mimosatray/v1/control.ts";
+import type { Member } from "../../types/member.ts";
 import { isMemberState } from "./member_order.ts";
 
 /** Largest datagram, so that no path breaks it into fragments. */
--- a/src/process/exchange.ts
+++ b/src/process/membership/exchange.ts
@@ -7,12 +7,12 @@
   Datagram,
   Probe,
   Rumor,
-} from "../generated/mimosatray/v1/control.ts";
-import type { Patch } from "../types/configuration.ts";
-import type { Member } from "../types/member.ts";
-import type { Vm } from "../types/platform.ts";
-import type { ConfigurationStore } from "../types/role.ts";
-import type { LimitDecision, MeanEstimate } from "../types/view.ts";
+} from "../../generated/mimosatray/v1/control.ts";
+import type { Patch } from "../../types/configuration.ts";
+import type { Member } from "../../types/member.ts";
+import type { Vm } from "../../types/platform.ts";
+import type { ConfigurationStore } from "../../types/role.ts";
+import type { LimitDecision, MeanEstimate } from "../../types/view.ts";
 import { type ControlBudget, datagramHeaderBytes } from "./control_budget.ts";
 import {
   createControlSender,
@@ -21,11 +21,14 @@
   getEndpoint,
   getPurpose,
 } from "./control_sender.ts";
-import { type CrashRecordNews, createCrashRecords } from "./crash_records.ts";
+import {
+  type CrashRecordNews,
+  createCrashRecords,
+} from "../attempts/crash_records.ts";
 import { tryDecodeDatagram, tryReadMember } from "./datagram_codec.ts";
 import type { ExchangeOptions } from "./exchange_options.ts";
-import { createFleetLimits, type FleetLimits } from "./fleet_limits.ts";
-import { createLoadReports } from "./load_reports.ts";
+import { createFleetLimits, type FleetLimits } from "../limits/fleet_limits.ts";
+import { createLoadReports } from "../admission/load_reports.ts";
 import { createMembership, type Membership } from "./membership.ts";
 import { createNewsSpread, maxHops } from "./news_spread.ts";
 import { createTableSync } from "./table_sync.ts";
--- a/src/process/exchange_options.ts
+++ b/src/process/membership/exchange_options.ts
@@ -1,7 +1,7 @@
 /** Numbers that set what the exchange with the fleet sends. */
 
-import type { Member } from "../types/member.ts";
-import type { createMean } from "./mean_estimate.ts";
+import type { Member } from "../../types/member.ts";
+import type { createMean } from "../admission/mean_estimate.ts";
 
 /** Numbers that set how much is sent. */
 export interface ExchangeOptions {
--- a/src/process/exchange_test.ts
+++ b/src/process/membership/exchange_test.ts
@@ -4,7 +4,7 @@
   createPatch,
   type Network,
   type Node,
-} from "../../test/support/exchange_network.ts";
+} from "../../../test/support/exchange_network.ts";
 
 // Paused time makes the result the same however long the run takes.
 jest.setTimeout(120_000);
--- a/src/process/member_order.ts
+++ b/src/process/membership/member_order.ts
@@ -1,6 +1,6 @@
 /** Order and hash of member records. */
 
-import type { Member, MemberState } from "../types/member.ts";
+import type { Member, MemberState } from "../../types/member.ts";
 
 /** Strength of the states: a stronger one wins at an equal version. */
 const stateStrength: Readonly<Record<MemberState, number>> = {
--- a/src/process/member_table.ts
+++ b/src/process/membership/member_table.ts
@@ -1,7 +1,7 @@
 /** The table of all member records that a process holds. */
 
-import type { Member } from "../types/member.ts";
-import { isAvailableAgent } from "../types/member.ts";
+import type { Member } from "../../types/member.ts";
+import { isAvailableAgent } from "../../types/member.ts";
 import { getMemberBytes } from "./datagram_codec.ts";
 import { compareMembers, hashMember, hashText } from "./member_order.ts";
 
--- a/src/process/membership.ts
+++ b/src/process/membership/membership.ts
@@ -1,7 +1,7 @@
 /** Decides what this process believes of every member, and of itself. */
 
-import type { Member, MemberState } from "../types/member.ts";
-import type { Vm } from "../types/platform.ts";
+import type { Member, MemberState } from "../../types/member.ts";
+import type { Vm } from "../../types/platform.ts";
 import { compareMembers } from "./member_order.ts";
 import { createMemberTable, type MemberTable } from "./member_table.ts";
 
--- a/src/process/membership_test.ts
+++ b/src/process/membership/membership_test.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
-import { createMember } from "../../test/support/exchange_network.ts";
-import type { Member, MemberState } from "../types/member.ts";
+import { createMember } from "../../../test/support/exchange_network.ts";
+import type { Member, MemberState } from "../../types/member.ts";
 import { createMembership, suspicionMs } from "./membership.ts";
 
 const states: readonly MemberState[] = ["live", "suspect", "leaving", "dead"];
--- a/src/process/news_spread.ts
+++ b/src/process/membership/news_spread.ts
@@ -1,11 +1,11 @@
 /** Passes news on to members chosen at random, in a few rounds. */
 
-import type { Rumor } from "../generated/mimosatray/v1/control.ts";
-import type { Patch } from "../types/configuration.ts";
-import type { Member } from "../types/member.ts";
+import type { Rumor } from "../../generated/mimosatray/v1/control.ts";
+import type { Patch } from "../../types/configuration.ts";
+import type { Member } from "../../types/member.ts";
 import type { ControlClass } from "./control_budget.ts";
 import { getEndpoint, getPurpose, type Send } from "./control_sender.ts";
-import type { CrashRecordNews } from "./crash_records.ts";
+import type { CrashRecordNews } from "../attempts/crash_records.ts";
 import { getMemberBytes, maxDatagramBytes } from "./datagram_codec.ts";
 import { createRumorQueue, createSeenSet, type News } from "./rumor.ts";
 
--- a/src/process/probe_schedule.ts
+++ b/src/process/membership/probe_schedule.ts
@@ -1,6 +1,6 @@
 /** Decides whom to probe when, and who failed to answer. */
 
-import type { Member } from "../types/member.ts";
+import type { Member } from "../../types/member.ts";
 
 /** Wait for a reply before the probe is sent again. */
 export const probeTimeoutMs = 500;
--- a/src/process/suspect_claims.ts
+++ b/src/process/membership/suspect_claims.ts
@@ -5,7 +5,7 @@
  * before the news of the first crash has spread.
  */
 
-import type { Platform } from "../types/platform.ts";
+import type { Platform } from "../../types/platform.ts";
 
 /**
  * - `claimed`: no other target runs the request.
--- a/src/process/suspect_claims_test.ts
+++ b/src/process/membership/suspect_claims_test.ts
@@ -1,7 +1,7 @@
 import {
   createMemoryPlatform,
   type MemoryPlatform,
-} from "../../test/fakes/memory_platform.ts";
+} from "../../../test/fakes/memory_platform.ts";
 import { createSuspectClaims } from "./suspect_claims.ts";
 
 const longestMs = 1_000;
--- a/src/process/table_sync.ts
+++ b/src/process/membership/table_sync.ts
@@ -1,7 +1,7 @@
 /** Compares the own table with others' and repairs differences. */
 
-import type { Datagram } from "../generated/mimosatray/v1/control.ts";
-import type { Member } from "../types/member.ts";
+import type { Datagram } from "../../generated/mimosatray/v1/control.ts";
+import type { Member } from "../../types/member.ts";
 import type { Endpoint } from "./control_sender.ts";
 import type { MemberTable } from "./member_table.ts";
 
--- a/src/process/watch_duty.ts
+++ b/src/process/membership/watch_duty.ts
@@ -4,7 +4,7 @@
  * differ more processes watch, which is harmless.
  */
 
-import type { Member } from "../types/member.ts";
+import type { Member } from "../../types/member.ts";
 import { hashText } from "./member_order.ts";
 
 /** Processes that watch in each zone. */
--- a/src/process/watch_duty_test.ts
+++ b/src/process/membership/watch_duty_test.ts
@@ -1,4 +1,4 @@
-import { createMember } from "../../test/support/exchange_network.ts";
+import { createMember } from "../../../test/support/exchange_network.ts";
 import { isListTurn, isOnWatchDuty } from "./watch_duty.ts";
 
 const routers = Array.from(
--- a/src/process/settings.ts
+++ b/src/process/settings/settings.ts
@@ -13,8 +13,8 @@
   createReport,
   type DiagnosticCode,
   type Report,
-} from "../types/diagnostics.ts";
-import type { Settings } from "../types/settings.ts";
+} from "../../types/diagnostics.ts";
+import type { Settings } from "../../types/settings.ts";
 import {
   type SettingFields,
   settingFields,
--- a/src/process/settings_test.ts
+++ b/src/process/settings/settings_test.ts
@@ -1,4 +1,4 @@
-import { formatReport } from "../types/diagnostics.ts";
+import { formatReport } from "../../types/diagnostics.ts";
 import { parseSettings } from "./settings.ts";
 
 const router = `{
--- a/src/request/admission.ts
+++ b/src/request/admission.ts
@@ -1,9 +1,9 @@
 /** Decides whether an attempt may join the line of its target. */
 
-import type { CrashQuarantine } from "../process/crash_quarantine.ts";
-import type { LoadGate } from "../process/load_gate.ts";
-import type { TargetWatch } from "../process/target_watch.ts";
-import type { WorkQueue } from "../process/work_queue.ts";
+import type { CrashQuarantine } from "../process/attempts/crash_quarantine.ts";
+import type { LoadGate } from "../process/admission/load_gate.ts";
+import type { TargetWatch } from "../process/membership/target_watch.ts";
+import type { WorkQueue } from "../process/admission/work_queue.ts";
 import type { Refusal } from "../types/answer.ts";
 import type { DiagnosticCode } from "../types/diagnostics.ts";
 import type { RunOrder } from "../types/run_order.ts";
--- a/src/request/answer.ts
+++ b/src/request/answer.ts
@@ -4,7 +4,10 @@
  * answer continues only when its first bytes equal the released ones.
  */
 
-import type { BodyDigest, BodyDigests } from "../process/body_digest.ts";
+import type {
+  BodyDigest,
+  BodyDigests,
+} from "../process/attempts/body_digest.ts";
 import type { Chunk, End, Head } from "../types/answer.ts";
 
 /** What assembly needs from outside. */
--- a/src/request/attempt_service.ts
+++ b/src/request/attempt_service.ts
@@ -1,7 +1,10 @@
 /** All that routers may ask of an agent about attempts, without sockets. */
 
-import { createAnswerBuffer } from "../process/answer_buffer.ts";
-import type { AttemptEntry, SettledState } from "../process/attempt_table.ts";
+import { createAnswerBuffer } from "../process/attempts/answer_buffer.ts";
+import type {
+  AttemptEntry,
+  SettledState,
+} from "../process/attempts/attempt_table.ts";
 import type { AnswerEvent, AnswerReader } from "../types/answer.ts";
 import type { Attempt } from "../types/attempt.ts";
 import type { RunOrder } from "../types/run_order.ts";
--- a/src/request/claim.ts
+++ b/src/request/claim.ts
@@ -5,7 +5,7 @@
  */
 
 import { createHash } from "node:crypto";
-import type { ClaimLeases } from "../process/claim_leases.ts";
+import type { ClaimLeases } from "../process/attempts/claim_leases.ts";
 import type { PlacedAttempt, Target } from "../types/agent_calls.ts";
 import { type Attempt, getAttemptKey } from "../types/attempt.ts";
 import type { Entry, Platform, PlatformError } from "../types/platform.ts";
--- a/src/request/claim_test.ts
+++ b/src/request/claim_test.ts
@@ -2,7 +2,10 @@
   createMemoryPlatform,
   type MemoryPlatform,
 } from "../../test/fakes/memory_platform.ts";
-import { claimWindowMs, createClaimLeases } from "../process/claim_leases.ts";
+import {
+  claimWindowMs,
+  createClaimLeases,
+} from "../process/attempts/claim_leases.ts";
 import type { PlacedAttempt } from "../types/agent_calls.ts";
 import {
   type ClaimHost,
--- a/src/request/direct_choice.ts
+++ b/src/request/direct_choice.ts
@@ -9,7 +9,7 @@
 import { chooseSlot } from "../process/direct/slot_placement.ts";
 import type { TargetHealth } from "../process/direct/target_health.ts";
 import type { TargetTable } from "../process/direct/target_table.ts";
-import type { Placement } from "../process/placement.ts";
+import type { Placement } from "../process/placement/placement.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
 import type { PromptPart } from "../types/prompt.ts";
 import type { DirectTarget } from "../types/direct_target.ts";
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -12,7 +12,7 @@
   TargetHealth,
   TargetOutcome,
 } from "../process/direct/target_health.ts";
-import type { Log } from "../process/log.ts";
+import type { Log } from "../process/telemetry/log.ts";
 import type { DirectCalls, DirectResult } from "../types/direct_calls.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
 import { createReport, type DiagnosticCode } from "../types/diagnostics.ts";
--- a/src/request/execution.ts
+++ b/src/request/execution.ts
@@ -6,17 +6,20 @@
   TargetError,
 } from "../connection/target_client.ts";
 import { toTargetError } from "../connection/target_client.ts";
-import type { AnswerBuffer } from "../process/answer_buffer.ts";
-import type { AttemptEntry, AttemptTable } from "../process/attempt_table.ts";
-import type { BodyDigests } from "../process/body_digest.ts";
-import type { ContextIndex } from "../process/context_index.ts";
-import type { CrashQuarantine } from "../process/crash_quarantine.ts";
-import type { LoadGate } from "../process/load_gate.ts";
-import type { Log } from "../process/log.ts";
-import type { Metrics } from "../process/metrics.ts";
-import type { SuspectClaims } from "../process/suspect_claims.ts";
-import type { TargetWatch } from "../process/target_watch.ts";
-import type { WorkQueue } from "../process/work_queue.ts";
+import type { AnswerBuffer } from "../process/attempts/answer_buffer.ts";
+import type {
+  AttemptEntry,
+  AttemptTable,
+} from "../process/attempts/attempt_table.ts";
+import type { BodyDigests } from "../process/attempts/body_digest.ts";
+import type { ContextIndex } from "../process/placement/context_index.ts";
+import type { CrashQuarantine } from "../process/attempts/crash_quarantine.ts";
+import type { LoadGate } from "../process/admission/load_gate.ts";
+import type { Log } from "../process/telemetry/log.ts";
+import type { Metrics } from "../process/telemetry/metrics.ts";
+import type { SuspectClaims } from "../process/membership/suspect_claims.ts";
+import type { TargetWatch } from "../process/membership/target_watch.ts";
+import type { WorkQueue } from "../process/admission/work_queue.ts";
 import type { Failure, Refusal, Usage } from "../types/answer.ts";
 import type { DiagnosticCode } from "../types/diagnostics.ts";
 import type { RunOrder } from "../types/run_order.ts";
--- a/src/request/measured_reply.ts
+++ b/src/request/measured_reply.ts
@@ -1,6 +1,6 @@
 /** Measures when the parts of an answer reach the caller. */
 
-import type { Metrics } from "../process/metrics.ts";
+import type { Metrics } from "../process/telemetry/metrics.ts";
 import type { Reply } from "../types/reply.ts";
 
 /** A reply with the times of its parts. */
--- a/src/request/request_check.ts
+++ b/src/request/request_check.ts
@@ -2,7 +2,7 @@
 
 import { type Either, Left, Right } from "purify-ts";
 import type { CallerRequest } from "../connection/caller_server.ts";
-import type { BodyDigests } from "../process/body_digest.ts";
+import type { BodyDigests } from "../process/attempts/body_digest.ts";
 import type { Configuration, Service } from "../types/configuration.ts";
 import { createReport, type Report } from "../types/diagnostics.ts";
 import type { Work } from "../types/work.ts";
--- a/src/request/request_host.ts
+++ b/src/request/request_host.ts
@@ -1,10 +1,10 @@
 /** What running a request needs from the rest of the process. */
 
-import type { AttemptNumbers } from "../process/attempt_numbers.ts";
-import type { BodyDigests } from "../process/body_digest.ts";
-import type { Placement } from "../process/placement.ts";
-import type { RefusalMemory } from "../process/refusal_memory.ts";
-import type { RetryBudget } from "../process/retry_budget.ts";
+import type { AttemptNumbers } from "../process/attempts/attempt_numbers.ts";
+import type { BodyDigests } from "../process/attempts/body_digest.ts";
+import type { Placement } from "../process/placement/placement.ts";
+import type { RefusalMemory } from "../process/placement/refusal_memory.ts";
+import type { RetryBudget } from "../process/limits/retry_budget.ts";
 import type { AgentCalls } from "../types/agent_calls.ts";
 import type { RequestEnd } from "../types/reply.ts";
 import type {
--- a/src/request/request_run_test.ts
+++ b/src/request/request_run_test.ts
@@ -23,9 +23,9 @@
   service,
   type Told,
 } from "../../test/support/request_history.ts";
-import { createAttemptNumbers } from "../process/attempt_numbers.ts";
-import { loadBodyDigests } from "../process/body_digest.ts";
-import { loadPlacementHost } from "../process/placement.ts";
+import { createAttemptNumbers } from "../process/attempts/attempt_numbers.ts";
+import { loadBodyDigests } from "../process/attempts/body_digest.ts";
+import { loadPlacementHost } from "../process/placement/placement.ts";
 import type { Work } from "../types/work.ts";
 import type { RequestHost } from "./request_host.ts";
 import { runRequest } from "./request_run.ts";
--- a/src/request/routing.ts
+++ b/src/request/routing.ts
@@ -8,8 +8,8 @@
  *    what gave no answer to others shortly before comes after that.
  */
 
-import type { Placement } from "../process/placement.ts";
-import type { RefusalMemory } from "../process/refusal_memory.ts";
+import type { Placement } from "../process/placement/placement.ts";
+import type { RefusalMemory } from "../process/placement/refusal_memory.ts";
 import type { DiagnosticCode } from "../types/diagnostics.ts";
 import type { Member } from "../types/member.ts";
 import type { MemberView } from "../types/view.ts";
--- a/src/request/routing_test.ts
+++ b/src/request/routing_test.ts
@@ -1,5 +1,8 @@
-import { createPlacement, loadPlacementHost } from "../process/placement.ts";
-import { createRefusalMemory } from "../process/refusal_memory.ts";
+import {
+  createPlacement,
+  loadPlacementHost,
+} from "../process/placement/placement.ts";
+import { createRefusalMemory } from "../process/placement/refusal_memory.ts";
 import type { Member } from "../types/member.ts";
 import type { Work } from "../types/work.ts";
 import { createRouting, type Routing, type RoutingChoice } from "./routing.ts";
--- a/src/request/work_share.ts
+++ b/src/request/work_share.ts
@@ -1,6 +1,6 @@
 /** The part of a target's load that one attempt holds. */
 
-import type { LoadGate } from "../process/load_gate.ts";
+import type { LoadGate } from "../process/admission/load_gate.ts";
 import type { WorkEstimate } from "../types/work.ts";
 
 /** The load of one attempt, which shrinks as tokens are generated. */
--- a/src/roles/admin_routes.ts
+++ b/src/roles/admin_routes.ts
@@ -6,7 +6,7 @@
   AdminRoute,
 } from "../connection/admin_listener.ts";
 import type { PlatformClient } from "../connection/platform_client.ts";
-import type { Metrics } from "../process/metrics.ts";
+import type { Metrics } from "../process/telemetry/metrics.ts";
 import { createReport, type Report } from "../types/diagnostics.ts";
 import type { Dump, Fleet, Role } from "../types/role.ts";
 import type { Settings } from "../types/settings.ts";
--- a/src/roles/agent.ts
+++ b/src/roles/agent.ts
@@ -6,16 +6,19 @@
   OrderRequest,
   OrderResponse,
 } from "../generated/mimosatray/v1/agent.ts";
-import { createAttemptTable } from "../process/attempt_table.ts";
-import { loadBodyDigests } from "../process/body_digest.ts";
-import { createContextIndex } from "../process/context_index.ts";
-import { createCrashQuarantine } from "../process/crash_quarantine.ts";
-import { createLoadGate, getColdMultiple } from "../process/load_gate.ts";
-import { createOrderGate } from "../process/order_gate.ts";
-import { createOrphanLoad } from "../process/orphan_load.ts";
-import { createSuspectClaims } from "../process/suspect_claims.ts";
-import { createTargetWatch } from "../process/target_watch.ts";
-import { createWorkQueue } from "../process/work_queue.ts";
+import { createAttemptTable } from "../process/attempts/attempt_table.ts";
+import { loadBodyDigests } from "../process/attempts/body_digest.ts";
+import { createContextIndex } from "../process/placement/context_index.ts";
+import { createCrashQuarantine } from "../process/attempts/crash_quarantine.ts";
+import {
+  createLoadGate,
+  getColdMultiple,
+} from "../process/admission/load_gate.ts";
+import { createOrderGate } from "../process/attempts/order_gate.ts";
+import { createOrphanLoad } from "../process/admission/orphan_load.ts";
+import { createSuspectClaims } from "../process/membership/suspect_claims.ts";
+import { createTargetWatch } from "../process/membership/target_watch.ts";
+import { createWorkQueue } from "../process/admission/work_queue.ts";
 import { createAttemptService } from "../request/attempt_service.ts";
 import type { Service } from "../types/configuration.ts";
 import type { Role, StopResult } from "../types/role.ts";
--- a/src/roles/agent_test.ts
+++ b/src/roles/agent_test.ts
@@ -18,7 +18,7 @@
   type SettleRequest,
   type SettleResponse,
 } from "../generated/mimosatray/v1/agent.ts";
-import { loadBodyDigests } from "../process/body_digest.ts";
+import { loadBodyDigests } from "../process/attempts/body_digest.ts";
 import type { Role } from "../types/role.ts";
 import { createAgentRole } from "./agent.ts";
 
--- a/src/roles/configuration.ts
+++ b/src/roles/configuration.ts
@@ -6,11 +6,11 @@
 import {
   callOverheadBytes,
   type ControlBudget,
-} from "../process/control_budget.ts";
-import { loadHash } from "../process/hash.ts";
-import type { Log } from "../process/log.ts";
-import type { Metrics } from "../process/metrics.ts";
-import { isOnWatchDuty } from "../process/watch_duty.ts";
+} from "../process/membership/control_budget.ts";
+import { loadHash } from "../process/placement/hash.ts";
+import type { Log } from "../process/telemetry/log.ts";
+import type { Metrics } from "../process/telemetry/metrics.ts";
+import { isOnWatchDuty } from "../process/membership/watch_duty.ts";
 import type { Platform } from "../types/platform.ts";
 import type { Fleet } from "../types/role.ts";
 import { createCodec } from "../version/codec.ts";
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -23,9 +23,12 @@
 } from "../process/direct/route_match.ts";
 import { createTargetHealth } from "../process/direct/target_health.ts";
 import { createTargetTable } from "../process/direct/target_table.ts";
-import type { Log } from "../process/log.ts";
-import { createMetrics } from "../process/metrics.ts";
-import { createPlacement, loadPlacementHost } from "../process/placement.ts";
+import type { Log } from "../process/telemetry/log.ts";
+import { createMetrics } from "../process/telemetry/metrics.ts";
+import {
+  createPlacement,
+  loadPlacementHost,
+} from "../process/placement/placement.ts";
 import { runDirect } from "../request/direct_run.ts";
 import { createMeasuredReply } from "../request/measured_reply.ts";
 import { createEnd } from "../request/request_end.ts";
--- a/src/roles/direct_routes.ts
+++ b/src/roles/direct_routes.ts
@@ -1,7 +1,7 @@
 /** What a direct router answers to the balancer and to operators. */
 
 import type { AdminRoute } from "../connection/admin_listener.ts";
-import type { Metrics } from "../process/metrics.ts";
+import type { Metrics } from "../process/telemetry/metrics.ts";
 import type { Dump } from "../types/role.ts";
 
 /** The balancer's question whether to send new connections. */
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -8,7 +8,7 @@
   type PullListener,
 } from "../connection/pull_listener.ts";
 import { createGossipSocket } from "../connection/gossip_socket.ts";
-import type { Endpoint } from "../process/exchange.ts";
+import type { Endpoint } from "../process/membership/exchange.ts";
 import type { DirectoryReplica } from "../process/direct/directory_replica.ts";
 import { createDirectoryReplica } from "../process/direct/directory_replica.ts";
 import { createCacheRecovery } from "../process/direct/cache_recovery.ts";
@@ -24,9 +24,9 @@
 } from "../process/direct/peer_digests.ts";
 import type { TargetHealth } from "../process/direct/target_health.ts";
 import type { TargetTable } from "../process/direct/target_table.ts";
-import type { Log } from "../process/log.ts";
-import type { Metrics } from "../process/metrics.ts";
-import type { Placement } from "../process/placement.ts";
+import type { Log } from "../process/telemetry/log.ts";
+import type { Metrics } from "../process/telemetry/metrics.ts";
+import type { Placement } from "../process/placement/placement.ts";
 import type { DirectCalls } from "../types/direct_calls.ts";
 import type {
   DirectSettings,
--- a/src/roles/fleet.ts
+++ b/src/roles/fleet.ts
@@ -8,9 +8,9 @@
 import {
   controlPurposes,
   createControlBudget,
-} from "../process/control_budget.ts";
-import { createExchange } from "../process/exchange.ts";
-import { usualExchangeOptions } from "../process/exchange_options.ts";
+} from "../process/membership/control_budget.ts";
+import { createExchange } from "../process/membership/exchange.ts";
+import { usualExchangeOptions } from "../process/membership/exchange_options.ts";
 import type { Member } from "../types/member.ts";
 import type { Dump, Fleet } from "../types/role.ts";
 import type { Settings } from "../types/settings.ts";
--- a/src/roles/fleet_join.ts
+++ b/src/roles/fleet_join.ts
@@ -3,10 +3,10 @@
 import {
   callOverheadBytes,
   type ControlBudget,
-} from "../process/control_budget.ts";
-import type { Log } from "../process/log.ts";
-import type { Endpoint, Exchange } from "../process/exchange.ts";
-import { isListTurn } from "../process/watch_duty.ts";
+} from "../process/membership/control_budget.ts";
+import type { Log } from "../process/telemetry/log.ts";
+import type { Endpoint, Exchange } from "../process/membership/exchange.ts";
+import { isListTurn } from "../process/membership/watch_duty.ts";
 import type { Platform, Vm } from "../types/platform.ts";
 import type { Settings } from "../types/settings.ts";
 
--- a/src/roles/fleet_join_test.ts
+++ b/src/roles/fleet_join_test.ts
@@ -1,7 +1,7 @@
 import { createMemoryPlatform } from "../../test/fakes/memory_platform.ts";
-import { createControlBudget } from "../process/control_budget.ts";
-import type { Endpoint, Exchange } from "../process/exchange.ts";
-import { createSilentLog } from "../process/log.ts";
+import { createControlBudget } from "../process/membership/control_budget.ts";
+import type { Endpoint, Exchange } from "../process/membership/exchange.ts";
+import { createSilentLog } from "../process/telemetry/log.ts";
 import type { Member } from "../types/member.ts";
 import type { Settings } from "../types/settings.ts";
 import { createFleetJoin, type FleetJoin } from "./fleet_join.ts";
--- a/src/roles/host.ts
+++ b/src/roles/host.ts
@@ -1,9 +1,9 @@
 /** What the parts of a process are given when they are put together. */
 
 import type { Server } from "@grpc/grpc-js";
-import type { ControlBudget } from "../process/control_budget.ts";
-import type { Log } from "../process/log.ts";
-import type { Metrics } from "../process/metrics.ts";
+import type { ControlBudget } from "../process/membership/control_budget.ts";
+import type { Log } from "../process/telemetry/log.ts";
+import type { Metrics } from "../process/telemetry/metrics.ts";
 import type { Platform } from "../types/platform.ts";
 import type { ConfigurationStore, Fleet } from "../types/role.ts";
 import type {
--- a/src/roles/order_route.ts
+++ b/src/roles/order_route.ts
@@ -7,7 +7,7 @@
   AdminRoute,
 } from "../connection/admin_listener.ts";
 import type { EngineOrder } from "../connection/order_client.ts";
-import { takeFencingNumber } from "../process/fencing_numbers.ts";
+import { takeFencingNumber } from "../process/attempts/fencing_numbers.ts";
 import { createReport, type Report } from "../types/diagnostics.ts";
 import type { Member } from "../types/member.ts";
 import type { Platform } from "../types/platform.ts";
--- a/src/roles/router.ts
+++ b/src/roles/router.ts
@@ -6,12 +6,15 @@
   type CallerRequest,
   createCallerServer,
 } from "../connection/caller_server.ts";
-import { createAttemptNumbers } from "../process/attempt_numbers.ts";
-import { loadBodyDigests } from "../process/body_digest.ts";
-import { createClaimLeases } from "../process/claim_leases.ts";
-import { createPlacement, loadPlacementHost } from "../process/placement.ts";
-import { createRefusalMemory } from "../process/refusal_memory.ts";
-import { createRetryBudget } from "../process/retry_budget.ts";
+import { createAttemptNumbers } from "../process/attempts/attempt_numbers.ts";
+import { loadBodyDigests } from "../process/attempts/body_digest.ts";
+import { createClaimLeases } from "../process/attempts/claim_leases.ts";
+import {
+  createPlacement,
+  loadPlacementHost,
+} from "../process/placement/placement.ts";
+import { createRefusalMemory } from "../process/placement/refusal_memory.ts";
+import { createRetryBudget } from "../process/limits/retry_budget.ts";
 import { createMeasuredReply } from "../request/measured_reply.ts";
 import { checkRequest } from "../request/request_check.ts";
 import { createEnd } from "../request/request_end.ts";
--- a/src/version/configuration_store.ts
+++ b/src/version/configuration_store.ts
@@ -1,7 +1,7 @@
 /** The configuration of one process, kept in step with platform and fleet. */
 
-import type { Log } from "../process/log.ts";
-import type { Metrics } from "../process/metrics.ts";
+import type { Log } from "../process/telemetry/log.ts";
+import type { Metrics } from "../process/telemetry/metrics.ts";
 import type { Patch } from "../types/configuration.ts";
 import type { Member } from "../types/member.ts";
 import type { Platform } from "../types/platform.ts";
--- a/src/version/content_repair.ts
+++ b/src/version/content_repair.ts
@@ -3,8 +3,8 @@
  * the platform's content decides, and the version never goes back.
  */
 
-import type { Log } from "../process/log.ts";
-import type { Metrics } from "../process/metrics.ts";
+import type { Log } from "../process/telemetry/log.ts";
+import type { Metrics } from "../process/telemetry/metrics.ts";
 import type { Member } from "../types/member.ts";
 import type { Platform } from "../types/platform.ts";
 import type { Codec } from "./codec.ts";
--- a/src/version/peer_pull.ts
+++ b/src/version/peer_pull.ts
@@ -4,9 +4,9 @@
  */
 
 import type { EitherAsync } from "purify-ts";
-import { getBackOffMs, spreadMs } from "../process/jitter.ts";
-import type { Log } from "../process/log.ts";
-import type { Metrics } from "../process/metrics.ts";
+import { getBackOffMs, spreadMs } from "../process/membership/jitter.ts";
+import type { Log } from "../process/telemetry/log.ts";
+import type { Metrics } from "../process/telemetry/metrics.ts";
 import type { Member } from "../types/member.ts";
 import type { Dump } from "../types/role.ts";
 import type { Codec } from "./codec.ts";
--- a/src/version/start_up.ts
+++ b/src/version/start_up.ts
@@ -1,7 +1,7 @@
 /** Loads the first configuration: from the platform, else from a member. */
 
-import { getBackOffMs } from "../process/jitter.ts";
-import type { Log } from "../process/log.ts";
+import { getBackOffMs } from "../process/membership/jitter.ts";
+import type { Log } from "../process/telemetry/log.ts";
 import type { PlatformError } from "../types/platform.ts";
 
 /** What the start needs of the store. */
--- a/src/version/watch_loop.ts
+++ b/src/version/watch_loop.ts
@@ -4,9 +4,9 @@
  * late and repeated events are harmless.
  */
 
-import { getBackOffMs, spreadMs } from "../process/jitter.ts";
-import type { Log } from "../process/log.ts";
-import type { Metrics } from "../process/metrics.ts";
+import { getBackOffMs, spreadMs } from "../process/membership/jitter.ts";
+import type { Log } from "../process/telemetry/log.ts";
+import type { Metrics } from "../process/telemetry/metrics.ts";
 import type { Platform, PlatformError } from "../types/platform.ts";
 import type { Dump } from "../types/role.ts";
 import { compact } from "./compaction.ts";
--- a/test/cli/operator_test.ts
+++ b/test/cli/operator_test.ts
@@ -4,8 +4,8 @@
   type AdminListener,
   openAdminListener,
 } from "../../src/connection/admin_listener.ts";
-import { createSilentLog } from "../../src/process/log.ts";
-import { createMetrics } from "../../src/process/metrics.ts";
+import { createSilentLog } from "../../src/process/telemetry/log.ts";
+import { createMetrics } from "../../src/process/telemetry/metrics.ts";
 import { createConfigurationRoutes } from "../../src/roles/configuration_routes.ts";
 import {
   createConfigurationStore,
--- a/test/fakes/agent_host.ts
+++ b/test/fakes/agent_host.ts
@@ -1,8 +1,8 @@
 /** What an agent is given, in memory, for tests without a fleet. */
 
 import { Server } from "@grpc/grpc-js";
-import { createSilentLog } from "../../src/process/log.ts";
-import { createMetrics } from "../../src/process/metrics.ts";
+import { createSilentLog } from "../../src/process/telemetry/log.ts";
+import { createMetrics } from "../../src/process/telemetry/metrics.ts";
 import type { AgentHost } from "../../src/roles/host.ts";
 import type { Configuration, Service } from "../../src/types/configuration.ts";
 import type { CrashView } from "../../src/types/view.ts";
--- a/test/fakes/agent_parts.ts
+++ b/test/fakes/agent_parts.ts
@@ -1,17 +1,17 @@
 /** An agent's attempt service over a target in memory, without sockets. */
 
-import { createAttemptTable } from "../../src/process/attempt_table.ts";
-import type { BodyDigests } from "../../src/process/body_digest.ts";
-import { createContextIndex } from "../../src/process/context_index.ts";
+import { createAttemptTable } from "../../src/process/attempts/attempt_table.ts";
+import type { BodyDigests } from "../../src/process/attempts/body_digest.ts";
+import { createContextIndex } from "../../src/process/placement/context_index.ts";
 import {
   type CrashQuarantine,
   createCrashQuarantine,
-} from "../../src/process/crash_quarantine.ts";
-import { createLoadGate } from "../../src/process/load_gate.ts";
-import { createSilentLog } from "../../src/process/log.ts";
-import { createMetrics } from "../../src/process/metrics.ts";
-import type { SuspectClaims } from "../../src/process/suspect_claims.ts";
-import { createWorkQueue } from "../../src/process/work_queue.ts";
+} from "../../src/process/attempts/crash_quarantine.ts";
+import { createLoadGate } from "../../src/process/admission/load_gate.ts";
+import { createSilentLog } from "../../src/process/telemetry/log.ts";
+import { createMetrics } from "../../src/process/telemetry/metrics.ts";
+import type { SuspectClaims } from "../../src/process/membership/suspect_claims.ts";
+import { createWorkQueue } from "../../src/process/admission/work_queue.ts";
 import {
   type AttemptService,
   createAttemptService,
--- a/test/fakes/fake_targets.ts
+++ b/test/fakes/fake_targets.ts
@@ -3,7 +3,7 @@
  * fault of a given list. The count of runs is the judge of every history.
  */
 
-import type { BodyDigests } from "../../src/process/body_digest.ts";
+import type { BodyDigests } from "../../src/process/attempts/body_digest.ts";
 import type {
   AgentCalls,
   AgentEvent,
--- a/test/fleet/failure_test.ts
+++ b/test/fleet/failure_test.ts
@@ -1,4 +1,4 @@
-import type { ExchangeOptions } from "../../src/process/exchange_options.ts";
+import type { ExchangeOptions } from "../../src/process/membership/exchange_options.ts";
 import type { Network } from "../support/exchange_network.ts";
 import {
   countTables,
--- a/test/fleet/fleet_network.ts
+++ b/test/fleet/fleet_network.ts
@@ -1,6 +1,6 @@
 /** Fleets of exchanges for the tests of what the fleet promises. */
 
-import type { ExchangeOptions } from "../../src/process/exchange_options.ts";
+import type { ExchangeOptions } from "../../src/process/membership/exchange_options.ts";
 import type { MemberState } from "../../src/types/member.ts";
 import {
   createMember,
--- a/test/matrix/place.ts
+++ b/test/matrix/place.ts
@@ -1,6 +1,6 @@
 /** One target with its agent and the way to it, in memory. */
 
-import type { BodyDigests } from "../../src/process/body_digest.ts";
+import type { BodyDigests } from "../../src/process/attempts/body_digest.ts";
 import type { AttemptService } from "../../src/request/attempt_service.ts";
 import type { Member } from "../../src/types/member.ts";
 import { createAgentParts } from "../fakes/agent_parts.ts";
--- a/test/matrix/request_matrix_test.ts
+++ b/test/matrix/request_matrix_test.ts
@@ -1,6 +1,6 @@
 import { writeFileSync } from "node:fs";
-import { loadBodyDigests } from "../../src/process/body_digest.ts";
-import { loadPlacementHost } from "../../src/process/placement.ts";
+import { loadBodyDigests } from "../../src/process/attempts/body_digest.ts";
+import { loadPlacementHost } from "../../src/process/placement/placement.ts";
 import { createNaiveRouter } from "../naive/router.ts";
 import { type Libraries, service } from "../support/request_history.ts";
 import { formatCellName, formatPage } from "./grid.ts";
--- a/test/naive/router.ts
+++ b/test/naive/router.ts
@@ -4,7 +4,7 @@
  */
 
 import type { AgentCalls, AgentEvent } from "../../src/types/agent_calls.ts";
-import type { AttemptNumbers } from "../../src/process/attempt_numbers.ts";
+import type { AttemptNumbers } from "../../src/process/attempts/attempt_numbers.ts";
 import { createReport } from "../../src/types/diagnostics.ts";
 import type { Member } from "../../src/types/member.ts";
 import type { Reply } from "../../src/types/reply.ts";
--- a/test/platform/direct_fleet.ts
+++ b/test/platform/direct_fleet.ts
@@ -6,7 +6,7 @@
 import { createStoreClient } from "../../src/platform/store_client.ts";
 import { targetWire } from "../../src/platform/target_wire.ts";
 import { readinessPath } from "../../src/platform/wire_names.ts";
-import { createLog } from "../../src/process/log.ts";
+import { createLog } from "../../src/process/telemetry/log.ts";
 import {
   type DirectRouter,
   startDirectRouter,
--- a/test/support/configuration_network.ts
+++ b/test/support/configuration_network.ts
@@ -1,8 +1,8 @@
 /** A few configuration stores with a lossy network between them. */
 
 import { EitherAsync, Left, Right } from "purify-ts";
-import { createSilentLog } from "../../src/process/log.ts";
-import { createMetrics } from "../../src/process/metrics.ts";
+import { createSilentLog } from "../../src/process/telemetry/log.ts";
+import { createMetrics } from "../../src/process/telemetry/metrics.ts";
 import type { Patch } from "../../src/types/configuration.ts";
 import {
   type ConfigurationStoreHost,
--- a/test/support/exchange_network.ts
+++ b/test/support/exchange_network.ts
@@ -3,15 +3,18 @@
 import {
   type ControlBudget,
   createControlBudget,
-} from "../../src/process/control_budget.ts";
-import { createExchange, type Exchange } from "../../src/process/exchange.ts";
+} from "../../src/process/membership/control_budget.ts";
+import {
+  createExchange,
+  type Exchange,
+} from "../../src/process/membership/exchange.ts";
 import {
   type ExchangeOptions,
   usualExchangeOptions,
-} from "../../src/process/exchange_options.ts";
+} from "../../src/process/membership/exchange_options.ts";
 import type { Configuration, Patch } from "../../src/types/configuration.ts";
 import type { Member } from "../../src/types/member.ts";
-import { bucketCount } from "../../src/process/member_table.ts";
+import { bucketCount } from "../../src/process/membership/member_table.ts";
 
 /** One exchange with what a test reads of it. */
 export interface Node {
--- a/test/support/request_history.ts
+++ b/test/support/request_history.ts
@@ -3,15 +3,15 @@
  * with a trivial referee what each caller was told.
  */
 
-import { createAttemptNumbers } from "../../src/process/attempt_numbers.ts";
-import type { BodyDigests } from "../../src/process/body_digest.ts";
-import { createClaimLeases } from "../../src/process/claim_leases.ts";
+import { createAttemptNumbers } from "../../src/process/attempts/attempt_numbers.ts";
+import type { BodyDigests } from "../../src/process/attempts/body_digest.ts";
+import { createClaimLeases } from "../../src/process/attempts/claim_leases.ts";
 import {
   createPlacement,
   type PlacementHost,
-} from "../../src/process/placement.ts";
-import { createRefusalMemory } from "../../src/process/refusal_memory.ts";
-import { createRetryBudget } from "../../src/process/retry_budget.ts";
+} from "../../src/process/placement/placement.ts";
+import { createRefusalMemory } from "../../src/process/placement/refusal_memory.ts";
+import { createRetryBudget } from "../../src/process/limits/retry_budget.ts";
 import type { RequestHost } from "../../src/request/request_host.ts";
 import type { AgentCalls } from "../../src/types/agent_calls.ts";
 import type { Configuration } from "../../src/types/configuration.ts";
--- a/test/support/small_fleet.ts
+++ b/test/support/small_fleet.ts
@@ -1,8 +1,8 @@
 /** Routers, agents and stand-ins in one process, over loopback. */
 
 import { Server as GrpcServer, ServerCredentials } from "@grpc/grpc-js";
-import { createSilentLog } from "../../src/process/log.ts";
-import { createMetrics } from "../../src/process/metrics.ts";
+import { createSilentLog } from "../../src/process/telemetry/log.ts";
+import { createMetrics } from "../../src/process/telemetry/metrics.ts";
 import { createAgentRole } from "../../src/roles/agent.ts";
 import { createRouterRole } from "../../src/roles/router.ts";
 import type { Configuration, Service } from "../../src/types/configuration.ts";
