--- a/scripts/build_platform.js
+++ b/scripts/build_platform.js
@@ -53,7 +53,7 @@
 };
 
 /** Flags with which deploy/system.toml runs the router. */
-const runtimeFlags = ["--max-old-space-size=127", "--optimize-for-size"];
+const runtimeFlags = ["--max-old-space-size=127"];
 
 mkdirSync("target", { recursive: true });
 await build({
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -11,7 +11,11 @@
 } from "../roles/direct_router.ts";
 import type { DirectSettings } from "../types/direct_settings.ts";
 import { decodeRequest } from "./caller_wire.ts";
-import { readNodeSettings } from "./node_settings.ts";
+import {
+  type CheckedSettings,
+  formatFinding,
+  readNodeSettings,
+} from "./node_settings.ts";
 import { createStoreClient } from "./store_client.ts";
 import { targetWire } from "./target_wire.ts";
 import { readinessPath, settingsVariable } from "./wire_names.ts";
@@ -21,9 +25,44 @@
 
 const lines = createLineWriter({ write: writeStandardOutput });
 
+/** Commands of the bundle, by the first argument. */
+const commands: Readonly<
+  Record<string, (file: string | undefined) => Promise<void>>
+> = { router: runRouter, check: checkSettings };
+
 void main();
 
 async function main(): Promise<void> {
+  const [, , name = "router", file] = process.argv;
+  const command = commands[name];
+  if (command !== undefined) return await command(file);
+  lines.writeLine(
+    `Unknown command ${name}; there are: ${Object.keys(commands).join(", ")}`,
+  );
+  await exit(failedExit);
+}
+
+/** Prints all that is wrong with a settings file. */
+async function checkSettings(
+  file = process.env[settingsVariable] ?? "",
+): Promise<void> {
+  try {
+    const read = readNodeSettings(await readFile(file, "utf8"));
+    const findings = read.caseOf({
+      Left: (errors) => errors,
+      Right: ({ warnings }) => warnings,
+    });
+    findings.forEach((finding) => lines.writeLine(formatFinding(finding)));
+    if (read.isLeft()) return await exit(failedExit);
+    lines.writeLine(`${file} can be used`);
+    await exit(0);
+  } catch (error) {
+    lines.writeLine(`error: The file cannot be read: ${String(error)}`);
+    await exit(failedExit);
+  }
+}
+
+async function runRouter(): Promise<void> {
   const file = process.env[settingsVariable] ?? "";
   const settings = await readSettings(file);
   if (settings === undefined) return;
@@ -63,8 +102,18 @@
   try {
     const read = readNodeSettings(await readFile(file, "utf8"));
     read.caseOf({
-      Left: (reason) => log.warn("Settings were not taken", { file, reason }),
-      Right: () => log.info("Settings were read again", { file }),
+      Left: (errors) =>
+        errors.forEach((error) =>
+          log.warn("Settings were not taken", {
+            file,
+            reason: formatFinding(error),
+          })
+        ),
+      Right: ({ warnings }) =>
+        log.info("Settings were read again", {
+          file,
+          warnings: warnings.map(formatFinding).join("; ") || undefined,
+        }),
     });
   } catch (error) {
     log.warn("Settings cannot be read", { file, reason: String(error) });
@@ -77,8 +126,21 @@
   const log = createLog(lines, { level: "info", fields: {} });
   try {
     const read = readNodeSettings(await readFile(file, "utf8"));
-    if (read.isRight()) return read.extract() as DirectSettings;
-    log.error("Settings are wrong", { file, reason: String(read.extract()) });
+    if (read.isRight()) {
+      const { settings, warnings } = read.extract() as CheckedSettings;
+      warnings.forEach((warning) =>
+        log.warn("A setting was replaced", {
+          file,
+          reason: formatFinding(warning),
+        })
+      );
+      return settings;
+    }
+    read.ifLeft((errors) =>
+      errors.forEach((error) =>
+        log.error("Settings are wrong", { file, reason: formatFinding(error) })
+      )
+    );
   } catch (error) {
     log.error("Settings cannot be read", { file, reason: String(error) });
   }
--- a/src/platform/node_settings_test.ts
+++ b/src/platform/node_settings_test.ts
@@ -1,4 +1,9 @@
-import { readNodeSettings } from "./node_settings.ts";
+import {
+  type CheckedSettings,
+  formatFinding,
+  readNodeSettings,
+  type SettingsFinding,
+} from "./node_settings.ts";
 
 const file = `
 NodeName: "edge-1"
@@ -27,7 +32,9 @@
 
 describe("the platform's settings", () => {
   it("are read into the router's own", () => {
-    expect(readNodeSettings(file).extract()).toMatchObject({
+    const read = readNodeSettings(file);
+    expect(read.isRight()).toBe(true);
+    expect((read.extract() as CheckedSettings).settings).toMatchObject({
       id: "edge-1",
       zone: "coast-a",
       front: { address: "10.1.0.40", port: 8227 },
@@ -47,11 +54,40 @@
       const broken = file.replace(new RegExp(`${field}:`), "Other:");
       const read = readNodeSettings(broken);
       expect(read.isLeft()).toBe(true);
-      expect(String(read.extract())).toContain(field);
+      const places = getFindings(broken).map(({ place }) => place);
+      expect(places.join(" ")).toContain(field);
     });
   }
 
+  it("name every fault at once, with line and remedy", () => {
+    const broken = file
+      .replace('NodeName: "edge-1"', "NodeName: 7")
+      .replace('Front: "10.1.0.40:8227"', 'Front: "10.1.0.40"')
+      .replace("RetryRatio: 0.2", "RetryRatio: many");
+    expect(getFindings(broken).map(formatFinding)).toEqual([
+      "error: NodeName, line 2: Is 7, not a text. Give the process a name",
+      'error: Listen.Front, line 6: Is "10.1.0.40", not IP:PORT. ' +
+      'Give a text such as "10.1.0.40:8227"',
+      'warning: Seeds.1, line 14: Is "not an address", not IP:PORT. ' +
+      'Give a text such as "10.1.0.40:8227"',
+      'warning: Bounds.RetryRatio, line 17: Is "many", not a number of 0 ' +
+      "or more. 0.2 is used; give the bound of the deployment",
+    ]);
+  });
+
+  it("say which value is used in place of one that is missing", () => {
+    const read = readNodeSettings(file.replace("GraceS: 8", ""));
+    const { settings, warnings } = read.extract() as CheckedSettings;
+    expect(settings.graceMs).toBe(8_000);
+    expect(warnings.map(({ place }) => place))
+      .toEqual(["Seeds.1", "Bounds.GraceS"]);
+  });
+
   it("are refused when they are not YAML", () => {
     expect(readNodeSettings("a: [").isLeft()).toBe(true);
   });
 });
+
+function getFindings(text: string): readonly SettingsFinding[] {
+  return readNodeSettings(text).extract() as readonly SettingsFinding[];
+}
