Split the directory of a router

Cause: src/roles/directory.ts held wiring, the applying of changes and the decisions when to pull from peers in 480 lines.

--- /dev/null
+++ b/src/process/direct/directory_changes.ts
@@ -0,0 +1,129 @@
+/** Applies changes of the directory to the tables of a router. */
+
+import type { DirectoryStore } from "../../types/directory.ts";
+import type { RouterPeer } from "../../types/direct_target.ts";
+import type { WatchEvent } from "../../types/platform.ts";
+import type { RouteTable } from "../../types/route_table.ts";
+import type { Log } from "../telemetry/log.ts";
+import type { HeldParts } from "./held_parts.ts";
+import type { TargetHealth } from "./target_health.ts";
+import type { TargetTable } from "./target_table.ts";
+
+/** Where changes come from. */
+export type ChangeSource = "listing" | "watch" | "peer";
+
+/** What applying changes needs from the process. */
+export interface DirectoryChangesHost {
+  readonly store: Pick<DirectoryStore, "decode" | "resolveKey">;
+  readonly targets: TargetTable;
+  readonly health: Pick<TargetHealth, "forget">;
+  readonly held: Pick<HeldParts, "forgetTarget">;
+  readonly log: Log;
+  /** Time for which an entry that lapsed in an outage may come back, in ms. */
+  readonly lapseReturnMs: number;
+  /** End of the last outage of the store, on the steady clock. */
+  getOutageEndedAt(): number;
+  /** A newer version of the configuration was read. */
+  noteTable(table: RouteTable): void;
+}
+
+/** The tables that follow the directory. */
+export interface DirectoryChanges {
+  apply(changes: readonly WatchEvent[], source: ChangeSource): void;
+  /** Routers that are registered, by id. */
+  readonly routers: ReadonlyMap<string, RouterPeer>;
+  /** Version of the configuration in force, 0 before the first. */
+  getVersion(): number;
+}
+
+/** Creates tables that know nothing. */
+export function createDirectoryChanges(
+  host: DirectoryChangesHost,
+): DirectoryChanges {
+  const { store, targets, log } = host;
+  const routers = new Map<string, RouterPeer>();
+  let version = 0;
+
+  return {
+    apply: (changes, source) =>
+      changes.forEach((change) => noteChange(change, source)),
+    routers,
+    getVersion: () => version,
+  };
+
+  function noteChange(change: WatchEvent, source: ChangeSource): void {
+    const { key, value, revision } = change;
+    if (value === undefined) return noteRemoval(change, source);
+    const record = store.decode({ key, value, revision });
+    switch (record.kind) {
+      case "route_table":
+        return noteTable(record.table, { revision, source });
+      case "target": {
+        const { id, service, state, address } = record.target;
+        if (targets.put(record.target)) {
+          host.held.forgetTarget(id);
+          host.health.forget(id);
+        }
+        log.info("Target changed", {
+          ...{ target: id, service, state, address, revision, source },
+        });
+        return;
+      }
+      case "router":
+        routers.set(record.router.id, record.router);
+        return;
+      case "unreadable":
+        log.warn("Entry cannot be read", {
+          ...{ key, revision, reason: record.reason },
+        });
+        return noteRemoval(change, source);
+      case "other":
+        return;
+    }
+  }
+
+  function noteTable(
+    table: RouteTable,
+    { revision, source }: {
+      readonly revision: number;
+      readonly source: ChangeSource;
+    },
+  ): void {
+    if (table.version <= version) {
+      return log.warn("Older configuration was ignored", {
+        ...{ version: table.version, inForce: version, revision, source },
+      });
+    }
+    version = table.version;
+    log.info("Configuration is in force", {
+      ...{ version, revision, source },
+      routes: table.routes.length,
+    });
+    host.noteTable(table);
+  }
+
+  function noteRemoval(
+    { key, revision }: WatchEvent,
+    source: ChangeSource,
+  ): void {
+    const held = store.resolveKey(key);
+    if (held === undefined) return;
+    if (held.kind === "router") return void routers.delete(held.id);
+    const usableUntil = getUsableUntil(held.id, source);
+    targets.remove(held.id, usableUntil);
+    log.info("Target is gone", {
+      target: held.id,
+      ...{ revision, source },
+      usableForMs: Math.max(0, Math.round(usableUntil - performance.now())),
+    });
+  }
+
+  /** Entries that lapsed in an outage come back if their targets live. */
+  function getUsableUntil(id: string, source: ChangeSource): number {
+    const now = performance.now();
+    if (source === "peer" || targets.tryGet(id)?.state === "draining") {
+      return now;
+    }
+    return Math.max(now, host.getOutageEndedAt() + host.lapseReturnMs);
+  }
+}
--- /dev/null
+++ b/src/process/direct/directory_changes_test.ts
@@ -0,0 +1,86 @@
+import { createTable, createTarget } from "../../../test/support/direct.ts";
+import type { DirectoryRecord } from "../../types/directory.ts";
+import { createSilentLog } from "../telemetry/log.ts";
+import { createDirectoryChanges } from "./directory_changes.ts";
+import { createHeldParts } from "./held_parts.ts";
+import { createTargetTable } from "./target_table.ts";
+
+describe("changes of the directory", () => {
+  beforeEach(() => void jest.useFakeTimers());
+  afterEach(() => void jest.useRealTimers());
+
+  function create(records: Readonly<Record<string, DirectoryRecord>>) {
+    const tables: number[] = [];
+    const targets = createTargetTable();
+    const held = createHeldParts();
+    let outageEndedAt = Number.NEGATIVE_INFINITY;
+    const directory = createDirectoryChanges({
+      store: {
+        decode: ({ value }) =>
+          records[value] ?? { kind: "unreadable", reason: "odd" },
+        resolveKey: (key) =>
+          key.startsWith("t/")
+            ? { kind: "target", id: key.slice(2) }
+            : { kind: "router", id: key.slice(2) },
+      },
+      targets,
+      held,
+      health: { forget: () => undefined },
+      log: createSilentLog(),
+      lapseReturnMs: 2_200,
+      getOutageEndedAt: () => outageEndedAt,
+      noteTable: ({ version }) => tables.push(version),
+    });
+    let revision = 0;
+    return {
+      directory,
+      targets,
+      tables,
+      endOutage: () => {
+        outageEndedAt = performance.now();
+      },
+      apply: (key: string, value: string | undefined) =>
+        directory.apply([{ key, value, revision: ++revision }], "watch"),
+    };
+  }
+
+  const target = createTarget("a");
+  const records: Readonly<Record<string, DirectoryRecord>> = {
+    v5: { kind: "route_table", table: createTable({ version: 5 }) },
+    v4: { kind: "route_table", table: createTable({ version: 4 }) },
+    a: { kind: "target", target },
+  };
+
+  it("never take the configuration back", () => {
+    const { directory, apply, tables } = create(records);
+    apply("c", "v5");
+    apply("c", "v4");
+    expect(tables).toEqual([5]);
+    expect(directory.getVersion()).toBe(5);
+  });
+
+  it("take a target out when its entry is gone", () => {
+    const { apply, targets } = create(records);
+    apply("t/a", "a");
+    expect(targets.getReady(target.service).length).toBe(1);
+    apply("t/a", undefined);
+    expect(targets.getReady(target.service)).toEqual([]);
+  });
+
+  it("take a target out when its entry cannot be read", () => {
+    const { apply, targets } = create(records);
+    apply("t/a", "a");
+    apply("t/a", "spoilt");
+    expect(targets.getReady(target.service)).toEqual([]);
+  });
+
+  it("keep a target whose entry lapsed in an outage for a time", async () => {
+    const { apply, targets, endOutage } = create(records);
+    apply("t/a", "a");
+    endOutage();
+    apply("t/a", undefined);
+    expect(targets.getReady(target.service).length).toBe(1);
+    await jest.advanceTimersByTimeAsync(2_300);
+    expect(targets.getReady(target.service)).toEqual([]);
+  });
+});
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -12,8 +12,13 @@
 import type { DirectoryReplica } from "../process/direct/directory_replica.ts";
 import { createDirectoryReplica } from "../process/direct/directory_replica.ts";
 import { createCacheRecovery } from "../process/direct/cache_recovery.ts";
+import {
+  type ChangeSource,
+  createDirectoryChanges,
+} from "../process/direct/directory_changes.ts";
+import { createPeerPulls } from "../process/direct/peer_pulls.ts";
 import { createDirectorySync } from "../process/direct/directory_sync.ts";
-import type { HeldPart, HeldParts } from "../process/direct/held_parts.ts";
+import type { HeldParts } from "../process/direct/held_parts.ts";
 import type { PartReads } from "../process/direct/part_reads.ts";
 import type { LoadView } from "../process/direct/load_view.ts";
 import {
@@ -28,10 +33,7 @@
 import type { Metrics } from "../process/telemetry/metrics.ts";
 import type { Placement } from "../process/placement/placement.ts";
 import type { DirectCalls } from "../types/direct_calls.ts";
-import type {
-  DirectSettings,
-  SocketAddress,
-} from "../types/direct_settings.ts";
+import type { DirectSettings } from "../types/direct_settings.ts";
 import type { DirectTarget, RouterPeer } from "../types/direct_target.ts";
 import type { DirectoryStore } from "../types/directory.ts";
 import type { WatchEvent } from "../types/platform.ts";
@@ -48,28 +50,9 @@
 /** Digests to each peer in one interval; bounds a burst after a restart. */
 const maxDigestsAtOnce = 16;
 
-/** Time for which a peer may be ahead before its copy is pulled, in ms. */
-const behindMs = 500;
-
-/**
- * Time after the start at which a first copy is pulled from a peer that is
- * heard, in milliseconds. A store that was only busy has answered by then.
- */
-const firstPullAfterMs = 400;
-
-/**
- * Time after the start at which seeds are asked, in milliseconds. Peers that
- * know this router are heard before; after an outage of all, seeds know nothing
- * and loading the RPC library holds up the answer of the store.
- */
-const askSeedsAfterMs = 1_000;
-
 /** Silence of a peer after which news may have been missed, in ms. */
 const silentMs = 1_500;
 
-/** Pause between pulls, in milliseconds. */
-const pullPauseMs = 400;
-
 /** Pause before the own entry is written again after a failure, in ms. */
 const announcePauseMs = 500;
 
@@ -118,7 +101,6 @@
 ): Promise<Directory> {
   const { settings, store, log, metrics, targets } = host;
   const replica: DirectoryReplica = createDirectoryReplica();
-  const routers = new Map<string, RouterPeer>();
   const digests = createDigestWriter(settings.id);
   const self: RouterPeer = {
     id: settings.id,
@@ -126,15 +108,10 @@
     digestPort: settings.digest.port,
     pullPort: settings.pull.port,
   };
-  const createdAt = performance.now();
-  let version = 0;
   let engineServices: ReadonlySet<string> = new Set();
   let isStopped = false;
-  let isPulling = false;
-  let nextSeed = 0;
-  let behindSince: number | undefined;
   let sentAt = 0;
-  let pulls: PullListener | undefined;
+  let listener: PullListener | undefined;
   const sync = createDirectorySync({
     store,
     replica,
@@ -142,6 +119,30 @@
     noteChanges,
     countCall: (call) => metrics.count("store_calls_total", { call }),
   });
+  const directory = createDirectoryChanges({
+    ...{ store, targets, log },
+    health: host.health,
+    held: host.held,
+    lapseReturnMs: settings.lapseReturnMs,
+    getOutageEndedAt: sync.getOutageEndedAt,
+    noteTable,
+  });
+  const { routers } = directory;
+  const pulls = createPeerPulls({
+    ...{ settings, log },
+    needsPeers: sync.needsPeers,
+    hasConfiguration: () => directory.getVersion() > 0,
+    getRevision: replica.getNewestRevision,
+    takeChanges: sync.takeFromPeer,
+    pullDirectory: async (peer, afterRevision) => {
+      const { pullDirectory } = await import("../connection/directory_pull.ts");
+      return await pullDirectory(peer, afterRevision);
+    },
+    pullHeldParts: async (peer) => {
+      const { pullHeldParts } = await import("../connection/directory_pull.ts");
+      return await pullHeldParts(peer);
+    },
+  });
   const recovery = createCacheRecovery({
     log,
     placement: host.placement,
@@ -149,7 +150,7 @@
     askPeers: () => sendDigest(performance.now()),
     isPeerSettled: (id) => settledPeers.has(id),
     getEngines: () => targets.getAllReady().filter(isEngine),
-    tryPull,
+    tryPull: pulls.tryPullHeldParts,
     tryListParts: host.calls.tryListParts,
     takeParts: (parts) =>
       parts.forEach(({ target, part }) => host.held.notePart(target, part)),
@@ -194,7 +195,7 @@
   /** A router whose peers cannot pull still serves its callers. */
   async function servePulls(): Promise<void> {
     try {
-      pulls = await openPullListener({
+      listener = await openPullListener({
         getSince: replica.getSince,
         getHeldParts: () => ({
           parts: host.held.getAll(),
@@ -203,7 +204,7 @@
         onError: (error) =>
           log.warn("Pull of a peer failed", { reason: error.message }),
       }, settings.pull);
-      if (isStopped) pulls.close();
+      if (isStopped) listener.close();
     } catch (error) {
       log.error("Peers cannot pull from this router", {
         reason: String(error),
@@ -225,113 +226,41 @@
     isStopped = true;
     clearInterval(timer);
     sync.stop();
-    pulls?.close();
+    listener?.close();
     void socket.close();
     void store.close();
   }
 
   function noteChanges(
     changes: readonly WatchEvent[],
-    source: "listing" | "watch" | "peer",
+    source: ChangeSource,
   ): void {
-    changes.forEach((change) => noteChange(change, source));
+    directory.apply(changes, source);
     recoverOnce();
     if (firstTable !== undefined) host.noteTable(firstTable);
     firstTable = undefined;
-    behindSince = undefined;
+    pulls.noteCaughtUp();
     host.noteTargets();
   }
 
   /** Begins once, when the first configuration and targets are known. */
   function recoverOnce(): void {
-    if (isRecovering || version === 0) return;
+    if (isRecovering || directory.getVersion() === 0) return;
     isRecovering = true;
     void recovery.recover(self.id);
   }
 
-  function noteChange(change: WatchEvent, source: string): void {
-    const { key, value, revision } = change;
-    if (value === undefined) return noteRemoval(change, source);
-    const record = store.decode({ key, value, revision });
-    switch (record.kind) {
-      case "route_table":
-        return noteTable(record.table, { revision, source });
-      case "target": {
-        const { id, service, state, address } = record.target;
-        if (targets.put(record.target)) {
-          host.held.forgetTarget(id);
-          host.health.forget(id);
-        }
-        log.info("Target changed", {
-          ...{ target: id, service, state, address, revision, source },
-        });
-        return;
-      }
-      case "router":
-        routers.set(record.router.id, record.router);
-        return;
-      case "unreadable":
-        log.warn("Entry cannot be read", {
-          ...{ key, revision, reason: record.reason },
-        });
-        return noteRemoval(change, source);
-      case "other":
-        return;
-    }
-  }
-
-  function noteTable(
-    table: RouteTable,
-    { revision, source }: {
-      readonly revision: number;
-      readonly source: string;
-    },
-  ): void {
-    if (table.version <= version) {
-      return log.warn("Older configuration was ignored", {
-        ...{ version: table.version, inForce: version, revision, source },
-      });
-    }
-    version = table.version;
+  function noteTable(table: RouteTable): void {
     engineServices = new Set(
       [...table.services.values()]
         .filter(({ engine }) => engine !== undefined)
         .map(({ name }) => name),
     );
-    log.info("Configuration is in force", {
-      ...{ version, revision, source },
-      routes: table.routes.length,
-    });
     // The targets of the same listing should be known before requests are.
     if (isRecovering) host.noteTable(table);
     else firstTable = table;
   }
 
-  function noteRemoval(
-    { key, revision }: WatchEvent,
-    source: string,
-  ): void {
-    const held = store.resolveKey(key);
-    if (held === undefined) return;
-    if (held.kind === "router") return void routers.delete(held.id);
-    const usableUntil = getUsableUntil(held.id, source);
-    targets.remove(held.id, usableUntil);
-    log.info("Target is gone", {
-      target: held.id,
-      ...{ revision, source },
-      usableForMs: Math.max(0, Math.round(usableUntil - performance.now())),
-    });
-  }
-
-  /** Entries that lapsed in an outage come back if their targets live. */
-  function getUsableUntil(id: string, source: string): number {
-    const now = performance.now();
-    if (source === "peer" || targets.tryGet(id)?.state === "draining") {
-      return now;
-    }
-    return Math.max(now, sync.getOutageEndedAt() + settings.lapseReturnMs);
-  }
-
   function noteParts(
     target: string,
     parts: readonly PromptPart[],
@@ -351,8 +280,7 @@
     // A restarted router tells whole caches of engines at once.
     while (digests.getWaiting() > 0 && left-- > 0) sendDigest(now);
     if (now - sentAt >= digestMs) sendDigest(now);
-    if (version > 0 || now - createdAt < askSeedsAfterMs) return;
-    if (sync.needsPeers()) pullFromSeed();
+    pulls.tick();
   }
 
   function sendDigest(now: number): void {
@@ -389,15 +317,9 @@
       host.held.notePart(target, part);
     }
     if (news.directoryRevision <= replica.getNewestRevision()) return;
-    const now = performance.now();
-    behindSince ??= now;
-    const mayPull = version === 0
-      ? sync.needsPeers() && now - createdAt >= firstPullAfterMs
-      : now - behindSince >= behindMs;
-    if (!mayPull) return;
     // A peer that the store has not told of yet uses the same ports.
     const port = routers.get(news.sender)?.pullPort ?? settings.pull.port;
-    void pull({ address: from.address, port });
+    pulls.noteAhead({ address: from.address, port });
   }
 
   /** What a peer has told while it was not heard is pulled from it. */
@@ -408,72 +330,18 @@
     if (before === undefined || now - before < silentMs) return;
     const peer = routers.get(sender);
     if (peer === undefined) return;
-    void tryPull(peer).then((parts) =>
+    void pulls.tryPullHeldParts(peer).then((parts) =>
       parts?.forEach(({ target, part }) => host.held.notePart(target, part))
     );
   }
 
-  async function tryPull(
-    peer: RouterPeer,
-  ): Promise<readonly HeldPart[] | undefined> {
-    try {
-      const { pullHeldParts } = await import("../connection/directory_pull.ts");
-      const { parts, isSettled } = await pullHeldParts({
-        address: peer.address,
-        port: peer.pullPort,
-      });
-      return isSettled ? parts : undefined;
-    } catch (error) {
-      log.warn("Peer gave no copy of held parts", {
-        peer: peer.id,
-        reason: error instanceof Error ? error.message : String(error),
-      });
-      return undefined;
-    }
-  }
-
   function isEngine({ service }: DirectTarget): boolean {
     return engineServices.has(service);
   }
 
-  function pullFromSeed(): void {
-    const seeds = settings.seeds.filter(({ address, port }) =>
-      address !== settings.pull.address || port !== settings.pull.port
-    );
-    const seed = seeds[nextSeed % Math.max(1, seeds.length)];
-    if (seed === undefined || isPulling) return;
-    nextSeed++;
-    void pull(seed);
-  }
-
-  async function pull(peer: SocketAddress): Promise<void> {
-    if (isPulling) return;
-    isPulling = true;
-    const revision = replica.getNewestRevision();
-    try {
-      const { pullDirectory } = await import("../connection/directory_pull.ts");
-      const changes = await pullDirectory(peer, revision);
-      sync.takeFromPeer(changes);
-      log.info("Directory was pulled from a peer", {
-        peer: peer.address,
-        fromRevision: revision,
-        changes: changes.length,
-      });
-    } catch (error) {
-      log.warn("Peer gave no copy of the directory", {
-        peer: peer.address,
-        reason: error instanceof Error ? error.message : String(error),
-      });
-    } finally {
-      setTimeout(() => {
-        isPulling = false;
-      }, pullPauseMs).unref();
-    }
-  }
-
   function dump(): Dump {
     return {
-      version,
+      version: directory.getVersion(),
       revision: replica.getNewestRevision(),
       isConnected: sync.isConnected(),
       ageMs: Math.round(sync.getAgeMs()),
