Copy parts from engines that are set aside

Ruled out: unreachable engines as a source; their caches are mostly gone, and the placement would count on a copy that does not come.

--- a/src/process/direct/prefix_placement.ts
+++ b/src/process/direct/prefix_placement.ts
@@ -23,8 +23,8 @@
   readonly heldTokens: number;
 }
 
-/** An engine that takes no new work but still has its cache. */
-export interface LeavingHolder {
+/** An engine that takes no new work now but still has its cache. */
+export interface ClosedHolder {
   readonly target: DirectTarget;
   readonly heldTokens: number;
 }
@@ -37,8 +37,8 @@
   readonly zone: string;
   /** No engine takes work above this multiple of the mean. */
   readonly loadMultiple: number;
-  /** Engines that are leaving; they can still be copied from. */
-  readonly leaving: readonly LeavingHolder[];
+  /** Engines that leave or are set aside; they can still be copied from. */
+  readonly closedHolders: readonly ClosedHolder[];
 }
 
 /** Where a request goes. */
@@ -95,7 +95,9 @@
   const bound = request.loadMultiple * multipleInUse * mean + loadSlack;
   const best = Math.max(
     0,
-    ...[...candidates, ...request.leaving].map(({ heldTokens }) => heldTokens),
+    ...[...candidates, ...request.closedHolders].map(({ heldTokens }) =>
+      heldTokens
+    ),
   );
   const allowed = candidates.filter(({ load }) => load + 1 <= bound);
   const open = allowed.length > 0 ? allowed : getLightest(candidates);
@@ -134,10 +136,10 @@
   function tryGetSource(taken: EngineCandidate): DirectTarget | undefined {
     if (best - taken.heldTokens < minCopiedTokens) return undefined;
     const holders = candidates.filter(({ heldTokens }) => heldTokens === best);
-    const leaving = request.leaving.find(({ heldTokens }) =>
+    const closed = request.closedHolders.find(({ heldTokens }) =>
       heldTokens === best
     );
-    return (getLightest(holders)[0] ?? leaving)?.target;
+    return (getLightest(holders)[0] ?? closed)?.target;
   }
 }
 
--- a/src/process/direct/prefix_placement_test.ts
+++ b/src/process/direct/prefix_placement_test.ts
@@ -9,7 +9,7 @@
   sharedTokens: 10_000,
   zone: "zone-a",
   loadMultiple: 2,
-  leaving: [],
+  closedHolders: [],
 };
 
 function createCandidate(
@@ -84,7 +84,7 @@
 
   it("copies from an engine that is leaving", () => {
     const leaving = { target: createTarget("old"), heldTokens: 10_000 };
-    const choice = choosePlace({ ...request, leaving: [leaving] }, [
+    const choice = choosePlace({ ...request, closedHolders: [leaving] }, [
       createCandidate("a"),
     ]);
     expect(choice?.fetchFrom?.id).toBe("old");
--- a/src/process/direct/target_health.ts
+++ b/src/process/direct/target_health.ts
@@ -53,6 +53,8 @@
   /** Times in a row that the target was set aside. */
   timesAside: number;
   asideUntil: number;
+  /** Outcome for which it was set aside last. */
+  asideFor: TargetOutcome;
   /** Start of the trial that is under way; 0 for none. */
   trialAt: number;
 }
@@ -65,6 +67,8 @@
   /** The request that goes to the target is its trial. */
   noteSent(target: DirectTarget): void;
   isAside(id: string): boolean;
+  /** False while the target is set aside because it cannot be reached. */
+  isReachable(id: string): boolean;
   forget(id: string): void;
   /** Ids of the targets that are set aside now. */
   getAside(): readonly string[];
@@ -82,6 +86,8 @@
     getUsable,
     noteSent,
     isAside,
+    isReachable: (id) =>
+      !isAside(id) || byTarget.get(id)?.asideFor !== "unreachable",
     forget,
     getAside: () => [...byTarget.keys()].filter(isAside),
   };
@@ -124,6 +130,7 @@
       firstAsideMs[outcome] * 2 ** health.timesAside,
     );
     health.asideUntil = now + asideMs;
+    health.asideFor = outcome;
     health.timesAside++;
     const { all, failures } = countOutcomes([health]);
     host.log.warn("Target is set aside", {
@@ -179,10 +186,11 @@
   function getHealth({ id, service }: DirectTarget): Health {
     const held = byTarget.get(id);
     if (held !== undefined) return held;
-    const health = {
+    const health: Health = {
       outcomes: [],
       timesAside: 0,
       asideUntil: 0,
+      asideFor: "served",
       trialAt: 0,
     };
     byTarget.set(id, health);
--- a/src/request/direct_choice.ts
+++ b/src/request/direct_choice.ts
@@ -17,7 +17,7 @@
 /** What choosing needs from the process. */
 export interface ChoiceHost {
   readonly targets: Pick<TargetTable, "getReady" | "getLeaving">;
-  readonly health: Pick<TargetHealth, "getUsable" | "isAside">;
+  readonly health: Pick<TargetHealth, "getUsable" | "isReachable">;
   readonly loads: Pick<LoadView, "getLoad">;
   readonly held: Pick<HeldParts, "getHeldTokens" | "isHeld">;
   readonly placement: Placement;
@@ -52,7 +52,10 @@
   const usable = host.health.getUsable(left);
   return request.prompt === undefined
     ? tryChooseSlot(host, usable)
-    : tryChooseEngine(host, request, usable);
+    : tryChooseEngine(host, request, {
+      usable,
+      closed: ready.filter((target) => !usable.includes(target)),
+    });
 }
 
 function tryChooseSlot(
@@ -76,14 +79,18 @@
 function tryChooseEngine(
   host: ChoiceHost,
   request: DirectRequest,
-  targets: readonly DirectTarget[],
+  { usable, closed }: {
+    readonly usable: readonly DirectTarget[];
+    /** Set aside or tried before; their caches can mostly be copied from. */
+    readonly closed: readonly DirectTarget[];
+  },
 ): DirectChoice | undefined {
   const shared = getSharedParts(request.prompt?.parts ?? []);
   const key = shared.at(-1)?.id ?? request.requestId;
   const ranked = host.placement.rankTargets(
     key,
-    targets.map((target) => ({ id: target.id, weight: 100, target })),
-    { limit: targets.length },
+    usable.map((target) => ({ id: target.id, weight: 100, target })),
+    { limit: usable.length },
   );
   const candidates = ranked.map(({ target }) => {
     const { requests, unreadTokens } = host.loads.getLoad(target.id);
@@ -98,8 +105,8 @@
     sharedTokens: shared.reduce((sum, { tokens }) => sum + tokens, 0),
     zone: host.zone,
     loadMultiple: host.loadMultiple,
-    leaving: host.targets.getLeaving(request.service)
-      .filter(({ id }) => !host.health.isAside(id))
+    closedHolders: [...closed, ...host.targets.getLeaving(request.service)]
+      .filter(({ id }) => host.health.isReachable(id))
       .map((target) => ({
         target,
         heldTokens: host.held.getHeldTokens(target.id, shared),
--- /dev/null
+++ b/src/request/direct_choice_test.ts
@@ -0,0 +1,89 @@
+import {
+  createRequest,
+  createRoute,
+  createTarget,
+} from "../../test/support/direct.ts";
+import { createHeldParts } from "../process/direct/held_parts.ts";
+import { createLoadView } from "../process/direct/load_view.ts";
+import {
+  createTargetHealth,
+  type TargetOutcome,
+} from "../process/direct/target_health.ts";
+import { createTargetTable } from "../process/direct/target_table.ts";
+import { createPlacement } from "../process/placement/placement.ts";
+import { createSilentLog } from "../process/telemetry/log.ts";
+import { tryChooseTarget } from "./direct_choice.ts";
+
+describe("the choice of an engine", () => {
+  beforeEach(() => void jest.useFakeTimers());
+  afterEach(() => void jest.useRealTimers());
+
+  const part = { id: "long", tokens: 10_000 };
+  const request = createRequest(createRoute({ kind: "stream" }), {
+    prompt: {
+      model: "writer",
+      parts: [part, { id: "own", tokens: 100 }],
+      promptTokens: 10_100,
+      maxOutputTokens: 80,
+      hintedOutputTokens: undefined,
+    },
+  });
+
+  /** Chooses while engine "b", the only holder, has had some outcomes. */
+  function choose(
+    outcomes: readonly TargetOutcome[],
+    tried: readonly string[] = [],
+  ) {
+    const targets = createTargetTable();
+    const all = ["a", "b", "c"].map((id) => createTarget(id));
+    all.forEach((target) => targets.put(target));
+    const held = createHeldParts();
+    held.notePart("b", part);
+    const health = createTargetHealth({ log: createSilentLog() });
+    const holder = all.find(({ id }) => id === "b");
+    outcomes.forEach((outcome) => holder && health.note(holder, outcome));
+    return tryChooseTarget(
+      {
+        targets,
+        health,
+        loads: createLoadView(),
+        held,
+        placement: createPlacement({
+          hash: (key, seed) => key.length * 7 + seed,
+        }),
+        zone: "zone-a",
+        loadMultiple: 2,
+        random: () => 0.5,
+      },
+      request,
+      new Set(tried),
+    );
+  }
+
+  it("takes the holder", () => {
+    const choice = choose([]);
+    expect(choice?.target.id).toBe("b");
+    expect(choice?.fetchFrom).toBeUndefined();
+    expect(choice?.readParts).toEqual([]);
+  });
+
+  it("copies from a holder that is set aside for its silence", () => {
+    const choice = choose(["silent"]);
+    expect(choice?.target.id).not.toBe("b");
+    expect(choice?.fetchFrom?.id).toBe("b");
+    expect(choice?.readParts).toEqual([]);
+  });
+
+  it("copies from a holder that the request has tried", () => {
+    const choice = choose([], ["b"]);
+    expect(choice?.target.id).not.toBe("b");
+    expect(choice?.fetchFrom?.id).toBe("b");
+  });
+
+  it("reads again what only an unreachable engine held", () => {
+    const choice = choose(["unreachable"]);
+    expect(choice?.target.id).not.toBe("b");
+    expect(choice?.fetchFrom).toBeUndefined();
+    expect(choice?.readParts).toEqual([part]);
+  });
+});
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -38,7 +38,7 @@
   readonly calls: DirectCalls;
   readonly health: Pick<
     TargetHealth,
-    "getUsable" | "isAside" | "note" | "noteSent"
+    "getUsable" | "isReachable" | "note" | "noteSent"
   >;
   readonly loads: Pick<LoadView, "getLoad" | "begin">;
   readonly held: Pick<HeldParts, "getHeldTokens" | "isHeld"> & {
