Replay loads on emulated engines

What: test/emulator holds an engine with batch steps, reading in chunks, a cache that shares memory with what runs, preemption, copies and crashes; seeded arrivals; and a replay through runDirect with the real decision modules. load_test checks the goals of the issue; npm run load prints the table and a plot.

--- /dev/null
+++ b/test/emulator/fleet.ts
@@ -0,0 +1,334 @@
+/** Routers' request runs against emulated engines, on a paused clock. */
+
+import { createHeldParts } from "../../src/process/direct/held_parts.ts";
+import type { GivenPart } from "../../src/process/direct/held_parts.ts";
+import { createLoadView } from "../../src/process/direct/load_view.ts";
+import { createPartReads } from "../../src/process/direct/part_reads.ts";
+import { createTargetHealth } from "../../src/process/direct/target_health.ts";
+import { createTargetTable } from "../../src/process/direct/target_table.ts";
+import {
+  createPlacement,
+  type Placement,
+  type PlacementHost,
+} from "../../src/process/placement/placement.ts";
+import { createSilentLog } from "../../src/process/telemetry/log.ts";
+import { type DirectHost, runDirect } from "../../src/request/direct_run.ts";
+import type { DirectTarget } from "../../src/types/direct_target.ts";
+import type { PromptPart } from "../../src/types/prompt.ts";
+import type { Reply, RequestEnd } from "../../src/types/reply.ts";
+import { createRequest, createRoute, createTarget } from "../support/direct.ts";
+import type { Arrival, LoadPattern } from "./arrivals.ts";
+import { troubleMs } from "./arrivals.ts";
+import { createEmulatedCalls } from "./emulated_calls.ts";
+import {
+  createModelEngine,
+  createReadLedger,
+  type EngineModel,
+  type ModelEngine,
+} from "./model_engine.ts";
+
+/**
+ * - `rank`: the first rank of the last shared part is taken for its holder,
+ *   and others copy from it; nothing is told among routers.
+ * - `no_wait`: the product, but nothing waits for a part that is being read.
+ * - `product`: as it is.
+ */
+export type Policy = "rank" | "no_wait" | "product";
+
+/** What a replay has shown. */
+export interface ReplayResult {
+  readonly requests: number;
+  /** Share of the requests whose first event came within their goal. */
+  readonly onTime: number;
+  readonly failed: number;
+  readonly firstEventMs: readonly number[];
+  readonly readTokens: number;
+  readonly readAgainTokens: number;
+  readonly copiedTokens: number;
+  readonly preemptions: number;
+  /** Requests of the busiest engine over the mean of all engines. */
+  readonly busiestOverMean: number;
+  /** Highest load of an engine over the mean at one time, less the slack. */
+  readonly highestMultiple: number;
+}
+
+/** Engines as large as those of a served system. */
+const model: EngineModel = {
+  slots: 64,
+  stepMs: 3.4,
+  stepMsPerRequest: 0.011,
+  readTokensPerMs: 61,
+  chunkTokens: 1_024,
+  memoryTokens: 565_000,
+  copyTokensPerMs: 420,
+  copySetupMs: 2.7,
+  eventTokens: 6,
+  queue: 192,
+};
+
+/** Interval of digests between routers, in ms; that of the product's news. */
+const digestMs = 60;
+
+/** Interval at which loads are sampled, in milliseconds. */
+const sampleMs = 100;
+
+/** Time after the last arrival for answers to end, in milliseconds. */
+const tailMs = 8_000;
+
+/** Time for which a crashed engine is down, in milliseconds. */
+const downMs = 3_000;
+
+/** Replays arrivals; `advance` moves the paused clock. */
+export async function replay(
+  arrivals: readonly Arrival[],
+  options: {
+    readonly policy: Policy;
+    readonly pattern: LoadPattern;
+    readonly engines: number;
+    readonly routers: number;
+    readonly placementHost: PlacementHost;
+    advance(ms: number): Promise<void>;
+  },
+): Promise<ReplayResult> {
+  const ledger = createReadLedger();
+  const engines = new Map<string, ModelEngine>();
+  const targets = Array.from({ length: options.engines }, (_, index) => {
+    const target = createTarget(`engine-${index}`, {
+      address: `10.0.0.${index}:80`,
+      zone: `zone-${index % 3}`,
+    });
+    engines.set(target.id, createModelEngine(model, ledger));
+    return target;
+  });
+  const placement = createPlacement(options.placementHost);
+  const routers = Array.from(
+    { length: options.routers },
+    (_, index) =>
+      createRouter(index, {
+        targets,
+        engines,
+        placement,
+        policy: options.policy,
+      }),
+  );
+  const firstEventMs: number[] = [];
+  let onTime = 0;
+  let failed = 0;
+  let highestMultiple = 0;
+  const runs: Promise<void>[] = [];
+  let digestAt = 0;
+  let sampleAt = 0;
+  let hasCrashed = false;
+  const lengthMs = (arrivals.at(-1)?.atMs ?? 0) + tailMs;
+  let next = 0;
+  for (let now = 0; now <= lengthMs; now += stepMs) {
+    for (; (arrivals[next]?.atMs ?? Infinity) <= now; next++) {
+      runs.push(serve(arrivals[next] as Arrival));
+    }
+    if (now >= digestAt) {
+      digestAt = now + digestMs;
+      if (options.policy !== "rank") exchangeDigests(routers);
+    }
+    if (now >= sampleAt && next < arrivals.length) {
+      sampleAt = now + sampleMs;
+      noteLoads();
+    }
+    if (options.pattern === "crash" && !hasCrashed && now >= troubleMs.from) {
+      hasCrashed = true;
+      engines.get("engine-1")?.crash(downMs);
+    }
+    await options.advance(stepMs);
+  }
+  await Promise.all(runs);
+  const counts = [...engines.values()].map((engine) => engine.getCounts());
+  const sum = (read: (count: typeof counts[number]) => number): number =>
+    counts.reduce((total, count) => total + read(count), 0);
+  return {
+    requests: arrivals.length,
+    onTime: onTime / Math.max(1, arrivals.length),
+    failed,
+    firstEventMs,
+    readTokens: sum(({ readTokens }) => readTokens),
+    readAgainTokens: sum(({ readAgainTokens }) => readAgainTokens),
+    copiedTokens: sum(({ copiedTokens }) => copiedTokens),
+    preemptions: sum(({ preemptions }) => preemptions),
+    busiestOverMean: Math.max(...counts.map(({ requests }) => requests)) *
+      counts.length / sum(({ requests }) => requests),
+    highestMultiple,
+  };
+
+  async function serve(arrival: Arrival): Promise<void> {
+    const startedAt = performance.now();
+    let firstAt: number | undefined;
+    let end: RequestEnd | undefined;
+    const reply: Reply = {
+      gone: new AbortController().signal,
+      start: () => undefined,
+      write: () => {
+        firstAt ??= performance.now() - startedAt;
+        return undefined;
+      },
+      end: (value) => {
+        end = value;
+      },
+    };
+    const router = routers[arrival.router % routers.length] as EmulatedRouter;
+    await runDirect(router.host, toRequest(arrival), reply);
+    if (end?.outcome !== "done" || firstAt === undefined) {
+      failed++;
+      return;
+    }
+    firstEventMs.push(firstAt);
+    if (firstAt <= arrival.goalMs) onTime++;
+  }
+
+  function noteLoads(): void {
+    const loads = [...engines.values()].map((engine) => engine.getLoad());
+    const mean = loads.reduce((total, load) => total + load, 0) / loads.length;
+    if (mean === 0) return;
+    const multiple = (Math.max(...loads) - loadSlack) / mean;
+    highestMultiple = Math.max(highestMultiple, multiple);
+  }
+}
+
+/** Step in which the replay goes on, in milliseconds. */
+const stepMs = 5;
+
+/** Requests by which a load may pass the multiple; the sites' own slack. */
+const loadSlack = 3;
+
+interface EmulatedRouter {
+  readonly host: DirectHost;
+  readonly id: string;
+  /** Parts given since the last digest. */
+  takeNews(): readonly GivenPart[];
+  takeDigest(from: EmulatedRouter, news: readonly GivenPart[]): void;
+  readonly loads: ReturnType<typeof createLoadView>;
+}
+
+function createRouter(
+  index: number,
+  options: {
+    readonly targets: readonly DirectTarget[];
+    readonly engines: ReadonlyMap<string, ModelEngine>;
+    readonly placement: Placement;
+    readonly policy: Policy;
+  },
+): EmulatedRouter {
+  const table = createTargetTable();
+  options.targets.forEach((target) => table.put(target));
+  const held = createHeldParts();
+  const reads = createPartReads();
+  const loads = createLoadView();
+  const news: GivenPart[] = [];
+  const host: DirectHost = {
+    calls: createEmulatedCalls(options.engines, options.targets),
+    targets: table,
+    health: createTargetHealth({ log: createSilentLog() }),
+    loads,
+    held: options.policy === "rank"
+      ? { ...createRankGuess(options), note: () => undefined }
+      : { ...held, note },
+    reads: options.policy === "product"
+      ? reads
+      : { begin: reads.begin, wait: () => Promise.resolve(0) },
+    retries: { noteRequest: () => undefined, trySpend: () => true },
+    placement: options.placement,
+    log: createSilentLog(),
+    zone: `zone-${index % 3}`,
+    loadMultiple: 2,
+    random: () => 0.5,
+  };
+
+  return {
+    host,
+    id: `router-${index}`,
+    loads,
+    takeNews: () => news.splice(0),
+    takeDigest,
+  };
+
+  function note(
+    target: string,
+    parts: readonly PromptPart[],
+    read: readonly PromptPart[],
+  ): void {
+    for (const part of parts) {
+      if (held.isHeld(target, part.id)) continue;
+      news.push({ target, part, isBeingRead: read.includes(part) });
+    }
+    held.note(target, parts);
+  }
+
+  function takeDigest(
+    from: EmulatedRouter,
+    given: readonly GivenPart[],
+  ): void {
+    loads.takeReport(from.id, new Map(from.loads.getOwn()));
+    for (const { target, part, isBeingRead } of given) {
+      if (isBeingRead && !held.isHeld(target, part.id)) {
+        reads.notePeerRead(target, part);
+      }
+      held.notePart(target, part);
+    }
+  }
+}
+
+/** Takes the first rank of a part for its only holder. */
+function createRankGuess(
+  { targets, placement }: {
+    readonly targets: readonly DirectTarget[];
+    readonly placement: Placement;
+  },
+): Pick<DirectHost["held"], "getHeldTokens" | "isHeld"> {
+  const members = targets.map(({ id }) => ({ id, weight: 100 }));
+  const firsts = new Map<string, string | undefined>();
+  return { getHeldTokens, isHeld };
+
+  function isHeld(target: string, part: string): boolean {
+    if (!firsts.has(part)) {
+      const [first] = placement.rankTargets(part, members, { limit: 1 });
+      firsts.set(part, first?.id);
+    }
+    return firsts.get(part) === target;
+  }
+
+  function getHeldTokens(
+    target: string,
+    parts: readonly PromptPart[],
+  ): number {
+    const last = parts.at(-1);
+    if (last === undefined || !isHeld(target, last.id)) return 0;
+    return parts.reduce((sum, { tokens }) => sum + tokens, 0);
+  }
+}
+
+function exchangeDigests(routers: readonly EmulatedRouter[]): void {
+  for (const from of routers) {
+    const news = from.takeNews();
+    routers.filter((to) => to !== from)
+      .forEach((to) => to.takeDigest(from, news));
+  }
+}
+
+function toRequest(arrival: Arrival) {
+  const route = createRoute({
+    kind: "stream",
+    timeoutMs: 15_000,
+    goalMs: arrival.goalMs,
+    priority: arrival.priority,
+    maxTargets: 2,
+    isResumable: arrival.kind === "suggestion",
+  });
+  return createRequest(route, {
+    requestId: `${arrival.kind}-${arrival.atMs}`,
+    body: Buffer.from(JSON.stringify(arrival)),
+    prompt: {
+      model: "writer",
+      parts: arrival.parts,
+      promptTokens: arrival.parts.reduce((sum, part) => sum + part.tokens, 0),
+      maxOutputTokens: arrival.outputTokens,
+      hintedOutputTokens: undefined,
+    },
+  });
+}
--- /dev/null
+++ b/test/emulator/load_test.ts
@@ -0,0 +1,73 @@
+import {
+  loadPlacementHost,
+  type PlacementHost,
+} from "../../src/process/placement/placement.ts";
+import { createArrivals, type LoadPattern } from "./arrivals.ts";
+import { type Policy, replay, type ReplayResult } from "./fleet.ts";
+
+const seed = 7;
+const lengthMs = 12_000;
+const routers = 5;
+const engines = 6;
+
+describe("a replayed load", () => {
+  let placementHost: PlacementHost;
+  const results = new Map<string, ReplayResult>();
+
+  beforeAll(async () => {
+    placementHost = await loadPlacementHost();
+  });
+  beforeEach(() => void jest.useFakeTimers());
+  afterEach(() => void jest.useRealTimers());
+
+  async function run(
+    pattern: LoadPattern,
+    policy: Policy,
+  ): Promise<ReplayResult> {
+    const key = `${pattern} ${policy}`;
+    const held = results.get(key);
+    if (held !== undefined) return held;
+    const result = await replay(
+      createArrivals(pattern, { seed, lengthMs, routers }),
+      {
+        ...{ policy, pattern, engines, routers, placementHost },
+        advance: (ms) => jest.advanceTimersByTimeAsync(ms),
+      },
+    );
+    results.set(key, result);
+    return result;
+  }
+
+  for (const pattern of ["calm", "hot_part", "burst"] as const) {
+    describe(`of the pattern ${pattern}`, () => {
+      it("reads under a quarter of what placing by rank reads again", async () => {
+        const product = await run(pattern, "product");
+        const rank = await run(pattern, "rank");
+        expect(product.readAgainTokens)
+          .toBeLessThan(rank.readAgainTokens / 4);
+      });
+
+      it("spreads requests, and holds the load bound", async () => {
+        const product = await run(pattern, "product");
+        expect(product.busiestOverMean).toBeLessThan(1.3);
+        expect(product.highestMultiple).toBeLessThanOrEqual(2);
+      });
+    });
+  }
+
+  describe("while parts are being read", () => {
+    it("reads them less often than without waiting", async () => {
+      const product = await run("hot_part", "product");
+      const hasty = await run("hot_part", "no_wait");
+      expect(product.readAgainTokens).toBeLessThan(hasty.readAgainTokens);
+      expect(product.onTime).toBeGreaterThanOrEqual(hasty.onTime);
+    });
+  });
+
+  describe("with a crash", () => {
+    it("loses only what ran on the engine that crashed", async () => {
+      const product = await run("crash", "product");
+      expect(product.failed).toBeLessThan(product.requests * 0.02);
+    });
+  });
+});
--- /dev/null
+++ b/test/emulator/load_tool.ts
@@ -0,0 +1,115 @@
+/**
+ * Replays each load pattern under each policy on emulated engines, prints a
+ * table and writes a plot: `npm run load [-- seed]`.
+ */
+
+import { mkdirSync, writeFileSync } from "node:fs";
+import { install } from "@sinonjs/fake-timers";
+import { parse, View } from "vega";
+import { compile, type TopLevelSpec } from "vega-lite";
+import { loadPlacementHost } from "../../src/process/placement/placement.ts";
+import { createArrivals, type LoadPattern } from "./arrivals.ts";
+import { type Policy, replay, type ReplayResult } from "./fleet.ts";
+
+const patterns: readonly LoadPattern[] = [
+  "calm",
+  "hot_part",
+  "burst",
+  "crash",
+];
+const policies: readonly Policy[] = ["rank", "no_wait", "product"];
+
+/** Sizes near those of a served system, and the length of a replay. */
+const size = { engines: 6, routers: 5, lengthMs: 30_000 } as const;
+
+/** Where the plot is written. */
+const plotFile = "docs/bench/load.svg";
+
+interface Row {
+  readonly pattern: LoadPattern;
+  readonly policy: Policy;
+  readonly result: ReplayResult;
+}
+
+const seed = Number(process.argv[2] ?? 7);
+const rows = await replayAll();
+printTable(rows);
+await plot(rows);
+
+async function replayAll(): Promise<readonly Row[]> {
+  const placementHost = await loadPlacementHost();
+  const found: Row[] = [];
+  for (const pattern of patterns) {
+    const arrivals = createArrivals(pattern, { seed, ...size });
+    for (const policy of policies) {
+      const clock = install();
+      try {
+        const result = await replay(arrivals, {
+          ...size,
+          ...{ policy, pattern, placementHost },
+          advance: async (ms) => {
+            await clock.tickAsync(ms);
+          },
+        });
+        found.push({ pattern, policy, result });
+      } finally {
+        clock.uninstall();
+      }
+    }
+  }
+  return found;
+}
+
+function printTable(all: readonly Row[]): void {
+  const head = [
+    ...["pattern", "policy", "requests", "on time %", "failed"],
+    ...["first event p50 ms", "p99 ms", "read again", "copied"],
+    ...["busiest/mean", "highest multiple"],
+  ];
+  console.log(`| ${head.join(" | ")} |`);
+  console.log(`|${" --- |".repeat(head.length)}`);
+  for (const { pattern, policy, result } of all) {
+    const cells = [
+      pattern,
+      policy,
+      result.requests,
+      (result.onTime * 100).toFixed(1),
+      result.failed,
+      getPercentile(result.firstEventMs, 0.5),
+      getPercentile(result.firstEventMs, 0.99),
+      result.readAgainTokens,
+      result.copiedTokens,
+      result.busiestOverMean.toFixed(2),
+      result.highestMultiple.toFixed(2),
+    ];
+    console.log(`| ${cells.join(" | ")} |`);
+  }
+}
+
+function getPercentile(values: readonly number[], part: number): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  return Math.round(sorted[Math.floor(sorted.length * part)] ?? 0);
+}
+
+async function plot(all: readonly Row[]): Promise<void> {
+  const values = all.map(({ pattern, policy, result }) => ({
+    pattern,
+    policy,
+    tokens: result.readAgainTokens,
+  }));
+  const spec: TopLevelSpec = {
+    title: `Shared tokens read again, seed ${seed}`,
+    data: { values },
+    mark: "bar",
+    encoding: {
+      x: { field: "pattern", type: "nominal", title: "load pattern" },
+      xOffset: { field: "policy" },
+      y: { field: "tokens", type: "quantitative", title: "tokens" },
+      color: { field: "policy", type: "nominal" },
+    },
+  };
+  const view = new View(parse(compile(spec).spec), { renderer: "none" });
+  mkdirSync("docs/bench", { recursive: true });
+  writeFileSync(plotFile, await view.toSVG());
+  console.log(`\nPlot: ${plotFile}`);
+}
--- /dev/null
+++ b/test/emulator/model_engine_test.ts
@@ -0,0 +1,132 @@
+import {
+  createModelEngine,
+  createReadLedger,
+  type EngineModel,
+} from "./model_engine.ts";
+
+const model: EngineModel = {
+  slots: 2,
+  stepMs: 10,
+  stepMsPerRequest: 0,
+  readTokensPerMs: 10,
+  chunkTokens: 100,
+  memoryTokens: 2_000,
+  copyTokensPerMs: 100,
+  copySetupMs: 0,
+  eventTokens: 1,
+  queue: 1,
+};
+const shared = { id: "shared", tokens: 500 };
+
+describe("an emulated engine", () => {
+  beforeEach(() => void jest.useFakeTimers());
+  afterEach(() => void jest.useRealTimers());
+
+  function create(changes: Partial<EngineModel> = {}) {
+    const ledger = createReadLedger();
+    const build = () => createModelEngine({ ...model, ...changes }, ledger);
+    const events: string[] = [];
+    let jobs = 0;
+    const submit = (
+      engine: ReturnType<typeof build>,
+      options: {
+        readonly own?: number;
+        readonly priorityClass?: number;
+        readonly source?: ReturnType<typeof build>;
+        readonly outputTokens?: number;
+      } = {},
+    ) => {
+      const name = `job-${++jobs}`;
+      const startedAt = performance.now();
+      let hasBegun = false;
+      return engine.submit({
+        parts: [shared, { id: name, tokens: options.own ?? 100 }],
+        outputTokens: options.outputTokens ?? 2,
+        priorityClass: options.priorityClass ?? 5,
+        emit: () => {
+          if (!hasBegun) {
+            events.push(`${name} begins ${performance.now() - startedAt}`);
+          }
+          hasBegun = true;
+        },
+        finish: () => events.push(`${name} ends`),
+        fail: () => events.push(`${name} fails`),
+      }, options.source);
+    };
+    return { build, submit, events };
+  }
+
+  it("reads a prompt in chunks and keeps its parts", async () => {
+    const { build, submit, events } = create();
+    const engine = build();
+    submit(engine);
+    await jest.advanceTimersByTimeAsync(1_000);
+    submit(engine);
+    await jest.advanceTimersByTimeAsync(1_000);
+    expect(events).toEqual([
+      "job-1 begins 120",
+      "job-1 ends",
+      "job-2 begins 20",
+      "job-2 ends",
+    ]);
+    expect(engine.getCounts()).toMatchObject({
+      readTokens: 700,
+      readAgainTokens: 0,
+    });
+  });
+
+  it("reads again what it is still reading", async () => {
+    const { build, submit } = create();
+    const engine = build();
+    submit(engine);
+    submit(engine);
+    await jest.advanceTimersByTimeAsync(1_000);
+    expect(engine.getCounts().readAgainTokens).toBe(shared.tokens);
+  });
+
+  it("copies what another engine holds", async () => {
+    const { build, submit, events } = create();
+    const [first, second] = [build(), build()];
+    submit(first);
+    await jest.advanceTimersByTimeAsync(1_000);
+    submit(second, { source: first });
+    await jest.advanceTimersByTimeAsync(1_000);
+    expect(events).toContain("job-2 begins 25");
+    expect(second.getCounts()).toMatchObject({
+      copiedTokens: shared.tokens,
+      readAgainTokens: 0,
+    });
+  });
+
+  it("refuses what its queue does not hold", () => {
+    const { build, submit } = create();
+    const engine = build();
+    expect([1, 2, 3, 4].map(() => submit(engine)))
+      .toEqual([true, true, true, false]);
+  });
+
+  it("preempts the newest of the least urgent when memory runs out", async () => {
+    const { build, submit, events } = create({ memoryTokens: 1_300 });
+    const engine = build();
+    submit(engine, { own: 400, priorityClass: 1, outputTokens: 400 });
+    submit(engine, { own: 300, priorityClass: 7, outputTokens: 400 });
+    await jest.advanceTimersByTimeAsync(20_000);
+    expect(engine.getCounts().preemptions).toBeGreaterThan(0);
+    expect(events.indexOf("job-1 ends"))
+      .toBeLessThan(events.indexOf("job-2 ends"));
+    expect(events).toContain("job-2 ends");
+  });
+
+  it("loses work and cache in a crash", async () => {
+    const { build, submit, events } = create();
+    const engine = build();
+    submit(engine);
+    await jest.advanceTimersByTimeAsync(50);
+    engine.crash(100);
+    expect(events).toEqual(["job-1 fails"]);
+    expect(submit(engine)).toBe(false);
+    expect(engine.getHeld([shared])).toEqual([]);
+    await jest.advanceTimersByTimeAsync(100);
+    expect(submit(engine)).toBe(true);
+  });
+});
