--- a/scripts/build_platform.js
+++ b/scripts/build_platform.js
@@ -1,6 +1,6 @@
 /** Bundles the router for the users' platform, to run on plain Node.js. */
 import { execFileSync } from "node:child_process";
-import { mkdirSync, readFileSync } from "node:fs";
+import { mkdirSync, readFileSync, rmSync } from "node:fs";
 import { resolve } from "node:path";
 import { build } from "esbuild";
 
@@ -84,6 +84,8 @@
 if (/\bimport\(/.test(readFileSync("target/router.cjs", "utf8"))) {
   throw new Error("target/router.cjs uses import(); cached code cannot use it");
 }
+// The cache is written from a compile without one.
+rmSync("target/router.cjs.cache", { force: true });
 execFileSync(process.execPath, [
   ...runtimeFlags,
   "scripts/write_code_cache.cjs",
--- a/src/cli/code_cache_test.ts
+++ b/src/cli/code_cache_test.ts
@@ -46,6 +46,17 @@
     await expect(load(second)).resolves.toBe("later");
   });
 
+  it("ignores the cache of another bundle of the same length", () => {
+    writeFileSync(file, `module.exports = () => "first";`);
+    const first = compileBundle(file);
+    first.run();
+    writeFileSync(getCacheFile(file), first.createCache());
+    writeFileSync(file, `module.exports = () => "other";`);
+    const second = compileBundle(file);
+    expect(second.isCached).toBe(false);
+    expect((second.run() as () => string)()).toBe("other");
+  });
+
   it("compiles the source when the cache is corrupted", () => {
     writeFileSync(getCacheFile(file), "not machine code");
     const bundle = compileBundle(file);
