Own blocks of ports in tests; check that placed parts reach peers

Change: an allocator listens on the first port of a block, which gives it the rest until its process ends. A second test sends a prompt through one router and waits until its peer knows the parts; it guards the link that a rename had cut.

--- a/test/harness/ports.ts
+++ b/test/harness/ports.ts
@@ -1,41 +1,77 @@
-/** Finds loopback ports that are free for TCP and for UDP. */
+/**
+ * Hands out loopback ports for TCP and for UDP, each of them once on this
+ * machine. A port is found free long before its process binds it, so that a
+ * check alone would let two suites take the same one. Ports are therefore
+ * taken from blocks: whoever listens on the first port of a block, its guard,
+ * owns the others until its process ends.
+ */
 
 import { createSocket } from "node:dgram";
 import { createServer } from "node:net";
 
-/** First candidate port; the range lies below the ephemeral ports. */
+/**
+ * First port of the first block; all lie below the ephemeral ports, which the
+ * kernel gives to outgoing connections.
+ */
 const firstPort = 20_000;
 
-/** Number of candidate ports. */
-const portCount = 10_000;
+/** Number of ports in one block, with its guard. */
+const portsPerBlock = 50;
 
-/**
- * Distance between the first ports of processes with successive ids, so that
- * concurrent tests rarely try the same ports.
- */
-const portsPerProcess = 200;
+/** Number of blocks. */
+const blockCount = 200;
 
 /** Allocates free ports, each of them once. */
 export interface Ports {
   allocate(): Promise<number>;
 }
 
-/** Creates an allocator whose first port depends on the process id. */
+/** Creates an allocator whose first block depends on the process id. */
 export function createPorts(): Ports {
-  let nextOffset = process.pid * portsPerProcess % portCount;
+  const available: number[] = [];
+  let allocation: Promise<unknown> = Promise.resolve();
 
   return { allocate };
 
-  async function allocate(): Promise<number> {
-    for (let count = 0; count < portCount; count++) {
-      const port = firstPort + nextOffset;
-      nextOffset = (nextOffset + 1) % portCount;
-      if (await isFree(port)) return port;
+  /** Runs one allocation at a time, so that no block is guarded in vain. */
+  function allocate(): Promise<number> {
+    const next = allocation.then(takePort);
+    allocation = next.catch(() => undefined);
+    return next;
+  }
+
+  async function takePort(): Promise<number> {
+    while (true) {
+      const port = available.shift();
+      if (port === undefined) available.push(...await takeBlock());
+      else if (await isFree(port)) return port;
     }
-    throw new Error("No loopback port is free");
   }
 }
 
+/** Guards a block that no process owns and returns its other ports. */
+async function takeBlock(): Promise<readonly number[]> {
+  for (let count = 0; count < blockCount; count++) {
+    const block = (process.pid + count) % blockCount;
+    const guard = firstPort + block * portsPerBlock;
+    if (!await tryListen(guard)) continue;
+    return Array.from(
+      { length: portsPerBlock - 1 },
+      (_, index) => guard + 1 + index,
+    );
+  }
+  throw new Error("All blocks of loopback ports are in use");
+}
+
+/** Listens until the process ends; returns false if the port is taken. */
+function tryListen(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer().unref();
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => resolve(true));
+  });
+}
+
 async function isFree(port: number): Promise<boolean> {
   return await isTcpFree(port) && await isUdpFree(port);
 }
--- a/test/platform/direct_fleet.ts
+++ b/test/platform/direct_fleet.ts
@@ -1,7 +1,6 @@
 /** Runs a store and direct routers in the test process, on loopback. */
 
 import { request as httpRequest } from "node:http";
-import { createServer } from "node:net";
 import { decodeRequest } from "../../src/platform/caller_codec.ts";
 import { createStoreClient } from "../../src/platform/store_client.ts";
 import { targetCodec } from "../../src/platform/target_codec.ts";
@@ -15,8 +14,11 @@
   DirectSettings,
   SocketAddress,
 } from "../../src/types/direct_settings.ts";
+import { createPorts } from "../harness/ports.ts";
 import { startStore, type StoreStandIn } from "./store_stand_in.ts";
 
+const ports = createPorts();
+
 /** A direct router that runs in the test process. */
 export interface FleetRouter {
   readonly id: string;
@@ -89,7 +91,7 @@
   options: { readonly seeds?: readonly SocketAddress[] } = {},
 ): Promise<FleetRouter> {
   const [frontend, readiness, pull, digest, metrics] = await Promise.all(
-    Array.from({ length: 5 }, findFreePort),
+    Array.from({ length: 5 }, () => ports.allocate()),
   ) as [number, number, number, number, number];
   const toLoopbackAddress = (port: number) => ({ address: "127.0.0.1", port });
   const settings: DirectSettings = {
@@ -189,14 +191,3 @@
     Object.entries(fields).every(([name, value]) => line[name] === value)
   );
 }
-
-function findFreePort(): Promise<number> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.listen(0, "127.0.0.1", () => {
-      const address = server.address();
-      const port = typeof address === "object" ? address?.port ?? 0 : 0;
-      server.close(() => resolve(port));
-    });
-  });
-}
--- a/test/platform/direct_router_test.ts
+++ b/test/platform/direct_router_test.ts
@@ -308,6 +308,22 @@
     ]);
   });
 
+  it("reports the prompt parts that it places to its peers", async () => {
+    const { router } = await startTargetAndRouter();
+    const peer = await addRouter("router-2");
+    await waitUntil(async () =>
+      (await getRegisteredRouters(router)).includes("router-2")
+    );
+    await sendRequest(router, "/draft/1", {
+      headers: {
+        "x-model": "writer",
+        "x-tokens": "1460,80",
+        "x-prompt-prefix": "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+      },
+    });
+    await waitUntil(async () => await getHeldParts(peer) === 2);
+  });
+
   it("registers its digest port in the store", async () => {
     const { router } = await startTargetAndRouter();
     await waitUntil(() => store.tryGet("routers/router-1") !== undefined);
@@ -316,3 +332,27 @@
     );
   });
 });
+
+/** Returns the ids of the routers that a router knows from the store. */
+async function getRegisteredRouters(
+  router: FleetRouter,
+): Promise<readonly string[]> {
+  const dump = JSON.parse(await getOperatorPage(router, "/dump")) as {
+    readonly directory: { readonly routers: readonly string[] };
+  };
+  return dump.directory.routers;
+}
+
+/** Returns the number of cached prompt parts that a router knows of. */
+async function getHeldParts(router: FleetRouter): Promise<number> {
+  const metrics = await getOperatorPage(router, "/metrics");
+  return Number(/held_parts (\d+)/.exec(metrics)?.[1]);
+}
+
+async function getOperatorPage(
+  { settings }: FleetRouter,
+  path: string,
+): Promise<string> {
+  const { address, port } = settings.metrics;
+  return await (await fetch(`http://${address}:${port}${path}`)).text();
+}
