--- a/scripts/build_platform.js
+++ b/scripts/build_platform.js
@@ -22,17 +22,28 @@
   module.exports = require("hdr-histogram-js/dist/HistogramBuilder.js");
 `;
 
-/** Replacements for the index modules of packages, by package name. */
+/**
+ * The HTTP client loads HTTP/2 and with it TLS at the start, but uses them only
+ * for encrypted connections, of which the platform has none. It copes with a
+ * runtime that lacks them.
+ */
+const leanHttp2 = `module.exports = { constants: {} };`;
+
+/** Replacements for modules that start slowly, by module name. */
 const leanModules = {
   undici: leanUndici,
   "hdr-histogram-js": leanHistograms,
+  "node:http2": leanHttp2,
 };
 
-/** Loads the replacements of `leanModules` in place of the packages. */
+/** Matches the names of the modules that are replaced. */
+const leanFilter = new RegExp(`^(${Object.keys(leanModules).join("|")})$`);
+
+/** Loads the replacements of `leanModules` in place of the modules. */
 const leanLibraries = {
   name: "lean-libraries",
   setup({ onLoad, onResolve }) {
-    onResolve({ filter: /^(undici|hdr-histogram-js)$/ }, ({ path }) => ({
+    onResolve({ filter: leanFilter }, ({ path }) => ({
       path,
       namespace: "lean",
     }));
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,7 +1,7 @@
 /** Entry point of a router that runs on the users' platform. */
 
-import { write } from "node:fs";
-import { readFile } from "node:fs/promises";
+// The promise API would load the runtime's readline modules at each start.
+import { readFileSync, write } from "node:fs";
 import { waitForSignal } from "../cli/signals.ts";
 import { createLineWriter } from "../process/telemetry/line_writer.ts";
 import { createLog, type Log } from "../process/telemetry/log.ts";
@@ -47,7 +47,7 @@
   file = process.env[settingsVariable] ?? "",
 ): Promise<void> {
   try {
-    const parsed = parseNodeSettings(await readFile(file, "utf8"));
+    const parsed = parseNodeSettings(readFileSync(file, "utf8"));
     const findings = parsed.caseOf({
       Left: (errors) => errors,
       Right: ({ warnings }) => warnings,
@@ -64,13 +64,13 @@
 
 async function runRouter(): Promise<void> {
   const file = process.env[settingsVariable] ?? "";
-  const settings = await readSettings(file);
-  if (settings === undefined) return;
+  const settings = tryReadSettings(file);
+  if (settings === undefined) return await flushAndExit(failureExitCode);
   const log = createLog(output, {
     level: "info",
     fields: { process: settings.id },
   });
-  process.on("SIGHUP", () => void recheckSettings(log, file));
+  process.on("SIGHUP", () => recheckSettings(log, file));
   try {
     await runUntilSignal(settings, log);
   } catch (error) {
@@ -101,9 +101,9 @@
  * Checks the settings file on SIGHUP and logs the findings. A running process
  * cannot change its settings yet.
  */
-async function recheckSettings(log: Log, file: string): Promise<void> {
+function recheckSettings(log: Log, file: string): void {
   try {
-    const parsed = parseNodeSettings(await readFile(file, "utf8"));
+    const parsed = parseNodeSettings(readFileSync(file, "utf8"));
     parsed.caseOf({
       Left: (errors) =>
         errors.forEach((error) =>
@@ -123,12 +123,10 @@
   }
 }
 
-async function readSettings(
-  file: string,
-): Promise<DirectSettings | undefined> {
+function tryReadSettings(file: string): DirectSettings | undefined {
   const log = createLog(output, { level: "info", fields: {} });
   try {
-    const parsed = parseNodeSettings(await readFile(file, "utf8"));
+    const parsed = parseNodeSettings(readFileSync(file, "utf8"));
     if (parsed.isRight()) {
       const { settings, warnings } = parsed.extract() as CheckedSettings;
       warnings.forEach((warning) =>
@@ -150,7 +148,6 @@
   } catch (error) {
     log.error("Settings file cannot be read", { file, reason: String(error) });
   }
-  await flushAndExit(failureExitCode);
   return undefined;
 }
 
--- a/src/process/direct/directory_replica.ts
+++ b/src/process/direct/directory_replica.ts
@@ -11,16 +11,35 @@
 
 /** Entries of the store and tombstones of removed ones. */
 export interface DirectoryReplica {
-  /** Applies changes; returns those that were new. */
+  /**
+   * Applies all changes after the newest known revision; returns those that
+   * were new.
+   */
   applyChanges(events: readonly WatchEvent[]): readonly WatchEvent[];
+  /**
+   * Applies the changes that a peer pushed; returns those that were new. If
+   * changes before them are missing, the newest known revision stays.
+   */
+  applyPush(push: DirectoryPush): readonly WatchEvent[];
   /** Applies a listing, which removes missing keys; returns the changes. */
   applyListing(listing: Listing): readonly WatchEvent[];
   /** Returns the changes after a revision, removals included. */
   getSince(revision: number): readonly WatchEvent[];
-  /** Returns the revision of the newest known change; 0 for none. */
+  /**
+   * Returns the revision up to which all changes are known; 0 for none.
+   */
   getNewestRevision(): number;
 }
 
+/** Changes that a router has read from the store and pushes to its peers. */
+export interface DirectoryPush {
+  /** The changes are all that were made after this revision. */
+  readonly afterRevision: number;
+  /** The changes are all that were made up to this revision. */
+  readonly revision: number;
+  readonly changes: readonly WatchEvent[];
+}
+
 /** Creates an empty replica. */
 export function createDirectoryReplica(): DirectoryReplica {
   const live = new Map<string, WatchEvent>();
@@ -28,16 +47,36 @@
   let newestRevision = 0;
 
   return {
-    applyChanges: (events) => events.filter(apply),
+    applyChanges,
+    applyPush,
     applyListing,
     getSince,
     getNewestRevision: () => newestRevision,
   };
 
+  function applyChanges(
+    events: readonly WatchEvent[],
+  ): readonly WatchEvent[] {
+    const applied = events.filter(apply);
+    for (const { revision } of events) advance(revision);
+    return applied;
+  }
+
+  function applyPush(
+    { afterRevision, revision, changes }: DirectoryPush,
+  ): readonly WatchEvent[] {
+    const applied = changes.filter(apply);
+    if (afterRevision <= newestRevision) advance(revision);
+    return applied;
+  }
+
+  function advance(revision: number): void {
+    newestRevision = Math.max(newestRevision, revision);
+  }
+
   function apply(event: WatchEvent): boolean {
     const known = live.get(event.key) ?? tombstones.get(event.key);
     if (known !== undefined && known.revision >= event.revision) return false;
-    newestRevision = Math.max(newestRevision, event.revision);
     live.delete(event.key);
     tombstones.delete(event.key);
     (event.value === undefined ? tombstones : live).set(event.key, event);
@@ -56,7 +95,7 @@
         value: undefined,
         revision: listing.revision,
       }));
-    return [...listing.entries, ...missing].filter(apply);
+    return applyChanges([...listing.entries, ...missing]);
   }
 
   function getSince(revision: number): readonly WatchEvent[] {
--- a/src/process/direct/directory_replica_test.ts
+++ b/src/process/direct/directory_replica_test.ts
@@ -48,4 +48,34 @@
     expect(keys).toEqual(["b", "a"]);
     expect(peer.getNewestRevision()).toBe(7);
   });
+
+  describe("with a push of a peer", () => {
+    function createAtRevision4() {
+      const replica = createDirectoryReplica();
+      replica.applyChanges([{ key: "a", value: "x", revision: 4 }]);
+      return replica;
+    }
+
+    it("knows all changes up to the push that follows its own", () => {
+      const replica = createAtRevision4();
+      const changes = [{ key: "b", value: "y", revision: 6 }];
+      expect(replica.applyPush({ afterRevision: 3, revision: 6, changes }))
+        .toEqual(changes);
+      expect(replica.getNewestRevision()).toBe(6);
+    });
+
+    it("applies a push after a gap, and still misses the gap", () => {
+      const replica = createAtRevision4();
+      const changes = [{ key: "b", value: "y", revision: 9 }];
+      expect(replica.applyPush({ afterRevision: 7, revision: 9, changes }))
+        .toEqual(changes);
+      expect(replica.getNewestRevision()).toBe(4);
+      expect(replica.getSince(4)).toEqual(changes);
+      replica.applyChanges([
+        { key: "c", value: "z", revision: 6 },
+        ...changes,
+      ]);
+      expect(replica.getNewestRevision()).toBe(9);
+    });
+  });
 });
--- a/src/process/direct/directory_sync.ts
+++ b/src/process/direct/directory_sync.ts
@@ -1,25 +1,35 @@
 /**
- * Keeps the replica in sync with the store: lists once, then watches. Peers'
- * copies are used instead while the store is unavailable to this process.
+ * Keeps the replica in sync with the store. Every router lists once; then some
+ * of them watch the store, and the others take the changes that these push. A
+ * router that has missed a push reads the changes once itself. Peers' copies are
+ * used while the store is unavailable to this process.
  */
 
 import type { EitherAsync } from "purify-ts";
 import type { DirectoryError, DirectoryStore } from "../../types/directory.ts";
 import type { WatchEvent } from "../../types/platform.ts";
+import type { ChangeSource } from "./directory_tables.ts";
 import { getBackOffMs } from "../membership/jitter.ts";
 import type { Log } from "../telemetry/log.ts";
-import type { DirectoryReplica } from "./directory_replica.ts";
+import type { DirectoryPush, DirectoryReplica } from "./directory_replica.ts";
+import type { FeedChoice } from "./feed_choice.ts";
 
 /** What the synchronization needs from the process. */
 export interface DirectorySyncHost {
   readonly store: Pick<DirectoryStore, "list" | "watch">;
   readonly replica: DirectoryReplica;
+  readonly feed: Pick<
+    FeedChoice,
+    "countFeedersAhead" | "getLastFedAt" | "isFeeder"
+  >;
   readonly log: Log;
   /** Handles new changes, in order. */
   handleChanges(
     changes: readonly WatchEvent[],
-    source: "listing" | "watch" | "peer",
+    source: ChangeSource,
   ): void;
+  /** Pushes changes that were watched after a revision to the peers. */
+  pushChanges(changes: readonly WatchEvent[], afterRevision: number): void;
   /** Counts one call to the store. */
   countCall(call: "list" | "watch"): void;
 }
@@ -32,6 +42,17 @@
   stop(): void;
   /** Applies changes that were pulled from a peer. */
   applyPeerChanges(changes: readonly WatchEvent[]): void;
+  /** Applies changes that a peer has pushed. */
+  applyPush(push: DirectoryPush): void;
+  /**
+   * Reads the changes after the newest known revision once from the store;
+   * returns false when the store is unavailable.
+   */
+  catchUp(): Promise<boolean>;
+  /** Records when an outage of the store ended, as a peer reports it. */
+  recordPeerOutage(endedAt: number): void;
+  /** Returns true while this router watches the store and it responds. */
+  isFeeding(): boolean;
   /** Returns true while the store responds; false before its first response. */
   isConnected(): boolean;
   /** Returns true when changes should be pulled from peers. */
@@ -43,7 +64,12 @@
    * infinity when there was none. See `minOutageMs`.
    */
   getOutageEndedAt(): number;
-  /** Returns the time since the store last responded, in milliseconds. */
+  /** As `getOutageEndedAt`, of outages that this router saw itself. */
+  getSeenOutageEndedAt(): number;
+  /**
+   * Returns the time since the store last responded to this router or to one
+   * that pushes to it, in milliseconds.
+   */
   getAgeMs(): number;
 }
 
@@ -51,7 +77,19 @@
  * Timeout of one watch, in milliseconds. It bounds the time until an
  * unresponsive connection is detected, but a shorter timeout costs more calls.
  */
-const watchTimeoutMs = 2_500;
+const watchTimeoutMs = 1_000;
+
+/**
+ * Time since the last response after which a router no longer reports that it
+ * reads the store, in milliseconds; a watch without changes plus a round trip.
+ */
+const feedTimeoutMs = 1_500;
+
+/** Interval at which a router checks whether to watch the store, in ms. */
+const feedCheckIntervalMs = 100;
+
+/** Wait of a watch that only reads changes already made, in milliseconds. */
+const catchUpWaitMs = 1;
 
 /**
  * Delay after a watch that returned changes, in milliseconds. Changes come in
@@ -60,6 +98,13 @@
  */
 const batchDelayMs = 400;
 
+/**
+ * Delay after a watch that returned changes while a router of higher rank
+ * watches too, in milliseconds. That router pushes the changes; this one only
+ * has to notice when it no longer does.
+ */
+const standbyBatchDelayMs = 1_000;
+
 /**
  * Minimum duration of an outage, in milliseconds. After this time without the
  * store, entries may have expired although their targets are alive. A shorter
@@ -86,10 +131,13 @@
   let isConnected = false;
   let failures = 0;
   let outageEndedAt = Number.NEGATIVE_INFINITY;
+  let peerOutageEndedAt = Number.NEGATIVE_INFINITY;
   /** Time of the first failure since the store last responded. */
   let disconnectedAt = performance.now();
   let lastResponseAt = performance.now();
   const createdAt = performance.now();
+  let isWatching = false;
+  let isCatchingUp = false;
 
   return {
     start: () => void run(),
@@ -98,13 +146,26 @@
     },
     applyPeerChanges: (changes) =>
       notify(host.replica.applyChanges(changes), "peer"),
+    applyPush: (push) => notify(host.replica.applyPush(push), "push"),
+    catchUp,
+    recordPeerOutage: (endedAt) => {
+      peerOutageEndedAt = Math.max(peerOutageEndedAt, endedAt);
+    },
+    isFeeding,
     isConnected: () => isConnected,
     needsPeers,
     hasFailed: () => failures > 0,
-    getOutageEndedAt: () => outageEndedAt,
-    getAgeMs: () => performance.now() - lastResponseAt,
+    getOutageEndedAt: () => Math.max(outageEndedAt, peerOutageEndedAt),
+    getSeenOutageEndedAt: () => outageEndedAt,
+    getAgeMs: () =>
+      performance.now() - Math.max(lastResponseAt, host.feed.getLastFedAt()),
   };
 
+  function isFeeding(): boolean {
+    return isWatching && isConnected &&
+      performance.now() - lastResponseAt < feedTimeoutMs;
+  }
+
   function needsPeers(): boolean {
     if (isConnected) return false;
     return failures > 0 ||
@@ -114,12 +175,70 @@
   async function run(): Promise<void> {
     let revision: number | undefined;
     while (!isStopped) {
+      const isFirst = host.replica.getNewestRevision() === 0;
+      if (!isFirst && !host.feed.isFeeder()) {
+        stopWatching();
+        await sleep(feedCheckIntervalMs);
+        revision = host.replica.getNewestRevision();
+        continue;
+      }
+      if (!isFirst) startWatching();
       revision = revision === undefined
         ? await tryList()
         : await tryWatch(revision);
     }
   }
 
+  function startWatching(): void {
+    if (isWatching) return;
+    isWatching = true;
+    // While no router has read the store, entries may have expired.
+    const lastFedAt = Math.max(lastResponseAt, host.feed.getLastFedAt());
+    if (performance.now() - lastFedAt >= minOutageMs) {
+      isConnected = false;
+      disconnectedAt = lastFedAt;
+    }
+    host.log.info("Router watches the store", {
+      revision: host.replica.getNewestRevision(),
+    });
+  }
+
+  function stopWatching(): void {
+    if (!isWatching) return;
+    isWatching = false;
+    host.log.info("Router takes changes from its peers", {
+      revision: host.replica.getNewestRevision(),
+    });
+  }
+
+  async function catchUp(): Promise<boolean> {
+    if (isCatchingUp) return true;
+    isCatchingUp = true;
+    try {
+      host.countCall("watch");
+      const result = await host.store.watch({
+        afterRevision: host.replica.getNewestRevision(),
+        waitMs: catchUpWaitMs,
+      }).run();
+      if (isStopped) return true;
+      return await result.caseOf<Promise<boolean>>({
+        Left: async ({ kind, message }) => {
+          if (kind === "compacted") return await tryList() !== undefined;
+          host.log.warn("Missed changes could not be read", {
+            ...{ kind, reason: message },
+          });
+          return false;
+        },
+        Right: ({ events }) => {
+          notify(host.replica.applyChanges(events), "watch");
+          return Promise.resolve(true);
+        },
+      });
+    } finally {
+      isCatchingUp = false;
+    }
+  }
+
   /** Returns the revision to watch from; undefined after a failure. */
   async function tryList(): Promise<number | undefined> {
     host.countCall("list");
@@ -137,8 +256,17 @@
     );
     // Changes may have been missed while the store was unavailable.
     if (changes === undefined) return undefined;
-    notify(host.replica.applyChanges(changes.events), "watch");
-    if (changes.events.length > 0) await sleep(batchDelayMs);
+    const newestBefore = host.replica.getNewestRevision();
+    const applied = host.replica.applyChanges(changes.events);
+    const unknown = changes.events.filter(({ revision }) =>
+      revision > newestBefore
+    );
+    if (unknown.length > 0) host.pushChanges(unknown, newestBefore);
+    notify(applied, "watch");
+    if (changes.events.length > 0) {
+      const isStandby = host.feed.countFeedersAhead() > 0;
+      await sleep(isStandby ? standbyBatchDelayMs : batchDelayMs);
+    }
     return changes.revision;
   }
 
@@ -196,7 +324,7 @@
 
   function notify(
     changes: readonly WatchEvent[],
-    source: "listing" | "watch" | "peer",
+    source: ChangeSource,
   ): void {
     if (changes.length > 0) host.handleChanges(changes, source);
   }
--- a/src/process/direct/directory_sync_test.ts
+++ b/src/process/direct/directory_sync_test.ts
@@ -50,16 +50,32 @@
   function start(script: readonly Step[]) {
     const store = createScriptedStore(script);
     const changes: string[] = [];
+    const pushed: string[] = [];
+    const feed = {
+      isFeeder: true,
+      feedersAhead: 0,
+      lastFedAt: Number.NEGATIVE_INFINITY,
+    };
+    const replica = createDirectoryReplica();
     const sync = createDirectorySync({
       store,
-      replica: createDirectoryReplica(),
+      replica,
+      feed: {
+        isFeeder: () => feed.isFeeder,
+        countFeedersAhead: () => feed.feedersAhead,
+        getLastFedAt: () => feed.lastFedAt,
+      },
+      pushChanges: (events, afterRevision) =>
+        events.forEach(({ key }) =>
+          pushed.push(`${key} after ${afterRevision}`)
+        ),
       log: createSilentLog(),
       handleChanges: (events, source) =>
         events.forEach(({ key }) => changes.push(`${key} by ${source}`)),
       countCall: () => undefined,
     });
     sync.start();
-    return { store, changes, sync };
+    return { store, changes, pushed, sync, feed, replica };
   }
 
   describe("before the first response", () => {
@@ -154,6 +170,12 @@
         watch: () => EitherAsync.fromPromise(() => watchResult),
       },
       replica: createDirectoryReplica(),
+      feed: {
+        isFeeder: () => true,
+        countFeedersAhead: () => 0,
+        getLastFedAt: () => Number.NEGATIVE_INFINITY,
+      },
+      pushChanges: () => undefined,
       log,
       handleChanges: () => undefined,
       countCall: () => undefined,
@@ -193,4 +215,126 @@
     sync.applyPeerChanges([{ key: "c", value: "old", revision: 7 }]);
     expect(changes).toEqual(["c by peer"]);
   });
+
+  describe("of a router that reads the store for others", () => {
+    const change: Step = {
+      kind: "changes",
+      changes: {
+        events: [
+          { key: "b", value: "y", revision: 6 },
+          { key: "c", value: "z", revision: 7 },
+        ],
+        revision: 8,
+      },
+    };
+
+    it("pushes what it watches, but not the listing", async () => {
+      const { pushed, sync } = start([listing, change]);
+      await jest.advanceTimersByTimeAsync(0);
+      expect(pushed).toEqual(["b after 3", "c after 3"]);
+      expect(sync.isFeeding()).toBe(true);
+    });
+
+    it("pushes nothing that it knows from another's push", async () => {
+      const { pushed, sync } = start([listing]);
+      await jest.advanceTimersByTimeAsync(0);
+      sync.applyPush({
+        afterRevision: 3,
+        revision: 6,
+        changes: [{ key: "b", value: "y", revision: 6 }],
+      });
+      expect(pushed).toEqual([]);
+    });
+
+    it("watches less often than one of higher rank", async () => {
+      const { store, feed } = start([listing, change]);
+      feed.feedersAhead = 1;
+      await jest.advanceTimersByTimeAsync(999);
+      expect(store.calls).toEqual(["list", "watch 4"]);
+      await jest.advanceTimersByTimeAsync(1);
+      expect(store.calls).toEqual(["list", "watch 4", "watch 8"]);
+    });
+
+    it("no longer reports it after a silent second and a half", async () => {
+      const { sync } = start([listing]);
+      await jest.advanceTimersByTimeAsync(1_400);
+      expect(sync.isFeeding()).toBe(true);
+      await jest.advanceTimersByTimeAsync(200);
+      expect(sync.isFeeding()).toBe(false);
+    });
+  });
+
+  describe("of a router that others read the store for", () => {
+    it("lists once and does not watch", async () => {
+      const { store, feed, sync } = start([listing]);
+      feed.isFeeder = false;
+      await jest.advanceTimersByTimeAsync(5_000);
+      expect(store.calls).toEqual(["list"]);
+      expect(sync.isFeeding()).toBe(false);
+    });
+
+    it("watches from what it knows once it has to", async () => {
+      const { store, feed, sync } = start([listing]);
+      feed.isFeeder = false;
+      await jest.advanceTimersByTimeAsync(200);
+      sync.applyPush({
+        afterRevision: 4,
+        revision: 6,
+        changes: [{ key: "b", value: "y", revision: 6 }],
+      });
+      sync.applyPush({
+        afterRevision: 3,
+        revision: 9,
+        changes: [{ key: "d", value: "y", revision: 9 }],
+      });
+      feed.isFeeder = true;
+      await jest.advanceTimersByTimeAsync(100);
+      expect(store.calls).toEqual(["list", "watch 9"]);
+    });
+
+    it("reads what it has missed with one call", async () => {
+      const { store, feed, changes, sync } = start([listing, {
+        kind: "changes",
+        changes: {
+          events: [{ key: "b", value: "y", revision: 6 }],
+          revision: 6,
+        },
+      }]);
+      feed.isFeeder = false;
+      await jest.advanceTimersByTimeAsync(0);
+      await expect(sync.catchUp()).resolves.toBe(true);
+      await jest.advanceTimersByTimeAsync(1_000);
+      expect(store.calls).toEqual(["list", "watch 3"]);
+      expect(changes).toEqual(["a by listing", "b by watch"]);
+    });
+
+    it("is told when the store rejects the call", async () => {
+      const { feed, sync } = start([listing, unavailable]);
+      feed.isFeeder = false;
+      await jest.advanceTimersByTimeAsync(0);
+      await expect(sync.catchUp()).resolves.toBe(false);
+    });
+
+    it("takes a time without any reader for an outage", async () => {
+      const { feed, sync } = start([listing, {
+        kind: "changes",
+        changes: { events: [], revision: 4 },
+      }]);
+      feed.isFeeder = false;
+      await jest.advanceTimersByTimeAsync(200);
+      feed.lastFedAt = performance.now();
+      await jest.advanceTimersByTimeAsync(1_500);
+      feed.isFeeder = true;
+      await jest.advanceTimersByTimeAsync(100);
+      expect(sync.getSeenOutageEndedAt()).toBeGreaterThan(0);
+    });
+
+    it("knows of outages from its peers", async () => {
+      const { feed, sync } = start([listing]);
+      feed.isFeeder = false;
+      sync.recordPeerOutage(40);
+      expect(sync.getOutageEndedAt()).toBe(40);
+      expect(sync.getSeenOutageEndedAt()).toBe(Number.NEGATIVE_INFINITY);
+    });
+  });
 });
--- a/src/process/direct/directory_tables.ts
+++ b/src/process/direct/directory_tables.ts
@@ -9,8 +9,8 @@
 import type { TargetHealth } from "./target_health.ts";
 import type { TargetTable } from "./target_table.ts";
 
-/** Source of a change. */
-export type ChangeSource = "listing" | "watch" | "peer";
+/** Source of a change; a `push` comes from a peer that reads the store. */
+export type ChangeSource = "listing" | "watch" | "push" | "peer";
 
 /** What the tables need from the process. */
 export interface DirectoryTablesHost {
--- a/src/process/direct/peer_digests.ts
+++ b/src/process/direct/peer_digests.ts
@@ -1,6 +1,7 @@
 /**
  * Encodes and decodes the datagrams between routers: their loads, the prompt
- * parts that they have just sent to targets, and their directory revisions.
+ * parts that they have just sent to targets, their directory revisions, and the
+ * directory changes that they have just read from the store.
  */
 
 import {
@@ -8,6 +9,7 @@
   type TargetLoadReport,
 } from "../../generated/mimosatray/v1/peer_digest.ts";
 import type { PlacedPart } from "./cached_parts.ts";
+import type { PushFragment } from "./push_fragments.ts";
 import type { TargetLoad } from "./load_view.ts";
 
 /** Maximum size of a datagram, in bytes; avoids fragmentation on any path. */
@@ -28,14 +30,27 @@
   readonly directoryRevision: number;
   /** False while the sender recovers the cached parts of engines. */
   readonly isSettled: boolean;
+  /** True while the sender reads directory changes from the store itself. */
+  readonly isFeeding: boolean;
+  /**
+   * Time since the sender's last outage of the store ended, in milliseconds; 0
+   * when there was none lately.
+   */
+  readonly outageEndedAgoMs: number;
   readonly loads: ReadonlyMap<string, TargetLoad>;
   readonly parts: readonly PlacedPart[];
+  /** Part of a push; a digest that has one carries no loads or parts. */
+  readonly pushFragment: PushFragment | undefined;
 }
 
 /** State that a process reports of itself. */
 export type DigestState = Pick<
   ReceivedDigest,
-  "directoryRevision" | "isSettled" | "loads"
+  | "directoryRevision"
+  | "isSettled"
+  | "isFeeding"
+  | "outageEndedAgoMs"
+  | "loads"
 >;
 
 /** Writes the digests that one process sends. */
@@ -48,6 +63,8 @@
   write(state: DigestState): Uint8Array;
   /** Encodes a response to one peer; parts wait for the next digest to all. */
   writeResponse(state: DigestState): Uint8Array;
+  /** Encodes a digest that carries a part of a push in place of loads. */
+  writePush(state: DigestState, pushFragment: PushFragment): Uint8Array;
 }
 
 /** Creates the digest writer of a process. */
@@ -58,7 +75,9 @@
     queuePart,
     getQueueLength: () => queue.length,
     write,
-    writeResponse: (state) => encode(state, []),
+    writeResponse: (state) => encode(state, { parts: [] }),
+    writePush: (state, pushFragment) =>
+      encode({ ...state, loads: new Map() }, { parts: [], pushFragment }),
   };
 
   function queuePart(placed: PlacedPart): void {
@@ -74,17 +93,19 @@
         sendsLeft > 1 ? [{ placed, sendsLeft: sendsLeft - 1 }] : []
       ),
     ];
-    return encode(state, batch.map(({ placed }) => placed));
+    return encode(state, { parts: batch.map(({ placed }) => placed) });
   }
 
   function encode(
-    { directoryRevision, isSettled, loads }: DigestState,
-    parts: readonly PlacedPart[],
+    { loads, ...state }: DigestState,
+    { parts, pushFragment }: {
+      readonly parts: readonly PlacedPart[];
+      readonly pushFragment?: PushFragment;
+    },
   ): Uint8Array {
     return PeerDigest.encode({
+      ...state,
       sender,
-      directoryRevision,
-      isSettled,
       loads: [...loads].map(toLoadReport),
       heldParts: parts.map(({ target, part, isBeingRead }) => ({
         target,
@@ -92,6 +113,10 @@
         tokens: part.tokens,
         isBeingRead,
       })),
+      pushFragment: pushFragment && {
+        ...pushFragment,
+        data: Buffer.from(pushFragment.data),
+      },
     }).finish();
   }
 }
@@ -116,6 +141,9 @@
       sender: digest.sender,
       directoryRevision: digest.directoryRevision,
       isSettled: digest.isSettled,
+      isFeeding: digest.isFeeding,
+      outageEndedAgoMs: digest.outageEndedAgoMs,
+      pushFragment: digest.pushFragment,
       loads: new Map(
         digest.loads.map(({ target, requests, unreadTokens }) => [
           target,
--- a/src/process/direct/peer_digests_test.ts
+++ b/src/process/direct/peer_digests_test.ts
@@ -4,7 +4,13 @@
   tryDecodeDigest,
 } from "./peer_digests.ts";
 
-const noLoads = { directoryRevision: 7, isSettled: true, loads: new Map() };
+const noLoads = {
+  directoryRevision: 7,
+  isSettled: true,
+  isFeeding: false,
+  outageEndedAgoMs: 0,
+  loads: new Map(),
+};
 
 describe("peer digests", () => {
   it("carry loads, parts and the directory revision", () => {
@@ -17,12 +23,17 @@
     const digest = tryDecodeDigest(writer.write({
       directoryRevision: 7,
       isSettled: true,
+      isFeeding: true,
+      outageEndedAgoMs: 40,
       loads: new Map([["a", { requests: 2, unreadTokens: 30 }]]),
     }));
     expect(digest).toEqual({
       sender: "router-1",
       directoryRevision: 7,
       isSettled: true,
+      isFeeding: true,
+      outageEndedAgoMs: 40,
+      pushFragment: undefined,
       loads: new Map([["a", { requests: 2, unreadTokens: 30 }]]),
       parts: [{ target: "a", part: { id: "p", tokens: 9 }, isBeingRead: true }],
     });
@@ -57,6 +68,7 @@
       ]),
     );
     const { length } = writer.write({
+      ...noLoads,
       directoryRevision: 9_999_999,
       isSettled: true,
       loads,
@@ -68,4 +80,21 @@
     expect(tryDecodeDigest(new Uint8Array())).toBeUndefined();
     expect(tryDecodeDigest(Buffer.from("GET / HTTP/1.1"))).toBeUndefined();
   });
+
+  it("carry a part of a push in place of loads", () => {
+    const fragment = {
+      revision: 9,
+      index: 1,
+      count: 2,
+      data: Buffer.alloc(1_150, 7),
+    };
+    const bytes = createDigestWriter("edge-coast-a-1").writePush({
+      ...noLoads,
+      loads: new Map([["a", { requests: 2, unreadTokens: 30 }]]),
+    }, fragment);
+    expect(bytes.length).toBeLessThanOrEqual(maxDigestBytes);
+    const digest = tryDecodeDigest(bytes);
+    expect(digest?.pushFragment).toEqual(fragment);
+    expect(digest?.loads.size).toBe(0);
+  });
 });
--- /dev/null
+++ b/src/process/direct/push_fragments.ts
@@ -0,0 +1,111 @@
+/**
+ * Splits pushed directory changes into datagrams and joins them again.
+ *
+ * Load pattern: a changed configuration is larger than a datagram, and every
+ * router needs it at the same moment. Compressed, it usually takes a few
+ * datagrams, which saves a store call of every router. One that takes too many
+ * is not pushed, and neither is one joined that lacks a fragment; the receivers
+ * then read the changes from the store.
+ */
+
+import { deflateRawSync, inflateRawSync } from "node:zlib";
+import {
+  DirectoryPush as PushMessage,
+} from "../../generated/mimosatray/v1/peer_digest.ts";
+import type { DirectoryPush } from "./directory_replica.ts";
+
+/** Maximum size of the data in one fragment, in bytes. */
+const maxFragmentBytes = 1_150;
+
+/** Maximum number of fragments; bounds the time that one push takes a link. */
+const maxFragments = 16;
+
+/** Maximum size of the changes after decompression, in bytes. */
+const maxPushBytes = 4 * 1024 * 1024;
+
+/** One datagram's part of a push. */
+export interface PushFragment {
+  /** Revision of the push, which identifies it among those of its sender. */
+  readonly revision: number;
+  readonly index: number;
+  readonly count: number;
+  readonly data: Uint8Array;
+}
+
+/** Returns the fragments of a push; none when it takes too many. */
+export function splitPush(push: DirectoryPush): readonly PushFragment[] {
+  const message = PushMessage.encode({ ...push, changes: [...push.changes] });
+  const bytes = deflateRawSync(message.finish());
+  const count = Math.ceil(bytes.length / maxFragmentBytes);
+  if (count > maxFragments) return [];
+  return Array.from({ length: count }, (_, index) => ({
+    revision: push.revision,
+    index,
+    count,
+    data: bytes.subarray(
+      index * maxFragmentBytes,
+      (index + 1) * maxFragmentBytes,
+    ),
+  }));
+}
+
+/** Joins the fragments that peers send. */
+export interface PushAssembly {
+  /** Adds a fragment; returns the push once it is complete and valid. */
+  add(sender: string, fragment: PushFragment): DirectoryPush | undefined;
+}
+
+/** The fragments of a peer's latest push. */
+interface OpenPush {
+  readonly revision: number;
+  readonly fragments: Map<number, Uint8Array>;
+}
+
+/** Creates an assembly that keeps one incomplete push of each sender. */
+export function createPushAssembly(): PushAssembly {
+  const openPushes = new Map<string, OpenPush>();
+
+  return { add };
+
+  function add(
+    sender: string,
+    { revision, index, count, data }: PushFragment,
+  ): DirectoryPush | undefined {
+    if (count > maxFragments || index >= count) return undefined;
+    const known = openPushes.get(sender);
+    const open = known?.revision === revision
+      ? known
+      : { revision, fragments: new Map<number, Uint8Array>() };
+    openPushes.set(sender, open);
+    open.fragments.set(index, data);
+    if (open.fragments.size < count) return undefined;
+    openPushes.delete(sender);
+    return tryJoin(open.fragments);
+  }
+}
+
+function tryJoin(
+  fragments: ReadonlyMap<number, Uint8Array>,
+): DirectoryPush | undefined {
+  const ordered = [...fragments]
+    .sort(([left], [right]) => left - right)
+    .map(([, data]) => data);
+  try {
+    const bytes = inflateRawSync(Buffer.concat(ordered), {
+      maxOutputLength: maxPushBytes,
+    });
+    const { afterRevision, revision, changes } = PushMessage.decode(bytes);
+    return {
+      afterRevision,
+      revision,
+      changes: changes.map((change) => ({
+        key: change.key,
+        value: change.value,
+        revision: change.revision,
+      })),
+    };
+  } catch {
+    // Any process may send to the port, so other bytes are ignored.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/roles/digest_exchange.ts
@@ -0,0 +1,307 @@
+/** Sends digests to the other routers and applies theirs. */
+
+import { createGossipSocket } from "../connection/gossip_socket.ts";
+import type { CachedParts } from "../process/direct/cached_parts.ts";
+import type { DirectoryPush } from "../process/direct/directory_replica.ts";
+import type { DirectorySync } from "../process/direct/directory_sync.ts";
+import type { FeedChoice } from "../process/direct/feed_choice.ts";
+import type { LoadView } from "../process/direct/load_view.ts";
+import type { PartPrefills } from "../process/direct/part_prefills.ts";
+import {
+  createDigestWriter,
+  type DigestState,
+  type ReceivedDigest,
+  tryDecodeDigest,
+} from "../process/direct/peer_digests.ts";
+import type { PeerPulls } from "../process/direct/peer_pulls.ts";
+import {
+  createPushAssembly,
+  splitPush,
+} from "../process/direct/push_fragments.ts";
+import type { Endpoint } from "../process/membership/exchange.ts";
+import type { Log } from "../process/telemetry/log.ts";
+import type { DirectSettings } from "../types/direct_settings.ts";
+import type { RouterPeer } from "../types/direct_target.ts";
+import type { WatchEvent } from "../types/platform.ts";
+import type { PromptPart } from "../types/prompt.ts";
+
+/** Interval of digests while no updates are queued, in milliseconds. */
+const digestIntervalMs = 250;
+
+/** Interval at which queued updates are sent to peers, in milliseconds. */
+const updateIntervalMs = 60;
+
+/**
+ * Maximum digests to each peer per update interval; bounds a burst after a
+ * restart.
+ */
+const maxDigestsPerTick = 16;
+
+/** Idle time of a peer after which updates may have been missed, in ms. */
+const peerIdleTimeoutMs = 1_500;
+
+/** Time for which an outage of the store is reported, in milliseconds. */
+const outageReportMs = 10_000;
+
+/**
+ * Delay before a router reads missed changes from the store, in milliseconds:
+ * a minimum, in which pushes of other peers may arrive, and random jitter, so
+ * that not all routers call the store at the same time.
+ */
+const catchUpDelayMs = { min: 60, jitter: 250 } as const;
+
+/**
+ * Delay of a push per router of higher rank that reads the store too, in
+ * milliseconds. All of them read a change at the same time; one push is enough.
+ */
+const pushDelayMs = 25;
+
+/** What the exchange needs from the process. */
+export interface DigestExchangeHost {
+  readonly settings: DirectSettings;
+  readonly log: Log;
+  /** Registered routers by id. */
+  readonly routers: ReadonlyMap<string, RouterPeer>;
+  readonly feed: FeedChoice;
+  readonly sync: Pick<
+    DirectorySync,
+    | "applyPush"
+    | "catchUp"
+    | "getSeenOutageEndedAt"
+    | "isFeeding"
+    | "recordPeerOutage"
+  >;
+  readonly pulls: Pick<
+    PeerPulls,
+    "reportPeerAhead" | "tick" | "tryPullCachedParts"
+  >;
+  readonly cachedParts: CachedParts;
+  readonly prefills: Pick<PartPrefills, "recordPeerPrefill">;
+  readonly loads: Pick<LoadView, "recordReport" | "getOwnLoads">;
+  /** Returns the revision up to which all changes are known. */
+  getRevision(): number;
+  /** Returns true once the cached parts of engines are known. */
+  isSettled(): boolean;
+}
+
+/** The digests of one router. */
+export interface DigestExchange {
+  /** Binds the socket and starts to send; rejects when it cannot bind. */
+  start(): Promise<void>;
+  stop(): void;
+  /** Sends a digest to all peers now. */
+  sendDigest(): void;
+  /** Pushes directory changes that were read from the store to all peers. */
+  pushChanges(changes: readonly WatchEvent[], afterRevision: number): void;
+  /**
+   * Records that a target gets the parts of a prompt and has to prefill
+   * `prefillParts`, and reports it to peers.
+   */
+  recordParts(
+    target: string,
+    parts: readonly PromptPart[],
+    prefillParts: readonly PromptPart[],
+  ): void;
+  /** Returns true when the peer's latest digest reports it as settled. */
+  isPeerSettled(id: string): boolean;
+}
+
+/** Creates the exchange of a router that has no peers yet. */
+export function createDigestExchange(
+  host: DigestExchangeHost,
+): DigestExchange {
+  const { settings, routers, sync, pulls } = host;
+  const digestWriter = createDigestWriter(settings.id);
+  /** Peers whose latest digest reports that they have nothing to recover. */
+  const settledPeers = new Set<string>();
+  /** Times of the peers' latest digests, on the steady clock. */
+  const lastHeardAt = new Map<string, number>();
+  const assembly = createPushAssembly();
+  /** Newest revision that a peer has pushed. */
+  let peerPushRevision = 0;
+  let lastDigestAt = 0;
+  let tickTimer: NodeJS.Timeout | undefined;
+  let catchUpTimer: NodeJS.Timeout | undefined;
+  const socket = createGossipSocket({
+    receive: (bytes, from) => {
+      const digest = tryDecodeDigest(bytes);
+      if (digest !== undefined) handleDigest(digest, from);
+    },
+    onError: (error) =>
+      host.log.warn("Digest socket failed", {
+        reason: error.message,
+      }),
+  }, settings.digest);
+
+  return {
+    start,
+    stop,
+    sendDigest,
+    pushChanges,
+    recordParts,
+    isPeerSettled: (id) => settledPeers.has(id),
+  };
+
+  async function start(): Promise<void> {
+    await socket.bind();
+    tickTimer = setInterval(tick, updateIntervalMs);
+  }
+
+  function stop(): void {
+    clearInterval(tickTimer);
+    clearTimeout(catchUpTimer);
+    void socket.close();
+  }
+
+  function tick(): void {
+    let budget = maxDigestsPerTick;
+    // A restarted router reports the complete caches of engines in a burst.
+    while (digestWriter.getQueueLength() > 0 && budget-- > 0) sendDigest();
+    if (performance.now() - lastDigestAt >= digestIntervalMs) sendDigest();
+    pulls.tick();
+  }
+
+  function sendDigest(): void {
+    lastDigestAt = performance.now();
+    sendToAll(digestWriter.write(getDigestState()));
+  }
+
+  function pushChanges(
+    changes: readonly WatchEvent[],
+    afterRevision: number,
+  ): void {
+    const revision = Math.max(...changes.map((change) => change.revision));
+    setTimeout(() => {
+      if (peerPushRevision >= revision) return;
+      const fragments = splitPush({ afterRevision, revision, changes });
+      const state = getDigestState();
+      fragments.forEach((fragment) =>
+        sendToAll(digestWriter.writePush(state, fragment))
+      );
+      // Peers learn from the revision that they have to read the changes.
+      if (fragments.length === 0) sendDigest();
+    }, host.feed.countFeedersAhead() * pushDelayMs).unref();
+  }
+
+  function sendToAll(bytes: Uint8Array): void {
+    for (const { id, address, digestPort } of routers.values()) {
+      if (id !== settings.id) {
+        socket.send(bytes, { address, port: digestPort });
+      }
+    }
+  }
+
+  function getDigestState(): DigestState {
+    const outageEndedAgoMs = performance.now() - sync.getSeenOutageEndedAt();
+    return {
+      directoryRevision: host.getRevision(),
+      isSettled: host.isSettled(),
+      isFeeding: sync.isFeeding(),
+      outageEndedAgoMs: outageEndedAgoMs > outageReportMs
+        ? 0
+        : Math.max(1, Math.round(outageEndedAgoMs)),
+      loads: host.loads.getOwnLoads(),
+    };
+  }
+
+  function recordParts(
+    target: string,
+    parts: readonly PromptPart[],
+    prefillParts: readonly PromptPart[],
+  ): void {
+    for (const part of parts) {
+      if (!host.cachedParts.isCached(target, part.id)) {
+        digestWriter.queuePart({
+          target,
+          part,
+          isBeingRead: prefillParts.includes(part),
+        });
+      }
+    }
+    host.cachedParts.recordParts(target, parts);
+  }
+
+  function handleDigest(digest: ReceivedDigest, from: Endpoint): void {
+    const { sender, isFeeding } = digest;
+    if (sender === settings.id) return;
+    handlePeerActivity(sender);
+    host.feed.recordPeer(sender, { isFeeding });
+    handleDirectory(digest, from);
+    if (digest.pushFragment !== undefined) return;
+    host.loads.recordReport(sender, digest.loads);
+    handleSettled(digest, from);
+    for (const { target, part, isBeingRead } of digest.parts) {
+      if (isBeingRead && !host.cachedParts.isCached(target, part.id)) {
+        host.prefills.recordPeerPrefill(target, part);
+      }
+      host.cachedParts.recordPart(target, part);
+    }
+  }
+
+  function handleSettled(
+    { sender, isSettled }: ReceivedDigest,
+    from: Endpoint,
+  ): void {
+    if (isSettled) return void settledPeers.add(sender);
+    settledPeers.delete(sender);
+    if (host.isSettled()) {
+      socket.send(digestWriter.writeResponse(getDigestState()), from);
+    }
+  }
+
+  function handleDirectory(digest: ReceivedDigest, from: Endpoint): void {
+    const { sender, pushFragment, directoryRevision, outageEndedAgoMs } =
+      digest;
+    if (outageEndedAgoMs > 0) {
+      sync.recordPeerOutage(performance.now() - outageEndedAgoMs);
+    }
+    if (pushFragment !== undefined) {
+      // The sender's revision counts once its push is complete.
+      return handlePush(assembly.add(sender, pushFragment));
+    }
+    if (directoryRevision <= host.getRevision()) return;
+    if (host.getRevision() > 0 && !sync.isFeeding()) scheduleCatchUp();
+    // A peer that is not in the directory yet uses the same pull port as this
+    // router.
+    const port = routers.get(sender)?.pullPort ?? settings.pull.port;
+    pulls.reportPeerAhead({ address: from.address, port });
+  }
+
+  function handlePush(push: DirectoryPush | undefined): void {
+    if (push === undefined) return;
+    peerPushRevision = Math.max(peerPushRevision, push.revision);
+    sync.applyPush(push);
+  }
+
+  /** Reads missed changes from the store, unless a push brings them sooner. */
+  function scheduleCatchUp(): void {
+    if (catchUpTimer !== undefined) return;
+    const { min, jitter } = catchUpDelayMs;
+    const revision = host.getRevision();
+    catchUpTimer = setTimeout(() => {
+      catchUpTimer = undefined;
+      if (host.getRevision() === revision) void sync.catchUp();
+    }, min + Math.random() * jitter).unref();
+  }
+
+  /**
+   * Records that a peer sent a digest. After an idle time, pulls the cached
+   * parts that the peer may have reported meanwhile.
+   */
+  function handlePeerActivity(sender: string): void {
+    const now = performance.now();
+    const previouslyHeardAt = lastHeardAt.get(sender);
+    lastHeardAt.set(sender, now);
+    if (
+      previouslyHeardAt === undefined ||
+      now - previouslyHeardAt < peerIdleTimeoutMs
+    ) return;
+    const peer = routers.get(sender);
+    if (peer === undefined) return;
+    void pulls.tryPullCachedParts(peer).then((parts) =>
+      parts?.forEach(({ target, part }) =>
+        host.cachedParts.recordPart(target, part)
+      )
+    );
+  }
+}
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -3,12 +3,11 @@
  * and exchanges digests with other routers.
  */
 
+import { isDeepStrictEqual } from "node:util";
 import {
   openPullListener,
   type PullListener,
 } from "../connection/pull_listener.ts";
-import { createGossipSocket } from "../connection/gossip_socket.ts";
-import type { Endpoint } from "../process/membership/exchange.ts";
 import type { DirectoryReplica } from "../process/direct/directory_replica.ts";
 import { createDirectoryReplica } from "../process/direct/directory_replica.ts";
 import { createCacheRecovery } from "../process/direct/cache_recovery.ts";
@@ -18,15 +17,10 @@
 } from "../process/direct/directory_tables.ts";
 import { createPeerPulls } from "../process/direct/peer_pulls.ts";
 import { createDirectorySync } from "../process/direct/directory_sync.ts";
+import { createFeedChoice } from "../process/direct/feed_choice.ts";
 import type { CachedParts } from "../process/direct/cached_parts.ts";
 import type { PartPrefills } from "../process/direct/part_prefills.ts";
 import type { LoadView } from "../process/direct/load_view.ts";
-import {
-  createDigestWriter,
-  type DigestState,
-  type ReceivedDigest,
-  tryDecodeDigest,
-} from "../process/direct/peer_digests.ts";
 import type { TargetHealth } from "../process/direct/target_health.ts";
 import type { TargetTable } from "../process/direct/target_table.ts";
 import type { Log } from "../process/telemetry/log.ts";
@@ -40,21 +34,7 @@
 import type { PromptPart } from "../types/prompt.ts";
 import type { Dump } from "../types/role.ts";
 import type { RouteTable } from "../types/route_table.ts";
-
-/** Interval of digests while no updates are queued, in milliseconds. */
-const digestIntervalMs = 250;
-
-/** Interval at which queued updates are sent to peers, in milliseconds. */
-const updateIntervalMs = 60;
-
-/**
- * Maximum digests to each peer per update interval; bounds a burst after a
- * restart.
- */
-const maxDigestsPerTick = 16;
-
-/** Idle time of a peer after which updates may have been missed, in ms. */
-const peerIdleTimeoutMs = 1_500;
+import { createDigestExchange } from "./digest_exchange.ts";
 
 /** Delay before a failed write of this router's entry is retried, in ms. */
 const announceRetryDelayMs = 500;
@@ -111,7 +91,6 @@
 ): Promise<Directory> {
   const { settings, store, log, metrics, targets } = host;
   const replica: DirectoryReplica = createDirectoryReplica();
-  const digestWriter = createDigestWriter(settings.id);
   const self: RouterPeer = {
     id: settings.id,
     address: settings.digest.address,
@@ -120,13 +99,20 @@
   };
   let engineServices: ReadonlySet<string> = new Set();
   let isStopped = false;
-  let lastDigestAt = 0;
   let pullListener: PullListener | undefined;
+  const feed = createFeedChoice({
+    selfId: settings.id,
+    placement: host.placement,
+    getRouterIds: () => routers.keys(),
+  });
   const sync = createDirectorySync({
     store,
     replica,
+    feed,
     log,
     handleChanges: applyChanges,
+    pushChanges: (changes, afterRevision) =>
+      exchange.pushChanges(changes, afterRevision),
     countCall: (call) => metrics.count("store_calls_total", { call }),
   });
   const directoryTables = createDirectoryTables({
@@ -159,8 +145,8 @@
     log,
     placement: host.placement,
     getPeers: () => [...routers.values()],
-    announceRecovery: () => sendDigest(performance.now()),
-    isPeerSettled: (id) => settledPeers.has(id),
+    announceRecovery: () => exchange.sendDigest(),
+    isPeerSettled: (id) => exchange.isPeerSettled(id),
     getEngines: () => targets.getAllReady().filter(isEngine),
     tryPullCachedParts: pulls.tryPullCachedParts,
     tryListCachedParts: host.calls.tryListCachedParts,
@@ -168,31 +154,27 @@
       parts.forEach(({ target, part }) =>
         host.cachedParts.recordPart(target, part)
       ),
-    recordEngineParts: (target, parts) => recordParts(target, parts, []),
+    recordEngineParts: (target, parts) =>
+      exchange.recordParts(target, parts, []),
+  });
+  const exchange = createDigestExchange({
+    ...{ settings, log, routers, feed, sync, pulls },
+    cachedParts: host.cachedParts,
+    prefills: host.prefills,
+    loads: host.loads,
+    getRevision: replica.getNewestRevision,
+    isSettled: recovery.isSettled,
   });
+  let isAnnounced = false;
   let isRecoveryStarted = false;
+  let caughtUpRevision = 0;
   let pendingTable: RouteTable | undefined;
-  /** Peers whose latest digest reports that they have nothing to recover. */
-  const settledPeers = new Set<string>();
-  /** Times of the peers' latest digests, on the steady clock. */
-  const lastHeardAt = new Map<string, number>();
-  const socket = createGossipSocket({
-    receive: (bytes, from) => {
-      const peerDigest = tryDecodeDigest(bytes);
-      if (peerDigest !== undefined) handleDigest(peerDigest, from);
-    },
-    onError: (error) =>
-      log.warn("Digest socket failed", {
-        reason: error.message,
-      }),
-  }, settings.digest);
-  await socket.bind();
-  const tickTimer = setInterval(tick, updateIntervalMs);
+  await exchange.start();
 
   return {
     start,
     stop,
-    recordParts,
+    recordParts: exchange.recordParts,
     getRouterCount: () => Math.max(1, routers.size),
     getAgeMs: sync.getAgeMs,
     isStoreUnavailable: sync.hasFailed,
@@ -202,7 +184,6 @@
 
   function start(): void {
     sync.start();
-    void announce();
     void servePulls();
   }
 
@@ -229,7 +210,11 @@
     }
   }
 
-  async function announce(): Promise<void> {
+  /** Registers this router, unless the entry of an earlier start is right. */
+  async function announceOnce(): Promise<void> {
+    if (isAnnounced) return;
+    isAnnounced = true;
+    if (isDeepStrictEqual(routers.get(self.id), self)) return;
     while (!isStopped) {
       const written = await store.announce(self).run();
       if (written.isRight()) return;
@@ -244,10 +229,9 @@
 
   function stop(): void {
     isStopped = true;
-    clearInterval(tickTimer);
+    exchange.stop();
     sync.stop();
     pullListener?.close();
-    void socket.close();
     void store.close();
   }
 
@@ -256,10 +240,14 @@
     source: ChangeSource,
   ): void {
     directoryTables.apply(changes, source);
+    void announceOnce();
     recoverOnce();
     if (pendingTable !== undefined) host.handleRouteTable(pendingTable);
     pendingTable = undefined;
-    pulls.reportCaughtUp();
+    const revision = replica.getNewestRevision();
+    // A push after a gap applies changes but does not close the gap.
+    if (revision > caughtUpRevision) pulls.reportCaughtUp();
+    caughtUpRevision = revision;
     host.handleTargetsChanged();
   }
 
@@ -282,93 +270,6 @@
     else pendingTable = table;
   }
 
-  function recordParts(
-    target: string,
-    parts: readonly PromptPart[],
-    prefillParts: readonly PromptPart[],
-  ): void {
-    for (const part of parts) {
-      if (!host.cachedParts.isCached(target, part.id)) {
-        digestWriter.queuePart({
-          target,
-          part,
-          isBeingRead: prefillParts.includes(part),
-        });
-      }
-    }
-    host.cachedParts.recordParts(target, parts);
-  }
-
-  function tick(): void {
-    const now = performance.now();
-    let budget = maxDigestsPerTick;
-    // A restarted router reports the complete caches of engines in a burst.
-    while (digestWriter.getQueueLength() > 0 && budget-- > 0) sendDigest(now);
-    if (now - lastDigestAt >= digestIntervalMs) sendDigest(now);
-    pulls.tick();
-  }
-
-  function sendDigest(now: number): void {
-    lastDigestAt = now;
-    const bytes = digestWriter.write(getDigestState());
-    for (const { id, address, digestPort } of routers.values()) {
-      if (id !== self.id) socket.send(bytes, { address, port: digestPort });
-    }
-  }
-
-  function getDigestState(): DigestState {
-    return {
-      directoryRevision: replica.getNewestRevision(),
-      isSettled: recovery.isSettled(),
-      loads: host.loads.getOwnLoads(),
-    };
-  }
-
-  function handleDigest(peerDigest: ReceivedDigest, from: Endpoint): void {
-    if (peerDigest.sender === self.id) return;
-    host.loads.recordReport(peerDigest.sender, peerDigest.loads);
-    handlePeerActivity(peerDigest.sender);
-    if (peerDigest.isSettled) settledPeers.add(peerDigest.sender);
-    else {
-      settledPeers.delete(peerDigest.sender);
-      if (recovery.isSettled()) {
-        socket.send(digestWriter.writeResponse(getDigestState()), from);
-      }
-    }
-    for (const { target, part, isBeingRead } of peerDigest.parts) {
-      if (isBeingRead && !host.cachedParts.isCached(target, part.id)) {
-        host.prefills.recordPeerPrefill(target, part);
-      }
-      host.cachedParts.recordPart(target, part);
-    }
-    if (peerDigest.directoryRevision <= replica.getNewestRevision()) return;
-    // A peer that is not in the directory yet uses the same pull port as this
-    // router.
-    const port = routers.get(peerDigest.sender)?.pullPort ?? settings.pull.port;
-    pulls.reportPeerAhead({ address: from.address, port });
-  }
-
-  /**
-   * Records that a peer sent a digest. After an idle time, pulls the cached
-   * parts that the peer may have reported meanwhile.
-   */
-  function handlePeerActivity(sender: string): void {
-    const now = performance.now();
-    const previouslyHeardAt = lastHeardAt.get(sender);
-    lastHeardAt.set(sender, now);
-    if (
-      previouslyHeardAt === undefined ||
-      now - previouslyHeardAt < peerIdleTimeoutMs
-    ) return;
-    const peer = routers.get(sender);
-    if (peer === undefined) return;
-    void pulls.tryPullCachedParts(peer).then((parts) =>
-      parts?.forEach(({ target, part }) =>
-        host.cachedParts.recordPart(target, part)
-      )
-    );
-  }
-
   function isEngine({ service }: DirectTarget): boolean {
     return engineServices.has(service);
   }
@@ -378,6 +279,7 @@
       version: directoryTables.getVersion(),
       revision: replica.getNewestRevision(),
       isConnected: sync.isConnected(),
+      isFeeding: sync.isFeeding(),
       ageMs: Math.round(sync.getAgeMs()),
       routers: [...routers.keys()],
     };
--- a/test/platform/direct_router_test.ts
+++ b/test/platform/direct_router_test.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from "node:crypto";
 import { connect } from "node:net";
 import {
   createConfiguration,
@@ -331,16 +332,83 @@
       String(router.settings.digest.port),
     );
   });
+
+  describe("in a fleet of more routers than read the store", () => {
+    const routerIds = Array.from(
+      { length: 10 },
+      (_, index) => `router-${index}`,
+    );
+
+    async function startFleet(): Promise<void> {
+      await addTarget("target-1");
+      for (const id of routerIds) await addRouter(id);
+      await waitUntil(async () => (await getFeeding()).length === 3);
+    }
+
+    /** Returns the routers that read the store. */
+    async function getFeeding(): Promise<readonly FleetRouter[]> {
+      const dumps = await Promise.all(routers.map(getDump));
+      return routers.filter((_, index) => dumps[index]?.directory.isFeeding);
+    }
+
+    function isInForce(version: number): boolean {
+      return routers.every((router) =>
+        hasLogged(router, "Configuration is in force", { version })
+      );
+    }
+
+    it("takes a configuration from those that do", async () => {
+      await startFleet();
+      store.put("op/config", createConfiguration(2));
+      await waitUntil(() => isInForce(2));
+    });
+
+    it("takes a configuration that is too large to be pushed", async () => {
+      await startFleet();
+      const { Routes: routes } = createConfiguration(2) as {
+        readonly Routes: readonly unknown[];
+      };
+      const added = Array.from(
+        { length: 1_500 },
+        () => createRoute(`/${randomUUID()}/`, "safe"),
+      );
+      store.put(
+        "op/config",
+        createConfiguration(2, { Routes: [...routes, ...added] }),
+      );
+      await waitUntil(() => isInForce(2));
+    });
+
+    it("replaces those that have stopped", async () => {
+      await startFleet();
+      const feeding = await getFeeding();
+      routers = routers.filter((router) => !feeding.includes(router));
+      await Promise.all(
+        feeding.map(({ directRouter }) => directRouter.stop("test")),
+      );
+      store.put("op/config", createConfiguration(2));
+      await waitUntil(() => isInForce(2));
+      await waitUntil(async () => (await getFeeding()).length === 3);
+    });
+  });
 });
 
 /** Returns the ids of the routers that a router knows from the store. */
 async function getRegisteredRouters(
   router: FleetRouter,
 ): Promise<readonly string[]> {
-  const dump = JSON.parse(await getOperatorPage(router, "/dump")) as {
-    readonly directory: { readonly routers: readonly string[] };
+  return (await getDump(router)).directory.routers;
+}
+
+interface RouterDump {
+  readonly directory: {
+    readonly routers: readonly string[];
+    readonly isFeeding: boolean;
   };
-  return dump.directory.routers;
+}
+
+async function getDump(router: FleetRouter): Promise<RouterDump> {
+  return JSON.parse(await getOperatorPage(router, "/dump")) as RouterDump;
 }
 
 /** Returns the number of cached prompt parts that a router knows of. */
--- a/test/platform/store_stand_in.ts
+++ b/test/platform/store_stand_in.ts
@@ -158,8 +158,9 @@
     const timeoutMs = Number(url.searchParams.get("WaitMs"));
     if (after < compactedRevision) return sendResponse(response, 410, {});
     const timer = setTimeout(() => finish([]), timeoutMs);
+    const watch = { trySend, abort: () => response.destroy() };
     if (trySend()) return;
-    watches.push({ trySend, abort: () => response.destroy() });
+    watches.push(watch);
     response.on("close", () => clearTimeout(timer));
 
     function trySend(): boolean {
@@ -172,6 +173,7 @@
 
     function finish(events: readonly StoreEvent[]): void {
       clearTimeout(timer);
+      watches = watches.filter((other) => other !== watch);
       sendResponse(response, 200, { events, AsOf: revision });
     }
   }
