--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -2,6 +2,7 @@
 
 import { type Either, EitherAsync, Left, Right } from "purify-ts";
 import { Pool } from "undici";
+import { startCallTimeout } from "../connection/call_timeout.ts";
 import { toConnectionError } from "../connection/platform_error.ts";
 import type {
   DirectoryError,
@@ -20,8 +21,17 @@
 import { decodeEntry, encodeRouter, resolveStoreKey } from "./store_records.ts";
 import { storeKeys, storePaths } from "./wire_names.ts";
 
-/** Timeout of a call, in ms; a watch adds the time it waits for changes. */
-const callTimeoutMs = 1_000;
+/**
+ * Timeout until a response begins, in milliseconds; a watch adds the time it
+ * waits for changes.
+ */
+const headTimeoutMs = 1_000;
+
+/**
+ * Timeout from the head of a response to its end, in milliseconds: long enough
+ * for a large configuration over the slowest link.
+ */
+const bodyTimeoutMs = 3_000;
 
 /** Timeout for opening a connection, in milliseconds. */
 const connectTimeoutMs = 800;
@@ -128,20 +138,27 @@
     },
   ): Promise<Either<DirectoryError, JsonObject>> {
     const kind = body === undefined ? "read" : "write";
+    const timeout = startCallTimeout({
+      headMs: headTimeoutMs + waitMs,
+      bodyMs: bodyTimeoutMs,
+    });
     try {
       const response = await pool.request({
         method: body === undefined ? "GET" : "POST",
         path,
-        signal: AbortSignal.timeout(callTimeoutMs + waitMs),
+        signal: timeout.signal,
         ...(body === undefined ? {} : {
           headers: { "content-type": "application/json" },
           body: JSON.stringify(body),
         }),
       });
+      timeout.recordHead();
       const text = await response.body.text();
       return parseResponse(response.statusCode, text);
     } catch (cause) {
       return Left(toConnectionError(cause, kind));
+    } finally {
+      timeout.clear();
     }
   }
 }
--- a/src/process/direct/directory_sync.ts
+++ b/src/process/direct/directory_sync.ts
@@ -49,6 +49,8 @@
    * returns false when the store is unavailable.
    */
   catchUp(): Promise<boolean>;
+  /** Returns true while `catchUp` runs. */
+  isCatchingUp(): boolean;
   /** Records when an outage of the store ended, as a peer reports it. */
   recordPeerOutage(endedAt: number): void;
   /** Returns true while this router watches the store and it responds. */
@@ -148,6 +150,7 @@
       notify(host.replica.applyChanges(changes), "peer"),
     applyPush: (push) => notify(host.replica.applyPush(push), "push"),
     catchUp,
+    isCatchingUp: () => isCatchingUp,
     recordPeerOutage: (endedAt) => {
       peerOutageEndedAt = Math.max(peerOutageEndedAt, endedAt);
     },
--- a/src/process/direct/push_fragments.ts
+++ b/src/process/direct/push_fragments.ts
@@ -20,8 +20,11 @@
 /** Maximum number of fragments; bounds the time that one push takes a link. */
 const maxFragments = 16;
 
-/** Maximum size of the changes after decompression, in bytes. */
-const maxPushBytes = 4 * 1024 * 1024;
+/**
+ * Maximum size of the encoded changes, in bytes. Larger ones would take too
+ * many fragments, and compressing them delays requests.
+ */
+const maxPushBytes = 128 * 1024;
 
 /** One datagram's part of a push. */
 export interface PushFragment {
@@ -34,8 +37,11 @@
 
 /** Returns the fragments of a push; none when it takes too many. */
 export function splitPush(push: DirectoryPush): readonly PushFragment[] {
-  const message = PushMessage.encode({ ...push, changes: [...push.changes] });
-  const bytes = deflateRawSync(message.finish());
+  const message = PushMessage
+    .encode({ ...push, changes: [...push.changes] })
+    .finish();
+  if (message.length > maxPushBytes) return [];
+  const bytes = deflateRawSync(message);
   const count = Math.ceil(bytes.length / maxFragmentBytes);
   if (count > maxFragments) return [];
   return Array.from({ length: count }, (_, index) => ({
--- a/src/process/direct/push_fragments_test.ts
+++ b/src/process/direct/push_fragments_test.ts
@@ -56,6 +56,12 @@
     expect(splitPush(createPush(100_000))).toEqual([]);
   });
 
+  it("is not compressed when it is large, however well it compresses", () => {
+    const value = "x".repeat(200_000);
+    const push = { ...createPush(2), changes: [{ ...change, value }] };
+    expect(splitPush(push)).toEqual([]);
+  });
+
   it("is ignored when its bytes are not a push", () => {
     const data = randomBytes(50);
     expect(
--- a/src/roles/digest_exchange.ts
+++ b/src/roles/digest_exchange.ts
@@ -50,6 +50,12 @@
  */
 const catchUpDelayMs = { min: 60, jitter: 250 } as const;
 
+/**
+ * Pause after a catch-up, in milliseconds; a series of changes then takes few
+ * store calls.
+ */
+const catchUpPauseMs = 300;
+
 /**
  * Delay of a push per router of higher rank that reads the store too, in
  * milliseconds. All of them read a change at the same time; one push is enough.
@@ -68,6 +74,7 @@
     | "applyPush"
     | "catchUp"
     | "getSeenOutageEndedAt"
+    | "isCatchingUp"
     | "isFeeding"
     | "recordPeerOutage"
   >;
@@ -119,9 +126,12 @@
   const assembly = createPushAssembly();
   /** Newest revision that a peer has pushed. */
   let peerPushRevision = 0;
+  let isPullingParts = false;
   let lastDigestAt = 0;
   let tickTimer: NodeJS.Timeout | undefined;
   let catchUpTimer: NodeJS.Timeout | undefined;
+  /** Time until which no further catch-up begins, on the steady clock. */
+  let catchUpPausedUntil = 0;
   const socket = createGossipSocket({
     receive: (bytes, from) => {
       const digest = tryDecodeDigest(bytes);
@@ -261,6 +271,8 @@
     }
     if (directoryRevision <= host.getRevision()) return;
     if (host.getRevision() > 0 && !sync.isFeeding()) scheduleCatchUp();
+    // A large response takes a slow link long; a pull would take its share.
+    if (sync.isCatchingUp()) return;
     // A peer that is not in the directory yet uses the same pull port as this
     // router.
     const port = routers.get(sender)?.pullPort ?? settings.pull.port;
@@ -277,16 +289,23 @@
   function scheduleCatchUp(): void {
     if (catchUpTimer !== undefined) return;
     const { min, jitter } = catchUpDelayMs;
+    const pauseMs = Math.max(0, catchUpPausedUntil - performance.now());
     const revision = host.getRevision();
     catchUpTimer = setTimeout(() => {
       catchUpTimer = undefined;
-      if (host.getRevision() === revision) void sync.catchUp();
-    }, min + Math.random() * jitter).unref();
+      if (host.getRevision() === revision) void catchUp();
+    }, pauseMs + min + Math.random() * jitter).unref();
+  }
+
+  async function catchUp(): Promise<void> {
+    await sync.catchUp();
+    catchUpPausedUntil = performance.now() + catchUpPauseMs;
   }
 
   /**
    * Records that a peer sent a digest. After an idle time, pulls the cached
-   * parts that the peer may have reported meanwhile.
+   * parts that the peer may have reported meanwhile. A router that was paused
+   * itself hears all peers again at once, and one copy is enough.
    */
   function handlePeerActivity(sender: string): void {
     const now = performance.now();
@@ -297,11 +316,13 @@
       now - previouslyHeardAt < peerIdleTimeoutMs
     ) return;
     const peer = routers.get(sender);
-    if (peer === undefined) return;
-    void pulls.tryPullCachedParts(peer).then((parts) =>
+    if (peer === undefined || isPullingParts) return;
+    isPullingParts = true;
+    void pulls.tryPullCachedParts(peer).then((parts) => {
+      isPullingParts = false;
       parts?.forEach(({ target, part }) =>
         host.cachedParts.recordPart(target, part)
-      )
-    );
+      );
+    });
   }
 }
