--- a/src/process/direct/load_view.ts
+++ b/src/process/direct/load_view.ts
@@ -2,6 +2,10 @@
  * Estimates the loads of targets over the whole fleet: what this router has in
  * flight plus the last reports of its peers. Reports of unresponsive peers
  * expire.
+ *
+ * Load pattern: each request asks for the load of each target, in a fleet of
+ * hundreds of routers that report several times a second. The reports are summed
+ * when they arrive, so that a request does not add up those of all peers.
  */
 
 /** Load of one target, from one router or from all. */
@@ -46,12 +50,14 @@
 /** Creates a view without any load. */
 export function createLoadView(): LoadView {
   const own = new Map<string, TargetLoad>();
+  /** Reports by peer, the oldest first. */
   const reports = new Map<string, Report>();
+  /** Sums of the reports by target. */
+  const peerLoads = new Map<string, TargetLoad>();
 
   return {
     begin,
-    recordReport: (peer, loads) =>
-      void reports.set(peer, { at: performance.now(), loads }),
+    recordReport,
     getLoad,
     getOwnLoads: () => own,
   };
@@ -76,21 +82,55 @@
   }
 
   function add(target: string, change: TargetLoad): void {
-    const current = own.get(target) ?? noLoad;
-    const sum = addLoads(current, change);
-    if (sum.requests === 0 && sum.unreadTokens === 0) own.delete(target);
-    else own.set(target, sum);
+    addTo(own, target, change);
   }
 
-  function getLoad(target: string): TargetLoad {
+  function recordReport(
+    peer: string,
+    loads: ReadonlyMap<string, TargetLoad>,
+  ): void {
+    removeReport(peer);
+    reports.set(peer, { at: performance.now(), loads });
+    loads.forEach((load, target) => addTo(peerLoads, target, load));
+  }
+
+  function removeReport(peer: string): void {
+    const report = reports.get(peer);
+    if (report === undefined) return;
+    reports.delete(peer);
+    report.loads.forEach(({ requests, unreadTokens }, target) =>
+      addTo(peerLoads, target, {
+        requests: -requests,
+        unreadTokens: -unreadTokens,
+      })
+    );
+  }
+
+  function removeExpiredReports(): void {
     const oldest = performance.now() - reportTtlMs;
-    let sum = own.get(target) ?? noLoad;
-    for (const [peer, report] of reports) {
-      if (report.at < oldest) reports.delete(peer);
-      else sum = addLoads(sum, report.loads.get(target) ?? noLoad);
+    for (const [peer, { at }] of reports) {
+      if (at >= oldest) return;
+      removeReport(peer);
     }
-    return sum;
   }
+
+  function getLoad(target: string): TargetLoad {
+    removeExpiredReports();
+    return addLoads(
+      own.get(target) ?? noLoad,
+      peerLoads.get(target) ?? noLoad,
+    );
+  }
+}
+
+function addTo(
+  loads: Map<string, TargetLoad>,
+  target: string,
+  change: TargetLoad,
+): void {
+  const sum = addLoads(loads.get(target) ?? noLoad, change);
+  if (sum.requests === 0 && sum.unreadTokens === 0) loads.delete(target);
+  else loads.set(target, sum);
 }
 
 function addLoads(left: TargetLoad, right: TargetLoad): TargetLoad {
--- a/src/process/direct/prefix_placement.ts
+++ b/src/process/direct/prefix_placement.ts
@@ -109,10 +109,11 @@
   const eligible = underBound.length > 0
     ? underBound
     : getLeastLoaded(candidates);
+  const ranks = new Map(candidates.map((candidate, rank) => [candidate, rank]));
   let chosen: EngineCandidate | undefined;
   let minCost = Number.POSITIVE_INFINITY;
   for (const candidate of eligible) {
-    const cost = getCost(candidate);
+    const cost = getCost(candidate, ranks.get(candidate) ?? 0);
     if (cost >= minCost) continue;
     minCost = cost;
     chosen = candidate;
@@ -126,7 +127,7 @@
     mean,
   };
 
-  function getCost(candidate: EngineCandidate): number {
+  function getCost(candidate: EngineCandidate, rank: number): number {
     const copiedTokens = Math.max(0, maxHeldTokens - candidate.heldTokens);
     const prefilledTokens = Math.max(
       0,
@@ -137,7 +138,7 @@
       prefilledTokens * costsMs.prefillToken +
       candidate.load * costsMs.load +
       candidate.backlogTokens * costsMs.backlogToken +
-      (isHolder ? 0 : candidates.indexOf(candidate) * costsMs.rank) +
+      (isHolder ? 0 : rank * costsMs.rank) +
       (candidate.target.zone === request.zone ? 0 : costsMs.crossZone);
   }
 
--- a/src/process/direct/target_table.ts
+++ b/src/process/direct/target_table.ts
@@ -46,6 +46,11 @@
 /** Creates an empty table. */
 export function createTargetTable(): TargetTable {
   const entriesById = new Map<string, TargetEntry>();
+  /**
+   * Ready targets by service, sorted; filled while no target has been removed,
+   * as the end of use of a removed one depends on the time.
+   */
+  const readyByService = new Map<string, readonly DirectTarget[]>();
 
   return {
     put,
@@ -61,6 +66,7 @@
   function put(target: DirectTarget): boolean {
     const previous = entriesById.get(target.id)?.target;
     entriesById.set(target.id, { target, usableUntil: undefined });
+    readyByService.clear();
     return previous === undefined ||
       previous.startedAtMs !== target.startedAtMs ||
       previous.address !== target.address;
@@ -69,19 +75,26 @@
   function remove(id: string, usableUntil: number): void {
     const known = entriesById.get(id);
     if (known !== undefined) entriesById.set(id, { ...known, usableUntil });
+    readyByService.clear();
   }
 
   function getReady(service: string): readonly DirectTarget[] {
+    const cached = readyByService.get(service);
+    if (cached !== undefined) return cached;
     const now = performance.now();
     const ready: DirectTarget[] = [];
+    let hasRemoved = false;
     for (const [id, { target, usableUntil }] of entriesById) {
       if (usableUntil !== undefined && usableUntil + retentionMs < now) {
         entriesById.delete(id);
       }
+      hasRemoved ||= usableUntil !== undefined;
       if (target.service !== service || target.state !== "ready") continue;
       if (usableUntil === undefined || usableUntil > now) ready.push(target);
     }
-    return ready.sort((left, right) => (left.id < right.id ? -1 : 1));
+    ready.sort((left, right) => (left.id < right.id ? -1 : 1));
+    if (!hasRemoved) readyByService.set(service, ready);
+    return ready;
   }
 
   function getAllReady(): readonly DirectTarget[] {
--- a/src/request/direct_choice.ts
+++ b/src/request/direct_choice.ts
@@ -66,10 +66,19 @@
     ? tryChooseSlot(host, usable)
     : tryChooseEngine(host, request, {
       usable,
-      excluded: ready.filter((target) => !usable.includes(target)),
+      excluded: getOthers(ready, usable),
     });
 }
 
+function getOthers(
+  targets: readonly DirectTarget[],
+  chosen: readonly DirectTarget[],
+): readonly DirectTarget[] {
+  if (targets.length === chosen.length) return [];
+  const chosenTargets = new Set(chosen);
+  return targets.filter((target) => !chosenTargets.has(target));
+}
+
 function tryChooseSlot(
   host: ChoiceHost,
   targets: readonly DirectTarget[],
--- a/src/roles/digest_exchange.ts
+++ b/src/roles/digest_exchange.ts
@@ -2,6 +2,7 @@
 
 import { createGossipSocket } from "../connection/gossip_socket.ts";
 import type { CachedParts } from "../process/direct/cached_parts.ts";
+import { createDigestPace } from "../process/direct/digest_pace.ts";
 import type { DirectoryPush } from "../process/direct/directory_replica.ts";
 import type { DirectorySync } from "../process/direct/directory_sync.ts";
 import type { FeedChoice } from "../process/direct/feed_choice.ts";
@@ -25,17 +26,8 @@
 import type { WatchEvent } from "../types/platform.ts";
 import type { PromptPart } from "../types/prompt.ts";
 
-/** Interval of digests while no updates are queued, in milliseconds. */
-const digestIntervalMs = 250;
-
-/** Interval at which queued updates are sent to peers, in milliseconds. */
-const updateIntervalMs = 60;
-
-/**
- * Maximum digests to each peer per update interval; bounds a burst after a
- * restart.
- */
-const maxDigestsPerTick = 16;
+/** Interval at which it is decided whether to send a digest, in ms. */
+const tickIntervalMs = 60;
 
 /** Idle time of a peer after which updates may have been missed, in ms. */
 const peerIdleTimeoutMs = 1_500;
@@ -123,11 +115,11 @@
   const settledPeers = new Set<string>();
   /** Times of the peers' latest digests, on the steady clock. */
   const lastHeardAt = new Map<string, number>();
+  const pace = createDigestPace();
   const assembly = createPushAssembly();
   /** Newest revision that a peer has pushed. */
   let peerPushRevision = 0;
   let isPullingParts = false;
-  let lastDigestAt = 0;
   let tickTimer: NodeJS.Timeout | undefined;
   let catchUpTimer: NodeJS.Timeout | undefined;
   /** Time until which no further catch-up begins, on the steady clock. */
@@ -154,7 +146,7 @@
 
   async function start(): Promise<void> {
     await socket.bind();
-    tickTimer = setInterval(tick, updateIntervalMs);
+    tickTimer = setInterval(tick, tickIntervalMs);
   }
 
   function stop(): void {
@@ -164,15 +156,17 @@
   }
 
   function tick(): void {
-    let budget = maxDigestsPerTick;
-    // A restarted router reports the complete caches of engines in a burst.
-    while (digestWriter.getQueueLength() > 0 && budget-- > 0) sendDigest();
-    if (performance.now() - lastDigestAt >= digestIntervalMs) sendDigest();
+    const hasUpdates = digestWriter.getQueueLength() > 0;
+    if (pace.trySend({ peers: routers.size - 1, hasUpdates })) writeDigest();
     pulls.tick();
   }
 
   function sendDigest(): void {
-    lastDigestAt = performance.now();
+    pace.recordSent();
+    writeDigest();
+  }
+
+  function writeDigest(): void {
     sendToAll(digestWriter.write(getDigestState()));
   }
 
