Refuse at once what would begin after its deadline; time the return of callers

Load pattern: a burst beyond the slots of a service. Each caller waited until its deadline in a queue whose turn came later, and those refused came back after 120 to 420 ms, into the same queue. Change: admission_estimate.ts, without input or output: the expected wait from the load, the slots and the mean time of runs that did not wait; a request that would begin after its deadline is refused before it is sent, so 'not run' is certain. Retry-After covers the queue, spread over as long again, within the third of the time left that callers honour.

--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -4,6 +4,12 @@
  * where it may run more than once.
  */
 
+import {
+  getRetryAfterMs,
+  isBeyondDeadline,
+  type RunTimes,
+  type TargetQueue,
+} from "../process/direct/admission_estimate.ts";
 import type { CachedParts } from "../process/direct/cached_parts.ts";
 import type { PartPrefills } from "../process/direct/part_prefills.ts";
 import type { LoadView } from "../process/direct/load_view.ts";
@@ -19,6 +25,7 @@
 import { createReport, type DiagnosticCode } from "../types/diagnostics.ts";
 import type { PromptPart } from "../types/prompt.ts";
 import type { Reply, RequestEnd } from "../types/reply.ts";
+import { describeChoice, getReason } from "./attempt_description.ts";
 import { createDirectResponse } from "./direct_response.ts";
 import {
   type ChoiceHost,
@@ -52,6 +59,7 @@
   };
   readonly prefills: Pick<PartPrefills, "begin" | "wait">;
   readonly retries: Pick<RetryShare, "recordRequest" | "trySpend">;
+  readonly runTimes: RunTimes;
   readonly log: Log;
 }
 
@@ -67,9 +75,6 @@
 /** Time left below which a retry is not worth its load, in ms. */
 const minTimeLeftMs = 30;
 
-/** Retry-after delay: a minimum and random jitter, in milliseconds. */
-const retryAfterDelayMs = { min: 120, jitter: 300 } as const;
-
 /** Lowest response status that counts as a failure of the target. */
 const minServerErrorStatus = 500;
 
@@ -125,6 +130,8 @@
   let decision: RequestSummary["decision"];
   let lastFailure: DiagnosticCode | undefined;
   let lastRefusal: DiagnosticCode = "no_target";
+  /** Queue of the last target that refused or would come too late. */
+  let lastQueue: TargetQueue | undefined;
 
   try {
     host.retries.recordRequest(service);
@@ -142,6 +149,11 @@
       const choice = await tryChooseTargetAfterPrefill();
       if (stop.getReason() !== undefined) return endStopped();
       if (choice === undefined || sends >= maxAttempts) return endUnserved();
+      lastQueue = getQueue(choice);
+      if (isBeyondDeadline(lastQueue, getTimeLeftMs())) {
+        lastRefusal = "target_full";
+        return endUnserved();
+      }
       const result = await runAttempt(choice);
       const end = handleAttemptEnd(result);
       if (end !== undefined) return end;
@@ -205,7 +217,7 @@
         headers: request.headers,
         body: request.body,
         workspace: request.holder?.workspace,
-        deadlineMs: request.deadlineAt - performance.now(),
+        deadlineMs: getTimeLeftMs(),
         priorityClass: getPriorityClass(request),
         fetchFrom: choice.fetchFrom?.address,
         lastEventId: response.getLastEventId(),
@@ -244,6 +256,7 @@
       chosen.id,
       Math.max(0, (prompt?.promptTokens ?? 0) - heldTokens),
     );
+    const startedAt = performance.now();
     const controller = new AbortController();
     const abort = (): void => controller.abort();
     stop.signal.addEventListener("abort", abort, { once: true });
@@ -258,16 +271,23 @@
     return {
       signal: controller.signal,
       recordProgress,
+      recordRun,
       hasTimedOut: () => hasTimedOut,
       end,
     };
 
+    /** Records the duration of a run that did not wait for a slot. */
+    function recordRun(): void {
+      if (choice.load >= chosen.slots) return;
+      host.runTimes.record(service, performance.now() - startedAt);
+    }
+
     function startIdleTimer(): NodeJS.Timeout | undefined {
       if (!canRetryAfterTimeout()) return undefined;
       return setTimeout(() => {
         hasTimedOut = true;
         abort();
-      }, getIdleTimeoutMs(route, request.deadlineAt - performance.now()));
+      }, getIdleTimeoutMs(route, getTimeLeftMs()));
     }
 
     function recordProgress(): void {
@@ -326,7 +346,10 @@
       if (!head.isEventStream) attempt.recordProgress();
       const end = await response.forward(head, body, attempt);
       if (end.kind === "complete") {
-        if (!isError) recordOutcome("served");
+        if (!isError) {
+          recordOutcome("served");
+          attempt.recordRun();
+        }
         return isError ? { kind: "error_answer" } : { kind: "done" };
       }
       drop();
@@ -371,9 +394,8 @@
 
   /** Returns true when work that may have run may be retried elsewhere. */
   function canRetry(): boolean {
-    const timeLeftMs = request.deadlineAt - performance.now();
     return isRetryable && possibleRuns < route.maxTargets &&
-      timeLeftMs > minTimeLeftMs &&
+      getTimeLeftMs() > minTimeLeftMs &&
       stop.getReason() === undefined && sends < maxAttempts;
   }
 
@@ -383,6 +405,14 @@
       sends < maxAttempts;
   }
 
+  function getTimeLeftMs(): number {
+    return request.deadlineAt - performance.now();
+  }
+
+  function getQueue({ target: { slots }, load }: DirectChoice): TargetQueue {
+    return { load, slots, meanRunMs: host.runTimes.tryGetMeanMs(service) };
+  }
+
   function trySpendRetry(): boolean {
     return host.retries.trySpend(service);
   }
@@ -401,9 +431,11 @@
     if (possibleRuns > 0 || lastFailure !== undefined) {
       return createEnd(createReport(lastFailure ?? "outcome_unknown"));
     }
-    const { min, jitter } = retryAfterDelayMs;
     return createEnd(createReport(lastRefusal, { service }, {
-      retryAfterMs: min + host.random() * jitter,
+      retryAfterMs: getRetryAfterMs(lastQueue, {
+        timeLeftMs: getTimeLeftMs(),
+        random: host.random(),
+      }),
     }));
   }
 
@@ -425,24 +457,3 @@
     });
   }
 }
-
-/** Returns the values that the choice was based on, for the log. */
-function describeChoice(
-  { candidates, load, heldTokens, fetchFrom }: DirectChoice,
-  { prompt }: DirectRequest,
-): Readonly<Record<string, string | number>> {
-  if (prompt === undefined) return { candidates, load };
-  const shared = getSharedParts(prompt.parts);
-  return {
-    candidates,
-    load,
-    part: shared.at(-1)?.id ?? "",
-    sharedTokens: shared.reduce((sum, { tokens }) => sum + tokens, 0),
-    heldTokens,
-    ...(fetchFrom === undefined ? {} : { fetchFrom: fetchFrom.id }),
-  };
-}
-
-function getReason(resultOrEnd: DirectResult | AttemptEnd): string | undefined {
-  return "reason" in resultOrEnd ? resultOrEnd.reason : undefined;
-}
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -3,6 +3,7 @@
   createRoute,
   createTarget,
 } from "../../test/support/direct.ts";
+import { createRunTimes } from "../process/direct/admission_estimate.ts";
 import { createCachedParts } from "../process/direct/cached_parts.ts";
 import { createPartPrefills } from "../process/direct/part_prefills.ts";
 import { createLoadView } from "../process/direct/load_view.ts";
@@ -65,6 +66,8 @@
     readonly retryCredit?: number;
     readonly disconnectAfterMs?: number;
     readonly durationMs?: number;
+    /** Queue of each target: its requests and the time that one runs. */
+    readonly queue?: { readonly requests: number; readonly meanRunMs: number };
     /** A part that a peer has just sent to an engine for prefill. */
     readonly peerPrefill?: {
       readonly target: string;
@@ -96,6 +99,18 @@
     },
   };
   const loads = createLoadView();
+  const runTimes = createRunTimes();
+  const { queue } = options;
+  if (queue !== undefined) {
+    const load = { requests: queue.requests, unreadTokens: 0 };
+    loads.recordReport(
+      "router-2",
+      new Map(["a", "b", "c"].map((id) => [id, load])),
+    );
+    for (let count = 0; count < 100; count++) {
+      runTimes.record("cards", queue.meanRunMs);
+    }
+  }
   const cachedParts = createCachedParts();
   const prefills = createPartPrefills();
   if (options.peerPrefill !== undefined) {
@@ -126,6 +141,7 @@
         recordRequest: () => undefined,
         trySpend: () => retriesLeft-- > 0,
       },
+      runTimes,
       log: createSilentLog(),
       zone: "zone-a",
       loadMultiple: 2,
@@ -212,6 +228,22 @@
     });
   });
 
+  describe("to a service whose targets have long queues", () => {
+    it("is refused at once when its turn comes too late", async () => {
+      const queue = { requests: 700, meanRunMs: 110 };
+      const result = await run(unsafe, [], { queue });
+      expect(result.calls).toEqual([]);
+      expect(result).toMatchObject({ outcome: "not_run", code: "target_full" });
+      expect(result.retryAfterMs).toBeGreaterThan(0);
+    });
+
+    it("is sent when its turn comes in time", async () => {
+      const queue = { requests: 500, meanRunMs: 110 };
+      const { calls } = await run(unsafe, [lost], { queue });
+      expect(calls.length).toBe(1);
+    });
+  });
+
   describe("that may run only once", () => {
     for (const [name, behaviour] of Object.entries({ lost, spoiled })) {
       it(`is not retried after a ${name} response`, async () => {
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -11,6 +11,7 @@
   type TargetCodec,
 } from "../connection/direct_client.ts";
 import { createFrontendServer } from "../connection/frontend_server.ts";
+import { createRunTimes } from "../process/direct/admission_estimate.ts";
 import { createCachedParts } from "../process/direct/cached_parts.ts";
 import { createPartPrefills } from "../process/direct/part_prefills.ts";
 import { createLoadView } from "../process/direct/load_view.ts";
@@ -171,6 +172,7 @@
     ...{ calls, targets, health, loads, prefills, placement, log },
     cachedParts: { ...cachedParts, recordParts: directory.recordParts },
     retries: createRetryShare(directory, settings.retries),
+    runTimes: createRunTimes(),
     zone: settings.zone,
     loadMultiple: settings.loadMultiple,
     random: Math.random,
--- a/test/emulator/fleet.ts
+++ b/test/emulator/fleet.ts
@@ -1,5 +1,6 @@
 /** Replays loads through direct routers at emulated engines, on fake timers. */
 
+import { createRunTimes } from "../../src/process/direct/admission_estimate.ts";
 import { createCachedParts } from "../../src/process/direct/cached_parts.ts";
 import type { PlacedPart } from "../../src/process/direct/cached_parts.ts";
 import { createLoadView } from "../../src/process/direct/load_view.ts";
@@ -244,6 +245,7 @@
     prefills: options.policy === "product"
       ? prefills
       : { begin: prefills.begin, wait: () => Promise.resolve(0) },
+    runTimes: createRunTimes(),
     retries: { recordRequest: () => undefined, trySpend: () => true },
     placement: options.placement,
     log: createSilentLog(),
