--- a/src/process/direct/directory_sync.ts
+++ b/src/process/direct/directory_sync.ts
@@ -12,15 +12,15 @@
 import { getBackOffMs } from "../membership/jitter.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { DirectoryPush, DirectoryReplica } from "./directory_replica.ts";
-import type { FeedChoice } from "./feed_choice.ts";
+import type { WatcherChoice } from "./watcher_choice.ts";
 
 /** What the synchronization needs from the process. */
 export interface DirectorySyncHost {
   readonly store: Pick<DirectoryStore, "list" | "watch">;
   readonly replica: DirectoryReplica;
-  readonly feed: Pick<
-    FeedChoice,
-    "countFeedersAhead" | "getLastFedAt" | "isFeeder"
+  readonly watchers: Pick<
+    WatcherChoice,
+    "countWatchersAhead" | "getLastWatchedAt" | "shouldWatch"
   >;
   readonly log: Log;
   /** Handles new changes, in order. */
@@ -54,7 +54,7 @@
   /** Records when an outage of the store ended, as a peer reports it. */
   recordPeerOutage(endedAt: number): void;
   /** Returns true while this router watches the store and it responds. */
-  isFeeding(): boolean;
+  isWatching(): boolean;
   /** Returns true while the store responds; false before its first response. */
   isConnected(): boolean;
   /** Returns true when changes should be pulled from peers. */
@@ -85,10 +85,10 @@
  * Time since the last response after which a router no longer reports that it
  * reads the store, in milliseconds; a watch without changes plus a round trip.
  */
-const feedTimeoutMs = 1_500;
+const watchReportMs = 1_500;
 
 /** Interval at which a router checks whether to watch the store, in ms. */
-const feedCheckIntervalMs = 100;
+const turnCheckIntervalMs = 100;
 
 /** Wait of a watch that only reads changes already made, in milliseconds. */
 const catchUpWaitMs = 1;
@@ -138,7 +138,7 @@
   let disconnectedAt = performance.now();
   let lastResponseAt = performance.now();
   const createdAt = performance.now();
-  let isWatching = false;
+  let hasTurn = false;
   let isCatchingUp = false;
 
   return {
@@ -154,19 +154,20 @@
     recordPeerOutage: (endedAt) => {
       peerOutageEndedAt = Math.max(peerOutageEndedAt, endedAt);
     },
-    isFeeding,
+    isWatching,
     isConnected: () => isConnected,
     needsPeers,
     hasFailed: () => failures > 0,
     getOutageEndedAt: () => Math.max(outageEndedAt, peerOutageEndedAt),
     getSeenOutageEndedAt: () => outageEndedAt,
     getAgeMs: () =>
-      performance.now() - Math.max(lastResponseAt, host.feed.getLastFedAt()),
+      performance.now() -
+      Math.max(lastResponseAt, host.watchers.getLastWatchedAt()),
   };
 
-  function isFeeding(): boolean {
-    return isWatching && isConnected &&
-      performance.now() - lastResponseAt < feedTimeoutMs;
+  function isWatching(): boolean {
+    return hasTurn && isConnected &&
+      performance.now() - lastResponseAt < watchReportMs;
   }
 
   function needsPeers(): boolean {
@@ -179,9 +180,9 @@
     let revision: number | undefined;
     while (!isStopped) {
       const isFirst = host.replica.getNewestRevision() === 0;
-      if (!isFirst && !host.feed.isFeeder()) {
+      if (!isFirst && !host.watchers.shouldWatch()) {
         stopWatching();
-        await sleep(feedCheckIntervalMs);
+        await sleep(turnCheckIntervalMs);
         revision = host.replica.getNewestRevision();
         continue;
       }
@@ -193,13 +194,16 @@
   }
 
   function startWatching(): void {
-    if (isWatching) return;
-    isWatching = true;
+    if (hasTurn) return;
+    hasTurn = true;
     // While no router has read the store, entries may have expired.
-    const lastFedAt = Math.max(lastResponseAt, host.feed.getLastFedAt());
-    if (performance.now() - lastFedAt >= minOutageMs) {
+    const lastWatchedAt = Math.max(
+      lastResponseAt,
+      host.watchers.getLastWatchedAt(),
+    );
+    if (performance.now() - lastWatchedAt >= minOutageMs) {
       isConnected = false;
-      disconnectedAt = lastFedAt;
+      disconnectedAt = lastWatchedAt;
     }
     host.log.info("Router watches the store", {
       revision: host.replica.getNewestRevision(),
@@ -207,8 +211,8 @@
   }
 
   function stopWatching(): void {
-    if (!isWatching) return;
-    isWatching = false;
+    if (!hasTurn) return;
+    hasTurn = false;
     host.log.info("Router takes changes from its peers", {
       revision: host.replica.getNewestRevision(),
     });
@@ -267,7 +271,7 @@
     if (unknown.length > 0) host.pushChanges(unknown, newestBefore);
     notify(applied, "watch");
     if (changes.events.length > 0) {
-      const isStandby = host.feed.countFeedersAhead() > 0;
+      const isStandby = host.watchers.countWatchersAhead() > 0;
       await sleep(isStandby ? standbyBatchDelayMs : batchDelayMs);
     }
     return changes.revision;
--- a/src/process/direct/directory_sync_test.ts
+++ b/src/process/direct/directory_sync_test.ts
@@ -51,19 +51,19 @@
     const store = createScriptedStore(script);
     const changes: string[] = [];
     const pushed: string[] = [];
-    const feed = {
-      isFeeder: true,
-      feedersAhead: 0,
-      lastFedAt: Number.NEGATIVE_INFINITY,
+    const watchers = {
+      shouldWatch: true,
+      watchersAhead: 0,
+      lastWatchedAt: Number.NEGATIVE_INFINITY,
     };
     const replica = createDirectoryReplica();
     const sync = createDirectorySync({
       store,
       replica,
-      feed: {
-        isFeeder: () => feed.isFeeder,
-        countFeedersAhead: () => feed.feedersAhead,
-        getLastFedAt: () => feed.lastFedAt,
+      watchers: {
+        shouldWatch: () => watchers.shouldWatch,
+        countWatchersAhead: () => watchers.watchersAhead,
+        getLastWatchedAt: () => watchers.lastWatchedAt,
       },
       pushChanges: (events, afterRevision) =>
         events.forEach(({ key }) =>
@@ -75,7 +75,7 @@
       countCall: () => undefined,
     });
     sync.start();
-    return { store, changes, pushed, sync, feed, replica };
+    return { store, changes, pushed, sync, watchers, replica };
   }
 
   describe("before the first response", () => {
@@ -170,10 +170,10 @@
         watch: () => EitherAsync.fromPromise(() => watchResult),
       },
       replica: createDirectoryReplica(),
-      feed: {
-        isFeeder: () => true,
-        countFeedersAhead: () => 0,
-        getLastFedAt: () => Number.NEGATIVE_INFINITY,
+      watchers: {
+        shouldWatch: () => true,
+        countWatchersAhead: () => 0,
+        getLastWatchedAt: () => Number.NEGATIVE_INFINITY,
       },
       pushChanges: () => undefined,
       log,
@@ -232,7 +232,7 @@
       const { pushed, sync } = start([listing, change]);
       await jest.advanceTimersByTimeAsync(0);
       expect(pushed).toEqual(["b after 3", "c after 3"]);
-      expect(sync.isFeeding()).toBe(true);
+      expect(sync.isWatching()).toBe(true);
     });
 
     it("pushes nothing that it knows from another's push", async () => {
@@ -247,8 +247,8 @@
     });
 
     it("watches less often than one of higher rank", async () => {
-      const { store, feed } = start([listing, change]);
-      feed.feedersAhead = 1;
+      const { store, watchers } = start([listing, change]);
+      watchers.watchersAhead = 1;
       await jest.advanceTimersByTimeAsync(999);
       expect(store.calls).toEqual(["list", "watch 4"]);
       await jest.advanceTimersByTimeAsync(1);
@@ -258,24 +258,24 @@
     it("no longer reports it after a silent second and a half", async () => {
       const { sync } = start([listing]);
       await jest.advanceTimersByTimeAsync(1_400);
-      expect(sync.isFeeding()).toBe(true);
+      expect(sync.isWatching()).toBe(true);
       await jest.advanceTimersByTimeAsync(200);
-      expect(sync.isFeeding()).toBe(false);
+      expect(sync.isWatching()).toBe(false);
     });
   });
 
   describe("of a router that others read the store for", () => {
     it("lists once and does not watch", async () => {
-      const { store, feed, sync } = start([listing]);
-      feed.isFeeder = false;
+      const { store, watchers, sync } = start([listing]);
+      watchers.shouldWatch = false;
       await jest.advanceTimersByTimeAsync(5_000);
       expect(store.calls).toEqual(["list"]);
-      expect(sync.isFeeding()).toBe(false);
+      expect(sync.isWatching()).toBe(false);
     });
 
     it("watches from what it knows once it has to", async () => {
-      const { store, feed, sync } = start([listing]);
-      feed.isFeeder = false;
+      const { store, watchers, sync } = start([listing]);
+      watchers.shouldWatch = false;
       await jest.advanceTimersByTimeAsync(200);
       sync.applyPush({
         afterRevision: 4,
@@ -287,20 +287,20 @@
         revision: 9,
         changes: [{ key: "d", value: "y", revision: 9 }],
       });
-      feed.isFeeder = true;
+      watchers.shouldWatch = true;
       await jest.advanceTimersByTimeAsync(100);
       expect(store.calls).toEqual(["list", "watch 9"]);
     });
 
     it("reads what it has missed with one call", async () => {
-      const { store, feed, changes, sync } = start([listing, {
+      const { store, watchers, changes, sync } = start([listing, {
         kind: "changes",
         changes: {
           events: [{ key: "b", value: "y", revision: 6 }],
           revision: 6,
         },
       }]);
-      feed.isFeeder = false;
+      watchers.shouldWatch = false;
       await jest.advanceTimersByTimeAsync(0);
       await expect(sync.catchUp()).resolves.toBe(true);
       await jest.advanceTimersByTimeAsync(1_000);
@@ -309,29 +309,29 @@
     });
 
     it("is told when the store rejects the call", async () => {
-      const { feed, sync } = start([listing, unavailable]);
-      feed.isFeeder = false;
+      const { watchers, sync } = start([listing, unavailable]);
+      watchers.shouldWatch = false;
       await jest.advanceTimersByTimeAsync(0);
       await expect(sync.catchUp()).resolves.toBe(false);
     });
 
     it("takes a time without any reader for an outage", async () => {
-      const { feed, sync } = start([listing, {
+      const { watchers, sync } = start([listing, {
         kind: "changes",
         changes: { events: [], revision: 4 },
       }]);
-      feed.isFeeder = false;
+      watchers.shouldWatch = false;
       await jest.advanceTimersByTimeAsync(200);
-      feed.lastFedAt = performance.now();
+      watchers.lastWatchedAt = performance.now();
       await jest.advanceTimersByTimeAsync(1_500);
-      feed.isFeeder = true;
+      watchers.shouldWatch = true;
       await jest.advanceTimersByTimeAsync(100);
       expect(sync.getSeenOutageEndedAt()).toBeGreaterThan(0);
     });
 
     it("knows of outages from its peers", async () => {
-      const { feed, sync } = start([listing]);
-      feed.isFeeder = false;
+      const { watchers, sync } = start([listing]);
+      watchers.shouldWatch = false;
       sync.recordPeerOutage(40);
       expect(sync.getOutageEndedAt()).toBe(40);
       expect(sync.getSeenOutageEndedAt()).toBe(Number.NEGATIVE_INFINITY);
--- a/src/process/direct/peer_digests.ts
+++ b/src/process/direct/peer_digests.ts
@@ -31,7 +31,7 @@
   /** False while the sender recovers the cached parts of engines. */
   readonly isSettled: boolean;
   /** True while the sender reads directory changes from the store itself. */
-  readonly isFeeding: boolean;
+  readonly isWatching: boolean;
   /**
    * Time since the sender's last outage of the store ended, in milliseconds; 0
    * when there was none lately.
@@ -48,7 +48,7 @@
   ReceivedDigest,
   | "directoryRevision"
   | "isSettled"
-  | "isFeeding"
+  | "isWatching"
   | "outageEndedAgoMs"
   | "loads"
 >;
@@ -141,7 +141,7 @@
       sender: digest.sender,
       directoryRevision: digest.directoryRevision,
       isSettled: digest.isSettled,
-      isFeeding: digest.isFeeding,
+      isWatching: digest.isWatching,
       outageEndedAgoMs: digest.outageEndedAgoMs,
       pushFragment: digest.pushFragment,
       loads: new Map(
--- a/src/process/direct/peer_digests_test.ts
+++ b/src/process/direct/peer_digests_test.ts
@@ -7,7 +7,7 @@
 const noLoads = {
   directoryRevision: 7,
   isSettled: true,
-  isFeeding: false,
+  isWatching: false,
   outageEndedAgoMs: 0,
   loads: new Map(),
 };
@@ -23,7 +23,7 @@
     const digest = tryDecodeDigest(writer.write({
       directoryRevision: 7,
       isSettled: true,
-      isFeeding: true,
+      isWatching: true,
       outageEndedAgoMs: 40,
       loads: new Map([["a", { requests: 2, unreadTokens: 30 }]]),
     }));
@@ -31,7 +31,7 @@
       sender: "router-1",
       directoryRevision: 7,
       isSettled: true,
-      isFeeding: true,
+      isWatching: true,
       outageEndedAgoMs: 40,
       pushFragment: undefined,
       loads: new Map([["a", { requests: 2, unreadTokens: 30 }]]),
--- a/src/process/direct/feed_choice.ts
+++ b/src/process/direct/watcher_choice.ts
@@ -12,7 +12,7 @@
 import type { Placement } from "../placement/placement.ts";
 
 /** What the choice needs from the process. */
-export interface FeedChoiceHost {
+export interface WatcherChoiceHost {
   readonly selfId: string;
   readonly placement: Placement;
   /** Returns the ids of the registered routers; some may be gone. */
@@ -20,25 +20,25 @@
 }
 
 /** Which routers read the store. */
-export interface FeedChoice {
+export interface WatcherChoice {
   /** Records a digest of a peer and whether the peer reads the store. */
-  recordPeer(id: string, options: { readonly isFeeding: boolean }): void;
+  recordPeer(id: string, options: { readonly isWatching: boolean }): void;
   /** Returns true when this router should read the store. */
-  isFeeder(): boolean;
+  shouldWatch(): boolean;
   /** Returns the number of peers of higher rank that read the store. */
-  countFeedersAhead(): number;
+  countWatchersAhead(): number;
   /**
    * Returns when a peer last reported that it reads the store, on the steady
    * clock; negative infinity before the first report.
    */
-  getLastFedAt(): number;
+  getLastWatchedAt(): number;
 }
 
 /**
  * Number of routers that read the store in a large fleet. More than one, as a
  * router does not notice at once that it is cut off from the store.
  */
-const feederCount = 3;
+const watcherCount = 3;
 
 /**
  * Number of routers up to which all read the store. A small fleet saves few
@@ -64,60 +64,60 @@
 /** The last digest of a peer. */
 interface PeerState {
   readonly at: number;
-  readonly isFeeding: boolean;
+  readonly isWatching: boolean;
 }
 
 /** Creates the choice of a router that knows no peers yet. */
-export function createFeedChoice(host: FeedChoiceHost): FeedChoice {
+export function createWatcherChoice(host: WatcherChoiceHost): WatcherChoice {
   const peers = new Map<string, PeerState>();
   let ranking: readonly string[] = [];
   let rankedAt = Number.NEGATIVE_INFINITY;
-  let lastFedAt = Number.NEGATIVE_INFINITY;
+  let lastWatchedAt = Number.NEGATIVE_INFINITY;
   let shortSince: number | undefined;
 
   return {
     recordPeer,
-    isFeeder,
-    countFeedersAhead: () => countPeersAhead(performance.now()).feeding,
-    getLastFedAt: () => lastFedAt,
+    shouldWatch,
+    countWatchersAhead: () => countPeersAhead(performance.now()).watching,
+    getLastWatchedAt: () => lastWatchedAt,
   };
 
   function recordPeer(
     id: string,
-    { isFeeding }: { readonly isFeeding: boolean },
+    { isWatching }: { readonly isWatching: boolean },
   ): void {
     const at = performance.now();
-    peers.set(id, { at, isFeeding });
-    if (isFeeding) lastFedAt = at;
+    peers.set(id, { at, isWatching });
+    if (isWatching) lastWatchedAt = at;
   }
 
-  function isFeeder(): boolean {
+  function shouldWatch(): boolean {
     const now = performance.now();
-    const { feeding, idle } = countPeersAhead(now);
+    const { watching, idle } = countPeersAhead(now);
     if (ranking.length <= smallFleetSize) return true;
-    if (feeding >= feederCount) {
+    if (watching >= watcherCount) {
       shortSince = undefined;
       return false;
     }
     shortSince ??= now;
     // The peers in the first ranks take over at once, if they can at all.
-    if (feeding + idle < feederCount) return true;
-    const turn = Math.max(0, idle - feederCount) + 1;
+    if (watching + idle < watcherCount) return true;
+    const turn = Math.max(0, idle - watcherCount) + 1;
     return now - shortSince >= turn * takeOverDelayMs;
   }
 
   /** Counts the peers of higher rank whose digests arrive. */
   function countPeersAhead(now: number) {
-    let feeding = 0;
+    let watching = 0;
     let idle = 0;
     for (const id of getRanking(now)) {
       if (id === host.selfId) break;
       const peer = peers.get(id);
       if (peer === undefined || now - peer.at > peerTimeoutMs) continue;
-      if (peer.isFeeding) feeding++;
+      if (peer.isWatching) watching++;
       else idle++;
     }
-    return { feeding, idle };
+    return { watching, idle };
   }
 
   function getRanking(now: number): readonly string[] {
@@ -126,7 +126,7 @@
     const routers = [...host.getRouterIds()]
       .map((id) => ({ id, weight: routerWeight }));
     ranking = host.placement
-      .rankTargets("feed", routers, { limit: routers.length })
+      .rankTargets("watch", routers, { limit: routers.length })
       .map(({ id }) => id);
     for (const id of peers.keys()) {
       if (!ranking.includes(id)) peers.delete(id);
--- a/src/process/direct/feed_choice_test.ts
+++ b/src/process/direct/watcher_choice_test.ts
@@ -3,22 +3,22 @@
   loadPlacementHost,
   type PlacementHost,
 } from "../placement/placement.ts";
-import { createFeedChoice, type FeedChoice } from "./feed_choice.ts";
+import { createWatcherChoice, type WatcherChoice } from "./watcher_choice.ts";
 
-const feederCount = 3;
+const watcherCount = 3;
 const smallFleetSize = 8;
 
 /** A router of the replayed fleet. */
 interface Router {
   readonly id: string;
-  readonly feed: FeedChoice;
+  readonly watchers: WatcherChoice;
   isAlive: boolean;
   /** False while the store turns the router away. */
   isServed: boolean;
-  isFeeding: boolean;
+  isWatching: boolean;
 }
 
-describe("the choice of the routers that read the store", () => {
+describe("the choice of the routers that watch the store", () => {
   let placementHost: PlacementHost;
 
   beforeAll(async () => {
@@ -33,19 +33,20 @@
     const ids = Array.from({ length: size }, (_, index) => `router-${index}`);
     const routers: Router[] = ids.map((id) => ({
       id,
-      feed: createFeedChoice({
+      watchers: createWatcherChoice({
         selfId: id,
         placement,
         getRouterIds: () => ids,
       }),
       isAlive: true,
       isServed: true,
-      isFeeding: true,
+      isWatching: true,
     }));
     return {
       routers,
       advance,
-      getReaders: () => getAlive().filter(({ feed }) => feed.isFeeder()),
+      getReaders: () =>
+        getAlive().filter(({ watchers }) => watchers.shouldWatch()),
     };
 
     /** Returns the highest number of routers that called the store at once. */
@@ -53,10 +54,12 @@
       let maxReaders = 0;
       for (let step = 0; step < ms; step += 50) {
         if (step % 250 === 0) exchangeDigests();
-        const readers = getAlive().filter(({ feed }) => feed.isFeeder());
+        const readers = getAlive().filter(({ watchers }) =>
+          watchers.shouldWatch()
+        );
         maxReaders = Math.max(maxReaders, readers.length);
         getAlive().forEach((router) => {
-          router.isFeeding = router.isServed && readers.includes(router);
+          router.isWatching = router.isServed && readers.includes(router);
         });
         await jest.advanceTimersByTimeAsync(50);
       }
@@ -64,9 +67,9 @@
     }
 
     function exchangeDigests(): void {
-      getAlive().forEach(({ id, isFeeding }) =>
+      getAlive().forEach(({ id, isWatching }) =>
         getAlive().filter((to) => to.id !== id)
-          .forEach(({ feed }) => feed.recordPeer(id, { isFeeding }))
+          .forEach(({ watchers }) => watchers.recordPeer(id, { isWatching }))
       );
     }
 
@@ -80,7 +83,7 @@
       it("settles on a few routers on which all agree", async () => {
         const fleet = createFleet(size);
         await fleet.advance(1_000);
-        expect(fleet.getReaders().length).toBe(feederCount);
+        expect(fleet.getReaders().length).toBe(watcherCount);
       });
     });
   }
@@ -99,7 +102,7 @@
         router.isAlive = false;
       });
       await fleet.advance(1_500);
-      expect(fleet.getReaders().length).toBe(feederCount);
+      expect(fleet.getReaders().length).toBe(watcherCount);
     });
   });
 
@@ -112,8 +115,8 @@
       });
       const maxReaders = await fleet.advance(2_000);
       const served = fleet.getReaders().filter(({ isServed }) => isServed);
-      expect(served.length).toBeGreaterThanOrEqual(feederCount);
-      expect(maxReaders).toBeLessThan(6 * feederCount);
+      expect(served.length).toBeGreaterThanOrEqual(watcherCount);
+      expect(maxReaders).toBeLessThan(6 * watcherCount);
     });
   });
 
@@ -130,7 +133,7 @@
         router.isServed = true;
       });
       await fleet.advance(1_000);
-      expect(fleet.getReaders().length).toBe(feederCount);
+      expect(fleet.getReaders().length).toBe(watcherCount);
     });
   });
 
@@ -138,9 +141,11 @@
     it("falls on the router itself", async () => {
       const fleet = createFleet(58);
       await fleet.advance(1_000);
-      const follower = fleet.routers.find(({ feed }) => !feed.isFeeder())!;
+      const follower = fleet.routers.find(({ watchers }) =>
+        !watchers.shouldWatch()
+      )!;
       await jest.advanceTimersByTimeAsync(1_100);
-      expect(follower.feed.isFeeder()).toBe(true);
+      expect(follower.watchers.shouldWatch()).toBe(true);
     });
   });
 });
--- a/src/roles/digest_exchange.ts
+++ b/src/roles/digest_exchange.ts
@@ -5,7 +5,7 @@
 import { createDigestPace } from "../process/direct/digest_pace.ts";
 import type { DirectoryPush } from "../process/direct/directory_replica.ts";
 import type { DirectorySync } from "../process/direct/directory_sync.ts";
-import type { FeedChoice } from "../process/direct/feed_choice.ts";
+import type { WatcherChoice } from "../process/direct/watcher_choice.ts";
 import type { LoadView } from "../process/direct/load_view.ts";
 import type { PartPrefills } from "../process/direct/part_prefills.ts";
 import {
@@ -60,14 +60,14 @@
   readonly log: Log;
   /** Registered routers by id. */
   readonly routers: ReadonlyMap<string, RouterPeer>;
-  readonly feed: FeedChoice;
+  readonly watchers: WatcherChoice;
   readonly sync: Pick<
     DirectorySync,
     | "applyPush"
     | "catchUp"
     | "getSeenOutageEndedAt"
     | "isCatchingUp"
-    | "isFeeding"
+    | "isWatching"
     | "recordPeerOutage"
   >;
   readonly pulls: Pick<
@@ -184,7 +184,7 @@
       );
       // Peers learn from the revision that they have to read the changes.
       if (fragments.length === 0) sendDigest();
-    }, host.feed.countFeedersAhead() * pushDelayMs).unref();
+    }, host.watchers.countWatchersAhead() * pushDelayMs).unref();
   }
 
   function sendToAll(bytes: Uint8Array): void {
@@ -200,7 +200,7 @@
     return {
       directoryRevision: host.getRevision(),
       isSettled: host.isSettled(),
-      isFeeding: sync.isFeeding(),
+      isWatching: sync.isWatching(),
       outageEndedAgoMs: outageEndedAgoMs > outageReportMs
         ? 0
         : Math.max(1, Math.round(outageEndedAgoMs)),
@@ -226,10 +226,10 @@
   }
 
   function handleDigest(digest: ReceivedDigest, from: Endpoint): void {
-    const { sender, isFeeding } = digest;
+    const { sender, isWatching } = digest;
     if (sender === settings.id) return;
     handlePeerActivity(sender);
-    host.feed.recordPeer(sender, { isFeeding });
+    host.watchers.recordPeer(sender, { isWatching });
     handleDirectory(digest, from);
     if (digest.pushFragment !== undefined) return;
     host.loads.recordReport(sender, digest.loads);
@@ -264,7 +264,7 @@
       return handlePush(assembly.add(sender, pushFragment));
     }
     if (directoryRevision <= host.getRevision()) return;
-    if (host.getRevision() > 0 && !sync.isFeeding()) scheduleCatchUp();
+    if (host.getRevision() > 0 && !sync.isWatching()) scheduleCatchUp();
     // A large response takes a slow link long; a pull would take its share.
     if (sync.isCatchingUp()) return;
     // A peer that is not in the directory yet uses the same pull port as this
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -17,7 +17,7 @@
 } from "../process/direct/directory_tables.ts";
 import { createPeerPulls } from "../process/direct/peer_pulls.ts";
 import { createDirectorySync } from "../process/direct/directory_sync.ts";
-import { createFeedChoice } from "../process/direct/feed_choice.ts";
+import { createWatcherChoice } from "../process/direct/watcher_choice.ts";
 import type { CachedParts } from "../process/direct/cached_parts.ts";
 import type { PartPrefills } from "../process/direct/part_prefills.ts";
 import type { LoadView } from "../process/direct/load_view.ts";
@@ -100,7 +100,7 @@
   let engineServices: ReadonlySet<string> = new Set();
   let isStopped = false;
   let pullListener: PullListener | undefined;
-  const feed = createFeedChoice({
+  const watchers = createWatcherChoice({
     selfId: settings.id,
     placement: host.placement,
     getRouterIds: () => routers.keys(),
@@ -108,7 +108,7 @@
   const sync = createDirectorySync({
     store,
     replica,
-    feed,
+    watchers,
     log,
     handleChanges: applyChanges,
     pushChanges: (changes, afterRevision) =>
@@ -158,7 +158,7 @@
       exchange.recordParts(target, parts, []),
   });
   const exchange = createDigestExchange({
-    ...{ settings, log, routers, feed, sync, pulls },
+    ...{ settings, log, routers, watchers, sync, pulls },
     cachedParts: host.cachedParts,
     prefills: host.prefills,
     loads: host.loads,
@@ -279,7 +279,7 @@
       version: directoryTables.getVersion(),
       revision: replica.getNewestRevision(),
       isConnected: sync.isConnected(),
-      isFeeding: sync.isFeeding(),
+      isWatching: sync.isWatching(),
       ageMs: Math.round(sync.getAgeMs()),
       routers: [...routers.keys()],
     };
--- a/test/platform/direct_router_test.ts
+++ b/test/platform/direct_router_test.ts
@@ -342,13 +342,13 @@
     async function startFleet(): Promise<void> {
       await addTarget("target-1");
       for (const id of routerIds) await addRouter(id);
-      await waitUntil(async () => (await getFeeding()).length === 3);
+      await waitUntil(async () => (await getWatching()).length === 3);
     }
 
     /** Returns the routers that read the store. */
-    async function getFeeding(): Promise<readonly FleetRouter[]> {
+    async function getWatching(): Promise<readonly FleetRouter[]> {
       const dumps = await Promise.all(routers.map(getDump));
-      return routers.filter((_, index) => dumps[index]?.directory.isFeeding);
+      return routers.filter((_, index) => dumps[index]?.directory.isWatching);
     }
 
     function isInForce(version: number): boolean {
@@ -381,14 +381,14 @@
 
     it("replaces those that have stopped", async () => {
       await startFleet();
-      const feeding = await getFeeding();
-      routers = routers.filter((router) => !feeding.includes(router));
+      const watching = await getWatching();
+      routers = routers.filter((router) => !watching.includes(router));
       await Promise.all(
-        feeding.map(({ directRouter }) => directRouter.stop("test")),
+        watching.map(({ directRouter }) => directRouter.stop("test")),
       );
       store.put("op/config", createConfiguration(2));
       await waitUntil(() => isInForce(2));
-      await waitUntil(async () => (await getFeeding()).length === 3);
+      await waitUntil(async () => (await getWatching()).length === 3);
     });
   });
 });
@@ -403,7 +403,7 @@
 interface RouterDump {
   readonly directory: {
     readonly routers: readonly string[];
-    readonly isFeeding: boolean;
+    readonly isWatching: boolean;
   };
 }
 
