Tell a silent watcher from a peer that reports seldom

Findings of reading the diff: in a fleet of 240 routers and more the interval of digests passes the second after which a peer counted as gone, so that all would have watched the store; a watcher of lower rank paused for 1 s and watched for 1 s, longer than the 1.5 s for which it reported itself, so that others took over for nothing. Change: routers that watch keep a short interval of digests, other peers count as gone after 4 s, and a router that hears nobody for a second watches at once; the pause is 0.6 s and the report 2 s; ranks are no longer searched for each peer.

--- a/src/process/direct/digest_pace.ts
+++ b/src/process/direct/digest_pace.ts
@@ -18,18 +18,23 @@
 /** Minimum interval of digests, in milliseconds. */
 const minIntervalMs = 60;
 
-/** Interval at which loads are reported in a small fleet, in milliseconds. */
+/**
+ * Interval at which loads are reported in a small fleet, and by routers that
+ * watch the store, in milliseconds.
+ */
 const minReportIntervalMs = 250;
 
 /** When to send digests. */
 export interface DigestPace {
   /**
    * Returns true when a digest should be sent now, and counts it as sent;
-   * `hasUpdates` tells whether new parts wait for it.
+   * `hasUpdates` tells whether new parts wait for it. A router that watches the
+   * store keeps the short interval, so that its end is noticed soon.
    */
   trySend(options: {
     readonly peers: number;
     readonly hasUpdates: boolean;
+    readonly isWatcher: boolean;
   }): boolean;
   /** Counts a digest that is sent outside of the pace. */
   recordSent(): void;
@@ -44,17 +49,20 @@
   return { trySend, recordSent };
 
   function trySend(
-    { peers, hasUpdates }: {
+    { peers, hasUpdates, isWatcher }: {
       readonly peers: number;
       readonly hasUpdates: boolean;
+      readonly isWatcher: boolean;
     },
   ): boolean {
     const now = performance.now();
     const intervalMs = getIntervalMs(peers);
     credit = Math.min(maxBurst, credit + (now - refilledAt) / intervalMs);
     refilledAt = now;
-    const isReportDue =
-      now - sentAt >= Math.max(minReportIntervalMs, intervalMs);
+    const reportIntervalMs = isWatcher
+      ? minReportIntervalMs
+      : Math.max(minReportIntervalMs, intervalMs);
+    const isReportDue = now - sentAt >= reportIntervalMs;
     if (!isReportDue && !(hasUpdates && credit >= 1)) return false;
     recordSent();
     return true;
--- a/src/process/direct/directory_sync.ts
+++ b/src/process/direct/directory_sync.ts
@@ -55,6 +55,8 @@
   recordPeerOutage(endedAt: number): void;
   /** Returns true while this router watches the store and it responds. */
   isWatching(): boolean;
+  /** Returns true while this router has the turn to watch the store. */
+  hasTurn(): boolean;
   /** Returns true while the store responds; false before its first response. */
   isConnected(): boolean;
   /** Returns true when changes should be pulled from peers. */
@@ -83,9 +85,10 @@
 
 /**
  * Time since the last response after which a router no longer reports that it
- * reads the store, in milliseconds; a watch without changes plus a round trip.
+ * watches the store, in milliseconds: the longest pause after changes, a watch
+ * without changes and a slow round trip.
  */
-const watchReportMs = 1_500;
+const watchReportMs = 2_000;
 
 /** Interval at which a router checks whether to watch the store, in ms. */
 const turnCheckIntervalMs = 100;
@@ -105,7 +108,7 @@
  * watches too, in milliseconds. That router pushes the changes; this one only
  * has to notice when it no longer does.
  */
-const standbyBatchDelayMs = 1_000;
+const standbyBatchDelayMs = 600;
 
 /**
  * Minimum duration of an outage, in milliseconds. After this time without the
@@ -155,6 +158,7 @@
       peerOutageEndedAt = Math.max(peerOutageEndedAt, endedAt);
     },
     isWatching,
+    hasTurn: () => hasTurn,
     isConnected: () => isConnected,
     needsPeers,
     hasFailed: () => failures > 0,
--- a/src/process/direct/watcher_choice.ts
+++ b/src/process/direct/watcher_choice.ts
@@ -46,8 +46,14 @@
  */
 const smallFleetSize = 8;
 
-/** Time without a digest after which a peer counts as gone, in ms. */
-const peerTimeoutMs = 1_000;
+/** Time without a digest after which a watcher counts as gone, in ms. */
+const watcherTimeoutMs = 1_000;
+
+/**
+ * Time without a digest after which any other peer counts as gone, in
+ * milliseconds; in a large fleet these report less often.
+ */
+const idleTimeoutMs = 4_000;
 
 /**
  * Delay between two routers that take over, in milliseconds; longer than it
@@ -72,6 +78,7 @@
   const peers = new Map<string, PeerState>();
   let ranking: readonly string[] = [];
   let rankedAt = Number.NEGATIVE_INFINITY;
+  let lastHeardAt = Number.NEGATIVE_INFINITY;
   let lastWatchedAt = Number.NEGATIVE_INFINITY;
   let shortSince: number | undefined;
 
@@ -88,6 +95,7 @@
   ): void {
     const at = performance.now();
     peers.set(id, { at, isWatching });
+    lastHeardAt = at;
     if (isWatching) lastWatchedAt = at;
   }
 
@@ -99,6 +107,8 @@
       shortSince = undefined;
       return false;
     }
+    // A router that is cut off from all peers depends on nobody's turn.
+    if (now - lastHeardAt > watcherTimeoutMs) return true;
     shortSince ??= now;
     // The peers in the first ranks take over at once, if they can at all.
     if (watching + idle < watcherCount) return true;
@@ -113,9 +123,10 @@
     for (const id of getRanking(now)) {
       if (id === host.selfId) break;
       const peer = peers.get(id);
-      if (peer === undefined || now - peer.at > peerTimeoutMs) continue;
-      if (peer.isWatching) watching++;
-      else idle++;
+      if (peer === undefined) continue;
+      const silentMs = now - peer.at;
+      if (peer.isWatching && silentMs <= watcherTimeoutMs) watching++;
+      else if (!peer.isWatching && silentMs <= idleTimeoutMs) idle++;
     }
     return { watching, idle };
   }
@@ -123,13 +134,13 @@
   function getRanking(now: number): readonly string[] {
     if (now - rankedAt < rankingIntervalMs) return ranking;
     rankedAt = now;
-    const routers = [...host.getRouterIds()]
-      .map((id) => ({ id, weight: routerWeight }));
+    const ids = new Set(host.getRouterIds());
+    const routers = [...ids].map((id) => ({ id, weight: routerWeight }));
     ranking = host.placement
       .rankTargets("watch", routers, { limit: routers.length })
       .map(({ id }) => id);
     for (const id of peers.keys()) {
-      if (!ranking.includes(id)) peers.delete(id);
+      if (!ids.has(id)) peers.delete(id);
     }
     return ranking;
   }
--- a/src/roles/digest_exchange.ts
+++ b/src/roles/digest_exchange.ts
@@ -29,8 +29,11 @@
 /** Interval at which it is decided whether to send a digest, in ms. */
 const tickIntervalMs = 60;
 
-/** Idle time of a peer after which updates may have been missed, in ms. */
-const peerIdleTimeoutMs = 1_500;
+/**
+ * Idle time of a peer after which updates may have been missed, in
+ * milliseconds; above the interval of digests in a fleet of hundreds.
+ */
+const peerIdleTimeoutMs = 2_500;
 
 /** Time for which an outage of the store is reported, in milliseconds. */
 const outageReportMs = 10_000;
@@ -66,6 +69,7 @@
     | "applyPush"
     | "catchUp"
     | "getSeenOutageEndedAt"
+    | "hasTurn"
     | "isCatchingUp"
     | "isWatching"
     | "recordPeerOutage"
@@ -156,8 +160,12 @@
   }
 
   function tick(): void {
-    const hasUpdates = digestWriter.getQueueLength() > 0;
-    if (pace.trySend({ peers: routers.size - 1, hasUpdates })) writeDigest();
+    const state = {
+      peers: routers.size - 1,
+      hasUpdates: digestWriter.getQueueLength() > 0,
+      isWatcher: sync.hasTurn(),
+    };
+    if (pace.trySend(state)) writeDigest();
     pulls.tick();
   }
 
