Leave changes beyond a gap out of a peer's pull

A peer that had applied a later push beyond a gap gave that push as all changes since the router's revision, so that the router took the gap for known. Change: a pull returns changes up to the revision up to which all are known.

--- a/src/process/direct/directory_replica.ts
+++ b/src/process/direct/directory_replica.ts
@@ -23,7 +23,10 @@
   applyPush(push: DirectoryPush): readonly WatchEvent[];
   /** Applies a listing, which removes missing keys; returns the changes. */
   applyListing(listing: Listing): readonly WatchEvent[];
-  /** Returns the changes after a revision, removals included. */
+  /**
+   * Returns the changes after a revision, removals included, up to the newest
+   * revision. Changes beyond a gap are left out.
+   */
   getSince(revision: number): readonly WatchEvent[];
   /**
    * Returns the revision up to which all changes are known; 0 for none.
@@ -100,7 +103,9 @@
 
   function getSince(revision: number): readonly WatchEvent[] {
     return [...live.values(), ...tombstones.values()]
-      .filter((event) => event.revision > revision)
+      .filter((event) =>
+        event.revision > revision && event.revision <= newestRevision
+      )
       .sort((left, right) => left.revision - right.revision);
   }
 
--- a/src/process/direct/directory_replica_test.ts
+++ b/src/process/direct/directory_replica_test.ts
@@ -70,12 +70,17 @@
       expect(replica.applyPush({ afterRevision: 7, revision: 9, changes }))
         .toEqual(changes);
       expect(replica.getNewestRevision()).toBe(4);
-      expect(replica.getSince(4)).toEqual(changes);
+      // A peer would take them for all changes up to the last of them.
+      expect(replica.getSince(3)).toEqual([
+        { key: "a", value: "x", revision: 4 },
+      ]);
       replica.applyChanges([
         { key: "c", value: "z", revision: 6 },
         ...changes,
       ]);
       expect(replica.getNewestRevision()).toBe(9);
+      expect(replica.getSince(4).map(({ revision }) => revision))
+        .toEqual([6, 9]);
     });
   });
 });
