--- a/src/process/direct/digest_pace.ts
+++ b/src/process/direct/digest_pace.ts
@@ -12,14 +12,8 @@
 /** Datagrams that one router sends per second, over a longer time. */
 const datagramsPerSecond = 240;
 
-/**
- * Datagrams that one router sends in a burst. After a restart of all routers
- * each receives as many, on top of the requests that have waited.
- */
-const datagramsPerBurst = 1_000;
-
-/** Bounds of the number of digests to all peers in a burst. */
-const burstBounds = { min: 4, max: 40 } as const;
+/** Maximum number of digests to all peers in a burst. */
+const maxBurst = 40;
 
 /** Minimum interval of digests, in milliseconds. */
 const minIntervalMs = 60;
@@ -48,7 +42,7 @@
 
 /** Creates the pace of a router that has sent nothing. */
 export function createDigestPace(): DigestPace {
-  let credit: number = burstBounds.max;
+  let credit = maxBurst;
   let refilledAt = performance.now();
   let sentAt = Number.NEGATIVE_INFINITY;
 
@@ -63,10 +57,7 @@
   ): boolean {
     const now = performance.now();
     const intervalMs = getIntervalMs(peers);
-    credit = Math.min(
-      getMaxBurst(peers),
-      credit + (now - refilledAt) / intervalMs,
-    );
+    credit = Math.min(maxBurst, credit + (now - refilledAt) / intervalMs);
     refilledAt = now;
     const reportIntervalMs = isWatcher
       ? minReportIntervalMs
@@ -83,12 +74,6 @@
   }
 }
 
-/** Returns the number of digests to all peers that a burst may have. */
-function getMaxBurst(peers: number): number {
-  const { min, max } = burstBounds;
-  return Math.min(max, Math.max(min, datagramsPerBurst / Math.max(1, peers)));
-}
-
 /** Returns the interval at which one digest to all peers is affordable. */
 function getIntervalMs(peers: number): number {
   return Math.max(minIntervalMs, peers * 1_000 / datagramsPerSecond);
