--- /dev/null
+++ b/test/support/direct_runs.ts
@@ -0,0 +1,174 @@
+/** Runs direct requests at targets whose behaviour a test chooses. */
+
+import { createRequest, createTarget } from "./direct.ts";
+import { createRunTimes } from "../../src/process/direct/admission_estimate.ts";
+import { createCachedParts } from "../../src/process/direct/cached_parts.ts";
+import { createPartPrefills } from "../../src/process/direct/part_prefills.ts";
+import { createLoadView } from "../../src/process/direct/load_view.ts";
+import { createTargetHealth } from "../../src/process/direct/target_health.ts";
+import { createTargetTable } from "../../src/process/direct/target_table.ts";
+import { createSilentLog } from "../../src/process/telemetry/log.ts";
+import { createPlacement } from "../../src/process/placement/placement.ts";
+import type { DirectCall, DirectResult } from "../../src/types/direct_calls.ts";
+import type { DirectRequest } from "../../src/types/direct_request.ts";
+import type { PromptPart } from "../../src/types/prompt.ts";
+import type { Reply, RequestEnd } from "../../src/types/reply.ts";
+import type { DirectRoute } from "../../src/types/route_table.ts";
+import { runDirect } from "../../src/request/direct_run.ts";
+
+/** Responds to one attempt. */
+export type Behaviour = (
+  call: DirectCall,
+) => DirectResult | Promise<DirectResult>;
+
+/** Formats an event of a stream. */
+export function event(id: number): string {
+  return `id: ${id}\ndata: word\n\n`;
+}
+
+/** Creates a response that yields its chunks in order; an error aborts it. */
+export function createResponse(
+  chunks: readonly (string | Error)[],
+  options: { readonly status?: number; readonly isEventStream?: boolean } = {},
+): DirectResult {
+  return {
+    kind: "answer",
+    head: {
+      status: options.status ?? 200,
+      headers: [{ name: "signature", value: "target" }],
+      isEventStream: options.isEventStream ?? false,
+      length: undefined,
+      load: undefined,
+    },
+    body: (async function* () {
+      for (const piece of chunks) {
+        if (piece instanceof Error) throw piece;
+        yield Buffer.from(piece);
+      }
+    })(),
+    drop: () => undefined,
+  };
+}
+
+/** Creates an event stream; an error breaks it off. */
+export function stream(...chunks: (string | Error)[]): DirectResult {
+  return createResponse(chunks, { isEventStream: true });
+}
+
+/** Never responds; ends when the call is aborted. */
+export function hang(call: DirectCall): Promise<DirectResult> {
+  return new Promise((resolve) => {
+    call.signal.addEventListener("abort", () => resolve({ kind: "aborted" }));
+  });
+}
+
+/** Runs one request; each attempt gets the next of `behaviours`. */
+export async function run(
+  route: DirectRoute,
+  behaviours: readonly Behaviour[],
+  options: {
+    readonly request?: Partial<DirectRequest>;
+    readonly retryCredit?: number;
+    readonly disconnectAfterMs?: number;
+    readonly durationMs?: number;
+    /** Queue of each target: its requests and the time that one runs. */
+    readonly queue?: { readonly requests: number; readonly meanRunMs: number };
+    /** A part that a peer has just sent to an engine for prefill. */
+    readonly peerPrefill?: {
+      readonly target: string;
+      readonly part: PromptPart;
+    };
+  } = {},
+) {
+  const calls: DirectCall[] = [];
+  const sentAt: number[] = [];
+  const startedAt = performance.now();
+  const targets = createTargetTable();
+  ["a", "b", "c"].forEach((id) => targets.put(createTarget(id)));
+  let retriesLeft = options.retryCredit ?? 10;
+  const disconnectController = new AbortController();
+  let text = "";
+  let status = 0;
+  let end: RequestEnd | undefined;
+  const reply: Reply = {
+    disconnectSignal: disconnectController.signal,
+    start: (head) => {
+      status = head.status;
+    },
+    write: (data) => {
+      text += Buffer.from(data).toString();
+      return undefined;
+    },
+    end: (value) => {
+      end = value;
+    },
+  };
+  const loads = createLoadView();
+  const runTimes = createRunTimes();
+  const { queue } = options;
+  if (queue !== undefined) {
+    const load = { requests: queue.requests, unreadTokens: 0 };
+    loads.recordReport(
+      "router-2",
+      new Map(["a", "b", "c"].map((id) => [id, load])),
+    );
+    for (let count = 0; count < 100; count++) {
+      runTimes.record("cards", queue.meanRunMs);
+    }
+  }
+  const cachedParts = createCachedParts();
+  const prefills = createPartPrefills();
+  if (options.peerPrefill !== undefined) {
+    const { target, part } = options.peerPrefill;
+    cachedParts.recordPart(target, part);
+    prefills.recordPeerPrefill(target, part);
+  }
+  const running = runDirect(
+    {
+      calls: {
+        send: (call) => {
+          calls.push(call);
+          sentAt.push(performance.now() - startedAt);
+          const respond = behaviours[calls.length - 1] ?? hang;
+          return Promise.resolve(respond(call));
+        },
+        tryListCachedParts: () => Promise.resolve(undefined),
+      },
+      targets,
+      health: createTargetHealth({ log: createSilentLog() }),
+      loads,
+      cachedParts,
+      prefills,
+      placement: createPlacement({
+        hash: (key, seed) => key.length * 7 + seed,
+      }),
+      retries: {
+        recordRequest: () => undefined,
+        trySpend: () => retriesLeft-- > 0,
+      },
+      runTimes,
+      log: createSilentLog(),
+      zone: "zone-a",
+      loadMultiple: 2,
+      random: () => 0.5,
+    },
+    createRequest(route, options.request),
+    reply,
+  );
+  if (options.disconnectAfterMs !== undefined) {
+    setTimeout(() => disconnectController.abort(), options.disconnectAfterMs);
+  }
+  await jest.advanceTimersByTimeAsync(options.durationMs ?? 20_000);
+  await running;
+  return {
+    calls,
+    sentAt,
+    targets: calls.map(({ target }) => target.id),
+    text,
+    status,
+    outcome: end?.outcome,
+    code: end?.report?.code ?? "done",
+    retryAfterMs: end?.report?.retryAfterMs ?? 0,
+    loads,
+  };
+}
