Log what the caller had received before each try

Cause: a try that ended with the verdict error_answer looked the same in the log whether its error was the whole answer or was added to a stream that had begun, so the hypotheses on the incident could not be told apart.

Change: the line of each try has the status, whether it was an event stream, the bytes and the last event that the caller had before it. A try that resumed a stream has a line of its own.

--- a/src/request/attempt_description.ts
+++ b/src/request/attempt_description.ts
@@ -1,6 +1,7 @@
 /** Describes one attempt of a direct request for the log. */
 
 import { getSharedParts } from "../process/direct/prefix_placement.ts";
+import type { DirectResult } from "../types/direct_calls.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
 import type { DirectChoice } from "./direct_choice.ts";
 
@@ -21,6 +22,16 @@
   };
 }
 
+/** Returns what a target responded, for the log. */
+export function describeHead(
+  result: DirectResult,
+): Readonly<Record<string, number | boolean>> {
+  if (result.kind === "refused") return { status: result.status };
+  if (result.kind !== "answer") return {};
+  const { status, isEventStream } = result.head;
+  return { status, isEventStream };
+}
+
 /** Returns the reason of a result or an end that has one. */
 export function getReason(
   resultOrEnd: { readonly kind: string; readonly reason?: string },
--- a/src/request/direct_response.ts
+++ b/src/request/direct_response.ts
@@ -29,6 +29,8 @@
   finish(): void;
   /** Returns true while nothing has been sent to the caller. */
   isPending(): boolean;
+  /** Returns the number of bytes of the body that were sent to the caller. */
+  getSentBytes(): number;
   /** Returns the id of the last event that was sent to the caller. */
   getLastEventId(): string | undefined;
 }
@@ -43,6 +45,7 @@
 ): DirectResponse {
   const cursor = createEventCursor(options.lastEventId);
   let isStarted = false;
+  let sentBytes = 0;
   let buffered:
     | { readonly head: DirectHead; readonly parts: Uint8Array[] }
     | undefined;
@@ -51,6 +54,7 @@
     forward,
     finish,
     isPending: () => !isStarted,
+    getSentBytes: () => sentBytes,
     getLastEventId: cursor.getLastId,
   };
 
@@ -82,7 +86,7 @@
       if (step.data.length === 0) continue;
       recordProgress();
       start(head);
-      await reply.write(step.data);
+      await send(step.data);
     }
     if (cursor.isInsideEvent()) {
       return { kind: "broken", reason: "The stream ended inside an event" };
@@ -99,7 +103,7 @@
     let bufferedBytes = 0;
     for await (const data of body) {
       if (buffered === undefined) {
-        await reply.write(data);
+        await send(data);
         continue;
       }
       buffered.parts.push(data);
@@ -115,7 +119,12 @@
     const { head, parts } = buffered;
     buffered = undefined;
     start(head, length);
-    await reply.write(Buffer.concat(parts));
+    await send(Buffer.concat(parts));
+  }
+
+  function send(data: Uint8Array): Promise<void> | undefined {
+    sentBytes += data.length;
+    return reply.write(data);
   }
 
   function start(head: DirectHead, length?: number): void {
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -25,7 +25,11 @@
 import { createReport, type DiagnosticCode } from "../types/diagnostics.ts";
 import type { PromptPart } from "../types/prompt.ts";
 import type { Reply, RequestEnd } from "../types/reply.ts";
-import { describeChoice, getReason } from "./attempt_description.ts";
+import {
+  describeChoice,
+  describeHead,
+  getReason,
+} from "./attempt_description.ts";
 import { createDirectResponse } from "./direct_response.ts";
 import {
   type ChoiceHost,
@@ -208,6 +212,7 @@
 
   async function runAttempt(choice: DirectChoice): Promise<AttemptEnd> {
     const attempt = startAttempt(choice);
+    const sentBefore = describeSent();
     try {
       const result = await host.calls.send({
         target: choice.target,
@@ -225,7 +230,9 @@
         signal: attempt.signal,
       });
       const end = await classifyResult(result, choice, attempt);
-      if (end.kind !== "done") logAttempt(choice, result, end);
+      if (end.kind !== "done" || sentBefore.sentBytes > 0) {
+        logAttempt(choice, { result, end, sentBefore });
+      }
       return end;
     } finally {
       attempt.end();
@@ -439,17 +446,34 @@
     }));
   }
 
+  /** Returns what the caller has received, for the log. */
+  function describeSent() {
+    return {
+      sentBytes: response.getSentBytes(),
+      lastEventId: response.getLastEventId(),
+    };
+  }
+
   function logAttempt(
     choice: DirectChoice,
-    result: DirectResult,
-    end: AttemptEnd,
+    { result, end, sentBefore }: {
+      readonly result: DirectResult;
+      readonly end: AttemptEnd;
+      /** What the caller had received when the attempt started. */
+      readonly sentBefore: ReturnType<typeof describeSent>;
+    },
   ): void {
-    host.log.info("Try ended without an answer", {
+    const message = end.kind === "done"
+      ? "Stream was resumed at another target"
+      : "Try ended without an answer";
+    host.log.info(message, {
       request: request.requestId,
       service,
       target: choice.target.id,
       ...describeChoice(choice, request),
       result: result.kind,
+      ...describeHead(result),
+      ...sentBefore,
       reason: getReason(result) ?? getReason(end),
       verdict: end.kind,
       sends,
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -177,6 +177,23 @@
       expect(result.outcome).toBe("done");
     });
 
+    it("logs what the caller had received before each try", async () => {
+      const { logLines } = await run(resumable, [
+        () => stream(event(1), event(2), new Error("crash")),
+        () => stream(event(3)),
+      ]);
+      const sentBytes = event(1).length + event(2).length;
+      expect(logLines).toMatchObject([
+        { message: "Try ended without an answer", sentBytes: 0, status: 200 },
+        {
+          message: "Stream was resumed at another target",
+          isEventStream: true,
+          sentBytes,
+          lastEventId: "2",
+        },
+      ]);
+    });
+
     it("does not end as done inside an event", async () => {
       const result = await run(fixedStream, [
         () => stream(event(1), "id: 2\nda"),
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -87,6 +87,7 @@
   ["a", "b", "c"].forEach((id) => targets.put(createTarget(id)));
   let retriesLeft = options.retryCredit ?? 10;
   const disconnectController = new AbortController();
+  const logLines: object[] = [];
   let text = "";
   let status = 0;
   let end: RequestEnd | undefined;
@@ -147,7 +148,10 @@
         trySpend: () => retriesLeft-- > 0,
       },
       runTimes,
-      log: createSilentLog(),
+      log: {
+        ...createSilentLog(),
+        info: (message, fields) => logLines.push({ message, ...fields }),
+      },
       zone: "zone-a",
       loadMultiple: 2,
       random: () => 0.5,
@@ -170,5 +174,6 @@
     code: end?.report?.code ?? "done",
     retryAfterMs: end?.report?.retryAfterMs ?? 0,
     loads,
+    logLines,
   };
 }
