Accept only a continuation of what the caller has

Cause: the response to the caller kept two loose pieces of state, whether it had begun and a buffered body, and each try wrote into them. A try whose response was no event stream was buffered, counted as the end of the request, and flushed behind the events. The same state let the broken body of a first try be flushed behind a later stream, and a second body be appended to a part of a large first one. The class: bytes of one response are taken for the continuation of another without a check.

Change: the response says what the caller has (nothing, a whole body that is not sent yet, events, a part of a body), and a head is accepted only where it can follow. A body is buffered by its own try. A response that is not accepted counts as lost: the request goes to the next target while its attempts, retry budget and deadline allow, and otherwise ends as cut. What no target can continue is not retried.

--- a/src/request/direct_response.ts
+++ b/src/request/direct_response.ts
@@ -1,8 +1,8 @@
 /**
- * Forwards the response of a target to the caller. An event stream is forwarded
- * event by event and can resume at another target. Any other body is buffered
- * until it is complete, up to a limit, so that a truncated response does not
- * reach the caller.
+ * Forwards the responses of targets to the caller as one response. An event
+ * stream is forwarded event by event and can be continued by another target.
+ * Any other body is buffered until it is complete, up to a limit, so that a
+ * truncated response does not reach the caller.
  */
 
 import type { DirectHead } from "../types/direct_calls.ts";
@@ -19,16 +19,24 @@
 
 /** The response to one request, from one target or from several in turn. */
 export interface DirectResponse {
-  /** Forwards the body of one target until it ends or breaks off. */
+  /**
+   * Returns true when a response with this head can still reach the caller: as
+   * the whole response, or as the next part of the stream that has begun.
+   */
+  accepts(head: DirectHead): boolean;
+  /** Returns true when the response of another target can be accepted. */
+  canContinue(): boolean;
+  /**
+   * Forwards the body of one target, whose head is accepted, until it ends or
+   * breaks off.
+   */
   forward(
     head: DirectHead,
     body: AsyncIterable<Uint8Array>,
     options: { recordProgress(): void },
   ): Promise<BodyEnd>;
-  /** Sends the buffered body once the response is complete. */
+  /** Sends a complete body that is buffered, if any. */
   finish(): void;
-  /** Returns true while nothing has been sent to the caller. */
-  isPending(): boolean;
   /** Returns the number of bytes of the body that were sent to the caller. */
   getSentBytes(): number;
   /** Returns the id of the last event that was sent to the caller. */
@@ -36,28 +44,62 @@
 }
 
 /**
- * Creates the response to one request. `lastEventId` is the event after which
- * the caller wants the stream to resume.
+ * What the caller has received.
+ * - `nothing`: any response can follow.
+ * - `whole_body`: nothing yet, but the complete body of one target is buffered.
+ * - `events`: complete events; only a stream that goes on there can follow.
+ * - `part_of_body`: bytes of one target that no other target can continue.
  */
+type Progress =
+  | { readonly kind: "nothing" }
+  | {
+    readonly kind: "whole_body";
+    readonly head: DirectHead;
+    readonly body: Uint8Array;
+  }
+  | { readonly kind: "events" }
+  | { readonly kind: "part_of_body" };
+
+/** Creates the response to one request. */
 export function createDirectResponse(
   reply: Reply,
-  options: { readonly lastEventId: string | undefined },
+  { lastEventId, isResumable }: {
+    /** Event after which the caller wants the stream to resume. */
+    readonly lastEventId: string | undefined;
+    /** True when targets resume a stream after a given event. */
+    readonly isResumable: boolean;
+  },
 ): DirectResponse {
-  const cursor = createEventCursor(options.lastEventId);
-  let isStarted = false;
+  const cursor = createEventCursor(isResumable ? lastEventId : undefined);
+  let progress: Progress = { kind: "nothing" };
   let sentBytes = 0;
-  let buffered:
-    | { readonly head: DirectHead; readonly parts: Uint8Array[] }
-    | undefined;
 
   return {
+    accepts,
+    canContinue,
     forward,
     finish,
-    isPending: () => !isStarted,
     getSentBytes: () => sentBytes,
     getLastEventId: cursor.getLastId,
   };
 
+  function accepts(head: DirectHead): boolean {
+    return canContinue() &&
+      (progress.kind === "nothing" || head.isEventStream);
+  }
+
+  function canContinue(): boolean {
+    switch (progress.kind) {
+      case "nothing":
+        return true;
+      case "events":
+        return isResumable && cursor.canResume();
+      case "whole_body":
+      case "part_of_body":
+        return false;
+    }
+  }
+
   async function forward(
     head: DirectHead,
     body: AsyncIterable<Uint8Array>,
@@ -79,47 +121,59 @@
     body: AsyncIterable<Uint8Array>,
     recordProgress: () => void,
   ): Promise<BodyEnd> {
-    cursor.resume();
+    cursor.beginRun();
     for await (const data of body) {
       const step = cursor.push(data);
+      if (step.data.length > 0) {
+        recordProgress();
+        startEvents(head);
+        await send(step.data);
+      }
       if (step.kind === "broken") return step;
-      if (step.data.length === 0) continue;
-      recordProgress();
-      start(head);
-      await send(step.data);
     }
     if (cursor.isInsideEvent()) {
       return { kind: "broken", reason: "The stream ended inside an event" };
     }
-    start(head);
+    startEvents(head);
     return { kind: "complete" };
   }
 
+  function startEvents(head: DirectHead): void {
+    if (progress.kind === "events") return;
+    progress = { kind: "events" };
+    start(head, undefined);
+  }
+
   async function forwardBytes(
     head: DirectHead,
     body: AsyncIterable<Uint8Array>,
   ): Promise<BodyEnd> {
-    buffered = { head, parts: [] };
+    const buffered: Uint8Array[] = [];
     let bufferedBytes = 0;
     for await (const data of body) {
-      if (buffered === undefined) {
+      if (progress.kind === "part_of_body") {
         await send(data);
         continue;
       }
-      buffered.parts.push(data);
+      buffered.push(data);
       bufferedBytes += data.length;
-      if (bufferedBytes > maxBufferedBytes) await flush(head.length);
+      if (bufferedBytes <= maxBufferedBytes) continue;
+      progress = { kind: "part_of_body" };
+      start(head, head.length);
+      await send(Buffer.concat(buffered));
+    }
+    if (progress.kind === "nothing") {
+      progress = { kind: "whole_body", head, body: Buffer.concat(buffered) };
     }
     return { kind: "complete" };
   }
 
-  /** Sends the buffered body and stops buffering. */
-  async function flush(length: number | undefined): Promise<void> {
-    if (buffered === undefined) return;
-    const { head, parts } = buffered;
-    buffered = undefined;
-    start(head, length);
-    await send(Buffer.concat(parts));
+  function finish(): void {
+    if (progress.kind !== "whole_body") return;
+    const { head, body } = progress;
+    start(head, body.length);
+    // The size of the buffer is bounded, so the write need not be awaited.
+    if (body.length > 0) void send(body);
   }
 
   function send(data: Uint8Array): Promise<void> | undefined {
@@ -127,16 +181,7 @@
     return reply.write(data);
   }
 
-  function start(head: DirectHead, length?: number): void {
-    if (isStarted) return;
-    isStarted = true;
-    const { status, headers } = head;
+  function start({ status, headers }: DirectHead, length?: number): void {
     reply.start({ status, headers, targetId: "", length });
   }
-
-  function finish(): void {
-    const length = buffered?.parts.reduce((sum, part) => sum + part.length, 0);
-    // The size of the buffer is bounded, so the write need not be awaited.
-    void flush(length);
-  }
 }
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -121,7 +121,10 @@
     disconnectSignal: reply.disconnectSignal,
     getNow: () => performance.now(),
   });
-  const response = createDirectResponse(reply, request);
+  const response = createDirectResponse(reply, {
+    lastEventId: request.lastEventId,
+    isResumable: route.isResumable,
+  });
   const isRetryable = route.kind === "safe" ||
     (route.kind === "stream" && route.isResumable);
   const attempted = new Set<string>();
@@ -225,7 +228,7 @@
         deadlineMs: getTimeLeftMs(),
         priorityClass: getPriorityClass(request),
         fetchFrom: choice.fetchFrom?.address,
-        lastEventId: response.getLastEventId(),
+        lastEventId: response.getLastEventId() ?? request.lastEventId,
         needsFreshConnection: route.kind === "unsafe",
         signal: attempt.signal,
       });
@@ -344,6 +347,12 @@
       { head, body, drop }: Extract<DirectResult, { kind: "answer" }>,
     ): Promise<AttemptEnd> {
       countPossibleRun();
+      if (!response.accepts(head)) {
+        drop();
+        return endLost("answer_cut", {
+          reason: "The response is no continuation of what the caller has",
+        });
+      }
       const isError = head.status >= minServerErrorStatus;
       if (isError) recordOutcome("failed");
       if (isError && canRetry() && trySpendRetry()) {
@@ -401,14 +410,16 @@
 
   /** Returns true when work that may have run may be retried elsewhere. */
   function canRetry(): boolean {
-    return isRetryable && possibleRuns < route.maxTargets &&
+    return isRetryable && response.canContinue() &&
+      possibleRuns < route.maxTargets &&
       getTimeLeftMs() > minTimeLeftMs &&
       stop.getReason() === undefined && sends < maxAttempts;
   }
 
   /** Returns true when an idle timeout of this attempt may cause a retry. */
   function canRetryAfterTimeout(): boolean {
-    return isRetryable && possibleRuns + 1 < route.maxTargets &&
+    return isRetryable && response.canContinue() &&
+      possibleRuns + 1 < route.maxTargets &&
       sends < maxAttempts;
   }
 
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -160,6 +160,26 @@
       expect(failed).toMatchObject({ status: 500, text: "no" });
     });
 
+    // The second body was appended to the part of the first.
+    it("is not retried once a part of a large body was sent", async () => {
+      const part = "x".repeat(300_000);
+      const result = await run(safe, [
+        () => createResponse([part, new Error("reset")]),
+        () => createResponse([part, "end"]),
+      ]);
+      expect(result.calls.length).toBe(1);
+      expect(result.text).toBe(part);
+      expect(result.code).toBe("answer_cut");
+    });
+
+    it("ends without the broken body of an earlier target", async () => {
+      const result = await run(safe, [
+        () => createResponse(["half", new Error("reset")]),
+        () => createResponse(["found"]),
+      ]);
+      expect(result).toMatchObject({ text: "found", outcome: "done" });
+    });
+
     it("is not retried when the retry budget is spent", async () => {
       const result = await run(safe, [lost], { retryCredit: 0 });
       expect(result.calls.length).toBe(1);
@@ -177,6 +197,66 @@
       expect(result.outcome).toBe("done");
     });
 
+    // Each of these was appended to the events and ended as done.
+    for (
+      const [name, respond] of Object.entries({
+        "an error": () => createResponse(["no"], { status: 500 }),
+        "a rejection": () => createResponse(["no"], { status: 404 }),
+        "another kind of body": () => createResponse(["{}"]),
+        "an empty body": () => createResponse([]),
+        "a large body": () => createResponse(["x".repeat(300_000)]),
+      })
+    ) {
+      it(`is not completed by ${name} of the next target`, async () => {
+        const result = await run(resumable, [
+          () => stream(event(1), event(2), new Error("crash")),
+          respond,
+        ]);
+        expect(result.text).toBe(event(1) + event(2));
+        expect(result).toMatchObject({ status: 200, code: "answer_cut" });
+      });
+    }
+
+    it("resumes at the target behind one that responds an error", async () => {
+      const route = { ...resumable, maxTargets: 3 };
+      const result = await run(route, [
+        () => stream(event(1), new Error("crash")),
+        () => createResponse(["no"], { status: 500 }),
+        () => stream(event(2)),
+      ]);
+      expect(result.calls[2]?.lastEventId).toBe("1");
+      expect(result.text).toBe(event(1) + event(2));
+      expect(result.outcome).toBe("done");
+    });
+
+    it("ends without the broken body of an earlier target", async () => {
+      const result = await run(resumable, [
+        () => createResponse(["half", new Error("reset")]),
+        () => stream(event(1)),
+      ]);
+      expect(result).toMatchObject({ text: event(1), outcome: "done" });
+    });
+
+    it("is not sent elsewhere once an event without id has arrived", async () => {
+      const result = await run(resumable, [
+        () => stream("data: word\n\n", new Error("crash")),
+        () => stream(event(1)),
+      ]);
+      expect(result.calls.length).toBe(1);
+      expect(result).toMatchObject({
+        text: "data: word\n\n",
+        code: "answer_cut",
+      });
+    });
+
+    it("passes a caller's last event on where streams cannot resume", async () => {
+      const result = await run(fixedStream, [() => stream(event(1))], {
+        request: { lastEventId: "4" },
+      });
+      expect(result.calls[0]?.lastEventId).toBe("4");
+      expect(result).toMatchObject({ text: event(1), outcome: "done" });
+    });
+
     it("logs what the caller had received before each try", async () => {
       const { logLines } = await run(resumable, [
         () => stream(event(1), event(2), new Error("crash")),
--- a/src/request/event_cursor.ts
+++ b/src/request/event_cursor.ts
@@ -13,16 +13,22 @@
 /** Result of one push: complete new events, or a defect of the stream. */
 export type CursorStep =
   | { readonly kind: "events"; readonly data: Uint8Array }
-  | { readonly kind: "broken"; readonly reason: string };
+  | {
+    readonly kind: "broken";
+    readonly data: Uint8Array;
+    readonly reason: string;
+  };
 
 /** Position in one event stream. */
 export interface EventCursor {
   /** Takes bytes of the current engine and returns complete new events. */
   push(data: Uint8Array): CursorStep;
   /** Prepares for the stream of the next engine: drops an incomplete event. */
-  resume(): void;
+  beginRun(): void;
   /** Returns the id of the last complete event; undefined without one. */
   getLastId(): string | undefined;
+  /** Returns true when another engine can go on behind the last event. */
+  canResume(): boolean;
   /** Returns true while an incomplete event is buffered. */
   isInsideEvent(): boolean;
 }
@@ -36,10 +42,11 @@
 
   return {
     push,
-    resume: () => {
+    beginRun: () => {
       buffered = Buffer.alloc(0);
     },
     getLastId: () => lastId,
+    canResume: () => lastId !== undefined,
     isInsideEvent: () => buffered.length > 0,
   };
 
@@ -56,12 +63,12 @@
       const orderCheck = checkOrder(event);
       if (orderCheck === "repeated") continue;
       if (orderCheck === "gap") {
-        return { kind: "broken", reason: "An event of the stream is missing" };
+        return createDefect("An event of the stream is missing");
       }
       events.push(event);
     }
     if (buffered.length > maxEventBytes) {
-      return { kind: "broken", reason: "The stream has no event boundaries" };
+      return createDefect("The stream has no event boundaries");
     }
     const [single] = events;
     return {
@@ -83,3 +90,7 @@
     return "next";
   }
 }
+
+function createDefect(reason: string): CursorStep {
+  return { kind: "broken", data: Buffer.alloc(0), reason };
+}
--- a/src/request/event_cursor_test.ts
+++ b/src/request/event_cursor_test.ts
@@ -25,7 +25,7 @@
     it("repeats no event and completes the interrupted one", () => {
       const cursor = createEventCursor(undefined);
       push(cursor, `${createEvent(1)}${createEvent(2)}id: 3\ndata: w`);
-      cursor.resume();
+      cursor.beginRun();
       expect(push(cursor, `${createEvent(2)}${createEvent(3)}`))
         .toBe(createEvent(3));
     });
@@ -33,7 +33,7 @@
     it("is broken when an event is missing", () => {
       const cursor = createEventCursor(undefined);
       push(cursor, createEvent(1));
-      cursor.resume();
+      cursor.beginRun();
       expect(push(cursor, createEvent(3))).toBe("broken");
     });
 
