Require a resumed stream to go on with the next event

Callers could see: events of two runs in one stream. A target that ignores the last event's id and starts over was joined by dropping the events up to that id; events without an id, or whose id is no number, were taken as next whoever sent them. And where a gap came in the same piece of data as the event before it, that event counted as sent but was not, and the next run began behind it: an event was missing from a stream that ended as done.

Cause: the order of an event was judged by its distance from the last one only, also at the first event of another run.

Change: the first event of a run that continues must be exactly the next one, else the run is broken; comments pass. A stream can be resumed only while its last event has a number as its id. Events before a defect are handed out together with it.

The test "repeats no event and completes the interrupted one" demanded that a run which begins with an event the caller has is trimmed. A run that does not go on where it was told to is another run, so it is now required to be broken off, in four forms; that an engine's own repeated event is dropped and that the interrupted event is completed stay as tests of their own.

--- a/src/request/event_cursor.ts
+++ b/src/request/event_cursor.ts
@@ -10,7 +10,10 @@
 /** Maximum size of an event; engines send no larger ones. */
 const maxEventBytes = 1_048_576;
 
-/** Result of one push: complete new events, or a defect of the stream. */
+/**
+ * Result of one push: the complete new events, and the defect of the stream
+ * that follows them, if any.
+ */
 export type CursorStep =
   | { readonly kind: "events"; readonly data: Uint8Array }
   | {
@@ -23,33 +26,55 @@
 export interface EventCursor {
   /** Takes bytes of the current engine and returns complete new events. */
   push(data: Uint8Array): CursorStep;
-  /** Prepares for the stream of the next engine: drops an incomplete event. */
+  /**
+   * Prepares for the stream of the next engine: drops an incomplete event. The
+   * stream must begin with the event that follows the last one.
+   */
   beginRun(): void;
   /** Returns the id of the last complete event; undefined without one. */
   getLastId(): string | undefined;
-  /** Returns true when another engine can go on behind the last event. */
+  /**
+   * Returns true when the id of the last event is enough to check that another
+   * stream goes on behind it.
+   */
   canResume(): boolean;
   /** Returns true while an incomplete event is buffered. */
   isInsideEvent(): boolean;
 }
 
+/** How an event relates to the last one. */
+type EventOrder = "next" | "repeated" | "gap" | "other_run";
+
+/** Reasons to report for the orders that break a stream. */
+const reasonsByOrder: Readonly<Partial<Record<EventOrder, string>>> = {
+  gap: "An event of the stream is missing",
+  other_run: "The stream does not begin with the next event",
+};
+
 /** Creates a cursor after the event with an id, or at the start. */
 export function createEventCursor(
   afterId: string | undefined,
 ): EventCursor {
   let lastId = afterId;
   let buffered: Buffer = Buffer.alloc(0);
+  /** True until the first event of a run that has to go on after `lastId`. */
+  let isAtResumption = tryParseId(afterId) !== undefined;
+  /** True when an event without a number as its id is the last one. */
+  let isBeyondLastId = false;
 
   return {
     push,
-    beginRun: () => {
-      buffered = Buffer.alloc(0);
-    },
+    beginRun,
     getLastId: () => lastId,
-    canResume: () => lastId !== undefined,
+    canResume: () => !isBeyondLastId && tryParseId(lastId) !== undefined,
     isInsideEvent: () => buffered.length > 0,
   };
 
+  function beginRun(): void {
+    buffered = Buffer.alloc(0);
+    isAtResumption = tryParseId(lastId) !== undefined;
+  }
+
   function push(data: Uint8Array): CursorStep {
     buffered = buffered.length === 0
       ? Buffer.from(data)
@@ -60,37 +85,52 @@
       const event = buffered.subarray(0, end + eventTerminator.length);
       buffered = buffered.subarray(end + eventTerminator.length);
       end = buffered.indexOf(eventTerminator);
-      const orderCheck = checkOrder(event);
-      if (orderCheck === "repeated") continue;
-      if (orderCheck === "gap") {
-        return createDefect("An event of the stream is missing");
+      const order = accept(event.toString("latin1"));
+      if (order === "repeated") continue;
+      const reason = reasonsByOrder[order];
+      if (reason !== undefined) {
+        return { kind: "broken", data: join(events), reason };
       }
       events.push(event);
     }
-    if (buffered.length > maxEventBytes) {
-      return createDefect("The stream has no event boundaries");
-    }
-    const [single] = events;
-    return {
-      kind: "events",
-      data: events.length === 1 && single !== undefined
-        ? single
-        : Buffer.concat(events),
-    };
+    return buffered.length > maxEventBytes
+      ? {
+        kind: "broken",
+        data: join(events),
+        reason: "The stream has no event boundaries",
+      }
+      : { kind: "events", data: join(events) };
   }
 
-  /** Compares an event's id with the last one; events without id pass. */
-  function checkOrder(event: Buffer): "next" | "repeated" | "gap" {
-    const id = /^id: ?(.*)$/m.exec(event.toString("latin1"))?.[1];
-    if (id === undefined) return "next";
-    const step = Number(id) - Number(lastId ?? Number.NaN);
+  /** Compares an event's id with the last one and records it if it is next. */
+  function accept(event: string): EventOrder {
+    if (isComment(event)) return "next";
+    const id = /^id: ?(.*)$/m.exec(event)?.[1];
+    const step = (tryParseId(id) ?? Number.NaN) -
+      (tryParseId(lastId) ?? Number.NaN);
+    if (isAtResumption && step !== 1) return "other_run";
+    isAtResumption = false;
     if (step <= 0) return "repeated";
     if (step > 1) return "gap";
-    lastId = id;
+    isBeyondLastId = tryParseId(id) === undefined;
+    if (id !== undefined) lastId = id;
     return "next";
   }
 }
 
-function createDefect(reason: string): CursorStep {
-  return { kind: "broken", data: Buffer.alloc(0), reason };
+/** Returns true for an event that has only comment lines. */
+function isComment(event: string): boolean {
+  return event.trimEnd().split("\n").every((line) => line.startsWith(":"));
+}
+
+/** Returns the number in an event id; undefined when it is not one. */
+function tryParseId(id: string | undefined): number | undefined {
+  return id !== undefined && /^\d{1,15}$/.test(id) ? Number(id) : undefined;
+}
+
+function join(events: readonly Buffer[]): Uint8Array {
+  const [single] = events;
+  return events.length === 1 && single !== undefined
+    ? single
+    : Buffer.concat(events);
 }
--- a/src/request/event_cursor_test.ts
+++ b/src/request/event_cursor_test.ts
@@ -21,13 +21,73 @@
     expect(cursor.getLastId()).toBe("2");
   });
 
+  it("drops an event that its engine repeats", () => {
+    const cursor = createEventCursor(undefined);
+    push(cursor, `${createEvent(1)}${createEvent(2)}`);
+    expect(push(cursor, `${createEvent(2)}${createEvent(3)}`))
+      .toBe(createEvent(3));
+  });
+
   describe("a stream that another engine resumes", () => {
-    it("repeats no event and completes the interrupted one", () => {
+    it("completes the interrupted event", () => {
       const cursor = createEventCursor(undefined);
       push(cursor, `${createEvent(1)}${createEvent(2)}id: 3\ndata: w`);
       cursor.beginRun();
-      expect(push(cursor, `${createEvent(2)}${createEvent(3)}`))
-        .toBe(createEvent(3));
+      expect(push(cursor, createEvent(3))).toBe(createEvent(3));
+    });
+
+    for (
+      const [name, text] of Object.entries({
+        "starts over": `${createEvent(1)}${createEvent(2)}${createEvent(3)}`,
+        "repeats an event": `${createEvent(2)}${createEvent(3)}`,
+        "has no event ids": "data: word\n\n",
+        "has ids that are no numbers": "id: c\ndata: word\n\n",
+      })
+    ) {
+      it(`is not continued by a run that ${name}`, () => {
+        const cursor = createEventCursor(undefined);
+        push(cursor, `${createEvent(1)}${createEvent(2)}`);
+        cursor.beginRun();
+        expect(cursor.push(Buffer.from(text))).toMatchObject({
+          kind: "broken",
+          data: Buffer.alloc(0),
+        });
+        expect(cursor.getLastId()).toBe("2");
+      });
+    }
+
+    it("is continued after a comment", () => {
+      const cursor = createEventCursor("1");
+      const text = `: still reading\n\n${createEvent(2)}`;
+      expect(push(cursor, text)).toBe(text);
+    });
+
+    for (
+      const [name, text] of Object.entries({
+        "without an id": "data: word\n\n",
+        "whose id is no number": "id: c\ndata: word\n\n",
+      })
+    ) {
+      it(`cannot be resumed after an event ${name}`, () => {
+        const cursor = createEventCursor(undefined);
+        push(cursor, createEvent(1));
+        expect(cursor.canResume()).toBe(true);
+        push(cursor, text);
+        expect(cursor.canResume()).toBe(false);
+      });
+    }
+
+    // The events before the gap counted as sent, and the next run began behind
+    // them.
+    it("loses no event before a gap", () => {
+      const cursor = createEventCursor(undefined);
+      push(cursor, createEvent(1));
+      const step = cursor.push(
+        Buffer.from(`${createEvent(2)}${createEvent(4)}`),
+      );
+      expect(step.kind).toBe("broken");
+      expect(Buffer.from(step.data).toString()).toBe(createEvent(2));
+      expect(cursor.getLastId()).toBe("2");
     });
 
     it("is broken when an event is missing", () => {
