Complete a broken stream only with events that follow it

Callers could see: a stream that broke off and ended as complete because the next target sent an empty event stream, or one whose later events had no id and could not be checked.

Cause: the end of a resumed run counted as the end of the stream even where the run had not gone on, and only its first event was checked.

Change: a run that resumes a stream is complete only after the next event has come from it, and all of its events must be numbered. A caller who resumes behind the last event still gets one target's empty stream as whole.

--- a/src/request/direct_response.ts
+++ b/src/request/direct_response.ts
@@ -121,6 +121,7 @@
     body: AsyncIterable<Uint8Array>,
     recordProgress: () => void,
   ): Promise<BodyEnd> {
+    const isContinuation = progress.kind === "events";
     cursor.beginRun();
     for await (const data of body) {
       const step = cursor.push(data);
@@ -134,6 +135,13 @@
     if (cursor.isInsideEvent()) {
       return { kind: "broken", reason: "The stream ended inside an event" };
     }
+    // An empty stream doesn't show that the event before was the last one.
+    if (isContinuation && cursor.isAtResumption()) {
+      return {
+        kind: "broken",
+        reason: "The stream ended before its next event",
+      };
+    }
     startEvents(head);
     return { kind: "complete" };
   }
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -204,6 +204,8 @@
         "a rejection": () => createResponse(["no"], { status: 404 }),
         "another kind of body": () => createResponse(["{}"]),
         "an empty body": () => createResponse([]),
+        "an empty stream": () => stream(),
+        "a stream of comments": () => stream(": reading\n\n"),
         "a large body": () => createResponse(["x".repeat(300_000)]),
       })
     ) {
@@ -212,7 +214,8 @@
           () => stream(event(1), event(2), new Error("crash")),
           respond,
         ]);
-        expect(result.text).toBe(event(1) + event(2));
+        expect(result.text.replace(": reading\n\n", ""))
+          .toBe(event(1) + event(2));
         expect(result).toMatchObject({ status: 200, code: "answer_cut" });
       });
     }
@@ -249,6 +252,13 @@
       });
     });
 
+    it("ends as done when the caller resumes behind the last event", async () => {
+      const result = await run(resumable, [() => stream()], {
+        request: { lastEventId: "4" },
+      });
+      expect(result).toMatchObject({ text: "", outcome: "done", status: 200 });
+    });
+
     it("passes a caller's last event on where streams cannot resume", async () => {
       const result = await run(fixedStream, [() => stream(event(1))], {
         request: { lastEventId: "4" },
--- a/src/request/event_cursor.ts
+++ b/src/request/event_cursor.ts
@@ -38,17 +38,20 @@
    * stream goes on behind it.
    */
   canResume(): boolean;
+  /** Returns true until the next event of a resumed stream has arrived. */
+  isAtResumption(): boolean;
   /** Returns true while an incomplete event is buffered. */
   isInsideEvent(): boolean;
 }
 
 /** How an event relates to the last one. */
-type EventOrder = "next" | "repeated" | "gap" | "other_run";
+type EventOrder = "next" | "repeated" | "gap" | "other_run" | "unnumbered";
 
 /** Reasons to report for the orders that break a stream. */
 const reasonsByOrder: Readonly<Partial<Record<EventOrder, string>>> = {
   gap: "An event of the stream is missing",
   other_run: "The stream does not begin with the next event",
+  unnumbered: "An event of the resumed stream has no number as its id",
 };
 
 /** Creates a cursor after the event with an id, or at the start. */
@@ -57,8 +60,10 @@
 ): EventCursor {
   let lastId = afterId;
   let buffered: Buffer = Buffer.alloc(0);
-  /** True until the first event of a run that has to go on after `lastId`. */
-  let isAtResumption = tryParseId(afterId) !== undefined;
+  /** True while the run has to go on after an event of an earlier one. */
+  let isResumed = tryParseId(afterId) !== undefined;
+  /** True until the first event of such a run. */
+  let isAtResumption = isResumed;
   /** True when an event without a number as its id is the last one. */
   let isBeyondLastId = false;
 
@@ -67,12 +72,14 @@
     beginRun,
     getLastId: () => lastId,
     canResume: () => !isBeyondLastId && tryParseId(lastId) !== undefined,
+    isAtResumption: () => isAtResumption,
     isInsideEvent: () => buffered.length > 0,
   };
 
   function beginRun(): void {
     buffered = Buffer.alloc(0);
-    isAtResumption = tryParseId(lastId) !== undefined;
+    isResumed = tryParseId(lastId) !== undefined;
+    isAtResumption = isResumed;
   }
 
   function push(data: Uint8Array): CursorStep {
@@ -106,13 +113,14 @@
   function accept(event: string): EventOrder {
     if (isComment(event)) return "next";
     const id = /^id: ?(.*)$/m.exec(event)?.[1];
-    const step = (tryParseId(id) ?? Number.NaN) -
-      (tryParseId(lastId) ?? Number.NaN);
+    const number = tryParseId(id);
+    const step = (number ?? Number.NaN) - (tryParseId(lastId) ?? Number.NaN);
     if (isAtResumption && step !== 1) return "other_run";
     isAtResumption = false;
+    if (isResumed && number === undefined) return "unnumbered";
     if (step <= 0) return "repeated";
     if (step > 1) return "gap";
-    isBeyondLastId = tryParseId(id) === undefined;
+    isBeyondLastId = number === undefined;
     if (id !== undefined) lastId = id;
     return "next";
   }
--- a/src/request/event_cursor_test.ts
+++ b/src/request/event_cursor_test.ts
@@ -56,6 +56,15 @@
       });
     }
 
+    it("is not continued beyond an event without an id", () => {
+      const cursor = createEventCursor("1");
+      const step = cursor.push(
+        Buffer.from(`${createEvent(2)}data: word\n\n`),
+      );
+      expect(step.kind).toBe("broken");
+      expect(Buffer.from(step.data).toString()).toBe(createEvent(2));
+    });
+
     it("is continued after a comment", () => {
       const cursor = createEventCursor("1");
       const text = `: still reading\n\n${createEvent(2)}`;
