Hold a body without chunks until its request has ended

What callers could see: over HTTP/1.0 (also 0.9 and 2.0, which the parser accepts) a response of unknown length that broke off looked whole, because its body ends with the connection and the kernel ends that in the same way for a destroyed response, for closeAllConnections and for a killed process. A router with agents ended on such a request: one HTTP/1.0 chat with "stream": true stopped the process. So did HEAD, 204 and 304 with unknown length. A caller of HTTP/1.0 with "TE: chunked" got chunks, which intermediaries of that version take for the body.

Cause: Node sends such a body without any framing. Announcing a trailer without chunks throws ERR_HTTP_TRAILER_INVALID, and throws again when the error response is written on the same header, which ends the process as an unhandled rejection.

A whole body gets its length; any other end is an error response, since nothing was sent. No kill can make that look whole. A response without a body is held likewise, as its head alone is the whole response.

--- a/src/connection/caller_reply.ts
+++ b/src/connection/caller_reply.ts
@@ -3,6 +3,7 @@
 import type { ServerResponse } from "node:http";
 import { formatReport, getDiagnostic } from "../types/diagnostics.ts";
 import type { Reply, ReplyHead, RequestEnd } from "../types/reply.ts";
+import { createFramedReply, hasBody } from "./framed_reply.ts";
 
 /** Status of a request that ended without a report. */
 const doneStatus = 200;
@@ -41,13 +42,16 @@
 ): Reply {
   const disconnect = new AbortController();
   let isEventStream = false;
-  let hasKnownLength = false;
+  let hasTrailers = false;
   response.on("close", () => {
     if (!response.writableFinished) disconnect.abort();
   });
   response.on("error", () => disconnect.abort());
 
-  return { disconnectSignal: disconnect.signal, start, write, end };
+  return createFramedReply(
+    { disconnectSignal: disconnect.signal, start, write, end },
+    { response, stop: () => disconnect.abort() },
+  );
 
   function start(head: ReplyHead): void {
     for (const { name, value } of head.headers) {
@@ -57,14 +61,13 @@
     }
     response.setHeader("x-request-id", options.requestId);
     response.setHeader("x-place", head.targetId);
-    hasKnownLength = head.length !== undefined;
-    if (head.length === undefined) {
-      // The outcome is only known when the body ends.
-      response.setHeader("trailer", "x-outcome, x-code");
-    } else {
+    hasTrailers = head.length === undefined && hasBody(response, head.status);
+    if (head.length !== undefined) {
       response.setHeader("content-length", head.length);
-      response.setHeader("x-outcome", "done");
     }
+    // The outcome of a body of unknown length is only known when it ends.
+    if (hasTrailers) response.setHeader("trailer", "x-outcome, x-code");
+    else response.setHeader("x-outcome", "done");
     response.writeHead(head.status);
   }
 
@@ -91,7 +94,7 @@
   }
 
   function endAfterHead(requestEnd: RequestEnd): void {
-    if (hasKnownLength) {
+    if (!hasTrailers) {
       response.end();
       return;
     }
--- /dev/null
+++ b/src/connection/framed_reply.ts
@@ -0,0 +1,86 @@
+/**
+ * Frames the body of a response so that one that is cut never looks complete.
+ * A body of unknown length needs chunks for that: without them it ends with its
+ * connection, which also ends when the process is killed.
+ */
+
+import type { ServerResponse } from "node:http";
+import { createReport } from "../types/diagnostics.ts";
+import type { Reply, ReplyHead, RequestEnd } from "../types/reply.ts";
+
+/** Maximum size of a body that is held until its end, 4 MiB. */
+export const maxHeldBytes = 4 * 1024 * 1024;
+
+/** The only version of HTTP that has chunks, of those that are accepted. */
+const chunkedVersion = "1.1";
+
+/** Statuses of responses without a body. */
+const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
+
+/** A response that is sent once its request has ended as `done`. */
+interface HeldResponse {
+  readonly head: ReplyHead;
+  readonly parts: Uint8Array[];
+  bytes: number;
+}
+
+/**
+ * Wraps a reply that writes to `response`. `stop` tells the request that the
+ * response has ended before its body.
+ */
+export function createFramedReply(
+  reply: Reply,
+  { response, stop }: {
+    readonly response: ServerResponse;
+    stop(): void;
+  },
+): Reply {
+  let held: HeldResponse | undefined;
+  let isEnded = false;
+
+  return { disconnectSignal: reply.disconnectSignal, start, write, end };
+
+  function start(head: ReplyHead): void {
+    const isFramed = head.length !== undefined ||
+      (response.req.httpVersion === chunkedVersion &&
+        hasBody(response, head.status));
+    if (isFramed) reply.start(head);
+    else held = { head, parts: [], bytes: 0 };
+  }
+
+  function write(data: Uint8Array): Promise<void> | undefined {
+    if (isEnded) return undefined;
+    if (held === undefined) return reply.write(data);
+    held.bytes += data.length;
+    if (held.bytes > maxHeldBytes) refuse();
+    else held.parts.push(data);
+    return undefined;
+  }
+
+  function refuse(): void {
+    const report = createReport("answer_too_large", { limit: maxHeldBytes });
+    end({ outcome: "failed", report });
+    stop();
+  }
+
+  function end(requestEnd: RequestEnd): void {
+    if (isEnded) return;
+    const ready = requestEnd.outcome === "done" ? held : undefined;
+    held = undefined;
+    if (ready !== undefined) send(ready);
+    reply.end(requestEnd);
+    isEnded = true;
+  }
+
+  function send({ head, parts, bytes }: HeldResponse): void {
+    if (!hasBody(response, head.status)) return reply.start(head);
+    reply.start({ ...head, length: bytes });
+    // The size of the body is bounded, so the write need not be awaited.
+    void reply.write(Buffer.concat(parts, bytes));
+  }
+}
+
+/** Returns true when a response with this status has a body. */
+export function hasBody(response: ServerResponse, status: number): boolean {
+  return response.req.method !== "HEAD" && !statusesWithoutBody.has(status);
+}
--- /dev/null
+++ b/src/connection/framed_reply_test.ts
@@ -0,0 +1,235 @@
+import { once } from "node:events";
+import { formatRequest, openRawCaller } from "../../test/support/raw_caller.ts";
+import {
+  createHead,
+  cut,
+  done,
+  type ReplyScript,
+  type ReplyServer,
+  type StartServer,
+  startServers,
+} from "../../test/support/reply_servers.ts";
+import { maxHeldBytes } from "./framed_reply.ts";
+
+const path = "/services/desk/1";
+
+/** Versions of HTTP without chunks that the HTTP parser accepts. */
+const versionsWithoutChunks = ["0.9", "1.0", "2.0"];
+
+describe.each(startServers)("a response of %s", (_role, startServer) => {
+  const { start, call } = useServer(startServer);
+
+  describe.each(versionsWithoutChunks)("to HTTP/%s", (version) => {
+    it("is an error when a body of unknown length is cut", async () => {
+      await start((reply) => {
+        reply.start(createHead());
+        void reply.write(Buffer.from("part"));
+        reply.end(cut);
+      });
+      const responses = await call(formatRequest(path, { version })).readAll();
+      expect(responses).toMatchObject([{
+        status: 502,
+        body: expect.stringContaining("answer_cut"),
+        looksWhole: true,
+      }]);
+    });
+
+    it("has the length of a whole body", async () => {
+      await start((reply) => {
+        reply.start(createHead());
+        void reply.write(Buffer.from("part "));
+        void reply.write(Buffer.from("rest"));
+        reply.end(done);
+      });
+      const responses = await call(formatRequest(path, { version })).readAll();
+      expect(responses).toMatchObject([{
+        status: 200,
+        headers: { "content-length": "9", "content-type": "text/plain" },
+        body: "part rest",
+      }]);
+    });
+
+    it("has no chunks though the caller accepts them", async () => {
+      await start((reply) => {
+        reply.start(createHead());
+        void reply.write(Buffer.from("part"));
+        reply.end(done);
+      });
+      const headers = { te: "chunked" };
+      const [response] = await call(formatRequest(path, { version, headers }))
+        .readAll();
+      expect(response?.headers).toMatchObject({ "content-length": "4" });
+      expect(response?.headers).not.toHaveProperty("transfer-encoding");
+    });
+
+    it("is not begun when the server stops before its end", async () => {
+      const { server, written } = await startUnfinished();
+      const caller = call(formatRequest(path, { version }));
+      await written;
+      await server.stop(0);
+      await caller.closed;
+      expect(caller.getText()).toBe("");
+    });
+
+    it("is streamed when its length is known", async () => {
+      let finish = (): void => undefined;
+      await start((reply) => {
+        reply.start(createHead({ length: 9 }));
+        void reply.write(Buffer.from("part "));
+        finish = () => {
+          void reply.write(Buffer.from("rest"));
+          reply.end(done);
+        };
+      });
+      const caller = call(formatRequest(path, { version }));
+      await caller.waitForText("part ");
+      finish();
+      expect(await caller.readAll()).toMatchObject([{
+        headers: { "content-length": "9" },
+        body: "part rest",
+      }]);
+    });
+  });
+
+  describe("that is held until its end", () => {
+    it("is an error beyond a size, and stops the request", async () => {
+      let isStopped: boolean | undefined;
+      await start((reply) => {
+        reply.start(createHead());
+        const data = Buffer.alloc(maxHeldBytes / 2, "x");
+        void reply.write(data);
+        void reply.write(data);
+        expect(reply.disconnectSignal.aborted).toBe(false);
+        void reply.write(Buffer.from("y"));
+        isStopped = reply.disconnectSignal.aborted;
+        void reply.write(data);
+        reply.end(done);
+      });
+      const responses = await call(formatRequest(path, { version: "1.0" }))
+        .readAll();
+      expect(responses).toMatchObject([{
+        status: 502,
+        body: expect.stringMatching(/^\{"error":\{"code":"answer_too_large"/),
+      }]);
+      expect(isStopped).toBe(true);
+    });
+
+    it("may have the largest size", async () => {
+      await start((reply) => {
+        reply.start(createHead());
+        void reply.write(Buffer.alloc(maxHeldBytes, "x"));
+        reply.end(done);
+      });
+      const [response] = await call(formatRequest(path, { version: "1.0" }))
+        .readAll();
+      expect(response).toMatchObject({ status: 200, looksWhole: true });
+      expect(response?.body).toHaveLength(maxHeldBytes);
+    });
+
+    it("is an error when a header cannot be sent", async () => {
+      const server = await start((reply) => {
+        const headers = [{ name: "x-name", value: "\u2603" }];
+        reply.start(createHead({ headers }));
+        void reply.write(Buffer.from("part"));
+        reply.end(done);
+      });
+      const responses = await call(formatRequest(path, { version: "1.0" }))
+        .readAll();
+      expect(responses).toMatchObject([{ status: 502 }]);
+      expect(server.errors).toHaveLength(1);
+    });
+  });
+
+  describe("without a body", () => {
+    const statuses = [["HEAD", 200], ["GET", 204], ["GET", 304]] as const;
+    describe.each(statuses)("to %s with status %i", (method, status) => {
+      const options = { isHead: method === "HEAD" };
+      const close = { connection: "close" };
+
+      it("has no length and leaves the next response whole", async () => {
+        await start((reply) => {
+          reply.start(createHead({ status }));
+          reply.end(done);
+        });
+        const requests = formatRequest(path, { method }) +
+          formatRequest(path, { method, headers: close });
+        const responses = await call(requests).readAll(options);
+        expect(responses.map((response) => response.status)).toEqual([
+          status,
+          status,
+        ]);
+        for (const { headers } of responses) {
+          expect(headers).not.toHaveProperty("content-length");
+          expect(headers).not.toHaveProperty("transfer-encoding");
+        }
+      });
+
+      it("is an error when the request fails after its head", async () => {
+        await start((reply) => {
+          reply.start(createHead({ status }));
+          reply.end(cut);
+        });
+        const request = formatRequest(path, { method, headers: close });
+        expect(await call(request).readAll(options)).toMatchObject([{
+          status: 502,
+        }]);
+      });
+
+      it("drops bytes of a body", async () => {
+        await start((reply) => {
+          reply.start(createHead({ status }));
+          void reply.write(Buffer.from("part"));
+          reply.end(done);
+        });
+        const request = formatRequest(path, { method, headers: close });
+        const caller = call(request);
+        expect(await caller.readAll(options)).toHaveLength(1);
+        expect(caller.getText()).not.toContain("part");
+      });
+    });
+  });
+
+  /** Starts a server whose responses do not end. */
+  async function startUnfinished(): Promise<{
+    readonly server: ReplyServer;
+    readonly written: Promise<void>;
+  }> {
+    let resolveWritten = (): void => undefined;
+    const written = new Promise<void>((resolve) => {
+      resolveWritten = resolve;
+    });
+    const server = await start(async (reply) => {
+      reply.start(createHead());
+      void reply.write(Buffer.from("part"));
+      resolveWritten();
+      await once(reply.disconnectSignal, "abort");
+      reply.end(cut);
+    });
+    return { server, written };
+  }
+});
+
+/** Starts servers for tests and closes them with their callers. */
+function useServer(startServer: StartServer) {
+  let server: ReplyServer | undefined;
+  const callers: ReturnType<typeof openRawCaller>[] = [];
+  afterEach(async () => {
+    callers.splice(0).forEach(({ socket }) => socket.destroy());
+    await server?.stop(0);
+    server = undefined;
+  });
+
+  return { start, call };
+
+  async function start(script: ReplyScript): Promise<ReplyServer> {
+    server = await startServer(script);
+    return server;
+  }
+
+  function call(text: string): ReturnType<typeof openRawCaller> {
+    if (server === undefined) throw new Error("No server was started");
+    const caller = openRawCaller(server.port, text);
+    callers.push(caller);
+    return caller;
+  }
+}
--- a/src/connection/frontend_reply.ts
+++ b/src/connection/frontend_reply.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Reply, ReplyHead, RequestEnd } from "../types/reply.ts";
 import { formatError, waitForDrain } from "./caller_reply.ts";
+import { createFramedReply } from "./framed_reply.ts";
 
 /** Creates a reply that writes to an HTTP response. */
 export function createFrontendReply(
@@ -30,7 +31,10 @@
   message.on("aborted", handleDisconnect);
   message.on("error", handleDisconnect);
 
-  return { disconnectSignal: disconnect.signal, start, write, end };
+  return createFramedReply(
+    { disconnectSignal: disconnect.signal, start, write, end },
+    { response, stop: handleDisconnect },
+  );
 
   function start(head: ReplyHead): void {
     const headers = head.headers.flatMap(({ name, value }) => [name, value]);
@@ -52,7 +56,7 @@
     if (disconnect.signal.aborted) response.destroy();
     else if (!response.headersSent) endBeforeHead(requestEnd);
     else if (requestEnd.outcome === "done") response.end();
-    // The missing last chunk shows the caller that the body is incomplete.
+    // Missing bytes or the missing last chunk show that the body is incomplete.
     else response.destroy();
   }
 
--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -118,6 +118,11 @@
     status: 502,
     text: "The answer ended early after {bytes} bytes",
   },
+  answer_too_large: {
+    category: "failed",
+    status: 502,
+    text: "The answer is larger than {limit} bytes, which needs HTTP/1.1",
+  },
   target_crashed: {
     category: "failed",
     status: 502,
--- a/src/types/reply.ts
+++ b/src/types/reply.ts
@@ -23,7 +23,10 @@
 
 /** Writes one response to a caller. */
 export interface Reply {
-  /** Aborted when the caller has closed the connection. */
+  /**
+   * Aborted when the caller has closed the connection, or when the response has
+   * ended early because the rest cannot be sent.
+   */
   readonly disconnectSignal: AbortSignal;
   /** Writes the head; called at most once. */
   start(head: ReplyHead): void;
--- a/test/processes/bad_input_test.ts
+++ b/test/processes/bad_input_test.ts
@@ -134,6 +134,20 @@
       expect(await countRuns()).toBe(runsBefore);
     });
 
+    it("HTTP/1.0 gets a whole stream, though it has no trailers", async () => {
+      const text = JSON.stringify({ ...body, stream: true });
+      const response = await sendAndReceive(router.callerPort, [
+        "POST /v1/chat/completions HTTP/1.0\r\nx-workspace: team-1\r\n",
+        `content-length: ${Buffer.byteLength(text)}\r\n\r\n${text}`,
+      ]);
+      expect(response).toMatch(/^HTTP\/1\.1 200 /);
+      expect(response).toMatch(/^x-outcome: done\r$/m);
+      expect(response).toContain("data: [DONE]");
+      const [head = "", stream = ""] = response.split("\r\n\r\n");
+      const length = /^content-length: (\d+)\r$/m.exec(`${head}\r\n`)?.[1];
+      expect(Buffer.byteLength(stream)).toBe(Number(length));
+    });
+
     it("a slow body does not delay other callers", async () => {
       const slowSocket = connect(router.callerPort, "127.0.0.1");
       slowSocket.on("error", () => undefined);
--- /dev/null
+++ b/test/support/reply_servers.ts
@@ -0,0 +1,125 @@
+/** Starts the servers for callers with a script in place of the requests. */
+
+import { createCallerServer } from "../../src/connection/caller_server.ts";
+import { createFrontendServer } from "../../src/connection/frontend_server.ts";
+import {
+  createReport,
+  type DiagnosticCode,
+} from "../../src/types/diagnostics.ts";
+import type { FrontendRequest } from "../../src/types/direct_request.ts";
+import type { Reply, ReplyHead, RequestEnd } from "../../src/types/reply.ts";
+import { createPorts } from "../harness/ports.ts";
+
+/** Writes one response; the path names the request. */
+export type ReplyScript = (
+  reply: Reply,
+  path: string,
+) => Promise<void> | void;
+
+/** A server whose requests run a script. */
+export interface ReplyServer {
+  readonly port: number;
+  /** Errors that scripts threw. */
+  readonly errors: unknown[];
+  /** Codes of requests that were rejected before their script ran. */
+  readonly rejections: DiagnosticCode[];
+  /** Closes all connections, after at most the time if the server waits. */
+  stop(timeoutMs: number): Promise<void> | void;
+}
+
+/** Starts a server. */
+export type StartServer = (script: ReplyScript) => Promise<ReplyServer>;
+
+const ports = createPorts();
+
+/** Maximum size of a request's body, in bytes. */
+const maxBodyBytes = 1_000;
+
+/** Timeout of a request's headers and body, in milliseconds. */
+const timeoutMs = 60_000;
+
+/** Both servers by the role that uses them. */
+export const startServers: readonly (readonly [string, StartServer])[] = [
+  ["a direct router", startFrontendServer],
+  ["a router with agents", startCallerServer],
+];
+
+/** The end of a request that has the whole answer. */
+export const done: RequestEnd = { outcome: "done", report: undefined };
+
+/** The end of a request whose target broke off its answer. */
+export const cut: RequestEnd = {
+  outcome: "failed",
+  report: createReport("answer_cut", { bytes: 4 }),
+};
+
+/** Creates the head of a response. */
+export function createHead(head: Partial<ReplyHead> = {}): ReplyHead {
+  return {
+    status: 200,
+    headers: [{ name: "content-type", value: "text/plain" }],
+    targetId: "target-1",
+    length: undefined,
+    ...head,
+  };
+}
+
+/** Starts the server of routers that reach targets directly. */
+export async function startFrontendServer(
+  script: ReplyScript,
+): Promise<ReplyServer> {
+  const port = await ports.allocate();
+  const errors: unknown[] = [];
+  const rejections: DiagnosticCode[] = [];
+  const server = await createFrontendServer({
+    decode: (message) => ({ path: message.url }) as FrontendRequest,
+    createRequestId: () => "request-1",
+    getLimits: () => ({
+      maxHeaderBytes: 16_384,
+      maxBodyBytes,
+      headerTimeoutMs: timeoutMs,
+      idleTimeoutMs: timeoutMs,
+    }),
+    tryAdmit: () => undefined,
+    handle: ({ path }, reply) => run(script, { path, reply, errors }),
+    recordRejection: (_id, { code }) => void rejections.push(code),
+  }, { address: "127.0.0.1", port });
+  return { port, errors, rejections, stop: () => server.stop() };
+}
+
+/** Starts the server of routers with agents. */
+export async function startCallerServer(
+  script: ReplyScript,
+): Promise<ReplyServer> {
+  const errors: unknown[] = [];
+  const rejections: DiagnosticCode[] = [];
+  const server = await createCallerServer({
+    createRequestId: () => "request-1",
+    tryAdmit: () => undefined,
+    handle: ({ path }, reply) => run(script, { path, reply, errors }),
+    recordRejection: (code) => void rejections.push(code),
+  }, {
+    address: "127.0.0.1",
+    port: 0,
+    maxBodyBytes,
+    bodyTimeoutMs: timeoutMs,
+  });
+  return { port: server.getPort(), errors, rejections, stop: server.stop };
+}
+
+/** Runs a script; an error ends the request as it does in the routers. */
+async function run(
+  script: ReplyScript,
+  { path, reply, errors }: {
+    readonly path: string;
+    readonly reply: Reply;
+    readonly errors: unknown[];
+  },
+): Promise<void> {
+  try {
+    await script(reply, path);
+  } catch (error) {
+    errors.push(error);
+    reply.end({ outcome: "unknown", report: createReport("outcome_unknown") });
+  }
+}
