Close a connection whose response misses its announced length

What callers could see: a response that ended as done short of its content-length was filled up with the head and body of the next response on the connection, and bytes beyond the length were read as the start of the next response. A router with agents ended a failed response of known length without closing its connection, so its caller waited, or took the next response for the rest.

Cause: Node checks neither, and caller_reply.ts took a known length for proof that all bytes had been written. The pipelines don't do this today (undici refuses such a target, the delivery announces only what it has), so nothing but the replies guards it.

Before, 7 tests red in framed_reply_test.ts, e.g. expected not to contain "rest", received "partrestHTTP/1.1 200 OK ..."; expected looksWhole false, received true; "looks cut when its request fails" waited until its timeout.

Now framed_reply.ts counts the bytes of an announced length and closes the connection at the first byte too many, before it is written, and at an end with bytes missing. A response that fails after its head closes its connection unless it can carry the error. The other new tests were green before: they prove that a destroyed response looks cut with chunks and with a length, also when the server stops, that none follows it on its connection, and that the one before it stays whole.

--- a/src/connection/caller_reply.ts
+++ b/src/connection/caller_reply.ts
@@ -94,16 +94,13 @@
   }
 
   function endAfterHead(requestEnd: RequestEnd): void {
-    if (!hasTrailers) {
-      response.end();
-      return;
-    }
     if (requestEnd.outcome !== "done") {
       // A destroyed connection shows the caller that the body is incomplete.
-      if (!isEventStream) return void response.destroy();
+      if (!isEventStream || !hasTrailers) return void response.destroy();
       const { body } = formatError(requestEnd, options.requestId);
       response.write(`event: error\ndata: ${body}\n\n`);
     }
+    if (!hasTrailers) return void response.end();
     response.addTrailers({
       "x-outcome": requestEnd.outcome,
       "x-code": requestEnd.report?.code ?? "done",
--- a/src/connection/framed_reply.ts
+++ b/src/connection/framed_reply.ts
@@ -36,6 +36,8 @@
   },
 ): Reply {
   let held: HeldResponse | undefined;
+  /** Bytes of the announced length that are still to be written. */
+  let bytesLeft: number | undefined;
   let isEnded = false;
 
   return { disconnectSignal: reply.disconnectSignal, start, write, end };
@@ -44,19 +46,40 @@
     const isFramed = head.length !== undefined ||
       (response.req.httpVersion === chunkedVersion &&
         hasBody(response, head.status));
-    if (isFramed) reply.start(head);
+    if (isFramed) startNow(head);
     else held = { head, parts: [], bytes: 0 };
   }
 
+  function startNow(head: ReplyHead): void {
+    if (hasBody(response, head.status)) bytesLeft = head.length;
+    reply.start(head);
+  }
+
   function write(data: Uint8Array): Promise<void> | undefined {
     if (isEnded) return undefined;
-    if (held === undefined) return reply.write(data);
+    if (held === undefined) return writeNow(data);
     held.bytes += data.length;
     if (held.bytes > maxHeldBytes) refuse();
     else held.parts.push(data);
     return undefined;
   }
 
+  function writeNow(data: Uint8Array): Promise<void> | undefined {
+    if (bytesLeft !== undefined) {
+      // The caller would take further bytes for the start of another response.
+      if (data.length > bytesLeft) return destroy();
+      bytesLeft -= data.length;
+    }
+    return reply.write(data);
+  }
+
+  /** Closes the connection, so that no other response follows. */
+  function destroy(): undefined {
+    isEnded = true;
+    response.destroy();
+    stop();
+  }
+
   function refuse(): void {
     const report = createReport("answer_too_large", { limit: maxHeldBytes });
     end({ outcome: "failed", report });
@@ -68,15 +91,17 @@
     const ready = requestEnd.outcome === "done" ? held : undefined;
     held = undefined;
     if (ready !== undefined) send(ready);
+    const isShort = requestEnd.outcome === "done" && (bytesLeft ?? 0) > 0;
+    if (isShort) return destroy();
     reply.end(requestEnd);
     isEnded = true;
   }
 
   function send({ head, parts, bytes }: HeldResponse): void {
-    if (!hasBody(response, head.status)) return reply.start(head);
-    reply.start({ ...head, length: bytes });
+    if (!hasBody(response, head.status)) return startNow(head);
+    startNow({ ...head, length: bytes });
     // The size of the body is bounded, so the write need not be awaited.
-    void reply.write(Buffer.concat(parts, bytes));
+    void writeNow(Buffer.concat(parts, bytes));
   }
 }
 
--- a/src/connection/framed_reply_test.ts
+++ b/src/connection/framed_reply_test.ts
@@ -9,6 +9,7 @@
   type StartServer,
   startServers,
 } from "../../test/support/reply_servers.ts";
+import type { ReplyHead } from "../types/reply.ts";
 import { maxHeldBytes } from "./framed_reply.ts";
 
 const path = "/services/desk/1";
@@ -189,8 +190,174 @@
     });
   });
 
+  describe("in chunks", () => {
+    it("looks cut when its request fails", async () => {
+      let fail = (): void => undefined;
+      await start((reply) => {
+        reply.start(createHead());
+        void reply.write(Buffer.from("part"));
+        fail = () => reply.end(cut);
+      });
+      const caller = call(formatRequest(path));
+      await caller.waitForText("part");
+      fail();
+      expect(await caller.readAll()).toMatchObject([{
+        status: 200,
+        body: "part",
+        looksWhole: false,
+      }]);
+    });
+
+    it("looks cut when the server stops", async () => {
+      const { server } = await startUnfinished();
+      const caller = call(formatRequest(path));
+      await caller.waitForText("part");
+      await server.stop(0);
+      expect(await caller.readAll()).toMatchObject([{
+        headers: { "transfer-encoding": "chunked" },
+        body: "part",
+        looksWhole: false,
+      }]);
+    });
+  });
+
+  describe("of a known length", () => {
+    it("looks cut when its request fails", async () => {
+      let fail = (): void => undefined;
+      await start((reply) => {
+        reply.start(createHead({ length: 9 }));
+        void reply.write(Buffer.from("part"));
+        fail = () => reply.end(cut);
+      });
+      const caller = call(formatRequest(path));
+      await caller.waitForText("part");
+      fail();
+      expect(await caller.readAll()).toMatchObject([{
+        status: 200,
+        body: "part",
+        looksWhole: false,
+      }]);
+    });
+
+    it("looks cut when the server stops", async () => {
+      const { server } = await startUnfinished({ length: 9 });
+      const caller = call(formatRequest(path));
+      await caller.waitForText("part");
+      await server.stop(0);
+      expect(await caller.readAll()).toMatchObject([{
+        headers: { "content-length": "9" },
+        body: "part",
+        looksWhole: false,
+      }]);
+    });
+
+    it("is not filled up by the next response", async () => {
+      await start((reply) => {
+        reply.start(createHead({ length: 9 }));
+        void reply.write(Buffer.from("part"));
+        reply.end(done);
+      });
+      const close = { connection: "close" };
+      const requests = formatRequest(path) +
+        formatRequest(path, { headers: close });
+      const [response] = await call(requests).readAll();
+      expect(response?.looksWhole ?? false).toBe(false);
+    });
+
+    it.each([["one write", ["partrest"]], ["two writes", ["part", "rest"]]])(
+      "does not run over into the next response, in %s",
+      async (_name, parts) => {
+        await start((reply) => {
+          reply.start(createHead({ length: 4 }));
+          for (const part of parts) void reply.write(Buffer.from(part));
+          reply.end(done);
+        });
+        const close = { connection: "close" };
+        const requests = formatRequest(path) +
+          formatRequest(path, { headers: close });
+        const caller = call(requests);
+        await caller.closed;
+        expect(caller.getText()).not.toContain("rest");
+        expect((await caller.readAll()).length).toBeLessThanOrEqual(1);
+      },
+    );
+  });
+
+  describe("that was destroyed", () => {
+    it("is not followed by the response to the next request", async () => {
+      let finishFirst = (): void => undefined;
+      await start((reply, requestPath) => {
+        reply.start(createHead());
+        void reply.write(Buffer.from(`answer to ${requestPath}`));
+        if (requestPath !== path) return reply.end(done);
+        finishFirst = () => reply.end(cut);
+      });
+      const caller = call(formatRequest(path) + formatRequest(`${path}2`));
+      await caller.waitForText("answer to");
+      finishFirst();
+      expect(await caller.readAll()).toMatchObject([{ looksWhole: false }]);
+      expect(caller.getText()).not.toContain(`answer to ${path}2`);
+    });
+
+    it("leaves the response before it whole", async () => {
+      let finishFirst = (): void => undefined;
+      await start((reply, requestPath) => {
+        reply.start(createHead());
+        void reply.write(Buffer.from(`answer to ${requestPath}`));
+        if (requestPath !== path) return reply.end(cut);
+        finishFirst = () => reply.end(done);
+      });
+      const caller = call(formatRequest(path) + formatRequest(`${path}2`));
+      await caller.waitForText("answer to");
+      finishFirst();
+      const [first, ...others] = await caller.readAll();
+      expect(first).toMatchObject({
+        body: `answer to ${path}`,
+        looksWhole: true,
+      });
+      expect(others.some(({ looksWhole }) => looksWhole)).toBe(false);
+    });
+  });
+
+  describe("that has ended", () => {
+    it.each([["a known length", 4], ["an unknown length", undefined]])(
+      "stays whole when it is ended again, with %s",
+      async (_name, length) => {
+        await start((reply) => {
+          reply.start(createHead({ length }));
+          void reply.write(Buffer.from("part"));
+          reply.end(done);
+          reply.end(cut);
+        });
+        const headers = { connection: "close" };
+        const responses = await call(formatRequest(path, { headers }))
+          .readAll();
+        expect(responses).toMatchObject([{ body: "part", looksWhole: true }]);
+      },
+    );
+
+    it("takes no more bytes and holds up no writer", async () => {
+      let result: Promise<void> | undefined;
+      await start(async (reply) => {
+        reply.start(createHead());
+        await reply.write(Buffer.from("part"));
+        reply.end(done);
+        result = reply.write(Buffer.from("rest"));
+      });
+      const headers = { connection: "close" };
+      const caller = call(formatRequest(path, { headers }));
+      expect(await caller.readAll()).toMatchObject([{
+        body: "part",
+        looksWhole: true,
+      }]);
+      expect(await result).toBeUndefined();
+    });
+  });
+
   /** Starts a server whose responses do not end. */
-  async function startUnfinished(): Promise<{
+  async function startUnfinished(
+    head: Partial<ReplyHead> = {},
+  ): Promise<{
     readonly server: ReplyServer;
     readonly written: Promise<void>;
   }> {
@@ -199,7 +366,7 @@
       resolveWritten = resolve;
     });
     const server = await start(async (reply) => {
-      reply.start(createHead());
+      reply.start(createHead(head));
       void reply.write(Buffer.from("part"));
       resolveWritten();
       await once(reply.disconnectSignal, "abort");
