Report an answer that was never started as lost

What callers could see: a request that ended as done before a head was written got status 200 with the body {}, a whole answer that no target gave.

Cause: the replies wrote an error response for every end before the head, and formatError made one without a report a success.

Now framed_reply.ts ends such a request as outcome_unknown, and no end is formatted as a success.

--- a/src/connection/caller_reply.ts
+++ b/src/connection/caller_reply.ts
@@ -1,13 +1,14 @@
 /** Writes one response to a caller's HTTP connection. */
 
 import type { ServerResponse } from "node:http";
-import { formatReport, getDiagnostic } from "../types/diagnostics.ts";
+import {
+  createReport,
+  formatReport,
+  getDiagnostic,
+} from "../types/diagnostics.ts";
 import type { Reply, ReplyHead, RequestEnd } from "../types/reply.ts";
 import { createFramedReply, hasBody } from "./framed_reply.ts";
 
-/** Status of a request that ended without a report. */
-const doneStatus = 200;
-
 /** The status and the body of an error response. */
 export interface FormattedError {
   readonly status: number;
@@ -20,11 +21,11 @@
   end: RequestEnd,
   requestId: string,
 ): FormattedError {
-  if (end.report === undefined) return { status: doneStatus, body: "{}" };
-  const { code, retryAfterMs } = end.report;
+  const report = end.report ?? createReport("outcome_unknown");
+  const { code, retryAfterMs } = report;
   const error = {
     code,
-    message: formatReport(end.report),
+    message: formatReport(report),
     outcome: end.outcome,
     request_id: requestId,
     ...(retryAfterMs > 0 ? { retry_after_ms: retryAfterMs } : {}),
--- a/src/connection/framed_reply.ts
+++ b/src/connection/framed_reply.ts
@@ -17,6 +17,12 @@
 /** Statuses of responses without a body. */
 const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
 
+/** The end of a request that is `done`, but whose answer was never started. */
+const answerLost: RequestEnd = {
+  outcome: "unknown",
+  report: createReport("outcome_unknown"),
+};
+
 /** A response that is sent once its request has ended as `done`. */
 interface HeldResponse {
   readonly head: ReplyHead;
@@ -38,11 +44,13 @@
   let held: HeldResponse | undefined;
   /** Bytes of the announced length that are still to be written. */
   let bytesLeft: number | undefined;
+  let isStarted = false;
   let isEnded = false;
 
   return { disconnectSignal: reply.disconnectSignal, start, write, end };
 
   function start(head: ReplyHead): void {
+    isStarted = true;
     const isFramed = head.length !== undefined ||
       (response.req.httpVersion === chunkedVersion &&
         hasBody(response, head.status));
@@ -88,6 +96,7 @@
 
   function end(requestEnd: RequestEnd): void {
     if (isEnded) return;
+    if (requestEnd.outcome === "done" && !isStarted) return end(answerLost);
     const ready = requestEnd.outcome === "done" ? held : undefined;
     held = undefined;
     if (ready !== undefined) send(ready);
--- a/src/connection/framed_reply_test.ts
+++ b/src/connection/framed_reply_test.ts
@@ -352,6 +352,16 @@
       }]);
       expect(await result).toBeUndefined();
     });
+
+    it("is an error when its request is done without a head", async () => {
+      await start((reply) => reply.end(done));
+      const headers = { connection: "close" };
+      const responses = await call(formatRequest(path, { headers })).readAll();
+      expect(responses).toMatchObject([{
+        status: 502,
+        body: expect.stringContaining("outcome_unknown"),
+      }]);
+    });
   });
 
   /** Starts a server whose responses do not end. */
