Free the writers of pipelined responses when their caller disconnects

What callers could see: nothing of their own, but a router that fills up. A request that waits behind another on its connection kept its writer for ever when the caller disconnected: at a direct router beyond its deadline too, and with it a place in the count of requests in flight.

Cause: Node emits no close for a response that waits for its turn on a connection, and no abort for a request whose body has been read, so neither the signal of the reply nor the wait for a drain learnt of the closed connection.

Before, 2 tests red in framed_reply_test.ts ("frees a later request when the caller disconnects", one per reply): no end until the timeout of the test.

Now the replies also listen to the close of the socket, and the wait for a drain ends with the signal.

--- a/src/connection/caller_reply.ts
+++ b/src/connection/caller_reply.ts
@@ -44,14 +44,19 @@
   const disconnect = new AbortController();
   let isEventStream = false;
   let hasTrailers = false;
+  const { socket } = response.req;
+  const handleDisconnect = (): void => disconnect.abort();
+  // A response that waits for an earlier one on its connection does not close.
+  socket.on("close", handleDisconnect);
   response.on("close", () => {
+    socket.off("close", handleDisconnect);
     if (!response.writableFinished) disconnect.abort();
   });
-  response.on("error", () => disconnect.abort());
+  response.on("error", handleDisconnect);
 
   return createFramedReply(
     { disconnectSignal: disconnect.signal, start, write, end },
-    { response, stop: () => disconnect.abort() },
+    { response, stop: handleDisconnect },
   );
 
   function start(head: ReplyHead): void {
@@ -74,7 +79,7 @@
 
   function write(data: Uint8Array): Promise<void> | undefined {
     if (disconnect.signal.aborted || response.write(data)) return undefined;
-    return waitForDrain(response);
+    return waitForDrain(response, disconnect.signal);
   }
 
   function end(requestEnd: RequestEnd): void {
@@ -110,15 +115,20 @@
   }
 }
 
-/** Waits until more can be written or the caller has disconnected. */
-export function waitForDrain(response: ServerResponse): Promise<void> {
+/** Waits until more can be written or the signal reports a disconnect. */
+export function waitForDrain(
+  response: ServerResponse,
+  disconnectSignal: AbortSignal,
+): Promise<void> {
   return new Promise((resolve) => {
     response.once("drain", finish);
     response.once("close", finish);
+    disconnectSignal.addEventListener("abort", finish, { once: true });
 
     function finish(): void {
       response.off("drain", finish);
       response.off("close", finish);
+      disconnectSignal.removeEventListener("abort", finish);
       resolve();
     }
   });
--- a/src/connection/framed_reply_test.ts
+++ b/src/connection/framed_reply_test.ts
@@ -364,6 +364,70 @@
     });
   });
 
+  describe("that its caller does not read", () => {
+    const data = Buffer.alloc(64 * 1024, "x");
+
+    it("holds up its writer until the caller reads", async () => {
+      let written = 0;
+      let isHeldUp = (): void => undefined;
+      const heldUp = new Promise<void>((resolve) => {
+        isHeldUp = resolve;
+      });
+      await start(async (reply) => {
+        reply.start(createHead());
+        // A few large writes fill the buffers of both kernels.
+        while (written < 2_000) {
+          written++;
+          const drained = reply.write(data);
+          if (drained === undefined) continue;
+          isHeldUp();
+          await drained;
+        }
+        reply.end(done);
+      });
+      const headers = { connection: "close" };
+      const caller = call(formatRequest(path, { headers }));
+      caller.socket.pause();
+      await heldUp;
+      expect(written).toBeLessThan(2_000);
+      caller.socket.resume();
+      const [response] = await caller.readAll();
+      expect(response?.looksWhole).toBe(true);
+      expect(response?.body).toHaveLength(2_000 * data.length);
+    });
+
+    it.each([["the first", path], ["a later", `${path}2`]])(
+      "frees %s request when the caller disconnects",
+      async (_name, writingPath) => {
+        let isWriting = (): void => undefined;
+        const writing = new Promise<void>((resolve) => {
+          isWriting = resolve;
+        });
+        let isFreed = (): void => undefined;
+        const freed = new Promise<void>((resolve) => {
+          isFreed = resolve;
+        });
+        await start(async (reply, requestPath) => {
+          if (requestPath !== writingPath) return;
+          reply.start(createHead());
+          while (!reply.disconnectSignal.aborted) {
+            const drained = reply.write(data);
+            if (drained === undefined) continue;
+            isWriting();
+            await drained;
+          }
+          reply.end(cut);
+          isFreed();
+        });
+        const caller = call(formatRequest(path) + formatRequest(`${path}2`));
+        caller.socket.pause();
+        await writing;
+        caller.socket.destroy();
+        await freed;
+      },
+    );
+  });
+
   /** Starts a server whose responses do not end. */
   async function startUnfinished(
     head: Partial<ReplyHead> = {},
