Send no refusal into the response to another request

What callers could see: on a connection with an open response, a malformed request (or headers or a body that time out or end early) put its refusal into that response. A body of known length that had been sent in part was filled up with the text of the refusal and looked whole; before the head, the refusal was the whole answer to a request that was running, with the outcome not_run.

Cause: the handlers of clientError write to the socket, past Node's order of responses.

Now open_responses.ts knows the responses that are open on each connection. The refusal is only written when the next bytes are read as the response to the request that is being received; otherwise the connection is closed, as Node does by itself.

--- a/src/connection/caller_server.ts
+++ b/src/connection/caller_server.ts
@@ -16,6 +16,7 @@
 import type { Reply } from "../types/reply.ts";
 import { readBody } from "./caller_body.ts";
 import { createHttpReply, formatError } from "./caller_reply.ts";
+import { createOpenResponses } from "./open_responses.ts";
 
 /** Maximum total size of a request's headers, in bytes. */
 export const maxHeaderBytes = 16 * 1024;
@@ -93,10 +94,12 @@
     keepAliveTimeout: keepAliveTimeoutMs,
     noDelay: true,
   });
+  const openResponses = createOpenResponses();
   const app = polka({ server, onNoMatch: rejectUnknownPath });
   app.post(chatPath, accept);
   app.all(servicePath, accept);
   server.on("clientError", rejectMalformed);
+  server.on("request", (_message, response) => openResponses.add(response));
   server.on("request", app.handler as never);
   await listen(server, options);
 
@@ -171,6 +174,10 @@
     }
     const code = codesByParserError[error.code ?? ""] ?? "bad_http";
     host.recordRejection(code);
+    if (!openResponses.canRefuse(socket)) {
+      socket.destroy();
+      return;
+    }
     const report = createReport(code, {
       limit: code === "body_late" ? options.bodyTimeoutMs : maxHeaderBytes,
       reason: error.message,
--- a/src/connection/framed_reply_test.ts
+++ b/src/connection/framed_reply_test.ts
@@ -1,13 +1,12 @@
 import { once } from "node:events";
-import { formatRequest, openRawCaller } from "../../test/support/raw_caller.ts";
+import { formatRequest } from "../../test/support/raw_caller.ts";
 import {
   createHead,
   cut,
   done,
-  type ReplyScript,
   type ReplyServer,
-  type StartServer,
   startServers,
+  useReplyServer,
 } from "../../test/support/reply_servers.ts";
 import type { ReplyHead } from "../types/reply.ts";
 import { maxHeldBytes } from "./framed_reply.ts";
@@ -18,7 +17,7 @@
 const versionsWithoutChunks = ["0.9", "1.0", "2.0"];
 
 describe.each(startServers)("a response of %s", (_role, startServer) => {
-  const { start, call } = useServer(startServer);
+  const { start, call } = useReplyServer(startServer);
 
   describe.each(versionsWithoutChunks)("to HTTP/%s", (version) => {
     it("is an error when a body of unknown length is cut", async () => {
@@ -449,28 +448,3 @@
     return { server, written };
   }
 });
-
-/** Starts servers for tests and closes them with their callers. */
-function useServer(startServer: StartServer) {
-  let server: ReplyServer | undefined;
-  const callers: ReturnType<typeof openRawCaller>[] = [];
-  afterEach(async () => {
-    callers.splice(0).forEach(({ socket }) => socket.destroy());
-    await server?.stop(0);
-    server = undefined;
-  });
-
-  return { start, call };
-
-  async function start(script: ReplyScript): Promise<ReplyServer> {
-    server = await startServer(script);
-    return server;
-  }
-
-  function call(text: string): ReturnType<typeof openRawCaller> {
-    if (server === undefined) throw new Error("No server was started");
-    const caller = openRawCaller(server.port, text);
-    callers.push(caller);
-    return caller;
-  }
-}
--- a/src/connection/frontend_server.ts
+++ b/src/connection/frontend_server.ts
@@ -18,6 +18,7 @@
 import { readBody } from "./caller_body.ts";
 import { listen } from "./caller_server.ts";
 import { createFrontendReply } from "./frontend_reply.ts";
+import { createOpenResponses } from "./open_responses.ts";
 import { createRequestPacer } from "./request_pacer.ts";
 
 /** What the server needs from the process. */
@@ -61,6 +62,7 @@
 ): Promise<FrontendServer> {
   const limits = host.getLimits();
   const pacer = createRequestPacer();
+  const openResponses = createOpenResponses();
   let isDraining = false;
   const server = createServer({
     maxHeaderSize: maxHeaderBytes,
@@ -71,6 +73,7 @@
   });
   const app = polka({ server, onNoMatch: accept });
   server.on("clientError", rejectMalformed);
+  server.on("request", (_message, response) => openResponses.add(response));
   server.on("request", app.handler as never);
   await listen(server, { ...address, backlog });
 
@@ -145,15 +148,17 @@
     error: Error & { readonly code?: string },
     socket: Socket,
   ): void {
-    if (socket.writable && error.code !== "ECONNRESET") {
-      host.recordRejection(
-        "",
-        createReport("bad_http", { reason: error.message }),
-      );
-      socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n");
+    if (!socket.writable || error.code === "ECONNRESET") {
+      socket.destroy();
       return;
     }
-    socket.destroy();
+    host.recordRejection(
+      "",
+      createReport("bad_http", { reason: error.message }),
+    );
+    if (openResponses.canRefuse(socket)) {
+      socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n");
+    } else socket.destroy();
   }
 }
 
--- a/test/support/raw_caller.ts
+++ b/test/support/raw_caller.ts
@@ -92,13 +92,13 @@
       return [...responses, { ...cut, looksWhole: false }];
     }
     const hasBody = options.isHead !== true && status !== 204 && status !== 304;
-    const body = parseBody(
+    const { rest: next, ...body } = parseBody(
       rest.slice(headEnd + 4),
       hasBody ? headers : { "content-length": "0" },
     );
     responses.push({ status, headers, ...body });
     if (!body.looksWhole) return responses;
-    rest = body.rest;
+    rest = next;
   }
   return responses;
 }
--- a/test/support/reply_servers.ts
+++ b/test/support/reply_servers.ts
@@ -9,6 +9,7 @@
 import type { FrontendRequest } from "../../src/types/direct_request.ts";
 import type { Reply, ReplyHead, RequestEnd } from "../../src/types/reply.ts";
 import { createPorts } from "../harness/ports.ts";
+import { openRawCaller, type RawCaller } from "./raw_caller.ts";
 
 /** Writes one response; the path names the request. */
 export type ReplyScript = (
@@ -123,3 +124,32 @@
     reply.end({ outcome: "unknown", report: createReport("outcome_unknown") });
   }
 }
+
+/** Starts a server in a test, and closes it and its callers after the test. */
+export function useReplyServer(startServer: StartServer): {
+  start(script: ReplyScript): Promise<ReplyServer>;
+  /** Connects to the server and sends the text of one or more requests. */
+  call(text: string): RawCaller;
+} {
+  let server: ReplyServer | undefined;
+  const callers: RawCaller[] = [];
+  afterEach(async () => {
+    callers.splice(0).forEach(({ socket }) => socket.destroy());
+    await server?.stop(0);
+    server = undefined;
+  });
+
+  return { start, call };
+
+  async function start(script: ReplyScript): Promise<ReplyServer> {
+    server = await startServer(script);
+    return server;
+  }
+
+  function call(text: string): RawCaller {
+    if (server === undefined) throw new Error("No server was started");
+    const caller = openRawCaller(server.port, text);
+    callers.push(caller);
+    return caller;
+  }
+}
