Close the connection of a stream that is cut inside an event

What callers could see: a stream that was cut inside an event ended well-formed, with the error event read as a part of that event ("data: aevent: error", or a field of it), so a caller that reads no trailers saw no error.

Cause: the event buffer forwards an event larger than 256 KiB in parts, and caller_reply.ts wrote its error event wherever the bytes stood. In a stream with a content-encoding it wrote plain text.

Before, 6 tests red in caller_reply_test.ts, e.g. expected body "data: a" and looksWhole false, received "data: aevent: error\ndata: {..." and true.

Now the reply knows the last four bytes that it wrote. It reports the error in the stream only after the end of an event, without an encoding; otherwise it closes the connection, and the last chunk is missing. Over HTTP/1.0, without trailers, a cut stream is already an error response, since bodies without chunks are held until their end; two tests prove it here.

--- a/src/connection/caller_reply.ts
+++ b/src/connection/caller_reply.ts
@@ -9,6 +9,12 @@
 import type { Reply, ReplyHead, RequestEnd } from "../types/reply.ts";
 import { createFramedReply, hasBody } from "./framed_reply.ts";
 
+/** Blank lines that end an event, with either kind of line break. */
+const eventEnds = ["\n\n", "\r\n\r\n"];
+
+/** Length of the longest end of an event, in bytes. */
+const maxEventEndBytes = 4;
+
 /** The status and the body of an error response. */
 export interface FormattedError {
   readonly status: number;
@@ -43,6 +49,9 @@
 ): Reply {
   const disconnect = new AbortController();
   let isEventStream = false;
+  let isEncoded = false;
+  /** The last bytes written, as many as the end of an event has. */
+  let tail: Buffer = Buffer.alloc(0);
   let hasTrailers = false;
   const { socket } = response.req;
   const handleDisconnect = (): void => disconnect.abort();
@@ -62,7 +71,9 @@
   function start(head: ReplyHead): void {
     for (const { name, value } of head.headers) {
       response.setHeader(name, value);
-      if (name.toLowerCase() !== "content-type") continue;
+      const lowerName = name.toLowerCase();
+      if (lowerName === "content-encoding") isEncoded = true;
+      if (lowerName !== "content-type") continue;
       isEventStream = value.startsWith("text/event-stream");
     }
     response.setHeader("x-request-id", options.requestId);
@@ -78,6 +89,10 @@
   }
 
   function write(data: Uint8Array): Promise<void> | undefined {
+    if (isEventStream) {
+      tail = Buffer.concat([tail, data.subarray(-maxEventEndBytes)])
+        .subarray(-maxEventEndBytes);
+    }
     if (disconnect.signal.aborted || response.write(data)) return undefined;
     return waitForDrain(response, disconnect.signal);
   }
@@ -102,7 +117,7 @@
   function endAfterHead(requestEnd: RequestEnd): void {
     if (requestEnd.outcome !== "done") {
       // A destroyed connection shows the caller that the body is incomplete.
-      if (!isEventStream || !hasTrailers) return void response.destroy();
+      if (!canReportInStream()) return void response.destroy();
       const { body } = formatError(requestEnd, options.requestId);
       response.write(`event: error\ndata: ${body}\n\n`);
     }
@@ -113,6 +128,15 @@
     });
     response.end();
   }
+
+  /**
+   * Returns true when the caller would decode an error event here. Within an
+   * event it would become a part of that event.
+   */
+  function canReportInStream(): boolean {
+    return hasTrailers && isEventStream && !isEncoded && (tail.length === 0 ||
+      eventEnds.some((text) => tail.toString("latin1").endsWith(text)));
+  }
 }
 
 /** Waits until more can be written or the signal reports a disconnect. */
--- /dev/null
+++ b/src/connection/caller_reply_test.ts
@@ -0,0 +1,137 @@
+import {
+  formatRequest,
+  type RawResponse,
+} from "../../test/support/raw_caller.ts";
+import {
+  createHead,
+  cut,
+  done,
+  startCallerServer,
+  useReplyServer,
+} from "../../test/support/reply_servers.ts";
+
+const path = "/services/desk/1";
+const eventStream = { name: "content-type", value: "text/event-stream" };
+const head = createHead({ headers: [eventStream] });
+
+describe("the reply of a router with agents", () => {
+  const server = useReplyServer(startCallerServer);
+
+  /** Reads a stream whose request fails once the parts have arrived. */
+  async function cutAfter(
+    parts: readonly string[],
+    streamHead = head,
+  ): Promise<readonly RawResponse[]> {
+    let fail = (): void => undefined;
+    await server.start((reply) => {
+      reply.start(streamHead);
+      for (const part of parts) void reply.write(Buffer.from(part));
+      fail = () => reply.end(cut);
+      if (parts.length === 0) fail();
+    });
+    const headers = { connection: "close" };
+    const caller = server.call(formatRequest(path, { headers }));
+    for (const part of parts) {
+      await caller.waitForText(
+        `\r\n${part.length.toString(16)}\r\n${part}\r\n`,
+      );
+    }
+    fail();
+    return await caller.readAll();
+  }
+
+  describe("with an event stream", () => {
+    it("ends with the outcome when it is whole", async () => {
+      await server.start((reply) => {
+        reply.start(head);
+        void reply.write(Buffer.from("data: a\n\n"));
+        reply.end(done);
+      });
+      const headers = { connection: "close" };
+      const responses = await server.call(formatRequest(path, { headers }))
+        .readAll();
+      expect(responses).toMatchObject([{
+        body: "data: a\n\n",
+        trailers: { "x-outcome": "done", "x-code": "done" },
+        looksWhole: true,
+      }]);
+    });
+
+    it.each([
+      ["nothing", []],
+      ["an event", ["data: a\n\n"]],
+      ["an event with CRLF", ["data: a\r\n\r\n"]],
+      ["an event in parts", ["data: a\n", "\n"]],
+      ["an event in parts with CRLF", ["data: a\r\n", "\r", "\n"]],
+    ])("shows an error event when it is cut after %s", async (_name, parts) => {
+      const [response] = await cutAfter(parts);
+      const text = parts.join("");
+      expect(response?.body.slice(0, text.length)).toBe(text);
+      expect(response?.body.slice(text.length)).toMatch(
+        /^event: error\ndata: \{"error":\{"code":"answer_cut".*\}\}\n\n$/,
+      );
+      expect(response?.trailers).toEqual({
+        "x-outcome": "failed",
+        "x-code": "answer_cut",
+      });
+    });
+
+    it.each([
+      ["a part of an event", ["data: a"]],
+      ["a line of an event", ["data: a\n"]],
+      ["a line of an event with CRLF", ["data: a\r\n"]],
+      ["a part of a later event", ["data: a\n\n", "data: b\n"]],
+      ["a short part of an event", ["data: a\n\n", "d"]],
+    ])("looks cut when it is cut after %s", async (_name, parts) => {
+      const responses = await cutAfter(parts);
+      expect(responses).toMatchObject([{
+        status: 200,
+        body: parts.join(""),
+        looksWhole: false,
+      }]);
+    });
+
+    it("looks cut when an error event would not be decoded", async () => {
+      const encoding = { name: "Content-Encoding", value: "gzip" };
+      const encodedHead = createHead({ headers: [eventStream, encoding] });
+      const responses = await cutAfter(["gzip\n\n"], encodedHead);
+      expect(responses).toMatchObject([{
+        body: "gzip\n\n",
+        looksWhole: false,
+      }]);
+    });
+
+    it("is an error over HTTP/1.0, which has no trailers", async () => {
+      await server.start((reply) => {
+        reply.start(head);
+        void reply.write(Buffer.from("data: a\n\n"));
+        reply.end(cut);
+      });
+      const responses = await server.call(
+        formatRequest(path, { version: "1.0" }),
+      ).readAll();
+      expect(responses).toMatchObject([{
+        status: 502,
+        headers: { "x-outcome": "failed", "x-code": "answer_cut" },
+        looksWhole: true,
+      }]);
+    });
+
+    it("has its outcome in a header over HTTP/1.0", async () => {
+      await server.start((reply) => {
+        reply.start(head);
+        void reply.write(Buffer.from("data: a\n\n"));
+        reply.end(done);
+      });
+      const responses = await server.call(
+        formatRequest(path, { version: "1.0" }),
+      ).readAll();
+      expect(responses).toMatchObject([{
+        status: 200,
+        headers: { "x-outcome": "done", "content-length": "9" },
+        body: "data: a\n\n",
+      }]);
+      expect(responses[0]?.headers).not.toHaveProperty("trailer");
+    });
+  });
+});
