Keep headers of an unsent answer out of its error

What callers could see: an error response of a router with agents with headers of an answer that could not be sent, such as its content-encoding, which makes the error unreadable.

Cause: caller_reply.ts set the headers one by one, and a value that cannot be sent, such as a location with a character beyond latin1, threw after the others had been set.

Before: caller_reply_test.ts expected no content-encoding, received "gzip".

Now the head is written in one call, as in frontend_reply.ts.

--- a/src/connection/caller_reply.ts
+++ b/src/connection/caller_reply.ts
@@ -70,22 +70,24 @@
 
   function start(head: ReplyHead): void {
     for (const { name, value } of head.headers) {
-      response.setHeader(name, value);
       const lowerName = name.toLowerCase();
       if (lowerName === "content-encoding") isEncoded = true;
       if (lowerName !== "content-type") continue;
       isEventStream = value.startsWith("text/event-stream");
     }
-    response.setHeader("x-request-id", options.requestId);
-    response.setHeader("x-place", head.targetId);
     hasTrailers = head.length === undefined && hasBody(response, head.status);
-    if (head.length !== undefined) {
-      response.setHeader("content-length", head.length);
-    }
-    // The outcome of a body of unknown length is only known when it ends.
-    if (hasTrailers) response.setHeader("trailer", "x-outcome, x-code");
-    else response.setHeader("x-outcome", "done");
-    response.writeHead(head.status);
+    // Written in one call, so that a header that cannot be sent leaves none.
+    response.writeHead(head.status, [
+      ...head.headers.flatMap(({ name, value }) => [name, value]),
+      ...["x-request-id", options.requestId, "x-place", head.targetId],
+      ...(head.length === undefined
+        ? []
+        : ["content-length", String(head.length)]),
+      // The outcome of a body of unknown length is only known when it ends.
+      ...(hasTrailers
+        ? ["trailer", "x-outcome, x-code"]
+        : ["x-outcome", "done"]),
+    ]);
   }
 
   function write(data: Uint8Array): Promise<void> | undefined {
--- a/src/connection/caller_reply_test.ts
+++ b/src/connection/caller_reply_test.ts
@@ -40,6 +40,22 @@
     return await caller.readAll();
   }
 
+  it("has no headers of an answer that cannot be sent", async () => {
+    await server.start((reply) => {
+      const headers = [
+        { name: "content-encoding", value: "gzip" },
+        { name: "location", value: "\u2603" },
+      ];
+      reply.start(createHead({ headers }));
+      reply.end(done);
+    });
+    const headers = { connection: "close" };
+    const [response] = await server.call(formatRequest(path, { headers }))
+      .readAll();
+    expect(response).toMatchObject({ status: 502, looksWhole: true });
+    expect(response?.headers).not.toHaveProperty("content-encoding");
+  });
+
   describe("with an event stream", () => {
     it("ends with the outcome when it is whole", async () => {
       await server.start((reply) => {
