--- a/src/connection/caller_reply.ts
+++ b/src/connection/caller_reply.ts
@@ -1,11 +1,19 @@
 /** Writes one response to a caller's HTTP connection. */
 
 import type { ServerResponse } from "node:http";
-import { formatReport, getDiagnostic } from "../types/diagnostics.ts";
+import {
+  createReport,
+  formatReport,
+  getDiagnostic,
+} from "../types/diagnostics.ts";
 import type { Reply, ReplyHead, RequestEnd } from "../types/reply.ts";
+import { createFramedReply, hasBody } from "./framed_reply.ts";
 
-/** Status of a request that ended without a report. */
-const doneStatus = 200;
+/** Blank lines that end an event, with either kind of line break. */
+const eventEnds = ["\n\n", "\r\n\r\n"];
+
+/** Length of the longest end of an event, in bytes. */
+const maxEventEndBytes = 4;
 
 /** The status and the body of an error response. */
 export interface FormattedError {
@@ -19,11 +27,11 @@
   end: RequestEnd,
   requestId: string,
 ): FormattedError {
-  if (end.report === undefined) return { status: doneStatus, body: "{}" };
-  const { code, retryAfterMs } = end.report;
+  const report = end.report ?? createReport("outcome_unknown");
+  const { code, retryAfterMs } = report;
   const error = {
     code,
-    message: formatReport(end.report),
+    message: formatReport(report),
     outcome: end.outcome,
     request_id: requestId,
     ...(retryAfterMs > 0 ? { retry_after_ms: retryAfterMs } : {}),
@@ -41,36 +49,54 @@
 ): Reply {
   const disconnect = new AbortController();
   let isEventStream = false;
-  let hasKnownLength = false;
+  let isEncoded = false;
+  /** The last bytes written, as many as the end of an event has. */
+  let tail: Buffer = Buffer.alloc(0);
+  let hasTrailers = false;
+  const { socket } = response.req;
+  const handleDisconnect = (): void => disconnect.abort();
+  // A response that waits for an earlier one on its connection does not close.
+  socket.on("close", handleDisconnect);
   response.on("close", () => {
+    socket.off("close", handleDisconnect);
     if (!response.writableFinished) disconnect.abort();
   });
-  response.on("error", () => disconnect.abort());
+  response.on("error", handleDisconnect);
 
-  return { disconnectSignal: disconnect.signal, start, write, end };
+  return createFramedReply(
+    { disconnectSignal: disconnect.signal, start, write, end },
+    { response, stop: handleDisconnect },
+  );
 
   function start(head: ReplyHead): void {
     for (const { name, value } of head.headers) {
-      response.setHeader(name, value);
-      if (name.toLowerCase() !== "content-type") continue;
+      const lowerName = name.toLowerCase();
+      if (lowerName === "content-encoding") isEncoded = true;
+      if (lowerName !== "content-type") continue;
       isEventStream = value.startsWith("text/event-stream");
     }
-    response.setHeader("x-request-id", options.requestId);
-    response.setHeader("x-place", head.targetId);
-    hasKnownLength = head.length !== undefined;
-    if (head.length === undefined) {
-      // The outcome is only known when the body ends.
-      response.setHeader("trailer", "x-outcome, x-code");
-    } else {
-      response.setHeader("content-length", head.length);
-      response.setHeader("x-outcome", "done");
-    }
-    response.writeHead(head.status);
+    hasTrailers = head.length === undefined && hasBody(response, head.status);
+    // Written in one call, so that a header that cannot be sent leaves none.
+    response.writeHead(head.status, [
+      ...head.headers.flatMap(({ name, value }) => [name, value]),
+      ...["x-request-id", options.requestId, "x-place", head.targetId],
+      ...(head.length === undefined
+        ? []
+        : ["content-length", String(head.length)]),
+      // The outcome of a body of unknown length is only known when it ends.
+      ...(hasTrailers
+        ? ["trailer", "x-outcome, x-code"]
+        : ["x-outcome", "done"]),
+    ]);
   }
 
   function write(data: Uint8Array): Promise<void> | undefined {
+    if (isEventStream) {
+      tail = Buffer.concat([tail, data.subarray(-maxEventEndBytes)])
+        .subarray(-maxEventEndBytes);
+    }
     if (disconnect.signal.aborted || response.write(data)) return undefined;
-    return waitForDrain(response);
+    return waitForDrain(response, disconnect.signal);
   }
 
   function end(requestEnd: RequestEnd): void {
@@ -91,33 +117,44 @@
   }
 
   function endAfterHead(requestEnd: RequestEnd): void {
-    if (hasKnownLength) {
-      response.end();
-      return;
-    }
     if (requestEnd.outcome !== "done") {
       // A destroyed connection shows the caller that the body is incomplete.
-      if (!isEventStream) return void response.destroy();
+      if (!canReportInStream()) return void response.destroy();
       const { body } = formatError(requestEnd, options.requestId);
       response.write(`event: error\ndata: ${body}\n\n`);
     }
+    if (!hasTrailers) return void response.end();
     response.addTrailers({
       "x-outcome": requestEnd.outcome,
       "x-code": requestEnd.report?.code ?? "done",
     });
     response.end();
   }
+
+  /**
+   * Returns true when the caller would decode an error event here. Within an
+   * event it would become a part of that event.
+   */
+  function canReportInStream(): boolean {
+    return hasTrailers && isEventStream && !isEncoded && (tail.length === 0 ||
+      eventEnds.some((text) => tail.toString("latin1").endsWith(text)));
+  }
 }
 
-/** Waits until more can be written or the caller has disconnected. */
-export function waitForDrain(response: ServerResponse): Promise<void> {
+/** Waits until more can be written or the signal reports a disconnect. */
+export function waitForDrain(
+  response: ServerResponse,
+  disconnectSignal: AbortSignal,
+): Promise<void> {
   return new Promise((resolve) => {
     response.once("drain", finish);
     response.once("close", finish);
+    disconnectSignal.addEventListener("abort", finish, { once: true });
 
     function finish(): void {
       response.off("drain", finish);
       response.off("close", finish);
+      disconnectSignal.removeEventListener("abort", finish);
       resolve();
     }
   });
--- a/src/connection/frontend_reply.ts
+++ b/src/connection/frontend_reply.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Reply, ReplyHead, RequestEnd } from "../types/reply.ts";
 import { formatError, waitForDrain } from "./caller_reply.ts";
+import { createFramedReply } from "./framed_reply.ts";
 
 /** Creates a reply that writes to an HTTP response. */
 export function createFrontendReply(
@@ -21,8 +22,11 @@
   const handleDisconnect = (): void => disconnect.abort();
   // This event precedes the close of the response by one event loop turn.
   socket.on("end", handleDisconnect);
+  // A response that waits for an earlier one on its connection does not close.
+  socket.on("close", handleDisconnect);
   response.on("close", () => {
     socket.off("end", handleDisconnect);
+    socket.off("close", handleDisconnect);
     if (!response.writableFinished) disconnect.abort();
   });
   response.on("error", handleDisconnect);
@@ -30,7 +34,10 @@
   message.on("aborted", handleDisconnect);
   message.on("error", handleDisconnect);
 
-  return { disconnectSignal: disconnect.signal, start, write, end };
+  return createFramedReply(
+    { disconnectSignal: disconnect.signal, start, write, end },
+    { response, stop: handleDisconnect },
+  );
 
   function start(head: ReplyHead): void {
     const headers = head.headers.flatMap(({ name, value }) => [name, value]);
@@ -45,14 +52,14 @@
 
   function write(data: Uint8Array): Promise<void> | undefined {
     if (disconnect.signal.aborted || response.write(data)) return undefined;
-    return waitForDrain(response);
+    return waitForDrain(response, disconnect.signal);
   }
 
   function end(requestEnd: RequestEnd): void {
     if (disconnect.signal.aborted) response.destroy();
     else if (!response.headersSent) endBeforeHead(requestEnd);
     else if (requestEnd.outcome === "done") response.end();
-    // The missing last chunk shows the caller that the body is incomplete.
+    // Missing bytes or the missing last chunk show that the body is incomplete.
     else response.destroy();
   }
 
