Keep the length that a response to HEAD announces

Callers could see: content-length 0 for a HEAD of a resource with a body.

Cause: the length of the buffered body was announced, and a response to HEAD has none.

Evidence: the test fails without the change (received 0, expected 800).

--- a/src/request/direct_response.ts
+++ b/src/request/direct_response.ts
@@ -63,11 +63,13 @@
 /** Creates the response to one request. */
 export function createDirectResponse(
   reply: Reply,
-  { lastEventId, isResumable }: {
+  { lastEventId, isResumable, hasBody }: {
     /** Event after which the caller wants the stream to resume. */
     readonly lastEventId: string | undefined;
     /** True when targets resume a stream after a given event. */
     readonly isResumable: boolean;
+    /** False when the method's response announces a body that is not sent. */
+    readonly hasBody: boolean;
   },
 ): DirectResponse {
   const cursor = createEventCursor(isResumable ? lastEventId : undefined);
@@ -179,7 +181,7 @@
   function finish(): void {
     if (progress.kind !== "whole_body") return;
     const { head, body } = progress;
-    start(head, body.length);
+    start(head, hasBody ? body.length : head.length);
     // The size of the buffer is bounded, so the write need not be awaited.
     if (body.length > 0) void send(body);
   }
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -124,6 +124,7 @@
   const response = createDirectResponse(reply, {
     lastEventId: request.lastEventId,
     isResumable: route.isResumable,
+    hasBody: request.method !== "HEAD",
   });
   const isRetryable = route.kind === "safe" ||
     (route.kind === "stream" && route.isResumable);
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -172,6 +172,13 @@
       expect(result.code).toBe("answer_cut");
     });
 
+    it("keeps the length that a response to HEAD announces", async () => {
+      const result = await run(safe, [
+        () => createResponse([], { length: 800 }),
+      ], { request: { method: "HEAD" } });
+      expect(result).toMatchObject({ length: 800, text: "", outcome: "done" });
+    });
+
     it("ends without the broken body of an earlier target", async () => {
       const result = await run(safe, [
         () => createResponse(["half", new Error("reset")]),
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -29,7 +29,11 @@
 /** Creates a response that yields its chunks in order; an error aborts it. */
 export function createResponse(
   chunks: readonly (string | Error)[],
-  options: { readonly status?: number; readonly isEventStream?: boolean } = {},
+  options: {
+    readonly status?: number;
+    readonly isEventStream?: boolean;
+    readonly length?: number;
+  } = {},
 ): DirectResult {
   return {
     kind: "answer",
@@ -37,7 +41,7 @@
       status: options.status ?? 200,
       headers: [{ name: "signature", value: "target" }],
       isEventStream: options.isEventStream ?? false,
-      length: undefined,
+      length: options.length,
       load: undefined,
     },
     body: (async function* () {
@@ -90,11 +94,12 @@
   const logLines: object[] = [];
   let text = "";
   let status = 0;
+  let length: number | undefined;
   let end: RequestEnd | undefined;
   const reply: Reply = {
     disconnectSignal: disconnectController.signal,
     start: (head) => {
-      status = head.status;
+      ({ status, length } = head);
     },
     write: (data) => {
       text += Buffer.from(data).toString();
@@ -170,6 +175,7 @@
     targets: calls.map(({ target }) => target.id),
     text,
     status,
+    length,
     outcome: end?.outcome,
     code: end?.report?.code ?? "done",
     retryAfterMs: end?.report?.retryAfterMs ?? 0,
