Prove that no stop or kill of a router makes a cut response look whole

Here follow a response that ends within the grace period of a stop, which stays whole, and real processes killed in the middle of a chat: its caller gets a body without its last chunk over HTTP/1.1 and no byte over HTTP/1.0.

--- a/src/connection/caller_reply_test.ts
+++ b/src/connection/caller_reply_test.ts
@@ -56,6 +56,27 @@
     expect(response?.headers).not.toHaveProperty("content-encoding");
   });
 
+  it("is whole when it ends before the server closes connections", async () => {
+    let finish = (): void => undefined;
+    const { stop } = await server.start((reply) => {
+      reply.start(createHead());
+      void reply.write(Buffer.from("part "));
+      finish = () => {
+        void reply.write(Buffer.from("rest"));
+        reply.end(done);
+      };
+    });
+    const caller = server.call(formatRequest(path));
+    await caller.waitForText("part ");
+    const stopped = stop(60_000);
+    finish();
+    expect(await caller.readAll()).toMatchObject([{
+      body: "part rest",
+      looksWhole: true,
+    }]);
+    await stopped;
+  });
+
   describe("with an event stream", () => {
     it("ends with the outcome when it is whole", async () => {
       await server.start((reply) => {
--- a/test/processes/failure_test.ts
+++ b/test/processes/failure_test.ts
@@ -13,6 +13,7 @@
 } from "../harness/fleet.ts";
 import { callHttp, type HttpResponse, readPath } from "../harness/http.ts";
 import { waitFor } from "../harness/wait.ts";
+import { formatRequest, openRawCaller } from "../support/raw_caller.ts";
 import { classifyDraft } from "../stand_ins/engine/draft.ts";
 
 const question = { role: "user", content: "A note about spring" } as const;
@@ -121,6 +122,38 @@
         .toBeGreaterThan(0);
     });
 
+    it.each(["1.1", "1.0"])(
+      "never looks whole over HTTP/%s if its router is killed",
+      async (version) => {
+        const body = JSON.stringify({
+          model: "chat-model",
+          messages: [question],
+          max_tokens: 2_000,
+          stream: true,
+        });
+        const request = formatRequest("/v1/chat/completions", {
+          method: "POST",
+          version,
+          headers: {
+            "x-workspace": "team-1",
+            "content-length": String(Buffer.byteLength(body)),
+          },
+        });
+        const caller = openRawCaller(first.callerPort, request + body);
+        await waitFor("the chat to run", async () => {
+          const counts = await Promise.all(
+            fleet.engines.map((engine) => readCount(engine, "running")),
+          );
+          return counts.some((count) => count > 0);
+        });
+        if (version === "1.1") await caller.waitForText("data: ");
+        await first.child.kill();
+        const responses = await caller.readAll();
+        expect(responses).toHaveLength(version === "1.1" ? 1 : 0);
+        expect(responses.some(({ looksWhole }) => looksWhole)).toBe(false);
+      },
+    );
+
     it("is served by the other agents while one is frozen", async () => {
       const [frozen] = fleet.engineAgents as [RunningProcess];
       frozen.child.signal("SIGSTOP");
