--- a/test/platform/direct_fleet.ts
+++ b/test/platform/direct_fleet.ts
@@ -88,7 +88,11 @@
 export async function startFleetRouter(
   id: string,
   store: Pick<StoreStandIn, "address">,
-  options: { readonly seeds?: readonly SocketAddress[] } = {},
+  options: {
+    readonly seeds?: readonly SocketAddress[];
+    /** Retries beyond a share of the requests. */
+    readonly retrySlack?: number;
+  } = {},
 ): Promise<FleetRouter> {
   const [frontend, readiness, pull, digest, metrics] = await Promise.all(
     Array.from({ length: 5 }, () => ports.allocate()),
@@ -105,7 +109,11 @@
     seeds: options.seeds ?? [],
     store: `http://${store.address}`,
     loadMultiple: 2,
-    retries: { ratio: 0.2, slack: 50, windowMs: 10_000 },
+    retries: {
+      ratio: 0.2,
+      slack: options.retrySlack ?? 50,
+      windowMs: 10_000,
+    },
     graceMs: 1_000,
     expiryGraceMs: 2_200,
   };
--- a/test/platform/target_behaviour.ts
+++ b/test/platform/target_behaviour.ts
@@ -43,7 +43,7 @@
   | "between_events";
 
 /** How the transport of a response that breaks off shows it. */
-type BreakKind = "reset" | "stalled" | "ended";
+export type BreakKind = "reset" | "stalled" | "ended";
 
 /** The response of one target; each field varies without the others. */
 export interface ResponseBehaviour {
@@ -138,6 +138,47 @@
   return { weight: 1, arbitrary: fc.constant({ kind }) };
 }
 
+/** A response without events that ends whole. */
+export const wholeBody: ResponseBehaviour = {
+  kind: "response",
+  status: 200,
+  isEventStream: false,
+  announcesLength: false,
+  ids: "next",
+  events: 0,
+  bytes: 20,
+  breaksOff: "nowhere",
+  breakKind: "reset",
+  breakShare: 0.5,
+  pieceBytes: 40,
+};
+
+/** A stream that ends whole and continues an earlier one. */
+export const wholeStream: ResponseBehaviour = {
+  ...wholeBody,
+  isEventStream: true,
+  events: 4,
+};
+
+/** A response without events that breaks off before it is forwarded. */
+export const brokenBody: ResponseBehaviour = {
+  ...wholeBody,
+  breaksOff: "inside_body",
+};
+
+/** A response that breaks off after more bytes than a router buffers. */
+export const brokenLargeBody: ResponseBehaviour = {
+  ...brokenBody,
+  bytes: 2 * maxBufferedBytes,
+  breakShare: 0.9,
+};
+
+/** A stream that breaks off after half of its events. */
+export const brokenStream: ResponseBehaviour = {
+  ...wholeStream,
+  breaksOff: "between_events",
+};
+
 /** A response as its target sends it. */
 export interface SentResponse {
   readonly headers: readonly Header[];
@@ -232,3 +273,8 @@
 function getInnerPosition(bytes: number, breakShare: number): number {
   return Math.max(0, Math.min(bytes - 1, Math.floor(breakShare * bytes)));
 }
+
+/** Returns true for the bytes of a stream that ends with a complete event. */
+export function endsAfterEvent(body: Buffer): boolean {
+  return body.length === 0 || body.subarray(-2).toString() === "\n\n";
+}
--- a/test/platform/target_stand_in.ts
+++ b/test/platform/target_stand_in.ts
@@ -7,6 +7,14 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import {
+  type Behaviour,
+  type BreakKind,
+  createSentResponse,
+  endsAfterEvent,
+  type ResponseBehaviour,
+} from "./target_behaviour.ts";
+import type { TargetResponse, TargetRun } from "./answer_checker.ts";
 
 /** A request as the target received it. */
 export interface ReceivedRequest {
@@ -107,3 +115,127 @@
   response.setHeader("X-Request-Id", request.headers["x-request-id"] ?? "");
   response.setHeader("X-Server-Stamp", `stamp of ${id}`);
 }
+
+/** A request of a test's script, and how this run of it responds. */
+interface ScriptedRun {
+  readonly request: ReceivedRequest;
+  readonly response: ServerResponse;
+  readonly target: string;
+  /** Number of the run, from 1. */
+  readonly run: number;
+  /** True when a body without length ends with its connection. */
+  readonly closesAfterBody: boolean;
+}
+
+/** A behaviour that a target can play once it has a connection. */
+export type PlayedBehaviour = ResponseBehaviour | {
+  readonly kind: Exclude<Behaviour["kind"], "response" | "not_sent">;
+};
+
+/** Time for sent bytes to arrive before a response breaks off, in ms. */
+const breakDelayMs = 5;
+
+/** How a response breaks off after its last bytes. */
+const breaks: Readonly<Record<BreakKind, (response: ServerResponse) => void>> =
+  {
+    reset: ({ socket }) => socket?.resetAndDestroy(),
+    ended: ({ socket }) => socket?.end(),
+    stalled: () => undefined,
+  };
+
+/** What a target does that sends no response of its run. */
+const withoutResponse: Readonly<
+  Record<
+    Exclude<PlayedBehaviour["kind"], "response">,
+    {
+      readonly mayHaveRun: boolean;
+      readonly play: (scripted: ScriptedRun) => void;
+    }
+  >
+> = {
+  refused: {
+    mayHaveRun: false,
+    play: ({ request, response, target }) => {
+      setIdentityHeaders(request, response, target);
+      response.writeHead(503, { "X-Not-Run": "full" });
+      response.end();
+    },
+  },
+  wrong_target: {
+    mayHaveRun: false,
+    play: ({ response }) => {
+      response.writeHead(421, { "X-Instance": "another" });
+      response.end();
+    },
+  },
+  lost: {
+    mayHaveRun: true,
+    play: ({ response }) => response.socket?.resetAndDestroy(),
+  },
+  spoiled: {
+    mayHaveRun: true,
+    play: ({ request, response, target }) => {
+      setIdentityHeaders(request, response, target);
+      response.setHeader("X-Request-Id", "another");
+      response.end("run of another request");
+    },
+  },
+  hang: { mayHaveRun: true, play: () => undefined },
+};
+
+/** Plays a behaviour and returns the run for the checker. */
+export function playBehaviour(
+  behaviour: PlayedBehaviour,
+  scripted: ScriptedRun,
+): TargetRun {
+  const lastEventId = getLastEventId(scripted.request);
+  if (behaviour.kind === "response") {
+    const response = playResponse(behaviour, scripted);
+    return { lastEventId, mayHaveRun: true, response };
+  }
+  const { mayHaveRun, play } = withoutResponse[behaviour.kind];
+  play(scripted);
+  return { lastEventId, mayHaveRun, response: undefined };
+}
+
+function playResponse(
+  behaviour: ResponseBehaviour,
+  { request, response, target, run, closesAfterBody }: ScriptedRun,
+): TargetResponse {
+  const { status, isEventStream, pieceBytes, announcesLength } = behaviour;
+  const { headers, body, breakKind } = createSentResponse(behaviour, {
+    run,
+    lastEventId: getLastEventId(request),
+  });
+  setIdentityHeaders(request, response, target);
+  const endsWithConnection = closesAfterBody && !announcesLength;
+  if (endsWithConnection) response.useChunkedEncodingByDefault = false;
+  headers.forEach(({ name, value }) => response.setHeader(name, value));
+  response.writeHead(status);
+  response.flushHeaders();
+  const stepBytes = Math.max(pieceBytes, Math.ceil(body.length / maxPieces));
+  for (let start = 0; start < body.length; start += stepBytes) {
+    response.write(body.subarray(start, start + stepBytes));
+  }
+  if (breakKind === undefined) response.end();
+  else setTimeout(() => breaks[breakKind](response), breakDelayMs);
+  const isStream = isEventStream && status === 200;
+  // Nothing shows that a body without length or events has ended early.
+  const endsUnnoticed = breakKind === "ended" && endsWithConnection &&
+    (!isStream || endsAfterEvent(body));
+  return {
+    status,
+    headers: headers.filter(({ name }) => name !== "content-length"),
+    body,
+    isEventStream: isStream,
+    isWhole: breakKind === undefined || endsUnnoticed,
+  };
+}
+
+/** Maximum number of pieces of one body, so that large ones take few writes. */
+const maxPieces = 64;
+
+function getLastEventId({ headers }: ReceivedRequest): string | undefined {
+  const value = headers["last-event-id"];
+  return typeof value === "string" ? value : undefined;
+}
--- a/test/platform/whole_answers_test.ts
+++ b/test/platform/whole_answers_test.ts
@@ -22,9 +22,15 @@
 import {
   type Behaviour,
   behaviours,
+  brokenBody,
+  brokenLargeBody,
+  brokenStream,
   createSentResponse,
+  endsAfterEvent,
   type ResponseBehaviour,
   type SentResponse,
+  wholeBody,
+  wholeStream,
 } from "./target_behaviour.ts";
 
 /** Number of seeds; a long run by hand sets more. */
@@ -39,7 +45,7 @@
 const maxPieces = 64;
 
 /** Requests per seed. */
-const requestCount = 4_000;
+const requestCount = 6_000;
 
 /** Timeout of a test, for long runs by hand, in milliseconds of real time. */
 const testTimeoutMs = 600_000;
@@ -111,42 +117,6 @@
   "wrong_target",
 ]);
 
-const wholeBody: ResponseBehaviour = {
-  kind: "response",
-  status: 200,
-  isEventStream: false,
-  announcesLength: false,
-  ids: "next",
-  events: 0,
-  bytes: 20,
-  breaksOff: "nowhere",
-  breakKind: "reset",
-  breakShare: 0.5,
-  pieceBytes: 40,
-};
-
-const wholeStream: ResponseBehaviour = {
-  ...wholeBody,
-  isEventStream: true,
-  events: 4,
-};
-
-const brokenBody: ResponseBehaviour = {
-  ...wholeBody,
-  breaksOff: "inside_body",
-};
-
-const brokenLargeBody: ResponseBehaviour = {
-  ...brokenBody,
-  bytes: 524_288,
-  breakShare: 0.9,
-};
-
-const brokenStream: ResponseBehaviour = {
-  ...wholeStream,
-  breaksOff: "between_events",
-};
-
 /** Cases with a resumable route by the failure that they led to. */
 const knownCases: Readonly<Record<string, Partial<Case>>> = {
   "an error appended to a stream that broke off": {
@@ -467,10 +437,6 @@
   }
 }
 
-function endsAfterEvent(body: Buffer): boolean {
-  return body.length === 0 || body.subarray(-2).toString() === "\n\n";
-}
-
 function waitForAbort(signal: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
     if (signal.aborted) return resolve();
