Close waiting responses from one listener per connection

What could be seen: a caller that pipelines more than ten requests made the router print MaxListenersExceededWarning ("11 close listeners added to [Socket]", in a trial of 30 requests), because each reply listened to the socket.

Now open_responses.ts, which knows the responses of a connection anyway, emits the close that Node omits for those that wait for their turn.

--- a/src/connection/caller_reply.ts
+++ b/src/connection/caller_reply.ts
@@ -53,12 +53,8 @@
   /** The last bytes written, as many as the end of an event has. */
   let tail: Buffer = Buffer.alloc(0);
   let hasTrailers = false;
-  const { socket } = response.req;
   const handleDisconnect = (): void => disconnect.abort();
-  // A response that waits for an earlier one on its connection does not close.
-  socket.on("close", handleDisconnect);
   response.on("close", () => {
-    socket.off("close", handleDisconnect);
     if (!response.writableFinished) disconnect.abort();
   });
   response.on("error", handleDisconnect);
@@ -96,7 +92,7 @@
         .subarray(-maxEventEndBytes);
     }
     if (disconnect.signal.aborted || response.write(data)) return undefined;
-    return waitForDrain(response, disconnect.signal);
+    return waitForDrain(response);
   }
 
   function end(requestEnd: RequestEnd): void {
@@ -141,20 +137,15 @@
   }
 }
 
-/** Waits until more can be written or the signal reports a disconnect. */
-export function waitForDrain(
-  response: ServerResponse,
-  disconnectSignal: AbortSignal,
-): Promise<void> {
+/** Waits until more can be written or the caller has disconnected. */
+export function waitForDrain(response: ServerResponse): Promise<void> {
   return new Promise((resolve) => {
     response.once("drain", finish);
     response.once("close", finish);
-    disconnectSignal.addEventListener("abort", finish, { once: true });
 
     function finish(): void {
       response.off("drain", finish);
       response.off("close", finish);
-      disconnectSignal.removeEventListener("abort", finish);
       resolve();
     }
   });
--- a/src/connection/frontend_reply.ts
+++ b/src/connection/frontend_reply.ts
@@ -22,11 +22,8 @@
   const handleDisconnect = (): void => disconnect.abort();
   // This event precedes the close of the response by one event loop turn.
   socket.on("end", handleDisconnect);
-  // A response that waits for an earlier one on its connection does not close.
-  socket.on("close", handleDisconnect);
   response.on("close", () => {
     socket.off("end", handleDisconnect);
-    socket.off("close", handleDisconnect);
     if (!response.writableFinished) disconnect.abort();
   });
   response.on("error", handleDisconnect);
@@ -52,7 +49,7 @@
 
   function write(data: Uint8Array): Promise<void> | undefined {
     if (disconnect.signal.aborted || response.write(data)) return undefined;
-    return waitForDrain(response, disconnect.signal);
+    return waitForDrain(response);
   }
 
   function end(requestEnd: RequestEnd): void {
--- a/src/connection/open_responses.ts
+++ b/src/connection/open_responses.ts
@@ -1,7 +1,8 @@
 /**
- * Knows which responses are open on a connection, so that the refusal of a
- * malformed request, which has no response of its own, is not taken for the
- * response to another request or for a part of one.
+ * Knows which responses are open on a connection. The refusal of a malformed
+ * request, which has no response of its own, is then not taken for the response
+ * to another request or for a part of one, and responses that still wait for
+ * their turn close with the connection.
  */
 
 import type { ServerResponse } from "node:http";
@@ -26,12 +27,23 @@
 
   function add(response: ServerResponse): void {
     const { socket } = response.req;
-    const open = responses.get(socket) ?? new Set();
-    responses.set(socket, open);
+    const open = responses.get(socket) ?? addConnection(socket);
     open.add(response);
     response.on("close", () => open.delete(response));
   }
 
+  function addConnection(socket: Socket): Set<ServerResponse> {
+    const open = new Set<ServerResponse>();
+    responses.set(socket, open);
+    socket.on("close", () => {
+      for (const response of open) {
+        // Node closes only the response whose turn it is.
+        if (response.socket === null) response.emit("close");
+      }
+    });
+    return open;
+  }
+
   function canRefuse(socket: Socket): boolean {
     const open = [...responses.get(socket) ?? []];
     return open.every(({ headersSent, req }) => !headersSent && !req.complete);
--- a/src/connection/open_responses_test.ts
+++ b/src/connection/open_responses_test.ts
@@ -1,4 +1,6 @@
-import { formatRequest } from "../../test/support/raw_caller.ts";
+import { createServer, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { formatRequest, openRawCaller } from "../../test/support/raw_caller.ts";
 import {
   createHead,
   done,
@@ -6,6 +8,8 @@
   useReplyServer,
 } from "../../test/support/reply_servers.ts";
 
+import { createOpenResponses } from "./open_responses.ts";
+
 const path = "/services/desk/1";
 
 /** Text that is not HTTP. */
@@ -77,3 +81,38 @@
     expect(await caller.readAll()).toEqual([]);
   });
 });
+
+describe("open responses", () => {
+  const server = createServer();
+  afterEach(() => void server.close());
+
+  it("close with their connection, with one listener for all", async () => {
+    const requests = 20;
+    const openResponses = createOpenResponses();
+    const responses: ServerResponse[] = [];
+    let closed = 0;
+    let listeners = 0;
+    const allClosed = new Promise<void>((resolve) => {
+      server.on("request", (_message, response: ServerResponse) => {
+        const { socket } = response.req;
+        if (responses.length === 0) listeners = socket.listenerCount("close");
+        responses.push(response);
+        openResponses.add(response);
+        response.on("close", () => {
+          closed++;
+          if (closed === requests) resolve();
+        });
+        if (responses.length < requests) return;
+        listeners = socket.listenerCount("close") - listeners;
+        caller.socket.destroy();
+      });
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, "127.0.0.1", resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    const caller = openRawCaller(port, formatRequest(path).repeat(requests));
+    await allClosed;
+    expect(listeners).toBe(1);
+  });
+});
