Bound the wait for a caller who does not read

Callers could see: nothing of their own; but a request whose caller stays connected and does not read outlived its deadline, and a caller who reads slowly counted as a silent target, from which its stream was taken away.

Cause: the forwarding of a body waited for the caller without the signal of the attempt, and the idle timeout of the target ran during that wait.

Change: the wait ends with the attempt (one function, shared with the pipeline through agents), and the idle timeout runs only while data of the target is awaited. A status without a body announces no length of its own; which responses have a body is told by one function now.

Evidence: 3 tests of direct_run_test fail without the change (still in flight at the deadline; 2 sends in place of 1; length 0 for 304).

--- a/src/connection/caller_reply.ts
+++ b/src/connection/caller_reply.ts
@@ -6,8 +6,13 @@
   formatReport,
   getDiagnostic,
 } from "../types/diagnostics.ts";
-import type { Reply, ReplyHead, RequestEnd } from "../types/reply.ts";
-import { createFramedReply, hasBody } from "./framed_reply.ts";
+import {
+  hasBody,
+  type Reply,
+  type ReplyHead,
+  type RequestEnd,
+} from "../types/reply.ts";
+import { createFramedReply } from "./framed_reply.ts";
 
 /** Blank lines that end an event, with either kind of line break. */
 const eventEnds = ["\n\n", "\r\n\r\n"];
@@ -71,7 +76,8 @@
       if (lowerName !== "content-type") continue;
       isEventStream = value.startsWith("text/event-stream");
     }
-    hasTrailers = head.length === undefined && hasBody(response, head.status);
+    hasTrailers = head.length === undefined &&
+      hasBody(response.req.method ?? "GET", head.status);
     // Written in one call, so that a header that cannot be sent leaves none.
     response.writeHead(head.status, [
       ...head.headers.flatMap(({ name, value }) => [name, value]),
--- a/src/connection/framed_reply.ts
+++ b/src/connection/framed_reply.ts
@@ -6,7 +6,12 @@
 
 import type { ServerResponse } from "node:http";
 import { createReport } from "../types/diagnostics.ts";
-import type { Reply, ReplyHead, RequestEnd } from "../types/reply.ts";
+import {
+  hasBody,
+  type Reply,
+  type ReplyHead,
+  type RequestEnd,
+} from "../types/reply.ts";
 
 /** Maximum size of a body that is held until its end, 4 MiB. */
 export const maxHeldBytes = 4 * 1024 * 1024;
@@ -14,9 +19,6 @@
 /** The only version of HTTP that has chunks, of those that are accepted. */
 const chunkedVersion = "1.1";
 
-/** Statuses of responses without a body. */
-const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
-
 /** The end of a request that is `done`, but whose answer was never started. */
 const answerLost: RequestEnd = {
   outcome: "unknown",
@@ -41,6 +43,7 @@
     stop(): void;
   },
 ): Reply {
+  const { method = "GET", httpVersion } = response.req;
   let held: HeldResponse | undefined;
   /** Bytes of the announced length that are still to be written. */
   let bytesLeft: number | undefined;
@@ -52,14 +55,14 @@
   function start(head: ReplyHead): void {
     isStarted = true;
     const isFramed = head.length !== undefined ||
-      (response.req.httpVersion === chunkedVersion &&
-        hasBody(response, head.status));
+      (httpVersion === chunkedVersion &&
+        hasBody(method, head.status));
     if (isFramed) startNow(head);
     else held = { head, parts: [], bytes: 0 };
   }
 
   function startNow(head: ReplyHead): void {
-    if (hasBody(response, head.status)) bytesLeft = head.length;
+    if (hasBody(method, head.status)) bytesLeft = head.length;
     reply.start(head);
   }
 
@@ -107,14 +110,9 @@
   }
 
   function send({ head, parts, bytes }: HeldResponse): void {
-    if (!hasBody(response, head.status)) return startNow(head);
+    if (!hasBody(method, head.status)) return startNow(head);
     startNow({ ...head, length: bytes });
     // The size of the body is bounded, so the write need not be awaited.
     void writeNow(Buffer.concat(parts, bytes));
   }
 }
-
-/** Returns true when a response with this status has a body. */
-export function hasBody(response: ServerResponse, status: number): boolean {
-  return response.req.method !== "HEAD" && !statusesWithoutBody.has(status);
-}
--- a/src/request/attempt_run.ts
+++ b/src/request/attempt_run.ts
@@ -16,6 +16,7 @@
 import type { ResponseAssembly } from "./response_assembly.ts";
 import type { Delivery } from "./delivery.ts";
 import { settleAttempt, waitUnlessAborted } from "./settlement.ts";
+import { waitUntilWritable } from "./reply_wait.ts";
 
 /** Maximum number of times that one attempt is resumed after a loss. */
 const maxResumes = 4;
@@ -206,22 +207,6 @@
   }
 }
 
-/** Waits until the caller can take more data or the signal is aborted. */
-function waitUntilWritable(
-  writable: Promise<void>,
-  signal: AbortSignal,
-): Promise<void> {
-  return new Promise((resolve) => {
-    signal.addEventListener("abort", finish, { once: true });
-    void writable.then(finish);
-
-    function finish(): void {
-      signal.removeEventListener("abort", finish);
-      resolve();
-    }
-  });
-}
-
 /**
  * Handles one event; returns a promise when the caller must read before the
  * next event.
--- a/src/request/direct_response.ts
+++ b/src/request/direct_response.ts
@@ -6,8 +6,9 @@
  */
 
 import type { DirectHead } from "../types/direct_calls.ts";
-import type { Reply } from "../types/reply.ts";
+import { hasBody, type Reply } from "../types/reply.ts";
 import { createEventCursor } from "./event_cursor.ts";
+import { waitUntilWritable } from "./reply_wait.ts";
 
 /** Bytes of a body that are buffered before forwarding starts. */
 const maxBufferedBytes = 256 * 1024;
@@ -17,6 +18,16 @@
   | { readonly kind: "complete" }
   | { readonly kind: "broken"; readonly reason: string };
 
+/** The attempt whose response is forwarded. */
+export interface ForwardedAttempt {
+  /** Aborted when the attempt ends; its data is then no longer waited for. */
+  readonly signal: AbortSignal;
+  /** Records that the target has sent data. */
+  recordProgress(): void;
+  /** Records that the caller has taken the data and more is expected. */
+  expectProgress(): void;
+}
+
 /** The response to one request, from one target or from several in turn. */
 export interface DirectResponse {
   /**
@@ -33,7 +44,7 @@
   forward(
     head: DirectHead,
     body: AsyncIterable<Uint8Array>,
-    options: { recordProgress(): void },
+    attempt: ForwardedAttempt,
   ): Promise<BodyEnd>;
   /** Sends a complete body that is buffered, if any. */
   finish(): void;
@@ -63,13 +74,12 @@
 /** Creates the response to one request. */
 export function createDirectResponse(
   reply: Reply,
-  { lastEventId, isResumable, hasBody }: {
+  { lastEventId, isResumable, method }: {
     /** Event after which the caller wants the stream to resume. */
     readonly lastEventId: string | undefined;
     /** True when targets resume a stream after a given event. */
     readonly isResumable: boolean;
-    /** False when the method's response announces a body that is not sent. */
-    readonly hasBody: boolean;
+    readonly method: string;
   },
 ): DirectResponse {
   const cursor = createEventCursor(isResumable ? lastEventId : undefined);
@@ -105,13 +115,11 @@
   async function forward(
     head: DirectHead,
     body: AsyncIterable<Uint8Array>,
-    { recordProgress }: { recordProgress(): void },
+    attempt: ForwardedAttempt,
   ): Promise<BodyEnd> {
     try {
-      if (head.isEventStream) {
-        return await forwardEvents(head, body, recordProgress);
-      }
-      return await forwardBytes(head, body);
+      if (head.isEventStream) return await forwardEvents(head, body, attempt);
+      return await forwardBytes(head, body, attempt);
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       return { kind: "broken", reason };
@@ -121,7 +129,7 @@
   async function forwardEvents(
     head: DirectHead,
     body: AsyncIterable<Uint8Array>,
-    recordProgress: () => void,
+    { signal, recordProgress, expectProgress }: ForwardedAttempt,
   ): Promise<BodyEnd> {
     const isContinuation = progress.kind === "events";
     cursor.beginRun();
@@ -130,7 +138,8 @@
       if (step.data.length > 0) {
         recordProgress();
         startEvents(head);
-        await send(step.data);
+        await send(step.data, signal);
+        expectProgress();
       }
       if (step.kind === "broken") return step;
     }
@@ -157,12 +166,13 @@
   async function forwardBytes(
     head: DirectHead,
     body: AsyncIterable<Uint8Array>,
+    { signal }: ForwardedAttempt,
   ): Promise<BodyEnd> {
     const buffered: Uint8Array[] = [];
     let bufferedBytes = 0;
     for await (const data of body) {
       if (progress.kind === "part_of_body") {
-        await send(data);
+        await send(data, signal);
         continue;
       }
       buffered.push(data);
@@ -170,7 +180,7 @@
       if (bufferedBytes <= maxBufferedBytes) continue;
       progress = { kind: "part_of_body" };
       start(head, head.length);
-      await send(Buffer.concat(buffered));
+      await send(Buffer.concat(buffered), signal);
     }
     if (progress.kind === "nothing") {
       progress = { kind: "whole_body", head, body: Buffer.concat(buffered) };
@@ -181,12 +191,18 @@
   function finish(): void {
     if (progress.kind !== "whole_body") return;
     const { head, body } = progress;
-    start(head, hasBody ? body.length : head.length);
+    start(head, hasBody(method, head.status) ? body.length : head.length);
     // The size of the buffer is bounded, so the write need not be awaited.
-    if (body.length > 0) void send(body);
+    if (body.length > 0) void write(body);
+  }
+
+  /** Writes data and waits until the caller can take more. */
+  async function send(data: Uint8Array, signal: AbortSignal): Promise<void> {
+    const writable = write(data);
+    if (writable !== undefined) await waitUntilWritable(writable, signal);
   }
 
-  function send(data: Uint8Array): Promise<void> | undefined {
+  function write(data: Uint8Array): Promise<void> | undefined {
     sentBytes += data.length;
     return reply.write(data);
   }
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -124,7 +124,7 @@
   const response = createDirectResponse(reply, {
     lastEventId: request.lastEventId,
     isResumable: route.isResumable,
-    hasBody: request.method !== "HEAD",
+    method: request.method,
   });
   const isRetryable = route.kind === "safe" ||
     (route.kind === "stream" && route.isResumable);
@@ -282,6 +282,7 @@
     return {
       signal: controller.signal,
       recordProgress,
+      expectProgress,
       recordRun,
       hasTimedOut: () => hasTimedOut,
       end,
@@ -308,7 +309,10 @@
       }
       hasResponded = true;
       clearTimeout(idleTimer);
-      idleTimer = route.kind === "stream" ? startIdleTimer() : undefined;
+    }
+
+    function expectProgress(): void {
+      if (route.kind === "stream") idleTimer = startIdleTimer();
     }
 
     function end(): void {
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -1,5 +1,6 @@
 import { createRoute } from "../../test/support/direct.ts";
 import {
+  abortableStream,
   type Behaviour,
   createResponse,
   event,
@@ -179,6 +180,13 @@
       expect(result).toMatchObject({ length: 800, text: "", outcome: "done" });
     });
 
+    it("announces no length for a status without a body", async () => {
+      const result = await run(safe, [
+        () => createResponse([], { status: 304 }),
+      ]);
+      expect(result).toMatchObject({ status: 304, length: undefined });
+    });
+
     it("ends without the broken body of an earlier target", async () => {
       const result = await run(safe, [
         () => createResponse(["half", new Error("reset")]),
@@ -274,6 +282,27 @@
       expect(result).toMatchObject({ text: event(1), outcome: "done" });
     });
 
+    // The idle timeout ran while the caller was reading.
+    it("does not blame its target for a caller who reads slowly", async () => {
+      const route = { ...resumable, maxTargets: 3 };
+      const result = await run(route, [abortableStream(event(1), event(2))], {
+        readMs: 5_000,
+      });
+      expect(result.calls.length).toBe(1);
+      expect(result.text).toBe(event(1) + event(2));
+      expect(result.outcome).toBe("done");
+    });
+
+    it("ends at its deadline when the caller does not read", async () => {
+      const result = await run(fixedStream, [
+        abortableStream(event(1), event(2)),
+      ], { readMs: 60_000, durationMs: fixedStream.timeoutMs });
+      expect(result).toMatchObject({
+        text: event(1),
+        code: "deadline_exceeded",
+      });
+    });
+
     it("logs what the caller had received before each try", async () => {
       const { logLines } = await run(resumable, [
         () => stream(event(1), event(2), new Error("crash")),
--- a/src/types/reply.ts
+++ b/src/types/reply.ts
@@ -39,3 +39,11 @@
   /** Ends the response; an error after the head is reported in the stream. */
   end(end: RequestEnd): void;
 }
+
+/** Statuses of responses without a body. */
+const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
+
+/** Returns true when a response to this method with this status has a body. */
+export function hasBody(method: string, status: number): boolean {
+  return method !== "HEAD" && !statusesWithoutBody.has(status);
+}
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -59,6 +59,19 @@
   return createResponse(chunks, { isEventStream: true });
 }
 
+/** Creates an event stream that breaks off when its call is aborted. */
+export function abortableStream(...chunks: string[]): Behaviour {
+  return (call) => ({
+    ...createResponse([], { isEventStream: true }),
+    body: (async function* () {
+      for (const piece of chunks) {
+        if (call.signal.aborted) throw new Error("aborted");
+        yield Buffer.from(piece);
+      }
+    })(),
+  });
+}
+
 /** Never responds; ends when the call is aborted. */
 export function hang(call: DirectCall): Promise<DirectResult> {
   return new Promise((resolve) => {
@@ -75,6 +88,8 @@
     readonly retryCredit?: number;
     readonly disconnectAfterMs?: number;
     readonly durationMs?: number;
+    /** Time that the caller takes to read what is written; 0 by default. */
+    readonly readMs?: number;
     /** Queue of each target: its requests and the time that one runs. */
     readonly queue?: { readonly requests: number; readonly meanRunMs: number };
     /** A part that a peer has just sent to an engine for prefill. */
@@ -103,7 +118,10 @@
     },
     write: (data) => {
       text += Buffer.from(data).toString();
-      return undefined;
+      const { readMs = 0 } = options;
+      return readMs === 0 ? undefined : new Promise((resolve) => {
+        setTimeout(resolve, readMs);
+      });
     },
     end: (value) => {
       end = value;
