Report resets of an agent's connections to its target

Callers could see: a response of a plain service without a length whose connection was reset came out of the agent as complete. The agent then stated the length and the digest of the part, so the router's checks passed, and the caller got half a body framed as a whole one.

Cause: src/connection/target_client.ts used the HTTP library's own connector. The library takes ECONNRESET as the end of a response without a length, and the runtime reports a reset that comes with data as an end without an error. src/connection/direct_client.ts guarded against both, this client didn't.

Evidence: target_client_test.ts plays all framings x reset and close x both pools, as direct_client_test.ts does.

The connector moved unchanged into src/connection/target_connector.ts, the one copy that both clients use. A reset now is an error in both, which the agent reports as a failure of the attempt; a clean close still ends such a body.

--- a/src/connection/direct_client.ts
+++ b/src/connection/direct_client.ts
@@ -3,8 +3,7 @@
  * the request may have run.
  */
 
-import type { Socket } from "node:net";
-import { buildConnector, type Dispatcher, Pool } from "undici";
+import { type Dispatcher, Pool } from "undici";
 import type { Log } from "../process/telemetry/log.ts";
 import type {
   DirectCall,
@@ -16,6 +15,7 @@
 import type { PromptPart } from "../types/prompt.ts";
 import type { Header } from "../types/work.ts";
 import { toTargetError } from "./target_client.ts";
+import { createTargetConnector } from "./target_connector.ts";
 
 /** The encoding of requests to targets and of their responses. */
 export interface TargetCodec {
@@ -73,9 +73,6 @@
 /** Timeout of a request for the list of cached parts, in milliseconds. */
 const listPartsTimeoutMs = 1_500;
 
-/** Error code of a connection that was reset. */
-const resetErrorCode = "ANSWER_RESET";
-
 interface Pools {
   readonly persistent: Pool;
   /** Connections that carry one request each. */
@@ -194,7 +191,7 @@
 function createPools(address: string, maxConnections: number): Pools {
   const poolOptions = {
     connections: maxConnections,
-    connect: createConnector(),
+    connect: createTargetConnector({ timeoutMs: connectTimeoutMs }),
     headersTimeout: 0,
     bodyTimeout: 0,
     keepAliveTimeout: keepAliveTimeoutMs,
@@ -207,47 +204,6 @@
   };
 }
 
-/**
- * Creates a connector that reports every reset connection as an error, because
- * a response without a length would otherwise look complete. The HTTP library
- * treats ECONNRESET as the end of such a response, so the error gets another
- * code. The runtime reports a reset that arrives together with data as an end
- * without an error, which `failOnResetEnd` detects.
- */
-function createConnector(): buildConnector.connector {
-  const connect = buildConnector({ timeout: connectTimeoutMs });
-  return (options, callback) =>
-    connect(options, (...[error, socket]) => {
-      if (error !== null) return callback(error, null);
-      socket.prependListener("error", (cause: NodeJS.ErrnoException) => {
-        if (cause.code === "ECONNRESET") cause.code = resetErrorCode;
-      });
-      failOnResetEnd(socket);
-      callback(null, socket);
-    });
-}
-
-/**
- * Turns the end of a connection into an error when the connection was reset,
- * which shows in that the runtime no longer knows the peer's address.
- */
-function failOnResetEnd(socket: Socket): void {
-  const emit: (event: string | symbol, ...args: unknown[]) => boolean = socket
-    .emit.bind(socket);
-  socket.emit = (event: string | symbol, ...args: unknown[]) => {
-    // The address must not be read earlier, because the runtime caches it.
-    if (event !== "end" || socket.remoteAddress !== undefined) {
-      return emit(event, ...args);
-    }
-    const resetError: NodeJS.ErrnoException = new Error(
-      "The connection was reset",
-    );
-    resetError.code = resetErrorCode;
-    socket.destroy(resetError);
-    return true;
-  };
-}
-
 function hasBody(method: string): boolean {
   return method === "POST" || method === "PUT" || method === "PATCH";
 }
--- a/src/connection/target_client.ts
+++ b/src/connection/target_client.ts
@@ -12,6 +12,7 @@
 import type { OccupancyReport } from "../process/admission/orphan_load.ts";
 import type { HealthReport } from "../process/membership/health_checker.ts";
 import type { Header } from "../types/work.ts";
+import { createTargetConnector } from "./target_connector.ts";
 
 /**
  * The kind of a failed call:
@@ -106,7 +107,7 @@
 /** Creates a client of the target at a base URL. */
 export function createTargetClient(target: string): TargetClient {
   const poolOptions = {
-    connect: { timeout: connectTimeoutMs },
+    connect: createTargetConnector({ timeoutMs: connectTimeoutMs }),
     connections: null,
     headersTimeout: 0,
     bodyTimeout: 0,
--- /dev/null
+++ b/src/connection/target_client_test.ts
@@ -0,0 +1,113 @@
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { createTargetClient, type TargetClient } from "./target_client.ts";
+
+const head = "HTTP/1.1 200 OK\r\n";
+
+describe("target client", () => {
+  describe("a response whose connection ends", () => {
+    const framings = {
+      "with a length": `${head}content-length: 100\r\n\r\nhalf`,
+      "in chunks": `${head}transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n`,
+      "without a length": `${head}connection: close\r\n\r\nhalf`,
+    };
+    const ends = {
+      reset: (socket: Socket) => socket.resetAndDestroy(),
+      close: (socket: Socket) => socket.end(),
+    };
+
+    for (const repeatable of [false, true]) {
+      const kind = repeatable ? "persistent" : "fresh";
+      it(`reset together with its last bytes, ${kind} connection`, async () => {
+        const body = await readBody({
+          bytes: framings["without a length"],
+          endConnection: () => undefined,
+          endOnWrite: ends.reset,
+          repeatable,
+        });
+        expect(body).toBe("broken");
+      });
+    }
+
+    for (const [framing, bytes] of Object.entries(framings)) {
+      for (const [end, endConnection] of Object.entries(ends)) {
+        const isComplete = framing === "without a length" && end === "close";
+        for (const repeatable of [false, true]) {
+          const kind = repeatable ? "persistent" : "fresh";
+          it(`${framing}, ${end}, ${kind} connection`, async () => {
+            const body = await readBody({ bytes, endConnection, repeatable });
+            expect(body).toBe(isComplete ? "half" : "broken");
+          });
+        }
+      }
+    }
+  });
+
+  it("reports that nothing was sent when it cannot connect", async () => {
+    const server = createServer();
+    const port = await listen(server);
+    await new Promise((resolve) => server.close(resolve));
+    const client = createTargetClient(`http://127.0.0.1:${port}`);
+    const result = await send(client, true);
+    expect(result.swap().unsafeCoerce().kind).toBe("not_sent");
+    await client.close();
+  });
+});
+
+/** Reads the body of a response whose connection a stand-in target ends. */
+async function readBody(
+  { bytes, endConnection, endOnWrite, repeatable }: {
+    readonly bytes: string;
+    /** Called right after the bytes are written. */
+    endOnWrite?(socket: Socket): void;
+    endConnection(socket: Socket): void;
+    readonly repeatable: boolean;
+  },
+): Promise<string> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => undefined);
+    socket.once("data", () => {
+      socket.write(bytes);
+      endOnWrite?.(socket);
+    });
+  });
+  const port = await listen(server);
+  const client = createTargetClient(`http://127.0.0.1:${port}`);
+  try {
+    const result = await send(client, repeatable);
+    if (result.isLeft()) return "broken";
+    let text = "";
+    for await (const data of result.unsafeCoerce().body) {
+      text += Buffer.from(data).toString();
+      sockets.forEach(endConnection);
+    }
+    return text;
+  } catch {
+    return "broken";
+  } finally {
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+    await client.close();
+  }
+}
+
+function send(client: TargetClient, repeatable: boolean) {
+  return client.send({
+    requestId: "request-1",
+    method: "GET",
+    path: "/",
+    headers: [],
+    body: new Uint8Array(),
+    repeatable,
+    signal: new AbortController().signal,
+  }).run();
+}
+
+function listen(server: ReturnType<typeof createServer>): Promise<number> {
+  return new Promise((resolve) => {
+    server.listen(0, "127.0.0.1", () => {
+      resolve((server.address() as AddressInfo).port);
+    });
+  });
+}
