Survive a response that breaks off before it is read

What could be seen: a response of a target whose connection was reset after the head arrived and before the reader of the body started raised an error that nobody heard, which ends the agent's process and with it every run in flight. The reader starts at once today, so no caller is known to have met it; the check of resumed streams drops bodies unread.

Cause: src/connection/target_client.ts handed out the HTTP library's body without a listener for its error; src/connection/direct_client.ts has one.

With a listener the error stays with the body, whose reader gets it.

--- a/src/connection/target_client.ts
+++ b/src/connection/target_client.ts
@@ -254,6 +254,9 @@
 }
 
 function toTargetResponse(data: Dispatcher.ResponseData): TargetResponse {
+  // A body that breaks off emits an error even before anyone reads it; its
+  // reader, if any, receives it too.
+  data.body.on("error", () => undefined);
   const headers: Header[] = [];
   for (const [name, value] of Object.entries(data.headers)) {
     if (connectionHeaders.has(name)) continue;
