Let a slow reader reach the end of a response without a length

What callers could see: a target that closes the connection at the end of a response without a length, while the reader is behind, ended the process of the router (direct pipeline) or of the agent with an uncaught assertion of the HTTP library; every caller of that process lost its connection. If such a process were kept alive, the response never ended: the reader waited until the test's time was up.

Cause: the library pauses its parser when the reader is behind, but the runtime emits the end of the connection as soon as its own buffer is empty. The library then finishes the parser, which it asserts isn't paused (Parser.finish).

Evidence: two tests in target_connector_test.ts, for both clients and pools, "comes to a reader that waits before each chunk" (12 MB) and "comes behind bytes that a waiting reader hasn't read".

Why it works: the connector now checks the end where the runtime reports it and holds it while bytes are unread or the library has paused, which shows in that it put bytes back; the next read that finds nothing releases it. Whether the connection was reset is taken when the end is reported. Four more tests show that a response with a length that arrived whole before a reset is still whole.

--- a/src/connection/target_connector.ts
+++ b/src/connection/target_connector.ts
@@ -1,6 +1,7 @@
 /**
- * Opens connections to targets that report a reset as an error, so that a
- * response without a length doesn't look complete when it was broken off.
+ * Opens connections to targets for the HTTP library such that the end of a
+ * connection ends a response without a length only when the target closed it
+ * and its bytes were read.
  */
 
 import type { Socket } from "node:net";
@@ -13,8 +14,7 @@
  * Creates a connector that reports every reset connection as an error, because
  * a response without a length would otherwise look complete. The HTTP library
  * treats ECONNRESET as the end of such a response, so the error gets another
- * code. The runtime reports a reset that arrives together with data as an end
- * without an error, which `failOnResetEnd` detects.
+ * code.
  */
 export function createTargetConnector(
   options: { readonly timeoutMs: number },
@@ -26,28 +26,65 @@
       socket.prependListener("error", (cause: NodeJS.ErrnoException) => {
         if (cause.code === "ECONNRESET") cause.code = resetErrorCode;
       });
-      failOnResetEnd(socket);
+      checkEnd(socket);
       callback(null, socket);
     });
 }
 
 /**
- * Turns the end of a connection into an error when the connection was reset,
- * which shows in that the runtime no longer knows the peer's address.
+ * Checks the end of a connection before the HTTP library sees it:
+ *
+ * - The runtime reports a reset that arrives together with data as an end
+ *   without an error. It becomes an error here.
+ * - The library throws an uncaught error when a connection ends while it has
+ *   paused reading for a slow reader. The end is held until it reads on.
  */
-function failOnResetEnd(socket: Socket): void {
-  const emit: (event: string | symbol, ...args: unknown[]) => boolean = socket
-    .emit.bind(socket);
-  socket.emit = (event: string | symbol, ...args: unknown[]) => {
-    // The address must not be read earlier, because the runtime caches it.
-    if (event !== "end" || socket.remoteAddress !== undefined) {
-      return emit(event, ...args);
+function checkEnd(socket: Socket): void {
+  const push = socket.push.bind(socket);
+  const unshift = socket.unshift.bind(socket);
+  const read = socket.read.bind(socket);
+  let isPaused = false;
+  let heldEnd: (() => void) | undefined;
+
+  socket.push = (data: unknown, encoding?: BufferEncoding) => {
+    if (data !== null) return push(data, encoding);
+    // The peer's address must not be read earlier, because the runtime caches
+    // it; it is gone once the connection was reset.
+    const end = socket.remoteAddress === undefined ? reset : close;
+    if (!isPaused && socket.readableLength === 0) {
+      end();
+      return false;
     }
-    const resetError: NodeJS.ErrnoException = new Error(
-      "The connection was reset",
-    );
-    resetError.code = resetErrorCode;
-    socket.destroy(resetError);
-    return true;
+    heldEnd = end;
+    // The runtime would read the end again and again.
+    socket._read = () => undefined;
+    return false;
+  };
+
+  // The library puts back what it can't take yet, even no bytes, when it
+  // pauses, and reads without a size only while it isn't paused.
+  socket.unshift = (data: unknown, encoding?: BufferEncoding) => {
+    isPaused = true;
+    unshift(data, encoding);
   };
+  socket.read = (size?: number) => {
+    const data: unknown = read(size);
+    if (size !== undefined) return data;
+    isPaused = false;
+    if (data === null && heldEnd !== undefined) {
+      process.nextTick(heldEnd);
+      heldEnd = undefined;
+    }
+    return data;
+  };
+
+  function close(): void {
+    push(null);
+  }
+
+  function reset(): void {
+    const error: NodeJS.ErrnoException = new Error("The connection was reset");
+    error.code = resetErrorCode;
+    socket.destroy(error);
+  }
 }
--- a/src/connection/target_connector_test.ts
+++ b/src/connection/target_connector_test.ts
@@ -14,6 +14,9 @@
 /** Bytes that the runtime reads from a connection at once. */
 const readBytes = 64 * 1024;
 
+/** More than the buffers of both ends of a connection hold. */
+const floodBytes = 12 * 1024 * 1024;
+
 /** Turns of the event loop for which a slow reader waits. */
 const slowTurns = 5;
 
@@ -115,10 +118,58 @@
         expect(result)
           .toBe(end === "reset" ? "broken" : steps.length * readBytes);
       });
+
+      it("comes to a reader that waits before each chunk", async () => {
+        const steps: PeerStep[] = [
+          { bytes: head + "x".repeat(floodBytes), isFlood: true },
+          { bytes: "", isFlood: true, end },
+        ];
+        let hasEnded = false;
+        const result = await read(open, steps, {
+          onRequest: ({ step }) => step(),
+          onChunk: async ({ step }) => {
+            if (!hasEnded) await step();
+            hasEnded = true;
+            await waitTurns(slowTurns);
+          },
+        });
+        expect(result).toBe(end === "reset" ? "broken" : floodBytes);
+      });
+
+      it("comes behind bytes that a waiting reader hasn't read", async () => {
+        const body = "x".repeat(16 * readBytes);
+        const steps: PeerStep[] = [
+          { bytes: head + body },
+          { bytes: "", end },
+        ];
+        let hasEnded = false;
+        const result = await read(open, steps, {
+          onRequest: ({ step }) => step(),
+          onChunk: async ({ step }) => {
+            if (!hasEnded) await step();
+            hasEnded = true;
+            await waitTurns(slowTurns);
+          },
+        });
+        expect(result).toBe(end === "reset" ? "broken" : body.length);
+      });
     });
   });
 });
 
+describe("a connection that is reset behind a response with a length", () => {
+  it.each(Object.entries(clients))(
+    "leaves the response whole, %s",
+    async (_client, open) => {
+      const bytes = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody";
+      const result = await read(open, [{ bytes, end: "reset" }], {
+        onRequest: ({ stepWhileBlocked }) => stepWhileBlocked(),
+      });
+      expect(result).toBe(4);
+    },
+  );
+});
+
 /** Reads a response; returns the length of its body unless it broke off. */
 async function read(
   open: Open,
