Resume a stream only with the same stream

What callers could see: after the connection of a resumable stream broke, any response with status 200 to GET /v1/streams/<id>?offset=N was appended to the part that had been sent: a page of JSON, another stream, or bytes that begin in the middle of an event. A response that bore a stream id but was no event stream was resumed too.

Cause: src/request/target_stream.ts took the body without looking at its head, src/connection/target_client.ts checks the status only.

Evidence: target_stream_test.ts. Before the change "is never taken from a response of another type", "is never taken from another stream", "never starts inside an event" and "does not resume a response that is no event stream" failed with "Received promise resolved instead of rejected". After it all 13 tests pass.

The continuation must be an event stream, bear the same id if it bears one, and begin with a field or a comment. Else its call is ended unread and the break that led to it is reported; a body that starts inside an event counts as one more break. The media type is read in one place, src/types/response.ts, in any case and with parameters.

--- a/src/connection/target_client_test.ts
+++ b/src/connection/target_client_test.ts
@@ -42,6 +42,25 @@
     }
   });
 
+  it("closes the connection of a resumed stream that is dropped", async () => {
+    let isClosed: Promise<unknown> | undefined;
+    const server = createServer((socket) => {
+      socket.on("error", () => undefined);
+      isClosed = new Promise((resolve) => socket.once("close", resolve));
+      socket.once("data", () => socket.write(`${head}\r\nhalf`));
+    });
+    const port = await listen(server);
+    const client = createTargetClient(`http://127.0.0.1:${port}`);
+    const controller = new AbortController();
+    const { signal } = controller;
+    const result = await client.resume({ id: "s1", offset: 1, signal }).run();
+    expect(result.isRight()).toBe(true);
+    controller.abort();
+    await isClosed;
+    server.close();
+    await client.close();
+  });
+
   it("reports that nothing was sent when it cannot connect", async () => {
     const server = createServer();
     const port = await listen(server);
--- a/src/request/target_stream.ts
+++ b/src/request/target_stream.ts
@@ -1,7 +1,8 @@
 /**
  * Reads the body of a target's response. A resumable event stream is yielded in
  * complete events. When the connection to a live engine breaks, the stream is
- * resumed at the next event, so that bytes of two runs are never mixed.
+ * resumed at the next event, so that bytes of two runs are never mixed. Only the
+ * same stream is taken as its continuation.
  */
 
 import {
@@ -9,6 +10,7 @@
   type TargetResponse,
   toTargetError,
 } from "../connection/target_client.ts";
+import { isEventStream } from "../types/response.ts";
 
 /** Header in which an engine sends the id of a resumable stream. */
 const streamIdHeader = "x-stream-id";
@@ -16,6 +18,12 @@
 /** Maximum number of consecutive resumptions without a new event. */
 const maxIdleResumes = 2;
 
+/** Start of an event: the name of a field, or a colon before a comment. */
+const eventStart = /^(?:data|event|id|retry)?:/;
+
+/** Bytes at the start of an event that show whether it is one. */
+const eventStartBytes = 8;
+
 /** Line feed; two of them end an event. */
 const lineFeed = 10;
 
@@ -38,17 +46,22 @@
   signal: AbortSignal,
 ): AsyncGenerator<Uint8Array, void> {
   const id = tryGetStreamId(response);
-  if (id === undefined) {
+  if (id === undefined || !isEventStream(response.headers)) {
     yield* response.body;
     return;
   }
   let body = response.body;
+  let isResumed = false;
   let events = 0;
   let idleResumes = 0;
   while (true) {
     const eventsBefore = events;
     try {
       for await (const chunk of splitEvents(body)) {
+        if (isResumed && !isEventStart(chunk.data)) {
+          throw new Error("The resumed stream starts inside an event");
+        }
+        isResumed = false;
         events += chunk.events;
         yield chunk.data;
       }
@@ -58,14 +71,51 @@
       if (toTargetError(error).kind === "aborted") throw error;
       if (idleResumes > maxIdleResumes) throw error;
       if (await host.checkCrash()) throw error;
-      const resumed = await host.target
-        .resume({ id, offset: events, signal }).run();
-      if (resumed.isLeft()) throw error;
-      body = resumed.unsafeCoerce().body;
+      const resumed = await tryResume(host, { id, offset: events, signal });
+      if (resumed === undefined) throw error;
+      body = resumed.body;
+      isResumed = true;
     }
   }
 }
 
+/**
+ * Resumes a stream; returns undefined, and ends the call, when the response
+ * isn't the continuation of the stream.
+ */
+async function tryResume(
+  host: TargetStreamHost,
+  { id, offset, signal }: {
+    readonly id: string;
+    readonly offset: number;
+    readonly signal: AbortSignal;
+  },
+): Promise<TargetResponse | undefined> {
+  const controller = new AbortController();
+  const resumed = await host.target.resume({
+    id,
+    offset,
+    signal: AbortSignal.any([signal, controller.signal]),
+  }).run();
+  if (resumed.isLeft()) return undefined;
+  const response = resumed.unsafeCoerce();
+  if (isSameStream(response, id)) return response;
+  controller.abort();
+  return undefined;
+}
+
+/** Returns true for an event stream that bears this id or none. */
+function isSameStream(response: TargetResponse, id: string): boolean {
+  return response.status === 200 && isEventStream(response.headers) &&
+    (tryGetStreamId(response) ?? id) === id;
+}
+
+function isEventStart(data: Uint8Array): boolean {
+  return eventStart.test(
+    Buffer.from(data.subarray(0, eventStartBytes)).toString("latin1"),
+  );
+}
+
 /** Yields complete events; an incomplete one at the end of the body is last. */
 async function* splitEvents(
   body: AsyncIterable<Uint8Array>,
--- a/src/request/target_stream_test.ts
+++ b/src/request/target_stream_test.ts
@@ -3,6 +3,7 @@
   TargetError,
   TargetResponse,
 } from "../connection/target_client.ts";
+import type { Header } from "../types/work.ts";
 import { readTargetStream } from "./target_stream.ts";
 
 const events = [
@@ -42,6 +43,53 @@
       .rejects.toThrow("socket closed");
   });
 
+  describe("a resumed stream", () => {
+    const cut = [events[0] ?? "", "cut"];
+
+    it("is never taken from a response of another type", async () => {
+      for (const type of ["application/json", "text/plain", ""]) {
+        await expect(read(cut, { resumedHeaders: createHeaders("s1", type) }))
+          .rejects.toThrow("socket closed");
+      }
+    });
+
+    it("is never taken from another stream", async () => {
+      await expect(read(cut, { resumedHeaders: createHeaders("s2") }))
+        .rejects.toThrow("socket closed");
+    });
+
+    it("may come without its id", async () => {
+      const { text } = await read(cut, { resumedHeaders: createHeaders("") });
+      expect(text).toBe(events.join(""));
+    });
+
+    it("may spell its type in another way", async () => {
+      const resumedHeaders = createHeaders("s1", "Text/Event-Stream;a=b");
+      const { text } = await read(cut, { resumedHeaders });
+      expect(text).toBe(events.join(""));
+    });
+
+    it("ends the call that it doesn't take", async () => {
+      const { aborted } = await read(cut, {
+        resumedHeaders: createHeaders("s2"),
+      }).catch((error: Error) => error.cause as { aborted: boolean });
+      expect(aborted).toBe(true);
+    });
+
+    it("never starts inside an event", async () => {
+      for (const start of ["ta: b\n\n", "b\n\n", "\n", '"}]}\n\n']) {
+        await expect(read(cut, { resumed: [start, ...events.slice(2)] }))
+          .rejects.toThrow();
+      }
+    });
+  });
+
+  it("does not resume a response that is no event stream", async () => {
+    const headers = createHeaders("s1", "application/json");
+    await expect(read([events[0] ?? "", "cut"], { headers }))
+      .rejects.toThrow("socket closed");
+  });
+
   it("does not resume a stream without an id", async () => {
     await expect(read([events[0] ?? "", "cut"], { id: "" }))
       .rejects.toThrow("socket closed");
@@ -53,27 +101,40 @@
   chunks: readonly string[],
   options: {
     readonly id?: string;
+    readonly headers?: readonly Header[];
     readonly crashed?: boolean;
     /** Chunks of a resumed stream, in place of the remaining events. */
     readonly resumed?: readonly string[];
+    readonly resumedHeaders?: readonly Header[];
   } = {},
-): Promise<{ readonly text: string; readonly offsets: readonly number[] }> {
+): Promise<{
+  readonly text: string;
+  readonly offsets: readonly number[];
+  /** True when the last call that resumed the stream was aborted. */
+  readonly aborted: boolean;
+}> {
   const { id = "s1", crashed = false } = options;
   const offsets: number[] = [];
+  let resumeSignal: AbortSignal | undefined;
   const response: TargetResponse = {
     status: 200,
-    headers: id === "" ? [] : [{ name: "x-stream-id", value: id }],
+    headers: options.headers ?? createHeaders(id),
     body: createBody(chunks),
   };
   const stream = readTargetStream(
     {
       checkCrash: () => Promise.resolve(crashed),
       target: {
-        resume: ({ offset }) =>
+        resume: ({ offset, signal }) =>
           EitherAsync<TargetError, TargetResponse>(() => {
             offsets.push(offset);
+            resumeSignal = signal;
             const rest = options.resumed ?? events.slice(offset);
-            return Promise.resolve({ ...response, body: createBody(rest) });
+            return Promise.resolve({
+              status: 200,
+              headers: options.resumedHeaders ?? response.headers,
+              body: createBody(rest),
+            });
           }),
       },
     },
@@ -81,8 +142,23 @@
     new AbortController().signal,
   );
   let text = "";
-  for await (const data of stream) text += Buffer.from(data).toString();
-  return { text, offsets };
+  try {
+    for await (const data of stream) text += Buffer.from(data).toString();
+  } catch (error) {
+    const aborted = resumeSignal?.aborted ?? false;
+    throw new Error((error as Error).message, { cause: { aborted } });
+  }
+  return { text, offsets, aborted: resumeSignal?.aborted ?? false };
+}
+
+function createHeaders(
+  id: string,
+  type = "text/event-stream",
+): readonly Header[] {
+  return [
+    { name: "content-type", value: type },
+    ...(id === "" ? [] : [{ name: "x-stream-id", value: id }]),
+  ];
 }
 
 async function* createBody(
--- a/src/types/response.ts
+++ b/src/types/response.ts
@@ -3,6 +3,9 @@
 import type { DiagnosticCode } from "./diagnostics.ts";
 import type { Header } from "./work.ts";
 
+/** Header that names the type of a body. */
+const contentType = "content-type";
+
 /** The token usage that a model engine reports; all zeros for a plain call. */
 export interface Usage {
   readonly promptTokens: number;
@@ -60,6 +63,13 @@
   cachedTokens: 0,
 };
 
+/** Returns true when the headers announce a stream of server-sent events. */
+export function isEventStream(headers: readonly Header[]): boolean {
+  const type = headers.find(({ name }) => name.toLowerCase() === contentType);
+  const [mediaType = ""] = type?.value.split(";") ?? [];
+  return mediaType.trim().toLowerCase() === "text/event-stream";
+}
+
 /** Reads one response at the pace of its consumer. */
 export interface ResponseReader {
   /** Returns the next event, or undefined while none is available. */
