Take an end inside an event for a break of the stream

What callers could see: a resumable stream whose connection ended without an error in the middle of an event was passed on with that part of an event as its end, and wasn't resumed, though the engine still had the rest. When the part read like the end marker, the response counted as whole.

Cause: splitEvents in src/request/target_stream.ts yielded what was left of a body as its last event. It knew no carriage returns either, so a stream with them was one event without an end, which the new check must not break off.

Evidence: target_stream_test.ts.

An end inside an event now is an error like a lost connection, so the stream resumes at the next event or breaks. Empty lines after the last event are passed on as they were.

--- a/src/request/target_stream.ts
+++ b/src/request/target_stream.ts
@@ -24,9 +24,12 @@
 /** Bytes at the start of an event that show whether it is one. */
 const eventStartBytes = 8;
 
-/** Line feed; two of them end an event. */
+/** Line feed; an empty line ends an event. */
 const lineFeed = 10;
 
+/** Carriage return, which may precede a line feed. */
+const carriageReturn = 13;
+
 /** What a stream needs from the process. */
 export interface TargetStreamHost {
   readonly target: Pick<TargetClient, "resume">;
@@ -116,7 +119,7 @@
   );
 }
 
-/** Yields complete events; an incomplete one at the end of the body is last. */
+/** Yields complete events; throws when the body ends inside one. */
 async function* splitEvents(
   body: AsyncIterable<Uint8Array>,
 ): AsyncGenerator<
@@ -130,6 +133,9 @@
     rest = joined.subarray(end);
     if (end > 0) yield { data: joined.subarray(0, end), events };
   }
+  if (!rest.every(isLineBreak)) {
+    throw new Error("The stream ended inside an event");
+  }
   if (rest.byteLength > 0) yield { data: rest, events: 0 };
 }
 
@@ -139,12 +145,17 @@
   let events = 0;
   let end = 0;
   let at = data.indexOf(lineFeed);
-  while (at >= 0 && at + 1 < data.byteLength) {
-    if (data[at + 1] === lineFeed) {
+  while (at >= 0) {
+    const next = data[at + 1] === carriageReturn ? at + 2 : at + 1;
+    if (data[next] === lineFeed) {
       events++;
-      end = at + 2;
+      end = next + 1;
     }
     at = data.indexOf(lineFeed, Math.max(at + 1, end));
   }
   return { events, end };
 }
+
+function isLineBreak(byte: number): boolean {
+  return byte === lineFeed || byte === carriageReturn;
+}
--- a/src/request/target_stream_test.ts
+++ b/src/request/target_stream_test.ts
@@ -84,6 +84,36 @@
     });
   });
 
+  it("yields empty lines after the last event", async () => {
+    const { text } = await read([...events, "\n\r\n"]);
+    expect(text).toBe(`${events.join("")}\n\r\n`);
+  });
+
+  describe("an end inside an event", () => {
+    it("is taken for a break, from which the stream resumes", async () => {
+      for (let end = 1; end < events.join("").length; end++) {
+        const start = events.join("").slice(0, end);
+        if (start.endsWith("\n\n")) continue;
+        const { text } = await read([start]);
+        expect(text).toBe(events.join(""));
+      }
+    });
+
+    it("is never passed on as an end", async () => {
+      await expect(read(["data: a\n\ndata: b"], { resumed: ["data: b"] }))
+        .rejects.toThrow("ended inside an event");
+    });
+  });
+
+  it("splits events with carriage returns", async () => {
+    const chunks = ["data: a\r\n\r\nda", "ta: b", "cut"];
+    const { text, offsets } = await read(chunks, {
+      resumed: ["data: b\r\n\r\n"],
+    });
+    expect(text).toBe("data: a\r\n\r\ndata: b\r\n\r\n");
+    expect(offsets).toEqual([1]);
+  });
+
   it("does not resume a response that is no event stream", async () => {
     const headers = createHeaders("s1", "application/json");
     await expect(read([events[0] ?? "", "cut"], { headers }))
