Know an event stream by its media type, however it is written

What callers could see: a stream of a target that writes its type as "Text/Event-Stream", with a blank, or its header in another case, ended as whole without its end marker: it was taken for a body that may end anywhere. Its events also came late, and its marker reached the caller before the end was checked.

Cause: response_scan.ts, delivery.ts and caller_reply.ts each compared the start of the header's value with "text/event-stream", the first of them with an exact header name too. Media types have no case, and "text/event-streams" is another.

The three now ask isEventStream in src/types/response.ts. The same comparison is left in src/platform/target_codec.ts of the direct pipeline.

--- a/src/connection/caller_reply.ts
+++ b/src/connection/caller_reply.ts
@@ -3,6 +3,7 @@
 import type { ServerResponse } from "node:http";
 import { formatReport, getDiagnostic } from "../types/diagnostics.ts";
 import type { Reply, ReplyHead, RequestEnd } from "../types/reply.ts";
+import { isEventStream } from "../types/response.ts";
 
 /** Status of a request that ended without a report. */
 const doneStatus = 200;
@@ -40,7 +41,7 @@
   options: { readonly requestId: string },
 ): Reply {
   const disconnect = new AbortController();
-  let isEventStream = false;
+  let isStream = false;
   let hasKnownLength = false;
   response.on("close", () => {
     if (!response.writableFinished) disconnect.abort();
@@ -52,9 +53,8 @@
   function start(head: ReplyHead): void {
     for (const { name, value } of head.headers) {
       response.setHeader(name, value);
-      if (name.toLowerCase() !== "content-type") continue;
-      isEventStream = value.startsWith("text/event-stream");
     }
+    isStream = isEventStream(head.headers);
     response.setHeader("x-request-id", options.requestId);
     response.setHeader("x-place", head.targetId);
     hasKnownLength = head.length !== undefined;
@@ -97,7 +97,7 @@
     }
     if (requestEnd.outcome !== "done") {
       // A destroyed connection shows the caller that the body is incomplete.
-      if (!isEventStream) return void response.destroy();
+      if (!isStream) return void response.destroy();
       const { body } = formatError(requestEnd, options.requestId);
       response.write(`event: error\ndata: ${body}\n\n`);
     }
--- a/src/request/delivery.ts
+++ b/src/request/delivery.ts
@@ -4,7 +4,7 @@
  * too large to be buffered.
  */
 
-import type { Head } from "../types/response.ts";
+import { type Head, isEventStream } from "../types/response.ts";
 import type { Reply } from "../types/reply.ts";
 import { createEventBuffer, type EventBuffer } from "./event_buffer.ts";
 
@@ -52,7 +52,9 @@
 
   function setHead(value: Head, targetId: string): void {
     pendingHead = { head: value, targetId };
-    eventBuffer = isEventStream(value) ? createEventBuffer() : undefined;
+    eventBuffer = isEventStream(value.headers)
+      ? createEventBuffer()
+      : undefined;
   }
 
   function start(length?: number): void {
@@ -104,11 +106,3 @@
     eventBuffer = undefined;
   }
 }
-
-/** Returns true when the response is a stream of server-sent events. */
-function isEventStream(head: Head): boolean {
-  const type = head.headers.find((header) =>
-    header.name.toLowerCase() === "content-type"
-  );
-  return type?.value.startsWith("text/event-stream") ?? false;
-}
--- a/src/request/response_scan.ts
+++ b/src/request/response_scan.ts
@@ -3,7 +3,7 @@
  * is forwarded.
  */
 
-import { noUsage, type Usage } from "../types/response.ts";
+import { isEventStream, noUsage, type Usage } from "../types/response.ts";
 import type { Header } from "../types/work.ts";
 
 /** Bytes at the end of a response that are searched for its usage. */
@@ -26,9 +26,7 @@
 
 /** Creates the scan of a response with these headers. */
 export function createResponseScan(headers: readonly Header[]): ResponseScan {
-  const isEventStream = headers.some(({ name, value }) =>
-    name === "content-type" && value.startsWith("text/event-stream")
-  );
+  const isStream = isEventStream(headers);
   const tailChunks: Uint8Array[] = [];
   let tailChunkBytes = 0;
   let tokens = 0;
@@ -37,7 +35,7 @@
   return { add, getTokens: () => tokens, isComplete, getUsage };
 
   function add(data: Uint8Array): void {
-    if (isEventStream) countEvents(data);
+    if (isStream) countEvents(data);
     tailChunks.push(data);
     tailChunkBytes += data.byteLength;
     // Drops the oldest chunk once the others alone fill the tail.
@@ -66,7 +64,7 @@
   }
 
   function isComplete(): boolean {
-    return !isEventStream || getTail().trimEnd().endsWith("data: [DONE]");
+    return !isStream || getTail().trimEnd().endsWith("data: [DONE]");
   }
 
   function getUsage(): Usage {
