Take only a whole last event for the end marker of a stream

What callers could see: an event stream that was broken off right behind text that reads "data: [DONE]", such as a chat about event streams, or inside the marker's own event, ended as whole. A stream whose marker has no blank ("data:[DONE]") never did: each was reported as cut off.

Cause: response_scan.ts compared the end of the trimmed bytes with "data: [DONE]", without looking at where the line and the event begin and end.

Evidence: response_scan_test.ts. Before the change 10 of 27 tests failed, nine like "is not complete with the marker inside an event's text": Expected: false, Received: true, and "is complete without a blank": Expected: true, Received: false. After it all 27 pass, also byte by byte, and the 693 of src/request, src/roles, test/agent and test/matrix.

The last event must have the marker as its only data and an empty line after it, as a reader of the stream needs to see the marker at all. Where the tail that is kept doesn't hold the event's start, the stream counts as broken off.

--- a/src/request/response_scan.ts
+++ b/src/request/response_scan.ts
@@ -12,6 +12,18 @@
 /** Line feed; an empty line ends an event of an event stream. */
 const lineFeed = 10;
 
+/** Line break of an event stream. */
+const lineBreak = /\r?\n/;
+
+/** Empty parts that follow an event when its text is split into lines. */
+const linesAfterEvent = 2;
+
+/** A line that adds to the data of an event. */
+const dataField = /^data(?::|$)/;
+
+/** The line that marks the end of a chat's event stream. */
+const endMarker = /^data: ?\[DONE\]\s*$/;
+
 /** Token count, usage and end marker of one response. */
 export interface ResponseScan {
   /** Adds the next bytes of the response. */
@@ -29,6 +41,7 @@
   const isStream = isEventStream(headers);
   const tailChunks: Uint8Array[] = [];
   let tailChunkBytes = 0;
+  let bytes = 0;
   let tokens = 0;
   let isAfterLineFeed = false;
 
@@ -38,6 +51,7 @@
     if (isStream) countEvents(data);
     tailChunks.push(data);
     tailChunkBytes += data.byteLength;
+    bytes += data.byteLength;
     // Drops the oldest chunk once the others alone fill the tail.
     while (tailChunkBytes - (tailChunks[0]?.byteLength ?? 0) >= tailBytes) {
       tailChunkBytes -= tailChunks.shift()?.byteLength ?? 0;
@@ -64,7 +78,9 @@
   }
 
   function isComplete(): boolean {
-    return !isStream || getTail().trimEnd().endsWith("data: [DONE]");
+    return !isStream || endsWithMarker(getTail(), {
+      isWhole: bytes <= tailBytes,
+    });
   }
 
   function getUsage(): Usage {
@@ -80,6 +96,28 @@
   }
 }
 
+/**
+ * Returns true when the last event is the end marker and an empty line ends it.
+ * The event's start must be known, since a line of a text may read like the
+ * marker.
+ */
+function endsWithMarker(
+  tail: string,
+  { isWhole }: { readonly isWhole: boolean },
+): boolean {
+  const lines = tail.split(lineBreak);
+  let end = lines.length;
+  while (end > 0 && lines[end - 1] === "") end--;
+  if (lines.length - end < linesAfterEvent) return false;
+  const before = lines.lastIndexOf("", end - 1);
+  // The first line of a part of the response may be the rest of a longer one.
+  if (before < 1 && !isWhole) return false;
+  const data = lines.slice(before + 1, end).filter((line) =>
+    dataField.test(line)
+  );
+  return data.length === 1 && endMarker.test(data[0] ?? "");
+}
+
 function parseCount(text: string, field: string): number {
   return Number(new RegExp(`"${field}"\\s*:\\s*(\\d+)`).exec(text)?.[1] ?? 0);
 }
