Continue a response only with one of the same type and encoding

What callers could see: after part of a response had been sent, another attempt whose body begins with the same bytes was joined to it whatever its content type or encoding, so the rest didn't fit the head that the caller has. It takes equal bytes at the start; no such case is known.

Cause: acceptHead in response_assembly.ts compared the status only.

Evidence: response_assembly_test.ts. Before the change 4 of 6 tests, "is never joined with another type", "no type", "another character set" and "an encoding", failed: expected {"fault": "other_draft", "kind": "broken"}, received {"kind": "nothing"}. After it all 6 pass.

Both heads must have the same status, content-type and content-encoding, in any case of letters; other headers may differ from run to run.

--- a/src/request/response_assembly.ts
+++ b/src/request/response_assembly.ts
@@ -20,7 +20,7 @@
  *
  * - `gap`: bytes before this event are missing.
  * - `other_draft`: the response of another attempt differs from the released
- *   bytes.
+ *   bytes, or in its status, type or encoding.
  * - `corrupted`: the length or digest in the end event does not match the
  *   bytes.
  */
@@ -50,6 +50,9 @@
   accept(event: Head | Chunk | End): AssemblyStep;
 }
 
+/** Headers that say how the bytes of a body are to be read. */
+const formHeaders = ["content-type", "content-encoding"];
+
 const nothing: AssemblyStep = { kind: "nothing" };
 
 /** Creates an empty response. */
@@ -107,7 +110,7 @@
       head = event;
       return { kind: "head", head };
     }
-    return head.status === event.status ? nothing : createFault("other_draft");
+    return isSameForm(head, event) ? nothing : createFault("other_draft");
   }
 
   function acceptChunk(chunk: Chunk): AssemblyStep {
@@ -153,3 +156,16 @@
     return { kind: "broken", fault };
   }
 }
+
+/** Returns true when bodies with these heads may continue each other. */
+function isSameForm(left: Head, right: Head): boolean {
+  return left.status === right.status &&
+    formHeaders.every((name) =>
+      getHeader(left, name) === getHeader(right, name)
+    );
+}
+
+function getHeader(head: Head, name: string): string | undefined {
+  return head.headers.find((header) => header.name.toLowerCase() === name)
+    ?.value.trim().toLowerCase();
+}
