Add the error of a broken stream only between events

What callers could see: when an event stream broke off while a part of an event had been sent, the error was written right behind that part and the body ended as complete: "data: bevent: error", then the error as one more line of data of the broken event. A reader took the error's text for the rest of the event.

Cause: src/connection/caller_reply.ts wrote its error event without looking at what went before. Parts of events are sent once an event is longer than the 256 KiB of event_buffer.ts, or when the body has an encoding in which no event is seen.

The reply keeps the last three bytes of a stream. Unless they end an event, the connection is ended in place of the body, as for a body that is no stream; docs/CALLERS.md says so.

--- a/src/connection/caller_reply.ts
+++ b/src/connection/caller_reply.ts
@@ -8,6 +8,12 @@
 /** Status of a request that ended without a report. */
 const doneStatus = 200;
 
+/** End of an event: the break of its last line and an empty line. */
+const eventEnd = /\n\r?\n$/;
+
+/** Maximum length of the end of an event, in bytes. */
+const maxEventEndBytes = 3;
+
 /** The status and the body of an error response. */
 export interface FormattedError {
   readonly status: number;
@@ -43,6 +49,8 @@
   const disconnect = new AbortController();
   let isStream = false;
   let hasKnownLength = false;
+  /** Last bytes of the body, of which an event's end can be told. */
+  let tail: Uint8Array = new Uint8Array();
   response.on("close", () => {
     if (!response.writableFinished) disconnect.abort();
   });
@@ -69,6 +77,10 @@
   }
 
   function write(data: Uint8Array): Promise<void> | undefined {
+    if (isStream) {
+      tail = Buffer.concat([tail, data.subarray(-maxEventEndBytes)])
+        .subarray(-maxEventEndBytes);
+    }
     if (disconnect.signal.aborted || response.write(data)) return undefined;
     return waitForDrain(response);
   }
@@ -96,8 +108,9 @@
       return;
     }
     if (requestEnd.outcome !== "done") {
-      // A destroyed connection shows the caller that the body is incomplete.
-      if (!isStream) return void response.destroy();
+      // A destroyed connection shows the caller that the body is incomplete. An
+      // error that follows a part of an event would be read as its rest.
+      if (!isStream || !isBetweenEvents()) return void response.destroy();
       const { body } = formatError(requestEnd, options.requestId);
       response.write(`event: error\ndata: ${body}\n\n`);
     }
@@ -107,6 +120,11 @@
     });
     response.end();
   }
+
+  function isBetweenEvents(): boolean {
+    const text = Buffer.from(tail).toString("latin1");
+    return text === "" || eventEnd.test(text);
+  }
 }
 
 /** Waits until more can be written or the caller has disconnected. */
