Don't resume a chat behind its last token

What callers could see: when the connection to an engine broke between the event that finishes a chat and the end marker, the finishing event with its usage came twice, and the response ended as whole with the length and digest of both.

Cause: src/request/target_stream.ts gives the number of events as the offset, an engine takes it as a number of tokens (docs/PLATFORM.md). They agree until the finishing event, which is no token; from any offset behind the last token the engine sends it again.

Evidence: test/agent/engine_test.ts, "never repeats the event that finishes it", with the engine stand-in and the agent's client.

A break behind a finishing event is now reported as it is; nothing is appended.

--- a/src/request/target_stream.ts
+++ b/src/request/target_stream.ts
@@ -24,6 +24,9 @@
 /** Bytes at the start of an event that show whether it is one. */
 const eventStartBytes = 8;
 
+/** The reason for its end in the event that finishes a chat. */
+const finishReason = /"finish_reason"\s*:\s*"/;
+
 /** Line feed; an empty line ends an event. */
 const lineFeed = 10;
 
@@ -55,6 +58,7 @@
   }
   let body = response.body;
   let isResumed = false;
+  let isFinished = false;
   let events = 0;
   let idleResumes = 0;
   while (true) {
@@ -66,12 +70,16 @@
         }
         isResumed = false;
         events += chunk.events;
+        isFinished ||= finishReason.test(Buffer.from(chunk.data).toString());
         yield chunk.data;
       }
       return;
     } catch (error) {
       idleResumes = events > eventsBefore ? 0 : idleResumes + 1;
       if (toTargetError(error).kind === "aborted") throw error;
+      // Engines count an offset in tokens, so one behind the last token brings
+      // the event that finishes the stream again.
+      if (isFinished) throw error;
       if (idleResumes > maxIdleResumes) throw error;
       if (await host.checkCrash()) throw error;
       const resumed = await tryResume(host, { id, offset: events, signal });
--- a/test/agent/engine_test.ts
+++ b/test/agent/engine_test.ts
@@ -8,6 +8,8 @@
   type RunEvent,
   RunRequest,
 } from "../../src/generated/mimosatray/v1/agent.ts";
+import { createTargetClient } from "../../src/connection/target_client.ts";
+import { readTargetStream } from "../../src/request/target_stream.ts";
 import { createAgentRole } from "../../src/roles/agent.ts";
 import type { Role } from "../../src/types/role.ts";
 import {
@@ -57,6 +59,27 @@
     });
   });
 
+  describe("a stream that breaks behind its last token", () => {
+    it("never repeats the event that finishes it", async () => {
+      const client = createTargetClient(`http://127.0.0.1:${engine.port}`);
+      const { signal } = new AbortController();
+      const chat = createChat(1, { tokens: 4 });
+      const sent = await client.send({ ...chat, signal }).run();
+      const response = sent.unsafeCoerce();
+      const stream = readTargetStream(
+        { target: client, checkCrash: () => Promise.resolve(false) },
+        { ...response, body: cutAtMarker(response.body) },
+        signal,
+      );
+      let text = "";
+      await expect((async () => {
+        for await (const data of stream) text += Buffer.from(data).toString();
+      })()).rejects.toThrow("socket closed");
+      expect(text.match(/"finish_reason":"stop"/g)).toHaveLength(1);
+      await client.close();
+    });
+  });
+
   describe("a stream that ends early without an error", () => {
     it("is not forwarded as complete", async () => {
       engine.settings.endAfterTokens = 5;
@@ -154,6 +177,16 @@
   });
 });
 
+/** Yields the bytes before the end marker and breaks off. */
+async function* cutAtMarker(
+  body: AsyncIterable<Uint8Array>,
+): AsyncGenerator<Uint8Array, void> {
+  let text = "";
+  for await (const data of body) text += Buffer.from(data).toString();
+  yield Buffer.from(text.slice(0, text.indexOf("data: [DONE]")));
+  throw new Error("socket closed");
+}
+
 async function startAgent(
   host: FakeAgentHost,
 ): Promise<{ readonly role: Role; readonly client: AgentServiceClient }> {
