Break the connections of targets in the fault matrix

Cause: the matrix had no target whose connection breaks while it lives, so no stream was resumed in it, and the client of an agent's target had no test of connections that end, as the direct client has.

New faults: target_cut (the resumption yields the rest), resume_error and resume_json (200 with JSON that ends with an empty line). The pairs leave out the two of resumptions, since a call's response isn't resumed.

docs/FAULTS.md isn't written again.

--- a/test/fakes/fake_target.ts
+++ b/test/fakes/fake_target.ts
@@ -19,6 +19,8 @@
   /** Chunks of the body. */
   readonly body: readonly string[];
   readonly headers?: readonly Header[];
+  /** Id by which the body can be resumed after a break, if it can. */
+  readonly streamId?: string;
   /**
    * How the call ends: `whole` after the body, `cut` by a lost connection after
    * the body, `not_sent` without a connection, `crash` by a crash of the target
@@ -27,6 +29,12 @@
   readonly end: "whole" | "cut" | "not_sent" | "crash";
 }
 
+/**
+ * How the target responds when a stream is resumed: with the rest of its
+ * events, with an error, or with JSON as if that were a success.
+ */
+export type ResumeKind = "rest" | "error" | "json";
+
 /** An in-memory target. */
 export interface FakeTarget
   extends Pick<TargetClient, "send" | "resume" | "cancelStream"> {
@@ -40,27 +48,49 @@
   crash(): void;
 }
 
+/** A target whose connections break on demand. */
+export interface BreakableTarget extends FakeTarget {
+  /**
+   * Breaks the connection of the next body that reaches its third chunk. Its
+   * run goes on; later resumptions are served as `resumeKind` says.
+   */
+  breakConnection(resumeKind: ResumeKind): void;
+}
+
+/** Chunks that arrive before a connection breaks. */
+const chunksBeforeBreak = 2;
+
+const streamIdHeader = "x-stream-id";
+
+/** JSON that reads like an event, as it ends with an empty line. */
+const jsonBody = '{"error": "no such stream"}\n\n';
+
 /** Creates a target that responds to each call as `planCall` specifies. */
 export function createFakeTarget(
   planCall: (request: TargetRequest) => FakeCall,
   host: { readonly onCrash?: () => void } = {},
-): FakeTarget {
+): BreakableTarget {
   const runs = new Map<string, number>();
   const running = new Set<string>();
   const aborted = new Set<string>();
+  /** Bodies by stream id, of the current process. */
+  const streams = new Map<string, readonly string[]>();
   let processController = new AbortController();
+  let willBreak = false;
+  let resumeKind: ResumeKind = "rest";
 
   return {
     runs,
     running,
     aborted,
     send,
-    resume: () =>
-      EitherAsync<TargetError, TargetResponse>(({ throwE }) =>
-        throwE({ kind: "lost", message: "stream not found" })
-      ),
+    resume,
     cancelStream: () => undefined,
     crash,
+    breakConnection: (kind) => {
+      willBreak = true;
+      resumeKind = kind;
+    },
   };
 
   function send(
@@ -81,10 +111,50 @@
       } catch (error) {
         return throwE(toTargetError(error));
       }
-      return { status: 200, headers: call.headers ?? [], body };
+      const { streamId, headers = [] } = call;
+      if (streamId === undefined) return { status: 200, headers, body };
+      streams.set(streamId, call.body);
+      const idHeader = { name: streamIdHeader, value: streamId };
+      return { status: 200, headers: [...headers, idHeader], body };
+    });
+  }
+
+  function resume(
+    { id, offset, signal }: {
+      readonly id: string;
+      readonly offset: number;
+      readonly signal: AbortSignal;
+    },
+  ): EitherAsync<TargetError, TargetResponse> {
+    return EitherAsync<TargetError, TargetResponse>(({ throwE }) => {
+      const chunks = streams.get(id);
+      if (chunks === undefined || resumeKind === "error") {
+        return throwE({ kind: "lost", message: "stream not found" });
+      }
+      const isJson = resumeKind === "json";
+      const rest = isJson ? [jsonBody] : chunks.slice(offset);
+      const type = isJson ? "application/json" : "text/event-stream";
+      return Promise.resolve({
+        status: 200,
+        headers: [{ name: "content-type", value: type }],
+        body: sendRest(rest, [processController.signal, signal]),
+      });
     });
   }
 
+  async function* sendRest(
+    chunks: readonly string[],
+    abortSignals: readonly AbortSignal[],
+  ): AsyncGenerator<Uint8Array, void> {
+    for (const text of chunks) {
+      await waitOrAbort(1, abortSignals);
+      if (abortSignals.some(({ aborted: isAborted }) => isAborted)) {
+        throw new Error("connection reset");
+      }
+      yield Buffer.from(text);
+    }
+  }
+
   async function* run(
     { requestId, signal }: TargetRequest,
     call: FakeCall,
@@ -96,7 +166,11 @@
       if (call.end === "crash") crash();
       throwIfAborted();
       yield new Uint8Array();
-      for (const text of call.body) {
+      for (const [index, text] of call.body.entries()) {
+        if (willBreak && index >= chunksBeforeBreak) {
+          willBreak = false;
+          throw new Error("socket closed");
+        }
         yield Buffer.from(text);
         await waitOrAbort(1, abortSignals);
         throwIfAborted();
@@ -118,6 +192,7 @@
     const crashedController = processController;
     processController = new AbortController();
     setMaxListeners(0, processController.signal);
+    streams.clear();
     host.onCrash?.();
     crashedController.abort();
   }
--- a/test/matrix/fault_injectors.ts
+++ b/test/matrix/fault_injectors.ts
@@ -54,6 +54,9 @@
     }, memberUpdateDelayMs);
   },
   target_killed: ({ testAgent }) => testAgent.target.crash(),
+  target_cut: ({ testAgent }) => testAgent.target.breakConnection("rest"),
+  resume_error: ({ testAgent }) => testAgent.target.breakConnection("error"),
+  resume_json: ({ testAgent }) => testAgent.target.breakConnection("json"),
   cut_to_agent: ({ testAgent }) => {
     testAgent.link.toAgentBlockedUntil = Date.now() + faultDurationMs;
   },
--- a/test/matrix/request_matrix_test.ts
+++ b/test/matrix/request_matrix_test.ts
@@ -141,11 +141,34 @@
         expect(callers[0]?.outcome).toBe("done");
       }
     });
+
+    const outcomes = {
+      target_cut: "done",
+      resume_error: "failed",
+      resume_json: "failed",
+    } as const;
+
+    it.each(["target_cut", "resume_error", "resume_json"] as const)(
+      "breaks and is resumed only with its own events, %s",
+      async (fault) => {
+        const { callers, drafts } = await observeCell({
+          kind: "chat_streamed",
+          step: "running",
+          faults: [fault],
+          seed: firstSeed,
+        });
+        expect(callers[0]?.outcome).toBe(outcomes[fault]);
+        expect(callers[0]?.text).not.toBe("");
+        expect(drafts[0]).toContain(callers[0]?.text);
+      },
+    );
   });
 
   describe("pairs of faults during calls that must not run twice", () => {
-    const pairs = faults.flatMap((left, index) =>
-      faults.slice(index + 1).map((right): Fault[] => [left, right])
+    // The response of a call is not resumed.
+    const callFaults = faults.filter((fault) => !fault.startsWith("resume_"));
+    const pairs = callFaults.flatMap((left, index) =>
+      callFaults.slice(index + 1).map((right): Fault[] => [left, right])
     );
 
     describe.each(["call_once", "call_keyed"] as const)("%s", (kind) => {
--- a/test/matrix/test_agent.ts
+++ b/test/matrix/test_agent.ts
@@ -4,7 +4,10 @@
 import type { AttemptService } from "../../src/request/attempt_service.ts";
 import type { Member } from "../../src/types/member.ts";
 import { createAgentParts } from "../fakes/agent_parts.ts";
-import { createFakeTarget, type FakeTarget } from "../fakes/fake_target.ts";
+import {
+  type BreakableTarget,
+  createFakeTarget,
+} from "../fakes/fake_target.ts";
 import { service } from "../support/request_history.ts";
 import { createMember } from "../support/static_fleet.ts";
 import type { AgentLink } from "./agent_link.ts";
@@ -13,7 +16,7 @@
 export interface TestAgent {
   readonly id: string;
   readonly link: AgentLink;
-  readonly target: FakeTarget;
+  readonly target: BreakableTarget;
   /** Member record of the agent, as routers see it. */
   member: Member;
   /** True when the agent accepts no new work. */
@@ -65,7 +68,12 @@
       delayMs: callDurationMs,
       body: chunks,
       end: "whole",
-      headers: host.isStream ? streamHeaders : [],
+      ...(host.isStream
+        ? {
+          headers: streamHeaders,
+          streamId: `${id}-${host.drafts.length}`,
+        }
+        : {}),
     };
   });
   const testAgent: TestAgent = {
