--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -5,7 +5,10 @@
 import { createCachedParts } from "../../src/process/direct/cached_parts.ts";
 import { createPartPrefills } from "../../src/process/direct/part_prefills.ts";
 import { createLoadView } from "../../src/process/direct/load_view.ts";
-import { createTargetHealth } from "../../src/process/direct/target_health.ts";
+import {
+  createTargetHealth,
+  type TargetOutcome,
+} from "../../src/process/direct/target_health.ts";
 import { createTargetTable } from "../../src/process/direct/target_table.ts";
 import { createSilentLog } from "../../src/process/telemetry/log.ts";
 import { createPlacement } from "../../src/process/placement/placement.ts";
@@ -111,6 +114,7 @@
   let status = 0;
   let length: number | undefined;
   let end: RequestEnd | undefined;
+  let endedAtMs = 0;
   const reply: Reply = {
     disconnectSignal: disconnectController.signal,
     start: (head) => {
@@ -125,6 +129,7 @@
     },
     end: (value) => {
       end = value;
+      endedAtMs = performance.now() - startedAt;
     },
   };
   const loads = createLoadView();
@@ -147,6 +152,8 @@
     cachedParts.recordPart(target, part);
     prefills.recordPeerPrefill(target, part);
   }
+  const health = createTargetHealth({ log: createSilentLog() });
+  const outcomes: TargetOutcome[] = [];
   const running = runDirect(
     {
       calls: {
@@ -159,7 +166,13 @@
         tryListCachedParts: () => Promise.resolve(undefined),
       },
       targets,
-      health: createTargetHealth({ log: createSilentLog() }),
+      health: {
+        ...health,
+        recordOutcome: (target, outcome) => {
+          outcomes.push(outcome);
+          health.recordOutcome(target, outcome);
+        },
+      },
       loads,
       cachedParts,
       prefills,
@@ -198,6 +211,8 @@
     code: end?.report?.code ?? "done",
     retryAfterMs: end?.report?.retryAfterMs ?? 0,
     loads,
+    outcomes,
+    endedAtMs,
     logLines,
   };
 }
