--- a/src/request/direct_response_test.ts
+++ b/src/request/direct_response_test.ts
@@ -29,12 +29,16 @@
     const response = createDirectResponse(reply, {
       lastEventId: undefined,
       isResumable: true,
-      hasBody: true,
+      method: "GET",
     });
     const end = await response.forward(
       head,
       createBody("id: 1\ndata: a\n\n"),
-      { recordProgress: () => undefined },
+      {
+        signal: new AbortController().signal,
+        recordProgress: () => undefined,
+        expectProgress: () => undefined,
+      },
     );
     expect(end.kind).toBe("broken");
     expect(response.canContinue()).toBe(false);
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -305,6 +305,7 @@
         readMs: 5_000,
       });
       expect(result.calls.length).toBe(1);
+      expect(result.outcomes).toEqual(["served"]);
       expect(result.text).toBe(event(1) + event(2));
       expect(result.outcome).toBe("done");
     });
