--- a/src/platform/target_codec.ts
+++ b/src/platform/target_codec.ts
@@ -3,6 +3,7 @@
 import type { TargetCodec } from "../connection/direct_client.ts";
 import type { DirectCall, ReportedLoad } from "../types/direct_calls.ts";
 import type { PromptPart } from "../types/prompt.ts";
+import { isEventStream } from "../types/response.ts";
 import type { Header } from "../types/work.ts";
 import { getArray, tryGetObject } from "./json_fields.ts";
 import { cachedPartsPath, headerNames } from "./wire_names.ts";
@@ -86,8 +87,7 @@
       headers: rawHeaders.filter(({ name }) =>
         !unforwardedHeaders.has(name.toLowerCase())
       ),
-      isEventStream: status === 200 &&
-        (headers.get("content-type") ?? "").startsWith("text/event-stream"),
+      isEventStream: status === 200 && isEventStream(rawHeaders),
       length: length === undefined ? undefined : Number(length),
       load: tryParseLoad(headers.get(headerNames.load)),
     },
--- a/src/platform/target_codec_test.ts
+++ b/src/platform/target_codec_test.ts
@@ -47,4 +47,16 @@
       .toBe("refused");
     expect(decode(421, headers)).toBe("wrong_target");
   });
+
+  it.each(["text/event-stream", "Text/Event-Stream; charset=utf-8"])(
+    "announces a stream of events as %s",
+    (type) => {
+      const result = targetCodec.decodeHead(200, [
+        { name: headerNames.requestId, value: "request-1" },
+        { name: headerNames.signature, value: "target" },
+        { name: "Content-Type", value: type },
+      ], call);
+      expect(result).toMatchObject({ head: { isEventStream: true } });
+    },
+  );
 });
