Leave headers beyond latin1 as they were

Cause: the change before decoded a target's headers to one character a byte. The router flushes its head as text in UTF-8, so these bytes were encoded twice, which also hit headers that had passed before.

A response with a header beyond latin1 still ends as an error; it is listed as open.

--- a/src/connection/direct_client.ts
+++ b/src/connection/direct_client.ts
@@ -212,17 +212,9 @@
   const headers: Header[] = [];
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
     headers.push({
-      name: decodeText(rawHeaders[index]),
-      value: decodeText(rawHeaders[index + 1]),
+      name: String(rawHeaders[index]),
+      value: String(rawHeaders[index + 1]),
     });
   }
   return headers;
 }
-
-/**
- * Returns the bytes of a header with one character each, as the server encodes
- * them. The library has decoded them as UTF-8.
- */
-function decodeText(text: Buffer | undefined): string {
-  return Buffer.from(String(text ?? "")).toString("latin1");
-}
