Test that a pause breaks off no stream that no target can go on with

Callers could see: a stream of events without ids cut after its first pause of 900 ms, on a route with three targets.

Cause: the idle timer was started before the first events were recorded as sent, when another target could still have answered.

--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -301,7 +301,7 @@
     // The idle timeout ran while the caller was reading.
     it("does not blame its target for a caller who reads slowly", async () => {
       const route = { ...resumable, maxTargets: 3 };
-      const result = await run(route, [abortableStream(event(1), event(2))], {
+      const result = await run(route, [abortableStream([event(1), event(2)])], {
         readMs: 5_000,
       });
       expect(result.calls.length).toBe(1);
@@ -310,9 +310,22 @@
       expect(result.outcome).toBe("done");
     });
 
+    it("is not broken off for a pause when no target can go on", async () => {
+      const route = { ...resumable, maxTargets: 3 };
+      const chunks = ["data: a\n\n", "data: b\n\n"];
+      const result = await run(route, [
+        abortableStream(chunks, { pauseMs: 3_000 }),
+      ]);
+      expect(result).toMatchObject({
+        text: chunks.join(""),
+        outcome: "done",
+        outcomes: ["served"],
+      });
+    });
+
     it("ends at its deadline when the caller does not read", async () => {
       const result = await run(fixedStream, [
-        abortableStream(event(1), event(2)),
+        abortableStream([event(1), event(2)]),
       ], { readMs: 60_000, durationMs: fixedStream.timeoutMs });
       expect(result).toMatchObject({
         text: event(1),
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -64,13 +64,21 @@
 }
 
 /** Creates an event stream that breaks off when its call is aborted. */
-export function abortableStream(...chunks: string[]): Behaviour {
+export function abortableStream(
+  chunks: readonly string[],
+  options: {
+    /** Pause after each chunk, in milliseconds. */
+    readonly pauseMs?: number;
+  } = {},
+): Behaviour {
   return (call) => ({
     ...createResponse([], { isEventStream: true }),
     body: (async function* () {
       for (const piece of chunks) {
         if (call.signal.aborted) throw new Error("aborted");
         yield Buffer.from(piece);
+        if (options.pauseMs === undefined) continue;
+        await new Promise((resolve) => setTimeout(resolve, options.pauseMs));
       }
     })(),
   });
