Continue no stream whose head could not be sent

Callers could see: status 200 without a target's signature and a stream without its first events, framed as complete.

Cause: a head whose header Node.js refuses (bytes that decode to characters above U+00FF, or to no text) throws after the progress already said that the caller has events, and the cursor counts them as sent. The next target was told to go on behind them, and its events were written with the head that Node.js makes up.

Change: until the head is sent, no other target may follow.

--- a/src/request/direct_response.ts
+++ b/src/request/direct_response.ts
@@ -150,8 +150,10 @@
 
   function startEvents(head: DirectHead): void {
     if (progress.kind === "events") return;
-    progress = { kind: "events" };
+    // No other target may follow a head that cannot be sent.
+    progress = { kind: "part_of_body" };
     start(head, undefined);
+    progress = { kind: "events" };
   }
 
   async function forwardBytes(
--- a/test/platform/direct_router_test.ts
+++ b/test/platform/direct_router_test.ts
@@ -79,6 +79,30 @@
     }]);
   });
 
+  it("joins no stream to one whose head cannot be sent", async () => {
+    const { router } = await startTargetAndRouter();
+    await addTarget("target-2");
+    await waitUntil(() =>
+      hasLogged(router, "Target changed", { target: "target-2" })
+    );
+    for (const target of targets) {
+      target.setHandler((request, response) => {
+        setIdentityHeaders(request, response, target.id);
+        response.setHeader("Content-Type", "text/event-stream");
+        if (request.headers["last-event-id"] === undefined) {
+          // These bytes are UTF-8 text that Node.js does not send in a header.
+          response.setHeader("X-Note", "\u00e2\u0098\u0083");
+          response.write(Buffer.from("id: 1\ndata: a\n\n"));
+        } else response.end("id: 2\ndata: b\n\n");
+      });
+    }
+    const response = await sendRequest(router, "/draft/1", { method: "POST" });
+    expect(response).toMatchObject({
+      status: 502,
+      body: expect.stringContaining("answer_cut"),
+    });
+  });
+
   it("drops caller headers that only the router may set", async () => {
     const { target, router } = await startTargetAndRouter();
     await sendRequest(router, "/proofs/1", {
