Send nothing behind a head that could not be sent

Callers could see: bytes with status 200 and no header of an answer.

Cause: a start that throws counted as started, so that a later write or a done end made Node.js send a head of its own.

--- a/src/connection/framed_reply.ts
+++ b/src/connection/framed_reply.ts
@@ -50,12 +50,13 @@
   return { disconnectSignal: reply.disconnectSignal, start, write, end };
 
   function start(head: ReplyHead): void {
-    isStarted = true;
     const isFramed = head.length !== undefined ||
       (response.req.httpVersion === chunkedVersion &&
         hasBody(response, head.status));
     if (isFramed) startNow(head);
     else held = { head, parts: [], bytes: 0 };
+    // Not set when the head cannot be sent.
+    isStarted = true;
   }
 
   function startNow(head: ReplyHead): void {
@@ -64,7 +65,7 @@
   }
 
   function write(data: Uint8Array): Promise<void> | undefined {
-    if (isEnded) return undefined;
+    if (isEnded || !isStarted) return undefined;
     if (held === undefined) return writeNow(data);
     held.bytes += data.length;
     if (held.bytes > maxHeldBytes) refuse();
--- a/src/connection/framed_reply_test.ts
+++ b/src/connection/framed_reply_test.ts
@@ -140,6 +140,22 @@
     });
   });
 
+  it("is an error when its head cannot be sent, whatever follows", async () => {
+    await start((reply) => {
+      const headers = [{ name: "x-name", value: "\u2603" }];
+      expect(() => reply.start(createHead({ headers }))).toThrow();
+      void reply.write(Buffer.from("rest"));
+      reply.end(done);
+    });
+    const close = { connection: "close" };
+    const responses = await call(formatRequest(path, { headers: close }))
+      .readAll();
+    expect(responses).toMatchObject([{
+      status: 502,
+      body: expect.stringContaining("outcome_unknown"),
+    }]);
+  });
+
   describe("without a body", () => {
     const statuses = [["HEAD", 200], ["GET", 204], ["GET", 304]] as const;
     describe.each(statuses)("to %s with status %i", (method, status) => {
