Count one outcome per attempt, and none against a target that cannot resume

Callers could see: requests avoiding healthy targets. A target whose 404 or other response below 500 follows a broken stream was counted as failed, against the definition of TargetOutcome; three of these eject it. An error that broke off counted as two failures.

Cause: a response that is not accepted ended as lost, which records a failure; an error records one at its head and another when its body breaks off.

Change: the first outcome of an attempt counts, and a response that is not accepted is served unless it is an error.

--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -326,6 +326,7 @@
     attempt: ReturnType<typeof startAttempt>,
   ): Promise<AttemptEnd> {
     let isRunCounted = false;
+    let isOutcomeRecorded = false;
     switch (result.kind) {
       case "not_sent":
         recordOutcome("unreachable");
@@ -348,14 +349,16 @@
       { head, body, drop }: Extract<DirectResult, { kind: "answer" }>,
     ): Promise<AttemptEnd> {
       countPossibleRun();
+      const isError = head.status >= minServerErrorStatus;
+      if (isError) recordOutcome("failed");
       if (!response.accepts(head)) {
         drop();
         return endLost("answer_cut", {
           reason: "The response is no continuation of what the caller has",
+          // The target responded, if not with a stream that it could resume.
+          outcome: "served",
         });
       }
-      const isError = head.status >= minServerErrorStatus;
-      if (isError) recordOutcome("failed");
       if (isError && canRetry() && trySpendRetry()) {
         drop();
         return { kind: "repeat", code: "target_error" };
@@ -404,7 +407,10 @@
       isRunCounted = true;
     }
 
+    /** Records the outcome of the attempt; only the first one counts. */
     function recordOutcome(outcome: TargetOutcome): void {
+      if (isOutcomeRecorded) return;
+      isOutcomeRecorded = true;
       host.health.recordOutcome(chosen, outcome);
     }
   }
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -187,6 +187,13 @@
       expect(result).toMatchObject({ text: "found", outcome: "done" });
     });
 
+    it("records one failure of a target whose error breaks off", async () => {
+      const { outcomes } = await run(safe, [
+        () => createResponse(["no", new Error("reset")], { status: 500 }),
+      ], { retryCredit: 0 });
+      expect(outcomes).toEqual(["failed"]);
+    });
+
     it("is not retried when the retry budget is spent", async () => {
       const result = await run(safe, [lost], { retryCredit: 0 });
       expect(result.calls.length).toBe(1);
@@ -291,6 +298,14 @@
       ]);
     });
 
+    it("records no failure of a target that rejects to resume", async () => {
+      const { outcomes } = await run(resumable, [
+        () => stream(event(1), new Error("crash")),
+        () => createResponse(["no"], { status: 404 }),
+      ]);
+      expect(outcomes).toEqual(["failed", "served"]);
+    });
+
     it("does not end as done inside an event", async () => {
       const result = await run(fixedStream, [
         () => stream(event(1), "id: 2\nda"),
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -5,7 +5,10 @@
 import { createCachedParts } from "../../src/process/direct/cached_parts.ts";
 import { createPartPrefills } from "../../src/process/direct/part_prefills.ts";
 import { createLoadView } from "../../src/process/direct/load_view.ts";
-import { createTargetHealth } from "../../src/process/direct/target_health.ts";
+import {
+  createTargetHealth,
+  type TargetOutcome,
+} from "../../src/process/direct/target_health.ts";
 import { createTargetTable } from "../../src/process/direct/target_table.ts";
 import { createSilentLog } from "../../src/process/telemetry/log.ts";
 import { createPlacement } from "../../src/process/placement/placement.ts";
@@ -75,6 +78,8 @@
     readonly retryCredit?: number;
     readonly disconnectAfterMs?: number;
     readonly durationMs?: number;
+    /** Time that the caller takes to read each write, in milliseconds. */
+    readonly writeMs?: number;
     /** Queue of each target: its requests and the time that one runs. */
     readonly queue?: { readonly requests: number; readonly meanRunMs: number };
     /** A part that a peer has just sent to an engine for prefill. */
@@ -96,6 +101,7 @@
   let status = 0;
   let length: number | undefined;
   let end: RequestEnd | undefined;
+  let endedAtMs = 0;
   const reply: Reply = {
     disconnectSignal: disconnectController.signal,
     start: (head) => {
@@ -103,10 +109,12 @@
     },
     write: (data) => {
       text += Buffer.from(data).toString();
-      return undefined;
+      if (options.writeMs === undefined) return undefined;
+      return new Promise((resolve) => setTimeout(resolve, options.writeMs));
     },
     end: (value) => {
       end = value;
+      endedAtMs = performance.now() - startedAt;
     },
   };
   const loads = createLoadView();
@@ -129,6 +137,8 @@
     cachedParts.recordPart(target, part);
     prefills.recordPeerPrefill(target, part);
   }
+  const health = createTargetHealth({ log: createSilentLog() });
+  const outcomes: TargetOutcome[] = [];
   const running = runDirect(
     {
       calls: {
@@ -141,7 +151,13 @@
         tryListCachedParts: () => Promise.resolve(undefined),
       },
       targets,
-      health: createTargetHealth({ log: createSilentLog() }),
+      health: {
+        ...health,
+        recordOutcome: (target, outcome) => {
+          outcomes.push(outcome);
+          health.recordOutcome(target, outcome);
+        },
+      },
       loads,
       cachedParts,
       prefills,
@@ -180,6 +196,8 @@
     code: end?.report?.code ?? "done",
     retryAfterMs: end?.report?.retryAfterMs ?? 0,
     loads,
+    outcomes,
+    endedAtMs,
     logLines,
   };
 }
