Blame no target, and pass no deadline, for a caller that does not read

Callers could see: a second target running a request whose first one was well, that target set aside as silent for a second, and a request that stays open past its deadline, with its load counted, until its caller reads or leaves.

Cause: the idle timer of a stream ran on while a write waited for the caller, and that wait did not end with the request.

Change: the idle timer begins again while a write waits, and a stop ends the wait.

--- a/src/request/direct_response.ts
+++ b/src/request/direct_response.ts
@@ -37,6 +37,8 @@
   ): Promise<BodyEnd>;
   /** Sends a complete body that is buffered, if any. */
   finish(): void;
+  /** Returns true while the caller has yet to read what was sent. */
+  isWaitingForCaller(): boolean;
   /** Returns the number of bytes of the body that were sent to the caller. */
   getSentBytes(): number;
   /** Returns the id of the last event that was sent to the caller. */
@@ -75,12 +77,14 @@
   const cursor = createEventCursor(isResumable ? lastEventId : undefined);
   let progress: Progress = { kind: "nothing" };
   let sentBytes = 0;
+  let isWaitingForCaller = false;
 
   return {
     accepts,
     canContinue,
     forward,
     finish,
+    isWaitingForCaller: () => isWaitingForCaller,
     getSentBytes: () => sentBytes,
     getLastEventId: cursor.getLastId,
   };
@@ -130,7 +134,8 @@
       if (step.data.length > 0) {
         recordProgress();
         startEvents(head);
-        await send(step.data);
+        await sendAndWait(step.data);
+        recordProgress();
       }
       if (step.kind === "broken") return step;
     }
@@ -164,7 +169,7 @@
     let bufferedBytes = 0;
     for await (const data of body) {
       if (progress.kind === "part_of_body") {
-        await send(data);
+        await sendAndWait(data);
         continue;
       }
       buffered.push(data);
@@ -172,7 +177,7 @@
       if (bufferedBytes <= maxBufferedBytes) continue;
       progress = { kind: "part_of_body" };
       start(head, head.length);
-      await send(Buffer.concat(buffered));
+      await sendAndWait(Buffer.concat(buffered));
     }
     if (progress.kind === "nothing") {
       progress = { kind: "whole_body", head, body: Buffer.concat(buffered) };
@@ -188,6 +193,15 @@
     if (body.length > 0) void send(body);
   }
 
+  async function sendAndWait(data: Uint8Array): Promise<void> {
+    isWaitingForCaller = true;
+    try {
+      await send(data);
+    } finally {
+      isWaitingForCaller = false;
+    }
+  }
+
   function send(data: Uint8Array): Promise<void> | undefined {
     sentBytes += data.length;
     return reply.write(data);
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -121,11 +121,14 @@
     disconnectSignal: reply.disconnectSignal,
     getNow: () => performance.now(),
   });
-  const response = createDirectResponse(reply, {
+  const response = createDirectResponse({ ...reply, write }, {
     lastEventId: request.lastEventId,
     isResumable: route.isResumable,
     hasBody: request.method !== "HEAD",
   });
+  const stopped = new Promise<void>((resolve) => {
+    stop.signal.addEventListener("abort", () => resolve(), { once: true });
+  });
   const isRetryable = route.kind === "safe" ||
     (route.kind === "stream" && route.isResumable);
   const attempted = new Set<string>();
@@ -151,6 +154,13 @@
     stop.clear();
   }
 
+  /** Writes to the caller; does not wait for it once the request is stopped. */
+  function write(data: Uint8Array): Promise<void> | undefined {
+    const written = reply.write(data);
+    if (written === undefined || stop.signal.aborted) return undefined;
+    return Promise.race([written, stopped]);
+  }
+
   async function runAttempts(): Promise<RequestEnd> {
     while (true) {
       if (stop.getReason() !== undefined) return endStopped();
@@ -296,6 +306,11 @@
     function startIdleTimer(): NodeJS.Timeout | undefined {
       if (!canRetryAfterTimeout()) return undefined;
       return setTimeout(() => {
+        // The target is not idle while the caller has yet to read.
+        if (response.isWaitingForCaller()) {
+          idleTimer = startIdleTimer();
+          return;
+        }
         hasTimedOut = true;
         abort();
       }, getIdleTimeoutMs(route, getTimeLeftMs()));
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -7,6 +7,7 @@
   run,
   stream,
 } from "../../test/support/direct_runs.ts";
+import type { DirectResult } from "../types/direct_calls.ts";
 
 const safe = createRoute({ kind: "safe" });
 const unsafe = createRoute({ kind: "unsafe", maxTargets: 1 });
@@ -23,6 +24,25 @@
 const notSent: Behaviour = () => ({ kind: "not_sent", reason: "refused" });
 const spoiled: Behaviour = () => ({ kind: "spoiled", reason: "other id" });
 
+/** Creates an event stream that breaks off when its call is aborted. */
+function streamUntilAborted(
+  signal: AbortSignal,
+  chunks: readonly string[],
+): DirectResult {
+  const result = stream();
+  if (result.kind !== "answer") throw new Error("No answer");
+  return {
+    ...result,
+    body: (async function* () {
+      for (const chunk of chunks) {
+        if (signal.aborted) throw new Error("aborted");
+        yield Buffer.from(chunk);
+      }
+      if (signal.aborted) throw new Error("aborted");
+    })(),
+  };
+}
+
 describe("a request to targets without agents", () => {
   beforeEach(() => void jest.useFakeTimers());
   afterEach(() => void jest.useRealTimers());
@@ -298,6 +318,29 @@
       ]);
     });
 
+    it("is not sent elsewhere while its caller reads slowly", async () => {
+      const route = { ...resumable, maxTargets: 3 };
+      const result = await run(route, [
+        ({ signal }) => streamUntilAborted(signal, [event(1), event(2)]),
+        () => stream(event(2)),
+      ], { writeMs: 2_000 });
+      expect(result).toMatchObject({
+        text: event(1) + event(2),
+        outcome: "done",
+        outcomes: ["served"],
+      });
+      expect(result.calls.length).toBe(1);
+    });
+
+    it("ends at its deadline though its caller does not read", async () => {
+      const route = { ...resumable, timeoutMs: 5_000 };
+      const result = await run(route, [
+        ({ signal }) => streamUntilAborted(signal, [event(1), event(2)]),
+      ], { writeMs: 15_000 });
+      expect(result.code).toBe("deadline_exceeded");
+      expect(result.endedAtMs).toBeLessThan(6_000);
+    });
+
     it("records no failure of a target that rejects to resume", async () => {
       const { outcomes } = await run(resumable, [
         () => stream(event(1), new Error("crash")),
