Check a response's request id before its status

Callers could see: a stream that may run once run by two targets, or a 503 that says not run for a request that runs.

Cause: a status 421 or an X-Not-Run was believed before the id was compared. A late response to another request on a kept connection, which streams use, was taken for this request's refusal.

Change: a response whose id is another one is corrupted, whatever its status. A refusal without an id stays a refusal.

Evidence: three tests in target_codec_test fail on (refused, wrong_target) and pass now.

--- a/src/platform/target_codec.ts
+++ b/src/platform/target_codec.ts
@@ -61,10 +61,14 @@
   const headers = new Map(
     rawHeaders.map(({ name, value }) => [name.toLowerCase(), value]),
   );
+  const requestId = headers.get(headerNames.requestId);
+  if (requestId !== undefined && requestId !== call.requestId) {
+    return createCorruptedResult("The response has another request's id");
+  }
   if (status === wrongTargetStatus) return { kind: "wrong_target" };
   if (headers.has(headerNames.notRun)) return { kind: "refused", status };
-  if (headers.get(headerNames.requestId) !== call.requestId) {
-    return createCorruptedResult("The response has another request's id");
+  if (requestId === undefined) {
+    return createCorruptedResult("The response has no request id");
   }
   if (!headers.has(headerNames.signature)) {
     return createCorruptedResult("The response has no signature of a target");
