Break a stream whose ids go back instead of dropping its events

Callers could see: a stream framed as complete without some of its events, on any route, from one target whose ids do not increase.

Cause: an event whose id is not behind the last one was taken for a repetition and dropped, whatever it contained.

Change: only the same event again is dropped; another one breaks the stream.

--- a/src/request/event_cursor.ts
+++ b/src/request/event_cursor.ts
@@ -45,11 +45,18 @@
 }
 
 /** How an event relates to the last one. */
-type EventOrder = "next" | "repeated" | "gap" | "other_run" | "unnumbered";
+type EventOrder =
+  | "next"
+  | "repeated"
+  | "gap"
+  | "backwards"
+  | "other_run"
+  | "unnumbered";
 
 /** Reasons to report for the orders that break a stream. */
 const reasonsByOrder: Readonly<Partial<Record<EventOrder, string>>> = {
   gap: "An event of the stream is missing",
+  backwards: "Another event of the stream has the same or an earlier id",
   other_run: "The stream does not begin with the next event",
   unnumbered: "An event of the resumed stream has no number as its id",
 };
@@ -59,6 +66,8 @@
   afterId: string | undefined,
 ): EventCursor {
   let lastId = afterId;
+  /** The last event with an id; undefined before the first one. */
+  let lastEvent: string | undefined;
   let buffered: Buffer = Buffer.alloc(0);
   /** True while the run has to go on after an event of an earlier one. */
   let isResumed = tryParseId(afterId) !== undefined;
@@ -118,10 +127,13 @@
     if (isAtResumption && step !== 1) return "other_run";
     isAtResumption = false;
     if (isResumed && number === undefined) return "unnumbered";
-    if (step <= 0) return "repeated";
+    if (step <= 0) return event === lastEvent ? "repeated" : "backwards";
     if (step > 1) return "gap";
     isBeyondLastId = number === undefined;
-    if (id !== undefined) lastId = id;
+    if (id !== undefined) {
+      lastId = id;
+      lastEvent = event;
+    }
     return "next";
   }
 }
--- a/src/request/event_cursor_test.ts
+++ b/src/request/event_cursor_test.ts
@@ -28,6 +28,17 @@
       .toBe(createEvent(3));
   });
 
+  // These events were dropped, and the stream ended as complete without them.
+  it.each([
+    ["an earlier id", `${createEvent(1)}${createEvent(2)}`, createEvent(1)],
+    ["the last id", createEvent(1), "id: 1\ndata: other\n\n"],
+  ])("is broken by another event with %s", (_name, events, other) => {
+    const cursor = createEventCursor(undefined);
+    const step = cursor.push(Buffer.from(events + other));
+    expect(step.kind).toBe("broken");
+    expect(Buffer.from(step.data).toString()).toBe(events);
+  });
+
   describe("a stream that another engine resumes", () => {
     it("completes the interrupted event", () => {
       const cursor = createEventCursor(undefined);
