Report how many bytes a caller has of an answer that is cut

Callers could see: the text "The answer ended early after {bytes} bytes".

Cause: the direct run created the report without its value.

Evidence: the test in direct_run_test fails on with that text and passes now.

--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -469,7 +469,10 @@
   /** Ends a request that no target is left for, or that may not be retried. */
   function endUnserved(): RequestEnd {
     if (possibleRuns > 0 || lastFailure !== undefined) {
-      return createEnd(createReport(lastFailure ?? "outcome_unknown"));
+      const bytes = response.getSentBytes();
+      return createEnd(
+        createReport(lastFailure ?? "outcome_unknown", { bytes }),
+      );
     }
     return createEnd(createReport(lastRefusal, { service }, {
       retryAfterMs: getRetryAfterMs(lastQueue, {
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -254,6 +254,15 @@
       });
     }
 
+    it("reports how many bytes its caller has when it is cut", async () => {
+      const { message } = await run(fixedStream, [
+        () => stream(event(1), new Error("crash")),
+      ]);
+      expect(message).toBe(
+        `The answer ended early after ${event(1).length} bytes`,
+      );
+    });
+
     it("resumes at the target behind one that responds an error", async () => {
       const route = { ...resumable, maxTargets: 3 };
       const result = await run(route, [
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -13,6 +13,7 @@
 import { createSilentLog } from "../../src/process/telemetry/log.ts";
 import { createPlacement } from "../../src/process/placement/placement.ts";
 import type { DirectCall, DirectResult } from "../../src/types/direct_calls.ts";
+import { formatReport } from "../../src/types/diagnostics.ts";
 import type { DirectRequest } from "../../src/types/direct_request.ts";
 import type { PromptPart } from "../../src/types/prompt.ts";
 import type { Reply, RequestEnd } from "../../src/types/reply.ts";
@@ -194,6 +195,7 @@
     length,
     outcome: end?.outcome,
     code: end?.report?.code ?? "done",
+    message: end?.report === undefined ? undefined : formatReport(end.report),
     retryAfterMs: end?.report?.retryAfterMs ?? 0,
     loads,
     outcomes,
