Test that a pause breaks off no stream that no target can go on with

Callers could see: a stream of events without ids cut after its first pause of 900 ms, on a route with three targets.

Cause: the idle timer was started before the first events were recorded as sent, when another target could still have answered.

--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -43,6 +43,25 @@
   };
 }
 
+/** Creates an event stream that pauses for 3 s after each chunk. */
+function pauseAfter(
+  signal: AbortSignal,
+  chunks: readonly string[],
+): DirectResult {
+  const result = streamUntilAborted(signal, []);
+  if (result.kind !== "answer") throw new Error("No answer");
+  return {
+    ...result,
+    body: (async function* () {
+      for (const chunk of chunks) {
+        yield Buffer.from(chunk);
+        await new Promise((resolve) => setTimeout(resolve, 3_000));
+        if (signal.aborted) throw new Error("aborted");
+      }
+    })(),
+  };
+}
+
 describe("a request to targets without agents", () => {
   beforeEach(() => void jest.useFakeTimers());
   afterEach(() => void jest.useRealTimers());
@@ -341,6 +360,18 @@
       expect(result.calls.length).toBe(1);
     });
 
+    it("is not broken off for a pause when no target can go on", async () => {
+      const route = { ...resumable, maxTargets: 3 };
+      const result = await run(route, [
+        ({ signal }) => pauseAfter(signal, ["data: a\n\n", "data: b\n\n"]),
+      ]);
+      expect(result).toMatchObject({
+        text: "data: a\n\ndata: b\n\n",
+        outcome: "done",
+        outcomes: ["served"],
+      });
+    });
+
     it("ends at its deadline though its caller does not read", async () => {
       const route = { ...resumable, timeoutMs: 5_000 };
       const result = await run(route, [
