Send nothing new to a target that says that it leaves

Cause: a target that leaves says so in all its responses, but routers only followed its entry in the store. A router that is cut off from the store and its peers would go on sending there.

Change: the codec decodes the notice of every response (also errors, refusals and the list of cached parts; not of another target at the same address), and the table of targets keeps the leave by id and start time. Choice, retries, resumed streams, copies and reads of cached parts leave such a target out; only a later process ends it. The client checks once more when a request leaves the queue for a connection, so no path can miss it; such a request counts as not run and not arrived. The log says whether the response or the entry came first.

--- a/src/connection/direct_client.ts
+++ b/src/connection/direct_client.ts
@@ -11,6 +11,8 @@
   DirectCalls,
   DirectHead,
   DirectResult,
+  Hold,
+  TargetNotice,
 } from "../types/direct_calls.ts";
 import type { DirectTarget } from "../types/direct_target.ts";
 import type { PromptPart } from "../types/prompt.ts";
@@ -32,6 +34,12 @@
       DirectResult,
       { readonly kind: "refused" | "wrong_target" | "spoiled" }
     >;
+  /** Decodes what the target says of itself in any response. */
+  decodeNotice(
+    status: number,
+    headers: readonly Header[],
+    target: DirectTarget,
+  ): TargetNotice;
   /** Path at which a target lists its cached parts. */
   readonly partsPath: string;
   decodeParts(body: string): readonly PromptPart[];
@@ -43,6 +51,10 @@
   readonly log: Log;
   /** Returns how many connections this process may open to one target. */
   getMaxConnections(service: string): number;
+  /** Returns why a target gets no requests now; undefined when it does. */
+  tryGetHold(target: DirectTarget): Hold | undefined;
+  /** Handles what a target says of itself; called for each response. */
+  handleNotice(target: DirectTarget, notice: TargetNotice): void;
 }
 
 /** A client for all targets. */
@@ -76,10 +88,19 @@
 /** Error code of a connection that was reset. */
 const resetErrorCode = "ANSWER_RESET";
 
+/** Error code of a request that was not sent because of a hold. */
+const withheldErrorCode = "WITHHELD";
+
 interface Pools {
-  readonly persistent: Pool;
+  readonly persistent: Dispatcher;
   /** Connections that carry one request each. */
-  readonly fresh: Pool;
+  readonly fresh: Dispatcher;
+}
+
+/** The error of a request that was not sent because of a hold. */
+interface WithheldError extends Error {
+  readonly code: typeof withheldErrorCode;
+  readonly hold: Hold;
 }
 
 /** Creates a client; it connects with the first call to a target. */
@@ -92,8 +113,9 @@
     try {
       return classifyResponse(call, await dispatch(call));
     } catch (error) {
-      const { kind, message } = toTargetError(error);
       if (call.signal.aborted) return { kind: "aborted" };
+      if (isWithheld(error)) return { kind: "withheld", hold: error.hold };
+      const { kind, message } = toTargetError(error);
       return kind === "not_sent"
         ? { kind, reason: message }
         : { kind: "lost", reason: message };
@@ -108,19 +130,52 @@
       headers: host.codec.encodeHeaders(call),
       body: call.body.length > 0 || hasBody(call.method) ? call.body : null,
       signal: call.signal,
+      opaque: call.target,
       // The library's type declarations misname this option.
       ...{ responseHeaders: "raw" },
     });
   }
 
+  /**
+   * Checks for a hold at the last moment: a request may have waited for a
+   * connection since its target was chosen.
+   */
+  function createHoldCheck(
+    dispatch: Dispatcher["dispatch"],
+  ): Dispatcher["dispatch"] {
+    return (options, handler) => {
+      const target = (options as { readonly opaque?: DirectTarget }).opaque;
+      const connect = handler.onConnect?.bind(handler);
+      handler.onConnect = (...args) => {
+        const hold = target && host.tryGetHold(target);
+        // An error that is thrown here leaves the connection open.
+        if (hold !== undefined) throw createWithheldError(hold);
+        connect?.(...args);
+      };
+      return dispatch(options, handler);
+    };
+  }
+
+  /** Handles the target's notice and returns the headers. */
+  function readHeaders(
+    target: DirectTarget,
+    data: Dispatcher.ResponseData,
+  ): readonly Header[] {
+    const headers = parseHeaders(data.headers as unknown as readonly Buffer[]);
+    host.handleNotice(
+      target,
+      host.codec.decodeNotice(data.statusCode, headers, target),
+    );
+    return headers;
+  }
+
   function classifyResponse(
     call: DirectCall,
     data: Dispatcher.ResponseData,
   ): DirectResult {
-    const rawHeaders = data.headers as unknown as readonly Buffer[];
     const result = host.codec.decodeHead(
       data.statusCode,
-      parseHeaders(rawHeaders),
+      readHeaders(call.target, data),
       call,
     );
     // A destroyed body emits an error; its reader, if any, receives it too.
@@ -142,11 +197,15 @@
     target: DirectTarget,
   ): Promise<readonly PromptPart[] | undefined> {
     try {
-      const { statusCode, body } = await getPools(target).persistent.request({
+      const data = await getPools(target).persistent.request({
         method: "GET",
         path: host.codec.partsPath,
         signal: AbortSignal.timeout(listPartsTimeoutMs),
+        opaque: target,
+        ...{ responseHeaders: "raw" },
       });
+      readHeaders(target, data);
+      const { statusCode, body } = data;
       const text = await body.text();
       if (statusCode === 200) return host.codec.decodeParts(text);
       host.log.warn("Engine did not list its cached parts", {
@@ -168,6 +227,7 @@
     const created = createPools(
       target.address,
       host.getMaxConnections(target.service),
+      createHoldCheck,
     );
     pools.set(target.address, created);
     return created;
@@ -191,7 +251,11 @@
   }
 }
 
-function createPools(address: string, maxConnections: number): Pools {
+function createPools(
+  address: string,
+  maxConnections: number,
+  interceptor: Dispatcher.DispatcherComposeInterceptor,
+): Pools {
   const poolOptions = {
     connections: maxConnections,
     connect: createConnector(),
@@ -202,11 +266,27 @@
   };
   const origin = `http://${address}`;
   return {
-    persistent: new Pool(origin, poolOptions),
-    fresh: new Pool(origin, { ...poolOptions, pipelining: 0 }),
+    persistent: new Pool(origin, poolOptions).compose(interceptor),
+    fresh: new Pool(origin, { ...poolOptions, pipelining: 0 })
+      .compose(interceptor),
   };
 }
 
+function createWithheldError(hold: Hold): WithheldError {
+  return Object.assign(
+    new Error(`The target is on hold: ${hold}`),
+    {
+      code: withheldErrorCode,
+      hold,
+    } as const,
+  );
+}
+
+function isWithheld(error: unknown): error is WithheldError {
+  return error instanceof Error &&
+    (error as NodeJS.ErrnoException).code === withheldErrorCode;
+}
+
 /**
  * Creates a connector that reports every reset connection as an error, because
  * a response without a length would otherwise look complete. The HTTP library
--- a/src/connection/direct_client_test.ts
+++ b/src/connection/direct_client_test.ts
@@ -17,6 +17,9 @@
       load: undefined,
     },
   }),
+  decodeNotice: (_status, headers) => ({
+    isLeaving: headers.some(({ name }) => name === "leaving"),
+  }),
   partsPath: "/parts",
   decodeParts: () => [],
 };
@@ -24,6 +27,25 @@
 const head = "HTTP/1.1 200 OK\r\n";
 
 describe("direct client", () => {
+  describe("a request that waits for a connection", () => {
+    for (const needsFreshConnection of [false, true]) {
+      const kind = needsFreshConnection ? "fresh" : "persistent";
+      it(`is withheld once the target is on hold, ${kind}`, async () => {
+        const { results, requests } = await sendTwoToLeaving({
+          needsFreshConnection,
+        });
+        expect(results.map(({ kind }) => kind)).toEqual(["answer", "withheld"]);
+        expect(requests).toBe(1);
+      });
+    }
+
+    it("for the list of cached parts is withheld too", async () => {
+      const { parts, requests } = await sendTwoToLeaving({ listsParts: true });
+      expect(parts).toBeUndefined();
+      expect(requests).toBe(1);
+    });
+  });
+
   describe("a response whose connection ends", () => {
     const framings = {
       "with a length": `${head}content-length: 100\r\n\r\nhalf`,
@@ -117,6 +139,51 @@
   }
 }
 
+/**
+ * Sends a request to a target that leaves in its response, and meanwhile queues
+ * another call for the only connection.
+ */
+async function sendTwoToLeaving(
+  { needsFreshConnection = false, listsParts = false }: {
+    readonly needsFreshConnection?: boolean;
+    readonly listsParts?: boolean;
+  },
+) {
+  let requests = 0;
+  let isLeaving = false;
+  const server = createServer((socket) => {
+    socket.on("data", () => {
+      requests++;
+      socket.write(`${head}leaving: 1\r\ncontent-length: 2\r\n\r\nok`);
+    });
+  });
+  const port = await listen(server);
+  const client = createDirectClient({
+    codec,
+    log: createSilentLog(),
+    getMaxConnections: () => 1,
+    tryGetHold: () => isLeaving ? "leaving" : undefined,
+    handleNotice: (_target, notice) => {
+      isLeaving ||= notice.isLeaving;
+    },
+  });
+  const call = createCall(port, needsFreshConnection);
+  const first = client.send(call).then(async (result) => {
+    if (result.kind !== "answer") return result;
+    for await (const _data of result.body);
+    return result;
+  });
+  const second = listsParts
+    ? client.tryListCachedParts(call.target)
+    : client.send(call);
+  const [sent, queued] = await Promise.all([first, second]);
+  await client.close();
+  server.close();
+  return listsParts
+    ? { results: [sent], parts: queued, requests }
+    : { results: [sent, queued as DirectResult], parts: undefined, requests };
+}
+
 async function send(
   port: number,
   needsFreshConnection: boolean,
@@ -125,7 +192,13 @@
     codec,
     log: createSilentLog(),
     getMaxConnections: () => 2,
+    tryGetHold: () => undefined,
+    handleNotice: () => undefined,
   });
+  return await client.send(createCall(port, needsFreshConnection));
+}
+
+function createCall(port: number, needsFreshConnection: boolean): DirectCall {
   const target: DirectTarget = {
     id: "target-1",
     service: "calls",
@@ -136,7 +209,7 @@
     warmUpLeftMs: 0,
     startedAtMs: 0,
   };
-  const call: DirectCall = {
+  return {
     target,
     requestId: "request-1",
     method: "GET",
@@ -151,7 +224,6 @@
     needsFreshConnection,
     signal: new AbortController().signal,
   };
-  return await client.send(call);
 }
 
 function listen(server: ReturnType<typeof createServer>): Promise<number> {
--- a/src/platform/target_codec.ts
+++ b/src/platform/target_codec.ts
@@ -1,7 +1,12 @@
 /** Encodes calls to targets and decodes the heads of their responses. */
 
 import type { TargetCodec } from "../connection/direct_client.ts";
-import type { DirectCall, ReportedLoad } from "../types/direct_calls.ts";
+import type {
+  DirectCall,
+  ReportedLoad,
+  TargetNotice,
+} from "../types/direct_calls.ts";
+import type { DirectTarget } from "../types/direct_target.ts";
 import type { PromptPart } from "../types/prompt.ts";
 import type { Header } from "../types/work.ts";
 import { getArray, tryGetObject } from "./json_fields.ts";
@@ -22,10 +27,14 @@
 /** Status of a target that has another id than expected; nothing was run. */
 const wrongTargetStatus = 421;
 
+/** Value of the header of a target that is about to exit. */
+const leavingValue = "1";
+
 /** The platform's protocol between routers and targets. */
 export const targetCodec: TargetCodec = {
   encodeHeaders,
   decodeHead,
+  decodeNotice,
   partsPath: cachedPartsPath,
   decodeParts,
 };
@@ -58,9 +67,7 @@
   rawHeaders: readonly Header[],
   call: DirectCall,
 ): ReturnType<TargetCodec["decodeHead"]> {
-  const headers = new Map(
-    rawHeaders.map(({ name, value }) => [name.toLowerCase(), value]),
-  );
+  const headers = indexHeaders(rawHeaders);
   if (status === wrongTargetStatus) return { kind: "wrong_target" };
   if (headers.has(headerNames.notRun)) return { kind: "refused", status };
   if (headers.get(headerNames.requestId) !== call.requestId) {
@@ -90,6 +97,30 @@
   };
 }
 
+/**
+ * Decodes what a target says of itself. The response of another target at the
+ * same address says nothing of this one.
+ */
+function decodeNotice(
+  status: number,
+  rawHeaders: readonly Header[],
+  target: DirectTarget,
+): TargetNotice {
+  const headers = indexHeaders(rawHeaders);
+  const respondingTarget = headers.get(headerNames.respondingTarget);
+  const isOther = status === wrongTargetStatus ||
+    (respondingTarget !== undefined && respondingTarget !== target.id);
+  if (isOther) return { isLeaving: false };
+  return { isLeaving: headers.get(headerNames.leaving) === leavingValue };
+}
+
+/** Returns the headers by lower-case name. */
+function indexHeaders(
+  headers: readonly Header[],
+): ReadonlyMap<string, string> {
+  return new Map(headers.map(({ name, value }) => [name.toLowerCase(), value]));
+}
+
 function createCorruptedResult(
   reason: string,
 ): ReturnType<TargetCodec["decodeHead"]> {
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -32,6 +32,10 @@
   signature: "x-server-stamp",
   /** Present when the target has not run the request. */
   notRun: "x-not-run",
+  /** "1" in all responses of a target that is about to exit. */
+  leaving: "server-leaving",
+  /** Id of the target that responds; not in all responses. */
+  respondingTarget: "x-instance",
   /** Running requests, waiting requests and slots of the target. */
   load: "x-server-load",
 } as const;
--- /dev/null
+++ b/src/process/direct/target_notices.ts
@@ -0,0 +1,37 @@
+/** Applies what targets say of themselves in their responses. */
+
+import type { TargetNotice } from "../../types/direct_calls.ts";
+import type { DirectTarget } from "../../types/direct_target.ts";
+import type { Log } from "../telemetry/log.ts";
+import type { TargetTable } from "./target_table.ts";
+
+/** What the notices need from the process. */
+export interface TargetNoticesHost {
+  readonly targets: Pick<TargetTable, "recordLeaving">;
+  readonly log: Log;
+}
+
+/** The notices of all targets. */
+export interface TargetNotices {
+  /** Applies the notice of one response. */
+  handle(target: DirectTarget, notice: TargetNotice): void;
+}
+
+/** Creates the handler of notices. */
+export function createTargetNotices(host: TargetNoticesHost): TargetNotices {
+  return { handle };
+
+  function handle(target: DirectTarget, { isLeaving }: TargetNotice): void {
+    if (isLeaving) handleLeaving(target);
+  }
+
+  function handleLeaving(target: DirectTarget): void {
+    const entryState = host.targets.recordLeaving(target);
+    if (entryState === undefined) return;
+    const { id, service } = target;
+    host.log.info("Target says that it leaves", {
+      ...{ target: id, service, entryState },
+      first: entryState === "ready" ? "response" : "entry",
+    });
+  }
+}
--- a/src/process/direct/target_table.ts
+++ b/src/process/direct/target_table.ts
@@ -3,6 +3,11 @@
  * entry is removed receives none from then on, with one exception: entries that
  * expire while the store is unavailable are registered again shortly after it
  * recovers, so their targets stay in use until then.
+ *
+ * Load pattern: targets leave in series during a deployment, and routers that
+ * are cut off from the store still list them as ready. A target that said in a
+ * response that it leaves gets nothing new, whatever its entry says, until a new
+ * process is registered.
  */
 
 import type { DirectTarget } from "../../types/direct_target.ts";
@@ -13,6 +18,13 @@
   put(target: DirectTarget): boolean;
   /** Removes a target at `usableUntil`, a time on the monotonic clock. */
   remove(id: string, usableUntil: number): void;
+  /**
+   * Records that a target said itself that it leaves; returns what its entry
+   * says, undefined if the leave is known or concerns an earlier process.
+   */
+  recordLeaving(target: DirectTarget): EntryState | undefined;
+  /** Returns true when the target said itself that it leaves. */
+  isLeaving(target: DirectTarget): boolean;
   /** Returns a service's targets that may receive new work, sorted by id. */
   getReady(service: string): readonly DirectTarget[];
   /** Returns the registered and ready targets of all services. */
@@ -27,6 +39,9 @@
   getCounts(): Readonly<Record<"ready" | "draining" | "lapsed", number>>;
 }
 
+/** What the entry of a target says. */
+export type EntryState = DirectTarget["state"] | "gone";
+
 /** A target and its removal. */
 interface TargetEntry {
   readonly target: DirectTarget;
@@ -43,9 +58,17 @@
  */
 const leaveGraceMs = 1_500;
 
+/** Maximum number of leaves that are remembered; the oldest are dropped. */
+const maxLeaves = 10_000;
+
 /** Creates an empty table. */
 export function createTargetTable(): TargetTable {
   const entriesById = new Map<string, TargetEntry>();
+  /**
+   * Start times of the processes that said that they leave, by id. They outlast
+   * the entries, which may return from an older copy of the store.
+   */
+  const leavesById = new Map<string, number>();
   /**
    * Ready targets by service, sorted; filled while no target has been removed,
    * as the end of use of a removed one depends on the time.
@@ -55,6 +78,8 @@
   return {
     put,
     remove,
+    recordLeaving,
+    isLeaving,
     getReady,
     getAllReady,
     getLeaving,
@@ -78,6 +103,29 @@
     readyByService.clear();
   }
 
+  function recordLeaving(target: DirectTarget): EntryState | undefined {
+    const { id, startedAtMs } = target;
+    const known = entriesById.get(id);
+    if (isLeaving(target) || isReplaced(target, known?.target)) {
+      return undefined;
+    }
+    leavesById.delete(id);
+    leavesById.set(id, startedAtMs);
+    const [oldest] = leavesById.keys();
+    if (leavesById.size > maxLeaves && oldest !== undefined) {
+      leavesById.delete(oldest);
+    }
+    readyByService.clear();
+    return known === undefined || known.usableUntil !== undefined
+      ? "gone"
+      : known.target.state;
+  }
+
+  function isLeaving({ id, startedAtMs }: DirectTarget): boolean {
+    const leftStartedAtMs = leavesById.get(id);
+    return leftStartedAtMs !== undefined && startedAtMs <= leftStartedAtMs;
+  }
+
   function getReady(service: string): readonly DirectTarget[] {
     const cached = readyByService.get(service);
     if (cached !== undefined) return cached;
@@ -90,6 +138,7 @@
       }
       hasRemoved ||= usableUntil !== undefined;
       if (target.service !== service || target.state !== "ready") continue;
+      if (isLeaving(target)) continue;
       if (usableUntil === undefined || usableUntil > now) ready.push(target);
     }
     ready.sort((left, right) => (left.id < right.id ? -1 : 1));
@@ -100,7 +149,8 @@
   function getAllReady(): readonly DirectTarget[] {
     return [...entriesById.values()]
       .filter(({ target, usableUntil }) =>
-        target.state === "ready" && usableUntil === undefined
+        target.state === "ready" && usableUntil === undefined &&
+        !isLeaving(target)
       )
       .map(({ target }) => target);
   }
@@ -109,7 +159,7 @@
     const now = performance.now();
     return [...entriesById.values()]
       .filter(({ target, usableUntil }) =>
-        target.service === service &&
+        target.service === service && !isLeaving(target) &&
         (usableUntil === undefined
           ? target.state === "draining"
           : usableUntil <= now && now < usableUntil + leaveGraceMs)
@@ -130,9 +180,17 @@
   function getCounts() {
     const counts = { ready: 0, draining: 0, lapsed: 0 };
     entriesById.forEach(({ target, usableUntil }) => {
-      if (usableUntil === undefined) counts[target.state]++;
-      else counts.lapsed++;
+      if (usableUntil !== undefined) counts.lapsed++;
+      else counts[isLeaving(target) ? "draining" : target.state]++;
     });
     return counts;
   }
 }
+
+/** Returns true when the entry is that of a later process under the same id. */
+function isReplaced(
+  { startedAtMs }: DirectTarget,
+  registered: DirectTarget | undefined,
+): boolean {
+  return registered !== undefined && registered.startedAtMs > startedAtMs;
+}
--- a/src/process/direct/target_table_test.ts
+++ b/src/process/direct/target_table_test.ts
@@ -45,6 +45,73 @@
     });
   });
 
+  describe("a target that said that it leaves", () => {
+    const target = createTarget("a", { startedAtMs: 5 });
+
+    function createLeaving() {
+      const table = createTargetTable();
+      table.put(target);
+      table.put(createTarget("b"));
+      expect(getIds(table)).toEqual(["a", "b"]);
+      table.recordLeaving(target);
+      return table;
+    }
+
+    it("gets nothing new and is no source of a copy", () => {
+      const table = createLeaving();
+      expect(getIds(table)).toEqual(["b"]);
+      expect(table.getAllReady().map(({ id }) => id)).toEqual(["b"]);
+      expect(table.getLeaving("cards")).toEqual([]);
+      expect(table.getCounts()).toMatchObject({ ready: 1, draining: 1 });
+    });
+
+    for (
+      const [name, startedAtMs] of Object.entries({
+        "an unchanged entry": 5,
+        "an entry of an earlier process": 4,
+        "an entry without a start time": 0,
+      })
+    ) {
+      it(`is not used again after ${name}`, () => {
+        const table = createLeaving();
+        table.put(createTarget("a", { startedAtMs }));
+        expect(getIds(table)).toEqual(["b"]);
+        table.remove("a", performance.now());
+        jest.advanceTimersByTime(20_000);
+        expect(getIds(table)).toEqual(["b"]);
+        table.put(createTarget("a", { startedAtMs }));
+        expect(getIds(table)).toEqual(["b"]);
+      });
+    }
+
+    it("is used again once a later process is registered", () => {
+      const table = createLeaving();
+      table.put(createTarget("a", { startedAtMs: 6 }));
+      expect(getIds(table)).toEqual(["a", "b"]);
+    });
+
+    it("does not take a later process along", () => {
+      const table = createTargetTable();
+      table.put(createTarget("a", { startedAtMs: 6 }));
+      expect(table.recordLeaving(target)).toBeUndefined();
+      expect(getIds(table)).toEqual(["a"]);
+    });
+
+    it("is reported once, with the state of its entry", () => {
+      const table = createTargetTable();
+      table.put(target);
+      expect(table.recordLeaving(target)).toBe("ready");
+      expect(table.recordLeaving(target)).toBeUndefined();
+      const draining = createTarget("b", { state: "draining" });
+      table.put(draining);
+      expect(table.recordLeaving(draining)).toBe("draining");
+      const gone = createTarget("c");
+      table.put(gone);
+      table.remove("c", performance.now());
+      expect(table.recordLeaving(gone)).toBe("gone");
+    });
+  });
+
   it("detects a restart under the same id", () => {
     const table = createTargetTable();
     expect(table.put(createTarget("a"))).toBe(true);
--- a/src/request/direct_choice.ts
+++ b/src/request/direct_choice.ts
@@ -2,8 +2,9 @@
  * Chooses the target of one attempt from the loads, the target health and the
  * cached prompt parts that this process knows of.
  *
- * Load pattern: an engine that is ejected or leaving takes no requests, but its
- * prefix cache can still be read, so another engine copies from it.
+ * Load pattern: an engine that is ejected, or draining by its entry, takes no
+ * requests, but its prefix cache can still be read, so another engine copies from
+ * it. One that said itself that it leaves is not even copied from.
  */
 
 import type { CachedParts } from "../process/direct/cached_parts.ts";
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -20,7 +20,7 @@
   TargetOutcome,
 } from "../process/direct/target_health.ts";
 import type { Log } from "../process/telemetry/log.ts";
-import type { DirectCalls, DirectResult } from "../types/direct_calls.ts";
+import type { DirectCalls, DirectResult, Hold } from "../types/direct_calls.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
 import { createReport, type DiagnosticCode } from "../types/diagnostics.ts";
 import type { PromptPart } from "../types/prompt.ts";
@@ -82,6 +82,11 @@
 /** Lowest response status that counts as a failure of the target. */
 const minServerErrorStatus = 500;
 
+/** Diagnostics of a request that was not sent because of a hold. */
+const holdCodes = {
+  leaving: "target_leaving",
+} as const satisfies Readonly<Record<Hold, DiagnosticCode>>;
+
 /**
  * How one attempt ended.
  * - `done`: the response was forwarded to its end.
@@ -329,6 +334,12 @@
       case "not_sent":
         recordOutcome("unreachable");
         return { kind: "not_run", code: "no_target", arrived: false };
+      case "withheld":
+        return {
+          kind: "not_run",
+          code: holdCodes[result.hold],
+          arrived: false,
+        };
       case "refused":
         return { kind: "not_run", code: "target_full", arrived: true };
       case "wrong_target":
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -23,6 +23,7 @@
   type RouteMatcher,
 } from "../process/direct/route_match.ts";
 import { createTargetHealth } from "../process/direct/target_health.ts";
+import { createTargetNotices } from "../process/direct/target_notices.ts";
 import { createTargetTable } from "../process/direct/target_table.ts";
 import type { Log } from "../process/telemetry/log.ts";
 import { createMetrics } from "../process/telemetry/metrics.ts";
@@ -143,9 +144,12 @@
   /** Callbacks that end the wait of requests for the first configuration. */
   const tableWaiters = new Set<() => void>();
 
+  const notices = createTargetNotices({ targets, log });
   const calls = createDirectClient({
     codec: host.codec,
     log,
+    handleNotice: notices.handle,
+    tryGetHold: (target) => targets.isLeaving(target) ? "leaving" : undefined,
     getMaxConnections: (service) => {
       const limit = matcher?.table.services.get(service)?.maxConnections ?? 1;
       return Math.max(1, Math.floor(limit / directory.getRouterCount()));
--- a/src/types/direct_calls.ts
+++ b/src/types/direct_calls.ts
@@ -50,6 +50,15 @@
   readonly load: ReportedLoad | undefined;
 }
 
+/** What a target says of itself in a response, whatever the response is. */
+export interface TargetNotice {
+  /** True when the target is about to exit and wants no new requests. */
+  readonly isLeaving: boolean;
+}
+
+/** Why a target gets no requests at present although it is registered. */
+export type Hold = "leaving";
+
 /**
  * The result of a call:
  *
@@ -57,6 +66,7 @@
  * - `refused`: the target reports that it has not run the request.
  * - `wrong_target`: another incarnation has the address; nothing has run.
  * - `not_sent`: no connection was established, so nothing has run.
+ * - `withheld`: the hold began before the request was sent; nothing has run.
  * - `lost`: the connection broke after the request was sent.
  * - `spoiled`: the received bytes are not the response to this request.
  * - `aborted`: the signal was aborted first.
@@ -73,6 +83,7 @@
   | { readonly kind: "refused"; readonly status: number }
   | { readonly kind: "wrong_target" }
   | { readonly kind: "not_sent"; readonly reason: string }
+  | { readonly kind: "withheld"; readonly hold: Hold }
   | { readonly kind: "lost"; readonly reason: string }
   | { readonly kind: "spoiled"; readonly reason: string }
   | { readonly kind: "aborted" };
--- a/test/platform/target_stand_in.ts
+++ b/test/platform/target_stand_in.ts
@@ -7,6 +7,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import { cachedPartsPath } from "../../src/platform/wire_names.ts";
 
 /** A request as the target received it. */
 export interface ReceivedRequest {
@@ -22,16 +23,31 @@
   response: ServerResponse,
 ) => void;
 
+/** What a target says of itself in all its responses. */
+export type TargetMood = keyof typeof moodHeaders;
+
+/** Headers of all responses of a target, by its mood. */
+const moodHeaders = {
+  serving: {},
+  leaving: { "Server-Leaving": "1" },
+} as const satisfies Record<string, Readonly<Record<string, string>>>;
+
 /** A target that a test controls. */
 export interface TargetStandIn {
   readonly id: string;
   /** Host and port of the target. */
   readonly address: string;
   setHandler(handler: RequestHandler): void;
+  setMood(mood: TargetMood): void;
   /** Returns the requests that ran, in order of arrival. */
   getReceivedRequests(): readonly ReceivedRequest[];
+  /** Returns the number of requests that arrived, run or not. */
+  countArrivals(): number;
   /** Creates the entry with which the target registers in the store. */
-  createEntry(state?: "ready" | "draining"): Readonly<Record<string, unknown>>;
+  createEntry(
+    state?: "ready" | "draining",
+    changes?: Readonly<Record<string, unknown>>,
+  ): Readonly<Record<string, unknown>>;
   close(): Promise<void>;
 }
 
@@ -41,6 +57,8 @@
   service: string,
 ): Promise<TargetStandIn> {
   const received: ReceivedRequest[] = [];
+  let arrivals = 0;
+  let mood: TargetMood = "serving";
   let handler: RequestHandler = (request, response) => {
     setIdentityHeaders(request, response, id);
     response.end(`done ${request.path}`);
@@ -59,8 +77,12 @@
     setHandler: (value) => {
       handler = value;
     },
+    setMood: (value) => {
+      mood = value;
+    },
     getReceivedRequests: () => received,
-    createEntry: (state = "ready") => ({
+    countArrivals: () => arrivals,
+    createEntry: (state = "ready", changes = {}) => ({
       Service: service,
       Address: address,
       Zone: "zone-a",
@@ -69,6 +91,7 @@
       State: state,
       ColdLeftMs: 0,
       Seq: 1,
+      ...changes,
     }),
     close: async () => {
       server.closeAllConnections();
@@ -80,8 +103,16 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    arrivals++;
     const chunks: Buffer[] = [];
     for await (const chunk of message) chunks.push(chunk as Buffer);
+    for (const [name, value] of Object.entries(moodHeaders[mood])) {
+      response.setHeader(name, value);
+    }
+    if (message.url === cachedPartsPath) {
+      response.end(JSON.stringify({ held: [["", "part-1", 800, "writer"]] }));
+      return;
+    }
     if (message.headers["x-expect-instance"] !== id) {
       response.writeHead(421, { "X-Instance": id });
       response.end();
