Keep the pause that a target asks for, and return in steps

Cause: a full target that refused with 503 and a time in seconds was sent requests again at once, by retries, by other requests and by calls that waited for a connection.

Change: the codec decodes the time from any 503 of the target (whole or fractional seconds; other forms are counted). target_pauses.ts keeps, for each process, until when nothing is sent there: choice, retries, resumed streams, copies and lists of cached parts leave it out, and the client checks again when a request leaves the queue for a connection. One response takes a target away for at most 60 s. Afterwards each router waits a random time more and doubles its concurrent requests with each answered step. A 503 that asks for a pause is no failure for the target's health. When all targets pause, callers are refused at once with the time until the first is back, spread.

--- a/src/connection/direct_client_test.ts
+++ b/src/connection/direct_client_test.ts
@@ -19,6 +19,7 @@
   }),
   decodeNotice: (_status, headers) => ({
     isLeaving: headers.some(({ name }) => name === "leaving"),
+    pause: { kind: "none" },
   }),
   partsPath: "/parts",
   decodeParts: () => [],
--- a/src/platform/target_codec.ts
+++ b/src/platform/target_codec.ts
@@ -2,6 +2,7 @@
 
 import type { TargetCodec } from "../connection/direct_client.ts";
 import type {
+  AskedPause,
   DirectCall,
   ReportedLoad,
   TargetNotice,
@@ -27,6 +28,13 @@
 /** Status of a target that has another id than expected; nothing was run. */
 const wrongTargetStatus = 421;
 
+/** Status with which a target turns requests away for a time. */
+const unavailableStatus = 503;
+
+const secondsPattern = /^\d+(\.\d+)?$/;
+
+const msPerSecond = 1_000;
+
 /** Value of the header of a target that is about to exit. */
 const leavingValue = "1";
 
@@ -110,8 +118,21 @@
   const respondingTarget = headers.get(headerNames.respondingTarget);
   const isOther = status === wrongTargetStatus ||
     (respondingTarget !== undefined && respondingTarget !== target.id);
-  if (isOther) return { isLeaving: false };
-  return { isLeaving: headers.get(headerNames.leaving) === leavingValue };
+  if (isOther) return { isLeaving: false, pause: { kind: "none" } };
+  return {
+    isLeaving: headers.get(headerNames.leaving) === leavingValue,
+    pause: status === unavailableStatus
+      ? decodePause(headers.get(headerNames.retryAfter))
+      : { kind: "none" },
+  };
+}
+
+/** Decodes whole or fractional seconds; dates are not supported. */
+function decodePause(text: string | undefined): AskedPause {
+  if (text === undefined) return { kind: "none" };
+  return secondsPattern.test(text)
+    ? { kind: "asked", ms: Number(text) * msPerSecond }
+    : { kind: "unreadable", text };
 }
 
 /** Returns the headers by lower-case name. */
--- a/src/platform/target_codec_test.ts
+++ b/src/platform/target_codec_test.ts
@@ -40,5 +40,41 @@
           .toBe(true);
       });
     });
+
+    describe("of a target that asks for a pause", () => {
+      for (
+        const [value, ms] of Object.entries({
+          "2": 2_000,
+          "0.5": 500,
+          "0": 0,
+          "120.25": 120_250,
+        })
+      ) {
+        it(`is read from the seconds "${value}"`, () => {
+          const headers = { "X-Not-Run": "full", "Retry-After": value };
+          expect(decode(503, headers).pause).toEqual({ kind: "asked", ms });
+        });
+      }
+
+      for (
+        const value of [
+          ...["", "soon", "-1", "+1", "1e3", "0x10", "1.", ".5", "1,5", "2 s"],
+          ...["NaN", "Infinity", "Wed, 21 Oct 2026 07:28:00 GMT"],
+        ]
+      ) {
+        it(`is not read from "${value}"`, () => {
+          expect(decode(503, { "Retry-After": value }).pause)
+            .toEqual({ kind: "unreadable", text: value });
+        });
+      }
+
+      it("is read at no other status", () => {
+        for (const status of [200, 421, 429, 500, 504]) {
+          expect(decode(status, { "Retry-After": "2" }).pause)
+            .toEqual({ kind: "none" });
+        }
+        expect(decode(503, {}).pause).toEqual({ kind: "none" });
+      });
+    });
   });
 });
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -34,6 +34,8 @@
   notRun: "x-not-run",
   /** "1" in all responses of a target that is about to exit. */
   leaving: "server-leaving",
+  /** Seconds for which the target wants no requests, possibly a fraction. */
+  retryAfter: "retry-after",
   /** Id of the target that responds; not in all responses. */
   respondingTarget: "x-instance",
   /** Running requests, waiting requests and slots of the target. */
--- a/src/process/direct/admission_estimate.ts
+++ b/src/process/direct/admission_estimate.ts
@@ -52,24 +52,32 @@
 
 /**
  * Returns the delay after which a refused caller should come back, in
- * milliseconds: once the queue has passed, spread over as long again.
+ * milliseconds: once the queue has passed, or the first target is back from its
+ * pause, spread over as long again.
  */
 export function getRetryAfterMs(
   queue: TargetQueue | undefined,
-  { timeLeftMs, random }: {
+  { timeLeftMs, pausedMs = 0, random }: {
     readonly timeLeftMs: number;
+    /** Time for which all targets of the service are paused. */
+    readonly pausedMs?: number;
     /** Random number in [0, 1). */
     readonly random: number;
   },
 ): number {
-  const waitMs = queue === undefined ? 0 : getExpectedWaitMs(queue);
+  const waitMs = Math.max(
+    pausedMs,
+    queue === undefined ? 0 : getExpectedWaitMs(queue),
+  );
   const delayMs = baseDelayMs.min + waitMs +
     random * (baseDelayMs.jitter + waitMs);
   const maxMs = Math.max(baseDelayMs.min, timeLeftMs * maxTimeLeftShare);
-  // The jitter is kept below the bound too, so that callers stay spread.
-  return delayMs <= maxMs
-    ? delayMs
-    : baseDelayMs.min + random * (maxMs - baseDelayMs.min);
+  if (delayMs <= maxMs) return delayMs;
+  // The jitter is kept below the bound too, so that callers stay spread; a
+  // return during the pause would be in vain.
+  const pausedMinMs = baseDelayMs.min + pausedMs;
+  const minMs = pausedMinMs < maxMs ? pausedMinMs : baseDelayMs.min;
+  return minMs + random * (maxMs - minMs);
 }
 
 /** Mean run times of services, from this router's own requests. */
--- a/src/process/direct/admission_estimate_test.ts
+++ b/src/process/direct/admission_estimate_test.ts
@@ -112,6 +112,37 @@
       expect(getRetryAfterMs(undefined, options)).toBe(120);
     });
 
+    it("waits for the first target to be back from a pause, spread", () => {
+      const delays = [0, 0.5, 0.99].map((random) =>
+        getRetryAfterMs(undefined, {
+          timeLeftMs: 9_000,
+          pausedMs: 1_000,
+          random,
+        })
+      );
+      expect(delays[0]).toBe(1_120);
+      expect(Math.max(...delays)).toBeLessThanOrEqual(3_000);
+      expect(new Set(delays).size).toBe(3);
+    });
+
+    it("is after a pause that ends just within what callers honour", () => {
+      const delays = [0, 0.5, 0.99].map((random) =>
+        getRetryAfterMs(undefined, {
+          timeLeftMs: 3_900,
+          pausedMs: 1_000,
+          random,
+        })
+      );
+      expect(Math.min(...delays)).toBeGreaterThan(1_000);
+      expect(Math.max(...delays)).toBeLessThanOrEqual(1_300);
+      expect(new Set(delays).size).toBe(3);
+    });
+
+    it("stays within what callers honour after a longer pause", () => {
+      const options = { timeLeftMs: 900, pausedMs: 30_000, random: 0.99 };
+      expect(getRetryAfterMs(undefined, options)).toBeLessThanOrEqual(300);
+    });
+
     it("stays within what callers honour, and spread", () => {
       const queue = { load: 600, slots: 6, meanRunMs: 100 };
       const delays = [0, 0.5, 0.99].map((random) =>
--- a/src/process/direct/target_notices.ts
+++ b/src/process/direct/target_notices.ts
@@ -1,13 +1,17 @@
 /** Applies what targets say of themselves in their responses. */
 
-import type { TargetNotice } from "../../types/direct_calls.ts";
+import type { AskedPause, TargetNotice } from "../../types/direct_calls.ts";
 import type { DirectTarget } from "../../types/direct_target.ts";
 import type { Log } from "../telemetry/log.ts";
+import type { Metrics } from "../telemetry/metrics.ts";
+import type { TargetPauses } from "./target_pauses.ts";
 import type { TargetTable } from "./target_table.ts";
 
 /** What the notices need from the process. */
 export interface TargetNoticesHost {
   readonly targets: Pick<TargetTable, "recordLeaving">;
+  readonly pauses: Pick<TargetPauses, "recordPause">;
+  readonly metrics: Pick<Metrics, "count">;
   readonly log: Log;
 }
 
@@ -21,8 +25,24 @@
 export function createTargetNotices(host: TargetNoticesHost): TargetNotices {
   return { handle };
 
-  function handle(target: DirectTarget, { isLeaving }: TargetNotice): void {
+  function handle(
+    target: DirectTarget,
+    { isLeaving, pause }: TargetNotice,
+  ): void {
     if (isLeaving) handleLeaving(target);
+    handlePause(target, pause);
+  }
+
+  function handlePause(target: DirectTarget, pause: AskedPause): void {
+    switch (pause.kind) {
+      case "none":
+        return;
+      case "asked":
+        host.metrics.count("target_pauses_total");
+        return host.pauses.recordPause(target, pause.ms);
+      case "unreadable":
+        return host.metrics.count("target_pauses_unreadable_total");
+    }
   }
 
   function handleLeaving(target: DirectTarget): void {
--- a/src/request/direct_choice.ts
+++ b/src/request/direct_choice.ts
@@ -4,7 +4,8 @@
  *
  * Load pattern: an engine that is ejected, or draining by its entry, takes no
  * requests, but its prefix cache can still be read, so another engine copies from
- * it. One that said itself that it leaves is not even copied from.
+ * it. One that said itself that it leaves, or that it wants a pause, is not even
+ * copied from.
  */
 
 import type { CachedParts } from "../process/direct/cached_parts.ts";
@@ -15,6 +16,7 @@
 } from "../process/direct/prefix_placement.ts";
 import { chooseSlot } from "../process/direct/slot_placement.ts";
 import type { TargetHealth } from "../process/direct/target_health.ts";
+import type { TargetPauses } from "../process/direct/target_pauses.ts";
 import type { TargetTable } from "../process/direct/target_table.ts";
 import type { Placement } from "../process/placement/placement.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
@@ -25,6 +27,7 @@
 export interface ChoiceHost {
   readonly targets: Pick<TargetTable, "getReady" | "getLeaving">;
   readonly health: Pick<TargetHealth, "getUsable" | "isReachable">;
+  readonly pauses: Pick<TargetPauses, "getUsable" | "isPaused">;
   readonly loads: Pick<LoadView, "getLoad">;
   readonly cachedParts: Pick<CachedParts, "getCachedTokens" | "isCached">;
   readonly placement: Placement;
@@ -61,7 +64,8 @@
   attempted: ReadonlySet<string>,
 ): DirectChoice | undefined {
   const ready = host.targets.getReady(request.service);
-  const remaining = ready.filter(({ id }) => !attempted.has(id));
+  const remaining = host.pauses.getUsable(ready)
+    .filter(({ id }) => !attempted.has(id));
   const usable = host.health.getUsable(remaining);
   return request.prompt === undefined
     ? tryChooseSlot(host, usable)
@@ -131,7 +135,9 @@
       ...excluded,
       ...host.targets.getLeaving(request.service),
     ]
-      .filter(({ id }) => host.health.isReachable(id))
+      .filter((target) =>
+        host.health.isReachable(target.id) && !host.pauses.isPaused(target)
+      )
       .map((target) => ({
         target,
         heldTokens: host.cachedParts.getCachedTokens(target.id, shared),
--- a/src/request/direct_choice_test.ts
+++ b/src/request/direct_choice_test.ts
@@ -9,6 +9,7 @@
   createTargetHealth,
   type TargetOutcome,
 } from "../process/direct/target_health.ts";
+import { createTargetPauses } from "../process/direct/target_pauses.ts";
 import { createTargetTable } from "../process/direct/target_table.ts";
 import { createPlacement } from "../process/placement/placement.ts";
 import { createSilentLog } from "../process/telemetry/log.ts";
@@ -33,6 +34,7 @@
   function choose(
     outcomes: readonly TargetOutcome[],
     attempted: readonly string[] = [],
+    pausesMs: Readonly<Record<string, number>> = {},
   ) {
     const targets = createTargetTable();
     const all = ["a", "b", "c"].map((id) => createTarget(id));
@@ -40,6 +42,13 @@
     const cachedParts = createCachedParts();
     cachedParts.recordPart("b", part);
     const health = createTargetHealth({ log: createSilentLog() });
+    const pauses = createTargetPauses({
+      log: createSilentLog(),
+      random: () => 0.5,
+    });
+    Object.entries(pausesMs).forEach(([id, pauseMs]) =>
+      pauses.recordPause(createTarget(id), pauseMs)
+    );
     const holder = all.find(({ id }) => id === "b");
     outcomes.forEach((outcome) =>
       holder && health.recordOutcome(holder, outcome)
@@ -48,6 +57,7 @@
       {
         targets,
         health,
+        pauses,
         loads: createLoadView(),
         cachedParts,
         placement: createPlacement({
@@ -82,6 +92,22 @@
     expect(choice?.fetchFrom?.id).toBe("b");
   });
 
+  it("neither chooses nor copies from a holder that wants a pause", () => {
+    const choice = choose([], [], { b: 1_000 });
+    expect(choice?.target.id).not.toBe("b");
+    expect(choice?.fetchFrom).toBeUndefined();
+    expect(choice?.prefillParts).toEqual([part]);
+  });
+
+  it("chooses an ejected engine rather than one that wants a pause", () => {
+    const choice = choose(["silent"], [], { a: 1_000, c: 1_000 });
+    expect(choice?.target.id).toBe("b");
+  });
+
+  it("chooses none while all want a pause", () => {
+    expect(choose([], [], { a: 1_000, b: 1_000, c: 1_000 })).toBeUndefined();
+  });
+
   it("prefills again what only an unreachable engine has cached", () => {
     const choice = choose(["unreachable"]);
     expect(choice?.target.id).not.toBe("b");
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -15,6 +15,7 @@
 import type { LoadView } from "../process/direct/load_view.ts";
 import { getSharedParts } from "../process/direct/prefix_placement.ts";
 import type { RetryShare } from "../process/direct/retry_share.ts";
+import type { TargetPauses } from "../process/direct/target_pauses.ts";
 import type {
   TargetHealth,
   TargetOutcome,
@@ -52,6 +53,10 @@
     TargetHealth,
     "getUsable" | "isReachable" | "recordOutcome" | "recordSent"
   >;
+  readonly pauses: Pick<
+    TargetPauses,
+    "begin" | "getFirstEndMs" | "getUsable" | "isPaused"
+  >;
   readonly loads: Pick<LoadView, "getLoad" | "begin">;
   readonly cachedParts: Pick<CachedParts, "getCachedTokens" | "isCached"> & {
     /** Records that a target gets `parts` and prefills `prefillParts`. */
@@ -79,12 +84,16 @@
 /** Time left below which a retry is not worth its load, in ms. */
 const minTimeLeftMs = 30;
 
+/** Status of a response with which a target may ask for a pause. */
+const unavailableStatus = 503;
+
 /** Lowest response status that counts as a failure of the target. */
 const minServerErrorStatus = 500;
 
 /** Diagnostics of a request that was not sent because of a hold. */
 const holdCodes = {
   leaving: "target_leaving",
+  paused: "target_full",
 } as const satisfies Readonly<Record<Hold, DiagnosticCode>>;
 
 /**
@@ -141,7 +150,7 @@
   let target = "";
   let decision: RequestSummary["decision"];
   let lastFailure: DiagnosticCode | undefined;
-  let lastRefusal: DiagnosticCode = "no_target";
+  let lastRefusal: DiagnosticCode | undefined;
   /** Queue of the last target that refused or would come too late. */
   let lastQueue: TargetQueue | undefined;
 
@@ -267,6 +276,7 @@
     }
     const prefill = host.prefills.begin(chosen.id, prefillParts);
     host.health.recordSent(chosen);
+    const pausable = host.pauses.begin(chosen);
     const load = host.loads.begin(
       chosen.id,
       Math.max(0, (prompt?.promptTokens ?? 0) - heldTokens),
@@ -285,6 +295,7 @@
 
     return {
       signal: controller.signal,
+      recordAnswer: pausable.recordAnswer,
       recordProgress,
       recordRun,
       hasTimedOut: () => hasTimedOut,
@@ -319,6 +330,7 @@
       clearTimeout(idleTimer);
       clearTimeout(unresponsiveTimer);
       load.end();
+      pausable.end();
       prefill.abandon();
       stop.signal.removeEventListener("abort", abort);
     }
@@ -365,7 +377,10 @@
         });
       }
       const isError = head.status >= minServerErrorStatus;
-      if (isError) recordOutcome("failed");
+      const asksForPause = head.status === unavailableStatus &&
+        host.pauses.isPaused(chosen);
+      if (!isError) attempt.recordAnswer();
+      else if (!asksForPause) recordOutcome("failed");
       if (isError && canRetry() && trySpendRetry()) {
         drop();
         return { kind: "repeat", code: "target_error" };
@@ -460,9 +475,13 @@
     if (possibleRuns > 0 || lastFailure !== undefined) {
       return createEnd(createReport(lastFailure ?? "outcome_unknown"));
     }
-    return createEnd(createReport(lastRefusal, { service }, {
+    const ready = host.targets.getReady(service);
+    const code = lastRefusal ??
+      (ready.length > 0 ? "target_full" : "no_target");
+    return createEnd(createReport(code, { service }, {
       retryAfterMs: getRetryAfterMs(lastQueue, {
         timeLeftMs: getTimeLeftMs(),
+        pausedMs: host.pauses.getFirstEndMs(ready),
         random: host.random(),
       }),
     }));
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -1,4 +1,4 @@
-import { createRoute } from "../../test/support/direct.ts";
+import { createRoute, createTarget } from "../../test/support/direct.ts";
 import {
   type Behaviour,
   createResponse,
@@ -84,6 +84,80 @@
     });
   });
 
+  describe("to targets that ask for a pause", () => {
+    const pausing: Behaviour = (call, pauses) => {
+      pauses.recordPause(call.target, 900);
+      return { kind: "refused", status: 503 };
+    };
+
+    it("is refused at once with the time when the first is back", async () => {
+      const result = await run(unsafe, [], {
+        pausesMs: { a: 30_000, b: 100, c: 20_000 },
+      });
+      expect(result.calls).toEqual([]);
+      expect(result).toMatchObject({ outcome: "not_run", code: "target_full" });
+      expect(result.retryAfterMs).toBeGreaterThan(100);
+    });
+
+    it("is sent to one that does not", async () => {
+      const result = await run(unsafe, [() => createResponse(["placed"])], {
+        pausesMs: { a: 30_000, c: 20_000 },
+      });
+      expect(result.targets).toEqual(["b"]);
+      expect(result.text).toBe("placed");
+    });
+
+    it("is sent on after a refusal that asks for a pause", async () => {
+      const result = await run(unsafe, [
+        pausing,
+        () => createResponse(["placed"]),
+      ]);
+      expect(new Set(result.targets).size).toBe(2);
+      expect(result.text).toBe("placed");
+    });
+
+    it("resumes its stream at one that does not", async () => {
+      const result = await run(resumable, [
+        ({ target }, pauses) => {
+          const [first = "", ...rest] = ["a", "b", "c"]
+            .filter((id) => id !== target.id);
+          expect(rest.length).toBe(1);
+          pauses.recordPause(createTarget(first), 5_000);
+          return stream(event(1), new Error("crash"));
+        },
+        () => stream(event(2)),
+      ]);
+      expect(result.text).toBe(event(1) + event(2));
+      const expected = ["a", "b", "c"]
+        .filter((id) => id !== result.targets[0]).at(-1);
+      expect(result.targets[1]).toBe(expected);
+    });
+
+    it("is not sent on while all do", async () => {
+      const result = await run(unsafe, [pausing, pausing, pausing]);
+      expect(result.calls.length).toBe(3);
+      expect(result).toMatchObject({ outcome: "not_run", code: "target_full" });
+    });
+
+    it("is sent elsewhere when the hold began in the queue", async () => {
+      const result = await run(unsafe, [
+        () => ({ kind: "withheld", hold: "paused" }),
+        () => ({ kind: "withheld", hold: "leaving" }),
+        () => createResponse(["placed"]),
+      ], { retryCredit: 0 });
+      expect(result.text).toBe("placed");
+    });
+
+    it("does not count their answers as failures", async () => {
+      const unavailable: Behaviour = (call, pauses) => {
+        pauses.recordPause(call.target, 900);
+        return createResponse(["later"], { status: 503 });
+      };
+      const { outcomes } = await run(safe, [unavailable, unavailable]);
+      expect(outcomes).toEqual([]);
+    });
+  });
+
   describe("that may run only once", () => {
     for (const [name, behaviour] of Object.entries({ lost, spoiled })) {
       it(`is not retried after a ${name} response`, async () => {
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -23,6 +23,7 @@
   type RouteMatcher,
 } from "../process/direct/route_match.ts";
 import { createTargetHealth } from "../process/direct/target_health.ts";
+import { createTargetPauses } from "../process/direct/target_pauses.ts";
 import { createTargetNotices } from "../process/direct/target_notices.ts";
 import { createTargetTable } from "../process/direct/target_table.ts";
 import type { Log } from "../process/telemetry/log.ts";
@@ -134,6 +135,7 @@
   const metrics = createMetrics();
   const targets = createTargetTable();
   const health = createTargetHealth({ log });
+  const pauses = createTargetPauses({ log, random: Math.random });
   const cachedParts = createCachedParts();
   const prefills = createPartPrefills();
   const loads = createLoadView();
@@ -144,12 +146,15 @@
   /** Callbacks that end the wait of requests for the first configuration. */
   const tableWaiters = new Set<() => void>();
 
-  const notices = createTargetNotices({ targets, log });
+  const notices = createTargetNotices({ targets, pauses, metrics, log });
   const calls = createDirectClient({
     codec: host.codec,
     log,
     handleNotice: notices.handle,
-    tryGetHold: (target) => targets.isLeaving(target) ? "leaving" : undefined,
+    tryGetHold: (target) => {
+      if (targets.isLeaving(target)) return "leaving";
+      return pauses.isPaused(target) ? "paused" : undefined;
+    },
     getMaxConnections: (service) => {
       const limit = matcher?.table.services.get(service)?.maxConnections ?? 1;
       return Math.max(1, Math.floor(limit / directory.getRouterCount()));
@@ -173,7 +178,7 @@
     handleTargetsChanged: () => calls.retain(targets.getAddresses()),
   });
   const requestHost = {
-    ...{ calls, targets, health, loads, prefills, placement, log },
+    ...{ calls, targets, health, pauses, loads, prefills, placement, log },
     cachedParts: { ...cachedParts, recordParts: directory.recordParts },
     retries: createRetryShare(directory, settings.retries),
     runTimes: createRunTimes(),
@@ -365,6 +370,7 @@
       directory: directory.dump(),
       targets: targets.getCounts(),
       aside: health.getEjected(),
+      paused: pauses.getPaused(),
       loads: Object.fromEntries(
         [...loads.getOwnLoads()].map(([target, load]) => [target, { ...load }]),
       ),
@@ -379,6 +385,7 @@
     );
     metrics.gauge("targets_ready", () => targets.getCounts().ready);
     metrics.gauge("targets_aside", () => health.getEjected().length);
+    metrics.gauge("targets_paused", () => pauses.getPaused().length);
     metrics.gauge("held_parts", cachedParts.getSize);
     metrics.gauge("repeats_in_window", requestHost.retries.getSpent);
     metrics.gauge("process_resident_bytes", () => process.memoryUsage.rss());
--- a/src/types/direct_calls.ts
+++ b/src/types/direct_calls.ts
@@ -54,10 +54,23 @@
 export interface TargetNotice {
   /** True when the target is about to exit and wants no new requests. */
   readonly isLeaving: boolean;
+  readonly pause: AskedPause;
 }
 
+/**
+ * The time for which a target wants no requests.
+ *
+ * - `none`: the response asks for no pause.
+ * - `asked`: the target wants nothing for that time.
+ * - `unreadable`: the response names a time in a form that is not supported.
+ */
+export type AskedPause =
+  | { readonly kind: "none" }
+  | { readonly kind: "asked"; readonly ms: number }
+  | { readonly kind: "unreadable"; readonly text: string };
+
 /** Why a target gets no requests at present although it is registered. */
-export type Hold = "leaving";
+export type Hold = "leaving" | "paused";
 
 /**
  * The result of a call:
--- a/test/emulator/fleet.ts
+++ b/test/emulator/fleet.ts
@@ -6,6 +6,7 @@
 import { createLoadView } from "../../src/process/direct/load_view.ts";
 import { createPartPrefills } from "../../src/process/direct/part_prefills.ts";
 import { createTargetHealth } from "../../src/process/direct/target_health.ts";
+import { createTargetPauses } from "../../src/process/direct/target_pauses.ts";
 import { createTargetTable } from "../../src/process/direct/target_table.ts";
 import {
   createPlacement,
@@ -238,6 +239,7 @@
     calls: createEmulatedCalls(options.engines, options.targets),
     targets: table,
     health: createTargetHealth({ log: createSilentLog() }),
+    pauses: createTargetPauses({ log: createSilentLog(), random: () => 0.5 }),
     loads,
     cachedParts: options.policy === "rank"
       ? { ...createRankedHolders(options), recordParts: () => undefined }
--- a/test/platform/target_stand_in.ts
+++ b/test/platform/target_stand_in.ts
@@ -26,10 +26,23 @@
 /** What a target says of itself in all its responses. */
 export type TargetMood = keyof typeof moodHeaders;
 
+/** Moods in which a target refuses all requests. */
+const refusingMoods: ReadonlySet<TargetMood> = new Set([
+  "pausing",
+  "pausingUntilDate",
+]);
+
 /** Headers of all responses of a target, by its mood. */
 const moodHeaders = {
   serving: {},
   leaving: { "Server-Leaving": "1" },
+  /** Refuses all requests, for longer than a test lasts. */
+  pausing: { "X-Not-Run": "full", "Retry-After": "40.5" },
+  /** Refuses all requests, until a time that no router understands. */
+  pausingUntilDate: {
+    "X-Not-Run": "full",
+    "Retry-After": "Wed, 21 Oct 2026 07:28:00 GMT",
+  },
 } as const satisfies Record<string, Readonly<Record<string, string>>>;
 
 /** A target that a test controls. */
@@ -109,6 +122,10 @@
     for (const [name, value] of Object.entries(moodHeaders[mood])) {
       response.setHeader(name, value);
     }
+    if (refusingMoods.has(mood)) {
+      response.writeHead(503).end();
+      return;
+    }
     if (message.url === cachedPartsPath) {
       response.end(JSON.stringify({ held: [["", "part-1", 800, "writer"]] }));
       return;
--- a/test/platform/whole_answers_test.ts
+++ b/test/platform/whole_answers_test.ts
@@ -6,6 +6,7 @@
 import { createLoadView } from "../../src/process/direct/load_view.ts";
 import { createPartPrefills } from "../../src/process/direct/part_prefills.ts";
 import { createTargetHealth } from "../../src/process/direct/target_health.ts";
+import { createTargetPauses } from "../../src/process/direct/target_pauses.ts";
 import { createTargetTable } from "../../src/process/direct/target_table.ts";
 import { createPlacement } from "../../src/process/placement/placement.ts";
 import { createSilentLog } from "../../src/process/telemetry/log.ts";
@@ -355,6 +356,7 @@
       calls: { send, tryListCachedParts: () => Promise.resolve(undefined) },
       targets,
       health: createTargetHealth({ log: createSilentLog() }),
+      pauses: createTargetPauses({ log: createSilentLog(), random: () => 0.5 }),
       loads: createLoadView(),
       cachedParts: createCachedParts(),
       prefills: createPartPrefills(),
