--- a/src/connection/caller_reply.ts
+++ b/src/connection/caller_reply.ts
@@ -6,8 +6,13 @@
   formatReport,
   getDiagnostic,
 } from "../types/diagnostics.ts";
-import type { Reply, ReplyHead, RequestEnd } from "../types/reply.ts";
-import { createFramedReply, hasBody } from "./framed_reply.ts";
+import {
+  hasBody,
+  type Reply,
+  type ReplyHead,
+  type RequestEnd,
+} from "../types/reply.ts";
+import { createFramedReply } from "./framed_reply.ts";
 
 /** Blank lines that end an event, with either kind of line break. */
 const eventEnds = ["\n\n", "\r\n\r\n"];
@@ -53,12 +58,8 @@
   /** The last bytes written, as many as the end of an event has. */
   let tail: Buffer = Buffer.alloc(0);
   let hasTrailers = false;
-  const { socket } = response.req;
   const handleDisconnect = (): void => disconnect.abort();
-  // A response that waits for an earlier one on its connection does not close.
-  socket.on("close", handleDisconnect);
   response.on("close", () => {
-    socket.off("close", handleDisconnect);
     if (!response.writableFinished) disconnect.abort();
   });
   response.on("error", handleDisconnect);
@@ -75,7 +76,8 @@
       if (lowerName !== "content-type") continue;
       isEventStream = value.startsWith("text/event-stream");
     }
-    hasTrailers = head.length === undefined && hasBody(response, head.status);
+    hasTrailers = head.length === undefined &&
+      hasBody(response.req.method ?? "GET", head.status);
     // Written in one call, so that a header that cannot be sent leaves none.
     response.writeHead(head.status, [
       ...head.headers.flatMap(({ name, value }) => [name, value]),
@@ -96,7 +98,7 @@
         .subarray(-maxEventEndBytes);
     }
     if (disconnect.signal.aborted || response.write(data)) return undefined;
-    return waitForDrain(response, disconnect.signal);
+    return waitForDrain(response);
   }
 
   function end(requestEnd: RequestEnd): void {
@@ -141,20 +143,15 @@
   }
 }
 
-/** Waits until more can be written or the signal reports a disconnect. */
-export function waitForDrain(
-  response: ServerResponse,
-  disconnectSignal: AbortSignal,
-): Promise<void> {
+/** Waits until more can be written or the caller has disconnected. */
+export function waitForDrain(response: ServerResponse): Promise<void> {
   return new Promise((resolve) => {
     response.once("drain", finish);
     response.once("close", finish);
-    disconnectSignal.addEventListener("abort", finish, { once: true });
 
     function finish(): void {
       response.off("drain", finish);
       response.off("close", finish);
-      disconnectSignal.removeEventListener("abort", finish);
       resolve();
     }
   });
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -138,6 +138,7 @@
   const response = createDirectResponse(reply, {
     lastEventId: request.lastEventId,
     isResumable: route.isResumable,
+    method: request.method,
   });
   const isRetryable = route.kind === "safe" ||
     (route.kind === "stream" && route.isResumable);
@@ -297,6 +298,7 @@
       signal: controller.signal,
       recordAnswer: pausable.recordAnswer,
       recordProgress,
+      expectProgress,
       recordRun,
       hasTimedOut: () => hasTimedOut,
       end,
@@ -323,7 +325,10 @@
       }
       hasResponded = true;
       clearTimeout(idleTimer);
-      idleTimer = route.kind === "stream" ? startIdleTimer() : undefined;
+    }
+
+    function expectProgress(): void {
+      if (route.kind === "stream") idleTimer = startIdleTimer();
     }
 
     function end(): void {
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -37,7 +37,11 @@
 /** Creates a response that yields its chunks in order; an error aborts it. */
 export function createResponse(
   chunks: readonly (string | Error)[],
-  options: { readonly status?: number; readonly isEventStream?: boolean } = {},
+  options: {
+    readonly status?: number;
+    readonly isEventStream?: boolean;
+    readonly length?: number;
+  } = {},
 ): DirectResult {
   return {
     kind: "answer",
@@ -45,7 +49,7 @@
       status: options.status ?? 200,
       headers: [{ name: "signature", value: "target" }],
       isEventStream: options.isEventStream ?? false,
-      length: undefined,
+      length: options.length,
       load: undefined,
     },
     body: (async function* () {
@@ -63,6 +67,19 @@
   return createResponse(chunks, { isEventStream: true });
 }
 
+/** Creates an event stream that breaks off when its call is aborted. */
+export function abortableStream(...chunks: string[]): Behaviour {
+  return (call) => ({
+    ...createResponse([], { isEventStream: true }),
+    body: (async function* () {
+      for (const piece of chunks) {
+        if (call.signal.aborted) throw new Error("aborted");
+        yield Buffer.from(piece);
+      }
+    })(),
+  });
+}
+
 /** Never responds; ends when the call is aborted. */
 export function hang(call: DirectCall): Promise<DirectResult> {
   return new Promise((resolve) => {
@@ -79,6 +96,8 @@
     readonly retryCredit?: number;
     readonly disconnectAfterMs?: number;
     readonly durationMs?: number;
+    /** Time that the caller takes to read what is written; 0 by default. */
+    readonly readMs?: number;
     /** Queue of each target: its requests and the time that one runs. */
     readonly queue?: { readonly requests: number; readonly meanRunMs: number };
     /** Pauses that targets have asked for, by id, in milliseconds. */
@@ -100,15 +119,19 @@
   const logLines: object[] = [];
   let text = "";
   let status = 0;
+  let length: number | undefined;
   let end: RequestEnd | undefined;
   const reply: Reply = {
     disconnectSignal: disconnectController.signal,
     start: (head) => {
-      status = head.status;
+      ({ status, length } = head);
     },
     write: (data) => {
       text += Buffer.from(data).toString();
-      return undefined;
+      const { readMs = 0 } = options;
+      return readMs === 0 ? undefined : new Promise((resolve) => {
+        setTimeout(resolve, readMs);
+      });
     },
     end: (value) => {
       end = value;
@@ -196,6 +219,7 @@
     targets: calls.map(({ target }) => target.id),
     text,
     status,
+    length,
     outcome: end?.outcome,
     code: end?.report?.code ?? "done",
     retryAfterMs: end?.report?.retryAfterMs ?? 0,
