Replay the load of a paused engine on the engines beside it

Cause: the promise that the load of a paused engine does not fall on one next engine rested on the load bound without a test of that load.

--- a/src/request/direct_choice_test.ts
+++ b/src/request/direct_choice_test.ts
@@ -108,6 +108,62 @@
     expect(choose([], [], { a: 1_000, b: 1_000, c: 1_000 })).toBeUndefined();
   });
 
+  describe("whose holder of a shared part pauses under load", () => {
+    const loadMultiple = 2;
+    /** Requests above the multiple that the platform tolerates. */
+    const loadSlack = 3;
+
+    /** Sends requests that all share the part; returns loads by engine. */
+    function sendAll(requests: number): ReadonlyMap<string, number> {
+      const targets = createTargetTable();
+      const all = [..."abcdef"].map((id) => createTarget(id));
+      all.forEach((target) => targets.put(target));
+      const cachedParts = createCachedParts();
+      cachedParts.recordPart("b", part);
+      const loads = createLoadView();
+      const pauses = createTargetPauses({
+        log: createSilentLog(),
+        random: () => 0.5,
+      });
+      pauses.recordPause(createTarget("b"), 5_000);
+      for (let count = 0; count < requests; count++) {
+        const choice = tryChooseTarget(
+          {
+            ...{ targets, loads, cachedParts, pauses, loadMultiple },
+            health: createTargetHealth({ log: createSilentLog() }),
+            placement: createPlacement({
+              hash: (key, seed) => key.length * 7 + seed,
+            }),
+            zone: "zone-a",
+            random: () => 0.5,
+          },
+          request,
+          new Set(),
+        );
+        const id = choice?.target.id ?? "none";
+        loads.begin(id, part.tokens).finishPrefill();
+        cachedParts.recordPart(id, part);
+      }
+      return new Map(
+        all.map(({ id }) => [id, loads.getLoad(id).requests] as const),
+      );
+    }
+
+    for (const requests of [10, 60, 300]) {
+      it(`spreads ${requests} requests under the load bound`, () => {
+        const loads = sendAll(requests);
+        expect(loads.get("b")).toBe(0);
+        const others = [...loads].filter(([id]) => id !== "b");
+        const mean = requests / others.length;
+        others.forEach(([, load]) =>
+          expect(load).toBeLessThanOrEqual(loadMultiple * mean + loadSlack)
+        );
+        const sum = others.reduce((total, [, load]) => total + load, 0);
+        expect(sum).toBe(requests);
+      });
+    }
+  });
+
   it("prefills again what only an unreachable engine has cached", () => {
     const choice = choose(["unreachable"]);
     expect(choice?.target.id).not.toBe("b");
