--- a/src/connection/caller_reply.ts
+++ b/src/connection/caller_reply.ts
@@ -12,13 +12,14 @@
   type ReplyHead,
   type RequestEnd,
 } from "../types/reply.ts";
+import { isEventStream } from "../types/response.ts";
 import { createFramedReply } from "./framed_reply.ts";
 
-/** Blank lines that end an event, with either kind of line break. */
-const eventEnds = ["\n\n", "\r\n\r\n"];
+/** End of an event: the break of its last line and an empty line. */
+const eventEnd = /\n\r?\n$/;
 
-/** Length of the longest end of an event, in bytes. */
-const maxEventEndBytes = 4;
+/** Maximum length of the end of an event, in bytes. */
+const maxEventEndBytes = 3;
 
 /** The status and the body of an error response. */
 export interface FormattedError {
@@ -53,7 +54,7 @@
   options: { readonly requestId: string },
 ): Reply {
   const disconnect = new AbortController();
-  let isEventStream = false;
+  let isStream = false;
   let isEncoded = false;
   /** The last bytes written, as many as the end of an event has. */
   let tail: Buffer = Buffer.alloc(0);
@@ -70,12 +71,10 @@
   );
 
   function start(head: ReplyHead): void {
-    for (const { name, value } of head.headers) {
-      const lowerName = name.toLowerCase();
-      if (lowerName === "content-encoding") isEncoded = true;
-      if (lowerName !== "content-type") continue;
-      isEventStream = value.startsWith("text/event-stream");
-    }
+    isStream = isEventStream(head.headers);
+    isEncoded = head.headers.some(({ name }) =>
+      name.toLowerCase() === "content-encoding"
+    );
     hasTrailers = head.length === undefined &&
       hasBody(response.req.method ?? "GET", head.status);
     // Written in one call, so that a header that cannot be sent leaves none.
@@ -93,7 +92,7 @@
   }
 
   function write(data: Uint8Array): Promise<void> | undefined {
-    if (isEventStream) {
+    if (isStream) {
       tail = Buffer.concat([tail, data.subarray(-maxEventEndBytes)])
         .subarray(-maxEventEndBytes);
     }
@@ -138,8 +137,8 @@
    * event it would become a part of that event.
    */
   function canReportInStream(): boolean {
-    return hasTrailers && isEventStream && !isEncoded && (tail.length === 0 ||
-      eventEnds.some((text) => tail.toString("latin1").endsWith(text)));
+    return hasTrailers && isStream && !isEncoded &&
+      (tail.length === 0 || eventEnd.test(tail.toString("latin1")));
   }
 }
 
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -347,6 +347,7 @@
     attempt: ReturnType<typeof startAttempt>,
   ): Promise<AttemptEnd> {
     let isRunCounted = false;
+    let isOutcomeRecorded = false;
     switch (result.kind) {
       case "not_sent":
         recordOutcome("unreachable");
@@ -375,17 +376,19 @@
       { head, body, drop }: Extract<DirectResult, { kind: "answer" }>,
     ): Promise<AttemptEnd> {
       countPossibleRun();
+      const isError = head.status >= minServerErrorStatus;
+      const asksForPause = head.status === unavailableStatus &&
+        host.pauses.isPaused(chosen);
+      if (!isError) attempt.recordAnswer();
+      else if (!asksForPause) recordOutcome("failed");
       if (!response.accepts(head)) {
         drop();
         return endLost("answer_cut", {
           reason: "The response is no continuation of what the caller has",
+          // The target responded, if not with a stream that it could resume.
+          outcome: "served",
         });
       }
-      const isError = head.status >= minServerErrorStatus;
-      const asksForPause = head.status === unavailableStatus &&
-        host.pauses.isPaused(chosen);
-      if (!isError) attempt.recordAnswer();
-      else if (!asksForPause) recordOutcome("failed");
       if (isError && canRetry() && trySpendRetry()) {
         drop();
         return { kind: "repeat", code: "target_error" };
@@ -434,7 +437,10 @@
       isRunCounted = true;
     }
 
+    /** Records the outcome of the attempt; only the first one counts. */
     function recordOutcome(outcome: TargetOutcome): void {
+      if (isOutcomeRecorded) return;
+      isOutcomeRecorded = true;
       host.health.recordOutcome(chosen, outcome);
     }
   }
@@ -478,7 +484,10 @@
   /** Ends a request that no target is left for, or that may not be retried. */
   function endUnserved(): RequestEnd {
     if (possibleRuns > 0 || lastFailure !== undefined) {
-      return createEnd(createReport(lastFailure ?? "outcome_unknown"));
+      const bytes = response.getSentBytes();
+      return createEnd(
+        createReport(lastFailure ?? "outcome_unknown", { bytes }),
+      );
     }
     const ready = host.targets.getReady(service);
     const code = lastRefusal ??
--- a/src/request/target_stream.ts
+++ b/src/request/target_stream.ts
@@ -1,7 +1,8 @@
 /**
  * Reads the body of a target's response. A resumable event stream is yielded in
  * complete events. When the connection to a live engine breaks, the stream is
- * resumed at the next event, so that bytes of two runs are never mixed.
+ * resumed at the next event, so that bytes of two runs are never mixed. Only the
+ * same stream is taken as its continuation.
  */
 
 import {
@@ -9,6 +10,7 @@
   type TargetResponse,
   toTargetError,
 } from "../connection/target_client.ts";
+import { isEventStream } from "../types/response.ts";
 
 /** Header in which an engine sends the id of a resumable stream. */
 const streamIdHeader = "x-stream-id";
@@ -16,9 +18,21 @@
 /** Maximum number of consecutive resumptions without a new event. */
 const maxIdleResumes = 2;
 
-/** Line feed; two of them end an event. */
+/** Start of an event: the name of a field, or a colon before a comment. */
+const eventStart = /^(?:data|event|id|retry)?:/;
+
+/** Bytes at the start of an event that show whether it is one. */
+const eventStartBytes = 8;
+
+/** The reason for its end in the event that finishes a chat. */
+const finishReason = /"finish_reason"\s*:\s*"/;
+
+/** Line feed; an empty line ends an event. */
 const lineFeed = 10;
 
+/** Carriage return, which may precede a line feed. */
+const carriageReturn = 13;
+
 /** What a stream needs from the process. */
 export interface TargetStreamHost {
   readonly target: Pick<TargetClient, "resume">;
@@ -38,35 +52,82 @@
   signal: AbortSignal,
 ): AsyncGenerator<Uint8Array, void> {
   const id = tryGetStreamId(response);
-  if (id === undefined) {
+  if (id === undefined || !isEventStream(response.headers)) {
     yield* response.body;
     return;
   }
   let body = response.body;
+  let isResumed = false;
+  let isFinished = false;
   let events = 0;
   let idleResumes = 0;
   while (true) {
     const eventsBefore = events;
     try {
       for await (const chunk of splitEvents(body)) {
+        if (isResumed && !isEventStart(chunk.data)) {
+          throw new Error("The resumed stream starts inside an event");
+        }
+        isResumed = false;
         events += chunk.events;
+        isFinished ||= finishReason.test(Buffer.from(chunk.data).toString());
         yield chunk.data;
       }
       return;
     } catch (error) {
       idleResumes = events > eventsBefore ? 0 : idleResumes + 1;
       if (toTargetError(error).kind === "aborted") throw error;
+      // Engines count an offset in tokens, so one behind the last token brings
+      // the event that finishes the stream again.
+      if (isFinished) throw error;
       if (idleResumes > maxIdleResumes) throw error;
       if (await host.checkCrash()) throw error;
-      const resumed = await host.target
-        .resume({ id, offset: events, signal }).run();
-      if (resumed.isLeft()) throw error;
-      body = resumed.unsafeCoerce().body;
+      const resumed = await tryResume(host, { id, offset: events, signal });
+      if (resumed === undefined) throw error;
+      body = resumed.body;
+      isResumed = true;
     }
   }
 }
 
-/** Yields complete events; an incomplete one at the end of the body is last. */
+/**
+ * Resumes a stream; returns undefined, and ends the call, when the response
+ * isn't the continuation of the stream.
+ */
+async function tryResume(
+  host: TargetStreamHost,
+  { id, offset, signal }: {
+    readonly id: string;
+    readonly offset: number;
+    readonly signal: AbortSignal;
+  },
+): Promise<TargetResponse | undefined> {
+  const controller = new AbortController();
+  const resumed = await host.target.resume({
+    id,
+    offset,
+    signal: AbortSignal.any([signal, controller.signal]),
+  }).run();
+  if (resumed.isLeft()) return undefined;
+  const response = resumed.unsafeCoerce();
+  if (isSameStream(response, id)) return response;
+  controller.abort();
+  return undefined;
+}
+
+/** Returns true for an event stream that bears this id or none. */
+function isSameStream(response: TargetResponse, id: string): boolean {
+  return response.status === 200 && isEventStream(response.headers) &&
+    (tryGetStreamId(response) ?? id) === id;
+}
+
+function isEventStart(data: Uint8Array): boolean {
+  return eventStart.test(
+    Buffer.from(data.subarray(0, eventStartBytes)).toString("latin1"),
+  );
+}
+
+/** Yields complete events; throws when the body ends inside one. */
 async function* splitEvents(
   body: AsyncIterable<Uint8Array>,
 ): AsyncGenerator<
@@ -80,6 +141,9 @@
     rest = joined.subarray(end);
     if (end > 0) yield { data: joined.subarray(0, end), events };
   }
+  if (!rest.every(isLineBreak)) {
+    throw new Error("The stream ended inside an event");
+  }
   if (rest.byteLength > 0) yield { data: rest, events: 0 };
 }
 
@@ -89,12 +153,17 @@
   let events = 0;
   let end = 0;
   let at = data.indexOf(lineFeed);
-  while (at >= 0 && at + 1 < data.byteLength) {
-    if (data[at + 1] === lineFeed) {
+  while (at >= 0) {
+    const next = data[at + 1] === carriageReturn ? at + 2 : at + 1;
+    if (data[next] === lineFeed) {
       events++;
-      end = at + 2;
+      end = next + 1;
     }
     at = data.indexOf(lineFeed, Math.max(at + 1, end));
   }
   return { events, end };
 }
+
+function isLineBreak(byte: number): boolean {
+  return byte === lineFeed || byte === carriageReturn;
+}
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -17,6 +17,7 @@
 import { createSilentLog } from "../../src/process/telemetry/log.ts";
 import { createPlacement } from "../../src/process/placement/placement.ts";
 import type { DirectCall, DirectResult } from "../../src/types/direct_calls.ts";
+import { formatReport } from "../../src/types/diagnostics.ts";
 import type { DirectRequest } from "../../src/types/direct_request.ts";
 import type { PromptPart } from "../../src/types/prompt.ts";
 import type { Reply, RequestEnd } from "../../src/types/reply.ts";
@@ -121,6 +122,7 @@
   let status = 0;
   let length: number | undefined;
   let end: RequestEnd | undefined;
+  let endedAtMs = 0;
   const reply: Reply = {
     disconnectSignal: disconnectController.signal,
     start: (head) => {
@@ -135,12 +137,11 @@
     },
     end: (value) => {
       end = value;
+      endedAtMs = performance.now() - startedAt;
     },
   };
   const loads = createLoadView();
   const runTimes = createRunTimes();
-  const outcomes: TargetOutcome[] = [];
-  const health = createTargetHealth({ log: createSilentLog() });
   const pauses = createTargetPauses({
     log: createSilentLog(),
     random: () => 0.5,
@@ -166,6 +167,8 @@
     cachedParts.recordPart(target, part);
     prefills.recordPeerPrefill(target, part);
   }
+  const health = createTargetHealth({ log: createSilentLog() });
+  const outcomes: TargetOutcome[] = [];
   const running = runDirect(
     {
       calls: {
@@ -222,9 +225,11 @@
     length,
     outcome: end?.outcome,
     code: end?.report?.code ?? "done",
+    message: end?.report === undefined ? undefined : formatReport(end.report),
     retryAfterMs: end?.report?.retryAfterMs ?? 0,
     loads,
     outcomes,
+    endedAtMs,
     logLines,
   };
 }
