--- a/src/connection/target_connector_test.ts
+++ b/src/connection/target_connector_test.ts
@@ -219,11 +219,14 @@
           load: undefined,
         },
       }),
+      decodeNotice: () => ({ isLeaving: false, pause: { kind: "none" } }),
       partsPath: "/parts",
       decodeParts: () => [],
     },
     log: createSilentLog(),
     getMaxConnections: () => 2,
+    tryGetHold: () => undefined,
+    handleNotice: () => undefined,
   });
   const call: DirectCall = {
     target: {
--- a/src/platform/target_codec.ts
+++ b/src/platform/target_codec.ts
@@ -1,7 +1,13 @@
 /** Encodes calls to targets and decodes the heads of their responses. */
 
 import type { TargetCodec } from "../connection/direct_client.ts";
-import type { DirectCall, ReportedLoad } from "../types/direct_calls.ts";
+import type {
+  AskedPause,
+  DirectCall,
+  ReportedLoad,
+  TargetNotice,
+} from "../types/direct_calls.ts";
+import type { DirectTarget } from "../types/direct_target.ts";
 import type { PromptPart } from "../types/prompt.ts";
 import { isEventStream } from "../types/response.ts";
 import type { Header } from "../types/work.ts";
@@ -23,10 +29,21 @@
 /** Status of a target that has another id than expected; nothing was run. */
 const wrongTargetStatus = 421;
 
+/** Status with which a target turns requests away for a time. */
+const unavailableStatus = 503;
+
+const secondsPattern = /^\d+(\.\d+)?$/;
+
+const msPerSecond = 1_000;
+
+/** Value of the header of a target that is about to exit. */
+const leavingValue = "1";
+
 /** The platform's protocol between routers and targets. */
 export const targetCodec: TargetCodec = {
   encodeHeaders,
   decodeHead,
+  decodeNotice,
   partsPath: cachedPartsPath,
   decodeParts,
 };
@@ -59,9 +76,7 @@
   rawHeaders: readonly Header[],
   call: DirectCall,
 ): ReturnType<TargetCodec["decodeHead"]> {
-  const headers = new Map(
-    rawHeaders.map(({ name, value }) => [name.toLowerCase(), value]),
-  );
+  const headers = indexHeaders(rawHeaders);
   const requestId = headers.get(headerNames.requestId);
   if (requestId !== undefined && requestId !== call.requestId) {
     return createCorruptedResult("The response has another request's id");
@@ -94,6 +109,43 @@
   };
 }
 
+/**
+ * Decodes what a target says of itself. The response of another target at the
+ * same address says nothing of this one.
+ */
+function decodeNotice(
+  status: number,
+  rawHeaders: readonly Header[],
+  target: DirectTarget,
+): TargetNotice {
+  const headers = indexHeaders(rawHeaders);
+  const respondingTarget = headers.get(headerNames.respondingTarget);
+  const isOther = status === wrongTargetStatus ||
+    (respondingTarget !== undefined && respondingTarget !== target.id);
+  if (isOther) return { isLeaving: false, pause: { kind: "none" } };
+  return {
+    isLeaving: headers.get(headerNames.leaving) === leavingValue,
+    pause: status === unavailableStatus
+      ? decodePause(headers.get(headerNames.retryAfter))
+      : { kind: "none" },
+  };
+}
+
+/** Decodes whole or fractional seconds; dates are not supported. */
+function decodePause(text: string | undefined): AskedPause {
+  if (text === undefined) return { kind: "none" };
+  return secondsPattern.test(text)
+    ? { kind: "asked", ms: Number(text) * msPerSecond }
+    : { kind: "unreadable", text };
+}
+
+/** Returns the headers by lower-case name. */
+function indexHeaders(
+  headers: readonly Header[],
+): ReadonlyMap<string, string> {
+  return new Map(headers.map(({ name, value }) => [name.toLowerCase(), value]));
+}
+
 function createCorruptedResult(
   reason: string,
 ): ReturnType<TargetCodec["decodeHead"]> {
--- a/src/types/direct_calls.ts
+++ b/src/types/direct_calls.ts
@@ -50,6 +50,28 @@
   readonly load: ReportedLoad | undefined;
 }
 
+/** What a target says of itself in a response, whatever the response is. */
+export interface TargetNotice {
+  /** True when the target is about to exit and wants no new requests. */
+  readonly isLeaving: boolean;
+  readonly pause: AskedPause;
+}
+
+/**
+ * The time for which a target wants no requests.
+ *
+ * - `none`: the response asks for no pause.
+ * - `asked`: the target wants nothing for that time.
+ * - `unreadable`: the response names a time in a form that is not supported.
+ */
+export type AskedPause =
+  | { readonly kind: "none" }
+  | { readonly kind: "asked"; readonly ms: number }
+  | { readonly kind: "unreadable"; readonly text: string };
+
+/** Why a target gets no requests at present although it is registered. */
+export type Hold = "leaving" | "paused";
+
 /**
  * The result of a call:
  *
@@ -57,6 +79,7 @@
  * - `refused`: the target reports that it has not run the request.
  * - `wrong_target`: another incarnation has the address; nothing has run.
  * - `not_sent`: no connection was established, so nothing has run.
+ * - `withheld`: the hold began before the request was sent; nothing has run.
  * - `lost`: the connection broke after the request was sent.
  * - `spoiled`: the received bytes are not the response to this request.
  * - `aborted`: the signal was aborted first.
@@ -73,6 +96,7 @@
   | { readonly kind: "refused"; readonly status: number }
   | { readonly kind: "wrong_target" }
   | { readonly kind: "not_sent"; readonly reason: string }
+  | { readonly kind: "withheld"; readonly hold: Hold }
   | { readonly kind: "lost"; readonly reason: string }
   | { readonly kind: "spoiled"; readonly reason: string }
   | { readonly kind: "aborted" };
--- a/test/platform/target_stand_in.ts
+++ b/test/platform/target_stand_in.ts
@@ -7,6 +7,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import { cachedPartsPath } from "../../src/platform/wire_names.ts";
 import {
   type Behaviour,
   type BreakKind,
@@ -30,16 +31,46 @@
   response: ServerResponse,
 ) => void;
 
+/** What a target says of itself in all its responses. */
+export type TargetMood = keyof typeof moods;
+
+/** The headers of all responses of a target, and whether it runs requests. */
+const moods = {
+  serving: { headers: {}, refuses: false },
+  leaving: { headers: { "Server-Leaving": "1" }, refuses: false },
+  /** Longer than a test lasts. */
+  pausing: {
+    headers: { "X-Not-Run": "full", "Retry-After": "40.5" },
+    refuses: true,
+  },
+  pausingUntilDate: {
+    headers: {
+      "X-Not-Run": "full",
+      "Retry-After": "Wed, 21 Oct 2026 07:28:00 GMT",
+    },
+    refuses: true,
+  },
+} as const satisfies Record<string, {
+  readonly headers: Readonly<Record<string, string>>;
+  readonly refuses: boolean;
+}>;
+
 /** A target that a test controls. */
 export interface TargetStandIn {
   readonly id: string;
   /** Host and port of the target. */
   readonly address: string;
   setHandler(handler: RequestHandler): void;
+  setMood(mood: TargetMood): void;
   /** Returns the requests that ran, in order of arrival. */
   getReceivedRequests(): readonly ReceivedRequest[];
+  /** Returns the number of requests that arrived, run or not. */
+  countArrivals(): number;
   /** Creates the entry with which the target registers in the store. */
-  createEntry(state?: "ready" | "draining"): Readonly<Record<string, unknown>>;
+  createEntry(
+    state?: "ready" | "draining",
+    changes?: Readonly<Record<string, unknown>>,
+  ): Readonly<Record<string, unknown>>;
   close(): Promise<void>;
 }
 
@@ -49,6 +80,8 @@
   service: string,
 ): Promise<TargetStandIn> {
   const received: ReceivedRequest[] = [];
+  let arrivals = 0;
+  let mood: TargetMood = "serving";
   let handler: RequestHandler = (request, response) => {
     setIdentityHeaders(request, response, id);
     response.end(`done ${request.path}`);
@@ -67,8 +100,12 @@
     setHandler: (value) => {
       handler = value;
     },
+    setMood: (value) => {
+      mood = value;
+    },
     getReceivedRequests: () => received,
-    createEntry: (state = "ready") => ({
+    countArrivals: () => arrivals,
+    createEntry: (state = "ready", changes = {}) => ({
       Service: service,
       Address: address,
       Zone: "zone-a",
@@ -77,6 +114,7 @@
       State: state,
       ColdLeftMs: 0,
       Seq: 1,
+      ...changes,
     }),
     close: async () => {
       server.closeAllConnections();
@@ -88,8 +126,20 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    arrivals++;
     const chunks: Buffer[] = [];
     for await (const chunk of message) chunks.push(chunk as Buffer);
+    for (const [name, value] of Object.entries(moods[mood].headers)) {
+      response.setHeader(name, value);
+    }
+    if (moods[mood].refuses) {
+      response.writeHead(503).end();
+      return;
+    }
+    if (message.url === cachedPartsPath) {
+      response.end(JSON.stringify({ held: [["", "part-1", 800, "writer"]] }));
+      return;
+    }
     if (message.headers["x-expect-instance"] !== id) {
       response.writeHead(421, { "X-Instance": id });
       response.end();
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -9,6 +9,10 @@
   createTargetHealth,
   type TargetOutcome,
 } from "../../src/process/direct/target_health.ts";
+import {
+  createTargetPauses,
+  type TargetPauses,
+} from "../../src/process/direct/target_pauses.ts";
 import { createTargetTable } from "../../src/process/direct/target_table.ts";
 import { createSilentLog } from "../../src/process/telemetry/log.ts";
 import { createPlacement } from "../../src/process/placement/placement.ts";
@@ -23,6 +27,7 @@
 /** Responds to one attempt. */
 export type Behaviour = (
   call: DirectCall,
+  pauses: TargetPauses,
 ) => DirectResult | Promise<DirectResult>;
 
 /** Formats an event of a stream. */
@@ -104,6 +109,8 @@
     readonly readMs?: number;
     /** Queue of each target: its requests and the time that one runs. */
     readonly queue?: { readonly requests: number; readonly meanRunMs: number };
+    /** Pauses that targets have asked for, by id, in milliseconds. */
+    readonly pausesMs?: Readonly<Record<string, number>>;
     /** A part that a peer has just sent to an engine for prefill. */
     readonly peerPrefill?: {
       readonly target: string;
@@ -143,6 +150,13 @@
   };
   const loads = createLoadView();
   const runTimes = createRunTimes();
+  const pauses = createTargetPauses({
+    log: createSilentLog(),
+    random: () => 0.5,
+  });
+  Object.entries(options.pausesMs ?? {}).forEach(([id, pauseMs]) =>
+    pauses.recordPause(createTarget(id), pauseMs)
+  );
   const { queue } = options;
   if (queue !== undefined) {
     const load = { requests: queue.requests, unreadTokens: 0 };
@@ -170,7 +184,7 @@
           calls.push(call);
           sentAt.push(performance.now() - startedAt);
           const respond = behaviours[calls.length - 1] ?? hang;
-          return Promise.resolve(respond(call));
+          return Promise.resolve(respond(call, pauses));
         },
         tryListCachedParts: () => Promise.resolve(undefined),
       },
@@ -182,6 +196,7 @@
           health.recordOutcome(target, outcome);
         },
       },
+      pauses,
       loads,
       cachedParts,
       prefills,
