Read the era of the store from each of its responses

Cause: after a return of the store from an older copy revisions go back and are given out again. The router told responses apart by revision alone and did not read the header that names the era.

Change: one position type of era and revision, and one comparison. The store client reads the header of every response (list, watch, write, refusals) and gives listings and changes their position. An era that is missing or malformed leaves the era as it was; a response of a lower era is not used; one that skips eras counts once a second response confirms it, so that a single wrong header cannot outrank all later ones. Each such header is counted in store_era_faults_total, and the first of each kind is logged. The replica does not use the era yet. The store of the tests can return from an older copy.

--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -19,7 +19,8 @@
   tryGetString,
 } from "./json_fields.ts";
 import { decodeEntry, encodeRouter, resolveStoreKey } from "./store_records.ts";
-import { storeKeys, storePaths } from "./wire_names.ts";
+import { createEraReader, type ResponseEra } from "./store_era.ts";
+import { headerNames, storeKeys, storePaths } from "./wire_names.ts";
 
 /**
  * Timeout until a response begins, in milliseconds; a watch adds the time it
@@ -42,6 +43,12 @@
 /** Prefix of all keys, so that one watch covers every kind of entry. */
 const allKeysPrefix = "";
 
+/** Content of a response and the era in which it was read. */
+interface StoreResponse {
+  readonly body: JsonObject;
+  readonly era: number;
+}
+
 /** Creates a client that connects on its first call. */
 export function createStoreClient(baseUrl: string): DirectoryStore {
   const pool = new Pool(baseUrl, {
@@ -50,10 +57,13 @@
     headersTimeout: 0,
     bodyTimeout: 0,
   });
+  const eraReader = createEraReader();
 
   return {
     list: () => EitherAsync.fromPromise(() => listAfter("")),
     watch,
+    getEra: eraReader.getNewest,
+    onEraFault: eraReader.onFault,
     announce,
     decode: decodeEntry,
     resolveKey: resolveStoreKey,
@@ -76,23 +86,25 @@
   /**
    * Decodes a page (`Items` read at revision `AsOf`) and reads those after it.
    * Pages are read at different times, so the listing has the revision of the
-   * first: later changes are then not missed.
+   * first: later changes are then not missed. Pages of different eras do not
+   * belong together.
    */
   async function readPages(
-    body: JsonObject,
+    { body, era }: StoreResponse,
   ): Promise<Either<DirectoryError, Listing>> {
     const items = getArray(body["Items"]);
     const entries = items.flatMap(decodeItem);
-    const revision = getNumber(body, "AsOf", 0);
+    const position = { era, revision: getNumber(body, "AsOf", 0) };
     const lastKey = tryGetString(tryGetObject(items.at(-1)) ?? {}, "Key");
     if (body["Truncated"] !== true || lastKey === undefined) {
-      return Right({ entries, revision });
+      return Right({ entries, position });
     }
     const nextPages = await listAfter(lastKey);
-    return nextPages.map((next) => ({
-      entries: [...entries, ...next.entries],
-      revision,
-    }));
+    return nextPages.chain<DirectoryError, Listing>((next) =>
+      next.position.era === era
+        ? Right({ entries: [...entries, ...next.entries], position })
+        : Left(createOutdatedError(era))
+    );
   }
 
   function watch(
@@ -110,9 +122,9 @@
       path: `${storePaths.watch}?${query}`,
       waitMs,
     });
-    return EitherAsync.fromPromise(() => result).map((body) => ({
+    return EitherAsync.fromPromise(() => result).map(({ body, era }) => ({
       events: getArray(body["events"]).flatMap(decodeEvent),
-      revision: getNumber(body, "AsOf", afterRevision),
+      position: { era, revision: getNumber(body, "AsOf", afterRevision) },
     }));
   }
 
@@ -136,7 +148,7 @@
       readonly body?: JsonObject;
       readonly waitMs?: number;
     },
-  ): Promise<Either<DirectoryError, JsonObject>> {
+  ): Promise<Either<DirectoryError, StoreResponse>> {
     const kind = body === undefined ? "read" : "write";
     const timeout = startCallTimeout({
       headMs: headTimeoutMs + waitMs,
@@ -153,8 +165,9 @@
         }),
       });
       timeout.recordHead();
+      const era = eraReader.read(response.headers[headerNames.storeEra]);
       const text = await response.body.text();
-      return parseResponse(response.statusCode, text);
+      return parseResponse(response.statusCode, text, era);
     } catch (cause) {
       return Left(toConnectionError(cause, kind));
     } finally {
@@ -166,7 +179,9 @@
 function parseResponse(
   status: number,
   text: string,
-): Either<DirectoryError, JsonObject> {
+  { era, isOutdated }: ResponseEra,
+): Either<DirectoryError, StoreResponse> {
+  if (isOutdated) return Left(createOutdatedError(era));
   if (status === historyCompactedStatus) {
     return Left({
       kind: "compacted",
@@ -179,7 +194,14 @@
       kind: "unavailable",
       message: `The store responded with status ${status}`,
     })
-    : Right(fields);
+    : Right({ body: fields, era });
+}
+
+function createOutdatedError(era: number): DirectoryError {
+  return {
+    kind: "outdated",
+    message: `The store responded in era ${era}, which has ended or is unclear`,
+  };
 }
 
 /** Decodes a stored entry; `Value` is base64 and `Rev` its revision. */
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -34,6 +34,8 @@
   notRun: "x-not-run",
   /** Running requests, waiting requests and slots of the target. */
   load: "x-server-load",
+  /** Number of returns of the store from an older copy. */
+  storeEra: "store-era",
 } as const;
 
 /** Headers that only routers may set; those of callers are not forwarded. */
--- a/src/process/direct/directory_replica.ts
+++ b/src/process/direct/directory_replica.ts
@@ -91,12 +91,12 @@
     const listed = new Set(listing.entries.map(({ key }) => key));
     const missing = [...live.values()]
       .filter(({ key, revision }) =>
-        !listed.has(key) && revision <= listing.revision
+        !listed.has(key) && revision <= listing.position.revision
       )
       .map(({ key }) => ({
         key,
         value: undefined,
-        revision: listing.revision,
+        revision: listing.position.revision,
       }));
     return applyChanges([...listing.entries, ...missing]);
   }
--- a/src/process/direct/directory_replica_test.ts
+++ b/src/process/direct/directory_replica_test.ts
@@ -15,7 +15,7 @@
     replica.applyChanges([{ key: "a", value: undefined, revision: 6 }]);
     const stale = replica.applyListing({
       entries: [{ key: "a", value: "x", revision: 5 }],
-      revision: 5,
+      position: { era: 0, revision: 5 },
     });
     expect(stale).toEqual([]);
   });
@@ -24,14 +24,22 @@
     it("removes keys that it lacks", () => {
       const replica = createDirectoryReplica();
       replica.applyChanges([{ key: "a", value: "x", revision: 5 }]);
-      const changes = replica.applyListing({ entries: [], revision: 9 });
+      const changes = replica.applyListing({
+        entries: [],
+        position: { era: 0, revision: 9 },
+      });
       expect(changes).toEqual([{ key: "a", value: undefined, revision: 9 }]);
     });
 
     it("keeps keys that were written after it", () => {
       const replica = createDirectoryReplica();
       replica.applyChanges([{ key: "a", value: "x", revision: 10 }]);
-      expect(replica.applyListing({ entries: [], revision: 9 })).toEqual([]);
+      expect(
+        replica.applyListing({
+          entries: [],
+          position: { era: 0, revision: 9 },
+        }),
+      ).toEqual([]);
     });
   });
 
--- a/src/process/direct/directory_sync.ts
+++ b/src/process/direct/directory_sync.ts
@@ -256,7 +256,7 @@
     const listing = await tryCall(host.store.list());
     if (listing === undefined) return undefined;
     notify(host.replica.applyListing(listing), "listing");
-    return listing.revision;
+    return listing.position.revision;
   }
 
   /** Returns the revision to watch from; undefined to list again. */
@@ -278,7 +278,7 @@
       const isStandby = host.watchers.countWatchersAhead() > 0;
       await sleep(isStandby ? standbyBatchDelayMs : batchDelayMs);
     }
-    return changes.revision;
+    return changes.position.revision;
   }
 
   async function tryCall<T>(
--- a/src/process/direct/directory_sync_test.ts
+++ b/src/process/direct/directory_sync_test.ts
@@ -102,7 +102,7 @@
     kind: "listing",
     listing: {
       entries: [{ key: "a", value: "x", revision: 3 }],
-      revision: 4,
+      position: { era: 1, revision: 4 },
     },
   };
 
@@ -111,7 +111,7 @@
       kind: "changes",
       changes: {
         events: [{ key: "b", value: "y", revision: 6 }],
-        revision: 8,
+        position: { era: 1, revision: 8 },
       },
     }]);
     await jest.advanceTimersByTimeAsync(0);
@@ -131,7 +131,7 @@
         kind: "changes",
         changes: {
           events: [{ key: `k${revision}`, value: "y", revision }],
-          revision,
+          position: { era: 1, revision },
         },
       })),
     ]);
@@ -224,7 +224,7 @@
           { key: "b", value: "y", revision: 6 },
           { key: "c", value: "z", revision: 7 },
         ],
-        revision: 8,
+        position: { era: 1, revision: 8 },
       },
     };
 
@@ -304,7 +304,7 @@
         kind: "changes",
         changes: {
           events: [{ key: "b", value: "y", revision: 6 }],
-          revision: 6,
+          position: { era: 1, revision: 6 },
         },
       }]);
       watchers.shouldWatch = false;
@@ -325,7 +325,7 @@
     it("takes a time without any reader for an outage", async () => {
       const { watchers, sync } = start([listing, {
         kind: "changes",
-        changes: { events: [], revision: 4 },
+        changes: { events: [], position: { era: 1, revision: 4 } },
       }]);
       watchers.shouldWatch = false;
       await jest.advanceTimersByTimeAsync(200);
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -85,6 +85,19 @@
   dump(): Dump;
 }
 
+/** Counts unusable eras and logs the first of each kind. */
+function reportEraFaults(
+  { store, log, metrics }: Pick<DirectoryHost, "store" | "log" | "metrics">,
+): void {
+  const logged = new Set<string>();
+  store.onEraFault(({ kind, text, newestEra }) => {
+    metrics.count("store_era_faults_total", { kind });
+    if (logged.has(kind)) return;
+    logged.add(kind);
+    log.warn("Era of the store cannot be used", { kind, text, newestEra });
+  });
+}
+
 /** Creates the directory; `start` joins it to the fleet. */
 export async function createDirectory(
   host: DirectoryHost,
@@ -165,6 +178,7 @@
     getRevision: replica.getNewestRevision,
     isSettled: recovery.isSettled,
   });
+  reportEraFaults(host);
   let isAnnounced = false;
   let isRecoveryStarted = false;
   let caughtUpRevision = 0;
--- a/src/types/directory.ts
+++ b/src/types/directory.ts
@@ -4,30 +4,42 @@
 import type { DirectTarget, RouterPeer } from "./direct_target.ts";
 import type { Entry, PlatformErrorKind, WatchEvent } from "./platform.ts";
 import type { RouteTable } from "./route_table.ts";
+import type { StorePosition } from "./store_position.ts";
 
-/** All entries of the store, read at or after a revision. */
+/** All entries of the store, read at or after a position. */
 export interface Listing {
   readonly entries: readonly Entry[];
-  /** The entries may lack changes after this revision. */
-  readonly revision: number;
+  /** The entries may lack changes after this position. */
+  readonly position: StorePosition;
 }
 
 /** The changes after a revision, in order. */
 export interface Changes {
   readonly events: readonly WatchEvent[];
-  /** Revision from which to continue. */
-  readonly revision: number;
+  /** Position from which to continue; all changes are of its era. */
+  readonly position: StorePosition;
 }
 
 /**
- * An error of the store; `compacted` means that the history no longer contains
- * the requested revision.
+ * An error of the store:
+ *
+ * - `compacted`: the history does not contain the requested revision.
+ * - `outdated`: the response belongs to an era that has ended, or to one that
+ *   is not confirmed yet.
  */
 export interface DirectoryError {
-  readonly kind: PlatformErrorKind | "compacted";
+  readonly kind: PlatformErrorKind | "compacted" | "outdated";
   readonly message: string;
 }
 
+/** An era in a response that could not be used as it was. */
+export interface EraFault {
+  readonly kind: "missing" | "malformed" | "decreased" | "skipped";
+  /** The era as the store sent it. */
+  readonly text: string;
+  readonly newestEra: number;
+}
+
 /**
  * The decoded content of an entry: `unreadable` entries cannot be decoded, and
  * `other` entries do not matter to routers.
@@ -47,6 +59,13 @@
   watch(
     options: { readonly afterRevision: number; readonly waitMs: number },
   ): EitherAsync<DirectoryError, Changes>;
+  /**
+   * Returns the newest era of all responses, failed calls included; 0 before
+   * the first.
+   */
+  getEra(): number;
+  /** Sets the handler of eras that could not be used as they were. */
+  onEraFault(handler: (fault: EraFault) => void): void;
   /** Writes this router's addresses; the entry outlives the process. */
   announce(router: RouterPeer): EitherAsync<DirectoryError, void>;
   /** Decodes an entry. */
--- a/test/platform/store_stand_in.ts
+++ b/test/platform/store_stand_in.ts
@@ -26,6 +26,12 @@
 /** How calls are handled: `refuse` returns 503, `hang` never responds. */
 export type StoreMode = "serve" | "refuse" | "hang";
 
+/** The items of a store at one revision. */
+export interface StoreCopy {
+  readonly items: ReadonlyMap<string, Item>;
+  readonly revision: number;
+}
+
 /** A store that a test controls. */
 export interface StoreStandIn {
   /** Host and port of the store. */
@@ -34,6 +40,18 @@
   remove(key: string): void;
   /** Drops the history and aborts all open watches. */
   compact(): void;
+  /** Returns a copy of the items, as of now. */
+  copy(): StoreCopy;
+  /**
+   * Returns from an older copy: later changes and the history are gone, their
+   * revisions are given out again, and the next era begins.
+   */
+  restore(copy: StoreCopy): void;
+  /**
+   * Sets the text of the header `Store-Era`; undefined to leave it out, `true`
+   * to send the era.
+   */
+  setEraHeader(header: string | true | undefined): void;
   setMode(mode: StoreMode): void;
   /** Returns the paths of all calls since the start. */
   getCalls(): readonly string[];
@@ -47,6 +65,8 @@
 /** Starts an empty store. */
 export async function startStore(): Promise<StoreStandIn> {
   const items = new Map<string, Item>();
+  let era = 1;
+  let eraHeader: string | true | undefined = true;
   let history: StoreEvent[] = [];
   let compactedRevision = 0;
   let revision = 1;
@@ -68,6 +88,11 @@
     put,
     remove,
     compact,
+    copy: () => ({ items: new Map(items), revision }),
+    restore,
+    setEraHeader: (header) => {
+      eraHeader = header;
+    },
     setMode,
     getCalls: () => calls,
     tryGet: (key) => {
@@ -104,6 +129,14 @@
     abortWatches();
   }
 
+  function restore(copy: StoreCopy): void {
+    items.clear();
+    copy.items.forEach((item, key) => items.set(key, item));
+    revision = copy.revision;
+    era++;
+    compact();
+  }
+
   function setMode(value: StoreMode): void {
     mode = value;
     if (mode !== "serve") abortWatches();
@@ -125,6 +158,8 @@
   ): Promise<void> {
     const url = new URL(request.url ?? "/", "http://store");
     calls.push(url.pathname);
+    const eraText = eraHeader === true ? String(era) : eraHeader;
+    if (eraText !== undefined) response.setHeader("Store-Era", eraText);
     if (mode === "hang") return;
     if (mode === "refuse") return sendResponse(response, 503, {});
     switch (url.pathname) {
@@ -156,7 +191,9 @@
     const prefix = url.searchParams.get("Prefix") ?? "";
     const after = Number(url.searchParams.get("After"));
     const timeoutMs = Number(url.searchParams.get("WaitMs"));
-    if (after < compactedRevision) return sendResponse(response, 410, {});
+    if (after < compactedRevision || after > revision) {
+      return sendResponse(response, 410, {});
+    }
     const timer = setTimeout(() => finish([]), timeoutMs);
     const watch = { trySend, abort: () => response.destroy() };
     if (trySend()) return;
