--- a/src/connection/directory_pull.ts
+++ b/src/connection/directory_pull.ts
@@ -18,8 +18,9 @@
   type PullHeldPartsResponse,
 } from "../generated/mimosatray/v1/peer.ts";
 import type { CachedPart } from "../process/direct/cached_parts.ts";
+import type { DirectoryCopy } from "../process/direct/directory_replica.ts";
 import type { SocketAddress } from "../types/direct_settings.ts";
-import type { WatchEvent } from "../types/platform.ts";
+import type { StorePosition } from "../types/store_position.ts";
 
 /** Timeout of one pull, in milliseconds. */
 const pullTimeoutMs = 700;
@@ -41,7 +42,8 @@
 
 /** The data that is served to peers. */
 export interface PullHost {
-  getChangesSince(revision: number): readonly WatchEvent[];
+  /** Returns what a peer at a position is missing. */
+  getCopyAfter(after: StorePosition): DirectoryCopy;
   getCachedParts(): KnownCachedParts;
 }
 
@@ -59,8 +61,12 @@
       call: ServerUnaryCall<PullDirectoryRequest, PullDirectoryResponse>,
       reply: sendUnaryData<PullDirectoryResponse>,
     ) => {
-      const changes = host.getChangesSince(call.request.afterRevision);
-      reply(null, { changes: [...changes] });
+      const { afterEra, afterRevision } = call.request;
+      const { position, isComplete, changes } = host.getCopyAfter({
+        era: afterEra,
+        revision: afterRevision,
+      });
+      reply(null, { ...position, isComplete, changes: [...changes] });
     },
     pullHeldParts: (
       _call: ServerUnaryCall<PullHeldPartsRequest, PullHeldPartsResponse>,
@@ -85,26 +91,33 @@
   };
 }
 
-/** Pulls a peer's changes after a revision; rejects when it is unresponsive. */
+/**
+ * Pulls what a peer knows beyond a position; rejects when it is unresponsive.
+ */
 export async function pullDirectory(
   peer: SocketAddress,
-  afterRevision: number,
-): Promise<readonly WatchEvent[]> {
+  after: StorePosition,
+): Promise<DirectoryCopy> {
   const response = await callPeer<PullDirectoryResponse>(
     peer,
     (client, options, reply) =>
       client.pullDirectory(
-        { afterRevision },
+        { afterRevision: after.revision, afterEra: after.era },
         new Metadata(),
         options,
         reply,
       ),
   );
-  return response.changes.map(({ key, value, revision }) => ({
-    key,
-    value,
-    revision,
-  }));
+  const { era, revision, isComplete } = response;
+  return {
+    position: { era, revision },
+    isComplete,
+    changes: response.changes.map((change) => ({
+      key: change.key,
+      value: change.value,
+      revision: change.revision,
+    })),
+  };
 }
 
 /** Pulls a peer's known cached parts; rejects when it is unresponsive. */
--- a/src/connection/pull_listener_test.ts
+++ b/src/connection/pull_listener_test.ts
@@ -1,5 +1,6 @@
 import { createServer } from "node:net";
 import type { SocketAddress } from "../types/direct_settings.ts";
+import { originPosition } from "../types/store_position.ts";
 import { pullCachedParts, pullDirectory } from "./directory_pull.ts";
 import { openPullListener, type PullListener } from "./pull_listener.ts";
 
@@ -25,7 +26,11 @@
     errors = [];
     address = await getFreeAddress();
     listener = await openPullListener({
-      getChangesSince: (revision) => revision < change.revision ? [change] : [],
+      getCopyAfter: ({ era, revision }) => ({
+        position: { era: 2, revision: 8 },
+        isComplete: era !== 2,
+        changes: revision < change.revision ? [change] : [],
+      }),
       getCachedParts: () => ({ parts: [part], isSettled: true }),
       onError: (error) => errors.push(error.message),
     }, address);
@@ -33,8 +38,13 @@
   afterEach(() => listener.close());
 
   it("serves the first pull and later ones", async () => {
-    await expect(pullDirectory(address, 7)).resolves.toEqual([change]);
-    await expect(pullDirectory(address, 8)).resolves.toEqual([]);
+    const position = { era: 2, revision: 8 };
+    await expect(pullDirectory(address, { era: 2, revision: 7 })).resolves
+      .toEqual({ position, isComplete: false, changes: [change] });
+    await expect(pullDirectory(address, position)).resolves
+      .toEqual({ position, isComplete: false, changes: [] });
+    await expect(pullDirectory(address, { era: 1, revision: 7 })).resolves
+      .toEqual({ position, isComplete: true, changes: [change] });
     await expect(pullCachedParts(address)).resolves.toEqual({
       parts: [part],
       isSettled: true,
@@ -44,14 +54,19 @@
 
   it("serves concurrent pulls", async () => {
     const pulled = await Promise.all(
-      [1, 2, 3].map(() => pullDirectory(address, 0)),
+      [1, 2, 3].map(() => pullDirectory(address, originPosition)),
     );
-    expect(pulled).toEqual([[change], [change], [change]]);
+    expect(pulled.map(({ changes }) => changes))
+      .toEqual([[change], [change], [change]]);
   });
 
   it("rejects an address that is in use", async () => {
     await expect(openPullListener({
-      getChangesSince: () => [],
+      getCopyAfter: (position) => ({
+        position,
+        isComplete: false,
+        changes: [],
+      }),
       getCachedParts: () => ({ parts: [], isSettled: true }),
       onError: () => undefined,
     }, address)).rejects.toThrow("EADDRINUSE");
--- a/src/process/direct/directory_replica.ts
+++ b/src/process/direct/directory_replica.ts
@@ -1,45 +1,76 @@
 /**
  * Holds this process's copy of the store's entries. An older revision of an
- * entry never replaces a newer one, regardless of its source.
+ * entry never replaces a newer one, regardless of its source. Revisions are
+ * compared within one era only: changes of an older era are ignored, and only a
+ * complete copy begins a newer one, as changes alone do not tell what the store
+ * has lost.
  */
 
-import type { Listing } from "../../types/directory.ts";
+import type { Changes, Listing } from "../../types/directory.ts";
 import type { WatchEvent } from "../../types/platform.ts";
+import {
+  originPosition,
+  type StorePosition,
+} from "../../types/store_position.ts";
 
 /** Maximum number of tombstones kept; the oldest is evicted first. */
 const maxTombstones = 4_096;
 
+/** A change of the replica. */
+export interface DirectoryChange extends WatchEvent {
+  /**
+   * True when the store returned from an older copy and this content of the
+   * entry may be older than the one that was known before.
+   */
+  readonly isRestored?: boolean;
+}
+
 /** Entries of the store and tombstones of removed ones. */
 export interface DirectoryReplica {
   /**
-   * Applies all changes after the newest known revision; returns those that
-   * were new.
+   * Applies all changes after the known position; returns those that were new.
    */
-  applyChanges(events: readonly WatchEvent[]): readonly WatchEvent[];
+  applyChanges(changes: Changes): readonly DirectoryChange[];
   /**
    * Applies the changes that a peer pushed; returns those that were new. If
-   * changes before them are missing, the newest known revision stays.
+   * changes before them are missing, the known position stays.
    */
-  applyPush(push: DirectoryPush): readonly WatchEvent[];
-  /** Applies a listing, which removes missing keys; returns the changes. */
-  applyListing(listing: Listing): readonly WatchEvent[];
+  applyPush(push: DirectoryPush): readonly DirectoryChange[];
   /**
-   * Returns the changes after a revision, removals included, up to the newest
-   * revision. Changes beyond a gap are left out.
+   * Applies a listing, which removes missing keys; returns the changes. A
+   * listing of a newer era replaces the whole copy.
    */
-  getSince(revision: number): readonly WatchEvent[];
+  applyListing(listing: Listing): readonly DirectoryChange[];
+  /** Applies what a peer returned; returns the changes. */
+  applyCopy(copy: DirectoryCopy): readonly DirectoryChange[];
   /**
-   * Returns the revision up to which all changes are known; 0 for none.
+   * Returns what a peer at a position is missing, removals included: all that
+   * is known when it is in another era, else the changes after its revision.
+   * Changes beyond a gap are left out of the latter.
    */
-  getNewestRevision(): number;
+  getCopyAfter(after: StorePosition): DirectoryCopy;
+  /**
+   * Returns the position up to which all changes are known; the origin for
+   * none.
+   */
+  getPosition(): StorePosition;
 }
 
 /** Changes that a router has read from the store and pushes to its peers. */
 export interface DirectoryPush {
-  /** The changes are all that were made after this revision. */
+  /** The changes are all that were made after this revision of the era. */
   readonly afterRevision: number;
-  /** The changes are all that were made up to this revision. */
-  readonly revision: number;
+  /** The changes are all that were made up to this position. */
+  readonly position: StorePosition;
+  readonly changes: readonly WatchEvent[];
+}
+
+/** What a router returns to a peer that pulls. */
+export interface DirectoryCopy {
+  /** All changes up to this position are known. */
+  readonly position: StorePosition;
+  /** True when this is all that is known, not only what has changed. */
+  readonly isComplete: boolean;
   readonly changes: readonly WatchEvent[];
 }
 
@@ -47,70 +78,157 @@
 export function createDirectoryReplica(): DirectoryReplica {
   const live = new Map<string, WatchEvent>();
   const tombstones = new Map<string, WatchEvent>();
-  let newestRevision = 0;
+  /**
+   * Highest revisions known before a return of the store, by the keys whose
+   * restored entry was older and has not changed since.
+   */
+  const lostRevisions = new Map<string, number>();
+  let position = originPosition;
 
   return {
     applyChanges,
     applyPush,
     applyListing,
-    getSince,
-    getNewestRevision: () => newestRevision,
+    applyCopy,
+    getCopyAfter,
+    getPosition: () => position,
   };
 
   function applyChanges(
-    events: readonly WatchEvent[],
-  ): readonly WatchEvent[] {
+    { events, position: { era } }: Changes,
+  ): readonly DirectoryChange[] {
+    if (era !== position.era) return [];
     const applied = events.filter(apply);
     for (const { revision } of events) advance(revision);
     return applied;
   }
 
   function applyPush(
-    { afterRevision, revision, changes }: DirectoryPush,
-  ): readonly WatchEvent[] {
+    { afterRevision, position: { era, revision }, changes }: DirectoryPush,
+  ): readonly DirectoryChange[] {
+    if (era !== position.era) return [];
     const applied = changes.filter(apply);
-    if (afterRevision <= newestRevision) advance(revision);
+    if (afterRevision <= position.revision) advance(revision);
     return applied;
   }
 
   function advance(revision: number): void {
-    newestRevision = Math.max(newestRevision, revision);
+    if (revision > position.revision) position = { ...position, revision };
   }
 
   function apply(event: WatchEvent): boolean {
     const known = live.get(event.key) ?? tombstones.get(event.key);
     if (known !== undefined && known.revision >= event.revision) return false;
+    lostRevisions.delete(event.key);
+    store(event);
+    return true;
+  }
+
+  function store(event: WatchEvent): void {
     live.delete(event.key);
     tombstones.delete(event.key);
     (event.value === undefined ? tombstones : live).set(event.key, event);
-    if (tombstones.size > maxTombstones) evictOldestTombstone();
-    return true;
+    if (tombstones.size > maxTombstones) evictOldest(tombstones);
   }
 
-  function applyListing(listing: Listing): readonly WatchEvent[] {
-    const listed = new Set(listing.entries.map(({ key }) => key));
+  function applyListing(listing: Listing): readonly DirectoryChange[] {
+    const { entries, position: { era, revision: listedRevision } } = listing;
+    if (era < position.era) return [];
+    if (era > position.era) return replaceAll(listing);
+    const listed = new Set(entries.map(({ key }) => key));
     const missing = [...live.values()]
       .filter(({ key, revision }) =>
-        !listed.has(key) && revision <= listing.position.revision
+        !listed.has(key) && revision <= listedRevision
       )
-      .map(({ key }) => ({
-        key,
-        value: undefined,
-        revision: listing.position.revision,
-      }));
-    return applyChanges([...listing.entries, ...missing]);
+      .map(({ key }) => ({ key, value: undefined, revision: listedRevision }));
+    const events = [...entries, ...missing];
+    const applied = events.filter(apply);
+    events
+      .filter(({ revision }) => revision <= listedRevision)
+      .forEach(({ revision }) => advance(revision));
+    return applied;
+  }
+
+  function applyCopy(
+    { position: copied, isComplete, changes }: DirectoryCopy,
+  ): readonly DirectoryChange[] {
+    if (!isComplete) {
+      return applyChanges({ events: changes, position: copied });
+    }
+    if (copied.era < position.era) return [];
+    if (copied.era === position.era) {
+      const applied = changes.filter(apply);
+      advance(copied.revision);
+      return applied;
+    }
+    const entries = changes.flatMap(({ key, value, revision }) =>
+      value === undefined ? [] : [{ key, value, revision }]
+    );
+    return replaceAll({ entries, position: copied });
+  }
+
+  /** Begins a newer era with all of its entries; returns what differs. */
+  function replaceAll(listing: Listing): readonly DirectoryChange[] {
+    const { era, revision: listedRevision } = listing.position;
+    const known = new Map([...tombstones, ...live]);
+    const newestRevision = listing.entries
+      .map(({ revision }) => revision)
+      .filter((revision) => revision <= listedRevision)
+      .reduce((left, right) => Math.max(left, right), 0);
+    // A peer without removals to tell of has the revision of its newest entry.
+    position = { era, revision: newestRevision || listedRevision };
+    live.clear();
+    tombstones.clear();
+    const changes: DirectoryChange[] = [];
+    for (const entry of listing.entries) {
+      const previous = known.get(entry.key);
+      known.delete(entry.key);
+      const isRestored = recordRestored(entry, previous?.revision ?? 0);
+      store(entry);
+      if (previous?.value !== entry.value) {
+        changes.push(isRestored ? { ...entry, isRestored } : entry);
+      }
+    }
+    for (const { key, value, revision } of known.values()) {
+      recordRestored({ key, revision: 0 }, revision);
+      if (value === undefined) continue;
+      const removal = { key, value: undefined, revision: position.revision };
+      store(removal);
+      changes.push({ ...removal, isRestored: true });
+    }
+    return changes;
   }
 
-  function getSince(revision: number): readonly WatchEvent[] {
-    return [...live.values(), ...tombstones.values()]
-      .filter((event) =>
-        event.revision > revision && event.revision <= newestRevision
+  /**
+   * Returns true when the entry of a new era may be older than the one that was
+   * known. A higher revision than the known one is newer in either era.
+   */
+  function recordRestored(
+    { key, revision }: Pick<WatchEvent, "key" | "revision">,
+    knownRevision: number,
+  ): boolean {
+    const highest = Math.max(knownRevision, lostRevisions.get(key) ?? 0);
+    lostRevisions.delete(key);
+    if (revision >= highest) return false;
+    lostRevisions.set(key, highest);
+    if (lostRevisions.size > maxTombstones) evictOldest(lostRevisions);
+    return true;
+  }
+
+  function getCopyAfter(after: StorePosition): DirectoryCopy {
+    const isComplete = after.era !== position.era;
+    const changes = [...live.values(), ...tombstones.values()]
+      .filter(({ value, revision }) =>
+        isComplete
+          ? value !== undefined || revision <= position.revision
+          : revision > after.revision && revision <= position.revision
       )
       .sort((left, right) => left.revision - right.revision);
+    return { position, isComplete, changes };
   }
+}
 
-  function evictOldestTombstone(): void {
-    const [oldest] = tombstones.keys();
-    if (oldest !== undefined) tombstones.delete(oldest);
-  }
+function evictOldest(map: Map<string, unknown>): void {
+  const [oldest] = map.keys();
+  if (oldest !== undefined) map.delete(oldest);
 }
--- a/src/process/direct/directory_replica_test.ts
+++ b/src/process/direct/directory_replica_test.ts
@@ -1,18 +1,33 @@
-import { createDirectoryReplica } from "./directory_replica.ts";
+import type { WatchEvent } from "../../types/platform.ts";
+import { originPosition } from "../../types/store_position.ts";
+import {
+  createDirectoryReplica,
+  type DirectoryReplica,
+} from "./directory_replica.ts";
+
+/** Applies changes of an era. */
+function applyChanges(
+  replica: DirectoryReplica,
+  events: readonly WatchEvent[],
+  era = 0,
+) {
+  const revision = events.at(-1)?.revision ?? 0;
+  return replica.applyChanges({ events, position: { era, revision } });
+}
 
 describe("directory replica", () => {
   it("never replaces a newer revision with an older one", () => {
     const replica = createDirectoryReplica();
-    replica.applyChanges([{ key: "a", value: "new", revision: 5 }]);
+    applyChanges(replica, [{ key: "a", value: "new", revision: 5 }]);
     const late = [{ key: "a", value: "old", revision: 4 }];
-    expect(replica.applyChanges(late)).toEqual([]);
-    expect(replica.getNewestRevision()).toBe(5);
+    expect(applyChanges(replica, late)).toEqual([]);
+    expect(replica.getPosition()).toEqual({ era: 0, revision: 5 });
   });
 
   it("does not restore a removed key from an old listing", () => {
     const replica = createDirectoryReplica();
-    replica.applyChanges([{ key: "a", value: "x", revision: 5 }]);
-    replica.applyChanges([{ key: "a", value: undefined, revision: 6 }]);
+    applyChanges(replica, [{ key: "a", value: "x", revision: 5 }]);
+    applyChanges(replica, [{ key: "a", value: undefined, revision: 6 }]);
     const stale = replica.applyListing({
       entries: [{ key: "a", value: "x", revision: 5 }],
       position: { era: 0, revision: 5 },
@@ -23,7 +38,7 @@
   describe("a listing", () => {
     it("removes keys that it lacks", () => {
       const replica = createDirectoryReplica();
-      replica.applyChanges([{ key: "a", value: "x", revision: 5 }]);
+      applyChanges(replica, [{ key: "a", value: "x", revision: 5 }]);
       const changes = replica.applyListing({
         entries: [],
         position: { era: 0, revision: 9 },
@@ -33,62 +48,240 @@
 
     it("keeps keys that were written after it", () => {
       const replica = createDirectoryReplica();
-      replica.applyChanges([{ key: "a", value: "x", revision: 10 }]);
-      expect(
-        replica.applyListing({
-          entries: [],
-          position: { era: 0, revision: 9 },
-        }),
-      ).toEqual([]);
+      applyChanges(replica, [{ key: "a", value: "x", revision: 10 }]);
+      const listing = { entries: [], position: { era: 0, revision: 9 } };
+      expect(replica.applyListing(listing)).toEqual([]);
     });
+
+    it.each([0, 1])(
+      "may lack changes after its first page (era %d)",
+      (era) => {
+        const replica = createDirectoryReplica();
+        replica.applyListing({
+          entries: [
+            { key: "a", value: "x", revision: 4 },
+            { key: "b", value: "of a later page", revision: 7 },
+          ],
+          position: { era, revision: 5 },
+        });
+        expect(replica.getPosition()).toEqual({ era, revision: 4 });
+      },
+    );
   });
 
   it("returns all changes after a revision, removals included", () => {
     const replica = createDirectoryReplica();
-    replica.applyChanges([
+    applyChanges(replica, [
       { key: "a", value: "x", revision: 5 },
       { key: "b", value: "y", revision: 6 },
       { key: "a", value: undefined, revision: 7 },
     ]);
     const peer = createDirectoryReplica();
-    peer.applyChanges([{ key: "a", value: "x", revision: 5 }]);
-    const keys = peer.applyChanges(replica.getSince(5)).map(({ key }) => key);
-    expect(keys).toEqual(["b", "a"]);
-    expect(peer.getNewestRevision()).toBe(7);
+    applyChanges(peer, [{ key: "a", value: "x", revision: 5 }]);
+    const copy = replica.getCopyAfter(peer.getPosition());
+    expect(copy.isComplete).toBe(false);
+    expect(peer.applyCopy(copy).map(({ key }) => key)).toEqual(["b", "a"]);
+    expect(peer.getPosition()).toEqual({ era: 0, revision: 7 });
   });
 
   describe("with a push of a peer", () => {
     function createAtRevision4() {
       const replica = createDirectoryReplica();
-      replica.applyChanges([{ key: "a", value: "x", revision: 4 }]);
+      applyChanges(replica, [{ key: "a", value: "x", revision: 4 }]);
       return replica;
     }
 
     it("knows all changes up to the push that follows its own", () => {
       const replica = createAtRevision4();
       const changes = [{ key: "b", value: "y", revision: 6 }];
-      expect(replica.applyPush({ afterRevision: 3, revision: 6, changes }))
+      const position = { era: 0, revision: 6 };
+      expect(replica.applyPush({ afterRevision: 3, position, changes }))
         .toEqual(changes);
-      expect(replica.getNewestRevision()).toBe(6);
+      expect(replica.getPosition()).toEqual(position);
     });
 
     it("applies a push after a gap, and still misses the gap", () => {
       const replica = createAtRevision4();
       const changes = [{ key: "b", value: "y", revision: 9 }];
-      expect(replica.applyPush({ afterRevision: 7, revision: 9, changes }))
+      const position = { era: 0, revision: 9 };
+      expect(replica.applyPush({ afterRevision: 7, position, changes }))
         .toEqual(changes);
-      expect(replica.getNewestRevision()).toBe(4);
+      expect(replica.getPosition()).toEqual({ era: 0, revision: 4 });
       // A peer would take them for all changes up to the last of them.
-      expect(replica.getSince(3)).toEqual([
+      expect(replica.getCopyAfter({ era: 0, revision: 3 }).changes).toEqual([
         { key: "a", value: "x", revision: 4 },
       ]);
-      replica.applyChanges([
+      applyChanges(replica, [
         { key: "c", value: "z", revision: 6 },
         ...changes,
       ]);
-      expect(replica.getNewestRevision()).toBe(9);
-      expect(replica.getSince(4).map(({ revision }) => revision))
-        .toEqual([6, 9]);
+      expect(replica.getPosition()).toEqual({ era: 0, revision: 9 });
+      const { changes: newer } = replica.getCopyAfter({ era: 0, revision: 4 });
+      expect(newer.map(({ revision }) => revision)).toEqual([6, 9]);
+    });
+
+    it.each([0, 2])("ignores a push of era %d in era 1", (era) => {
+      const replica = createDirectoryReplica();
+      replica.applyListing({
+        entries: [{ key: "a", value: "x", revision: 4 }],
+        position: { era: 1, revision: 4 },
+      });
+      const push = {
+        afterRevision: 4,
+        position: { era, revision: 9 },
+        changes: [{ key: "a", value: "y", revision: 9 }],
+      };
+      expect(replica.applyPush(push)).toEqual([]);
+      expect(replica.getPosition()).toEqual({ era: 1, revision: 4 });
+    });
+  });
+
+  describe("after a return of the store", () => {
+    const target = { key: "servers/a", value: "ready", revision: 50 };
+
+    /** Creates a replica at revision 100 of era 1. */
+    function createBefore(...events: readonly WatchEvent[]) {
+      const replica = createDirectoryReplica();
+      replica.applyListing({
+        entries: [{ key: "other", value: "x", revision: 100 }, target],
+        position: { era: 1, revision: 100 },
+      });
+      applyChanges(replica, events, 1);
+      return replica;
+    }
+
+    /** Lists era 2, of which `other` is unchanged. */
+    function listNext(
+      replica: DirectoryReplica,
+      entries: readonly (WatchEvent & { readonly value: string })[],
+      era = 2,
+    ) {
+      return replica.applyListing({
+        entries: [{ key: "other", value: "x", revision: 20 }, ...entries],
+        position: { era, revision: 90 },
+      });
+    }
+
+    it("replaces all entries by a listing of lower revisions", () => {
+      const replica = createBefore();
+      const written = { key: "new", value: "y", revision: 85 };
+      expect(listNext(replica, [target, written])).toEqual([written]);
+      expect(replica.getPosition()).toEqual({ era: 2, revision: 85 });
+      const next = { key: "new", value: "z", revision: 86 };
+      expect(applyChanges(replica, [next], 2)).toEqual([next]);
+    });
+
+    it("ignores changes and listings of the era before", () => {
+      const replica = createBefore();
+      listNext(replica, [target]);
+      const late = { key: "servers/a", value: "late", revision: 101 };
+      expect(applyChanges(replica, [late], 1)).toEqual([]);
+      expect(replica.applyListing({
+        entries: [late],
+        position: { era: 1, revision: 101 },
+      })).toEqual([]);
+      expect(replica.getPosition().era).toBe(2);
+    });
+
+    it("needs all entries to begin an era", () => {
+      const replica = createBefore();
+      const later = { key: "servers/a", value: "later", revision: 101 };
+      expect(applyChanges(replica, [later], 2)).toEqual([]);
+      expect(replica.applyCopy({
+        position: { era: 2, revision: 101 },
+        isComplete: false,
+        changes: [later],
+      })).toEqual([]);
+      expect(replica.getPosition()).toEqual({ era: 1, revision: 100 });
+    });
+
+    it("marks entries and removals that may be older than known", () => {
+      const changed = { ...target, value: "draining", revision: 101 };
+      const added = { key: "servers/b", value: "ready", revision: 102 };
+      const replica = createBefore(changed, added);
+      expect(listNext(replica, [target])).toEqual([
+        { ...target, isRestored: true },
+        { key: "servers/b", value: undefined, revision: 50, isRestored: true },
+      ]);
+    });
+
+    it("does not mark an entry with a higher revision than known", () => {
+      const replica = createBefore();
+      const written = { ...target, value: "draining", revision: 51 };
+      expect(listNext(replica, [written])).toEqual([written]);
+    });
+
+    it("marks an entry that was removed before", () => {
+      const removal = { ...target, value: undefined, revision: 101 };
+      const replica = createBefore(removal);
+      expect(listNext(replica, [target]))
+        .toEqual([{ ...target, isRestored: true }]);
+    });
+
+    it("marks an entry that was removed two returns before", () => {
+      const replica = createBefore(
+        { ...target, value: undefined, revision: 101 },
+      );
+      listNext(replica, []);
+      expect(listNext(replica, [target], 3))
+        .toEqual([{ ...target, isRestored: true }]);
+    });
+
+    it("marks an entry that was newer two returns before", () => {
+      const replica = createBefore(
+        { ...target, value: "draining", revision: 101 },
+      );
+      listNext(replica, [target]);
+      const warm = { ...target, value: "ready and warm", revision: 60 };
+      expect(listNext(replica, [warm], 3))
+        .toEqual([{ ...warm, isRestored: true }]);
+    });
+
+    it("takes an entry for current once it changes in the new era", () => {
+      const replica = createBefore(
+        { ...target, value: "draining", revision: 101 },
+      );
+      listNext(replica, [target]);
+      const written = { ...target, value: "ready", revision: 91 };
+      expect(applyChanges(replica, [written], 2)).toEqual([written]);
+    });
+
+    it("is taken from a peer that has it", () => {
+      const peer = createBefore();
+      const written = { key: "new", value: "y", revision: 85 };
+      listNext(peer, [target, written]);
+      applyChanges(
+        peer,
+        [{ key: "other", value: undefined, revision: 91 }],
+        2,
+      );
+      const replica = createBefore();
+      const copy = peer.getCopyAfter(replica.getPosition());
+      expect(copy.isComplete).toBe(true);
+      expect(replica.applyCopy(copy)).toEqual([
+        written,
+        { key: "other", value: undefined, revision: 85, isRestored: true },
+      ]);
+      expect(replica.getPosition().era).toBe(2);
+    });
+
+    it("is not taken back from a peer that has not seen it", () => {
+      const replica = createBefore();
+      listNext(replica, [target]);
+      const copy = createBefore().getCopyAfter(replica.getPosition());
+      expect(replica.applyCopy(copy)).toEqual([]);
+      expect(replica.getPosition().era).toBe(2);
+    });
+
+    it("gives a router that starts a copy without marks", () => {
+      const peer = createBefore();
+      listNext(peer, [{ ...target, revision: 40 }]);
+      const replica = createDirectoryReplica();
+      const copy = peer.getCopyAfter(originPosition);
+      expect(replica.applyCopy(copy)).toEqual([
+        { key: "other", value: "x", revision: 20 },
+        { ...target, revision: 40 },
+      ]);
     });
   });
 });
--- a/src/process/direct/directory_sync.ts
+++ b/src/process/direct/directory_sync.ts
@@ -2,21 +2,34 @@
  * Keeps the replica in sync with the store. Every router lists once; then some
  * of them watch the store, and the others take the changes that these push. A
  * router that has missed a push reads the changes once itself. Peers' copies are
- * used while the store is unavailable to this process.
+ * used while the store is unavailable to this process. When the store returns
+ * from an older copy, each router lists again, as changes do not tell what the
+ * store has lost.
  */
 
 import type { EitherAsync } from "purify-ts";
-import type { DirectoryError, DirectoryStore } from "../../types/directory.ts";
+import type {
+  DirectoryError,
+  DirectoryStore,
+  Listing,
+} from "../../types/directory.ts";
 import type { WatchEvent } from "../../types/platform.ts";
+import type { StorePosition } from "../../types/store_position.ts";
 import type { ChangeSource } from "./directory_tables.ts";
 import { getBackOffMs } from "../membership/jitter.ts";
 import type { Log } from "../telemetry/log.ts";
-import type { DirectoryPush, DirectoryReplica } from "./directory_replica.ts";
+import type {
+  DirectoryChange,
+  DirectoryCopy,
+  DirectoryPush,
+  DirectoryReplica,
+} from "./directory_replica.ts";
+import { createStoreContact, type StoreContact } from "./store_contact.ts";
 import type { WatcherChoice } from "./watcher_choice.ts";
 
 /** What the synchronization needs from the process. */
 export interface DirectorySyncHost {
-  readonly store: Pick<DirectoryStore, "list" | "watch">;
+  readonly store: Pick<DirectoryStore, "getEra" | "list" | "watch">;
   readonly replica: DirectoryReplica;
   readonly watchers: Pick<
     WatcherChoice,
@@ -25,56 +38,56 @@
   readonly log: Log;
   /** Handles new changes, in order. */
   handleChanges(
-    changes: readonly WatchEvent[],
+    changes: readonly DirectoryChange[],
     source: ChangeSource,
   ): void;
-  /** Pushes changes that were watched after a revision to the peers. */
-  pushChanges(changes: readonly WatchEvent[], afterRevision: number): void;
+  /** Handles a return of the store, after its changes. */
+  handleReturn(): void;
+  /** Pushes changes that were watched after a position to the peers. */
+  pushChanges(changes: readonly WatchEvent[], after: StorePosition): void;
   /** Counts one call to the store. */
   countCall(call: "list" | "watch"): void;
 }
 
 /** Synchronizes the replica of one process with the store. */
-export interface DirectorySync {
+export interface DirectorySync extends
+  Pick<
+    StoreContact,
+    | "getAgeMs"
+    | "getOutageEndedAt"
+    | "getSeenOutageEndedAt"
+    | "hasFailed"
+    | "isConnected"
+    | "needsPeers"
+    | "recordPeerOutage"
+  > {
   /** Starts to list and watch the store. */
   start(): void;
   /** Stops after the pending call, whose failure is ignored. */
   stop(): void;
-  /** Applies changes that were pulled from a peer. */
-  applyPeerChanges(changes: readonly WatchEvent[]): void;
+  /** Applies what was pulled from a peer. */
+  applyPeerCopy(copy: DirectoryCopy): void;
   /** Applies changes that a peer has pushed. */
   applyPush(push: DirectoryPush): void;
   /**
-   * Reads the changes after the newest known revision once from the store;
-   * returns false when the store is unavailable.
+   * Reads the changes after the known position once from the store, or all
+   * entries when a newer era than the known one has begun; returns false when
+   * the store is unavailable. `era` is the newest that peers have reported.
    */
-  catchUp(): Promise<boolean>;
+  catchUp(era: number): Promise<boolean>;
   /** Returns true while `catchUp` runs. */
   isCatchingUp(): boolean;
-  /** Records when an outage of the store ended, as a peer reports it. */
-  recordPeerOutage(endedAt: number): void;
+  /** Records that a peer knows an era, which begins with a return. */
+  recordPeerEra(era: number): void;
   /** Returns true while this router watches the store and it responds. */
   isWatching(): boolean;
   /** Returns true while this router has the turn to watch the store. */
   hasTurn(): boolean;
-  /** Returns true while the store responds; false before its first response. */
-  isConnected(): boolean;
-  /** Returns true when changes should be pulled from peers. */
-  needsPeers(): boolean;
-  /** Returns true when the last call to the store failed. */
-  hasFailed(): boolean;
   /**
-   * Returns when the last outage ended, on the monotonic clock; negative
-   * infinity when there was none. See `minOutageMs`.
+   * Returns when the era of the replica was first known here, on the monotonic
+   * clock; negative infinity before a return of the store.
    */
-  getOutageEndedAt(): number;
-  /** As `getOutageEndedAt`, of outages that this router saw itself. */
-  getSeenOutageEndedAt(): number;
-  /**
-   * Returns the time since the store last responded to this router or to one
-   * that pushes to it, in milliseconds.
-   */
-  getAgeMs(): number;
+  getReturnedAt(): number;
 }
 
 /**
@@ -93,6 +106,18 @@
 /** Interval at which a router checks whether to watch the store, in ms. */
 const turnCheckIntervalMs = 100;
 
+/**
+ * Maximum random delay before a router that does not watch the store lists it
+ * after a return, in milliseconds, so that not all routers do so together.
+ */
+const maxListDelayMs = 250;
+
+/**
+ * Delay after a response of an era that is older than the replica's, in
+ * milliseconds.
+ */
+const olderEraDelayMs = 500;
+
 /** Wait of a watch that only reads changes already made, in milliseconds. */
 const catchUpWaitMs = 1;
 
@@ -110,20 +135,6 @@
  */
 const standbyBatchDelayMs = 600;
 
-/**
- * Minimum duration of an outage, in milliseconds. After this time without the
- * store, entries may have expired although their targets are alive. A shorter
- * gap, such as one interrupted watch, is not an outage.
- */
-const minOutageMs = 1_000;
-
-/**
- * Timeout of the first response before peers are queried, in milliseconds. It
- * is longer than a healthy store takes when all routers start at once, because
- * a query loads the RPC library, which delays the store's response.
- */
-const firstResponseTimeoutMs = 500;
-
 /**
  * Delay after failed calls. It is short compared with the seconds within which
  * a change must take effect.
@@ -133,84 +144,82 @@
 /** Creates the synchronization, which begins with `start`. */
 export function createDirectorySync(host: DirectorySyncHost): DirectorySync {
   let isStopped = false;
-  let isConnected = false;
-  let failures = 0;
-  let outageEndedAt = Number.NEGATIVE_INFINITY;
-  let peerOutageEndedAt = Number.NEGATIVE_INFINITY;
-  /** Time of the first failure since the store last responded. */
-  let disconnectedAt = performance.now();
-  let lastResponseAt = performance.now();
-  const createdAt = performance.now();
+  const contact = createStoreContact({
+    log: host.log,
+    getPosition: host.replica.getPosition,
+    getLastWatchedAt: host.watchers.getLastWatchedAt,
+  });
   let hasTurn = false;
   let isCatchingUp = false;
+  /** The newest era that the store or a peer has named, and since when. */
+  let newestEra = { era: 0, knownSince: Number.NEGATIVE_INFINITY };
+  let returnedAt = Number.NEGATIVE_INFINITY;
 
   return {
+    ...contact,
     start: () => void run(),
     stop: () => {
       isStopped = true;
     },
-    applyPeerChanges: (changes) =>
-      notify(host.replica.applyChanges(changes), "peer"),
-    applyPush: (push) => notify(host.replica.applyPush(push), "push"),
+    applyPeerCopy: (copy) =>
+      applyAt(copy.position, "peer", () => host.replica.applyCopy(copy)),
+    applyPush: (push) =>
+      applyAt(push.position, "push", () => host.replica.applyPush(push)),
     catchUp,
     isCatchingUp: () => isCatchingUp,
-    recordPeerOutage: (endedAt) => {
-      peerOutageEndedAt = Math.max(peerOutageEndedAt, endedAt);
-    },
+    recordPeerEra: recordEra,
     isWatching,
     hasTurn: () => hasTurn,
-    isConnected: () => isConnected,
-    needsPeers,
-    hasFailed: () => failures > 0,
-    getOutageEndedAt: () => Math.max(outageEndedAt, peerOutageEndedAt),
-    getSeenOutageEndedAt: () => outageEndedAt,
-    getAgeMs: () =>
-      performance.now() -
-      Math.max(lastResponseAt, host.watchers.getLastWatchedAt()),
+    getReturnedAt: () => returnedAt,
   };
 
   function isWatching(): boolean {
-    return hasTurn && isConnected &&
-      performance.now() - lastResponseAt < watchReportMs;
-  }
-
-  function needsPeers(): boolean {
-    if (isConnected) return false;
-    return failures > 0 ||
-      performance.now() - createdAt >= firstResponseTimeoutMs;
+    return hasTurn && contact.isConnected() &&
+      contact.hasRespondedWithin(watchReportMs);
   }
 
   async function run(): Promise<void> {
-    let revision: number | undefined;
+    let position: StorePosition | undefined;
     while (!isStopped) {
-      const isFirst = host.replica.getNewestRevision() === 0;
+      const isFirst = host.replica.getPosition().revision === 0;
       if (!isFirst && !host.watchers.shouldWatch()) {
         stopWatching();
         await sleep(turnCheckIntervalMs);
-        revision = host.replica.getNewestRevision();
+        if (hasReturned()) await listAfterReturn();
+        position = host.replica.getPosition();
         continue;
       }
       if (!isFirst) startWatching();
-      revision = revision === undefined
-        ? await tryList()
-        : await tryWatch(revision);
+      // A revision of one era means nothing in another.
+      position = position?.era === host.replica.getPosition().era &&
+          !hasReturned()
+        ? await tryWatch(position)
+        : await tryList();
     }
   }
 
+  /** Returns true when the store has named a newer era than the replica's. */
+  function hasReturned(): boolean {
+    return host.store.getEra() > host.replica.getPosition().era;
+  }
+
+  /** Lists after a random delay, unless a catch-up is sooner. */
+  async function listAfterReturn(): Promise<void> {
+    await sleep(Math.random() * maxListDelayMs);
+    if (hasReturned() && !isCatchingUp) await tryList();
+  }
+
+  function recordEra(era: number): void {
+    if (era <= newestEra.era) return;
+    newestEra = { era, knownSince: performance.now() };
+  }
+
   function startWatching(): void {
     if (hasTurn) return;
     hasTurn = true;
-    // While no router has read the store, entries may have expired.
-    const lastWatchedAt = Math.max(
-      lastResponseAt,
-      host.watchers.getLastWatchedAt(),
-    );
-    if (performance.now() - lastWatchedAt >= minOutageMs) {
-      isConnected = false;
-      disconnectedAt = lastWatchedAt;
-    }
+    contact.recordTurn();
     host.log.info("Router watches the store", {
-      revision: host.replica.getNewestRevision(),
+      ...host.replica.getPosition(),
     });
   }
 
@@ -218,67 +227,106 @@
     if (!hasTurn) return;
     hasTurn = false;
     host.log.info("Router takes changes from its peers", {
-      revision: host.replica.getNewestRevision(),
+      ...host.replica.getPosition(),
     });
   }
 
-  async function catchUp(): Promise<boolean> {
+  async function catchUp(era: number): Promise<boolean> {
     if (isCatchingUp) return true;
     isCatchingUp = true;
     try {
-      host.countCall("watch");
-      const result = await host.store.watch({
-        afterRevision: host.replica.getNewestRevision(),
-        waitMs: catchUpWaitMs,
-      }).run();
-      if (isStopped) return true;
-      return await result.caseOf<Promise<boolean>>({
-        Left: async ({ kind, message }) => {
-          if (kind === "compacted") return await tryList() !== undefined;
-          host.log.warn("Missed changes could not be read", {
-            ...{ kind, reason: message },
-          });
-          return false;
-        },
-        Right: ({ events }) => {
-          notify(host.replica.applyChanges(events), "watch");
-          return Promise.resolve(true);
-        },
-      });
+      const isBehind = era > host.replica.getPosition().era || hasReturned();
+      return await (isBehind ? listOnce() : watchOnce());
     } finally {
       isCatchingUp = false;
     }
   }
 
-  /** Returns the revision to watch from; undefined after a failure. */
-  async function tryList(): Promise<number | undefined> {
+  /** Reads the changes made so far; returns false after a failure. */
+  async function watchOnce(): Promise<boolean> {
+    host.countCall("watch");
+    const after = host.replica.getPosition();
+    const result = await host.store.watch({
+      afterRevision: after.revision,
+      waitMs: catchUpWaitMs,
+    }).run();
+    if (isStopped) return true;
+    return await result.caseOf<Promise<boolean>>({
+      Left: async (error) =>
+        error.kind === "compacted" ? await listOnce() : reportMissed(error),
+      Right: async (changes) => {
+        if (changes.position.era !== after.era) return await listOnce();
+        applyAt(
+          changes.position,
+          "watch",
+          () => host.replica.applyChanges(changes),
+        );
+        return true;
+      },
+    });
+  }
+
+  /** Reads all entries; returns false after a failure. */
+  async function listOnce(): Promise<boolean> {
+    host.countCall("list");
+    const result = await host.store.list().run();
+    if (isStopped) return true;
+    return result.caseOf({ Left: reportMissed, Right: applyListing });
+  }
+
+  function reportMissed({ kind, message }: DirectoryError): boolean {
+    host.log.warn("Missed changes could not be read", {
+      ...{ kind, reason: message },
+    });
+    return false;
+  }
+
+  function applyListing(listing: Listing): boolean {
+    applyAt(
+      listing.position,
+      "listing",
+      () => host.replica.applyListing(listing),
+    );
+    return true;
+  }
+
+  /** Returns the position to watch from; undefined after a failure. */
+  async function tryList(): Promise<StorePosition | undefined> {
     host.countCall("list");
     const listing = await tryCall(host.store.list());
     if (listing === undefined) return undefined;
-    notify(host.replica.applyListing(listing), "listing");
-    return listing.position.revision;
+    applyListing(listing);
+    // Only a peer's copy is newer, and the store may take a while to follow.
+    const isOlder = listing.position.era < host.replica.getPosition().era;
+    if (isOlder) await sleep(olderEraDelayMs);
+    return listing.position;
   }
 
-  /** Returns the revision to watch from; undefined to list again. */
-  async function tryWatch(afterRevision: number): Promise<number | undefined> {
+  /** Returns the position to watch from; undefined to list again. */
+  async function tryWatch(
+    after: StorePosition,
+  ): Promise<StorePosition | undefined> {
     host.countCall("watch");
     const changes = await tryCall(
-      host.store.watch({ afterRevision, waitMs: watchTimeoutMs }),
+      host.store.watch({
+        afterRevision: after.revision,
+        waitMs: watchTimeoutMs,
+      }),
     );
     // Changes may have been missed while the store was unavailable.
-    if (changes === undefined) return undefined;
-    const newestBefore = host.replica.getNewestRevision();
-    const applied = host.replica.applyChanges(changes.events);
+    if (changes?.position.era !== after.era) return undefined;
+    const before = host.replica.getPosition();
+    const applied = host.replica.applyChanges(changes);
     const unknown = changes.events.filter(({ revision }) =>
-      revision > newestBefore
+      revision > before.revision
     );
-    if (unknown.length > 0) host.pushChanges(unknown, newestBefore);
+    if (unknown.length > 0) host.pushChanges(unknown, before);
     notify(applied, "watch");
     if (changes.events.length > 0) {
       const isStandby = host.watchers.countWatchersAhead() > 0;
       await sleep(isStandby ? standbyBatchDelayMs : batchDelayMs);
     }
-    return changes.position.revision;
+    return changes.position;
   }
 
   async function tryCall<T>(
@@ -289,52 +337,49 @@
       Left: async (error) => {
         // Stopping closes the client, which fails the pending call.
         if (isStopped) return undefined;
-        recordFailure(error);
+        contact.recordFailure(error);
         if (error.kind !== "compacted") await backOff();
         return undefined;
       },
       Right: (value) => {
-        recordSuccess();
+        contact.recordSuccess();
         return Promise.resolve(value);
       },
     });
   }
 
-  function recordFailure(error: DirectoryError): void {
-    failures++;
-    if (failures > 1 && !isConnected) return;
-    if (error.kind !== "compacted") {
-      if (isConnected) disconnectedAt = performance.now();
-      isConnected = false;
-    }
-    host.log.warn("Store call failed", {
-      kind: error.kind,
-      reason: error.message,
-      directoryRevision: host.replica.getNewestRevision(),
-      ageMs: Math.round(performance.now() - lastResponseAt),
-    });
+  async function backOff(): Promise<void> {
+    await sleep(getBackOffMs(contact.getFailures(), failureBackOff));
   }
 
-  function recordSuccess(): void {
-    const now = performance.now();
-    if (!isConnected) {
-      if (now - disconnectedAt >= minOutageMs) outageEndedAt = now;
-      host.log.info("Store is reached", {
-        failures,
-        awayMs: Math.round(now - disconnectedAt),
+  /** Applies what was read at a position, and handles a return before it. */
+  function applyAt(
+    position: StorePosition,
+    source: ChangeSource,
+    apply: () => readonly DirectoryChange[],
+  ): void {
+    const before = host.replica.getPosition();
+    const changes = apply();
+    const { era, revision } = host.replica.getPosition();
+    const isReturn = era > before.era && before.revision > 0;
+    if (isReturn) {
+      recordEra(position.era);
+      returnedAt = newestEra.era === era
+        ? newestEra.knownSince
+        : performance.now();
+      host.log.warn("Store returned from an older copy", {
+        ...{ era, revision, source },
+        previousEra: before.era,
+        previousRevision: before.revision,
+        changes: changes.length,
       });
     }
-    isConnected = true;
-    failures = 0;
-    lastResponseAt = now;
-  }
-
-  async function backOff(): Promise<void> {
-    await sleep(getBackOffMs(failures, failureBackOff));
+    notify(changes, source);
+    if (isReturn) host.handleReturn();
   }
 
   function notify(
-    changes: readonly WatchEvent[],
+    changes: readonly DirectoryChange[],
     source: ChangeSource,
   ): void {
     if (changes.length > 0) host.handleChanges(changes, source);
--- a/src/process/direct/directory_sync_test.ts
+++ b/src/process/direct/directory_sync_test.ts
@@ -9,16 +9,28 @@
 import { createDirectorySync } from "./directory_sync.ts";
 
 type Step =
+  | { readonly kind: "pending"; readonly result: Promise<Changes> }
   | { readonly kind: "listing"; readonly listing: Listing }
   | { readonly kind: "changes"; readonly changes: Changes }
-  | { readonly kind: "error"; readonly error: DirectoryError };
+  | {
+    readonly kind: "error";
+    readonly error: DirectoryError;
+    /** Era that the response names, if any. */
+    readonly era?: number;
+  };
 
 /** Creates a store that responds with the script's steps, then not at all. */
 function createScriptedStore(script: readonly Step[]) {
   const calls: string[] = [];
   const steps = [...script];
 
-  return { calls, list: () => answer<Listing>("list"), watch };
+  let era = 0;
+  return {
+    calls,
+    list: () => answer<Listing>("list"),
+    watch,
+    getEra: () => era,
+  };
 
   function watch({ afterRevision }: { readonly afterRevision: number }) {
     return answer<Changes>(`watch ${afterRevision}`);
@@ -29,11 +41,16 @@
     const step = steps.shift();
     return EitherAsync.fromPromise(async () => {
       if (step === undefined) return await new Promise<never>(() => undefined);
-      if (step.kind === "error") return Left(step.error);
-      const value: unknown = step.kind === "listing"
-        ? step.listing
-        : step.changes;
-      return Right(value as T);
+      if (step.kind === "pending") {
+        return Right(await step.result as unknown as T);
+      }
+      if (step.kind === "error") {
+        era = Math.max(era, step.era ?? 0);
+        return Left(step.error);
+      }
+      const value = step.kind === "listing" ? step.listing : step.changes;
+      era = Math.max(era, value.position.era);
+      return Right(value as unknown as T);
     });
   }
 }
@@ -51,6 +68,7 @@
     const store = createScriptedStore(script);
     const changes: string[] = [];
     const pushed: string[] = [];
+    const returns: number[] = [];
     const watchers = {
       shouldWatch: true,
       watchersAhead: 0,
@@ -65,17 +83,16 @@
         countWatchersAhead: () => watchers.watchersAhead,
         getLastWatchedAt: () => watchers.lastWatchedAt,
       },
-      pushChanges: (events, afterRevision) =>
-        events.forEach(({ key }) =>
-          pushed.push(`${key} after ${afterRevision}`)
-        ),
+      pushChanges: (events, { revision }) =>
+        events.forEach(({ key }) => pushed.push(`${key} after ${revision}`)),
+      handleReturn: () => returns.push(performance.now()),
       log: createSilentLog(),
       handleChanges: (events, source) =>
         events.forEach(({ key }) => changes.push(`${key} by ${source}`)),
       countCall: () => undefined,
     });
     sync.start();
-    return { store, changes, pushed, sync, watchers, replica };
+    return { store, changes, pushed, returns, sync, watchers, replica };
   }
 
   describe("before the first response", () => {
@@ -167,6 +184,7 @@
     const sync = createDirectorySync({
       store: {
         list: createScriptedStore([listing]).list,
+        getEra: () => 1,
         watch: () => EitherAsync.fromPromise(() => watchResult),
       },
       replica: createDirectoryReplica(),
@@ -178,6 +196,7 @@
       pushChanges: () => undefined,
       log,
       handleChanges: () => undefined,
+      handleReturn: () => undefined,
       countCall: () => undefined,
     });
     sync.start();
@@ -211,8 +230,16 @@
   it("applies a peer's changes while the store is unavailable", async () => {
     const { sync, changes } = start([unavailable]);
     await jest.advanceTimersByTimeAsync(0);
-    sync.applyPeerChanges([{ key: "c", value: "z", revision: 9 }]);
-    sync.applyPeerChanges([{ key: "c", value: "old", revision: 7 }]);
+    sync.applyPeerCopy({
+      position: { era: 1, revision: 9 },
+      isComplete: true,
+      changes: [{ key: "c", value: "z", revision: 9 }],
+    });
+    sync.applyPeerCopy({
+      position: { era: 1, revision: 7 },
+      isComplete: false,
+      changes: [{ key: "c", value: "old", revision: 7 }],
+    });
     expect(changes).toEqual(["c by peer"]);
   });
 
@@ -240,7 +267,7 @@
       await jest.advanceTimersByTimeAsync(0);
       sync.applyPush({
         afterRevision: 3,
-        revision: 6,
+        position: { era: 1, revision: 6 },
         changes: [{ key: "b", value: "y", revision: 6 }],
       });
       expect(pushed).toEqual([]);
@@ -286,12 +313,12 @@
       await jest.advanceTimersByTimeAsync(200);
       sync.applyPush({
         afterRevision: 4,
-        revision: 6,
+        position: { era: 1, revision: 6 },
         changes: [{ key: "b", value: "y", revision: 6 }],
       });
       sync.applyPush({
         afterRevision: 3,
-        revision: 9,
+        position: { era: 1, revision: 9 },
         changes: [{ key: "d", value: "y", revision: 9 }],
       });
       watchers.shouldWatch = true;
@@ -309,7 +336,7 @@
       }]);
       watchers.shouldWatch = false;
       await jest.advanceTimersByTimeAsync(0);
-      await expect(sync.catchUp()).resolves.toBe(true);
+      await expect(sync.catchUp(1)).resolves.toBe(true);
       await jest.advanceTimersByTimeAsync(1_000);
       expect(store.calls).toEqual(["list", "watch 3"]);
       expect(changes).toEqual(["a by listing", "b by watch"]);
@@ -319,7 +346,7 @@
       const { watchers, sync } = start([listing, unavailable]);
       watchers.shouldWatch = false;
       await jest.advanceTimersByTimeAsync(0);
-      await expect(sync.catchUp()).resolves.toBe(false);
+      await expect(sync.catchUp(1)).resolves.toBe(false);
     });
 
     it("takes a time without any reader for an outage", async () => {
@@ -344,4 +371,167 @@
       expect(sync.getSeenOutageEndedAt()).toBe(Number.NEGATIVE_INFINITY);
     });
   });
+
+  describe("after a return of the store", () => {
+    const compacted: Step = {
+      kind: "error",
+      era: 2,
+      error: { kind: "compacted", message: "gone" },
+    };
+
+    function createListing(era: number, revision: number): Step {
+      return {
+        kind: "listing",
+        listing: {
+          entries: [{ key: "a", value: `of era ${era}`, revision }],
+          position: { era, revision },
+        },
+      };
+    }
+
+    function createChanges(era: number, revision: number): Step {
+      return {
+        kind: "changes",
+        changes: {
+          events: [{ key: "b", value: "y", revision }],
+          position: { era, revision },
+        },
+      };
+    }
+
+    it("lists when a watch finds its revision gone", async () => {
+      const { store, replica, returns } = start([
+        listing,
+        compacted,
+        createListing(2, 2),
+      ]);
+      await jest.advanceTimersByTimeAsync(0);
+      expect(store.calls).toEqual(["list", "watch 4", "list", "watch 2"]);
+      expect(replica.getPosition()).toEqual({ era: 2, revision: 2 });
+      expect(returns.length).toBe(1);
+    });
+
+    it("lists when a watch goes on in a newer era", async () => {
+      const { store, changes, pushed } = start([
+        listing,
+        createChanges(2, 7),
+        createListing(2, 9),
+      ]);
+      await jest.advanceTimersByTimeAsync(0);
+      expect(store.calls).toEqual(["list", "watch 4", "list", "watch 9"]);
+      expect(changes).toEqual(["a by listing", "a by listing"]);
+      expect(pushed).toEqual([]);
+    });
+
+    it("lists when another call has named a newer era", async () => {
+      const refusal: Step = { ...unavailable, era: 2 };
+      const { store, watchers } = start([
+        listing,
+        refusal,
+        createListing(2, 2),
+      ]);
+      watchers.shouldWatch = false;
+      await jest.advanceTimersByTimeAsync(0);
+      expect(store.calls).toEqual(["list"]);
+      watchers.shouldWatch = true;
+      await jest.advanceTimersByTimeAsync(300);
+      expect(store.calls).toEqual(["list", "watch 3", "list", "watch 2"]);
+    });
+
+    it("lists once when peers report it", async () => {
+      const { store, watchers, sync, replica } = start([
+        listing,
+        createListing(2, 2),
+      ]);
+      watchers.shouldWatch = false;
+      await jest.advanceTimersByTimeAsync(0);
+      await expect(sync.catchUp(2)).resolves.toBe(true);
+      await jest.advanceTimersByTimeAsync(1_000);
+      expect(store.calls).toEqual(["list", "list"]);
+      expect(replica.getPosition()).toEqual({ era: 2, revision: 2 });
+    });
+
+    it("begins with the first report of the era", async () => {
+      const { sync, watchers } = start([listing, createListing(2, 2)]);
+      watchers.shouldWatch = false;
+      await jest.advanceTimersByTimeAsync(100);
+      sync.recordPeerEra(2);
+      const reportedAt = performance.now();
+      await jest.advanceTimersByTimeAsync(300);
+      sync.recordPeerEra(2);
+      await sync.catchUp(2);
+      expect(sync.getReturnedAt()).toBe(reportedAt);
+    });
+
+    it("does not take the first listing for a return", async () => {
+      const { sync, returns } = start([createListing(7, 2)]);
+      await jest.advanceTimersByTimeAsync(0);
+      expect(returns).toEqual([]);
+      expect(sync.getReturnedAt()).toBe(Number.NEGATIVE_INFINITY);
+    });
+
+    it("ignores a push of the era before", async () => {
+      const { sync, changes, watchers } = start([createListing(2, 2)]);
+      watchers.shouldWatch = false;
+      await jest.advanceTimersByTimeAsync(0);
+      sync.applyPush({
+        afterRevision: 2,
+        position: { era: 1, revision: 9 },
+        changes: [{ key: "late", value: "y", revision: 9 }],
+      });
+      expect(changes).toEqual(["a by listing"]);
+    });
+
+    it("does not watch from a revision of the era before", async () => {
+      const { store, sync } = start([
+        listing,
+        createChanges(1, 8),
+        createListing(2, 9),
+      ]);
+      await jest.advanceTimersByTimeAsync(100);
+      sync.applyPeerCopy({
+        position: { era: 2, revision: 2 },
+        isComplete: true,
+        changes: [{ key: "a", value: "x", revision: 2 }],
+      });
+      await jest.advanceTimersByTimeAsync(300);
+      expect(store.calls).toEqual(["list", "watch 4", "list", "watch 9"]);
+    });
+
+    it("does not use a watch that began in the era before", async () => {
+      let endWatch: (changes: Changes) => void;
+      const watchResult = new Promise<Changes>((resolve) => {
+        endWatch = resolve;
+      });
+      const { sync, changes, replica } = start([listing, {
+        kind: "pending",
+        result: watchResult,
+      }]);
+      await jest.advanceTimersByTimeAsync(0);
+      sync.applyPeerCopy({
+        position: { era: 2, revision: 2 },
+        isComplete: true,
+        changes: [{ key: "a", value: "x", revision: 2 }],
+      });
+      endWatch!({
+        events: [{ key: "late", value: "y", revision: 9 }],
+        position: { era: 2, revision: 9 },
+      });
+      await jest.advanceTimersByTimeAsync(0);
+      expect(changes).toEqual(["a by listing"]);
+      expect(replica.getPosition()).toEqual({ era: 2, revision: 2 });
+    });
+
+    it("does not go back to an era that a peer has left", async () => {
+      const { sync, replica, store } = start([listing, createChanges(1, 8)]);
+      sync.applyPeerCopy({
+        position: { era: 2, revision: 2 },
+        isComplete: true,
+        changes: [{ key: "a", value: "x", revision: 2 }],
+      });
+      await jest.advanceTimersByTimeAsync(400);
+      expect(replica.getPosition()).toEqual({ era: 2, revision: 2 });
+      expect(store.calls).toEqual(["list"]);
+    });
+  });
 });
--- a/src/process/direct/directory_tables.ts
+++ b/src/process/direct/directory_tables.ts
@@ -1,17 +1,36 @@
-/** Applies changes of the directory to the tables of one router. */
+/**
+ * Applies changes of the directory to the tables of one router.
+ *
+ * After a return of the store from an older copy, entries may be older than what
+ * this router knows. What is known stays in force then: the configuration until
+ * an equal or newer version is written, which no time bounds here, as the
+ * operator writes again what was lost; draining and removed targets until their
+ * entries change; and live targets without an entry for the time in which they
+ * register again.
+ */
 
 import type { DirectoryStore } from "../../types/directory.ts";
-import type { RouterPeer } from "../../types/direct_target.ts";
-import type { WatchEvent } from "../../types/platform.ts";
+import type { DirectTarget, RouterPeer } from "../../types/direct_target.ts";
 import type { RouteTable } from "../../types/route_table.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { CachedParts } from "./cached_parts.ts";
+import type { DirectoryChange } from "./directory_replica.ts";
 import type { TargetHealth } from "./target_health.ts";
 import type { TargetTable } from "./target_table.ts";
 
 /** Source of a change; a `push` comes from a peer that reads the store. */
 export type ChangeSource = "listing" | "watch" | "push" | "peer";
 
+/**
+ * Time until a change in the store is known here, in milliseconds: the pause of
+ * a watcher after other changes, and its push. A target that registers again in
+ * time is then not dropped before this is known.
+ */
+const changeDelayMs = 400;
+
+/** Maximum number of removed targets kept; the oldest is evicted first. */
+const maxRemovedTargets = 4_096;
+
 /** What the tables need from the process. */
 export interface DirectoryTablesHost {
   readonly store: Pick<DirectoryStore, "decode" | "resolveKey">;
@@ -24,8 +43,15 @@
    * register again, in milliseconds.
    */
   readonly expiryGraceMs: number;
+  /** Returns the era of all changes that are applied now, for the log. */
+  getEra(): number;
   /** Returns when the store's last outage ended, on the monotonic clock. */
   getOutageEndedAt(): number;
+  /**
+   * Returns when the store was first known to have returned from an older copy
+   * for the last time, on the monotonic clock.
+   */
+  getReturnedAt(): number;
   /** Handles a newer version of the configuration. */
   handleRouteTable(table: RouteTable): void;
 }
@@ -33,9 +59,11 @@
 /** Tables that are derived from the directory. */
 export interface DirectoryTables {
   /** Applies changes, in order. */
-  apply(changes: readonly WatchEvent[], source: ChangeSource): void;
-  /** Registered routers by id. */
+  apply(changes: readonly DirectoryChange[], source: ChangeSource): void;
+  /** Routers by id, those included whose entries the store has lost. */
   readonly routers: ReadonlyMap<string, RouterPeer>;
+  /** Returns a router as its entry in the store describes it, if any. */
+  tryGetRegistered(id: string): RouterPeer | undefined;
   /** Returns the version of the active configuration; 0 before the first. */
   getVersion(): number;
 }
@@ -46,39 +74,42 @@
 ): DirectoryTables {
   const { store, targets, log } = host;
   const routers = new Map<string, RouterPeer>();
+  const registeredRouters = new Map<string, RouterPeer>();
+  /** Start times of removed targets by id, in epoch milliseconds. */
+  const removedTargets = new Map<string, number>();
   let version = 0;
 
   return {
     apply: (changes, source) =>
       changes.forEach((change) => applyChange(change, source)),
     routers,
+    tryGetRegistered: (id) => registeredRouters.get(id),
     getVersion: () => version,
   };
 
-  function applyChange(change: WatchEvent, source: ChangeSource): void {
-    const { key, value, revision } = change;
+  function applyChange(change: DirectoryChange, source: ChangeSource): void {
+    const { key, value, revision, isRestored = false } = change;
     if (value === undefined) return applyRemoval(change, source);
     const record = store.decode({ key, value, revision });
     switch (record.kind) {
       case "route_table":
         return applyRouteTable(record.table, { revision, source });
-      case "target": {
-        const { id, service, state, address } = record.target;
-        if (targets.put(record.target)) {
-          host.cachedParts.forgetTarget(id);
-          host.health.forget(id);
+      case "target":
+        return isRestored && isOutdated(record.target)
+          ? ignoreRestored(record.target, change, source)
+          : putTarget(record.target, { revision, source });
+      case "router": {
+        const { router } = record;
+        registeredRouters.set(router.id, router);
+        // A router writes its own entry again when the store has lost it.
+        if (!isRestored || !routers.has(router.id)) {
+          routers.set(router.id, router);
         }
-        log.info("Target changed", {
-          ...{ target: id, service, state, address, revision, source },
-        });
         return;
       }
-      case "router":
-        routers.set(record.router.id, record.router);
-        return;
       case "unreadable":
         log.warn("Entry cannot be read", {
-          ...{ key, revision, reason: record.reason },
+          ...{ key, era: host.getEra(), revision, reason: record.reason },
         });
         return applyRemoval(change, source);
       case "other":
@@ -86,6 +117,59 @@
     }
   }
 
+  function putTarget(
+    target: DirectTarget,
+    { revision, source }: {
+      readonly revision: number;
+      readonly source: ChangeSource;
+    },
+  ): void {
+    const { id, service, state, address } = target;
+    removedTargets.delete(id);
+    if (targets.put(target)) {
+      host.cachedParts.forgetTarget(id);
+      host.health.forget(id);
+    }
+    log.info("Target changed", {
+      ...{ target: id, service, state, address },
+      ...getOrigin(revision, source),
+    });
+  }
+
+  /** Returns true when more is known of the target than a restored entry. */
+  function isOutdated({ id, state, startedAtMs }: DirectTarget): boolean {
+    const removed = removedTargets.get(id);
+    if (removed !== undefined && startedAtMs <= removed) return true;
+    const known = targets.tryGet(id);
+    if (known === undefined) return false;
+    return startedAtMs < known.startedAtMs ||
+      (startedAtMs === known.startedAtMs && known.state === "draining" &&
+        state === "ready");
+  }
+
+  function ignoreRestored(
+    { id, state, startedAtMs }: DirectTarget,
+    { revision }: DirectoryChange,
+    source: ChangeSource,
+  ): void {
+    const known = targets.tryGet(id);
+    const isRemoved = removedTargets.has(id);
+    log.info("Restored entry of a target was ignored", {
+      ...{ target: id, state },
+      ...getOrigin(revision, source),
+      known: isRemoved ? "removed" : known?.state,
+    });
+    // The entry of the process that runs now is missing.
+    if (!isRemoved && known !== undefined && known.startedAtMs > startedAtMs) {
+      targets.remove(id, getUsableUntil(id, { source, isRestored: true }));
+    }
+  }
+
+  /** Returns the log fields that tell where a change comes from. */
+  function getOrigin(revision: number, source: ChangeSource) {
+    return { era: host.getEra(), revision, source };
+  }
+
   function applyRouteTable(
     table: RouteTable,
     { revision, source }: {
@@ -95,43 +179,72 @@
   ): void {
     if (table.version <= version) {
       return log.warn("Older configuration was ignored", {
-        ...{ version: table.version, inForce: version, revision, source },
+        ...{ version: table.version, inForce: version },
+        ...getOrigin(revision, source),
       });
     }
     version = table.version;
     log.info("Configuration is in force", {
-      ...{ version, revision, source },
+      version,
+      ...getOrigin(revision, source),
       routes: table.routes.length,
     });
     host.handleRouteTable(table);
   }
 
   function applyRemoval(
-    { key, revision }: WatchEvent,
+    { key, revision, isRestored = false }: DirectoryChange,
     source: ChangeSource,
   ): void {
     const removed = store.resolveKey(key);
     if (removed === undefined) return;
-    if (removed.kind === "router") return void routers.delete(removed.id);
-    const usableUntil = getUsableUntil(removed.id, source);
-    targets.remove(removed.id, usableUntil);
+    const { id } = removed;
+    if (removed.kind === "router") {
+      registeredRouters.delete(id);
+      if (!isRestored) routers.delete(id);
+      return;
+    }
+    const usableUntil = getUsableUntil(id, { source, isRestored });
+    targets.remove(id, usableUntil);
+    const isDraining = targets.tryGet(id)?.state === "draining";
+    if (!isRestored || isDraining) recordRemoved(id);
     log.info("Target is gone", {
-      target: removed.id,
-      ...{ revision, source },
+      target: id,
+      ...getOrigin(revision, source),
       usableForMs: Math.max(0, Math.round(usableUntil - performance.now())),
     });
   }
 
+  function recordRemoved(id: string): void {
+    removedTargets.delete(id);
+    removedTargets.set(
+      id,
+      targets.tryGet(id)?.startedAtMs ?? Number.POSITIVE_INFINITY,
+    );
+    if (removedTargets.size <= maxRemovedTargets) return;
+    const [oldest] = removedTargets.keys();
+    if (oldest !== undefined) removedTargets.delete(oldest);
+  }
+
   /**
    * Returns the time until which a target stays usable after its entry was
-   * removed. An entry that expired in an outage is registered again if its
-   * target is alive.
+   * removed. An entry that expired in an outage, or that the store has lost, is
+   * registered again if its target is alive.
    */
-  function getUsableUntil(id: string, source: ChangeSource): number {
+  function getUsableUntil(
+    id: string,
+    { source, isRestored }: {
+      readonly source: ChangeSource;
+      readonly isRestored: boolean;
+    },
+  ): number {
     const now = performance.now();
-    if (source === "peer" || targets.tryGet(id)?.state === "draining") {
-      return now;
+    if (targets.tryGet(id)?.state === "draining") return now;
+    if (isRestored) {
+      const graceMs = host.expiryGraceMs + changeDelayMs;
+      return Math.max(now, host.getReturnedAt() + graceMs);
     }
+    if (source === "peer") return now;
     return Math.max(now, host.getOutageEndedAt() + host.expiryGraceMs);
   }
 }
--- a/src/process/direct/directory_tables_test.ts
+++ b/src/process/direct/directory_tables_test.ts
@@ -1,4 +1,5 @@
 import { createTable, createTarget } from "../../../test/support/direct.ts";
+import type { RouterPeer } from "../../types/direct_target.ts";
 import type { DirectoryRecord } from "../../types/directory.ts";
 import { createSilentLog } from "../telemetry/log.ts";
 import { createDirectoryTables } from "./directory_tables.ts";
@@ -14,6 +15,7 @@
     const targets = createTargetTable();
     const cachedParts = createCachedParts();
     let outageEndedAt = Number.NEGATIVE_INFINITY;
+    let returnedAt = Number.NEGATIVE_INFINITY;
     const directory = createDirectoryTables({
       store: {
         decode: ({ value }) =>
@@ -29,6 +31,8 @@
       log: createSilentLog(),
       expiryGraceMs: 2_200,
       getOutageEndedAt: () => outageEndedAt,
+      getReturnedAt: () => returnedAt,
+      getEra: () => 1,
       handleRouteTable: ({ version }) => versions.push(version),
     });
     let revision = 0;
@@ -41,6 +45,14 @@
       },
       apply: (key: string, value: string | undefined) =>
         directory.apply([{ key, value, revision: ++revision }], "watch"),
+      /** Lets the store return with an older content of an entry. */
+      restore: (key: string, value: string | undefined) => {
+        returnedAt = performance.now();
+        directory.apply(
+          [{ key, value, revision: 1, isRestored: true }],
+          "listing",
+        );
+      },
     };
   }
 
@@ -49,8 +61,22 @@
     v5: { kind: "route_table", table: createTable({ version: 5 }) },
     v4: { kind: "route_table", table: createTable({ version: 4 }) },
     a: { kind: "target", target },
+    draining: {
+      kind: "target",
+      target: createTarget("a", { state: "draining" }),
+    },
+    next: {
+      kind: "target",
+      target: createTarget("a", { startedAtMs: target.startedAtMs + 9 }),
+    },
+    router: { kind: "router", router: createRouter(1) },
+    movedRouter: { kind: "router", router: createRouter(2) },
   };
 
+  function createRouter(digestPort: number): RouterPeer {
+    return { id: "r", address: "10.0.0.1", digestPort, pullPort: 7 };
+  }
+
   it("never return to an older configuration", () => {
     const { directory, apply, versions } = create(records);
     apply("c", "v5");
@@ -83,4 +109,107 @@
     await jest.advanceTimersByTimeAsync(2_300);
     expect(targets.getReady(target.service)).toEqual([]);
   });
+
+  describe("after a return of the store from an older copy", () => {
+    const graceMs = 2_600;
+
+    function createWithTarget() {
+      const tables = create(records);
+      tables.apply("t/a", "a");
+      return {
+        ...tables,
+        countReady: () => tables.targets.getReady(target.service).length,
+      };
+    }
+
+    it("keep a newer configuration until it is written again", () => {
+      const { directory, apply, restore, versions } = create(records);
+      apply("c", "v5");
+      restore("c", "v4");
+      expect(directory.getVersion()).toBe(5);
+      apply("c", "v5");
+      expect(versions).toEqual([5]);
+    });
+
+    it("keep a draining target so until its entry changes", () => {
+      const { apply, restore, countReady } = createWithTarget();
+      apply("t/a", "draining");
+      restore("t/a", "a");
+      expect(countReady()).toBe(0);
+      apply("t/a", "a");
+      expect(countReady()).toBe(1);
+    });
+
+    it("do not use a removed target until its entry changes", () => {
+      const { apply, restore, countReady } = createWithTarget();
+      apply("t/a", undefined);
+      restore("t/a", "a");
+      expect(countReady()).toBe(0);
+      apply("t/a", "a");
+      expect(countReady()).toBe(1);
+    });
+
+    it("do not use a target whose draining entry is missing", async () => {
+      const { apply, restore, countReady } = createWithTarget();
+      apply("t/a", "draining");
+      restore("t/a", undefined);
+      expect(countReady()).toBe(0);
+      await jest.advanceTimersByTimeAsync(60_000);
+      restore("t/a", "a");
+      expect(countReady()).toBe(0);
+    });
+
+    it("use a new process under the id of a removed one", () => {
+      const { apply, restore, countReady } = createWithTarget();
+      apply("t/a", undefined);
+      restore("t/a", "next");
+      expect(countReady()).toBe(1);
+    });
+
+    it("keep a live target without an entry for a time", async () => {
+      const { restore, countReady } = createWithTarget();
+      restore("t/a", undefined);
+      await jest.advanceTimersByTimeAsync(graceMs - 1);
+      expect(countReady()).toBe(1);
+      await jest.advanceTimersByTimeAsync(1);
+      expect(countReady()).toBe(0);
+    });
+
+    it("keep a live target that registers again in that time", async () => {
+      const { apply, restore, countReady } = createWithTarget();
+      restore("t/a", undefined);
+      await jest.advanceTimersByTimeAsync(graceMs - 1);
+      apply("t/a", "a");
+      await jest.advanceTimersByTimeAsync(graceMs);
+      expect(countReady()).toBe(1);
+    });
+
+    it("keep a process whose predecessor has the entry for a time", async () => {
+      const { apply, restore, targets, countReady } = createWithTarget();
+      apply("t/a", "next");
+      restore("t/a", "a");
+      expect(targets.tryGet("a")?.startedAtMs).toBe(target.startedAtMs + 9);
+      expect(countReady()).toBe(1);
+      await jest.advanceTimersByTimeAsync(graceMs);
+      expect(countReady()).toBe(0);
+    });
+
+    it("stop to use a target that is removed after the return", () => {
+      const { apply, restore, countReady } = createWithTarget();
+      restore("t/b", undefined);
+      apply("t/a", undefined);
+      expect(countReady()).toBe(0);
+    });
+
+    it("keep the addresses of routers, and tell which are lost", () => {
+      const { apply, restore, directory } = create(records);
+      apply("r/r", "router");
+      restore("r/r", "movedRouter");
+      expect(directory.routers.get("r")).toEqual(createRouter(1));
+      expect(directory.tryGetRegistered("r")).toEqual(createRouter(2));
+      restore("r/r", undefined);
+      expect(directory.routers.get("r")).toEqual(createRouter(1));
+      expect(directory.tryGetRegistered("r")).toBeUndefined();
+    });
+  });
 });
--- a/src/process/direct/peer_digests.ts
+++ b/src/process/direct/peer_digests.ts
@@ -1,15 +1,17 @@
 /**
  * Encodes and decodes the datagrams between routers: their loads, the prompt
- * parts that they have just sent to targets, their directory revisions, and the
+ * parts that they have just sent to targets, their directory positions, and the
  * directory changes that they have just read from the store.
  */
 
 import {
   PeerDigest,
+  type PushFragment as FragmentMessage,
   type TargetLoadReport,
 } from "../../generated/mimosatray/v1/peer_digest.ts";
 import type { PlacedPart } from "./cached_parts.ts";
 import type { PushFragment } from "./push_fragments.ts";
+import type { StorePosition } from "../../types/store_position.ts";
 import type { TargetLoad } from "./load_view.ts";
 
 /** Maximum size of a datagram, in bytes; avoids fragmentation on any path. */
@@ -27,7 +29,8 @@
 /** A decoded digest of a peer. */
 export interface ReceivedDigest {
   readonly sender: string;
-  readonly directoryRevision: number;
+  /** Position up to which the sender knows all changes of the directory. */
+  readonly position: StorePosition;
   /** False while the sender recovers the cached parts of engines. */
   readonly isSettled: boolean;
   /** True while the sender reads directory changes from the store itself. */
@@ -46,7 +49,7 @@
 /** State that a process reports of itself. */
 export type DigestState = Pick<
   ReceivedDigest,
-  | "directoryRevision"
+  | "position"
   | "isSettled"
   | "isWatching"
   | "outageEndedAgoMs"
@@ -97,7 +100,7 @@
   }
 
   function encode(
-    { loads, ...state }: DigestState,
+    { loads, position, ...state }: DigestState,
     { parts, pushFragment }: {
       readonly parts: readonly PlacedPart[];
       readonly pushFragment?: PushFragment;
@@ -105,6 +108,8 @@
   ): Uint8Array {
     return PeerDigest.encode({
       ...state,
+      directoryRevision: position.revision,
+      directoryEra: position.era,
       sender,
       loads: [...loads].map(toLoadReport),
       heldParts: parts.map(({ target, part, isBeingRead }) => ({
@@ -114,7 +119,9 @@
         isBeingRead,
       })),
       pushFragment: pushFragment && {
-        ...pushFragment,
+        ...pushFragment.position,
+        index: pushFragment.index,
+        count: pushFragment.count,
         data: Buffer.from(pushFragment.data),
       },
     }).finish();
@@ -131,6 +138,12 @@
   };
 }
 
+function toPushFragment(
+  { era, revision, index, count, data }: FragmentMessage,
+): PushFragment {
+  return { position: { era, revision }, index, count, data };
+}
+
 /** Decodes a datagram; returns undefined when it is not a digest. */
 export function tryDecodeDigest(bytes: Uint8Array): ReceivedDigest | undefined {
   if (bytes.length === 0) return undefined;
@@ -139,11 +152,14 @@
     if (digest.sender === "") return undefined;
     return {
       sender: digest.sender,
-      directoryRevision: digest.directoryRevision,
+      position: {
+        era: digest.directoryEra,
+        revision: digest.directoryRevision,
+      },
       isSettled: digest.isSettled,
       isWatching: digest.isWatching,
       outageEndedAgoMs: digest.outageEndedAgoMs,
-      pushFragment: digest.pushFragment,
+      pushFragment: digest.pushFragment && toPushFragment(digest.pushFragment),
       loads: new Map(
         digest.loads.map(({ target, requests, unreadTokens }) => [
           target,
--- a/src/process/direct/peer_digests_test.ts
+++ b/src/process/direct/peer_digests_test.ts
@@ -1,3 +1,4 @@
+import { PeerDigest } from "../../generated/mimosatray/v1/peer_digest.ts";
 import {
   createDigestWriter,
   maxDigestBytes,
@@ -5,7 +6,7 @@
 } from "./peer_digests.ts";
 
 const noLoads = {
-  directoryRevision: 7,
+  position: { era: 2, revision: 7 },
   isSettled: true,
   isWatching: false,
   outageEndedAgoMs: 0,
@@ -13,7 +14,7 @@
 };
 
 describe("peer digests", () => {
-  it("carry loads, parts and the directory revision", () => {
+  it("carry loads, parts and the directory position", () => {
     const writer = createDigestWriter("router-1");
     writer.queuePart({
       target: "a",
@@ -21,7 +22,7 @@
       isBeingRead: true,
     });
     const digest = tryDecodeDigest(writer.write({
-      directoryRevision: 7,
+      position: { era: 2, revision: 7 },
       isSettled: true,
       isWatching: true,
       outageEndedAgoMs: 40,
@@ -29,7 +30,7 @@
     }));
     expect(digest).toEqual({
       sender: "router-1",
-      directoryRevision: 7,
+      position: { era: 2, revision: 7 },
       isSettled: true,
       isWatching: true,
       outageEndedAgoMs: 40,
@@ -69,7 +70,7 @@
     );
     const { length } = writer.write({
       ...noLoads,
-      directoryRevision: 9_999_999,
+      position: { era: 999, revision: 9_999_999 },
       isSettled: true,
       loads,
     });
@@ -83,7 +84,7 @@
 
   it("carry a part of a push in place of loads", () => {
     const fragment = {
-      revision: 9,
+      position: { era: 999, revision: 9_999_999 },
       index: 1,
       count: 2,
       data: Buffer.alloc(1_150, 7),
@@ -97,4 +98,29 @@
     expect(digest?.pushFragment).toEqual(fragment);
     expect(digest?.loads.size).toBe(0);
   });
+
+  describe("between builds with and without an era", () => {
+    it("have an unknown era when the sender names none", () => {
+      const bytes = PeerDigest.encode({
+        ...PeerDigest.decode(new Uint8Array()),
+        sender: "router-1",
+        directoryRevision: 7,
+      }).finish();
+      expect(tryDecodeDigest(bytes)?.position).toEqual({ era: 0, revision: 7 });
+    });
+
+    it("keep the fields that builds without an era read", () => {
+      const bytes = createDigestWriter("router-1").writePush(noLoads, {
+        position: { era: 2, revision: 9 },
+        index: 0,
+        count: 1,
+        data: Buffer.from("x"),
+      });
+      expect(PeerDigest.decode(bytes)).toMatchObject({
+        sender: "router-1",
+        directoryRevision: 7,
+        pushFragment: { revision: 9, index: 0, count: 1 },
+      });
+    });
+  });
 });
--- a/src/process/direct/peer_pulls.ts
+++ b/src/process/direct/peer_pulls.ts
@@ -12,9 +12,10 @@
   SocketAddress,
 } from "../../types/direct_settings.ts";
 import type { RouterPeer } from "../../types/direct_target.ts";
-import type { WatchEvent } from "../../types/platform.ts";
+import type { StorePosition } from "../../types/store_position.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { CachedPart } from "./cached_parts.ts";
+import type { DirectoryCopy } from "./directory_replica.ts";
 
 /** Time for which a peer may be ahead before its changes are pulled, in ms. */
 const maxLagMs = 500;
@@ -43,15 +44,15 @@
   needsPeers(): boolean;
   /** Returns true once this router has a configuration. */
   hasConfiguration(): boolean;
-  /** Returns the newest revision that this router knows. */
-  getRevision(): number;
-  /** Applies a peer's changes after that revision. */
-  applyChanges(changes: readonly WatchEvent[]): void;
-  /** Returns a peer's changes; rejects when it is unresponsive. */
+  /** Returns the position up to which this router knows all changes. */
+  getPosition(): StorePosition;
+  /** Applies what a peer knows beyond that position. */
+  applyCopy(copy: DirectoryCopy): void;
+  /** Returns what a peer knows; rejects when it is unresponsive. */
   pullDirectory(
     peer: SocketAddress,
-    afterRevision: number,
-  ): Promise<readonly WatchEvent[]>;
+    after: StorePosition,
+  ): Promise<DirectoryCopy>;
   /** Returns a peer's cached parts; rejects when it is unresponsive. */
   pullCachedParts(peer: SocketAddress): Promise<{
     readonly parts: readonly CachedPart[];
@@ -61,7 +62,7 @@
 
 /** Pulls of one router from its peers. */
 export interface PeerPulls {
-  /** Reports that a peer knows a newer revision. */
+  /** Reports that a peer knows a newer position. */
   reportPeerAhead(peer: SocketAddress): void;
   /** Reports that this router is up to date. */
   reportCaughtUp(): void;
@@ -121,14 +122,16 @@
   async function pull(peer: SocketAddress): Promise<void> {
     if (isPulling) return;
     isPulling = true;
-    const revision = host.getRevision();
+    const after = host.getPosition();
     try {
-      const changes = await host.pullDirectory(peer, revision);
-      host.applyChanges(changes);
+      const copy = await host.pullDirectory(peer, after);
+      host.applyCopy(copy);
       host.log.info("Directory was pulled from a peer", {
         peer: peer.address,
-        fromRevision: revision,
-        changes: changes.length,
+        ...copy.position,
+        fromEra: after.era,
+        fromRevision: after.revision,
+        changes: copy.changes.length,
       });
     } catch (error) {
       host.log.warn("Peer gave no copy of the directory", {
--- a/src/process/direct/peer_pulls_test.ts
+++ b/src/process/direct/peer_pulls_test.ts
@@ -1,10 +1,14 @@
-import type { WatchEvent } from "../../types/platform.ts";
 import { createSilentLog } from "../telemetry/log.ts";
+import type { DirectoryCopy } from "./directory_replica.ts";
 import { createPeerPulls } from "./peer_pulls.ts";
 
 const own = { address: "10.0.0.1", port: 7 };
 const peer = { address: "10.0.0.2", port: 7 };
-const change: WatchEvent = { key: "a", value: "x", revision: 9 };
+const copy: DirectoryCopy = {
+  position: { era: 1, revision: 9 },
+  isComplete: false,
+  changes: [{ key: "a", value: "x", revision: 9 }],
+};
 
 describe("peer pulls", () => {
   beforeEach(() => void jest.useFakeTimers());
@@ -14,17 +18,17 @@
     state: { hasConfiguration: boolean; needsPeers: boolean },
   ) {
     const pulled: string[] = [];
-    const applied: WatchEvent[] = [];
+    const applied: DirectoryCopy[] = [];
     const pulls = createPeerPulls({
       settings: { pull: own, seeds: [own, peer] },
       log: createSilentLog(),
       needsPeers: () => state.needsPeers,
       hasConfiguration: () => state.hasConfiguration,
-      getRevision: () => 4,
-      applyChanges: (changes) => applied.push(...changes),
-      pullDirectory: ({ address }, revision) => {
-        pulled.push(`${address} after ${revision}`);
-        return Promise.resolve([change]);
+      getPosition: () => ({ era: 1, revision: 4 }),
+      applyCopy: (pulledCopy) => applied.push(pulledCopy),
+      pullDirectory: ({ address }, { era, revision }) => {
+        pulled.push(`${address} after ${era}/${revision}`);
+        return Promise.resolve(copy);
       },
       pullCachedParts: () => Promise.reject(new Error("silent")),
     });
@@ -51,8 +55,8 @@
       await jest.advanceTimersByTimeAsync(400);
       pulls.reportPeerAhead(peer);
       await jest.advanceTimersByTimeAsync(0);
-      expect(pulled).toEqual(["10.0.0.2 after 4"]);
-      expect(applied).toEqual([change]);
+      expect(pulled).toEqual(["10.0.0.2 after 1/4"]);
+      expect(applied).toEqual([copy]);
     });
 
     it("pull from no peer while the store responds", async () => {
@@ -74,7 +78,7 @@
       await jest.advanceTimersByTimeAsync(1_000);
       pulls.tick();
       pulls.tick();
-      expect(pulled).toEqual(["10.0.0.2 after 4"]);
+      expect(pulled).toEqual(["10.0.0.2 after 1/4"]);
     });
   });
 
--- a/src/process/direct/push_fragments.ts
+++ b/src/process/direct/push_fragments.ts
@@ -12,6 +12,10 @@
 import {
   DirectoryPush as PushMessage,
 } from "../../generated/mimosatray/v1/peer_digest.ts";
+import {
+  comparePositions,
+  type StorePosition,
+} from "../../types/store_position.ts";
 import type { DirectoryPush } from "./directory_replica.ts";
 
 /** Maximum size of the data in one fragment, in bytes. */
@@ -28,8 +32,8 @@
 
 /** One datagram's part of a push. */
 export interface PushFragment {
-  /** Revision of the push, which identifies it among those of its sender. */
-  readonly revision: number;
+  /** Position of the push, which identifies it among those of its sender. */
+  readonly position: StorePosition;
   readonly index: number;
   readonly count: number;
   readonly data: Uint8Array;
@@ -38,14 +42,18 @@
 /** Returns the fragments of a push; none when it takes too many. */
 export function splitPush(push: DirectoryPush): readonly PushFragment[] {
   const message = PushMessage
-    .encode({ ...push, changes: [...push.changes] })
+    .encode({
+      ...push.position,
+      afterRevision: push.afterRevision,
+      changes: [...push.changes],
+    })
     .finish();
   if (message.length > maxPushBytes) return [];
   const bytes = deflateRawSync(message);
   const count = Math.ceil(bytes.length / maxFragmentBytes);
   if (count > maxFragments) return [];
   return Array.from({ length: count }, (_, index) => ({
-    revision: push.revision,
+    position: push.position,
     index,
     count,
     data: bytes.subarray(
@@ -63,7 +71,7 @@
 
 /** The fragments of a peer's latest push. */
 interface OpenPush {
-  readonly revision: number;
+  readonly position: StorePosition;
   readonly fragments: Map<number, Uint8Array>;
 }
 
@@ -75,13 +83,15 @@
 
   function add(
     sender: string,
-    { revision, index, count, data }: PushFragment,
+    { position, index, count, data }: PushFragment,
   ): DirectoryPush | undefined {
     if (count > maxFragments || index >= count) return undefined;
     const known = openPushes.get(sender);
-    const open = known?.revision === revision
+    const isKnown = known !== undefined &&
+      comparePositions(known.position, position) === 0;
+    const open = isKnown
       ? known
-      : { revision, fragments: new Map<number, Uint8Array>() };
+      : { position, fragments: new Map<number, Uint8Array>() };
     openPushes.set(sender, open);
     open.fragments.set(index, data);
     if (open.fragments.size < count) return undefined;
@@ -100,10 +110,10 @@
     const bytes = inflateRawSync(Buffer.concat(ordered), {
       maxOutputLength: maxPushBytes,
     });
-    const { afterRevision, revision, changes } = PushMessage.decode(bytes);
+    const { afterRevision, era, revision, changes } = PushMessage.decode(bytes);
     return {
       afterRevision,
-      revision,
+      position: { era, revision },
       changes: changes.map((change) => ({
         key: change.key,
         value: change.value,
--- a/src/process/direct/push_fragments_test.ts
+++ b/src/process/direct/push_fragments_test.ts
@@ -6,7 +6,11 @@
 /** Creates a push whose value compresses badly. */
 function createPush(bytes: number) {
   const value = randomBytes(bytes / 2).toString("hex");
-  return { afterRevision: 4, revision: 9, changes: [{ ...change, value }] };
+  return {
+    afterRevision: 4,
+    position: { era: 2, revision: 9 },
+    changes: [{ ...change, value }],
+  };
 }
 
 describe("a push in fragments", () => {
@@ -25,7 +29,7 @@
   it("tells a removed entry from an empty one", () => {
     const push = {
       afterRevision: 4,
-      revision: 6,
+      position: { era: 2, revision: 6 },
       changes: [
         { key: "servers/a", value: undefined, revision: 5 },
         { key: "servers/b", value: "", revision: 6 },
@@ -37,12 +41,28 @@
 
   it("is dropped when the sender's next push begins", () => {
     const [first] = splitPush(createPush(8_000));
-    const later = { ...createPush(100), revision: 10 };
+    const later = {
+      ...createPush(100),
+      position: { era: 2, revision: 10 },
+    };
     const assembly = createPushAssembly();
     expect(assembly.add("router-1", first!)).toBeUndefined();
     expect(assembly.add("router-1", splitPush(later)[0]!)).toEqual(later);
   });
 
+  it("is not mixed with a push of the same revision of another era", () => {
+    const fragments = splitPush(createPush(8_000));
+    const later = splitPush({
+      ...createPush(8_000),
+      position: { era: 3, revision: 9 },
+    });
+    const assembly = createPushAssembly();
+    fragments.slice(0, -1).forEach((fragment) =>
+      assembly.add("router-1", fragment)
+    );
+    expect(assembly.add("router-1", later.at(-1)!)).toBeUndefined();
+  });
+
   it("is not mixed with a push of another sender", () => {
     const fragments = splitPush(createPush(8_000));
     const assembly = createPushAssembly();
@@ -64,11 +84,12 @@
 
   it("is ignored when its bytes are not a push", () => {
     const data = randomBytes(50);
+    const position = { era: 1, revision: 1 };
     expect(
-      createPushAssembly().add("x", { revision: 1, index: 0, count: 1, data }),
+      createPushAssembly().add("x", { position, index: 0, count: 1, data }),
     ).toBeUndefined();
     expect(
-      createPushAssembly().add("x", { revision: 1, index: 7, count: 1, data }),
+      createPushAssembly().add("x", { position, index: 7, count: 1, data }),
     ).toBeUndefined();
   });
 });
--- a/src/roles/digest_exchange.ts
+++ b/src/roles/digest_exchange.ts
@@ -2,6 +2,7 @@
 
 import { createGossipSocket } from "../connection/gossip_socket.ts";
 import type { CachedParts } from "../process/direct/cached_parts.ts";
+import { createCatchUp } from "../process/direct/catch_up.ts";
 import { createDigestPace } from "../process/direct/digest_pace.ts";
 import type { DirectoryPush } from "../process/direct/directory_replica.ts";
 import type { DirectorySync } from "../process/direct/directory_sync.ts";
@@ -25,6 +26,11 @@
 import type { RouterPeer } from "../types/direct_target.ts";
 import type { WatchEvent } from "../types/platform.ts";
 import type { PromptPart } from "../types/prompt.ts";
+import {
+  comparePositions,
+  originPosition,
+  type StorePosition,
+} from "../types/store_position.ts";
 
 /** Interval at which it is decided whether to send a digest, in ms. */
 const tickIntervalMs = 60;
@@ -38,19 +44,6 @@
 /** Time for which an outage of the store is reported, in milliseconds. */
 const outageReportMs = 10_000;
 
-/**
- * Delay before a router reads missed changes from the store, in milliseconds:
- * a minimum, in which pushes of other peers may arrive, and random jitter, so
- * that not all routers call the store at the same time.
- */
-const catchUpDelayMs = { min: 60, jitter: 250 } as const;
-
-/**
- * Pause after a catch-up, in milliseconds; a series of changes then takes few
- * store calls.
- */
-const catchUpPauseMs = 300;
-
 /**
  * Delay of a push per router of higher rank that reads the store too, in
  * milliseconds. All of them read a change at the same time; one push is enough.
@@ -72,6 +65,7 @@
     | "hasTurn"
     | "isCatchingUp"
     | "isWatching"
+    | "recordPeerEra"
     | "recordPeerOutage"
   >;
   readonly pulls: Pick<
@@ -81,8 +75,8 @@
   readonly cachedParts: CachedParts;
   readonly prefills: Pick<PartPrefills, "recordPeerPrefill">;
   readonly loads: Pick<LoadView, "recordReport" | "getOwnLoads">;
-  /** Returns the revision up to which all changes are known. */
-  getRevision(): number;
+  /** Returns the position up to which all changes are known. */
+  getPosition(): StorePosition;
   /** Returns true once the cached parts of engines are known. */
   isSettled(): boolean;
 }
@@ -95,7 +89,7 @@
   /** Sends a digest to all peers now. */
   sendDigest(): void;
   /** Pushes directory changes that were read from the store to all peers. */
-  pushChanges(changes: readonly WatchEvent[], afterRevision: number): void;
+  pushChanges(changes: readonly WatchEvent[], after: StorePosition): void;
   /**
    * Records that a target gets the parts of a prompt and has to prefill
    * `prefillParts`, and reports it to peers.
@@ -121,13 +115,16 @@
   const lastHeardAt = new Map<string, number>();
   const pace = createDigestPace();
   const assembly = createPushAssembly();
-  /** Newest revision that a peer has pushed. */
-  let peerPushRevision = 0;
+  const catchUp = createCatchUp({
+    getPosition: host.getPosition,
+    isWatching: sync.isWatching,
+    catchUp: sync.catchUp,
+    random: Math.random,
+  });
+  /** Newest position that a peer has pushed. */
+  let peerPushPosition = originPosition;
   let isPullingParts = false;
   let tickTimer: NodeJS.Timeout | undefined;
-  let catchUpTimer: NodeJS.Timeout | undefined;
-  /** Time until which no further catch-up begins, on the steady clock. */
-  let catchUpPausedUntil = 0;
   const socket = createGossipSocket({
     receive: (bytes, from) => {
       const digest = tryDecodeDigest(bytes);
@@ -155,7 +152,7 @@
 
   function stop(): void {
     clearInterval(tickTimer);
-    clearTimeout(catchUpTimer);
+    catchUp.stop();
     void socket.close();
   }
 
@@ -180,12 +177,13 @@
 
   function pushChanges(
     changes: readonly WatchEvent[],
-    afterRevision: number,
+    { era, revision: afterRevision }: StorePosition,
   ): void {
     const revision = Math.max(...changes.map((change) => change.revision));
+    const position = { era, revision };
     setTimeout(() => {
-      if (peerPushRevision >= revision) return;
-      const fragments = splitPush({ afterRevision, revision, changes });
+      if (comparePositions(peerPushPosition, position) >= 0) return;
+      const fragments = splitPush({ afterRevision, position, changes });
       const state = getDigestState();
       fragments.forEach((fragment) =>
         sendToAll(digestWriter.writePush(state, fragment))
@@ -206,7 +204,7 @@
   function getDigestState(): DigestState {
     const outageEndedAgoMs = performance.now() - sync.getSeenOutageEndedAt();
     return {
-      directoryRevision: host.getRevision(),
+      position: host.getPosition(),
       isSettled: host.isSettled(),
       isWatching: sync.isWatching(),
       outageEndedAgoMs: outageEndedAgoMs > outageReportMs
@@ -262,8 +260,8 @@
   }
 
   function handleDirectory(digest: ReceivedDigest, from: Endpoint): void {
-    const { sender, pushFragment, directoryRevision, outageEndedAgoMs } =
-      digest;
+    const { sender, pushFragment, position, outageEndedAgoMs } = digest;
+    sync.recordPeerEra(position.era);
     if (outageEndedAgoMs > 0) {
       sync.recordPeerOutage(performance.now() - outageEndedAgoMs);
     }
@@ -271,8 +269,7 @@
       // The sender's revision counts once its push is complete.
       return handlePush(assembly.add(sender, pushFragment));
     }
-    if (directoryRevision <= host.getRevision()) return;
-    if (host.getRevision() > 0 && !sync.isWatching()) scheduleCatchUp();
+    if (!catchUp.reportPeer(position)) return;
     // A large response takes a slow link long; a pull would take its share.
     if (sync.isCatchingUp()) return;
     // A peer that is not in the directory yet uses the same pull port as this
@@ -283,25 +280,12 @@
 
   function handlePush(push: DirectoryPush | undefined): void {
     if (push === undefined) return;
-    peerPushRevision = Math.max(peerPushRevision, push.revision);
-    sync.applyPush(push);
-  }
-
-  /** Reads missed changes from the store, unless a push brings them sooner. */
-  function scheduleCatchUp(): void {
-    if (catchUpTimer !== undefined) return;
-    const { min, jitter } = catchUpDelayMs;
-    const pauseMs = Math.max(0, catchUpPausedUntil - performance.now());
-    const revision = host.getRevision();
-    catchUpTimer = setTimeout(() => {
-      catchUpTimer = undefined;
-      if (host.getRevision() === revision) void catchUp();
-    }, pauseMs + min + Math.random() * jitter).unref();
-  }
-
-  async function catchUp(): Promise<void> {
-    await sync.catchUp();
-    catchUpPausedUntil = performance.now() + catchUpPauseMs;
+    const { position } = push;
+    if (comparePositions(position, peerPushPosition) > 0) {
+      peerPushPosition = position;
+    }
+    if (position.era === host.getPosition().era) sync.applyPush(push);
+    else catchUp.reportPeer(position);
   }
 
   /**
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -8,8 +8,11 @@
   openPullListener,
   type PullListener,
 } from "../connection/pull_listener.ts";
-import type { DirectoryReplica } from "../process/direct/directory_replica.ts";
-import { createDirectoryReplica } from "../process/direct/directory_replica.ts";
+import {
+  createDirectoryReplica,
+  type DirectoryChange,
+  type DirectoryReplica,
+} from "../process/direct/directory_replica.ts";
 import { createCacheRecovery } from "../process/direct/cache_recovery.ts";
 import {
   type ChangeSource,
@@ -17,6 +20,7 @@
 } from "../process/direct/directory_tables.ts";
 import { createPeerPulls } from "../process/direct/peer_pulls.ts";
 import { createDirectorySync } from "../process/direct/directory_sync.ts";
+import { createRouterRegistration } from "../process/direct/router_registration.ts";
 import { createWatcherChoice } from "../process/direct/watcher_choice.ts";
 import type { CachedParts } from "../process/direct/cached_parts.ts";
 import type { PartPrefills } from "../process/direct/part_prefills.ts";
@@ -30,15 +34,12 @@
 import type { DirectSettings } from "../types/direct_settings.ts";
 import type { DirectTarget, RouterPeer } from "../types/direct_target.ts";
 import type { DirectoryStore } from "../types/directory.ts";
-import type { WatchEvent } from "../types/platform.ts";
 import type { PromptPart } from "../types/prompt.ts";
 import type { Dump } from "../types/role.ts";
 import type { RouteTable } from "../types/route_table.ts";
+import { comparePositions, originPosition } from "../types/store_position.ts";
 import { createDigestExchange } from "./digest_exchange.ts";
 
-/** Delay before a failed write of this router's entry is retried, in ms. */
-const announceRetryDelayMs = 500;
-
 /** Dependencies of the directory. */
 export interface DirectoryHost {
   readonly settings: DirectSettings;
@@ -124,8 +125,8 @@
     watchers,
     log,
     handleChanges: applyChanges,
-    pushChanges: (changes, afterRevision) =>
-      exchange.pushChanges(changes, afterRevision),
+    handleReturn: () => registration.handleReturn(),
+    pushChanges: (changes, after) => exchange.pushChanges(changes, after),
     countCall: (call) => metrics.count("store_calls_total", { call }),
   });
   const directoryTables = createDirectoryTables({
@@ -134,18 +135,27 @@
     cachedParts: host.cachedParts,
     expiryGraceMs: settings.expiryGraceMs,
     getOutageEndedAt: sync.getOutageEndedAt,
+    getReturnedAt: sync.getReturnedAt,
+    getEra: () => replica.getPosition().era,
     handleRouteTable,
   });
   const { routers } = directoryTables;
+  const registration = createRouterRegistration({
+    log,
+    announce: () => store.announce(self),
+    isRegistered: () =>
+      isDeepStrictEqual(directoryTables.tryGetRegistered(self.id), self),
+    random: Math.random,
+  });
   const pulls = createPeerPulls({
     ...{ settings, log },
     needsPeers: sync.needsPeers,
     hasConfiguration: () => directoryTables.getVersion() > 0,
-    getRevision: replica.getNewestRevision,
-    applyChanges: sync.applyPeerChanges,
-    pullDirectory: async (peer, afterRevision) => {
+    getPosition: replica.getPosition,
+    applyCopy: sync.applyPeerCopy,
+    pullDirectory: async (peer, after) => {
       const { pullDirectory } = await import("../connection/directory_pull.ts");
-      return await pullDirectory(peer, afterRevision);
+      return await pullDirectory(peer, after);
     },
     pullCachedParts: async (peer) => {
       const { pullCachedParts } = await import(
@@ -175,13 +185,12 @@
     cachedParts: host.cachedParts,
     prefills: host.prefills,
     loads: host.loads,
-    getRevision: replica.getNewestRevision,
+    getPosition: replica.getPosition,
     isSettled: recovery.isSettled,
   });
   reportEraFaults(host);
-  let isAnnounced = false;
   let isRecoveryStarted = false;
-  let caughtUpRevision = 0;
+  let caughtUpPosition = originPosition;
   let pendingTable: RouteTable | undefined;
   await exchange.start();
 
@@ -208,7 +217,7 @@
   async function servePulls(): Promise<void> {
     try {
       pullListener = await openPullListener({
-        getChangesSince: replica.getSince,
+        getCopyAfter: replica.getCopyAfter,
         getCachedParts: () => ({
           parts: host.cachedParts.getAll(),
           isSettled: recovery.isSettled(),
@@ -224,25 +233,9 @@
     }
   }
 
-  /** Registers this router, unless the entry of an earlier start is right. */
-  async function announceOnce(): Promise<void> {
-    if (isAnnounced) return;
-    isAnnounced = true;
-    if (isDeepStrictEqual(routers.get(self.id), self)) return;
-    while (!isStopped) {
-      const written = await store.announce(self).run();
-      if (written.isRight()) return;
-      written.ifLeft(({ kind, message }) =>
-        log.warn("Router could not be registered", { kind, reason: message })
-      );
-      await new Promise((resolve) => {
-        setTimeout(resolve, announceRetryDelayMs).unref();
-      });
-    }
-  }
-
   function stop(): void {
     isStopped = true;
+    registration.stop();
     exchange.stop();
     sync.stop();
     pullListener?.close();
@@ -250,18 +243,20 @@
   }
 
   function applyChanges(
-    changes: readonly WatchEvent[],
+    changes: readonly DirectoryChange[],
     source: ChangeSource,
   ): void {
     directoryTables.apply(changes, source);
-    void announceOnce();
+    registration.registerOnce();
     recoverOnce();
     if (pendingTable !== undefined) host.handleRouteTable(pendingTable);
     pendingTable = undefined;
-    const revision = replica.getNewestRevision();
+    const position = replica.getPosition();
     // A push after a gap applies changes but does not close the gap.
-    if (revision > caughtUpRevision) pulls.reportCaughtUp();
-    caughtUpRevision = revision;
+    if (comparePositions(position, caughtUpPosition) > 0) {
+      pulls.reportCaughtUp();
+    }
+    caughtUpPosition = position;
     host.handleTargetsChanged();
   }
 
@@ -291,7 +286,7 @@
   function dump(): Dump {
     return {
       version: directoryTables.getVersion(),
-      revision: replica.getNewestRevision(),
+      ...replica.getPosition(),
       isConnected: sync.isConnected(),
       isWatching: sync.isWatching(),
       ageMs: Math.round(sync.getAgeMs()),
--- /dev/null
+++ b/test/fakes/returning_store.ts
@@ -0,0 +1,218 @@
+/**
+ * A store in memory that can return from an older copy, for replays with paused
+ * time. Each router has a client of its own.
+ */
+
+import { type Either, EitherAsync, Left, Right } from "purify-ts";
+import { createEraReader } from "../../src/platform/store_era.ts";
+import type {
+  Changes,
+  DirectoryError,
+  DirectoryStore,
+  Listing,
+} from "../../src/types/directory.ts";
+import type { Entry, WatchEvent } from "../../src/types/platform.ts";
+
+/** One call of a router to the store; each page of a listing is a call. */
+export interface StoreCall {
+  readonly at: number;
+  readonly kind: "read" | "write";
+}
+
+/** How the store treats the calls of one router. */
+export type StoreAccess = "serve" | "refuse" | "silent";
+
+/** The calls of one router. */
+export interface ReturningStoreClient
+  extends Pick<DirectoryStore, "getEra" | "list" | "watch"> {
+  put(key: string, value: string): EitherAsync<DirectoryError, void>;
+}
+
+/** A copy of the entries, as the store returns from it. */
+export interface StoreCopy {
+  readonly entries: readonly Entry[];
+  readonly revision: number;
+}
+
+/** A store that a test controls. */
+export interface ReturningStore {
+  createClient(getAccess: () => StoreAccess): ReturningStoreClient;
+  put(key: string, value: string): void;
+  remove(key: string): void;
+  tryGet(key: string): string | undefined;
+  copy(): StoreCopy;
+  /** Returns from an older copy, without its history, in the next era. */
+  restore(copy: StoreCopy): void;
+  /** Refuses all calls and cuts all watches while it is not available. */
+  setAvailable(isAvailable: boolean): void;
+  /** Leaves the era out of all responses. */
+  omitEra(): void;
+  getCalls(): readonly StoreCall[];
+}
+
+/** Time of a call to the store or back, in milliseconds. */
+const latencyMs = 3;
+
+/** Maximum number of entries in one page of a listing. */
+const maxPageEntries = 500;
+
+/** Time after which a silent store is given up, in milliseconds. */
+const silenceTimeoutMs = 1_000;
+
+const unavailable: DirectoryError = {
+  kind: "unavailable",
+  message: "The store is unavailable",
+};
+
+/** Creates an empty store in era 1. */
+export function createReturningStore(): ReturningStore {
+  const entries = new Map<string, Entry>();
+  let history: WatchEvent[] = [];
+  let era = 1;
+  let revision = 1;
+  let oldestRevision = 0;
+  let isAvailable = true;
+  let hasEra = true;
+  let waiting: { readonly notify: () => void; readonly cut: () => void }[] = [];
+  const calls: StoreCall[] = [];
+
+  return {
+    createClient,
+    put,
+    remove,
+    tryGet: (key) => entries.get(key)?.value,
+    copy: () => ({ entries: [...entries.values()], revision }),
+    restore,
+    setAvailable: (value) => {
+      isAvailable = value;
+      if (!value) cutWatches();
+    },
+    omitEra: () => {
+      hasEra = false;
+    },
+    getCalls: () => calls,
+  };
+
+  function put(key: string, value: string): void {
+    revision++;
+    entries.set(key, { key, value, revision });
+    history.push({ key, value, revision });
+    notifyWatches();
+  }
+
+  function remove(key: string): void {
+    if (!entries.delete(key)) return;
+    revision++;
+    history.push({ key, value: undefined, revision });
+    notifyWatches();
+  }
+
+  function restore(copy: StoreCopy): void {
+    entries.clear();
+    copy.entries.forEach((entry) => entries.set(entry.key, entry));
+    revision = copy.revision;
+    oldestRevision = revision;
+    history = [];
+    era++;
+    cutWatches();
+  }
+
+  function notifyWatches(): void {
+    const notified = waiting;
+    waiting = [];
+    notified.forEach(({ notify }) => notify());
+  }
+
+  function cutWatches(): void {
+    const cut = waiting;
+    waiting = [];
+    cut.forEach((watch) => watch.cut());
+  }
+
+  function createClient(getAccess: () => StoreAccess): ReturningStoreClient {
+    const eras = createEraReader();
+    return {
+      getEra: eras.getNewest,
+      list: () => call(list, { kind: "read", pages: countPages }),
+      watch: ({ afterRevision, waitMs }) =>
+        call(() => watch(afterRevision, waitMs), { kind: "read" }),
+      put: (key, value) =>
+        call(() => {
+          put(key, value);
+          return Promise.resolve(Right(undefined));
+        }, { kind: "write" }),
+    };
+
+    function call<T>(
+      respond: () => Promise<Either<DirectoryError, T>>,
+      { kind, pages = () => 1 }: {
+        readonly kind: StoreCall["kind"];
+        readonly pages?: () => number;
+      },
+    ): EitherAsync<DirectoryError, T> {
+      const result = send();
+      return EitherAsync.fromPromise(() => result);
+
+      async function send(): Promise<Either<DirectoryError, T>> {
+        const at = performance.now();
+        for (let page = 0; page < pages(); page++) calls.push({ at, kind });
+        await sleep(latencyMs);
+        if (getAccess() === "silent") {
+          await sleep(silenceTimeoutMs);
+          return Left(unavailable);
+        }
+        const isRefused = !isAvailable || getAccess() === "refuse";
+        const response = isRefused ? Left(unavailable) : await respond();
+        const header = hasEra ? String(era) : undefined;
+        await sleep(latencyMs);
+        if (getAccess() === "silent") return Left(unavailable);
+        return eras.read(header).isOutdated
+          ? Left({ kind: "outdated", message: "The era has ended" })
+          : response;
+      }
+    }
+
+    function list(): Promise<Either<DirectoryError, Listing>> {
+      const position = { era: hasEra ? era : 0, revision };
+      return Promise.resolve(
+        Right({ entries: [...entries.values()], position }),
+      );
+    }
+
+    async function watch(
+      afterRevision: number,
+      waitMs: number,
+    ): Promise<Either<DirectoryError, Changes>> {
+      if (afterRevision < oldestRevision || afterRevision > revision) {
+        return Left({ kind: "compacted", message: "gone" });
+      }
+      if (getEvents().length === 0) {
+        const isCut = await new Promise<boolean>((resolve) => {
+          const timer = setTimeout(() => resolve(false), waitMs);
+          const end = (result: boolean) => {
+            clearTimeout(timer);
+            resolve(result);
+          };
+          waiting.push({ notify: () => end(false), cut: () => end(true) });
+        });
+        if (isCut) return Left(unavailable);
+      }
+      const position = { era: hasEra ? era : 0, revision };
+      return Right({ events: getEvents(), position });
+
+      function getEvents(): readonly WatchEvent[] {
+        return history.filter((event) => event.revision > afterRevision);
+      }
+    }
+  }
+
+  function countPages(): number {
+    return Math.max(1, Math.ceil(entries.size / maxPageEntries));
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- a/test/platform/direct_router_test.ts
+++ b/test/platform/direct_router_test.ts
@@ -245,6 +245,110 @@
     });
   });
 
+  describe("a return of the store from an older copy", () => {
+    it("keeps the configuration and revoked keys in force", async () => {
+      const { router } = await startTargetAndRouter();
+      const copy = store.copy();
+      store.put(
+        "op/config",
+        createConfiguration(5, {
+          Tenants: [{ Name: "artists", ApiKeys: ["key-2"] }],
+        }),
+      );
+      await waitUntil(() =>
+        hasLogged(router, "Configuration is in force", { version: 5 })
+      );
+      store.restore(copy);
+      await waitUntil(() =>
+        hasLogged(router, "Older configuration was ignored", { era: 2 })
+      );
+      const headers = { "x-credential": "key-2" };
+      const responses = await Promise.all([
+        sendRequest(router, "/proofs/1", { headers }),
+        sendRequest(router, "/proofs/2"),
+      ]);
+      expect(responses.map(({ status }) => status)).toEqual([200, 401]);
+    });
+
+    it("is followed by changes with revisions of the era before", async () => {
+      const { router } = await startTargetAndRouter();
+      const copy = store.copy();
+      store.put("op/config", createConfiguration(5));
+      await waitUntil(() =>
+        hasLogged(router, "Configuration is in force", { version: 5 })
+      );
+      store.restore(copy);
+      store.put("op/config", createConfiguration(6));
+      await waitUntil(() =>
+        hasLogged(router, "Configuration is in force", { version: 6, era: 2 })
+      );
+    });
+
+    it("keeps a draining target out of use", async () => {
+      const { target, router } = await startTargetAndRouter();
+      const copy = store.copy();
+      store.put("servers/target-1", target.createEntry("draining"));
+      await waitUntil(() =>
+        hasLogged(router, "Target changed", { state: "draining" })
+      );
+      store.restore(copy);
+      await waitUntil(() =>
+        hasLogged(router, "Restored entry of a target was ignored")
+      );
+      expect((await sendRequest(router, "/proofs/1")).status).toBe(503);
+    });
+
+    it("keeps a target in use whose entry is lost", async () => {
+      const router = await addRouter();
+      await waitUntil(() => hasLogged(router, "Router is ready"));
+      const copy = store.copy();
+      await addTarget("target-1");
+      await waitUntil(() => hasLogged(router, "Target changed"));
+      store.restore(copy);
+      await waitUntil(() =>
+        hasLogged(router, "Store returned from an older copy", { era: 2 })
+      );
+      expect((await sendRequest(router, "/proofs/1")).status).toBe(200);
+    });
+
+    it("makes the router register again", async () => {
+      const copy = store.copy();
+      await addRouter();
+      await waitUntil(() => store.tryGet("routers/router-1") !== undefined);
+      store.restore(copy);
+      expect(store.tryGet("routers/router-1")).toBeUndefined();
+      await waitUntil(() => store.tryGet("routers/router-1") !== undefined);
+    });
+
+    it("comes from a peer to a router that the store refuses", async () => {
+      const { router: first } = await startTargetAndRouter();
+      store.setMode("refuse");
+      const second = await startFleetRouter("router-2", store, {
+        seeds: [first.settings.pull],
+      });
+      routers.push(second);
+      await waitUntil(() => hasLogged(second, "Router is ready"));
+      const line = { era: 1, fromEra: 0 };
+      expect(hasLogged(second, "Directory was pulled from a peer", line))
+        .toBe(true);
+      store.setMode("serve");
+    });
+  });
+
+  it("counts an era that is none, and keeps its directory", async () => {
+    const { router } = await startTargetAndRouter();
+    store.setEraHeader("two");
+    store.put("op/config", createConfiguration(5));
+    await waitUntil(() =>
+      hasLogged(router, "Configuration is in force", { version: 5, era: 1 })
+    );
+    const line = "Era of the store cannot be used";
+    expect(hasLogged(router, line, { kind: "malformed", text: "two" }))
+      .toBe(true);
+    const logged = router.lines.filter(({ message }) => message === line);
+    expect(logged.length).toBe(1);
+  });
+
   describe("a stop", () => {
     it("lets a stream in flight complete", async () => {
       const { target, router } = await startTargetAndRouter();
@@ -379,6 +483,26 @@
       await waitUntil(() => isInForce(2));
     });
 
+    it("begins a new era after a return of the store", async () => {
+      await startFleet();
+      await waitUntil(async () => {
+        const dumps = await Promise.all(routers.map(getDump));
+        return dumps.every(({ directory }) =>
+          directory.routers.length === routerIds.length
+        );
+      });
+      const copy = store.copy();
+      store.put("op/config", createConfiguration(2));
+      await waitUntil(() => isInForce(2));
+      store.restore(copy);
+      await waitUntil(async () => {
+        const dumps = await Promise.all(routers.map(getDump));
+        return dumps.every(({ directory }) => directory.era === 2);
+      });
+      store.put("op/config", createConfiguration(3));
+      await waitUntil(() => isInForce(3));
+    });
+
     it("replaces those that have stopped", async () => {
       await startFleet();
       const watching = await getWatching();
@@ -404,6 +528,7 @@
   readonly directory: {
     readonly routers: readonly string[];
     readonly isWatching: boolean;
+    readonly era: number;
   };
 }
 
