Show returns of the store when a request is explained

Cause: `mimosatray explain` prints the lines about the store that may bear on a request, but not those of a return, so that its cause had to be searched by hand.

Change: it prints the return, an era that cannot be used, and a configuration that was ignored because it is older.

--- a/src/cli/explanation.ts
+++ b/src/cli/explanation.ts
@@ -61,13 +61,16 @@
 const generalMessages: ReadonlySet<unknown> = new Set([
   "Configuration is in force",
   "Directory was pulled from a peer",
+  "Era of the store cannot be used",
   "Log lines were left out",
+  "Older configuration was ignored",
   "Peer gave no copy of the directory",
   "Router is ready",
   "Router starts",
   "Router stops",
   "Store call failed",
   "Store is reached",
+  "Store returned from an older copy",
 ]);
 
 function parseLine(text: string): readonly Line[] {
--- a/src/cli/explanation_test.ts
+++ b/src/cli/explanation_test.ts
@@ -22,6 +22,7 @@
   createLine(4, "Request ended", { request: "r1", target: "t2", code: "done" }),
   createLine(4, "Request ended", { request: "r2", target: "t2" }),
   createLine(5, "Store call failed", { kind: "unavailable" }),
+  createLine(6, "Store returned from an older copy", { era: 2 }),
   createLine(40, "Target is gone", { target: "t1" }),
   createLine(4, "Target is gone", { target: "t1", process: "router-2" }),
 ].join("\n");
@@ -34,6 +35,7 @@
       "  00:00:03.000 Try ended without an answer  target=t1",
       "  00:00:04.000 Request ended  target=t2  code=done",
       "  00:00:05.000 Store call failed  kind=unavailable",
+      "  00:00:06.000 Store returned from an older copy  era=2",
     ]);
   });
 
