Give the test of a stop the grace that routers have

Cause: the test "closes each connection after its next response" failed once in a unit run on a machine with a load of 25 (its output was not kept).

Change: this router has a grace of 20 s and serves for the 2.5 s that routers serve with it. What is checked is the same.

--- a/test/platform/direct_fleet.ts
+++ b/test/platform/direct_fleet.ts
@@ -92,6 +92,8 @@
     readonly seeds?: readonly SocketAddress[];
     /** Retries beyond a share of the requests. */
     readonly retrySlack?: number;
+    /** Time that a stop may take, in milliseconds. */
+    readonly graceMs?: number;
   } = {},
 ): Promise<FleetRouter> {
   const [frontend, readiness, pull, digest, metrics] = await Promise.all(
@@ -114,7 +116,7 @@
       slack: options.retrySlack ?? 50,
       windowMs: 10_000,
     },
-    graceMs: 1_000,
+    graceMs: options.graceMs ?? 1_000,
     expiryGraceMs: 2_200,
   };
   const lines: Readonly<Record<string, unknown>>[] = [];
--- a/test/platform/direct_router_test.ts
+++ b/test/platform/direct_router_test.ts
@@ -44,16 +44,21 @@
     return target;
   }
 
-  async function addRouter(id = "router-1"): Promise<FleetRouter> {
+  async function addRouter(
+    id = "router-1",
+    options: { readonly graceMs?: number } = {},
+  ): Promise<FleetRouter> {
     const seeds = routers.map(({ settings }) => settings.pull);
-    const router = await startFleetRouter(id, store, { seeds });
+    const router = await startFleetRouter(id, store, { ...options, seeds });
     routers.push(router);
     return router;
   }
 
-  async function startTargetAndRouter() {
+  async function startTargetAndRouter(
+    options: { readonly graceMs?: number } = {},
+  ) {
     const target = await addTarget("target-1");
-    const router = await addRouter();
+    const router = await addRouter("router-1", options);
     await waitUntil(() => hasLogged(router, "Router is ready"));
     return { target, router };
   }
@@ -397,8 +402,9 @@
       expect((await stopResult).cutOff).toBe(0);
     });
 
+    // A busy machine sent the request after the router had stopped serving.
     it("closes each connection after its next response", async () => {
-      const { router } = await startTargetAndRouter();
+      const { router } = await startTargetAndRouter({ graceMs: 20_000 });
       const stopResult = router.directRouter.stop("test");
       const response = await sendRequest(router, "/proofs/1");
       expect(response.status).toBe(200);
