Part the run of a direct request into host, attempt and log

Change: what a run needs and how an attempt ends (direct_host.ts), the attempt while it runs (direct_attempt.ts) and its log line stand in files of their own. Moved only; the closures' variables became parameters.

--- a/src/request/attempt_description.ts
+++ b/src/request/attempt_description.ts
@@ -1,9 +1,11 @@
 /** Describes one attempt of a direct request for the log. */
 
 import { getSharedParts } from "../process/direct/prefix_placement.ts";
+import type { Log } from "../process/telemetry/log.ts";
 import type { DirectResult } from "../types/direct_calls.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
 import type { DirectChoice } from "./direct_choice.ts";
+import type { AttemptEnd } from "./direct_host.ts";
 
 /** Returns the values that the choice was based on, for the log. */
 export function describeChoice(
@@ -23,7 +25,7 @@
 }
 
 /** Returns what a target responded, for the log. */
-export function describeHead(
+function describeHead(
   result: DirectResult,
 ): Readonly<Record<string, number | boolean>> {
   if (result.kind === "refused") return { status: result.status };
@@ -33,8 +35,43 @@
 }
 
 /** Returns the reason of a result or an end that has one. */
-export function getReason(
+function getReason(
   resultOrEnd: { readonly kind: string; readonly reason?: string },
 ): string | undefined {
   return resultOrEnd.reason;
 }
+
+/** Logs a try that ended without an answer or that resumed a stream. */
+export function logAttempt(
+  log: Pick<Log, "info">,
+  { request, choice, result, end, sentBefore, sends }: {
+    readonly request: DirectRequest;
+    readonly choice: DirectChoice;
+    readonly result: DirectResult;
+    readonly end: AttemptEnd;
+    /** What the caller had received when the attempt started. */
+    readonly sentBefore: {
+      readonly sentBytes: number;
+      readonly lastEventId: string | undefined;
+    };
+    /** Number of attempts of the request so far. */
+    readonly sends: number;
+  },
+): void {
+  const message = end.kind === "done"
+    ? "Stream was resumed at another target"
+    : "Try ended without an answer";
+  log.info(message, {
+    request: request.requestId,
+    service: request.service,
+    target: choice.target.id,
+    ...describeChoice(choice, request),
+    result: result.kind,
+    ...describeHead(result),
+    ...sentBefore,
+    reason: getReason(result) ?? getReason(end),
+    verdict: end.kind,
+    sends,
+    leftMs: Math.round(request.deadlineAt - performance.now()),
+  });
+}
--- /dev/null
+++ b/src/request/direct_attempt.ts
@@ -0,0 +1,114 @@
+/**
+ * One attempt of a direct request while it runs: counts its load, times its
+ * silence and aborts it when the request stops.
+ */
+
+import type { DirectRequest } from "../types/direct_request.ts";
+import type { DirectChoice } from "./direct_choice.ts";
+import type { DirectHost } from "./direct_host.ts";
+import {
+  getIdleTimeoutMs,
+  getUnresponsiveTimeoutMs,
+} from "./direct_timeouts.ts";
+
+/** An attempt at one target. */
+export interface DirectAttempt {
+  /** Aborted when the request stops or the target is silent for too long. */
+  readonly signal: AbortSignal;
+  /** Records that the target answered without an error. */
+  recordAnswer(): void;
+  /** Records that the target has sent data. */
+  recordProgress(): void;
+  /** Records that the caller has taken the data and more is expected. */
+  expectProgress(): void;
+  /** Records the duration of a run that did not wait for a slot. */
+  recordRun(): void;
+  /** Returns true when the attempt was aborted for the target's silence. */
+  hasTimedOut(): boolean;
+  /** Ends the count of its load and its timeouts. */
+  end(): void;
+}
+
+/** Starts to count the load of an attempt and starts its timeouts. */
+export function startDirectAttempt(
+  host: Pick<
+    DirectHost,
+    "health" | "loads" | "pauses" | "prefills" | "runTimes"
+  >,
+  choice: DirectChoice,
+  options: {
+    readonly request: DirectRequest;
+    /** Aborted at the deadline or when the caller disconnects. */
+    readonly stopSignal: AbortSignal;
+    /** Returns true when an idle timeout may cause a retry. */
+    canRetryAfterTimeout(): boolean;
+    getTimeLeftMs(): number;
+  },
+): DirectAttempt {
+  const { request, stopSignal } = options;
+  const { target: chosen } = choice;
+  const prefill = host.prefills.begin(chosen.id, choice.prefillParts);
+  host.health.recordSent(chosen);
+  const pausable = host.pauses.begin(chosen);
+  const load = host.loads.begin(
+    chosen.id,
+    Math.max(0, (request.prompt?.promptTokens ?? 0) - choice.heldTokens),
+  );
+  const startedAt = performance.now();
+  const controller = new AbortController();
+  const abort = (): void => controller.abort();
+  stopSignal.addEventListener("abort", abort, { once: true });
+  if (stopSignal.aborted) abort();
+  let hasTimedOut = false;
+  let hasResponded = false;
+  const unresponsiveTimer = setTimeout(() => {
+    if (!hasResponded) host.health.recordOutcome(chosen, "silent");
+  }, getUnresponsiveTimeoutMs(request.route));
+  let idleTimer = startIdleTimer();
+
+  return {
+    signal: controller.signal,
+    recordAnswer: pausable.recordAnswer,
+    recordProgress,
+    expectProgress,
+    recordRun,
+    hasTimedOut: () => hasTimedOut,
+    end,
+  };
+
+  /** Records the duration of a run that did not wait for a slot. */
+  function recordRun(): void {
+    if (choice.load >= chosen.slots) return;
+    host.runTimes.record(request.service, performance.now() - startedAt);
+  }
+
+  function startIdleTimer(): NodeJS.Timeout | undefined {
+    if (!options.canRetryAfterTimeout()) return undefined;
+    return setTimeout(() => {
+      hasTimedOut = true;
+      abort();
+    }, getIdleTimeoutMs(request.route, options.getTimeLeftMs()));
+  }
+
+  function recordProgress(): void {
+    if (!hasResponded) {
+      load.finishPrefill();
+      prefill.finish();
+    }
+    hasResponded = true;
+    clearTimeout(idleTimer);
+  }
+
+  function expectProgress(): void {
+    if (request.route.kind === "stream") idleTimer = startIdleTimer();
+  }
+
+  function end(): void {
+    clearTimeout(idleTimer);
+    clearTimeout(unresponsiveTimer);
+    load.end();
+    pausable.end();
+    prefill.abandon();
+    stopSignal.removeEventListener("abort", abort);
+  }
+}
--- /dev/null
+++ b/src/request/direct_host.ts
@@ -0,0 +1,67 @@
+/** What running a direct request needs, and how one of its attempts ends. */
+
+import type { RunTimes } from "../process/direct/admission_estimate.ts";
+import type { CachedParts } from "../process/direct/cached_parts.ts";
+import type { LoadView } from "../process/direct/load_view.ts";
+import type { PartPrefills } from "../process/direct/part_prefills.ts";
+import type { RetryShare } from "../process/direct/retry_share.ts";
+import type { TargetHealth } from "../process/direct/target_health.ts";
+import type { TargetPauses } from "../process/direct/target_pauses.ts";
+import type { Log } from "../process/telemetry/log.ts";
+import type { DirectCalls } from "../types/direct_calls.ts";
+import type { DiagnosticCode } from "../types/diagnostics.ts";
+import type { PromptPart } from "../types/prompt.ts";
+import type { ChoiceHost } from "./direct_choice.ts";
+
+/** What running a request needs from the process. */
+export interface DirectHost extends ChoiceHost {
+  readonly calls: DirectCalls;
+  readonly health: Pick<
+    TargetHealth,
+    "getUsable" | "isReachable" | "recordOutcome" | "recordSent"
+  >;
+  readonly pauses: Pick<
+    TargetPauses,
+    "begin" | "getFirstEndMs" | "getUsable" | "isPaused"
+  >;
+  readonly loads: Pick<LoadView, "getLoad" | "begin">;
+  readonly cachedParts: Pick<CachedParts, "getCachedTokens" | "isCached"> & {
+    /** Records that a target gets `parts` and prefills `prefillParts`. */
+    recordParts(
+      target: string,
+      parts: readonly PromptPart[],
+      prefillParts: readonly PromptPart[],
+    ): void;
+  };
+  readonly prefills: Pick<PartPrefills, "begin" | "wait">;
+  readonly retries: Pick<RetryShare, "recordRequest" | "trySpend">;
+  readonly runTimes: RunTimes;
+  readonly log: Log;
+}
+
+/**
+ * How one attempt ended.
+ * - `done`: the response was forwarded to its end.
+ * - `not_run`: the target has not run the request; `arrived` is true when the
+ *   request reached it.
+ * - `error_answer`: the target's error response was forwarded.
+ * - `repeat`: the target responded with an error and a retry is granted.
+ * - `lost`: the target may have run the request, but its response is lost or
+ *   incomplete.
+ * - `stopped`: the deadline passed or the caller disconnected.
+ */
+export type AttemptEnd =
+  | { readonly kind: "done" }
+  | {
+    readonly kind: "not_run";
+    readonly code: DiagnosticCode;
+    readonly arrived: boolean;
+  }
+  | { readonly kind: "error_answer" }
+  | { readonly kind: "repeat"; readonly code: DiagnosticCode }
+  | {
+    readonly kind: "lost";
+    readonly code: DiagnosticCode;
+    readonly reason: string;
+  }
+  | { readonly kind: "stopped" };
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -7,71 +7,24 @@
 import {
   getRetryAfterMs,
   isBeyondDeadline,
-  type RunTimes,
   type TargetQueue,
 } from "../process/direct/admission_estimate.ts";
-import type { CachedParts } from "../process/direct/cached_parts.ts";
-import type { PartPrefills } from "../process/direct/part_prefills.ts";
-import type { LoadView } from "../process/direct/load_view.ts";
 import { getSharedParts } from "../process/direct/prefix_placement.ts";
-import type { RetryShare } from "../process/direct/retry_share.ts";
-import type { TargetPauses } from "../process/direct/target_pauses.ts";
-import type {
-  TargetHealth,
-  TargetOutcome,
-} from "../process/direct/target_health.ts";
-import type { Log } from "../process/telemetry/log.ts";
-import type { DirectCalls, DirectResult, Hold } from "../types/direct_calls.ts";
+import type { TargetOutcome } from "../process/direct/target_health.ts";
+import type { DirectResult, Hold } from "../types/direct_calls.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
 import { createReport, type DiagnosticCode } from "../types/diagnostics.ts";
-import type { PromptPart } from "../types/prompt.ts";
 import type { Reply, RequestEnd } from "../types/reply.ts";
-import {
-  describeChoice,
-  describeHead,
-  getReason,
-} from "./attempt_description.ts";
+import { describeChoice, logAttempt } from "./attempt_description.ts";
+import { type DirectAttempt, startDirectAttempt } from "./direct_attempt.ts";
+import { type DirectChoice, tryChooseTarget } from "./direct_choice.ts";
+import type { AttemptEnd, DirectHost } from "./direct_host.ts";
 import { createDirectResponse } from "./direct_response.ts";
-import {
-  type ChoiceHost,
-  type DirectChoice,
-  tryChooseTarget,
-} from "./direct_choice.ts";
-import {
-  getIdleTimeoutMs,
-  getPriorityClass,
-  getUnresponsiveTimeoutMs,
-} from "./direct_timeouts.ts";
+import { getPriorityClass } from "./direct_timeouts.ts";
 import { createEnd } from "./request_end.ts";
 import type { RequestSummary } from "./request_host.ts";
 import { createRequestStop } from "./request_stop.ts";
 
-/** What running a request needs from the process. */
-export interface DirectHost extends ChoiceHost {
-  readonly calls: DirectCalls;
-  readonly health: Pick<
-    TargetHealth,
-    "getUsable" | "isReachable" | "recordOutcome" | "recordSent"
-  >;
-  readonly pauses: Pick<
-    TargetPauses,
-    "begin" | "getFirstEndMs" | "getUsable" | "isPaused"
-  >;
-  readonly loads: Pick<LoadView, "getLoad" | "begin">;
-  readonly cachedParts: Pick<CachedParts, "getCachedTokens" | "isCached"> & {
-    /** Records that a target gets `parts` and prefills `prefillParts`. */
-    recordParts(
-      target: string,
-      parts: readonly PromptPart[],
-      prefillParts: readonly PromptPart[],
-    ): void;
-  };
-  readonly prefills: Pick<PartPrefills, "begin" | "wait">;
-  readonly retries: Pick<RetryShare, "recordRequest" | "trySpend">;
-  readonly runTimes: RunTimes;
-  readonly log: Log;
-}
-
 /** Maximum number of attempts for one request, including refused ones. */
 const maxAttempts = 5;
 
@@ -96,33 +49,6 @@
   paused: "target_full",
 } as const satisfies Readonly<Record<Hold, DiagnosticCode>>;
 
-/**
- * How one attempt ended.
- * - `done`: the response was forwarded to its end.
- * - `not_run`: the target has not run the request; `arrived` is true when the
- *   request reached it.
- * - `error_answer`: the target's error response was forwarded.
- * - `repeat`: the target responded with an error and a retry is granted.
- * - `lost`: the target may have run the request, but its response is lost or
- *   incomplete.
- * - `stopped`: the deadline passed or the caller disconnected.
- */
-type AttemptEnd =
-  | { readonly kind: "done" }
-  | {
-    readonly kind: "not_run";
-    readonly code: DiagnosticCode;
-    readonly arrived: boolean;
-  }
-  | { readonly kind: "error_answer" }
-  | { readonly kind: "repeat"; readonly code: DiagnosticCode }
-  | {
-    readonly kind: "lost";
-    readonly code: DiagnosticCode;
-    readonly reason: string;
-  }
-  | { readonly kind: "stopped" };
-
 /** Runs a request to its end and reports the end to the caller. */
 export async function runDirect(
   host: DirectHost,
@@ -230,7 +156,10 @@
 
   async function runAttempt(choice: DirectChoice): Promise<AttemptEnd> {
     const attempt = startAttempt(choice);
-    const sentBefore = describeSent();
+    const sentBefore = {
+      sentBytes: response.getSentBytes(),
+      lastEventId: response.getLastEventId(),
+    };
     try {
       const result = await host.calls.send({
         target: choice.target,
@@ -249,7 +178,14 @@
       });
       const end = await classifyResult(result, choice, attempt);
       if (end.kind !== "done" || sentBefore.sentBytes > 0) {
-        logAttempt(choice, { result, end, sentBefore });
+        logAttempt(host.log, {
+          request,
+          choice,
+          result,
+          end,
+          sentBefore,
+          sends,
+        });
       }
       return end;
     } finally {
@@ -257,9 +193,9 @@
     }
   }
 
-  /** Starts to count the load of one attempt and starts its timeouts. */
-  function startAttempt(choice: DirectChoice) {
-    const { target: chosen, heldTokens, prefillParts } = choice;
+  /** Records that the request is sent to a target and starts the attempt. */
+  function startAttempt(choice: DirectChoice): DirectAttempt {
+    const { target: chosen, prefillParts } = choice;
     attempted.add(chosen.id);
     target = chosen.id;
     decision = {
@@ -275,76 +211,18 @@
         prefillParts,
       );
     }
-    const prefill = host.prefills.begin(chosen.id, prefillParts);
-    host.health.recordSent(chosen);
-    const pausable = host.pauses.begin(chosen);
-    const load = host.loads.begin(
-      chosen.id,
-      Math.max(0, (prompt?.promptTokens ?? 0) - heldTokens),
-    );
-    const startedAt = performance.now();
-    const controller = new AbortController();
-    const abort = (): void => controller.abort();
-    stop.signal.addEventListener("abort", abort, { once: true });
-    if (stop.signal.aborted) abort();
-    let hasTimedOut = false;
-    let hasResponded = false;
-    const unresponsiveTimer = setTimeout(() => {
-      if (!hasResponded) host.health.recordOutcome(chosen, "silent");
-    }, getUnresponsiveTimeoutMs(route));
-    let idleTimer = startIdleTimer();
-
-    return {
-      signal: controller.signal,
-      recordAnswer: pausable.recordAnswer,
-      recordProgress,
-      expectProgress,
-      recordRun,
-      hasTimedOut: () => hasTimedOut,
-      end,
-    };
-
-    /** Records the duration of a run that did not wait for a slot. */
-    function recordRun(): void {
-      if (choice.load >= chosen.slots) return;
-      host.runTimes.record(service, performance.now() - startedAt);
-    }
-
-    function startIdleTimer(): NodeJS.Timeout | undefined {
-      if (!canRetryAfterTimeout()) return undefined;
-      return setTimeout(() => {
-        hasTimedOut = true;
-        abort();
-      }, getIdleTimeoutMs(route, getTimeLeftMs()));
-    }
-
-    function recordProgress(): void {
-      if (!hasResponded) {
-        load.finishPrefill();
-        prefill.finish();
-      }
-      hasResponded = true;
-      clearTimeout(idleTimer);
-    }
-
-    function expectProgress(): void {
-      if (route.kind === "stream") idleTimer = startIdleTimer();
-    }
-
-    function end(): void {
-      clearTimeout(idleTimer);
-      clearTimeout(unresponsiveTimer);
-      load.end();
-      pausable.end();
-      prefill.abandon();
-      stop.signal.removeEventListener("abort", abort);
-    }
+    return startDirectAttempt(host, choice, {
+      request,
+      stopSignal: stop.signal,
+      canRetryAfterTimeout,
+      getTimeLeftMs,
+    });
   }
 
   async function classifyResult(
     result: DirectResult,
     { target: chosen }: DirectChoice,
-    attempt: ReturnType<typeof startAttempt>,
+    attempt: DirectAttempt,
   ): Promise<AttemptEnd> {
     let isRunCounted = false;
     let isOutcomeRecorded = false;
@@ -500,39 +378,4 @@
       }),
     }));
   }
-
-  /** Returns what the caller has received, for the log. */
-  function describeSent() {
-    return {
-      sentBytes: response.getSentBytes(),
-      lastEventId: response.getLastEventId(),
-    };
-  }
-
-  function logAttempt(
-    choice: DirectChoice,
-    { result, end, sentBefore }: {
-      readonly result: DirectResult;
-      readonly end: AttemptEnd;
-      /** What the caller had received when the attempt started. */
-      readonly sentBefore: ReturnType<typeof describeSent>;
-    },
-  ): void {
-    const message = end.kind === "done"
-      ? "Stream was resumed at another target"
-      : "Try ended without an answer";
-    host.log.info(message, {
-      request: request.requestId,
-      service,
-      target: choice.target.id,
-      ...describeChoice(choice, request),
-      result: result.kind,
-      ...describeHead(result),
-      ...sentBefore,
-      reason: getReason(result) ?? getReason(end),
-      verdict: end.kind,
-      sends,
-      leftMs: Math.round(request.deadlineAt - performance.now()),
-    });
-  }
 }
--- a/test/emulator/fleet.ts
+++ b/test/emulator/fleet.ts
@@ -14,7 +14,8 @@
   type PlacementHost,
 } from "../../src/process/placement/placement.ts";
 import { createSilentLog } from "../../src/process/telemetry/log.ts";
-import { type DirectHost, runDirect } from "../../src/request/direct_run.ts";
+import type { DirectHost } from "../../src/request/direct_host.ts";
+import { runDirect } from "../../src/request/direct_run.ts";
 import type { DirectTarget } from "../../src/types/direct_target.ts";
 import type { PromptPart } from "../../src/types/prompt.ts";
 import type { Reply, RequestEnd } from "../../src/types/reply.ts";
