--- a/test/platform/whole_answers_http_test.ts
+++ b/test/platform/whole_answers_http_test.ts
@@ -200,7 +200,8 @@
         ...(lastEventId === undefined ? {} : { "last-event-id": lastEventId }),
       },
     });
-    return findFault(testCase, runs, response);
+    return findFault(testCase, runs, response) ??
+      findLoss(testCase, runs, response);
   }
 
   describe("is not", () => {
@@ -276,6 +277,21 @@
   );
 }
 
+/** Tells when the caller misses what its only target sent whole. */
+function findLoss(
+  { lastEventId, behaviours: [behaviour] }: Case,
+  [run, ...otherRuns]: readonly TargetRun[],
+  response: RawResponse | undefined,
+): string | undefined {
+  if (run?.response?.isWhole !== true || otherRuns.length > 0) return undefined;
+  const hasOwnIds = behaviour?.kind === "response" && behaviour.isEventStream &&
+    behaviour.ids !== "next";
+  if (lastEventId !== undefined || hasOwnIds) return undefined;
+  return response?.headers.has("x-run") === true && response.isComplete
+    ? undefined
+    : "The whole response of the only target did not arrive";
+}
+
 /** Returns what is wrong with an error of the router; undefined for none. */
 function findErrorFault(
   { body, isComplete }: RawResponse,
