--- a/test/platform/whole_answers_http_test.ts
+++ b/test/platform/whole_answers_http_test.ts
@@ -14,7 +14,7 @@
   startFleetRouter,
   waitUntil,
 } from "./direct_fleet.ts";
-import { type RawResponse, sendRawRequest } from "./raw_caller.ts";
+import { type RawResponse, sendRawRequest } from "./framing_caller.ts";
 import type { StoreStandIn } from "./store_stand_in.ts";
 import {
   behaviours,
