Tell crashed targets from dropped connections in the log

Change: after a dropped connection one probe for each process of a target tries to connect. Refused means crashed, unless the target said that it leaves. Nothing is decided by it yet.

--- a/src/process/direct/crash_suspects.ts
+++ b/src/process/direct/crash_suspects.ts
@@ -9,23 +9,16 @@
  * for the cause of other crashes.
  */
 
-import { createHash } from "node:crypto";
-import type { DirectRequest } from "../../types/direct_request.ts";
 import type { Log } from "../telemetry/log.ts";
 import {
   type CrashRecordUpdate,
   createCrashRecords,
 } from "../attempts/crash_records.ts";
+import { type CrashCandidate, getFingerprint } from "./crash_keys.ts";
 
 /** Number of lost targets after which a request is not retried. */
 const maxCrashes = 3;
 
-/** What tells requests apart. */
-export type CrashCandidate = Pick<
-  DirectRequest,
-  "body" | "holder" | "method" | "path"
->;
-
 /** Requests that may crash targets. */
 export interface CrashSuspects {
   /** Records that a target was lost while it may have run the request. */
@@ -94,13 +87,3 @@
 function isLower(record: CrashRecordUpdate, known: CrashRecordUpdate): boolean {
   return record.crashes > 0 && record.crashes < known.crashes;
 }
-
-function getFingerprint(
-  { body, holder, method, path }: CrashCandidate,
-): string {
-  return createHash("sha256")
-    .update(JSON.stringify([holder?.workspace, method, path]))
-    .update(body)
-    .digest("hex")
-    .slice(0, 16);
-}
--- /dev/null
+++ b/src/process/direct/target_crashes.ts
@@ -0,0 +1,78 @@
+/**
+ * Tells targets that have crashed from those that only dropped a connection. A
+ * process that has ended accepts no new connection; one that resets connections,
+ * sends a corrupted response or is cut off does not refuse any.
+ *
+ * Load pattern: a crash ends all requests at the target at the same moment, so
+ * they share one probe.
+ */
+
+import type { ProbeResult } from "../../types/direct_calls.ts";
+import type { DirectTarget } from "../../types/direct_target.ts";
+import type { Log } from "../telemetry/log.ts";
+import type { Metrics } from "../telemetry/metrics.ts";
+
+/** Maximum number of crashed targets that are remembered. */
+const maxCrashedTargets = 1_024;
+
+/** What the check needs from the process. */
+export interface TargetCrashesHost {
+  readonly log: Pick<Log, "warn">;
+  readonly metrics: Pick<Metrics, "count">;
+  /** Tries to connect to an address. */
+  probe(address: string): Promise<ProbeResult>;
+  /** Returns true while the target has not said that it leaves. */
+  mayReceive(target: DirectTarget): boolean;
+}
+
+/** The crashes of targets that this router has seen. */
+export interface TargetCrashes {
+  /**
+   * Resolves to true when a target that dropped a connection has crashed. A
+   * target that leaves ends as planned and has not.
+   */
+  check(target: DirectTarget): Promise<boolean>;
+}
+
+/** Creates the check of a router that has seen no crash. */
+export function createTargetCrashes(host: TargetCrashesHost): TargetCrashes {
+  /** Running probes, and the results of those that found a crash, by process. */
+  const checks = new Map<string, Promise<boolean>>();
+
+  return { check };
+
+  function check(target: DirectTarget): Promise<boolean> {
+    const life = getTargetLife(target);
+    const known = checks.get(life);
+    if (known !== undefined) return known;
+    // A target that leaves may end before the probe is over.
+    if (!host.mayReceive(target)) return Promise.resolve(false);
+    const started = probe(target, life);
+    checks.set(life, started);
+    return started;
+  }
+
+  async function probe(target: DirectTarget, life: string): Promise<boolean> {
+    const result = await host.probe(target.address);
+    const hasCrashed = result === "refuses";
+    if (!hasCrashed) checks.delete(life);
+    dropOldest();
+    host.metrics.count("dropped_connections_total", { probe: result });
+    if (hasCrashed) {
+      const { id, service, address } = target;
+      host.log.warn("Target has crashed", { target: id, service, address });
+    }
+    return hasCrashed;
+  }
+
+  function dropOldest(): void {
+    if (checks.size <= maxCrashedTargets) return;
+    const [oldest] = checks.keys();
+    if (oldest !== undefined) checks.delete(oldest);
+  }
+}
+
+/** Identifies one process of a target; a restart may keep the target's id. */
+export function getTargetLife({ id, startedAtMs }: DirectTarget): string {
+  return `${id}@${startedAtMs}`;
+}
--- a/src/request/attempt_description.ts
+++ b/src/request/attempt_description.ts
@@ -1,6 +1,7 @@
 /** Describes one attempt of a direct request for the log. */
 
 import { getSharedParts } from "../process/direct/prefix_placement.ts";
+import { getFingerprint } from "../process/direct/crash_keys.ts";
 import type { Log } from "../process/telemetry/log.ts";
 import type { DirectResult } from "../types/direct_calls.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
@@ -71,6 +72,7 @@
     ...describeHead(result),
     ...sentBefore,
     reason: getReason(result) ?? getReason(end),
+    ...(end.kind === "lost" ? { fingerprint: getFingerprint(request) } : {}),
     verdict: end.kind,
     sends,
     leftMs: Math.round(request.deadlineAt - performance.now()),
--- a/src/request/direct_host.ts
+++ b/src/request/direct_host.ts
@@ -7,6 +7,7 @@
 import type { MemoryBudget } from "../process/direct/memory_budget.ts";
 import type { PartPrefills } from "../process/direct/part_prefills.ts";
 import type { RetryShare } from "../process/direct/retry_share.ts";
+import type { TargetCrashes } from "../process/direct/target_crashes.ts";
 import type { TargetHealth } from "../process/direct/target_health.ts";
 import type { TargetPauses } from "../process/direct/target_pauses.ts";
 import type { Log } from "../process/telemetry/log.ts";
@@ -44,6 +45,7 @@
     CrashSuspects,
     "canRetry" | "recordCrash" | "recordResponse"
   >;
+  readonly targetCrashes: TargetCrashes;
   readonly runTimes: RunTimes;
   readonly responseMemory: Pick<MemoryBudget, "begin">;
   readonly log: Log;
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -255,6 +255,7 @@
         return endAborted();
       case "lost":
         host.crashes.recordCrash(request);
+        void host.targetCrashes.check(chosen);
         return endLost("outcome_unknown", { reason: result.reason });
       case "spoiled":
         return endLost("outcome_unknown", { reason: result.reason });
@@ -298,6 +299,7 @@
       drop();
       if (attempt.signal.aborted) return endAborted();
       host.crashes.recordCrash(request);
+      void host.targetCrashes.check(chosen);
       return endLost("answer_cut", { reason: end.reason });
     }
 
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -10,6 +10,7 @@
   createDirectClient,
   type TargetCodec,
 } from "../connection/direct_client.ts";
+import { probeTarget } from "../connection/target_probe.ts";
 import { createFrontendServer } from "../connection/frontend_server.ts";
 import { createRunTimes } from "../process/direct/admission_estimate.ts";
 import { createCachedParts } from "../process/direct/cached_parts.ts";
@@ -22,6 +23,7 @@
   createRouteMatcher,
   type RouteMatcher,
 } from "../process/direct/route_match.ts";
+import { createTargetCrashes } from "../process/direct/target_crashes.ts";
 import { createTargetHealth } from "../process/direct/target_health.ts";
 import { createTargetPauses } from "../process/direct/target_pauses.ts";
 import { createTargetNotices } from "../process/direct/target_notices.ts";
@@ -161,6 +163,11 @@
     log,
     report: (record) => directory.reportCrash(record),
   });
+  const targetCrashes = createTargetCrashes({
+    ...{ log, metrics },
+    probe: probeTarget,
+    mayReceive: targets.mayReceive,
+  });
   const directory = await createDirectory({
     ...{ settings, store: host.store, log, metrics },
     ...{ targets, health, cachedParts, prefills, loads, placement, calls },
@@ -185,7 +192,7 @@
       { getRouterCount: directory.getPeakRouterCount },
       settings.retries,
     ),
-    ...{ crashes, responseMemory, runTimes: createRunTimes() },
+    ...{ crashes, targetCrashes, responseMemory, runTimes: createRunTimes() },
     zone: settings.zone,
     loadMultiple: settings.loadMultiple,
     random: Math.random,
--- a/src/types/direct_calls.ts
+++ b/src/types/direct_calls.ts
@@ -118,3 +118,9 @@
     target: DirectTarget,
   ): Promise<readonly PromptPart[] | undefined>;
 }
+
+/**
+ * Result of a connection attempt without a request: `refuses` when nothing
+ * listens at the address, `unknown` when the path to it is broken or slow.
+ */
+export type ProbeResult = "accepts" | "refuses" | "unknown";
--- a/test/emulator/fleet.ts
+++ b/test/emulator/fleet.ts
@@ -255,6 +255,7 @@
       report: () => undefined,
     }),
     runTimes: createRunTimes(),
+    targetCrashes: { check: () => Promise.resolve(false) },
     responseMemory: createMemoryBudget(),
     retries: {
       recordRequest: () => undefined,
--- a/test/platform/whole_answers_test.ts
+++ b/test/platform/whole_answers_test.ts
@@ -357,6 +357,7 @@
         report: () => undefined,
       }),
       runTimes: createRunTimes(),
+      targetCrashes: { check: () => Promise.resolve(false) },
       responseMemory: createMemoryBudget(),
       log: createSilentLog(),
       zone: "zone-a",
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -224,6 +224,7 @@
           log: createSilentLog(),
           report: () => undefined,
         }),
+      targetCrashes: { check: () => Promise.resolve(false) },
       runTimes,
       responseMemory: createMemoryBudget(),
       log: {
