--- /dev/null
+++ b/test/platform/crashing_service.ts
@@ -0,0 +1,88 @@
+/** A service whose targets end when they run some requests, on loopback. */
+
+import type { StoreStandIn } from "./store_stand_in.ts";
+import {
+  type ReceivedRequest,
+  setIdentityHeaders,
+  startTarget,
+  type TargetStandIn,
+} from "./target_stand_in.ts";
+
+/** Time until the replacement of a crashed target is registered, in ms. */
+const replacementMs = 30;
+
+/** A service that a test controls. */
+export interface CrashingService {
+  /** Returns the number of requests that arrived and match, run or not. */
+  countArrivals(matches: (request: ReceivedRequest) => boolean): number;
+  /** Returns the number of targets that have crashed. */
+  countCrashes(): number;
+  /** Ends all targets without a request that causes it. */
+  crashAll(): Promise<void>;
+  close(): Promise<void>;
+}
+
+/** Starts a service whose crashed targets are replaced soon. */
+export async function startCrashingService(
+  store: StoreStandIn,
+  { targets: count, isDeadly }: {
+    readonly targets: number;
+    readonly isDeadly: (request: ReceivedRequest) => boolean;
+  },
+): Promise<CrashingService> {
+  const arrived: ReceivedRequest[] = [];
+  const running = new Set<TargetStandIn>();
+  const replacements = new Set<Promise<void>>();
+  let started = 0;
+  let crashes = 0;
+  let isClosed = false;
+  await Promise.all(Array.from({ length: count }, start));
+
+  return {
+    countArrivals: (matches) => arrived.filter(matches).length,
+    countCrashes: () => crashes,
+    crashAll: async () => {
+      await Promise.all([...running].map(crash));
+    },
+    close: async () => {
+      isClosed = true;
+      await Promise.all(replacements);
+      await Promise.all([...running].map((target) => target.close()));
+    },
+  };
+
+  async function start(): Promise<void> {
+    const id = `target-${++started}`;
+    const target = await startTarget(id, "desk");
+    running.add(target);
+    target.setHandler((request, response) => {
+      arrived.push(request);
+      if (isDeadly(request)) return void crash(target);
+      setIdentityHeaders(request, response, id);
+      if (!request.path.startsWith("/draft/")) return void response.end("done");
+      response.writeHead(200, { "content-type": "text/event-stream" });
+      response.end("id: 1\ndata: word\n\n");
+    });
+    // The router tells processes apart by their start.
+    store.put(
+      `servers/${id}`,
+      target.createEntry("ready", { born: Date.now() }),
+    );
+  }
+
+  async function crash(target: TargetStandIn): Promise<void> {
+    if (!running.delete(target)) return;
+    crashes++;
+    await target.close();
+    const replacement = replace(target.id);
+    replacements.add(replacement);
+    await replacement;
+    replacements.delete(replacement);
+  }
+
+  async function replace(id: string): Promise<void> {
+    await new Promise((resolve) => setTimeout(resolve, replacementMs));
+    store.remove(`servers/${id}`);
+    if (!isClosed) await start();
+  }
+}
