Quarantine requests that crash their targets, at all routers

Cause: the limit held for the retries of one router. Each time that the caller sent the request again it was a first send, and first sends were never refused. The class: a limit that is kept where one kind of sends is made, and not where all of them are. Change: routers share, for each request, the set of processes that crashed while it was in flight; three of them quarantine it, for any kind of route. It gets 503 at once (502 where its own attempt was sent before), also when the quarantine begins while it waits for a connection. Single trials, more and more seldom, release sound requests that were at three crashes by chance. Records are repeated in digests, so routers that start or were cut off learn of them, and the store isn't needed. The fingerprint covers the prompt.

--- a/src/cli/explanation.ts
+++ b/src/cli/explanation.ts
@@ -31,6 +31,11 @@
       target !== undefined
     ),
   );
+  const quarantinedKeys = new Set(
+    requestLines.map(({ quarantined }) => quarantined).filter((key) =>
+      key !== undefined
+    ),
+  );
   const processes = new Set(requestLines.map((line) => line["process"]));
   const times = requestLines.map(getTime);
   const from = Math.min(...times) - relatedWindowMs;
@@ -46,11 +51,12 @@
 
   /**
    * Returns true for lines of the request, and for lines without a request that
-   * concern one of its targets or the whole router.
+   * concern one of its targets, what it was quarantined for, or the whole router.
    */
   function isRelated(line: Line): boolean {
-    const { request, target, message } = line;
+    const { request, target, quarantined, message } = line;
     if (request !== undefined) return request === requestId;
+    if (quarantined !== undefined) return quarantinedKeys.has(quarantined);
     return target === undefined
       ? generalMessages.has(message)
       : targets.has(target);
--- a/src/cli/explanation_test.ts
+++ b/src/cli/explanation_test.ts
@@ -25,6 +25,9 @@
   createLine(6, "Store returned from an older copy", { era: 2 }),
   createLine(40, "Target is gone", { target: "t1" }),
   createLine(4, "Target is gone", { target: "t1", process: "router-2" }),
+  createLine(2, "Quarantine starts", { quarantined: "request:1" }),
+  createLine(2, "Quarantine starts", { quarantined: "request:2" }),
+  createLine(5, "Request ended", { request: "r4", quarantined: "request:1" }),
 ].join("\n");
 
 describe("explainRequest", () => {
@@ -39,6 +42,16 @@
     ]);
   });
 
+  it("shows why the request was quarantined", () => {
+    expect(explainRequest(logs, "r4")).toEqual([
+      "router-1:",
+      "  00:00:05.000 Store call failed  kind=unavailable",
+      "  00:00:06.000 Store returned from an older copy  era=2",
+      "  00:00:02.000 Quarantine starts  quarantined=request:1",
+      "  00:00:05.000 Request ended  quarantined=request:1",
+    ]);
+  });
+
   it("is empty for a request that the logs do not contain", () => {
     expect(explainRequest(logs, "r3")).toEqual([]);
   });
--- a/src/connection/direct_client.ts
+++ b/src/connection/direct_client.ts
@@ -154,7 +154,8 @@
       const { call } = options as { readonly call?: DirectCall };
       const connect = handler.onConnect?.bind(handler);
       handler.onConnect = (...args) => {
-        const hold = target && host.tryGetHold(target);
+        const hold = (target && host.tryGetHold(target)) ??
+          (call?.isQuarantined?.() ? "quarantined" : undefined);
         // An error that is thrown here leaves the connection open.
         if (hold !== undefined) throw createWithheldError(hold);
         call?.recordSent?.();
@@ -326,7 +327,7 @@
 
 function createWithheldError(hold: Hold): WithheldError {
   return Object.assign(
-    new Error(`The target is on hold: ${hold}`),
+    new Error(`The request is on hold: ${hold}`),
     {
       code: withheldErrorCode,
       hold,
--- a/src/process/direct/peer_digests.ts
+++ b/src/process/direct/peer_digests.ts
@@ -11,6 +11,7 @@
   type TargetLoadReport,
 } from "../../generated/mimosatray/v1/peer_digest.ts";
 import type { CrashRecordUpdate } from "../attempts/crash_records.ts";
+import type { CrashEvidence } from "./crash_evidence.ts";
 import type { PlacedPart } from "./cached_parts.ts";
 import type { PushFragment } from "./push_fragments.ts";
 import type { StorePosition } from "../../types/store_position.ts";
@@ -23,6 +24,9 @@
 /** Maximum number of parts in one digest; the rest follows in the next. */
 const maxPartsPerDigest = 14;
 
+/** Number of parts that one record of crash evidence takes the place of. */
+const partsPerEvidence = 2;
+
 /** Maximum number of crash records in one digest. */
 const maxCrashesPerDigest = 4;
 
@@ -56,6 +60,8 @@
   readonly loads: ReadonlyMap<string, TargetLoad>;
   readonly parts: readonly PlacedPart[];
   readonly crashes: readonly CrashRecordUpdate[];
+  /** What was in flight at crashes of targets. */
+  readonly crashEvidence: readonly CrashEvidence[];
   /** Part of a push; a digest that has one carries no loads or parts. */
   readonly pushFragment: PushFragment | undefined;
 }
@@ -81,7 +87,10 @@
   /** Returns the number of queued items that are still to be sent. */
   getQueueLength(): number;
   /** Encodes the next digest to all peers. */
-  write(state: DigestState): Uint8Array;
+  write(
+    state: DigestState,
+    crashEvidence?: readonly CrashEvidence[],
+  ): Uint8Array;
   /** Encodes a response to one peer; parts wait for the next digest to all. */
   writeResponse(state: DigestState): Uint8Array;
   /** Encodes a digest that carries a part of a push in place of loads. */
@@ -92,21 +101,22 @@
 export function createDigestWriter(sender: string): DigestWriter {
   const partQueue = createSendQueue<PlacedPart>({
     maxItems: maxQueuedParts,
-    batchSize: maxPartsPerDigest,
   });
   const crashQueue = createSendQueue<CrashRecordUpdate>({
     maxItems: maxQueuedCrashes,
-    batchSize: maxCrashesPerDigest,
   });
 
   return {
     queuePart: partQueue.add,
     queueCrash: crashQueue.add,
     getQueueLength: () => partQueue.getLength() + crashQueue.getLength(),
-    write: (state) =>
+    write: (state, crashEvidence = []) =>
       encode(state, {
-        parts: partQueue.takeBatch(),
-        crashes: crashQueue.takeBatch(),
+        parts: partQueue.takeBatch(
+          maxPartsPerDigest - crashEvidence.length * partsPerEvidence,
+        ),
+        crashes: crashQueue.takeBatch(maxCrashesPerDigest),
+        crashEvidence,
       }),
     writeResponse: (state) => encode(state, { parts: [] }),
     writePush: (state, pushFragment) =>
@@ -118,9 +128,10 @@
 
   function encode(
     { loads, position, leaves, ...state }: DigestState,
-    { parts, crashes = [], pushFragment }: {
+    { parts, crashes = [], crashEvidence = [], pushFragment }: {
       readonly parts: readonly PlacedPart[];
       readonly crashes?: readonly CrashRecordUpdate[];
+      readonly crashEvidence?: readonly CrashEvidence[];
       readonly pushFragment?: PushFragment;
     },
   ): Uint8Array {
@@ -138,6 +149,10 @@
         isBeingRead,
       })),
       crashReports: [...crashes],
+      crashEvidence: crashEvidence.map(({ lives, ...record }) => ({
+        ...record,
+        lives: [...lives],
+      })),
       pushFragment: pushFragment && {
         ...pushFragment.position,
         index: pushFragment.index,
@@ -150,10 +165,7 @@
 
 /** Creates a queue whose items are each sent in several batches. */
 function createSendQueue<Item>(
-  { maxItems, batchSize }: {
-    readonly maxItems: number;
-    readonly batchSize: number;
-  },
+  { maxItems }: { readonly maxItems: number },
 ) {
   let queue: { readonly item: Item; readonly sendsLeft: number }[] = [];
 
@@ -164,7 +176,7 @@
     if (queue.length > maxItems) queue.shift();
   }
 
-  function takeBatch(): readonly Item[] {
+  function takeBatch(batchSize: number): readonly Item[] {
     const batch = queue.slice(0, batchSize);
     queue = [
       ...queue.slice(batchSize),
@@ -236,6 +248,7 @@
         }),
       ),
       crashes: digest.crashReports,
+      crashEvidence: digest.crashEvidence,
     };
   } catch {
     // Any process may send to the port, so other datagrams are ignored.
--- a/src/process/direct/peer_digests_test.ts
+++ b/src/process/direct/peer_digests_test.ts
@@ -1,4 +1,6 @@
 import { PeerDigest } from "../../generated/mimosatray/v1/peer_digest.ts";
+import { createCrashEvidenceTable } from "./crash_evidence.ts";
+import { createEvidenceReports } from "./evidence_reports.ts";
 import {
   createDigestWriter,
   maxDigestBytes,
@@ -16,6 +18,15 @@
   loads: new Map(),
 };
 
+const evidence = {
+  key: "request:0123456789abcdef",
+  generation: 3,
+  lives: [1, 2, 0xffff_ffff],
+  trials: 2,
+  trialInMs: 8_000,
+  expiresInMs: 1_200_000,
+};
+
 describe("peer digests", () => {
   it("carry loads, parts and the directory position", () => {
     const writer = createDigestWriter("router-1");
@@ -32,7 +43,7 @@
       lostEntries: 3,
       leaves: [{ id: "b", startedAtMs: 1_790_000_000_123 }],
       loads: new Map([["a", { requests: 2, unreadTokens: 30 }]]),
-    }));
+    }, [evidence]));
     expect(digest).toEqual({
       sender: "router-1",
       position: { era: 2, revision: 7 },
@@ -45,6 +56,7 @@
       loads: new Map([["a", { requests: 2, unreadTokens: 30 }]]),
       parts: [{ target: "a", part: { id: "p", tokens: 9 }, isBeingRead: true }],
       crashes: [],
+      crashEvidence: [evidence],
     });
   });
 
@@ -93,6 +105,16 @@
         { requests: 20, unreadTokens: 40_000 },
       ]),
     );
+    const table = createCrashEvidenceTable();
+    const reports = createEvidenceReports(table);
+    for (let key = 0; key < 20; key++) {
+      table.merge({
+        ...evidence,
+        key: `request:0123456789abcd${key + 10}`,
+        lives: [1, 2, 3, 4, 5, 6, 7, 8],
+      });
+      if (key < 10) reports.queue(`request:0123456789abcd${key + 10}`);
+    }
     const { length } = writer.write({
       ...noLoads,
       position: { era: 999, revision: 9_999_999 },
@@ -104,7 +126,7 @@
         startedAtMs: 1_790_000_000_123,
       })),
       loads,
-    });
+    }, reports.take());
     expect(length).toBeLessThanOrEqual(maxDigestBytes);
   });
 
--- a/src/request/attempt_description.ts
+++ b/src/request/attempt_description.ts
@@ -1,6 +1,7 @@
 /** Describes one attempt of a direct request for the log. */
 
 import { getSharedParts } from "../process/direct/prefix_placement.ts";
+import type { QuarantineRefusal } from "../process/direct/quarantine.ts";
 import { getFingerprint } from "../process/direct/crash_keys.ts";
 import type { Log } from "../process/telemetry/log.ts";
 import type { DirectResult } from "../types/direct_calls.ts";
@@ -25,6 +26,13 @@
   };
 }
 
+/** Returns why a request is not sent, for the log. */
+export function describeRefusal(
+  { key, crashes }: QuarantineRefusal,
+): Readonly<Record<string, string | number>> {
+  return { quarantined: key.id, label: key.label, crashes };
+}
+
 /** Returns what a target responded, for the log. */
 function describeHead(
   result: DirectResult,
--- /dev/null
+++ b/src/request/direct_end.ts
@@ -0,0 +1,64 @@
+/** The ends of direct requests that have no whole response. */
+
+import {
+  getRetryAfterMs,
+  type TargetQueue,
+} from "../process/direct/admission_estimate.ts";
+import type { QuarantineRefusal } from "../process/direct/quarantine.ts";
+import { createReport, type DiagnosticCode } from "../types/diagnostics.ts";
+import type { RequestEnd } from "../types/reply.ts";
+import type { DirectHost } from "./direct_host.ts";
+import { createEnd } from "./request_end.ts";
+import type { StopReason } from "./request_stop.ts";
+
+/** Creates the end of a request that no target has taken. */
+export function createUnservedEnd(
+  host: Pick<DirectHost, "pauses" | "random" | "targets">,
+  service: string,
+  { lastRefusal, lastQueue, timeLeftMs }: {
+    readonly lastRefusal: DiagnosticCode | undefined;
+    /** Queue of the last target that refused or would come too late. */
+    readonly lastQueue: TargetQueue | undefined;
+    readonly timeLeftMs: number;
+  },
+): RequestEnd {
+  const ready = host.targets.getReady(service);
+  const code = lastRefusal ?? (ready.length > 0 ? "target_full" : "no_target");
+  return createEnd(createReport(code, { service }, {
+    retryAfterMs: getRetryAfterMs(lastQueue, {
+      timeLeftMs,
+      pausedMs: host.pauses.getFirstEndMs(ready),
+      random: host.random(),
+    }),
+  }));
+}
+
+/** Creates the end of a request that a target may have run. */
+export function createLostEnd(
+  code: DiagnosticCode | undefined,
+  sentBytes: number,
+): RequestEnd {
+  return createEnd(
+    createReport(code ?? "outcome_unknown", { bytes: sentBytes }),
+  );
+}
+
+/** Creates the end of a request that stopped at its deadline or its caller. */
+export function createStoppedEnd(
+  reason: StopReason | undefined,
+  mayHaveRun: boolean,
+): RequestEnd {
+  if (reason === "caller_gone") return createEnd(createReport("caller_gone"));
+  return createEnd(
+    createReport(mayHaveRun ? "deadline_exceeded" : "deadline_passed"),
+  );
+}
+
+/** Creates the end of a request that is quarantined. */
+export function createQuarantinedEnd(
+  { crashes, retryAfterMs }: QuarantineRefusal,
+): RequestEnd {
+  return createEnd(
+    createReport("request_crashes_targets", { crashes }, { retryAfterMs }),
+  );
+}
--- a/src/request/direct_host.ts
+++ b/src/request/direct_host.ts
@@ -2,6 +2,7 @@
 
 import type { RunTimes } from "../process/direct/admission_estimate.ts";
 import type { CachedParts } from "../process/direct/cached_parts.ts";
+import type { Quarantine } from "../process/direct/quarantine.ts";
 import type { CrashSuspects } from "../process/direct/crash_suspects.ts";
 import type { LoadView } from "../process/direct/load_view.ts";
 import type { MemoryBudget } from "../process/direct/memory_budget.ts";
@@ -45,6 +46,7 @@
     CrashSuspects,
     "canRetry" | "recordCrash" | "recordResponse"
   >;
+  readonly quarantine: Quarantine;
   readonly targetCrashes: TargetCrashes;
   readonly runTimes: RunTimes;
   readonly responseMemory: Pick<MemoryBudget, "begin">;
@@ -78,11 +80,20 @@
   }
   | { readonly kind: "stopped" };
 
-/** Diagnostics of a request that was not sent because of a hold. */
+/** Creates the end of an attempt that the target has not run. */
+export function createNotRun(
+  code: DiagnosticCode,
+  { arrived = false }: { readonly arrived?: boolean } = {},
+): AttemptEnd {
+  return { kind: "not_run", code, arrived };
+}
+
+/** Diagnostics of a request that was not sent. */
 export const holdCodes = {
   leaving: "target_leaving",
   paused: "target_full",
   busy: "target_full",
+  quarantined: "request_crashes_targets",
 } as const satisfies Readonly<Record<Hold, DiagnosticCode>>;
 
 /** Returns true when the request of the call may have reached its target. */
--- /dev/null
+++ b/src/request/direct_quarantine.ts
@@ -0,0 +1,134 @@
+/** One request, as far as it may be quarantined. */
+
+import type {
+  Quarantine,
+  QuarantineRefusal,
+} from "../process/direct/quarantine.ts";
+import { type CrashKey, getCrashKeys } from "../process/direct/crash_keys.ts";
+import type { CrashSuspects } from "../process/direct/crash_suspects.ts";
+import type { TargetCrashes } from "../process/direct/target_crashes.ts";
+import type { DirectRequest } from "../types/direct_request.ts";
+import type { DirectTarget } from "../types/direct_target.ts";
+
+/**
+ * Time for which a retry waits to learn whether the target has crashed, in
+ * milliseconds: some round trips within a region.
+ */
+const maxCrashCheckMs = 25;
+
+/** The quarantine as it applies to one request. */
+export interface DirectQuarantine {
+  /** Returns a refusal when the request is quarantined and not its trial. */
+  tryRefuse(): QuarantineRefusal | undefined;
+  /**
+   * Returns true when the request must not be sent at this moment. One that is
+   * quarantined becomes its trial when that is due.
+   */
+  isQuarantined(): boolean;
+  /** Returns false when work that may have run must not be sent again. */
+  canRepeat(): boolean;
+  /**
+   * Records that a target dropped the request's connection; resolves when it is
+   * known whether the target has crashed, or after a short time.
+   */
+  recordLoss(
+    target: DirectTarget,
+    options: { readonly hasResponseBegun: boolean },
+  ): Promise<void>;
+  /** Records that a target has sent a whole response. */
+  recordResponse(): void;
+  /** Ends the request; a trial without a result can then be repeated. */
+  end(): void;
+}
+
+/** Creates the quarantine of a request that was not sent yet. */
+export function createDirectQuarantine(
+  host: {
+    readonly crashes: Pick<CrashSuspects, "canRetry" | "recordCrash">;
+    readonly quarantine: Quarantine;
+    readonly targetCrashes: TargetCrashes;
+  },
+  request: DirectRequest,
+): DirectQuarantine {
+  const { quarantine } = host;
+  const checks: Promise<void>[] = [];
+  let keys: readonly CrashKey[] | undefined;
+  let isTrial = false;
+  let hasResult = false;
+
+  return {
+    tryRefuse,
+    isQuarantined,
+    canRepeat,
+    recordLoss,
+    recordResponse,
+    end,
+  };
+
+  function getKeys(): readonly CrashKey[] {
+    keys ??= getCrashKeys(request);
+    return keys;
+  }
+
+  function tryRefuse(): QuarantineRefusal | undefined {
+    if (isTrial || !quarantine.hasEvidence()) return undefined;
+    const refusal = quarantine.tryGetRefusal(getKeys());
+    if (refusal === undefined || quarantine.isTrialDue(getKeys())) {
+      return undefined;
+    }
+    return refusal;
+  }
+
+  function isQuarantined(): boolean {
+    if (isTrial || !hasQuarantinedKey()) return false;
+    isTrial = quarantine.tryStartTrial(getKeys());
+    return !isTrial;
+  }
+
+  function hasQuarantinedKey(): boolean {
+    return quarantine.hasEvidence() &&
+      quarantine.tryGetRefusal(getKeys()) !== undefined;
+  }
+
+  function canRepeat(): boolean {
+    return host.crashes.canRetry(request) && !hasQuarantinedKey();
+  }
+
+  async function recordLoss(
+    target: DirectTarget,
+    { hasResponseBegun }: { readonly hasResponseBegun: boolean },
+  ): Promise<void> {
+    host.crashes.recordCrash(request);
+    const check = host.targetCrashes.check(target).then((hasCrashed) => {
+      if (!hasCrashed) return;
+      hasResult = true;
+      quarantine.recordCrash(getKeys(), target, { hasResponseBegun });
+    });
+    checks.push(check);
+    await waitAtMost(check, maxCrashCheckMs);
+  }
+
+  function recordResponse(): void {
+    hasResult = true;
+    if (quarantine.hasEvidence()) quarantine.recordResponse(getKeys());
+  }
+
+  function end(): void {
+    if (!isTrial) return;
+    void Promise.all(checks).then(() => {
+      if (!hasResult) quarantine.releaseTrial(getKeys());
+    });
+  }
+}
+
+async function waitAtMost(
+  promise: Promise<void>,
+  timeoutMs: number,
+): Promise<void> {
+  let timer: NodeJS.Timeout | undefined;
+  const timeout = new Promise<void>((resolve) => {
+    timer = setTimeout(resolve, timeoutMs);
+  });
+  await Promise.race([promise, timeout]);
+  clearTimeout(timer);
+}
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -5,7 +5,6 @@
  */
 
 import {
-  getRetryAfterMs,
   isBeyondDeadline,
   type TargetQueue,
 } from "../process/direct/admission_estimate.ts";
@@ -13,22 +12,33 @@
 import type { TargetOutcome } from "../process/direct/target_health.ts";
 import type { DirectResult } from "../types/direct_calls.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
-import { createReport, type DiagnosticCode } from "../types/diagnostics.ts";
+import type { DiagnosticCode } from "../types/diagnostics.ts";
 import { promisesNotRun } from "../types/promises.ts";
 import type { Reply, RequestEnd } from "../types/reply.ts";
-import { describeChoice, logAttempt } from "./attempt_description.ts";
+import {
+  describeChoice,
+  describeRefusal,
+  logAttempt,
+} from "./attempt_description.ts";
 import { type DirectAttempt, startDirectAttempt } from "./direct_attempt.ts";
 import { type DirectChoice, tryChooseTarget } from "./direct_choice.ts";
 import {
   type AttemptEnd,
+  createNotRun,
   type DirectHost,
   holdCodes,
   mayHaveArrived,
 } from "./direct_host.ts";
+import {
+  createLostEnd,
+  createQuarantinedEnd,
+  createStoppedEnd,
+  createUnservedEnd,
+} from "./direct_end.ts";
+import { createDirectQuarantine } from "./direct_quarantine.ts";
 import { createDirectResponse } from "./direct_response.ts";
 import { createDirectRetry } from "./direct_retry.ts";
 import { getPriorityClass } from "./direct_timeouts.ts";
-import { createEnd } from "./request_end.ts";
 import type { RequestSummary } from "./request_host.ts";
 import { createRequestStop } from "./request_stop.ts";
 
@@ -68,6 +78,7 @@
   const isRetryable = route.kind === "safe" ||
     (route.kind === "stream" && route.isResumable);
   const retry = createDirectRetry(host.retries, service);
+  const quarantine = createDirectQuarantine(host, request);
   const attempted = new Set<string>();
   let sends = 0;
   /** Time waited for prefills by other requests, in milliseconds. */
@@ -91,11 +102,17 @@
     response.release();
     stop.clear();
     retry.end();
+    quarantine.end();
   }
 
   async function runAttempts(): Promise<RequestEnd> {
     while (true) {
       if (stop.getReason() !== undefined) return endStopped();
+      const refusal = quarantine.tryRefuse();
+      if (refusal !== undefined) {
+        decision = describeRefusal(refusal);
+        return mayHaveRun() ? endUnserved() : createQuarantinedEnd(refusal);
+      }
       const choice = await tryChooseTargetAfterPrefill();
       if (stop.getReason() !== undefined) return endStopped();
       if (choice === undefined || sends >= maxAttempts) return endUnserved();
@@ -180,6 +197,7 @@
         lastEventId: response.getLastEventId() ?? request.lastEventId,
         needsFreshConnection: route.kind === "unsafe",
         signal: attempt.signal,
+        isQuarantined: quarantine.isQuarantined,
         recordSent: () => {
           retry.recordSent();
           attempt.recordSent();
@@ -188,14 +206,8 @@
       if (mayHaveArrived(result)) retry.recordSent();
       const end = await classifyResult(result, choice, attempt);
       if (end.kind !== "done" || sentBefore.sentBytes > 0) {
-        logAttempt(host.log, {
-          request,
-          choice,
-          result,
-          end,
-          sentBefore,
-          sends,
-        });
+        const ends = { choice, result, end, sentBefore, sends };
+        logAttempt(host.log, { request, ...ends });
       }
       return end;
     } finally {
@@ -239,23 +251,18 @@
     switch (result.kind) {
       case "not_sent":
         recordOutcome("unreachable");
-        return { kind: "not_run", code: "no_target", arrived: false };
+        return createNotRun("no_target");
       case "withheld":
-        return {
-          kind: "not_run",
-          code: holdCodes[result.hold],
-          arrived: false,
-        };
+        return createNotRun(holdCodes[result.hold]);
       case "refused":
-        return { kind: "not_run", code: "target_full", arrived: true };
+        return createNotRun("target_full", { arrived: true });
       case "wrong_target":
         recordOutcome("unreachable");
-        return { kind: "not_run", code: "wrong_incarnation", arrived: true };
+        return createNotRun("wrong_incarnation", { arrived: true });
       case "aborted":
         return endAborted();
       case "lost":
-        host.crashes.recordCrash(request);
-        void host.targetCrashes.check(chosen);
+        await quarantine.recordLoss(chosen, { hasResponseBegun: false });
         return endLost("outcome_unknown", { reason: result.reason });
       case "spoiled":
         return endLost("outcome_unknown", { reason: result.reason });
@@ -287,10 +294,12 @@
         return { kind: "repeat", code: "target_error" };
       }
       if (!head.isEventStream) attempt.recordProgress();
+      const sentBytes = response.getSentBytes();
       const end = await response.forward(head, body, attempt);
       if (end.kind === "complete") {
         host.crashes.recordResponse(request);
         if (!isError) {
+          quarantine.recordResponse();
           recordOutcome("served");
           attempt.recordRun();
         }
@@ -298,8 +307,8 @@
       }
       drop();
       if (attempt.signal.aborted) return endAborted();
-      host.crashes.recordCrash(request);
-      void host.targetCrashes.check(chosen);
+      const hasResponseBegun = response.getSentBytes() > sentBytes;
+      await quarantine.recordLoss(chosen, { hasResponseBegun });
       return endLost("answer_cut", { reason: end.reason });
     }
 
@@ -350,18 +359,18 @@
 
   /** Returns true when work that may have run may be retried elsewhere. */
   function canRetry(): boolean {
-    return isRetryable && response.canContinue() &&
-      possibleRuns < route.maxTargets &&
-      getTimeLeftMs() > minTimeLeftMs &&
-      stop.getReason() === undefined && sends < maxAttempts &&
-      host.crashes.canRetry(request);
+    return getTimeLeftMs() > minTimeLeftMs && stop.getReason() === undefined &&
+      mayContinue(possibleRuns);
   }
 
   /** Returns true when an idle timeout of this attempt may cause a retry. */
   function canRetryAfterTimeout(): boolean {
-    return isRetryable && response.canContinue() &&
-      possibleRuns + 1 < route.maxTargets &&
-      sends < maxAttempts && host.crashes.canRetry(request);
+    return mayContinue(possibleRuns + 1);
+  }
+
+  function mayContinue(runs: number): boolean {
+    return isRetryable && response.canContinue() && runs < route.maxTargets &&
+      sends < maxAttempts && quarantine.canRepeat();
   }
 
   function getTimeLeftMs(): number {
@@ -373,30 +382,21 @@
   }
 
   function endStopped(): RequestEnd {
-    if (stop.getReason() === "caller_gone") {
-      return createEnd(createReport("caller_gone"));
-    }
-    const code = possibleRuns > 0 ? "deadline_exceeded" : "deadline_passed";
-    return createEnd(createReport(code));
+    return createStoppedEnd(stop.getReason(), possibleRuns > 0);
   }
 
   /** Ends a request that no target is left for, or that may not be retried. */
   function endUnserved(): RequestEnd {
-    if (possibleRuns > 0 || lastFailure !== undefined) {
-      const bytes = response.getSentBytes();
-      return createEnd(
-        createReport(lastFailure ?? "outcome_unknown", { bytes }),
-      );
+    if (mayHaveRun()) {
+      return createLostEnd(lastFailure, response.getSentBytes());
     }
-    const ready = host.targets.getReady(service);
-    const code = lastRefusal ??
-      (ready.length > 0 ? "target_full" : "no_target");
-    return createEnd(createReport(code, { service }, {
-      retryAfterMs: getRetryAfterMs(lastQueue, {
-        timeLeftMs: getTimeLeftMs(),
-        pausedMs: host.pauses.getFirstEndMs(ready),
-        random: host.random(),
-      }),
-    }));
+    const timeLeftMs = getTimeLeftMs();
+    return createUnservedEnd(host, service, {
+      ...{ lastRefusal, lastQueue, timeLeftMs },
+    });
+  }
+
+  function mayHaveRun(): boolean {
+    return possibleRuns > 0 || lastFailure !== undefined;
   }
 }
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -1,4 +1,9 @@
-import { createRoute, createTarget } from "../../test/support/direct.ts";
+import {
+  createRequest,
+  createRoute,
+  createTarget,
+  createTestQuarantine,
+} from "../../test/support/direct.ts";
 import {
   abortableStream,
   type Behaviour,
@@ -9,10 +14,13 @@
   stream,
 } from "../../test/support/direct_runs.ts";
 import { createSilentLog } from "../process/telemetry/log.ts";
+import type { Quarantine } from "../process/direct/quarantine.ts";
+import { getCrashKeys } from "../process/direct/crash_keys.ts";
 import {
   type CrashSuspects,
   createCrashSuspects,
 } from "../process/direct/crash_suspects.ts";
+import type { DirectRoute } from "../types/route_table.ts";
 
 const safe = createRoute({ kind: "safe" });
 const unsafe = createRoute({ kind: "unsafe", maxTargets: 1 });
@@ -382,6 +390,111 @@
     });
   });
 
+  describe("at which targets have crashed", () => {
+    const request = { path: "/draft/deadly" };
+
+    function createQuarantined(route: DirectRoute): Quarantine {
+      const quarantine = createTestQuarantine();
+      for (const id of ["a", "b", "c"]) {
+        quarantine.recordCrash(
+          getCrashKeys(createRequest(route, request)),
+          createTarget(id, { startedAtMs: 7 }),
+          { hasResponseBegun: false },
+        );
+      }
+      return quarantine;
+    }
+
+    it.each(
+      [
+        ["safe", safe],
+        ["unsafe", unsafe],
+        ["stream", fixedStream],
+        ["resumable stream", resumable],
+      ] as const,
+    )("is refused at once and not sent (%s)", async (_kind, route) => {
+      const result = await run(route, [], {
+        request,
+        quarantine: createQuarantined(route),
+      });
+      expect(result).toMatchObject({
+        ...{ outcome: "not_run", code: "request_crashes_targets", calls: [] },
+        ...{ retryAfterMs: 2_000, endedAtMs: 0 },
+      });
+    });
+
+    it("is sent once as its trial, and not retried", async () => {
+      const quarantine = createQuarantined(safe);
+      jest.advanceTimersByTime(2_000);
+      const crashed = await run(safe, [lost], {
+        ...{ request, quarantine, hasCrashed: true, durationMs: 1 },
+      });
+      expect(crashed).toMatchObject({ outcome: "unknown", targets: ["a"] });
+      const next = await run(safe, [], { request, quarantine, durationMs: 1 });
+      expect(next).toMatchObject({
+        code: "request_crashes_targets",
+        calls: [],
+      });
+    });
+
+    it("is served again after a trial that was served", async () => {
+      const quarantine = createQuarantined(safe);
+      jest.advanceTimersByTime(2_000);
+      for (let sent = 0; sent < 2; sent++) {
+        const result = await run(safe, [() => createResponse(["done"])], {
+          ...{ request, quarantine, durationMs: 1 },
+        });
+        expect(result.text).toBe("done");
+      }
+    });
+
+    it("is not sent by its router again once it is quarantined", async () => {
+      const quarantine = createTestQuarantine();
+      const route = createRoute({ kind: "safe", maxTargets: 5 });
+      const result = await run(route, [lost, lost, lost], {
+        ...{ request, quarantine, hasCrashed: true, durationMs: 1 },
+      });
+      expect(result.targets).toHaveLength(3);
+      expect(result).toMatchObject({ outcome: "unknown" });
+      const next = await run(route, [], { request, quarantine, durationMs: 1 });
+      expect(next.code).toBe("request_crashes_targets");
+    });
+
+    it("is not quarantined when the targets live on", async () => {
+      const quarantine = createTestQuarantine();
+      for (let sent = 0; sent < 4; sent++) {
+        await run(safe, [lost, spoiled], { request, quarantine });
+      }
+      expect(quarantine.hasEvidence()).toBe(false);
+    });
+
+    it("is not sent when the quarantine began while it waited", async () => {
+      const quarantine = createTestQuarantine();
+      const crashElsewhere: Behaviour = ({ isQuarantined }) => {
+        for (const id of ["a", "b", "c"]) {
+          quarantine.recordCrash(
+            getCrashKeys(createRequest(unsafe, request)),
+            createTarget(id, { startedAtMs: 7 }),
+            { hasResponseBegun: false },
+          );
+        }
+        expect(isQuarantined?.()).toBe(true);
+        return { kind: "withheld", hold: "quarantined" };
+      };
+      const result = await run(unsafe, [crashElsewhere], {
+        request,
+        quarantine,
+      });
+      expect(result).toMatchObject({
+        ...{
+          outcome: "not_run",
+          code: "request_crashes_targets",
+          targets: ["a"],
+        },
+      });
+    });
+  });
+
   describe("that streams", () => {
     it("resumes elsewhere without a missing or repeated event", async () => {
       const result = await run(resumable, [
--- a/src/roles/digest_exchange.ts
+++ b/src/roles/digest_exchange.ts
@@ -2,6 +2,7 @@
 
 import { createGossipSocket } from "../connection/gossip_socket.ts";
 import type { CrashRecordUpdate } from "../process/attempts/crash_records.ts";
+import type { Quarantine } from "../process/direct/quarantine.ts";
 import type { CachedParts } from "../process/direct/cached_parts.ts";
 import { createCatchUp } from "../process/direct/catch_up.ts";
 import { createDigestPace } from "../process/direct/digest_pace.ts";
@@ -92,6 +93,7 @@
   readonly loads: Pick<LoadView, "recordReport" | "getOwnLoads">;
   /** Applies the crash record of a peer. */
   mergeCrash(record: CrashRecordUpdate): void;
+  readonly quarantine: Pick<Quarantine, "hasChanges" | "merge" | "takeRecords">;
   /** Returns the position up to which all changes are known. */
   getPosition(): StorePosition;
   /** Returns the number of entries of which more is known than the store has. */
@@ -122,6 +124,8 @@
   reportCrash(record: CrashRecordUpdate): void;
   /** Returns true when the peer's latest digest reports it as settled. */
   isPeerSettled(id: string): boolean;
+  /** Returns true without peers, or when one was heard of lately. */
+  isInContact(): boolean;
 }
 
 /** Creates the exchange of a router that has no peers yet. */
@@ -165,6 +169,7 @@
     recordParts,
     reportCrash: digestWriter.queueCrash,
     isPeerSettled: (id) => settledPeers.has(id),
+    isInContact,
   };
 
   async function start(): Promise<void> {
@@ -178,10 +183,17 @@
     void socket.close();
   }
 
+  function isInContact(): boolean {
+    const since = performance.now() - peerIdleTimeoutMs;
+    return routers.size <= 1 ||
+      [...lastHeardAt.values()].some((heardAt) => heardAt >= since);
+  }
+
   function tick(): void {
     const state = {
       peers: routers.size - 1,
-      hasUpdates: digestWriter.getQueueLength() > 0,
+      hasUpdates: digestWriter.getQueueLength() > 0 ||
+        host.quarantine.hasChanges(),
       isWatcher: sync.hasTurn(),
     };
     if (pace.trySend(state)) writeDigest();
@@ -194,7 +206,9 @@
   }
 
   function writeDigest(): void {
-    sendToAll(digestWriter.write(getDigestState()));
+    sendToAll(
+      digestWriter.write(getDigestState(), host.quarantine.takeRecords()),
+    );
   }
 
   function pushChanges(
@@ -266,6 +280,7 @@
     handleLeaves(digest);
     handleSettled(digest, from);
     digest.crashes.forEach(host.mergeCrash);
+    digest.crashEvidence.forEach(host.quarantine.merge);
     for (const { target, part, isBeingRead } of digest.parts) {
       if (isBeingRead && !host.cachedParts.isCached(target, part.id)) {
         host.prefills.recordPeerPrefill(target, part);
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -15,6 +15,7 @@
 import { createRunTimes } from "../process/direct/admission_estimate.ts";
 import { createCachedParts } from "../process/direct/cached_parts.ts";
 import { createMemoryBudget } from "../process/direct/memory_budget.ts";
+import { createQuarantine } from "../process/direct/quarantine.ts";
 import { createCrashSuspects } from "../process/direct/crash_suspects.ts";
 import { createPartPrefills } from "../process/direct/part_prefills.ts";
 import { createLoadView } from "../process/direct/load_view.ts";
@@ -45,13 +46,14 @@
 import type { DirectSettings } from "../types/direct_settings.ts";
 import type { DirectoryStore } from "../types/directory.ts";
 import type { Reply } from "../types/reply.ts";
-import type { Dump, StopResult } from "../types/role.ts";
+import type { StopResult } from "../types/role.ts";
 import { createDirectRecords } from "./direct_records.ts";
 import {
   createDirectRequest,
   defaultDeadlineMs,
   initialLimits,
 } from "./direct_binding.ts";
+import { createDirectState } from "./direct_state.ts";
 import { createOperatorRoutes, createReadinessRoute } from "./direct_routes.ts";
 import { createDirectory } from "./directory.ts";
 
@@ -163,6 +165,11 @@
     log,
     report: (record) => directory.reportCrash(record),
   });
+  const quarantine = createQuarantine({
+    ...{ log, metrics },
+    tryGetTrialDelayMs: (key) => directory.tryGetTrialDelayMs(key),
+    announce: () => directory.sendDigest(),
+  });
   const targetCrashes = createTargetCrashes({
     ...{ log, metrics },
     probe: probeTarget,
@@ -171,7 +178,7 @@
   const directory = await createDirectory({
     ...{ settings, store: host.store, log, metrics },
     ...{ targets, health, cachedParts, prefills, loads, placement, calls },
-    mergeCrash: crashes.merge,
+    ...{ mergeCrash: crashes.merge, quarantine },
     handleRouteTable: (table) => {
       const isFirst = matcher === undefined;
       matcher = createRouteMatcher(table);
@@ -192,12 +199,23 @@
       { getRouterCount: directory.getPeakRouterCount },
       settings.retries,
     ),
-    ...{ crashes, targetCrashes, responseMemory, runTimes: createRunTimes() },
+    ...{
+      crashes,
+      quarantine,
+      targetCrashes,
+      responseMemory,
+      runTimes: createRunTimes(),
+    },
     zone: settings.zone,
     loadMultiple: settings.loadMultiple,
     random: Math.random,
   };
-  registerGauges();
+  const state = createDirectState({
+    ...{ metrics, directory, targets, health, pauses, loads, quarantine },
+    ...{ cachedParts, responseMemory, retries: requestHost.retries, isReady },
+    getVersion: () => matcher?.table.version ?? 0,
+    getInFlight: () => inFlight,
+  });
   const records = createDirectRecords({
     ...{ metrics, log },
     getVersion: () => matcher?.table.version,
@@ -321,7 +339,7 @@
   async function openMetricsListener(): Promise<AdminListener | undefined> {
     try {
       return await openAdminListener(
-        createOperatorRoutes({ metrics, dump }),
+        createOperatorRoutes({ metrics, dump: state.dump }),
         settings.metrics,
       );
     } catch (error) {
@@ -336,36 +354,6 @@
     return matcher !== undefined && stopping === undefined;
   }
 
-  function dump(): Dump {
-    return {
-      version: matcher?.table.version ?? 0,
-      isReady: isReady(),
-      inFlight,
-      directory: directory.dump(),
-      targets: targets.getCounts(),
-      aside: health.getEjected(),
-      paused: pauses.getPaused(),
-      loads: Object.fromEntries(
-        [...loads.getOwnLoads()].map(([target, load]) => [target, { ...load }]),
-      ),
-    };
-  }
-
-  function registerGauges(): void {
-    metrics.gauge("requests_in_flight", () => inFlight);
-    metrics.gauge(
-      "configuration_version",
-      () => matcher?.table.version ?? 0,
-    );
-    metrics.gauge("targets_ready", () => targets.getCounts().ready);
-    metrics.gauge("targets_aside", () => health.getEjected().length);
-    metrics.gauge("targets_paused", () => pauses.getPaused().length);
-    metrics.gauge("held_parts", cachedParts.getSize);
-    metrics.gauge("response_memory_bytes", responseMemory.getUsedBytes);
-    metrics.gauge("repeats_in_window", requestHost.retries.getSpent);
-    metrics.gauge("process_resident_bytes", () => process.memoryUsage.rss());
-  }
-
   function stop(reason: string): Promise<StopResult> {
     stopping ??= stopOnce(reason);
     return stopping;
--- /dev/null
+++ b/src/roles/direct_state.ts
@@ -0,0 +1,66 @@
+/** Shows the state of a direct router to operators. */
+
+import type { CachedParts } from "../process/direct/cached_parts.ts";
+import type { Quarantine } from "../process/direct/quarantine.ts";
+import type { LoadView } from "../process/direct/load_view.ts";
+import type { MemoryBudget } from "../process/direct/memory_budget.ts";
+import type { RetryShare } from "../process/direct/retry_share.ts";
+import type { TargetHealth } from "../process/direct/target_health.ts";
+import type { TargetPauses } from "../process/direct/target_pauses.ts";
+import type { TargetTable } from "../process/direct/target_table.ts";
+import type { Metrics } from "../process/telemetry/metrics.ts";
+import type { Dump } from "../types/role.ts";
+import type { Directory } from "./directory.ts";
+
+/** What the state is read from. */
+export interface DirectStateHost {
+  readonly metrics: Pick<Metrics, "gauge">;
+  readonly directory: Pick<Directory, "dump">;
+  readonly targets: Pick<TargetTable, "getCounts">;
+  readonly health: Pick<TargetHealth, "getEjected">;
+  readonly pauses: Pick<TargetPauses, "getPaused">;
+  readonly loads: Pick<LoadView, "getOwnLoads">;
+  readonly quarantine: Pick<Quarantine, "getAll">;
+  readonly cachedParts: Pick<CachedParts, "getSize">;
+  readonly responseMemory: Pick<MemoryBudget, "getUsedBytes">;
+  readonly retries: Pick<RetryShare, "getSpent">;
+  /** Returns the version in force; 0 before the first. */
+  getVersion(): number;
+  getInFlight(): number;
+  isReady(): boolean;
+}
+
+/** Registers the gauges and returns the dump. */
+export function createDirectState(
+  host: DirectStateHost,
+): { dump(): Dump } {
+  const { metrics, targets, health, pauses, loads, quarantine } = host;
+  metrics.gauge("requests_in_flight", host.getInFlight);
+  metrics.gauge("configuration_version", host.getVersion);
+  metrics.gauge("targets_ready", () => targets.getCounts().ready);
+  metrics.gauge("targets_aside", () => health.getEjected().length);
+  metrics.gauge("targets_paused", () => pauses.getPaused().length);
+  metrics.gauge("quarantined", () => quarantine.getAll().length);
+  metrics.gauge("held_parts", host.cachedParts.getSize);
+  metrics.gauge("response_memory_bytes", host.responseMemory.getUsedBytes);
+  metrics.gauge("repeats_in_window", host.retries.getSpent);
+  metrics.gauge("process_resident_bytes", () => process.memoryUsage.rss());
+
+  return { dump };
+
+  function dump(): Dump {
+    return {
+      version: host.getVersion(),
+      isReady: host.isReady(),
+      inFlight: host.getInFlight(),
+      directory: host.directory.dump(),
+      targets: targets.getCounts(),
+      aside: health.getEjected(),
+      paused: pauses.getPaused(),
+      quarantined: quarantine.getAll().map((key) => ({ ...key })),
+      loads: Object.fromEntries(
+        [...loads.getOwnLoads()].map(([target, load]) => [target, { ...load }]),
+      ),
+    };
+  }
+}
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -20,6 +20,7 @@
 } from "../process/direct/directory_tables.ts";
 import { createPeerPulls } from "../process/direct/peer_pulls.ts";
 import type { CrashRecordUpdate } from "../process/attempts/crash_records.ts";
+import type { Quarantine } from "../process/direct/quarantine.ts";
 import { createRecentMaximum } from "../process/direct/recent_maximum.ts";
 import { createDirectorySync } from "../process/direct/directory_sync.ts";
 import { createRouterRegistration } from "../process/direct/router_registration.ts";
@@ -48,6 +49,15 @@
  */
 const peakRouterCountWindowMs = 60_000;
 
+/**
+ * Delay of a trial per router of higher rank, in milliseconds; long enough for the
+ * report of a trial that another router has started.
+ */
+const trialDelayPerRankMs = 250;
+
+/** Rank from which routers do not wait longer for their turn to start a trial. */
+const maxTrialRank = 40;
+
 /** Dependencies of the directory. */
 export interface DirectoryHost {
   readonly settings: DirectSettings;
@@ -61,6 +71,7 @@
   readonly loads: Pick<LoadView, "recordReport" | "getOwnLoads">;
   /** Applies the crash record of a peer. */
   mergeCrash(record: CrashRecordUpdate): void;
+  readonly quarantine: Pick<Quarantine, "hasChanges" | "merge" | "takeRecords">;
   /** Called when a newer version of the configuration is in force. */
   handleRouteTable(table: RouteTable): void;
   /** Called after changes of the directory were applied to the targets. */
@@ -84,6 +95,13 @@
   ): void;
   /** Reports a crash record to peers. */
   reportCrash(record: CrashRecordUpdate): void;
+  /** Sends a digest to all peers now. */
+  sendDigest(): void;
+  /**
+   * Returns the delay after which this router may start a trial of a key, in
+   * milliseconds; undefined when it is out of contact with its peers.
+   */
+  tryGetTrialDelayMs(key: string): number | undefined;
   /** Highest number of routers that were registered lately; at least 1. */
   getPeakRouterCount(): number;
   /** Time since the last response of the store, in milliseconds. */
@@ -202,6 +220,7 @@
     prefills: host.prefills,
     loads: host.loads,
     mergeCrash: host.mergeCrash,
+    quarantine: host.quarantine,
     getPosition: replica.getPosition,
     countLostEntries: replica.countLostEntries,
     isSettled: recovery.isSettled,
@@ -217,6 +236,8 @@
     stop,
     recordParts: exchange.recordParts,
     reportCrash: exchange.reportCrash,
+    sendDigest: exchange.sendDigest,
+    tryGetTrialDelayMs,
     getPeakRouterCount: () => Math.max(1, peakRouterCount.get()),
     getAgeMs: sync.getAgeMs,
     isStoreUnavailable: sync.hasFailed,
@@ -224,6 +245,15 @@
     dump,
   };
 
+  function tryGetTrialDelayMs(key: string): number | undefined {
+    if (!exchange.isInContact()) return undefined;
+    const candidates = [...routers.keys()].map((id) => ({ id, weight: 100 }));
+    const rank = host.placement
+      .rankTargets(key, candidates, { limit: maxTrialRank })
+      .findIndex(({ id }) => id === self.id);
+    return (rank < 0 ? maxTrialRank : rank) * trialDelayPerRankMs;
+  }
+
   function start(): void {
     sync.start();
     void servePulls();
--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -58,6 +58,11 @@
     status: 422,
     text: "The request was in flight at {crashes} crashes and is held back",
   },
+  request_crashes_targets: {
+    category: "not_run",
+    status: 503,
+    text: "The request was at {crashes} targets when they crashed",
+  },
   retry_budget_spent: {
     category: "not_run",
     status: 503,
@@ -266,7 +271,7 @@
   order_fenced: {
     category: "operator",
     status: 409,
-    text: "A newer order holds the target",
+    text: "A newer order quarantine the target",
   },
   settings_invalid: {
     category: "settings",
--- a/src/types/direct_calls.ts
+++ b/src/types/direct_calls.ts
@@ -30,6 +30,8 @@
   readonly needsFreshConnection: boolean;
   /** Aborts the call. */
   readonly signal: AbortSignal;
+  /** Returns true when the request must not be written to a connection now. */
+  isQuarantined?(): boolean;
   /** Called when the request is written to a connection. */
   recordSent?(): void;
 }
@@ -72,10 +74,11 @@
   | { readonly kind: "unreadable"; readonly text: string };
 
 /**
- * Why a target gets no requests at present although it is registered; `busy`
- * when all connections to it are in use.
+ * Why a request is not sent to a target that is registered: the target leaves,
+ * has asked for a pause, or has all connections in use, or the request itself is
+ * quarantined.
  */
-export type Hold = "leaving" | "paused" | "busy";
+export type Hold = "leaving" | "paused" | "busy" | "quarantined";
 
 /**
  * The result of a call:
--- a/test/emulator/fleet.ts
+++ b/test/emulator/fleet.ts
@@ -21,7 +21,12 @@
 import type { DirectTarget } from "../../src/types/direct_target.ts";
 import type { PromptPart } from "../../src/types/prompt.ts";
 import type { Reply, RequestEnd } from "../../src/types/reply.ts";
-import { createRequest, createRoute, createTarget } from "../support/direct.ts";
+import {
+  createRequest,
+  createRoute,
+  createTarget,
+  createTestQuarantine,
+} from "../support/direct.ts";
 import type { Arrival, LoadPattern } from "./arrivals.ts";
 import { disturbanceMs } from "./arrivals.ts";
 import { createEmulatedCalls } from "./emulated_calls.ts";
@@ -256,6 +261,7 @@
     }),
     runTimes: createRunTimes(),
     targetCrashes: { check: () => Promise.resolve(false) },
+    quarantine: createTestQuarantine(),
     responseMemory: createMemoryBudget(),
     retries: {
       recordRequest: () => undefined,
--- a/test/platform/crashing_service.ts
+++ b/test/platform/crashing_service.ts
@@ -11,8 +11,16 @@
 /** Time until the replacement of a crashed target is registered, in ms. */
 const replacementMs = 30;
 
+/** Time that a slow request runs, in milliseconds. */
+const slowRunMs = 300;
+
+/** What targets do with sound requests. */
+type Manner = "serve" | "reset" | "spoil";
+
 /** A service that a test controls. */
 export interface CrashingService {
+  /** Sets what all targets do with sound requests. */
+  setManner(manner: Manner): void;
   /** Returns the number of requests that arrived and match, run or not. */
   countArrivals(matches: (request: ReceivedRequest) => boolean): number;
   /** Returns the number of targets that have crashed. */
@@ -36,9 +44,13 @@
   let started = 0;
   let crashes = 0;
   let isClosed = false;
+  let manner: Manner = "serve";
   await Promise.all(Array.from({ length: count }, start));
 
   return {
+    setManner: (value) => {
+      manner = value;
+    },
     countArrivals: (matches) => arrived.filter(matches).length,
     countCrashes: () => crashes,
     crashAll: async () => {
@@ -58,7 +70,12 @@
     target.setHandler((request, response) => {
       arrived.push(request);
       if (isDeadly(request)) return void crash(target);
+      if (manner === "reset") return response.socket?.resetAndDestroy();
       setIdentityHeaders(request, response, id);
+      if (manner === "spoil") response.setHeader("X-Request-Id", "another");
+      if (request.path.endsWith("/slow")) {
+        return void setTimeout(() => response.end("done"), slowRunMs);
+      }
       if (!request.path.startsWith("/draft/")) return void response.end("done");
       response.writeHead(200, { "content-type": "text/event-stream" });
       response.end("id: 1\ndata: word\n\n");
--- a/test/platform/whole_answers_test.ts
+++ b/test/platform/whole_answers_test.ts
@@ -17,7 +17,12 @@
 import { getDiagnostic } from "../../src/types/diagnostics.ts";
 import type { ReplyHead, RequestEnd } from "../../src/types/reply.ts";
 import type { DirectRoute } from "../../src/types/route_table.ts";
-import { createRequest, createRoute, createTarget } from "../support/direct.ts";
+import {
+  createRequest,
+  createRoute,
+  createTarget,
+  createTestQuarantine,
+} from "../support/direct.ts";
 import {
   findResponseFault,
   promiseStatuses,
@@ -358,6 +363,7 @@
       }),
       runTimes: createRunTimes(),
       targetCrashes: { check: () => Promise.resolve(false) },
+      quarantine: createTestQuarantine(),
       responseMemory: createMemoryBudget(),
       log: createSilentLog(),
       zone: "zone-a",
--- a/test/support/direct.ts
+++ b/test/support/direct.ts
@@ -1,5 +1,11 @@
 /** Creates targets, routes and requests for tests of the direct router. */
 
+import {
+  createQuarantine,
+  type Quarantine,
+} from "../../src/process/direct/quarantine.ts";
+import { createSilentLog } from "../../src/process/telemetry/log.ts";
+import { createMetrics } from "../../src/process/telemetry/metrics.ts";
 import type { DirectRequest } from "../../src/types/direct_request.ts";
 import type { DirectTarget } from "../../src/types/direct_target.ts";
 import type { DirectRoute, RouteTable } from "../../src/types/route_table.ts";
@@ -84,3 +90,13 @@
     ...changes,
   };
 }
+
+/** Creates quarantine of a router that may start each trial when it is due. */
+export function createTestQuarantine(): Quarantine {
+  return createQuarantine({
+    log: createSilentLog(),
+    metrics: createMetrics(),
+    tryGetTrialDelayMs: () => 0,
+    announce: () => undefined,
+  });
+}
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -1,11 +1,12 @@
 /** Runs direct requests at targets whose behaviour a test chooses. */
 
-import { createRequest, createTarget } from "./direct.ts";
+import { createRequest, createTarget, createTestQuarantine } from "./direct.ts";
 import { createRunTimes } from "../../src/process/direct/admission_estimate.ts";
 import {
   type CrashSuspects,
   createCrashSuspects,
 } from "../../src/process/direct/crash_suspects.ts";
+import type { Quarantine } from "../../src/process/direct/quarantine.ts";
 import { createCachedParts } from "../../src/process/direct/cached_parts.ts";
 import { createMemoryBudget } from "../../src/process/direct/memory_budget.ts";
 import { createPartPrefills } from "../../src/process/direct/part_prefills.ts";
@@ -119,6 +120,10 @@
     readonly pausesMs?: Readonly<Record<string, number>>;
     /** Requests that have crashed targets; none by default. */
     readonly crashes?: CrashSuspects;
+    /** What crashes targets; nothing by default. */
+    readonly quarantine?: Quarantine;
+    /** True when targets that drop a connection have crashed. */
+    readonly hasCrashed?: boolean;
     /** A part that a peer has just sent to an engine for prefill. */
     readonly peerPrefill?: {
       readonly target: string;
@@ -193,6 +198,9 @@
         send: (call) => {
           calls.push(call);
           sentAt.push(performance.now() - startedAt);
+          if (call.isQuarantined?.()) {
+            return Promise.resolve({ kind: "withheld", hold: "quarantined" });
+          }
           const respond = behaviours[calls.length - 1] ?? hang;
           return Promise.resolve(respond(call, pauses));
         },
@@ -224,7 +232,10 @@
           log: createSilentLog(),
           report: () => undefined,
         }),
-      targetCrashes: { check: () => Promise.resolve(false) },
+      targetCrashes: {
+        check: () => Promise.resolve(options.hasCrashed ?? false),
+      },
+      quarantine: options.quarantine ?? createTestQuarantine(),
       runTimes,
       responseMemory: createMemoryBudget(),
       log: {
