Keep quarantined requests in the store, for a loss of all routers

Cause: only running routers knew of it. Change: what is quarantined is written to the store, by one router of the fleet in the order of rank for the key, and removed when the quarantine ends.

--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -10,7 +10,6 @@
   DirectoryStore,
   Listing,
 } from "../types/directory.ts";
-import type { RouterPeer } from "../types/direct_target.ts";
 import type { Entry, WatchEvent } from "../types/platform.ts";
 import {
   getArray,
@@ -19,7 +18,13 @@
   tryGetObject,
   tryGetString,
 } from "./json_fields.ts";
-import { decodeEntry, encodeRouter, resolveStoreKey } from "./store_records.ts";
+import {
+  decodeEntry,
+  decodeEvidence,
+  encodeEvidence,
+  encodeRouter,
+  resolveStoreKey,
+} from "./store_records.ts";
 import { createEraReader, type ResponseEra } from "./store_era.ts";
 import { headerNames, storeKeys, storePaths } from "./wire_names.ts";
 
@@ -84,7 +89,19 @@
     watch,
     getEra: eraReader.getNewest,
     onEraFault: eraReader.onFault,
-    announce,
+    announce: (router) =>
+      change({
+        [`${storeKeys.routerPrefix}${router.id}`]: encodeRouter(router),
+      }),
+    saveEvidence: (evidence) =>
+      change({
+        [`${storeKeys.evidencePrefix}${evidence.key}`]: encodeEvidence(
+          evidence,
+        ),
+      }),
+    removeEvidence: (key) =>
+      change({ [`${storeKeys.evidencePrefix}${key}`]: undefined }),
+    decodeEvidence,
     decode: decodeEntry,
     resolveKey: resolveStoreKey,
     close: () => pool.destroy(),
@@ -158,15 +175,23 @@
     }));
   }
 
-  function announce(router: RouterPeer): EitherAsync<DirectoryError, void> {
-    const key = `${storeKeys.routerPrefix}${router.id}`;
-    const value = Buffer.from(encodeRouter(router)).toString("base64");
+  /** Writes values by key; removes keys without one. */
+  function change(
+    values: Readonly<Record<string, string | undefined>>,
+  ): EitherAsync<DirectoryError, void> {
+    const entries = Object.entries(values);
     const result = call({
       path: storePaths.write,
       body: {
         Precondition: [],
-        Writes: [{ Key: key, Value: value, Lease: 0 }],
-        Deletes: [],
+        Writes: entries.flatMap(([Key, value]) =>
+          value === undefined
+            ? []
+            : [{ Key, Value: Buffer.from(value).toString("base64"), Lease: 0 }]
+        ),
+        Deletes: entries.flatMap(([key, value]) =>
+          value === undefined ? [key] : []
+        ),
       },
     });
     return EitherAsync.fromPromise(() => result).map(() => undefined);
--- a/src/platform/store_records.ts
+++ b/src/platform/store_records.ts
@@ -2,7 +2,11 @@
 
 import { Either, Left, Right } from "purify-ts";
 import type { DirectTarget, RouterPeer } from "../types/direct_target.ts";
-import type { DirectoryRecord } from "../types/directory.ts";
+import type {
+  DirectoryRecord,
+  DirectoryStore,
+  SavedEvidence,
+} from "../types/directory.ts";
 import type { Entry } from "../types/platform.ts";
 import type {
   DirectRoute,
@@ -92,6 +96,33 @@
   return JSON.stringify(router);
 }
 
+/** Encodes the value of an entry about crashes. */
+export function encodeEvidence(evidence: SavedEvidence): string {
+  return JSON.stringify(evidence);
+}
+
+/** Decodes an entry about crashes; undefined for other entries. */
+export function decodeEvidence(
+  { key, value }: Entry,
+): ReturnType<DirectoryStore["decodeEvidence"]> {
+  const prefix = storeKeys.evidencePrefix;
+  if (!key.startsWith(prefix)) return undefined;
+  const name = key.slice(prefix.length);
+  const evidence = parseObject(value).caseOf({
+    Left: () => undefined,
+    Right: (fields): SavedEvidence => ({
+      key: name,
+      generation: getNumber(fields, "generation", 0),
+      lives: getArray(fields["lives"]).filter((life): life is number =>
+        typeof life === "number"
+      ),
+      trials: getNumber(fields, "trials", 0),
+      expiresAtMs: getNumber(fields, "expiresAtMs", 0),
+    }),
+  });
+  return { key: name, evidence };
+}
+
 function parseObject(text: string): Either<string, JsonObject> {
   return Either.encase(() => tryGetObject(JSON.parse(text)))
     .mapLeft((error) => error.message)
--- a/src/platform/store_records_test.ts
+++ b/src/platform/store_records_test.ts
@@ -1,4 +1,8 @@
-import { decodeEntry } from "./store_records.ts";
+import {
+  decodeEntry,
+  decodeEvidence,
+  encodeEvidence,
+} from "./store_records.ts";
 
 function decode(key: string, value: unknown) {
   const text = typeof value === "string" ? value : JSON.stringify(value);
@@ -47,6 +51,33 @@
     }
   });
 
+  describe("about crashes", () => {
+    const evidence = {
+      ...{ key: "request:1", generation: 2, lives: [1, 2, 3], trials: 1 },
+      expiresAtMs: 1_790_000_000_000,
+    };
+
+    it("are decoded as they were encoded", () => {
+      const value = encodeEvidence(evidence);
+      expect(decodeEvidence({ key: "crashes/request:1", value, revision: 1 }))
+        .toEqual({ key: "request:1", evidence });
+      expect(decode("crashes/request:1", value).kind).toBe("other");
+    });
+
+    it.each(["", "{", "[]"])(
+      "tell of no evidence with the value %j",
+      (value) => {
+        expect(decodeEvidence({ key: "crashes/request:1", value, revision: 1 }))
+          .toEqual({ key: "request:1", evidence: undefined });
+      },
+    );
+
+    it("are no entries of targets", () => {
+      expect(decodeEvidence({ key: "servers/i-1", value: "{}", revision: 1 }))
+        .toBeUndefined();
+    });
+  });
+
   describe("of the configuration", () => {
     it("are decoded to routes, services and keys", () => {
       const record = decode("op/config", {
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -65,6 +65,7 @@
   routeTable: "op/config",
   targetPrefix: "servers/",
   routerPrefix: "routers/",
+  evidencePrefix: "crashes/",
 } as const;
 
 /** Paths of the store's calls. */
--- a/src/process/direct/quarantine.ts
+++ b/src/process/direct/quarantine.ts
@@ -113,6 +113,8 @@
   hasChanges(): boolean;
   /** Returns the records that the next digest reports. */
   takeRecords(): readonly CrashEvidence[];
+  /** Returns the records of what is quarantined. */
+  getRecords(): readonly CrashEvidence[];
   /** Returns what is quarantined now. */
   getAll(): readonly QuarantinedKey[];
 }
@@ -135,6 +137,7 @@
     merge,
     hasChanges: reports.hasChanges,
     takeRecords: reports.take,
+    getRecords: () => table.getAll().filter(isConclusive).map(toUpdate),
     getAll,
   };
 
@@ -249,7 +252,7 @@
     }
     if (wasQuarantined || record === undefined || !isConclusive(record)) return;
     if (record.trialAt === 0) {
-      const trialAt = performance.now() + firstTrialDelayMs;
+      const trialAt = performance.now() + getTrialDelayMs(record.trials);
       table.setTrial(update.key, { trialAt, startsNow: false });
     }
     host.log.warn("Quarantine starts", {
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -21,6 +21,7 @@
 import { createPeerPulls } from "../process/direct/peer_pulls.ts";
 import type { CrashRecordUpdate } from "../process/attempts/crash_records.ts";
 import type { Quarantine } from "../process/direct/quarantine.ts";
+import { createEvidenceStore } from "../process/direct/evidence_store.ts";
 import { createRecentMaximum } from "../process/direct/recent_maximum.ts";
 import { createDirectorySync } from "../process/direct/directory_sync.ts";
 import { createRouterRegistration } from "../process/direct/router_registration.ts";
@@ -55,8 +56,8 @@
  */
 const trialDelayPerRankMs = 250;
 
-/** Rank from which routers do not wait longer for their turn to start a trial. */
-const maxTrialRank = 40;
+/** Rank from which routers do not wait longer for their turn. */
+const maxRank = 40;
 
 /** Dependencies of the directory. */
 export interface DirectoryHost {
@@ -71,7 +72,10 @@
   readonly loads: Pick<LoadView, "recordReport" | "getOwnLoads">;
   /** Applies the crash record of a peer. */
   mergeCrash(record: CrashRecordUpdate): void;
-  readonly quarantine: Pick<Quarantine, "hasChanges" | "merge" | "takeRecords">;
+  readonly quarantine: Pick<
+    Quarantine,
+    "getRecords" | "hasChanges" | "merge" | "takeRecords"
+  >;
   /** Called when a newer version of the configuration is in force. */
   handleRouteTable(table: RouteTable): void;
   /** Called after changes of the directory were applied to the targets. */
@@ -181,6 +185,11 @@
       isDeepStrictEqual(directoryTables.tryGetRegistered(self.id), self),
     random: Math.random,
   });
+  const evidenceStore = createEvidenceStore({
+    ...{ store, log, getRank },
+    getRecords: host.quarantine.getRecords,
+    merge: host.quarantine.merge,
+  });
   const pulls = createPeerPulls({
     ...{ settings, log },
     needsPeers: sync.needsPeers,
@@ -247,15 +256,21 @@
 
   function tryGetTrialDelayMs(key: string): number | undefined {
     if (!exchange.isInContact()) return undefined;
+    return getRank(key) * trialDelayPerRankMs;
+  }
+
+  /** Returns this router's rank for a key, at most `maxRank`. */
+  function getRank(key: string): number {
     const candidates = [...routers.keys()].map((id) => ({ id, weight: 100 }));
     const rank = host.placement
-      .rankTargets(key, candidates, { limit: maxTrialRank })
+      .rankTargets(key, candidates, { limit: maxRank })
       .findIndex(({ id }) => id === self.id);
-    return (rank < 0 ? maxTrialRank : rank) * trialDelayPerRankMs;
+    return rank < 0 ? maxRank : rank;
   }
 
   function start(): void {
     sync.start();
+    evidenceStore.start();
     void servePulls();
   }
 
@@ -285,6 +300,7 @@
   function stop(): void {
     isStopped = true;
     registration.stop();
+    evidenceStore.stop();
     exchange.stop();
     sync.stop();
     pullListener?.close();
@@ -296,6 +312,7 @@
     source: ChangeSource,
   ): void {
     directoryTables.apply(changes, source);
+    evidenceStore.apply(changes);
     peakRouterCount.record(routers.size);
     registration.registerOnce();
     recoverOnce();
--- a/src/types/directory.ts
+++ b/src/types/directory.ts
@@ -51,6 +51,16 @@
   | { readonly kind: "unreadable"; readonly reason: string }
   | { readonly kind: "other" };
 
+/** What is known of crashes at one key, as it outlasts all routers. */
+export interface SavedEvidence {
+  readonly key: string;
+  readonly generation: number;
+  readonly lives: readonly number[];
+  readonly trials: number;
+  /** When it expires, in epoch milliseconds. */
+  readonly expiresAtMs: number;
+}
+
 /** The store that every router replicates, as a narrow host. */
 export interface DirectoryStore {
   /** Reads all entries. */
@@ -68,6 +78,18 @@
   onEraFault(handler: (fault: EraFault) => void): void;
   /** Writes this router's addresses; the entry outlives the process. */
   announce(router: RouterPeer): EitherAsync<DirectoryError, void>;
+  /** Writes what is known of crashes at a key. */
+  saveEvidence(evidence: SavedEvidence): EitherAsync<DirectoryError, void>;
+  /** Removes what is known of crashes at a key. */
+  removeEvidence(key: string): EitherAsync<DirectoryError, void>;
+  /**
+   * Decodes an entry about crashes, with an empty value a removed one; undefined
+   * for other entries. Without evidence it is removed or unreadable.
+   */
+  decodeEvidence(entry: Entry): {
+    readonly key: string;
+    readonly evidence: SavedEvidence | undefined;
+  } | undefined;
   /** Decodes an entry. */
   decode(entry: Entry): DirectoryRecord;
   /**
--- a/test/platform/returning_request_test.ts
+++ b/test/platform/returning_request_test.ts
@@ -72,9 +72,21 @@
     it("has just started", async () => {
       await crashThree();
       const started = await startFleetRouter("router-3", store);
+      routers = [...routers, started];
       await waitUntil(() => hasLogged(started, quarantineStarts));
       await expectQuarantined(started);
-      await started.directRouter.stop("test");
+    });
+
+    it("has started after a loss of all routers", async () => {
+      await crashThree();
+      await waitUntil(() => store.tryGet(savedKey()) !== undefined);
+      await Promise.all(
+        routers.map(({ directRouter }) => directRouter.stop("test")),
+      );
+      const started = await startFleetRouter("router-3", store);
+      routers = [...routers, started];
+      await waitUntil(() => hasLogged(started, "Router is ready"));
+      await expectQuarantined(started);
     });
 
     it("hears of the crashes while the store is away", async () => {
@@ -129,9 +141,17 @@
         );
         return responses.every(({ status }) => status === 200);
       });
+      await waitUntil(() => store.tryGet(savedKey()) === undefined);
     });
   });
 
+  /** Returns the key under which the quarantine is saved. */
+  function savedKey(): string {
+    const started = routers.flatMap(({ lines }) => lines)
+      .find(({ message }) => message === quarantineStarts);
+    return `crashes/${String(started?.["quarantined"])}`;
+  }
+
   async function crashThree(): Promise<void> {
     while (!routers.every((router) => hasLogged(router, quarantineStarts))) {
       await sendToEach(1, { method: "GET", path: "/proofs/crashing" });
--- a/test/platform/store_stand_in.ts
+++ b/test/platform/store_stand_in.ts
@@ -258,10 +258,14 @@
   ): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
-    const { Writes } = JSON.parse(Buffer.concat(chunks).toString()) as {
+    const { Writes, Deletes } = JSON.parse(
+      Buffer.concat(chunks).toString(),
+    ) as {
       readonly Writes: readonly Item[];
+      readonly Deletes: readonly string[];
     };
     Writes.forEach(({ Key, Value }) => write(Key, Value));
+    Deletes.forEach(remove);
     sendResponse(response, 200, { Rev: revision });
   }
 
