Count crashes of targets only when each follows the one before

Cause: each crashed process counted, whatever ended it. Change: a record is a chain. A crash joins it when the request was sent to that target after the crash before it was known; of concurrent chains the longest is kept.

--- a/src/process/direct/crash_evidence.ts
+++ b/src/process/direct/crash_evidence.ts
@@ -1,8 +1,10 @@
 /**
- * Records at which crashes something was in flight. A record is a set of crashed
- * processes, so that a crash counts once however many routers report it, and
- * records can be merged in any order. A response withdraws a record: it begins
- * the next generation, which replaces the earlier ones at all routers.
+ * Records at which crashes something was in flight. A record is a chain of crashed
+ * processes: each was sent the key after the crash before it was known, so crashes
+ * with a common cause, such as a loss of power, count as one. Of concurrent chains
+ * the longest is kept, so that records can be merged in any order. A response
+ * withdraws a record: it begins the next generation, which replaces the earlier
+ * ones at all routers.
  */
 
 /** Number of crashes, with no response between, that show their cause. */
@@ -23,7 +25,7 @@
   readonly key: string;
   /** Number of times that a response has withdrawn the record. */
   readonly generation: number;
-  /** Hashes of the crashed processes, in ascending order. */
+  /** Hashes of the crashed processes, in the order of their crashes. */
   readonly lives: readonly number[];
   /** Number of trials since the last response. */
   readonly trials: number;
@@ -38,6 +40,8 @@
   extends Omit<CrashEvidence, "expiresInMs" | "trialInMs"> {
   readonly trialAt: number;
   readonly expiresAt: number;
+  /** When the latest crash of the chain was known here. */
+  readonly crashedAt: number;
 }
 
 /** What the record of a peer changed, and whether the peer lacks something. */
@@ -51,8 +55,15 @@
   /** Returns true without any record. */
   isEmpty(): boolean;
   tryGet(key: string): StoredEvidence | undefined;
-  /** Adds a crashed process; returns false when it is known. */
-  addLife(key: string, life: number): boolean;
+  /**
+   * Adds a crashed process to which the key was sent at `sentAt`; returns false
+   * when it is known or does not follow the crashes that are.
+   */
+  addLife(
+    key: string,
+    life: number,
+    options: { readonly sentAt: number },
+  ): boolean;
   /** Sets the time of the next trial, and counts one that starts now. */
   setTrial(
     key: string,
@@ -88,12 +99,24 @@
     return undefined;
   }
 
-  function addLife(key: string, life: number): boolean {
-    const { generation = 0, lives = [], trials = 0, trialAt = 0 } =
-      tryGet(key) ?? {};
-    const united = uniteLives(lives, [life]);
-    if (!hasMore(united, lives)) return false;
-    put({ key, generation, lives: united, trials, trialAt });
+  function addLife(
+    key: string,
+    life: number,
+    { sentAt }: { readonly sentAt: number },
+  ): boolean {
+    const {
+      generation = 0,
+      lives = [],
+      trials = 0,
+      trialAt = 0,
+      crashedAt = 0,
+    } = tryGet(key) ?? {};
+    if (lives.includes(life) || sentAt < crashedAt) return false;
+    if (lives.length >= maxLives) return false;
+    put({
+      ...{ key, generation, trials, trialAt },
+      ...{ lives: [...lives, life], crashedAt: performance.now() },
+    });
     return true;
   }
 
@@ -113,7 +136,7 @@
     const record = tryGet(key);
     if (record === undefined || record.lives.length === 0) return false;
     const generation = record.generation + 1;
-    put({ key, generation, lives: [], trials: 0, trialAt: 0 });
+    put({ key, generation, lives: [], trials: 0, trialAt: 0, crashedAt: 0 });
     return true;
   }
 
@@ -128,19 +151,23 @@
       putUpdate(update, getTrialAt(update));
       return { hasChanged: true, isPeerBehind: false };
     }
-    const { lives, trials } = known;
-    const united = uniteLives(lives, update.lives);
-    const hasChanged = hasMore(united, lives) || update.trials > trials;
+    const isLonger = compareChains(update.lives, known.lives) > 0;
+    const hasChanged = isLonger || update.trials > known.trials;
     if (hasChanged) {
-      const isAhead = update.trials > trials || known.trialAt === 0;
+      const isAhead = update.trials > known.trials || known.trialAt === 0;
       putUpdate(
-        { ...update, lives: united, trials: Math.max(trials, update.trials) },
+        {
+          ...update,
+          lives: isLonger ? update.lives : known.lives,
+          trials: Math.max(known.trials, update.trials),
+        },
         isAhead ? getTrialAt(update) : known.trialAt,
       );
     }
     return {
       hasChanged,
-      isPeerBehind: hasMore(united, update.lives) || trials > update.trials,
+      isPeerBehind: compareChains(known.lives, update.lives) > 0 ||
+        known.trials > update.trials,
     };
   }
 
@@ -148,10 +175,10 @@
     { key, generation, lives, trials, expiresInMs }: CrashEvidence,
     trialAt: number,
   ): void {
-    put(
-      { key, generation, lives: lives.slice(0, maxLives), trials, trialAt },
-      { ttlMs: Math.min(evidenceTtlMs, expiresInMs) },
-    );
+    put({
+      ...{ key, generation, trials, trialAt },
+      ...{ lives: lives.slice(0, maxLives), crashedAt: performance.now() },
+    }, { ttlMs: Math.min(evidenceTtlMs, expiresInMs) });
   }
 
   function put(
@@ -189,7 +216,7 @@
 
 /** Converts a record to the form in which routers exchange it. */
 export function toUpdate(
-  { trialAt, expiresAt, ...record }: StoredEvidence,
+  { trialAt, expiresAt, crashedAt: _, ...record }: StoredEvidence,
 ): CrashEvidence {
   const now = performance.now();
   return {
@@ -199,16 +226,12 @@
   };
 }
 
-function hasMore(left: readonly number[], right: readonly number[]): boolean {
-  return left.some((life) => !right.includes(life));
-}
-
-/** Returns the lowest hashes of both, so that the order of merges is no matter. */
-function uniteLives(
+/** Compares by length; an arbitrary order decides between equal lengths. */
+function compareChains(
   left: readonly number[],
   right: readonly number[],
-): readonly number[] {
-  return [...new Set([...left, ...right])]
-    .sort((first, second) => first - second)
-    .slice(0, maxLives);
+): number {
+  if (left.length !== right.length) return left.length - right.length;
+  const index = left.findIndex((life, position) => life !== right[position]);
+  return index < 0 ? 0 : (left[index] ?? 0) - (right[index] ?? 0);
 }
--- a/src/process/direct/quarantine.ts
+++ b/src/process/direct/quarantine.ts
@@ -3,7 +3,7 @@
  *
  * Load pattern: a caller sends such a request again and again, at any router, and
  * each time takes a target from the callers of its service for seconds. After
- * three crashes of different processes with no response between, no router sends
+ * three crashes that follow one another with no response between, no router sends
  * it any more. Some sound requests are in flight at three crashes that they did
  * not cause, so a single trial is let through after a time, by one router of the
  * fleet. A response ends the
@@ -41,7 +41,7 @@
  * Further delay of a trial of several keys at once, in milliseconds. Requests
  * that have one of them show sooner which is at fault.
  */
-const jointTrialDelayMs = 10_000;
+const jointTrialDelayMs = 3_000;
 
 /** Minimum time after which a caller may return, in milliseconds. */
 const minRetryAfterMs = 1_000;
@@ -103,7 +103,11 @@
   recordCrash(
     keys: readonly CrashKey[],
     target: DirectTarget,
-    options: { readonly hasResponseBegun: boolean },
+    options: {
+      readonly hasResponseBegun: boolean;
+      /** When the keys were sent, on the monotonic clock. */
+      readonly sentAt: number;
+    },
   ): void;
   /** Records that a target has responded; ends the quarantine of the keys. */
   recordResponse(keys: readonly CrashKey[]): void;
@@ -195,13 +199,16 @@
   function recordCrash(
     keys: readonly CrashKey[],
     target: DirectTarget,
-    { hasResponseBegun }: { readonly hasResponseBegun: boolean },
+    { hasResponseBegun, sentAt }: {
+      readonly hasResponseBegun: boolean;
+      readonly sentAt: number;
+    },
   ): void {
     const quarantined = getQuarantinedKeys(keys).map(({ key }) => key);
     const life = hashLife(target);
     for (const key of quarantined.length > 0 ? quarantined : keys) {
       const wasQuarantined = isKeyQuarantined(key.id);
-      if (!table.addLife(key.id, life)) continue;
+      if (!table.addLife(key.id, life, { sentAt })) continue;
       const crashes = table.tryGet(key.id)?.lives.length ?? 0;
       if (!hasResponseBegun || crashes > 1) reports.queue(key.id);
       if (!wasQuarantined && isKeyQuarantined(key.id)) startQuarantine(key);
--- a/src/request/direct_quarantine.ts
+++ b/src/request/direct_quarantine.ts
@@ -21,8 +21,8 @@
   /** Returns a refusal when the request is quarantined and not its trial. */
   tryRefuse(): QuarantineRefusal | undefined;
   /**
-   * Returns true when the request must not be sent at this moment. One that is
-   * quarantined becomes its trial when that is due.
+   * Called when the request is about to be sent. Returns true when it must not be
+   * sent at this moment. One that is quarantined becomes its trial when that is due.
    */
   isQuarantined(): boolean;
   /** Returns false when work that may have run must not be sent again. */
@@ -54,6 +54,7 @@
   const checks: Promise<void>[] = [];
   let keys: readonly CrashKey[] | undefined;
   let isTrial = false;
+  let sentAt = 0;
   let hasResult = false;
 
   return {
@@ -80,6 +81,7 @@
   }
 
   function isQuarantined(): boolean {
+    sentAt = performance.now();
     if (isTrial || !hasQuarantinedKey()) return false;
     isTrial = quarantine.tryStartTrial(getKeys());
     return !isTrial;
@@ -99,10 +101,11 @@
     { hasResponseBegun }: { readonly hasResponseBegun: boolean },
   ): Promise<void> {
     host.crashes.recordCrash(request);
+    const options = { hasResponseBegun, sentAt };
     const check = host.targetCrashes.check(target).then((hasCrashed) => {
       if (!hasCrashed) return;
       hasResult = true;
-      quarantine.recordCrash(getKeys(), target, { hasResponseBegun });
+      quarantine.recordCrash(getKeys(), target, options);
     });
     checks.push(check);
     await waitAtMost(check, maxCrashCheckMs);
