Quarantine prompt parts that crash engines

Cause: what is counted was the whole request, so a cause that requests share never got to three. The class: evidence is collected by the unit that is sent, not by the unit that may be at fault. Change: each shared part of a prompt has a chain of crashes of its own. A crash counts for the parts of the requests that had no event of their response yet; the first event of a response with a part clears it, at all routers. Parts that were at all the same crashes are told apart at once by a request that has some of them and not others.

--- a/src/process/direct/crash_evidence.ts
+++ b/src/process/direct/crash_evidence.ts
@@ -42,6 +42,8 @@
   readonly expiresAt: number;
   /** When the latest crash of the chain was known here. */
   readonly crashedAt: number;
+  /** When the latest trial was known here. */
+  readonly triedAt: number;
 }
 
 /** What the record of a peer changed, and whether the peer lacks something. */
@@ -104,18 +106,13 @@
     life: number,
     { sentAt }: { readonly sentAt: number },
   ): boolean {
-    const {
-      generation = 0,
-      lives = [],
-      trials = 0,
-      trialAt = 0,
-      crashedAt = 0,
-    } = tryGet(key) ?? {};
+    const { generation, lives, trials, trialAt, crashedAt, triedAt } =
+      tryGet(key) ?? emptyRecord;
     if (lives.includes(life) || sentAt < crashedAt) return false;
     if (lives.length >= maxLives) return false;
     put({
       ...{ key, generation, trials, trialAt },
-      ...{ lives: [...lives, life], crashedAt: performance.now() },
+      ...{ lives: [...lives, life], crashedAt: performance.now(), triedAt },
     });
     return true;
   }
@@ -129,14 +126,19 @@
   ): void {
     const record = tryGet(key);
     if (record === undefined) return;
-    put({ ...record, trialAt, trials: record.trials + (startsNow ? 1 : 0) });
+    put({
+      ...{ ...record, trialAt },
+      ...(startsNow
+        ? { trials: record.trials + 1, triedAt: performance.now() }
+        : {}),
+    });
   }
 
   function clear(key: string): boolean {
     const record = tryGet(key);
     if (record === undefined || record.lives.length === 0) return false;
     const generation = record.generation + 1;
-    put({ key, generation, lives: [], trials: 0, trialAt: 0, crashedAt: 0 });
+    put({ ...emptyRecord, key, generation });
     return true;
   }
 
@@ -177,7 +179,9 @@
   ): void {
     put({
       ...{ key, generation, trials, trialAt },
-      ...{ lives: lives.slice(0, maxLives), crashedAt: performance.now() },
+      lives: lives.slice(0, maxLives),
+      crashedAt: performance.now(),
+      triedAt: trials > 0 ? performance.now() : emptyRecord.triedAt,
     }, { ttlMs: Math.min(evidenceTtlMs, expiresInMs) });
   }
 
@@ -200,6 +204,12 @@
   }
 }
 
+/** A record without a crash. */
+const emptyRecord: Omit<StoredEvidence, "expiresAt" | "key"> = {
+  ...{ generation: 0, lives: [], trials: 0 },
+  ...{ trialAt: 0, crashedAt: 0, triedAt: Number.NEGATIVE_INFINITY },
+};
+
 /** The result of a merge that was no news to either side. */
 const unchanged: EvidenceMerge = { hasChanged: false, isPeerBehind: false };
 
@@ -216,11 +226,11 @@
 
 /** Converts a record to the form in which routers exchange it. */
 export function toUpdate(
-  { trialAt, expiresAt, crashedAt: _, ...record }: StoredEvidence,
+  { key, generation, lives, trials, trialAt, expiresAt }: StoredEvidence,
 ): CrashEvidence {
   const now = performance.now();
   return {
-    ...record,
+    ...{ key, generation, lives, trials },
     trialInMs: trialAt === 0 ? 0 : Math.max(1, Math.round(trialAt - now)),
     expiresInMs: Math.max(0, Math.round(expiresAt - now)),
   };
--- a/src/process/direct/quarantine.ts
+++ b/src/process/direct/quarantine.ts
@@ -6,7 +6,8 @@
  * three crashes that follow one another with no response between, no router sends
  * it any more. Some sound requests are in flight at three crashes that they did
  * not cause, so a single trial is let through after a time, by one router of the
- * fleet. A response ends the
+ * fleet. Prompt parts that came together to all crashes are told apart at once by a
+ * request that has only some of them. A response ends the
  * quarantine; a crash multiplies the time to the next trial.
  */
 
@@ -21,7 +22,7 @@
   type StoredEvidence,
   toUpdate,
 } from "./crash_evidence.ts";
-import type { CrashKey } from "./crash_keys.ts";
+import { type CrashKey, isPartKey } from "./crash_keys.ts";
 import { createEvidenceReports } from "./evidence_reports.ts";
 import { getTargetLife } from "./target_crashes.ts";
 
@@ -43,6 +44,12 @@
  */
 const jointTrialDelayMs = 3_000;
 
+/**
+ * Delay from a trial to one that tells apart the parts that were at the same
+ * crashes, in milliseconds.
+ */
+const separatingTrialDelayMs = 1_000;
+
 /** Minimum time after which a caller may return, in milliseconds. */
 const minRetryAfterMs = 1_000;
 
@@ -164,15 +171,34 @@
   function isTrialDue(keys: readonly CrashKey[]): boolean {
     const quarantined = getQuarantinedKeys(keys);
     const now = performance.now();
+    const isAmbiguous = isCauseAmbiguous(keys);
     const jointDelayMs = quarantined.length > 1 ? jointTrialDelayMs : 0;
-    return quarantined.every(({ key, record: { trialAt } }) => {
-      const dueAt = trialAt + jointDelayMs;
+    return quarantined.every(({ key, record }) => {
+      const { trialAt, crashedAt, triedAt } = record;
+      const dueAt = isAmbiguous
+        ? Math.max(crashedAt, triedAt + separatingTrialDelayMs)
+        : trialAt + jointDelayMs;
       if (now < dueAt) return false;
       const delayMs = host.tryGetTrialDelayMs(key.id);
       return delayMs !== undefined && now >= dueAt + delayMs;
     });
   }
 
+  /**
+   * Returns true when other parts were at the same crashes as those of the
+   * request that are quarantined, and the request shows which are at fault.
+   */
+  function isCauseAmbiguous(keys: readonly CrashKey[]): boolean {
+    const ids = new Set(keys.map(({ id }) => id));
+    const others = table.getAll().filter((record) =>
+      isConclusive(record) && isPartKey(record.key) && !ids.has(record.key)
+    );
+    return getQuarantinedKeys(keys).every(({ key, record }) =>
+      key.kind === "part" &&
+      others.some(({ lives }) => lives.at(-1) === record.lives.at(-1))
+    );
+  }
+
   function tryStartTrial(keys: readonly CrashKey[]): boolean {
     if (!isTrialDue(keys)) return false;
     for (const { key, record } of getQuarantinedKeys(keys)) {
--- a/src/process/direct/quarantine_test.ts
+++ b/src/process/direct/quarantine_test.ts
@@ -197,6 +197,57 @@
     });
   });
 
+  describe("and is one of several parts of a prompt", () => {
+    const first = createPrompted("first", "second", "own-1");
+    const crashing = createPrompted("first", "second", "bad", "own-2");
+    const later = createPrompted("first", "second", "bad", "own-3");
+
+    function createPrompted(...ids: readonly string[]) {
+      return getCrashKeys(createRequest(route, {
+        path: `/draft/${ids.at(-1)}`,
+        prompt: {
+          ...{ model: "m", promptTokens: 400, maxOutputTokens: 80 },
+          parts: ids.map((id) => ({ id, tokens: 100 })),
+          hintedOutputTokens: undefined,
+        },
+      }));
+    }
+
+    it("is told from its neighbours by their responses", () => {
+      const router = createRouter();
+      for (let count = 0; count < 3; count++) {
+        crash(router, 1, crashing);
+        router.recordResponse(first);
+      }
+      expect(router.tryGetRefusal(first)).toBeUndefined();
+      expect(router.tryGetRefusal(later)).toMatchObject({
+        key: { kind: "part", label: "bad" },
+      });
+    });
+
+    it("is told at once from those that were at all its crashes", () => {
+      const router = createRouter();
+      crash(router, 3, crashing);
+      expect(router.isTrialDue(later)).toBe(false);
+      expect(router.tryStartTrial(first)).toBe(true);
+      expect(router.tryStartTrial(first)).toBe(false);
+      router.recordResponse(first);
+      expect(router.tryGetRefusal(first)).toBeUndefined();
+      expect(router.tryGetRefusal(later)).toBeDefined();
+    });
+
+    it("is not the last one, which belongs to its request", () => {
+      expect(first.map(({ id }) => id).slice(1))
+        .toEqual(["part:first", "part:second"]);
+    });
+
+    it("has a key of bounded length", () => {
+      const [, part] = createPrompted("x".repeat(10_000), "own");
+      expect(part?.id).toHaveLength("part:".length + 16);
+      expect(part?.label).toHaveLength(120);
+    });
+  });
+
   describe("is known", () => {
     it("to the fleet when each router has seen one crash", () => {
       const routers = [createRouter(), createRouter(), createRouter()];
--- a/src/request/direct_attempt.ts
+++ b/src/request/direct_attempt.ts
@@ -19,7 +19,9 @@
   recordSent(): void;
   /** Records that the target answered without an error. */
   recordAnswer(): void;
-  /** Records that the target has sent data. */
+  /** Records that the target has sent the head of a response to buffer. */
+  recordHead(): void;
+  /** Records that the target has sent data of an event stream. */
   recordProgress(): void;
   /** Records that the caller has taken the data and more is expected. */
   expectProgress(): void;
@@ -44,6 +46,8 @@
     readonly stopSignal: AbortSignal;
     /** Returns true when an idle timeout may cause a retry. */
     canRetryAfterTimeout(): boolean;
+    /** Called when the first data of an event stream has arrived. */
+    handleFirstEvent(): void;
     getTimeLeftMs(): number;
   },
 ): DirectAttempt {
@@ -70,7 +74,11 @@
     signal: controller.signal,
     recordSent,
     recordAnswer: pausable.recordAnswer,
-    recordProgress,
+    recordHead: recordResponding,
+    recordProgress: () => {
+      if (!hasResponded) options.handleFirstEvent();
+      recordResponding();
+    },
     expectProgress,
     recordRun,
     hasTimedOut: () => hasTimedOut,
@@ -98,7 +106,7 @@
     }, getIdleTimeoutMs(request.route, options.getTimeLeftMs()));
   }
 
-  function recordProgress(): void {
+  function recordResponding(): void {
     if (!hasResponded) {
       load.finishPrefill();
       prefill.finish();
--- a/src/request/direct_end.ts
+++ b/src/request/direct_end.ts
@@ -5,6 +5,7 @@
   type TargetQueue,
 } from "../process/direct/admission_estimate.ts";
 import type { QuarantineRefusal } from "../process/direct/quarantine.ts";
+import type { CrashKey } from "../process/direct/crash_keys.ts";
 import { createReport, type DiagnosticCode } from "../types/diagnostics.ts";
 import type { RequestEnd } from "../types/reply.ts";
 import type { DirectHost } from "./direct_host.ts";
@@ -54,11 +55,17 @@
   );
 }
 
+/** Diagnostics of what is quarantined. */
+const quarantineCodes = {
+  request: "request_crashes_targets",
+  part: "prompt_part_crashes_targets",
+} as const satisfies Readonly<Record<CrashKey["kind"], DiagnosticCode>>;
+
 /** Creates the end of a request that is quarantined. */
 export function createQuarantinedEnd(
-  { crashes, retryAfterMs }: QuarantineRefusal,
+  { key, crashes, retryAfterMs }: QuarantineRefusal,
 ): RequestEnd {
-  return createEnd(
-    createReport("request_crashes_targets", { crashes }, { retryAfterMs }),
-  );
+  const code = quarantineCodes[key.kind];
+  const values = { crashes, part: key.label };
+  return createEnd(createReport(code, values, { retryAfterMs }));
 }
--- a/src/request/direct_quarantine.ts
+++ b/src/request/direct_quarantine.ts
@@ -4,7 +4,11 @@
   Quarantine,
   QuarantineRefusal,
 } from "../process/direct/quarantine.ts";
-import { type CrashKey, getCrashKeys } from "../process/direct/crash_keys.ts";
+import {
+  type CrashKey,
+  getCrashKeys,
+  getPartKeys,
+} from "../process/direct/crash_keys.ts";
 import type { CrashSuspects } from "../process/direct/crash_suspects.ts";
 import type { TargetCrashes } from "../process/direct/target_crashes.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
@@ -31,10 +35,12 @@
    * Records that a target dropped the request's connection; resolves when it is
    * known whether the target has crashed, or after a short time.
    */
-  recordLoss(
-    target: DirectTarget,
-    options: { readonly hasResponseBegun: boolean },
-  ): Promise<void>;
+  recordLoss(target: DirectTarget): Promise<void>;
+  /**
+   * Records the first event of a target's response, which shows that it has begun
+   * to write on all parts of the prompt.
+   */
+  recordResponseBegun(): void;
   /** Records that a target has sent a whole response. */
   recordResponse(): void;
   /** Ends the request; a trial without a result can then be repeated. */
@@ -54,7 +60,9 @@
   const checks: Promise<void>[] = [];
   let keys: readonly CrashKey[] | undefined;
   let isTrial = false;
+  /** Send time of the latest attempt, on the monotonic clock. */
   let sentAt = 0;
+  let hasResponseBegun = false;
   let hasResult = false;
 
   return {
@@ -62,6 +70,7 @@
     isQuarantined,
     canRepeat,
     recordLoss,
+    recordResponseBegun,
     recordResponse,
     end,
   };
@@ -82,6 +91,7 @@
 
   function isQuarantined(): boolean {
     sentAt = performance.now();
+    hasResponseBegun = false;
     if (isTrial || !hasQuarantinedKey()) return false;
     isTrial = quarantine.tryStartTrial(getKeys());
     return !isTrial;
@@ -96,21 +106,28 @@
     return host.crashes.canRetry(request) && !hasQuarantinedKey();
   }
 
-  async function recordLoss(
-    target: DirectTarget,
-    { hasResponseBegun }: { readonly hasResponseBegun: boolean },
-  ): Promise<void> {
+  async function recordLoss(target: DirectTarget): Promise<void> {
     host.crashes.recordCrash(request);
     const options = { hasResponseBegun, sentAt };
     const check = host.targetCrashes.check(target).then((hasCrashed) => {
       if (!hasCrashed) return;
       hasResult = true;
-      quarantine.recordCrash(getKeys(), target, options);
+      const keys = options.hasResponseBegun
+        ? getKeys().filter(({ kind }) => kind === "request")
+        : getKeys();
+      quarantine.recordCrash(keys, target, options);
     });
     checks.push(check);
     await waitAtMost(check, maxCrashCheckMs);
   }
 
+  function recordResponseBegun(): void {
+    hasResponseBegun = true;
+    if (quarantine.hasEvidence()) {
+      quarantine.recordResponse(getPartKeys(request));
+    }
+  }
+
   function recordResponse(): void {
     hasResult = true;
     if (quarantine.hasEvidence()) quarantine.recordResponse(getKeys());
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -236,8 +236,8 @@
     return startDirectAttempt(host, choice, {
       request,
       stopSignal: stop.signal,
-      canRetryAfterTimeout,
-      getTimeLeftMs,
+      ...{ canRetryAfterTimeout, getTimeLeftMs },
+      handleFirstEvent: quarantine.recordResponseBegun,
     });
   }
 
@@ -262,7 +262,7 @@
       case "aborted":
         return endAborted();
       case "lost":
-        await quarantine.recordLoss(chosen, { hasResponseBegun: false });
+        await quarantine.recordLoss(chosen);
         return endLost("outcome_unknown", { reason: result.reason });
       case "spoiled":
         return endLost("outcome_unknown", { reason: result.reason });
@@ -293,8 +293,7 @@
         drop();
         return { kind: "repeat", code: "target_error" };
       }
-      if (!head.isEventStream) attempt.recordProgress();
-      const sentBytes = response.getSentBytes();
+      if (!head.isEventStream) attempt.recordHead();
       const end = await response.forward(head, body, attempt);
       if (end.kind === "complete") {
         host.crashes.recordResponse(request);
@@ -307,8 +306,7 @@
       }
       drop();
       if (attempt.signal.aborted) return endAborted();
-      const hasResponseBegun = response.getSentBytes() > sentBytes;
-      await quarantine.recordLoss(chosen, { hasResponseBegun });
+      await quarantine.recordLoss(chosen);
       return endLost("answer_cut", { reason: end.reason });
     }
 
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -468,6 +468,46 @@
       expect(quarantine.hasEvidence()).toBe(false);
     });
 
+    describe("with a part that others have", () => {
+      function prompted(own: string) {
+        return {
+          path: `/draft/${own}`,
+          prompt: {
+            model: "writer",
+            parts: ["shared", own].map((id) => ({ id, tokens: 100 })),
+            ...{ promptTokens: 200, maxOutputTokens: 80 },
+            hintedOutputTokens: undefined,
+          },
+        };
+      }
+
+      async function runCut(quarantine: Quarantine, events: string) {
+        for (let startedAtMs = 1; startedAtMs <= 3; startedAtMs++) {
+          await run(fixedStream, [() => stream(events, new Error("closed"))], {
+            ...{ quarantine, startedAtMs, hasCrashed: true, durationMs: 1 },
+            request: prompted(`own-${startedAtMs}`),
+          });
+        }
+        return await run(fixedStream, [() => stream(event(1))], {
+          ...{ quarantine, durationMs: 1 },
+          request: prompted("own"),
+        });
+      }
+
+      it("is refused when they crashed before their first event", async () => {
+        const result = await runCut(createTestQuarantine(), "");
+        expect(result).toMatchObject({
+          ...{ outcome: "not_run", code: "prompt_part_crashes_targets" },
+          calls: [],
+        });
+      });
+
+      it("is served when they crashed after their first event", async () => {
+        const result = await runCut(createTestQuarantine(), event(1));
+        expect(result).toMatchObject({ outcome: "done", text: event(1) });
+      });
+    });
+
     it("is not sent when the quarantine began while it waited", async () => {
       const quarantine = createTestQuarantine();
       const crashElsewhere: Behaviour = ({ isQuarantined }) => {
--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -63,6 +63,12 @@
     status: 503,
     text: "The request was at {crashes} targets when they crashed",
   },
+  prompt_part_crashes_targets: {
+    category: "not_run",
+    status: 503,
+    text:
+      "Part {part} of the prompt was at {crashes} targets when they crashed",
+  },
   retry_budget_spent: {
     category: "not_run",
     status: 503,
