Let the soak play requests and prompt parts that crash targets

Change: two further callers send one request that crashes each target, again and again at any router, and new requests with one crashing part. The judge counts from outside: more than three sends by routers in touch later than 3 s after the third (a part: the fifth) crashed process is BUDGET, and sound requests with a shared part that begin less than half as often afterwards are LOST. Streams of sound callers have prompts now. Three planted faults.

--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -89,6 +89,10 @@
     return {
       ...{ id: `${host.run}-${host.requests.length}`, router, kind, prefix },
       key: isChance("lastingKey") ? lastingKey : choose(changingKeys),
+      parts: isStream(kind)
+        ? ["shared", prefix, `${host.requests.length}`]
+        : [],
+      cause: undefined,
       lastEventId: isResumption ? 2 : 0,
       deadlineMs: 1_500 + Math.floor(host.random() * 1_500),
       sentAt: performance.now(),
@@ -121,7 +125,8 @@
   }
 }
 
-function send(
+/** Sends a request and waits for the end of its response. */
+export function send(
   request: CallerRequest,
   { router, agent, path }: {
     readonly router: RouterProcess;
@@ -129,7 +134,7 @@
     readonly path: string;
   },
 ): Promise<CallerResult> {
-  const { id, key, deadlineMs, kind, lastEventId } = request;
+  const { id, key, deadlineMs, kind, lastEventId, parts } = request;
   return new Promise((resolve) => {
     let head: IncomingMessage | undefined;
     let headAt: number | undefined;
@@ -143,6 +148,7 @@
       headers: {
         ...{ host: soakHost, "x-request-id": id, "x-credential": key },
         ...{ "x-deadline-ms": deadlineMs, "x-via": router.id },
+        ...(parts.length > 0 ? createPromptHeaders(parts) : {}),
         ...(lastEventId > 0 ? { "last-event-id": lastEventId } : {}),
       },
     });
@@ -161,7 +167,7 @@
       recordError(error);
       if (head === undefined) finish();
     });
-    message.end(isPost ? `order ${id}` : undefined);
+    message.end(isPost ? createBody(request) : undefined);
 
     function recordError(error: NodeJS.ErrnoException): void {
       isMalformed ||= error.code?.startsWith("HPE_") === true;
@@ -182,3 +188,17 @@
     }
   });
 }
+
+function createPromptHeaders(
+  parts: readonly string[],
+): Readonly<Record<string, string>> {
+  return {
+    ...{ "x-model": "m", "x-tokens": `${parts.length * 50},80` },
+    "x-prompt-prefix": parts.map((id) => `${id}:50`).join(","),
+  };
+}
+
+/** Creates a body that is the same each time that a crashing request comes. */
+function createBody({ id, cause }: CallerRequest): string {
+  return cause === "request" ? "order that crashes" : `order ${id}`;
+}
--- a/test/soak/judge.ts
+++ b/test/soak/judge.ts
@@ -3,6 +3,7 @@
 import { judgeAnswers } from "./judge_answers.ts";
 import { judgeBudget } from "./judge_budget.ts";
 import { judgeConfiguration } from "./judge_configuration.ts";
+import { judgeCrashes } from "./judge_crashes.ts";
 import { createJudgeContext, type Violation } from "./judge_context.ts";
 import { judgeDrain } from "./judge_drain.ts";
 import type { Observations } from "./observations.ts";
@@ -10,6 +11,8 @@
 /** Returns all broken rules. */
 export function judge(observations: Observations): readonly Violation[] {
   const context = createJudgeContext(observations);
-  return [judgeAnswers, judgeBudget, judgeDrain, judgeConfiguration]
-    .flatMap((judgePart) => judgePart(context));
+  return [
+    ...[judgeAnswers, judgeBudget, judgeDrain, judgeConfiguration],
+    judgeCrashes,
+  ].flatMap((judgePart) => judgePart(context));
 }
--- a/test/soak/judge_test.ts
+++ b/test/soak/judge_test.ts
@@ -22,7 +22,7 @@
 ): CallerRequest {
   return {
     ...{ id, router: "r0", kind, prefix: "/a/", key: "key", sentAt },
-    ...{ lastEventId: 0, deadlineMs: 3_000 },
+    ...{ lastEventId: 0, deadlineMs: 3_000, parts: [], cause: undefined },
     result: {
       ...{ status: 200, body: "whole", isComplete: true, gaveUp: false },
       ...{ isMalformed: false, signature: life, isLeaving: false },
@@ -36,6 +36,7 @@
   return {
     ...{ requestId: "q", router: "r0", life, targetId: "t0", service: "a" },
     ...{ at: calmAt + 5, lastEventId: 0, workspace: "ws", kind: "run" },
+    cause: undefined,
     ...{ status: 200, body: "whole", completedAt: undefined, brokeOff: false },
     ...changes,
   };
@@ -226,4 +227,74 @@
       })).toEqual(["CONFIG"]);
     });
   });
+
+  describe("of what crashes targets", () => {
+    const causes = ["request", "part"] as const;
+
+    /** Creates arrivals that crash a target each, one in a second. */
+    function createCrashes(
+      count: number,
+      cause: "request" | "part",
+    ): readonly Arrival[] {
+      return Array.from({ length: count }, (_, index) =>
+        createArrival({
+          ...{ requestId: `q${index}`, life: `t${index}#1`, cause },
+          ...{ at: calmAt + index * 1_000, brokeOff: true, status: undefined },
+        }));
+    }
+
+    function findCrashRules(
+      arrivals: readonly Arrival[],
+      routers = createRouters("start", 0),
+    ): readonly string[] {
+      return findRules({ requests: [], arrivals, routers })
+        .filter((rule) => rule === "BUDGET");
+    }
+
+    it.each(causes)("finds a %s that is sent on and on", (cause) => {
+      expect(findCrashRules(createCrashes(14, cause))).toEqual(["BUDGET"]);
+    });
+
+    it.each(causes)("allows three late sends of a %s", (cause) => {
+      const known = { request: 3, part: 5 }[cause];
+      // The crash that makes it known, three seconds, and three late ones.
+      const count = known + bounds.contactMs / 1_000 + 3;
+      expect(findCrashRules(createCrashes(count, cause))).toEqual([]);
+      expect(findCrashRules(createCrashes(count + 1, cause)))
+        .toEqual(["BUDGET"]);
+    });
+
+    it("excuses a router that has just started", () => {
+      const arrivals = createCrashes(14, "request")
+        .filter(({ at }) => at < calmAt + 8_000);
+      const routers = createRouters("start", calmAt + 7_000);
+      expect(findCrashRules(arrivals, routers)).toEqual([]);
+    });
+
+    it("finds sound requests that are no longer sent", () => {
+      const crashes = createCrashes(5, "part");
+      const requests = Array.from({ length: 80 }, (_, index) => ({
+        ...createRequest("safe", { status: 503 }, {
+          id: `s${index}`,
+          sentAt: calmAt + (index < 40 ? -2_000 : 15_000) + index,
+        }),
+        parts: ["shared", "own"],
+      }));
+      const arrivals = requests.slice(0, 40).map(({ id, sentAt }) =>
+        createArrival({ requestId: id, at: sentAt })
+      );
+      const found = findRules({
+        requests,
+        arrivals: [...arrivals, ...crashes],
+      });
+      expect(found.filter((rule) => rule === "LOST")).toEqual(["LOST"]);
+      const served = requests.map(({ id, sentAt }) =>
+        createArrival({ requestId: id, at: sentAt })
+      );
+      expect(
+        findRules({ requests, arrivals: [...served, ...crashes] })
+          .filter((rule) => rule === "LOST"),
+      ).toEqual([]);
+    });
+  });
 });
--- a/test/soak/observations.ts
+++ b/test/soak/observations.ts
@@ -3,6 +3,9 @@
 /** Kind of a route: what may be repeated, and how responses are shaped. */
 export type SoakRouteKind = "safe" | "unsafe" | "stream" | "resumable";
 
+/** What makes a request crash each target that begins to run it. */
+export type CrashCause = "request" | "part";
+
 /** A span of time on the monotonic clock; `to` is infinite while it lasts. */
 export interface Span {
   readonly from: number;
@@ -27,6 +30,8 @@
   readonly at: number;
   readonly lastEventId: number;
   readonly workspace: string | undefined;
+  /** Why the target crashes at it, if it does. */
+  readonly cause: CrashCause | undefined;
   kind: "run" | "not_run" | "wrong_target";
   /** The status that was sent with the request's id. */
   status: number | undefined;
@@ -69,6 +74,10 @@
   /** Prefix of the path by which routes match. */
   readonly prefix: string;
   readonly key: string;
+  /** Ids of the prompt's parts. */
+  readonly parts: readonly string[];
+  /** Why targets crash at it, if they do. */
+  readonly cause: CrashCause | undefined;
   readonly lastEventId: number;
   readonly deadlineMs: number;
   readonly sentAt: number;
--- a/test/soak/plants.ts
+++ b/test/soak/plants.ts
@@ -53,6 +53,24 @@
     [routerFile, "graceMs * drainGraceShare", "graceMs * 0.05"],
     [routerFile, "graceMs * servingGraceShare", "graceMs * 0.03"],
   ],
+  /** No crash is put down to a request that was in flight. */
+  crashes_ignored: [[
+    "src/process/direct/crash_keys.ts",
+    '    { kind: "request", id: `request:${getFingerprint(request)}`, label },\n',
+    "",
+  ]],
+  /** No crash is put down to a part of a prompt. */
+  parts_ignored: [[
+    "src/process/direct/crash_keys.ts",
+    "    ...getPartKeys(request),\n",
+    "",
+  ]],
+  /** A response does not withdraw what counts for its parts. */
+  responses_ignored: [[
+    "src/process/direct/quarantine.ts",
+    "if (!table.clear(key.id)) continue;",
+    "continue;",
+  ]],
   /** Requests on new connections are sent to targets in a pause. */
   pause_of_one_path: [
     [
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -5,6 +5,7 @@
 import { sleep } from "../harness/wait.ts";
 import { createSeededRandom } from "../support/seeded_random.ts";
 import { startCallers } from "./callers.ts";
+import { startCrashingCallers } from "./crashing_callers.ts";
 import { runFault } from "./fault_actions.ts";
 import { judge } from "./judge.ts";
 import { createJudgeContext, type Violation } from "./judge_context.ts";
@@ -128,6 +129,10 @@
       ...{ routers, services, requests, random: createRandom(3) },
       run: `q${seed}`,
     }, Math.min(callerCounts.most, options.routers * callerCounts.perRouter));
+    const stopCrashingCallers = startCrashingCallers({
+      ...{ routers, services, requests, random: createRandom(4) },
+      run: `q${seed}`,
+    });
     const changes = setInterval(() => void operator.change(), changeIntervalMs);
     const faults = schedule.map(async (fault) => {
       await sleep(fault.atMs);
@@ -136,7 +141,7 @@
     await Promise.all([sleep(durationMs), ...faults]);
     await sleep(settleMs);
     clearInterval(changes);
-    await stopCallers();
+    await Promise.all([stopCallers(), stopCrashingCallers()]);
   }
 
   function finish(
--- a/test/soak/soak_target.ts
+++ b/test/soak/soak_target.ts
@@ -9,7 +9,7 @@
 import type { Socket } from "node:net";
 import { sleep } from "../harness/wait.ts";
 import type { LoopClock } from "./loop_clock.ts";
-import type { Arrival, AskedPauseNotice } from "./observations.ts";
+import type { Arrival, AskedPauseNotice, CrashCause } from "./observations.ts";
 import type { SoakStore } from "./soak_store.ts";
 import { type AnswerName, answers, createEvents } from "./target_answers.ts";
 
@@ -19,6 +19,9 @@
 /** Time until a target that has ended is replaced, in milliseconds. */
 const replacementMs = 400;
 
+/** Time for which a target is down that crashes at a request, in ms. */
+const crashDownMs = 1_200;
+
 /** Port at the target's own address. */
 const port = 7_000;
 
@@ -134,6 +137,13 @@
     });
   }
 
+  /** Ends at once, also while it leaves; another process follows. */
+  function crashNow(): void {
+    if (!isBusy) return void crash(crashDownMs, false);
+    state = "down";
+    void stopServer();
+  }
+
   /** Plays the end of this process and starts the next, if it may end now. */
   async function replace(
     keepsId: boolean,
@@ -182,10 +192,14 @@
       at: host.clock.getEarliest(),
       lastEventId: Number(headers["last-event-id"] ?? 0),
       workspace: headers["x-tenant"]?.toString(),
+      cause: getCrashCause(searchParams.get("crash")),
       ...{ kind: "run", status: undefined, body: "" },
       ...{ completedAt: undefined, brokeOff: false },
     };
     host.arrivals.push(arrival);
+    if (arrival.cause !== undefined && headers["x-expect-instance"] === id) {
+      return crashNow();
+    }
     const previousId = previousIds.get(socket);
     previousIds.set(socket, requestId);
     if (isLeaving) response.setHeader("Server-Leaving", "1");
@@ -216,3 +230,7 @@
     await stopServer();
   }
 }
+
+function getCrashCause(text: string | null): CrashCause | undefined {
+  return text === "request" || text === "part" ? text : undefined;
+}
