Log a suspected request once, not at each further crash

Cause: each further crash, and each report of a peer with a higher count, logged again. Change: only the crash that reaches the limit is logged.

--- a/src/process/direct/crash_suspects.ts
+++ b/src/process/direct/crash_suspects.ts
@@ -51,9 +51,10 @@
   };
 
   function merge(record: CrashRecordUpdate): void {
+    const previous = records.getCrashes(record.fingerprint);
     if (records.merge(record)) {
       hasRecords = true;
-      return logSuspect(record, "peer");
+      return logSuspect(record, { previous, source: "peer" });
     }
     // A peer that has just started does not know the crashes before.
     const known = records.tryGet(record.fingerprint);
@@ -62,16 +63,21 @@
 
   function recordCrash(request: CrashCandidate): void {
     hasRecords = true;
-    const record = records.recordCrash(getFingerprint(request));
-    logSuspect(record, "own");
+    const fingerprint = getFingerprint(request);
+    const previous = records.getCrashes(fingerprint);
+    const record = records.recordCrash(fingerprint);
+    logSuspect(record, { previous, source: "own" });
     host.report(record);
   }
 
   function logSuspect(
     { fingerprint, crashes }: CrashRecordUpdate,
-    source: "own" | "peer",
+    { previous, source }: {
+      readonly previous: number;
+      readonly source: "own" | "peer";
+    },
   ): void {
-    if (crashes < maxCrashes) return;
+    if (crashes < maxCrashes || previous >= maxCrashes) return;
     host.log.warn("Request that may crash its targets is not retried", {
       ...{ fingerprint, crashes, source },
     });
--- a/src/process/direct/crash_suspects_test.ts
+++ b/src/process/direct/crash_suspects_test.ts
@@ -48,6 +48,19 @@
     expect(suspects.canRetry(request)).toBe(true);
   });
 
+  it("are logged once, however often they come", () => {
+    const warnings: string[] = [];
+    const suspects = createCrashSuspects({
+      log: {
+        ...createSilentLog(),
+        warn: (message) => void warnings.push(message),
+      },
+      report: () => undefined,
+    });
+    for (let count = 0; count < 9; count++) suspects.recordCrash(request);
+    expect(warnings).toHaveLength(1);
+  });
+
   it("are retried again when no target was lost for a long time", () => {
     const suspects = createCrashed(3);
     jest.advanceTimersByTime(10 * 60_000 + 1);
