Start the first trial when crashed targets are back

Cause: the first trial came 2 s after the crashes, targets are back after some seconds. Change: 5 s, then 20, 80, 320 and 600 s.

--- a/src/process/direct/quarantine.ts
+++ b/src/process/direct/quarantine.ts
@@ -26,8 +26,11 @@
 import { createEvidenceReports } from "./evidence_reports.ts";
 import { getTargetLife } from "./target_crashes.ts";
 
-/** Time from the last crash to the first trial, in milliseconds. */
-const firstTrialDelayMs = 2_000;
+/**
+ * Time from the last crash to the first trial, in milliseconds; crashed targets are
+ * back by then, so that the trial does not take the last one.
+ */
+const firstTrialDelayMs = 5_000;
 
 /** Factor by which each trial that crashes a target delays the next. */
 const trialDelayFactor = 4;
