--- a/src/process/direct/quarantine.ts
+++ b/src/process/direct/quarantine.ts
@@ -7,8 +7,8 @@
  * it any more. Some sound requests are in flight at three crashes that they did
  * not cause, so a single trial is let through after a time, by one router of the
  * fleet. Prompt parts that came together to all crashes are told apart at once by a
- * request that has only some of them. A response ends the
- * quarantine; a crash multiplies the time to the next trial.
+ * request that has only some of them. A response ends the quarantine; a crash
+ * multiplies the time to the next trial.
  */
 
 import { createHash } from "node:crypto";
