--- a/test/platform/crashing_service.ts
+++ b/test/platform/crashing_service.ts
@@ -1,5 +1,12 @@
 /** A service whose targets end when they run some requests, on loopback. */
 
+import {
+  type FleetRouter,
+  hasLogged,
+  startConfiguredStore,
+  startFleetRouter,
+  waitUntil,
+} from "./direct_fleet.ts";
 import type { StoreStandIn } from "./store_stand_in.ts";
 import {
   type ReceivedRequest,
@@ -30,8 +37,40 @@
   close(): Promise<void>;
 }
 
+/** Two or more routers, their store and one service. */
+export interface CrashingFleet {
+  readonly store: StoreStandIn;
+  readonly service: CrashingService;
+  readonly routers: readonly FleetRouter[];
+}
+
+/** Starts a fleet of two routers that are ready. */
+export async function startCrashingFleet(
+  options: Parameters<typeof startCrashingService>[1],
+): Promise<CrashingFleet> {
+  const store = await startConfiguredStore();
+  const service = await startCrashingService(store, options);
+  const routers = await Promise.all(
+    ["router-1", "router-2"].map((id) => startFleetRouter(id, store)),
+  );
+  await waitUntil(() =>
+    routers.every((router) => hasLogged(router, "Router is ready"))
+  );
+  return { store, service, routers };
+}
+
+/** Stops the routers, then their service and store. */
+export async function closeCrashingFleet(
+  { store, service, routers }: CrashingFleet,
+): Promise<void> {
+  await Promise.all(
+    routers.map(({ directRouter }) => directRouter.stop("test")),
+  );
+  await Promise.all([service, store].map((stand) => stand.close()));
+}
+
 /** Starts a service whose crashed targets are replaced soon. */
-export async function startCrashingService(
+async function startCrashingService(
   store: StoreStandIn,
   { targets: count, isDeadly }: {
     readonly targets: number;
--- a/test/platform/returning_part_test.ts
+++ b/test/platform/returning_part_test.ts
@@ -1,14 +1,8 @@
+import { type FleetRouter, hasLogged, sendRequest } from "./direct_fleet.ts";
 import {
-  type FleetRouter,
-  hasLogged,
-  sendRequest,
-  startConfiguredStore,
-  startFleetRouter,
-  waitUntil,
-} from "./direct_fleet.ts";
-import {
+  closeCrashingFleet,
   type CrashingService,
-  startCrashingService,
+  startCrashingFleet,
 } from "./crashing_service.ts";
 import type { StoreStandIn } from "./store_stand_in.ts";
 import type { ReceivedRequest } from "./target_stand_in.ts";
@@ -32,22 +26,13 @@
 
   beforeEach(async () => {
     sent = 0;
-    store = await startConfiguredStore();
-    service = await startCrashingService(store, { targets: 6, isDeadly });
-    routers = await Promise.all(
-      ["router-1", "router-2"].map((id) => startFleetRouter(id, store)),
-    );
-    await waitUntil(() =>
-      routers.every((router) => hasLogged(router, "Router is ready"))
-    );
+    ({ store, service, routers } = await startCrashingFleet({
+      targets: 6,
+      isDeadly,
+    }));
   });
 
-  afterEach(async () => {
-    await Promise.all(
-      routers.map(({ directRouter }) => directRouter.stop("test")),
-    );
-    await Promise.all([service, store].map((stand) => stand.close()));
-  });
+  afterEach(() => closeCrashingFleet({ store, service, routers }));
 
   function isDeadly({ headers }: ReceivedRequest): boolean {
     return String(headers["x-prompt-prefix"]).includes(crashingPart);
--- a/test/platform/returning_request_test.ts
+++ b/test/platform/returning_request_test.ts
@@ -2,13 +2,13 @@
   type FleetRouter,
   hasLogged,
   sendRequest,
-  startConfiguredStore,
   startFleetRouter,
   waitUntil,
 } from "./direct_fleet.ts";
 import {
+  closeCrashingFleet,
   type CrashingService,
-  startCrashingService,
+  startCrashingFleet,
 } from "./crashing_service.ts";
 import type { StoreStandIn } from "./store_stand_in.ts";
 import type { ReceivedRequest } from "./target_stand_in.ts";
@@ -31,22 +31,13 @@
   let routers: readonly FleetRouter[];
 
   beforeEach(async () => {
-    store = await startConfiguredStore();
-    service = await startCrashingService(store, { targets: 4, isDeadly });
-    routers = await Promise.all(
-      ["router-1", "router-2"].map((id) => startFleetRouter(id, store)),
-    );
-    await waitUntil(() =>
-      routers.every((router) => hasLogged(router, "Router is ready"))
-    );
+    ({ store, service, routers } = await startCrashingFleet({
+      targets: 4,
+      isDeadly,
+    }));
   });
 
-  afterEach(async () => {
-    await Promise.all(
-      routers.map(({ directRouter }) => directRouter.stop("test")),
-    );
-    await Promise.all([service, store].map((stand) => stand.close()));
-  });
+  afterEach(() => closeCrashingFleet({ store, service, routers }));
 
   function isDeadly({ path }: ReceivedRequest): boolean {
     return path.endsWith("/crashing");
