Record which targets limit their requests, and log it

Change: the header is decoded for each response, recorded by target, logged when it begins, changes or ends, counted and shown in the dump. No decision uses it yet.

--- a/src/connection/direct_client.ts
+++ b/src/connection/direct_client.ts
@@ -56,7 +56,17 @@
   /** Returns why a target gets no requests now; undefined when it does. */
   tryGetHold(target: DirectTarget): Hold | undefined;
   /** Handles what a target says of itself; called for each response. */
-  handleNotice(target: DirectTarget, notice: TargetNotice): void;
+  handleNotice(
+    target: DirectTarget,
+    notice: TargetNotice,
+    options: {
+      /**
+       * When the request of this response was sent, on the monotonic clock;
+       * undefined when the response may be that of another one.
+       */
+      readonly sentAt: number | undefined;
+    },
+  ): void;
   /** Called once for each response that is cut because of a limit. */
   onLimitExceeded(limit: ResponseLimit): void;
 }
@@ -98,6 +108,8 @@
 /** Creates a client; it connects with the first call to a target. */
 export function createDirectClient(host: DirectClientHost): DirectClient {
   const pools = new Map<string, TargetPools>();
+  /** When calls were written to a connection, on the monotonic clock. */
+  const sentTimes = new WeakMap<DirectCall, number>();
 
   return { send, tryListCachedParts, retain, close };
 
@@ -158,7 +170,10 @@
           (call?.isQuarantined?.() ? "quarantined" : undefined);
         // An error that is thrown here leaves the connection open.
         if (hold !== undefined) throw createWithheldError(hold);
-        call?.recordSent?.();
+        if (call !== undefined) {
+          sentTimes.set(call, performance.now());
+          call.recordSent?.();
+        }
         connect?.(...args);
       };
       return dispatch(options, handler);
@@ -198,7 +213,8 @@
     const result = host.codec.decodeHead(status, headers, call);
     if (result.kind !== "spoiled") return;
     const { target } = call;
-    host.handleNotice(target, host.codec.decodeNotice(status, headers, target));
+    const notice = host.codec.decodeNotice(status, headers, target);
+    host.handleNotice(target, notice, { sentAt: undefined });
     throw Object.assign(new Error(result.reason), { code: spoiledErrorCode });
   }
 
@@ -206,12 +222,11 @@
   function readHeaders(
     target: DirectTarget,
     data: Dispatcher.ResponseData,
+    { sentAt }: { readonly sentAt: number | undefined },
   ): readonly Header[] {
     const headers = parseHeaders(data.headers as unknown as readonly Buffer[]);
-    host.handleNotice(
-      target,
-      host.codec.decodeNotice(data.statusCode, headers, target),
-    );
+    const notice = host.codec.decodeNotice(data.statusCode, headers, target);
+    host.handleNotice(target, notice, { sentAt });
     return headers;
   }
 
@@ -221,7 +236,7 @@
   ): DirectResult {
     const result = host.codec.decodeHead(
       data.statusCode,
-      readHeaders(call.target, data),
+      readHeaders(call.target, data, { sentAt: sentTimes.get(call) }),
       call,
     );
     // A destroyed body emits an error; its reader, if any, receives it too.
@@ -257,7 +272,7 @@
           ...{ responseHeaders: "raw" },
         }), { signal });
       if (data === undefined) return undefined;
-      readHeaders(target, data);
+      readHeaders(target, data, { sentAt: undefined });
       const { statusCode, body } = data;
       const text = await readBoundedText(body, { maxBytes: maxPartsBytes });
       if (statusCode === 200) return host.codec.decodeParts(text);
--- a/src/connection/direct_client_test.ts
+++ b/src/connection/direct_client_test.ts
@@ -30,6 +30,7 @@
   decodeNotice: (_status, headers) => ({
     isLeaving: headers.some(({ name }) => name === "leaving"),
     pause: { kind: "none" },
+    limit: { kind: "none" },
   }),
   partsPath: "/parts",
   decodeParts: () => [],
--- a/src/connection/response_limits_test.ts
+++ b/src/connection/response_limits_test.ts
@@ -248,7 +248,11 @@
             load: undefined,
           },
         },
-      decodeNotice: () => ({ isLeaving: false, pause: { kind: "none" } }),
+      decodeNotice: () => ({
+        isLeaving: false,
+        pause: { kind: "none" },
+        limit: { kind: "none" },
+      }),
       partsPath: "/parts",
       decodeParts: () => [],
     },
--- a/src/connection/target_connector_test.ts
+++ b/src/connection/target_connector_test.ts
@@ -219,7 +219,11 @@
           load: undefined,
         },
       }),
-      decodeNotice: () => ({ isLeaving: false, pause: { kind: "none" } }),
+      decodeNotice: () => ({
+        isLeaving: false,
+        pause: { kind: "none" },
+        limit: { kind: "none" },
+      }),
       partsPath: "/parts",
       decodeParts: () => [],
     },
--- a/src/platform/target_codec.ts
+++ b/src/platform/target_codec.ts
@@ -4,6 +4,7 @@
 import type {
   AskedPause,
   DirectCall,
+  NamedLimit,
   ReportedLoad,
   TargetNotice,
 } from "../types/direct_calls.ts";
@@ -35,7 +36,8 @@
 /** Status with which a target turns requests away for a time. */
 const unavailableStatus = 503;
 
-const secondsPattern = /^\d+(\.\d+)?$/;
+/** A whole or fractional number without sign and exponent. */
+const decimalPattern = /^\d+(\.\d+)?$/;
 
 const msPerSecond = 1_000;
 
@@ -131,20 +133,36 @@
   const respondingTarget = headers.get(headerNames.respondingTarget);
   const isOther = status === wrongTargetStatus ||
     (respondingTarget !== undefined && respondingTarget !== target.id);
-  if (isOther) return { isLeaving: false, pause: { kind: "none" } };
+  if (isOther) {
+    return {
+      isLeaving: false,
+      pause: { kind: "none" },
+      limit: { kind: "untold" },
+    };
+  }
   return {
     isLeaving: headers.get(headerNames.leaving) === leavingValue,
     pause: status === unavailableStatus
       ? decodePause(headers.get(headerNames.retryAfter))
       : { kind: "none" },
+    limit: decodeLimit(headers.get(headerNames.rateLimit)),
   };
 }
 
-/** Decodes whole or fractional seconds; dates are not supported. */
+/** Decodes a decimal number of requests a second; 0 and above. */
+function decodeLimit(text: string | undefined): NamedLimit {
+  if (text === undefined) return { kind: "none" };
+  const perS = Number(text);
+  return decimalPattern.test(text) && Number.isFinite(perS)
+    ? { kind: "named", perS }
+    : { kind: "unreadable", text };
+}
+
+/** Decodes a number of seconds; dates are not supported. */
 function decodePause(text: string | undefined): AskedPause {
   if (text === undefined) return { kind: "none" };
   const ms = Number(text) * msPerSecond;
-  return secondsPattern.test(text) && Number.isFinite(ms)
+  return decimalPattern.test(text) && Number.isFinite(ms)
     ? { kind: "asked", ms }
     : { kind: "unreadable", text };
 }
--- a/src/platform/target_codec_test.ts
+++ b/src/platform/target_codec_test.ts
@@ -155,4 +155,46 @@
       expect(decodeNotice(503, {}).pause).toEqual({ kind: "none" });
     });
   });
+
+  describe("of a target that limits its requests", () => {
+    for (
+      const [value, perS] of Object.entries({
+        "4.2": 4.2,
+        "0": 0,
+        "0.05": 0.05,
+        "12": 12,
+        "900000000": 900_000_000,
+      })
+    ) {
+      it(`is read from the rate "${value}"`, () => {
+        for (const status of [200, 404, 429, 500, 503]) {
+          expect(decodeNotice(status, { "Server-Limit": value }).limit)
+            .toEqual({ kind: "named", perS });
+        }
+      });
+    }
+
+    for (
+      const value of [
+        ...["", "many", "-1", "+1", "1e3", "0x10", "1.", ".5", "1,5", "2/s"],
+        ...["NaN", "Infinity", "9".repeat(400)],
+      ]
+    ) {
+      it(`is not read from "${value}"`, () => {
+        expect(decodeNotice(200, { "Server-Limit": value }).limit)
+          .toEqual({ kind: "unreadable", text: value });
+      });
+    }
+
+    it("says that there is none where the header is absent", () => {
+      expect(decodeNotice(200, {}).limit).toEqual({ kind: "none" });
+    });
+
+    it("says nothing from another target at the address", () => {
+      const headers = { "Server-Limit": "2" };
+      expect(decodeNotice(421, headers).limit).toEqual({ kind: "untold" });
+      expect(decodeNotice(200, { ...headers, "X-Instance": "i-2" }).limit)
+        .toEqual({ kind: "untold" });
+    });
+  });
 });
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -36,6 +36,8 @@
   leaving: "server-leaving",
   /** Seconds for which the target wants no requests, possibly a fraction. */
   retryAfter: "retry-after",
+  /** Requests a second that the target takes from all routers together. */
+  rateLimit: "server-limit",
   /** Id of the target that responds; not in all responses. */
   respondingTarget: "x-instance",
   /** Running requests, waiting requests and slots of the target. */
--- /dev/null
+++ b/src/process/direct/limit_records.ts
@@ -0,0 +1,175 @@
+/**
+ * Knows which targets limit their requests, from their responses and from peers.
+ *
+ * Responses overtake each other, and reports of peers are older than they arrive.
+ * A limit is therefore withdrawn only by a response to a request that was sent
+ * after the limit was last named, and the later of two records counts.
+ */
+
+import type { NamedLimit } from "../../types/direct_calls.ts";
+import type { Log } from "../telemetry/log.ts";
+import type { Metrics } from "../telemetry/metrics.ts";
+
+/** What is known of the limit of one target. */
+export interface LimitRecord {
+  readonly target: string;
+  /** Requests a second from all routers; undefined when it has ended. */
+  readonly perS: number | undefined;
+  /** Time up to which this is known, on the monotonic clock, in ms. */
+  readonly at: number;
+}
+
+/** The records of all targets. */
+export interface LimitRecords {
+  /** Records what a response says; returns the record if it counts. */
+  record(
+    target: string,
+    limit: NamedLimit,
+    options: {
+      /**
+       * When the request was sent, on the monotonic clock; undefined when the
+       * response may belong to an earlier one.
+       */
+      readonly sentAt: number | undefined;
+    },
+  ): LimitRecord | undefined;
+  /** Applies the record of a peer; returns true if it is newer. */
+  merge(record: LimitRecord): boolean;
+  /** Returns the limit in force; undefined without one. */
+  tryGetPerS(target: string): number | undefined;
+  /** Returns true while no target has a limit. */
+  isEmpty(): boolean;
+  /** Returns the limits in force. */
+  getAll(): readonly LimitRecord[];
+  /** Drops the records of targets that are gone. */
+  retain(isKnown: (target: string) => boolean): void;
+}
+
+/** Change of a limit from which on it is logged, as a share of it. */
+const loggedChangeShare = 0.1;
+
+/** Maximum number of records; the oldest are dropped. */
+const maxRecords = 4_096;
+
+/** Maximum number of targets whose unreadable limits were logged. */
+const maxLoggedTargets = 1_024;
+
+/** Creates records without a limit. */
+export function createLimitRecords(
+  host: {
+    readonly log: Pick<Log, "info" | "warn">;
+    readonly metrics: Pick<Metrics, "count">;
+  },
+): LimitRecords {
+  const records = new Map<string, LimitRecord>();
+  /** Targets with an unreadable limit since they last named another one. */
+  const unreadable = new Set<string>();
+  /** Number of records with a limit that is in force. */
+  let inForce = 0;
+
+  return {
+    record,
+    merge,
+    tryGetPerS: (target) => records.get(target)?.perS,
+    isEmpty: () => inForce === 0,
+    getAll: () =>
+      [...records.values()].filter(({ perS }) => perS !== undefined),
+    retain,
+  };
+
+  function record(
+    target: string,
+    limit: NamedLimit,
+    { sentAt }: { readonly sentAt: number | undefined },
+  ): LimitRecord | undefined {
+    switch (limit.kind) {
+      case "untold":
+        return undefined;
+      case "unreadable":
+        reportUnreadable(target, limit.text);
+        return undefined;
+      case "named":
+        unreadable.delete(target);
+        host.metrics.count("target_limits_named_total");
+        return apply({ target, perS: limit.perS, at: performance.now() });
+      case "none":
+        return sentAt === undefined || !records.has(target)
+          ? undefined
+          : apply({ target, perS: undefined, at: sentAt });
+    }
+  }
+
+  function apply(record: LimitRecord): LimitRecord | undefined {
+    return put(record, "own") ? record : undefined;
+  }
+
+  function put(record: LimitRecord, source: "own" | "peer"): boolean {
+    const { target, perS, at } = record;
+    const known = records.get(target);
+    if (known !== undefined && known.at >= at) return false;
+    if (known?.perS !== undefined) inForce--;
+    if (perS !== undefined) inForce++;
+    records.delete(target);
+    records.set(target, record);
+    logChange(record, { previousPerS: known?.perS, source });
+    dropOldest();
+    return true;
+  }
+
+  function dropOldest(): void {
+    const [oldest] = records.values();
+    if (records.size > maxRecords && oldest !== undefined) remove(oldest);
+  }
+
+  function remove({ target, perS }: LimitRecord): void {
+    if (perS !== undefined) inForce--;
+    records.delete(target);
+  }
+
+  function merge(record: LimitRecord): boolean {
+    // Without a limit, its end is nothing to remember.
+    if (record.perS === undefined && !records.has(record.target)) return false;
+    return put(record, "peer");
+  }
+
+  function logChange(
+    { target, perS }: LimitRecord,
+    { previousPerS, source }: {
+      readonly previousPerS: number | undefined;
+      readonly source: "own" | "peer";
+    },
+  ): void {
+    if (perS === undefined) {
+      if (previousPerS === undefined) return;
+      return host.log.info("Target limits its requests no more", {
+        ...{ target, source },
+      });
+    }
+    const changeable = loggedChangeShare * (previousPerS ?? 0);
+    if (
+      previousPerS !== undefined && Math.abs(perS - previousPerS) <= changeable
+    ) return;
+    host.log.info("Target limits its requests", {
+      ...{ target, perS, previousPerS, source },
+    });
+  }
+
+  /** Logs the first such limit of a target, until it names another one. */
+  function reportUnreadable(target: string, text: string): void {
+    host.metrics.count("target_limits_unreadable_total");
+    if (unreadable.has(target) || unreadable.size >= maxLoggedTargets) return;
+    unreadable.add(target);
+    host.log.warn("Target names a limit that cannot be read", {
+      ...{ target, text },
+    });
+  }
+
+  function retain(isKnown: (target: string) => boolean): void {
+    for (const record of records.values()) {
+      if (!isKnown(record.target)) remove(record);
+    }
+    for (const target of unreadable) {
+      if (!isKnown(target)) unreadable.delete(target);
+    }
+  }
+}
--- a/src/process/direct/target_notices.ts
+++ b/src/process/direct/target_notices.ts
@@ -4,6 +4,7 @@
 import type { DirectTarget } from "../../types/direct_target.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { Metrics } from "../telemetry/metrics.ts";
+import type { LimitRecords } from "./limit_records.ts";
 import type { TargetPauses } from "./target_pauses.ts";
 import type { TargetTable } from "./target_table.ts";
 
@@ -11,6 +12,7 @@
 export interface TargetNoticesHost {
   readonly targets: Pick<TargetTable, "recordLeaving">;
   readonly pauses: Pick<TargetPauses, "recordPause">;
+  readonly limits: Pick<LimitRecords, "record">;
   readonly metrics: Pick<Metrics, "count">;
   readonly log: Log;
 }
@@ -18,7 +20,17 @@
 /** The notices of all targets. */
 export interface TargetNotices {
   /** Applies the notice of one response. */
-  handle(target: DirectTarget, notice: TargetNotice): void;
+  handle(
+    target: DirectTarget,
+    notice: TargetNotice,
+    options: {
+      /**
+       * When the request was sent, on the monotonic clock; undefined when the
+       * response may belong to another one.
+       */
+      readonly sentAt: number | undefined;
+    },
+  ): void;
 }
 
 /** Creates the handler of notices. */
@@ -27,9 +39,11 @@
 
   function handle(
     target: DirectTarget,
-    { isLeaving, pause }: TargetNotice,
+    { isLeaving, pause, limit }: TargetNotice,
+    { sentAt }: { readonly sentAt: number | undefined },
   ): void {
     if (isLeaving) handleLeaving(target);
+    host.limits.record(target.id, limit, { sentAt });
     handlePause(target, pause);
   }
 
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -16,6 +16,7 @@
 import { createCachedParts } from "../process/direct/cached_parts.ts";
 import { createMemoryBudget } from "../process/direct/memory_budget.ts";
 import { createQuarantine } from "../process/direct/quarantine.ts";
+import { createLimitRecords } from "../process/direct/limit_records.ts";
 import { createCrashSuspects } from "../process/direct/crash_suspects.ts";
 import { createPartPrefills } from "../process/direct/part_prefills.ts";
 import { createLoadView } from "../process/direct/load_view.ts";
@@ -144,7 +145,10 @@
   /** Callbacks that end the wait of requests for the first configuration. */
   const tableWaiters = new Set<() => void>();
 
-  const notices = createTargetNotices({ targets, pauses, metrics, log });
+  const limits = createLimitRecords({ log, metrics });
+  const notices = createTargetNotices({
+    ...{ targets, pauses, limits, metrics, log },
+  });
   const calls = createDirectClient({
     codec: host.codec,
     log,
@@ -190,7 +194,10 @@
         });
       }
     },
-    handleTargetsChanged: () => calls.retain(targets.getAddresses()),
+    handleTargetsChanged: () => {
+      calls.retain(targets.getAddresses());
+      limits.retain((id) => targets.tryGet(id) !== undefined);
+    },
   });
   const requestHost = {
     ...{ calls, targets, health, pauses, loads, prefills, placement, log },
@@ -213,6 +220,7 @@
   const state = createDirectState({
     ...{ metrics, directory, targets, health, pauses, loads, quarantine },
     ...{ cachedParts, responseMemory, retries: requestHost.retries, isReady },
+    limits,
     getVersion: () => matcher?.table.version ?? 0,
     getInFlight: () => inFlight,
   });
--- a/src/roles/direct_state.ts
+++ b/src/roles/direct_state.ts
@@ -2,6 +2,7 @@
 
 import type { CachedParts } from "../process/direct/cached_parts.ts";
 import type { Quarantine } from "../process/direct/quarantine.ts";
+import type { LimitRecords } from "../process/direct/limit_records.ts";
 import type { LoadView } from "../process/direct/load_view.ts";
 import type { MemoryBudget } from "../process/direct/memory_budget.ts";
 import type { RetryShare } from "../process/direct/retry_share.ts";
@@ -19,6 +20,7 @@
   readonly targets: Pick<TargetTable, "getCounts">;
   readonly health: Pick<TargetHealth, "getEjected">;
   readonly pauses: Pick<TargetPauses, "getPaused">;
+  readonly limits: Pick<LimitRecords, "getAll">;
   readonly loads: Pick<LoadView, "getOwnLoads">;
   readonly quarantine: Pick<Quarantine, "getAll">;
   readonly cachedParts: Pick<CachedParts, "getSize">;
@@ -40,6 +42,7 @@
   metrics.gauge("targets_ready", () => targets.getCounts().ready);
   metrics.gauge("targets_aside", () => health.getEjected().length);
   metrics.gauge("targets_paused", () => pauses.getPaused().length);
+  metrics.gauge("targets_limited", () => host.limits.getAll().length);
   metrics.gauge("quarantined", () => quarantine.getAll().length);
   metrics.gauge("held_parts", host.cachedParts.getSize);
   metrics.gauge("response_memory_bytes", host.responseMemory.getUsedBytes);
@@ -57,6 +60,9 @@
       targets: targets.getCounts(),
       aside: health.getEjected(),
       paused: pauses.getPaused(),
+      limited: Object.fromEntries(
+        host.limits.getAll().map(({ target, perS }) => [target, perS]),
+      ),
       quarantined: quarantine.getAll().map((key) => ({ ...key })),
       loads: Object.fromEntries(
         [...loads.getOwnLoads()].map(([target, load]) => [target, { ...load }]),
--- a/src/types/direct_calls.ts
+++ b/src/types/direct_calls.ts
@@ -59,8 +59,23 @@
   /** True when the target is about to exit and wants no new requests. */
   readonly isLeaving: boolean;
   readonly pause: AskedPause;
+  readonly limit: NamedLimit;
 }
 
+/**
+ * The rate of requests that a target takes from all routers together.
+ *
+ * - `untold`: the response is none of this target, or may belong to the past.
+ * - `none`: the target limits nothing.
+ * - `named`: the target takes that many requests a second.
+ * - `unreadable`: the response names a rate in a form that is not supported.
+ */
+export type NamedLimit =
+  | { readonly kind: "untold" }
+  | { readonly kind: "none" }
+  | { readonly kind: "named"; readonly perS: number }
+  | { readonly kind: "unreadable"; readonly text: string };
+
 /**
  * The time for which a target wants no requests.
  *
