Divide the rates that targets name among all routers

Callers saw nothing of it: targets in need got two to five times the requests that they had named, all of them served.

Change: a limit is shared in digests; time is divided into slots of one request that go to the routers in turn, by the roster on which they agree, so no message is needed for a request. Slots that are not used within 0.4 s are lost. A limit ends with a response to a later request that names none. Permits are taken at the choice and checked again when the request is written. With all targets limited a request is refused at once, with a time at which this router has room again.

--- a/src/cli/explanation.ts
+++ b/src/cli/explanation.ts
@@ -26,11 +26,7 @@
   const lines = logs.split("\n").flatMap(parseLine);
   const requestLines = lines.filter(({ request }) => request === requestId);
   if (requestLines.length === 0) return [];
-  const targets = new Set(
-    requestLines.map(({ target }) => target).filter((target) =>
-      target !== undefined
-    ),
-  );
+  const targets = new Set(requestLines.flatMap(getTargets));
   const quarantinedKeys = new Set(
     requestLines.map(({ quarantined }) => quarantined).filter((key) =>
       key !== undefined
@@ -79,6 +75,12 @@
   "Store returned from an older copy",
 ]);
 
+/** Returns the target of a line, and the limited ones that it names. */
+function getTargets({ target, limited }: Line): readonly unknown[] {
+  const limitedTargets = typeof limited === "string" ? limited.split(" ") : [];
+  return target === undefined ? limitedTargets : [target, ...limitedTargets];
+}
+
 function parseLine(text: string): readonly Line[] {
   const start = text.indexOf("{");
   if (start < 0) return [];
--- a/src/cli/explanation_test.ts
+++ b/src/cli/explanation_test.ts
@@ -28,6 +28,8 @@
   createLine(2, "Quarantine starts", { quarantined: "request:1" }),
   createLine(2, "Quarantine starts", { quarantined: "request:2" }),
   createLine(5, "Request ended", { request: "r4", quarantined: "request:1" }),
+  createLine(2, "Target limits its requests", { target: "t7", perS: 2 }),
+  createLine(5, "Request ended", { request: "r5", limited: "t6 t7" }),
 ].join("\n");
 
 describe("explainRequest", () => {
@@ -52,6 +54,16 @@
     ]);
   });
 
+  it("shows the limits for which it was refused", () => {
+    expect(explainRequest(logs, "r5")).toEqual([
+      "router-1:",
+      "  00:00:05.000 Store call failed  kind=unavailable",
+      "  00:00:06.000 Store returned from an older copy  era=2",
+      "  00:00:02.000 Target limits its requests  target=t7  perS=2",
+      "  00:00:05.000 Request ended  limited=t6 t7",
+    ]);
+  });
+
   it("is empty for a request that the logs do not contain", () => {
     expect(explainRequest(logs, "r3")).toEqual([]);
   });
--- a/src/connection/direct_client.ts
+++ b/src/connection/direct_client.ts
@@ -55,6 +55,8 @@
   getMaxConnections(service: string): number;
   /** Returns why a target gets no requests now; undefined when it does. */
   tryGetHold(target: DirectTarget): Hold | undefined;
+  /** As `tryGetHold`, for a request that is sent for no caller. */
+  tryGetOwnRequestHold?(target: DirectTarget): Hold | undefined;
   /** Handles what a target says of itself; called for each response. */
   handleNotice(
     target: DirectTarget,
@@ -167,7 +169,9 @@
       const connect = handler.onConnect?.bind(handler);
       handler.onConnect = (...args) => {
         const hold = (target && host.tryGetHold(target)) ??
-          (call?.isQuarantined?.() ? "quarantined" : undefined);
+          (call === undefined
+            ? target && host.tryGetOwnRequestHold?.(target)
+            : call.tryGetHold?.());
         // An error that is thrown here leaves the connection open.
         if (hold !== undefined) throw createWithheldError(hold);
         if (call !== undefined) {
--- a/src/process/direct/limit_records.ts
+++ b/src/process/direct/limit_records.ts
@@ -35,6 +35,7 @@
   ): LimitRecord | undefined;
   /** Applies the record of a peer; returns true if it is newer. */
   merge(record: LimitRecord): boolean;
+  tryGet(target: string): LimitRecord | undefined;
   /** Returns the limit in force; undefined without one. */
   tryGetPerS(target: string): number | undefined;
   /** Returns true while no target has a limit. */
@@ -54,13 +55,14 @@
 /** Maximum number of targets whose unreadable limits were logged. */
 const maxLoggedTargets = 1_024;
 
+/** What the records need from the process. */
+export interface LimitRecordsHost {
+  readonly log: Pick<Log, "info" | "warn">;
+  readonly metrics: Pick<Metrics, "count">;
+}
+
 /** Creates records without a limit. */
-export function createLimitRecords(
-  host: {
-    readonly log: Pick<Log, "info" | "warn">;
-    readonly metrics: Pick<Metrics, "count">;
-  },
-): LimitRecords {
+export function createLimitRecords(host: LimitRecordsHost): LimitRecords {
   const records = new Map<string, LimitRecord>();
   /** Targets with an unreadable limit since they last named another one. */
   const unreadable = new Set<string>();
@@ -70,6 +72,7 @@
   return {
     record,
     merge,
+    tryGet: (target) => records.get(target),
     tryGetPerS: (target) => records.get(target)?.perS,
     isEmpty: () => inForce === 0,
     getAll: () =>
--- a/src/process/direct/peer_digests.ts
+++ b/src/process/direct/peer_digests.ts
@@ -8,12 +8,14 @@
   PeerDigest,
   type PushFragment as FragmentMessage,
   type TargetLeave as LeaveMessage,
+  type TargetLimit as LimitMessage,
   type TargetLoadReport,
 } from "../../generated/mimosatray/v1/peer_digest.ts";
 import type { CrashRecordUpdate } from "../attempts/crash_records.ts";
 import type { CrashEvidence } from "./crash_evidence.ts";
 import type { PlacedPart } from "./cached_parts.ts";
 import type { PushFragment } from "./push_fragments.ts";
+import type { LimitRecord } from "./limit_records.ts";
 import type { StorePosition } from "../../types/store_position.ts";
 import type { TargetLoad } from "./load_view.ts";
 import type { TargetLeave } from "./target_table.ts";
@@ -27,6 +29,9 @@
 /** Number of parts that one record of crash evidence takes the place of. */
 const partsPerEvidence = 2;
 
+/** Maximum age that a report of a limit gives, in milliseconds. */
+const maxLimitAgeMs = 3_600_000;
+
 /** Maximum number of crash records in one digest. */
 const maxCrashesPerDigest = 4;
 
@@ -62,6 +67,8 @@
   readonly crashes: readonly CrashRecordUpdate[];
   /** What was in flight at crashes of targets. */
   readonly crashEvidence: readonly CrashEvidence[];
+  /** Limits that targets name or have ended. */
+  readonly limits: readonly LimitRecord[];
   /** Part of a push; a digest that has one carries no loads or parts. */
   readonly pushFragment: PushFragment | undefined;
 }
@@ -75,6 +82,7 @@
   | "storeContactMs"
   | "lostEntries"
   | "leaves"
+  | "limits"
   | "loads"
 >;
 
@@ -113,21 +121,22 @@
     write: (state, crashEvidence = []) =>
       encode(state, {
         parts: partQueue.takeBatch(
-          maxPartsPerDigest - crashEvidence.length * partsPerEvidence,
+          maxPartsPerDigest - state.limits.length -
+            crashEvidence.length * partsPerEvidence,
         ),
         crashes: crashQueue.takeBatch(maxCrashesPerDigest),
         crashEvidence,
       }),
     writeResponse: (state) => encode(state, { parts: [] }),
     writePush: (state, pushFragment) =>
-      encode({ ...state, loads: new Map(), leaves: [] }, {
+      encode({ ...state, loads: new Map(), leaves: [], limits: [] }, {
         parts: [],
         pushFragment,
       }),
   };
 
   function encode(
-    { loads, position, leaves, ...state }: DigestState,
+    { loads, position, leaves, limits, ...state }: DigestState,
     { parts, crashes = [], crashEvidence = [], pushFragment }: {
       readonly parts: readonly PlacedPart[];
       readonly crashes?: readonly CrashRecordUpdate[];
@@ -142,6 +151,7 @@
       sender,
       loads: [...loads].map(toLoadReport),
       leaves: leaves.flatMap(toLeaveReport),
+      limits: limits.map(toLimitReport),
       heldParts: parts.map(({ target, part, isBeingRead }) => ({
         target,
         part: part.id,
@@ -207,6 +217,20 @@
     : [];
 }
 
+function toLimitReport({ target, perS, at }: LimitRecord): LimitMessage {
+  const ageMs = Math.round(performance.now() - at);
+  return { target, perS, ageMs: Math.max(0, Math.min(maxLimitAgeMs, ageMs)) };
+}
+
+/** A rate of another form, which no router sends, is left out. */
+function toLimitRecord(
+  { target, perS, ageMs }: LimitMessage,
+): readonly LimitRecord[] {
+  return perS === undefined || (Number.isFinite(perS) && perS >= 0)
+    ? [{ target, perS, at: performance.now() - ageMs }]
+    : [];
+}
+
 function toPushFragment(
   { era, revision, index, count, data }: FragmentMessage,
 ): PushFragment {
@@ -233,6 +257,7 @@
         id: target,
         startedAtMs,
       })),
+      limits: digest.limits.flatMap(toLimitRecord),
       pushFragment: digest.pushFragment && toPushFragment(digest.pushFragment),
       loads: new Map(
         digest.loads.map(({ target, requests, unreadTokens }) => [
--- a/src/process/direct/peer_digests_test.ts
+++ b/src/process/direct/peer_digests_test.ts
@@ -15,6 +15,7 @@
   storeContactMs: 0,
   lostEntries: 0,
   leaves: [],
+  limits: [],
   loads: new Map(),
 };
 
@@ -42,6 +43,7 @@
       storeContactMs: 40,
       lostEntries: 3,
       leaves: [{ id: "b", startedAtMs: 1_790_000_000_123 }],
+      limits: [],
       loads: new Map([["a", { requests: 2, unreadTokens: 30 }]]),
     }, [evidence]));
     expect(digest).toEqual({
@@ -52,6 +54,7 @@
       storeContactMs: 40,
       lostEntries: 3,
       leaves: [{ id: "b", startedAtMs: 1_790_000_000_123 }],
+      limits: [],
       pushFragment: undefined,
       loads: new Map([["a", { requests: 2, unreadTokens: 30 }]]),
       parts: [{ target: "a", part: { id: "p", tokens: 9 }, isBeingRead: true }],
--- /dev/null
+++ b/src/process/direct/target_limits.ts
@@ -0,0 +1,309 @@
+/**
+ * Keeps the requests of all routers within the rates that targets name.
+ *
+ * Load pattern: part of a service's targets take only some requests a second, at
+ * times nearly all of them. Each router sends to such a target in its own slots
+ * and to the others as before; a slot that isn't used soon is lost, so that no
+ * burst follows. With all targets limited and no slot free, the request is refused
+ * at once, and each refused caller is told a later time at which this router's
+ * share has room.
+ */
+
+import type { NamedLimit } from "../../types/direct_calls.ts";
+import type { DirectTarget } from "../../types/direct_target.ts";
+import {
+  createLimitRecords,
+  type LimitRecord,
+  type LimitRecords,
+  type LimitRecordsHost,
+} from "./limit_records.ts";
+import { createLimitReports, type LimitReports } from "./limit_reports.ts";
+import {
+  createSlotSequence,
+  getFirstSlot,
+  type SlotSequence,
+} from "./limit_schedule.ts";
+import type { RouterPlace } from "./router_roster.ts";
+
+/** Time after a slot in which it can be used, in milliseconds. */
+const slotTtlMs = 400;
+
+/**
+ * Rate at which a target that takes nothing or nearly nothing still gets
+ * requests, so that the end of its limit is noticed.
+ */
+const minPerS = 0.1;
+
+/**
+ * Minimum time between two slots of a router: part of their period, and a maximum
+ * in milliseconds. Slots move when the rate or the number of routers changes.
+ */
+const minSlotDistance = { periodShare: 0.9, maxMs: 2_000 } as const;
+
+/** Rise of a limit that moves no slots, as a share of it. */
+const ignoredRise = 0.15;
+
+/**
+ * Time after its start in which a router uses no slots, in milliseconds: until
+ * its peers count it.
+ */
+const settleMs = 1_000;
+
+/** Maximum time that refused callers are told, in milliseconds. */
+const maxReturnDelayMs = 60_000;
+
+const msPerSecond = 1_000;
+
+/** The right to send one request to a target. */
+export interface SendPermit {
+  /** Uses the permit at the time of sending; false when it has expired. */
+  tryUse(): boolean;
+  /** Gives the permit back if it was not used. */
+  release(): void;
+}
+
+/** A limit, for operators. */
+export interface TargetLimit {
+  readonly target: string;
+  readonly perS: number;
+  /** Requests a second that this router may send. */
+  readonly ownPerS: number;
+  /** Time since the target or a peer has told it, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** The limits of all targets, as one router keeps them. */
+export interface TargetLimits {
+  /** Applies what a response says of the target's limit. */
+  record(
+    target: string,
+    limit: NamedLimit,
+    options: Parameters<LimitRecords["record"]>[2],
+  ): void;
+  /** Applies the record of a peer. */
+  merge(record: LimitRecord): void;
+  /** Returns the targets that may receive a request now. */
+  getUsable(targets: readonly DirectTarget[]): readonly DirectTarget[];
+  /** Returns true when the target limits its requests. */
+  isLimited(target: DirectTarget): boolean;
+  /** Returns true when there are targets and each has a limit. */
+  areAllLimited(targets: readonly DirectTarget[]): boolean;
+  /** Takes a permit for one request; undefined when there is none now. */
+  tryTake(target: string): SendPermit | undefined;
+  /**
+   * Returns the time after which a refused caller should come back, in
+   * milliseconds, and keeps it for this caller.
+   */
+  reserveReturn(service: string, targets: readonly DirectTarget[]): number;
+  getAll(): readonly TargetLimit[];
+  /** Drops what is known of targets that are gone. */
+  retain(isKnown: (target: string) => boolean): void;
+  readonly reports: LimitReports;
+}
+
+/** What the limits need from the process. */
+export interface TargetLimitsHost extends LimitRecordsHost {
+  /** Returns this router's place among all that send requests. */
+  getPlace(): RouterPlace;
+  /** Returns a 32-bit hash. */
+  hash(text: string): number;
+}
+
+/** The slots of one target. */
+interface TargetSlots {
+  /** Offset of this target's slots from those of others. */
+  readonly offset: number;
+  /** Requests a second by which slots are set, no more than the limit. */
+  scheduledPerS: number;
+  /** Time of the latest slot that was taken, in epoch milliseconds. */
+  takenUntil: number;
+  /** Times of slots that were given back, in epoch milliseconds. */
+  returned: readonly number[];
+}
+
+/** Creates limits of which none is known. */
+export function createTargetLimits(host: TargetLimitsHost): TargetLimits {
+  const records = createLimitRecords(host);
+  const reports = createLimitReports(records);
+  const slotsByTarget = new Map<string, TargetSlots>();
+  /** When the latest refused caller of a service comes back, by service. */
+  const returnTimes = new Map<string, number>();
+  // Steps of the wall clock would skip or repeat slots.
+  const clockOriginMs = Date.now() - performance.now();
+  const settledAt = getTime() + settleMs;
+
+  return {
+    record,
+    merge,
+    getUsable,
+    isLimited,
+    areAllLimited,
+    tryTake,
+    reserveReturn,
+    getAll,
+    retain,
+    reports,
+  };
+
+  /** Returns epoch milliseconds that grow steadily. */
+  function getTime(): number {
+    return clockOriginMs + performance.now();
+  }
+
+  function record(
+    target: string,
+    limit: NamedLimit,
+    options: Parameters<LimitRecords["record"]>[2],
+  ): void {
+    const previousPerS = records.tryGetPerS(target);
+    const recorded = records.record(target, limit, options);
+    if (recorded !== undefined) reports.offer(recorded, previousPerS);
+  }
+
+  function merge(peerRecord: LimitRecord): void {
+    if (records.merge(peerRecord)) reports.recordReceived(peerRecord.target);
+  }
+
+  function getUsable(
+    targets: readonly DirectTarget[],
+  ): readonly DirectTarget[] {
+    if (records.isEmpty()) return targets;
+    return targets.filter(({ id }) => {
+      const perS = records.tryGetPerS(id);
+      return perS === undefined || tryGetSlot(id, perS) !== undefined;
+    });
+  }
+
+  function areAllLimited(targets: readonly DirectTarget[]): boolean {
+    return targets.length > 0 && targets.every(isLimited);
+  }
+
+  function isLimited({ id }: DirectTarget): boolean {
+    return records.tryGetPerS(id) !== undefined;
+  }
+
+  function getSequence(target: string, perS: number): SlotSequence {
+    const slots = getSlots(target);
+    const { scheduledPerS, offset } = slots;
+    if (perS < scheduledPerS || perS > scheduledPerS * (1 + ignoredRise)) {
+      slots.scheduledPerS = perS;
+    }
+    const ratePerS = Math.max(minPerS, slots.scheduledPerS);
+    return createSlotSequence(ratePerS, host.getPlace(), { offset });
+  }
+
+  function getSlots(target: string): TargetSlots {
+    const known = slotsByTarget.get(target);
+    if (known !== undefined) return known;
+    const created: TargetSlots = {
+      offset: host.hash(target),
+      scheduledPerS: 0,
+      takenUntil: Number.NEGATIVE_INFINITY,
+      returned: [],
+    };
+    slotsByTarget.set(target, created);
+    return created;
+  }
+
+  /** Returns a slot that can be used now. */
+  function tryGetSlot(target: string, perS: number): number | undefined {
+    const now = getTime();
+    const returned = getSlots(target).returned
+      .find((slotAt) => slotAt >= now - slotTtlMs);
+    if (returned !== undefined) return returned;
+    const slotAt = getNextSlot(target, perS);
+    return slotAt <= now ? slotAt : undefined;
+  }
+
+  /** Returns the first slot that is neither taken nor lost. */
+  function getNextSlot(target: string, perS: number): number {
+    const sequence = getSequence(target, perS);
+    const { takenUntil } = getSlots(target);
+    const { periodShare, maxMs } = minSlotDistance;
+    const minDistanceMs = Math.min(sequence.periodMs * periodShare, maxMs);
+    return getFirstSlot(
+      sequence,
+      Math.max(getTime() - slotTtlMs, takenUntil + minDistanceMs, settledAt),
+    );
+  }
+
+  function tryTakeSlot(target: string, perS: number): number | undefined {
+    const slotAt = tryGetSlot(target, perS);
+    if (slotAt === undefined) return undefined;
+    const slots = getSlots(target);
+    const now = getTime();
+    slots.returned = slots.returned.filter((at) =>
+      at !== slotAt && at >= now - slotTtlMs
+    );
+    slots.takenUntil = Math.max(slots.takenUntil, slotAt);
+    return slotAt;
+  }
+
+  function tryTake(target: string): SendPermit | undefined {
+    const perS = records.tryGetPerS(target);
+    let slotAt = perS === undefined ? undefined : tryTakeSlot(target, perS);
+    if (perS !== undefined && slotAt === undefined) return undefined;
+    return { tryUse, release };
+
+    /** The limit may have begun or ended while the request was waiting. */
+    function tryUse(): boolean {
+      const currentPerS = records.tryGetPerS(target);
+      if (currentPerS === undefined) return true;
+      if (slotAt === undefined || slotAt < getTime() - slotTtlMs) {
+        slotAt = tryTakeSlot(target, currentPerS);
+      }
+      const isUsable = slotAt !== undefined;
+      slotAt = undefined;
+      return isUsable;
+    }
+
+    function release(): void {
+      if (slotAt === undefined) return;
+      const slots = getSlots(target);
+      slots.returned = [...slots.returned, slotAt];
+      slotAt = undefined;
+    }
+  }
+
+  function reserveReturn(
+    service: string,
+    targets: readonly DirectTarget[],
+  ): number {
+    const now = getTime();
+    const nextSlots = targets.map(({ id }) =>
+      getNextSlot(id, records.tryGetPerS(id) ?? 0)
+    );
+    const earliest = Math.max(
+      Math.min(...nextSlots, now + maxReturnDelayMs),
+      returnTimes.get(service) ?? now,
+    );
+    const ownPerS = targets.reduce((sum, { id }) => sum + getOwnPerS(id), 0);
+    const returnAt = Math.min(earliest, now + maxReturnDelayMs);
+    returnTimes.set(service, returnAt + msPerSecond / ownPerS);
+    return returnAt - now;
+  }
+
+  function getOwnPerS(target: string): number {
+    const perS = Math.max(minPerS, records.tryGetPerS(target) ?? 0);
+    return perS / host.getPlace().count;
+  }
+
+  function getAll(): readonly TargetLimit[] {
+    return records.getAll().flatMap(({ target, perS, at }) =>
+      perS === undefined ? [] : [{
+        target,
+        perS,
+        ownPerS: getOwnPerS(target),
+        ageMs: Math.round(performance.now() - at),
+      }]
+    );
+  }
+
+  function retain(isKnown: (target: string) => boolean): void {
+    records.retain(isKnown);
+    reports.retain(isKnown);
+    for (const target of slotsByTarget.keys()) {
+      if (!isKnown(target)) slotsByTarget.delete(target);
+    }
+  }
+}
--- a/src/process/direct/target_notices.ts
+++ b/src/process/direct/target_notices.ts
@@ -4,7 +4,7 @@
 import type { DirectTarget } from "../../types/direct_target.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { Metrics } from "../telemetry/metrics.ts";
-import type { LimitRecords } from "./limit_records.ts";
+import type { TargetLimits } from "./target_limits.ts";
 import type { TargetPauses } from "./target_pauses.ts";
 import type { TargetTable } from "./target_table.ts";
 
@@ -12,7 +12,7 @@
 export interface TargetNoticesHost {
   readonly targets: Pick<TargetTable, "recordLeaving">;
   readonly pauses: Pick<TargetPauses, "recordPause">;
-  readonly limits: Pick<LimitRecords, "record">;
+  readonly limits: Pick<TargetLimits, "record">;
   readonly metrics: Pick<Metrics, "count">;
   readonly log: Log;
 }
--- a/src/request/attempt_description.ts
+++ b/src/request/attempt_description.ts
@@ -7,7 +7,7 @@
 import type { DirectResult } from "../types/direct_calls.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
 import type { DirectChoice } from "./direct_choice.ts";
-import type { AttemptEnd } from "./direct_host.ts";
+import type { AttemptEnd, DirectHost } from "./direct_host.ts";
 
 /** Returns the values that the choice was based on, for the log. */
 export function describeChoice(
@@ -33,6 +33,21 @@
   return { quarantined: key.id, label: key.label, crashes };
 }
 
+/** Maximum number of limited targets that one line names. */
+const maxNamedTargets = 8;
+
+/** Returns the limited targets of a service without room, for the log. */
+export function describeLimited(
+  host: Pick<DirectHost, "limits" | "targets">,
+  service: string,
+): Readonly<Record<string, string>> | undefined {
+  const ready = host.targets.getReady(service);
+  const limited = ready.filter(host.limits.isLimited);
+  if (limited.length === 0) return undefined;
+  const ids = limited.slice(0, maxNamedTargets).map(({ id }) => id).join(" ");
+  return { limited: ids };
+}
+
 /** Returns what a target responded, for the log. */
 function describeHead(
   result: DirectResult,
--- a/src/request/direct_choice.ts
+++ b/src/request/direct_choice.ts
@@ -4,8 +4,8 @@
  *
  * Load pattern: an engine that is ejected, or draining by its entry, takes no
  * requests, but its prefix cache can still be read, so another engine copies from
- * it. One that said itself that it leaves, or that it wants a pause, is not even
- * copied from.
+ * it. So does one whose limit is reached: copies are no requests. One that said
+ * itself that it leaves, or that it wants a pause, is not even copied from.
  */
 
 import type { CachedParts } from "../process/direct/cached_parts.ts";
@@ -16,6 +16,7 @@
 } from "../process/direct/prefix_placement.ts";
 import { chooseSlot } from "../process/direct/slot_placement.ts";
 import type { TargetHealth } from "../process/direct/target_health.ts";
+import type { TargetLimits } from "../process/direct/target_limits.ts";
 import type { TargetPauses } from "../process/direct/target_pauses.ts";
 import type { TargetTable } from "../process/direct/target_table.ts";
 import type { Placement } from "../process/placement/placement.ts";
@@ -28,6 +29,7 @@
   readonly targets: Pick<TargetTable, "getReady" | "getLeaving">;
   readonly health: Pick<TargetHealth, "getUsable" | "isReachable">;
   readonly pauses: Pick<TargetPauses, "getUsable" | "isPaused">;
+  readonly limits: Pick<TargetLimits, "getUsable">;
   readonly loads: Pick<LoadView, "getLoad">;
   readonly cachedParts: Pick<CachedParts, "getCachedTokens" | "isCached">;
   readonly placement: Placement;
@@ -64,7 +66,7 @@
   attempted: ReadonlySet<string>,
 ): DirectChoice | undefined {
   const ready = host.targets.getReady(request.service);
-  const remaining = host.pauses.getUsable(ready)
+  const remaining = host.limits.getUsable(host.pauses.getUsable(ready))
     .filter(({ id }) => !attempted.has(id));
   const usable = host.health.getUsable(remaining);
   return request.prompt === undefined
--- a/src/request/direct_choice_test.ts
+++ b/src/request/direct_choice_test.ts
@@ -2,6 +2,7 @@
   createRequest,
   createRoute,
   createTarget,
+  createTestLimits,
 } from "../../test/support/direct.ts";
 import { createCachedParts } from "../process/direct/cached_parts.ts";
 import { createLoadView } from "../process/direct/load_view.ts";
@@ -58,6 +59,7 @@
         targets,
         health,
         pauses,
+        limits: createTestLimits(),
         loads: createLoadView(),
         cachedParts,
         placement: createPlacement({
@@ -130,6 +132,7 @@
         const choice = tryChooseTarget(
           {
             ...{ targets, loads, cachedParts, pauses, loadMultiple },
+            limits: createTestLimits(),
             health: createTargetHealth({ log: createSilentLog() }),
             placement: createPlacement({
               hash: (key, seed) => key.length * 7 + seed,
--- a/src/request/direct_end.ts
+++ b/src/request/direct_end.ts
@@ -14,7 +14,7 @@
 
 /** Creates the end of a request that no target has taken. */
 export function createUnservedEnd(
-  host: Pick<DirectHost, "pauses" | "random" | "targets">,
+  host: Pick<DirectHost, "limits" | "pauses" | "random" | "targets">,
   service: string,
   { lastRefusal, lastQueue, timeLeftMs }: {
     readonly lastRefusal: DiagnosticCode | undefined;
@@ -24,6 +24,14 @@
   },
 ): RequestEnd {
   const ready = host.targets.getReady(service);
+  const open = host.pauses.getUsable(ready);
+  const isLimited = lastRefusal === undefined ||
+    lastRefusal === "target_limited";
+  if (isLimited && host.limits.areAllLimited(open)) {
+    return createEnd(createReport("target_limited", { service }, {
+      retryAfterMs: host.limits.reserveReturn(service, open),
+    }));
+  }
   const code = lastRefusal ?? (ready.length > 0 ? "target_full" : "no_target");
   return createEnd(createReport(code, { service }, {
     retryAfterMs: getRetryAfterMs(lastQueue, {
--- a/src/request/direct_host.ts
+++ b/src/request/direct_host.ts
@@ -10,6 +10,7 @@
 import type { RetryShare } from "../process/direct/retry_share.ts";
 import type { TargetCrashes } from "../process/direct/target_crashes.ts";
 import type { TargetHealth } from "../process/direct/target_health.ts";
+import type { TargetLimits } from "../process/direct/target_limits.ts";
 import type { TargetPauses } from "../process/direct/target_pauses.ts";
 import type { Log } from "../process/telemetry/log.ts";
 import type { DirectCalls, DirectResult, Hold } from "../types/direct_calls.ts";
@@ -28,6 +29,10 @@
     TargetPauses,
     "begin" | "getFirstEndMs" | "getUsable" | "isPaused"
   >;
+  readonly limits: Pick<
+    TargetLimits,
+    "areAllLimited" | "getUsable" | "isLimited" | "reserveReturn" | "tryTake"
+  >;
   readonly loads: Pick<LoadView, "getLoad" | "begin">;
   readonly cachedParts: Pick<CachedParts, "getCachedTokens" | "isCached"> & {
     /** Records that a target gets `parts` and prefills `prefillParts`. */
@@ -93,6 +98,7 @@
   leaving: "target_leaving",
   paused: "target_full",
   busy: "target_full",
+  limited: "target_limited",
   quarantined: "request_crashes_targets",
 } as const satisfies Readonly<Record<Hold, DiagnosticCode>>;
 
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -9,6 +9,7 @@
   type TargetQueue,
 } from "../process/direct/admission_estimate.ts";
 import { getSharedParts } from "../process/direct/prefix_placement.ts";
+import type { SendPermit } from "../process/direct/target_limits.ts";
 import type { TargetOutcome } from "../process/direct/target_health.ts";
 import type { DirectResult } from "../types/direct_calls.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
@@ -17,11 +18,12 @@
 import type { Reply, RequestEnd } from "../types/reply.ts";
 import {
   describeChoice,
+  describeLimited,
   describeRefusal,
   logAttempt,
 } from "./attempt_description.ts";
 import { type DirectAttempt, startDirectAttempt } from "./direct_attempt.ts";
-import { type DirectChoice, tryChooseTarget } from "./direct_choice.ts";
+import type { DirectChoice } from "./direct_choice.ts";
 import {
   type AttemptEnd,
   createNotRun,
@@ -35,6 +37,7 @@
   createStoppedEnd,
   createUnservedEnd,
 } from "./direct_end.ts";
+import { createDirectPrefillWait } from "./direct_prefill_wait.ts";
 import { createDirectQuarantine } from "./direct_quarantine.ts";
 import { createDirectResponse } from "./direct_response.ts";
 import { createDirectRetry } from "./direct_retry.ts";
@@ -45,12 +48,6 @@
 /** Maximum number of attempts for one request, including refused ones. */
 const maxAttempts = 5;
 
-/**
- * Share of the latency goal that a request may wait for another request's
- * prefill of its parts; the rest is left for its own prefill.
- */
-const prefillWaitGoalShare = 0.3;
-
 /** Time left below which a retry is not worth its load, in ms. */
 const minTimeLeftMs = 30;
 
@@ -79,10 +76,9 @@
     (route.kind === "stream" && route.isResumable);
   const retry = createDirectRetry(host.retries, service);
   const quarantine = createDirectQuarantine(host, request);
+  const prefillWait = createDirectPrefillWait(host, request);
   const attempted = new Set<string>();
   let sends = 0;
-  /** Time waited for prefills by other requests, in milliseconds. */
-  let readWaitMs = 0;
   /** Number of targets that may have run the request. */
   let possibleRuns = 0;
   let target = "";
@@ -113,41 +109,26 @@
         decision = describeRefusal(refusal);
         return mayHaveRun() ? endUnserved() : createQuarantinedEnd(refusal);
       }
-      const choice = await tryChooseTargetAfterPrefill();
+      const choice = await prefillWait.tryChooseTarget(attempted);
       if (stop.getReason() !== undefined) return endStopped();
-      if (choice === undefined || sends >= maxAttempts) return endUnserved();
+      if (choice === undefined || sends >= maxAttempts) {
+        decision ??= describeLimited(host, service);
+        return endUnserved();
+      }
       lastQueue = getQueue(choice);
       if (isBeyondDeadline(lastQueue, getTimeLeftMs())) {
         lastRefusal = "target_full";
         return endUnserved();
       }
-      const result = await runAttempt(choice);
+      const permit = host.limits.tryTake(choice.target.id);
+      // Another request has taken the last permit since the choice.
+      if (permit === undefined) continue;
+      const result = await runAttempt(choice, permit);
       const end = handleAttemptEnd(result);
       if (end !== undefined) return end;
     }
   }
 
-  /**
-   * Chooses a target and waits once while the parts that the request would use
-   * or copy are being prefilled. After a wait it chooses again, since the best
-   * target or the engine to copy from may have changed.
-   */
-  async function tryChooseTargetAfterPrefill(): Promise<
-    DirectChoice | undefined
-  > {
-    const choice = tryChooseTarget(host, request, attempted);
-    if (choice === undefined || request.prompt === undefined) return choice;
-    const holder = choice.fetchFrom ?? choice.target;
-    const waitedMs = await host.prefills.wait(
-      holder.id,
-      getSharedParts(request.prompt.parts),
-      { timeoutMs: route.latencyGoalMs * prefillWaitGoalShare },
-    );
-    if (waitedMs === 0) return choice;
-    readWaitMs += waitedMs;
-    return tryChooseTarget(host, request, attempted);
-  }
-
   /**
    * Returns the end of the request after one attempt; undefined when the
    * request should be sent to the next target.
@@ -176,7 +157,10 @@
     }
   }
 
-  async function runAttempt(choice: DirectChoice): Promise<AttemptEnd> {
+  async function runAttempt(
+    choice: DirectChoice,
+    permit: SendPermit,
+  ): Promise<AttemptEnd> {
     const attempt = startAttempt(choice);
     const sentBefore = {
       sentBytes: response.getSentBytes(),
@@ -197,7 +181,10 @@
         lastEventId: response.getLastEventId() ?? request.lastEventId,
         needsFreshConnection: route.kind === "unsafe",
         signal: attempt.signal,
-        isQuarantined: quarantine.isQuarantined,
+        tryGetHold: () => {
+          if (quarantine.isQuarantined()) return "quarantined";
+          return permit.tryUse() ? undefined : "limited";
+        },
         recordSent: () => {
           retry.recordSent();
           attempt.recordSent();
@@ -211,6 +198,7 @@
       }
       return end;
     } finally {
+      permit.release();
       attempt.end();
     }
   }
@@ -222,7 +210,7 @@
     target = chosen.id;
     decision = {
       ...describeChoice(choice, request),
-      ...(readWaitMs > 0 ? { readWaitMs: Math.round(readWaitMs) } : {}),
+      ...prefillWait.describe(),
     };
     sends++;
     const { prompt } = request;
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -2,6 +2,7 @@
   createRequest,
   createRoute,
   createTarget,
+  createTestLimits,
   createTestQuarantine,
 } from "../../test/support/direct.ts";
 import {
@@ -20,6 +21,7 @@
   type CrashSuspects,
   createCrashSuspects,
 } from "../process/direct/crash_suspects.ts";
+import type { TargetLimits } from "../process/direct/target_limits.ts";
 import type { DirectRoute } from "../types/route_table.ts";
 
 const safe = createRoute({ kind: "safe" });
@@ -179,6 +181,66 @@
     });
   });
 
+  describe("to targets that limit their requests", () => {
+    /** Creates limits after a time in which no slot was used. */
+    function createLimits(ids: readonly string[], perS: number): TargetLimits {
+      const limits = createTestLimits({ count: 5 });
+      ids.forEach((id) =>
+        limits.record(id, { kind: "named", perS }, { sentAt: undefined })
+      );
+      jest.advanceTimersByTime(1);
+      return limits;
+    }
+
+    it.each([
+      ["safe", safe],
+      ["unsafe", unsafe],
+      ["stream", resumable],
+    ])("is sent to one with room (%s)", async (_kind, route) => {
+      const limits = createLimits(["a", "b"], 1);
+      const { targets } = await run(route, [() => stream(event(1))], {
+        limits,
+      });
+      expect(targets).toEqual(["c"]);
+    });
+
+    it("is refused at once where none has room", async () => {
+      const limits = createLimits(["a", "b", "c"], 2);
+      const result = await run(unsafe, [], { limits });
+      expect(result.calls).toEqual([]);
+      expect(result).toMatchObject({
+        outcome: "not_run",
+        code: "target_limited",
+        endedAtMs: 0,
+      });
+      expect(result.retryAfterMs).toBeGreaterThan(0);
+      // A router uses its first slot within 2.5 s of the first second.
+      expect(result.retryAfterMs).toBeLessThanOrEqual(3_500);
+    });
+
+    it("is sent to another when the slot was lost in a queue", async () => {
+      const limits = createTestLimits({ count: 5 });
+      const result = await run(safe, [
+        ({ target }) => {
+          limits.record(target.id, { kind: "named", perS: 1 }, {
+            sentAt: undefined,
+          });
+          return { kind: "withheld", hold: "limited" };
+        },
+        () => createResponse(["looked up"]),
+      ], { limits, retryCredit: 0 });
+      expect(result.text).toBe("looked up");
+      expect(new Set(result.targets).size).toBe(2);
+    });
+
+    it("is retried only where there is room", async () => {
+      const limits = createLimits(["a", "b"], 0.2);
+      const result = await run(safe, [lost], { limits });
+      expect(result.targets).toEqual(["c"]);
+      expect(result.outcome).toBe("unknown");
+    });
+  });
+
   describe("that may run only once", () => {
     for (const [name, behaviour] of Object.entries({ lost, spoiled })) {
       it(`is not retried after a ${name} response`, async () => {
@@ -510,7 +572,7 @@
 
     it("is not sent when the quarantine began while it waited", async () => {
       const quarantine = createTestQuarantine();
-      const crashElsewhere: Behaviour = ({ isQuarantined }) => {
+      const crashElsewhere: Behaviour = ({ tryGetHold }) => {
         for (const id of ["a", "b", "c"]) {
           quarantine.recordCrash(
             getCrashKeys(createRequest(unsafe, request)),
@@ -518,7 +580,7 @@
             { hasResponseBegun: false, sentAt: performance.now() },
           );
         }
-        expect(isQuarantined?.()).toBe(true);
+        expect(tryGetHold?.()).toBe("quarantined");
         return { kind: "withheld", hold: "quarantined" };
       };
       const result = await run(unsafe, [crashElsewhere], {
--- a/src/roles/digest_exchange.ts
+++ b/src/roles/digest_exchange.ts
@@ -9,6 +9,8 @@
 import type { DirectoryPush } from "../process/direct/directory_replica.ts";
 import type { DirectorySync } from "../process/direct/directory_sync.ts";
 import type { WatcherChoice } from "../process/direct/watcher_choice.ts";
+import type { RouterRoster } from "../process/direct/router_roster.ts";
+import type { TargetLimits } from "../process/direct/target_limits.ts";
 import type { LoadView } from "../process/direct/load_view.ts";
 import type { PartPrefills } from "../process/direct/part_prefills.ts";
 import {
@@ -91,6 +93,8 @@
   readonly cachedParts: CachedParts;
   readonly prefills: Pick<PartPrefills, "recordPeerPrefill">;
   readonly loads: Pick<LoadView, "recordReport" | "getOwnLoads">;
+  readonly limits: Pick<TargetLimits, "merge" | "reports">;
+  readonly roster: Pick<RouterRoster, "recordHeard">;
   /** Applies the crash record of a peer. */
   mergeCrash(record: CrashRecordUpdate): void;
   readonly quarantine: Pick<Quarantine, "hasChanges" | "merge" | "takeRecords">;
@@ -193,7 +197,7 @@
     const state = {
       peers: routers.size - 1,
       hasUpdates: digestWriter.getQueueLength() > 0 ||
-        host.quarantine.hasChanges(),
+        host.quarantine.hasChanges() || host.limits.reports.hasChanges(),
       isWatcher: sync.hasTurn(),
     };
     if (pace.trySend(state)) writeDigest();
@@ -207,7 +211,10 @@
 
   function writeDigest(): void {
     sendToAll(
-      digestWriter.write(getDigestState(), host.quarantine.takeRecords()),
+      digestWriter.write(
+        { ...getDigestState(), limits: host.limits.reports.take() },
+        host.quarantine.takeRecords(),
+      ),
     );
   }
 
@@ -248,6 +255,7 @@
         : 0,
       lostEntries: host.countLostEntries(),
       leaves: host.targets.getOwnLeaves(leaveMs),
+      limits: [],
       loads: host.loads.getOwnLoads(),
     };
   }
@@ -277,6 +285,7 @@
     handleDirectory(digest, from);
     if (digest.pushFragment !== undefined) return;
     host.loads.recordReport(sender, digest.loads);
+    digest.limits.forEach(host.limits.merge);
     handleLeaves(digest);
     handleSettled(digest, from);
     digest.crashes.forEach(host.mergeCrash);
@@ -306,7 +315,10 @@
     if (isSettled) return void settledPeers.add(sender);
     settledPeers.delete(sender);
     if (host.isSettled()) {
-      const state = getDigestState(leaveResponseMs);
+      const state = {
+        ...getDigestState(leaveResponseMs),
+        limits: host.limits.reports.getForStart(),
+      };
       socket.send(digestWriter.writeResponse(state), from);
     }
   }
@@ -361,6 +373,7 @@
     const now = performance.now();
     const previouslyHeardAt = lastHeardAt.get(sender);
     lastHeardAt.set(sender, now);
+    host.roster.recordHeard(sender);
     if (
       previouslyHeardAt === undefined ||
       now - previouslyHeardAt < peerIdleTimeoutMs
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -16,7 +16,6 @@
 import { createCachedParts } from "../process/direct/cached_parts.ts";
 import { createMemoryBudget } from "../process/direct/memory_budget.ts";
 import { createQuarantine } from "../process/direct/quarantine.ts";
-import { createLimitRecords } from "../process/direct/limit_records.ts";
 import { createCrashSuspects } from "../process/direct/crash_suspects.ts";
 import { createPartPrefills } from "../process/direct/part_prefills.ts";
 import { createLoadView } from "../process/direct/load_view.ts";
@@ -27,6 +26,7 @@
 } from "../process/direct/route_match.ts";
 import { createTargetCrashes } from "../process/direct/target_crashes.ts";
 import { createTargetHealth } from "../process/direct/target_health.ts";
+import { createTargetLimits } from "../process/direct/target_limits.ts";
 import { createTargetPauses } from "../process/direct/target_pauses.ts";
 import { createTargetNotices } from "../process/direct/target_notices.ts";
 import { createTargetTable } from "../process/direct/target_table.ts";
@@ -57,6 +57,7 @@
 import { createDirectState } from "./direct_state.ts";
 import { createOperatorRoutes, createReadinessRoute } from "./direct_routes.ts";
 import { createDirectory } from "./directory.ts";
+import { createTableWait } from "./table_wait.ts";
 
 /** Maximum requests in flight; bounds memory, far above typical load. */
 const maxInFlight = 3_000;
@@ -74,14 +75,6 @@
   stopping: 50,
 } as const;
 
-/**
- * Limits of the time that a request waits for the first configuration: a share
- * of its deadline and a maximum in milliseconds. A restarted router usually
- * has the configuration within a few round trips, and a caller that is refused
- * may have no attempt left.
- */
-const initialTableWait = { deadlineShare: 0.2, maxMs: 1_000 } as const;
-
 /**
  * Share of the grace period in which new requests on open connections are
  * still served. The rest is for responses in flight and lasts as long as the
@@ -142,10 +135,15 @@
   let stopping: Promise<StopResult> | undefined;
   let isRefusing = false;
   let inFlight = 0;
-  /** Callbacks that end the wait of requests for the first configuration. */
-  const tableWaiters = new Set<() => void>();
+  const tableWait = createTableWait();
 
-  const limits = createLimitRecords({ log, metrics });
+  const placementHost = await loadPlacementHost();
+  const textEncoder = new TextEncoder();
+  const limits = createTargetLimits({
+    ...{ log, metrics },
+    getPlace: () => directory.getRouterPlace(),
+    hash: (text) => placementHost.hash(textEncoder.encode(text), 0),
+  });
   const notices = createTargetNotices({
     ...{ targets, pauses, limits, metrics, log },
   });
@@ -159,12 +157,14 @@
       if (!targets.mayReceive(target)) return "leaving";
       return pauses.isPaused(target) ? "paused" : undefined;
     },
+    tryGetOwnRequestHold: ({ id }) =>
+      limits.tryTake(id)?.tryUse() === true ? undefined : "limited",
     getMaxConnections: (service) => {
       const limit = matcher?.table.services.get(service)?.maxConnections ?? 1;
       return Math.max(1, Math.floor(limit / directory.getPeakRouterCount()));
     },
   });
-  const placement = createPlacement(await loadPlacementHost());
+  const placement = createPlacement(placementHost);
   const crashes = createCrashSuspects({
     log,
     report: (record) => directory.reportCrash(record),
@@ -182,11 +182,11 @@
   const directory = await createDirectory({
     ...{ settings, store: host.store, log, metrics },
     ...{ targets, health, cachedParts, prefills, loads, placement, calls },
-    ...{ mergeCrash: crashes.merge, quarantine },
+    ...{ limits, mergeCrash: crashes.merge, quarantine },
     handleRouteTable: (table) => {
       const isFirst = matcher === undefined;
       matcher = createRouteMatcher(table);
-      tableWaiters.forEach((finish) => finish());
+      tableWait.finish();
       if (isFirst) {
         log.info("Router is ready", {
           version: table.version,
@@ -200,7 +200,8 @@
     },
   });
   const requestHost = {
-    ...{ calls, targets, health, pauses, loads, prefills, placement, log },
+    ...{ calls, targets, health, pauses, limits, loads, prefills, placement },
+    log,
     cachedParts: { ...cachedParts, recordParts: directory.recordParts },
     retries: createRetryShare(
       { getRouterCount: directory.getPeakRouterCount },
@@ -251,7 +252,7 @@
         retryAfterMs: retryAfterDelaysMs.stopping,
       });
     }
-    if (inFlight + tableWaiters.size >= maxInFlight) {
+    if (inFlight + tableWait.countWaiting() >= maxInFlight) {
       return createReport("router_busy", {}, {
         retryAfterMs: retryAfterDelaysMs.busy,
       });
@@ -259,25 +260,6 @@
     return undefined;
   }
 
-  /** Waits for the first configuration; `undefined` after a timeout. */
-  function waitForTable(
-    { deadlineMs = defaultDeadlineMs }: FrontendRequest,
-  ): Promise<RouteMatcher | undefined> {
-    const { deadlineShare, maxMs } = initialTableWait;
-    return new Promise((resolve) => {
-      const finish = (): void => {
-        clearTimeout(timer);
-        tableWaiters.delete(finish);
-        resolve(matcher);
-      };
-      const timer = setTimeout(
-        finish,
-        Math.min(maxMs, deadlineMs * deadlineShare),
-      );
-      tableWaiters.add(finish);
-    });
-  }
-
   /**
    * Creates the refusal of a router without a configuration. In an outage of
    * the store, jitter spreads retries over the time that it may last.
@@ -293,7 +275,10 @@
 
   async function handle(request: FrontendRequest, reply: Reply): Promise<void> {
     const arrivedAt = performance.now();
-    const current = matcher ?? await waitForTable(request);
+    if (matcher === undefined) {
+      await tableWait.wait(request.deadlineMs ?? defaultDeadlineMs);
+    }
+    const current = matcher;
     if (current === undefined) {
       return rejectRequest(request, { report: createStartingReport(), reply });
     }
--- a/src/roles/direct_state.ts
+++ b/src/roles/direct_state.ts
@@ -2,11 +2,11 @@
 
 import type { CachedParts } from "../process/direct/cached_parts.ts";
 import type { Quarantine } from "../process/direct/quarantine.ts";
-import type { LimitRecords } from "../process/direct/limit_records.ts";
 import type { LoadView } from "../process/direct/load_view.ts";
 import type { MemoryBudget } from "../process/direct/memory_budget.ts";
 import type { RetryShare } from "../process/direct/retry_share.ts";
 import type { TargetHealth } from "../process/direct/target_health.ts";
+import type { TargetLimits } from "../process/direct/target_limits.ts";
 import type { TargetPauses } from "../process/direct/target_pauses.ts";
 import type { TargetTable } from "../process/direct/target_table.ts";
 import type { Metrics } from "../process/telemetry/metrics.ts";
@@ -20,7 +20,7 @@
   readonly targets: Pick<TargetTable, "getCounts">;
   readonly health: Pick<TargetHealth, "getEjected">;
   readonly pauses: Pick<TargetPauses, "getPaused">;
-  readonly limits: Pick<LimitRecords, "getAll">;
+  readonly limits: Pick<TargetLimits, "getAll">;
   readonly loads: Pick<LoadView, "getOwnLoads">;
   readonly quarantine: Pick<Quarantine, "getAll">;
   readonly cachedParts: Pick<CachedParts, "getSize">;
@@ -60,9 +60,7 @@
       targets: targets.getCounts(),
       aside: health.getEjected(),
       paused: pauses.getPaused(),
-      limited: Object.fromEntries(
-        host.limits.getAll().map(({ target, perS }) => [target, perS]),
-      ),
+      limited: host.limits.getAll().map((limit) => ({ ...limit })),
       quarantined: quarantine.getAll().map((key) => ({ ...key })),
       loads: Object.fromEntries(
         [...loads.getOwnLoads()].map(([target, load]) => [target, { ...load }]),
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -22,6 +22,11 @@
 import type { CrashRecordUpdate } from "../process/attempts/crash_records.ts";
 import type { Quarantine } from "../process/direct/quarantine.ts";
 import { createEvidenceStore } from "../process/direct/evidence_store.ts";
+import {
+  createRouterRoster,
+  type RouterPlace,
+} from "../process/direct/router_roster.ts";
+import type { TargetLimits } from "../process/direct/target_limits.ts";
 import { createRecentMaximum } from "../process/direct/recent_maximum.ts";
 import { createDirectorySync } from "../process/direct/directory_sync.ts";
 import { createRouterRegistration } from "../process/direct/router_registration.ts";
@@ -70,6 +75,7 @@
   readonly cachedParts: CachedParts;
   readonly prefills: Pick<PartPrefills, "recordPeerPrefill">;
   readonly loads: Pick<LoadView, "recordReport" | "getOwnLoads">;
+  readonly limits: Pick<TargetLimits, "merge" | "reports">;
   /** Applies the crash record of a peer. */
   mergeCrash(record: CrashRecordUpdate): void;
   readonly quarantine: Pick<
@@ -108,6 +114,8 @@
   tryGetTrialDelayMs(key: string): number | undefined;
   /** Highest number of routers that were registered lately; at least 1. */
   getPeakRouterCount(): number;
+  /** Returns this router's place among those that run. */
+  getRouterPlace(): RouterPlace;
   /** Time since the last response of the store, in milliseconds. */
   getAgeMs(): number;
   /** True when the last call to the store failed. */
@@ -178,6 +186,10 @@
   const peakRouterCount = createRecentMaximum({
     windowMs: peakRouterCountWindowMs,
   });
+  const roster = createRouterRoster({
+    selfId: settings.id,
+    getRouterIds: () => routers.keys(),
+  });
   const registration = createRouterRegistration({
     log,
     announce: () => store.announce(self),
@@ -224,7 +236,8 @@
       exchange.recordParts(target, parts, []),
   });
   const exchange = createDigestExchange({
-    ...{ settings, log, routers, watchers, sync, pulls, targets },
+    ...{ settings, log, routers, roster, watchers, sync, pulls, targets },
+    limits: host.limits,
     cachedParts: host.cachedParts,
     prefills: host.prefills,
     loads: host.loads,
@@ -248,6 +261,7 @@
     sendDigest: exchange.sendDigest,
     tryGetTrialDelayMs,
     getPeakRouterCount: () => Math.max(1, peakRouterCount.get()),
+    getRouterPlace: roster.getPlace,
     getAgeMs: sync.getAgeMs,
     isStoreUnavailable: sync.hasFailed,
     waitForCacheRecovery: recovery.wait,
--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -33,6 +33,11 @@
     status: 503,
     text: "No target of {service} is available",
   },
+  target_limited: {
+    category: "not_run",
+    status: 503,
+    text: "All targets of {service} are at the rates that they take",
+  },
   target_leaving: {
     category: "not_run",
     status: 503,
--- a/src/types/direct_calls.ts
+++ b/src/types/direct_calls.ts
@@ -30,8 +30,8 @@
   readonly needsFreshConnection: boolean;
   /** Aborts the call. */
   readonly signal: AbortSignal;
-  /** Returns true when the request must not be written to a connection now. */
-  isQuarantined?(): boolean;
+  /** Returns why the request must not be written to a connection now. */
+  tryGetHold?(): Hold | undefined;
   /** Called when the request is written to a connection. */
   recordSent?(): void;
 }
@@ -90,10 +90,10 @@
 
 /**
  * Why a request is not sent to a target that is registered: the target leaves,
- * has asked for a pause, or has all connections in use, or the request itself is
- * quarantined.
+ * has asked for a pause, has all connections in use or takes no more requests now,
+ * or the request itself is quarantined.
  */
-export type Hold = "leaving" | "paused" | "busy" | "quarantined";
+export type Hold = "leaving" | "paused" | "busy" | "limited" | "quarantined";
 
 /**
  * The result of a call:
--- a/test/emulator/fleet.ts
+++ b/test/emulator/fleet.ts
@@ -25,6 +25,7 @@
   createRequest,
   createRoute,
   createTarget,
+  createTestLimits,
   createTestQuarantine,
 } from "../support/direct.ts";
 import type { Arrival, LoadPattern } from "./arrivals.ts";
@@ -248,6 +249,7 @@
     targets: table,
     health: createTargetHealth({ log: createSilentLog() }),
     pauses: createTargetPauses({ log: createSilentLog(), random: () => 0.5 }),
+    limits: createTestLimits(),
     loads,
     cachedParts: options.policy === "rank"
       ? { ...createRankedHolders(options), recordParts: () => undefined }
--- a/test/platform/whole_answers_test.ts
+++ b/test/platform/whole_answers_test.ts
@@ -21,6 +21,7 @@
   createRequest,
   createRoute,
   createTarget,
+  createTestLimits,
   createTestQuarantine,
 } from "../support/direct.ts";
 import {
@@ -344,6 +345,7 @@
       calls: { send, tryListCachedParts: () => Promise.resolve(undefined) },
       targets,
       health: createTargetHealth({ log: createSilentLog() }),
+      limits: createTestLimits(),
       pauses: createTargetPauses({ log: createSilentLog(), random: () => 0.5 }),
       loads: createLoadView(),
       cachedParts: createCachedParts(),
--- a/test/support/direct.ts
+++ b/test/support/direct.ts
@@ -4,7 +4,11 @@
   createQuarantine,
   type Quarantine,
 } from "../../src/process/direct/quarantine.ts";
-import { createSilentLog } from "../../src/process/telemetry/log.ts";
+import {
+  createTargetLimits,
+  type TargetLimits,
+} from "../../src/process/direct/target_limits.ts";
+import { createSilentLog, type Log } from "../../src/process/telemetry/log.ts";
 import { createMetrics } from "../../src/process/telemetry/metrics.ts";
 import type { DirectRequest } from "../../src/types/direct_request.ts";
 import type { DirectTarget } from "../../src/types/direct_target.ts";
@@ -100,3 +104,20 @@
     announce: () => undefined,
   });
 }
+
+/** Creates the limits of a router that is alone, or at another place. */
+export function createTestLimits(
+  options: {
+    readonly index?: number;
+    readonly count?: number;
+    readonly log?: Pick<Log, "info" | "warn">;
+  } = {},
+): TargetLimits {
+  const { index = 0, count = 1, log = createSilentLog() } = options;
+  return createTargetLimits({
+    log,
+    metrics: createMetrics(),
+    getPlace: () => ({ index, count }),
+    hash: (text) => text.length,
+  });
+}
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -1,6 +1,11 @@
 /** Runs direct requests at targets whose behaviour a test chooses. */
 
-import { createRequest, createTarget, createTestQuarantine } from "./direct.ts";
+import {
+  createRequest,
+  createTarget,
+  createTestLimits,
+  createTestQuarantine,
+} from "./direct.ts";
 import { createRunTimes } from "../../src/process/direct/admission_estimate.ts";
 import {
   type CrashSuspects,
@@ -19,6 +24,7 @@
   createTargetPauses,
   type TargetPauses,
 } from "../../src/process/direct/target_pauses.ts";
+import type { TargetLimits } from "../../src/process/direct/target_limits.ts";
 import { createTargetTable } from "../../src/process/direct/target_table.ts";
 import { createSilentLog } from "../../src/process/telemetry/log.ts";
 import { createPlacement } from "../../src/process/placement/placement.ts";
@@ -118,6 +124,8 @@
     readonly queue?: { readonly requests: number; readonly meanRunMs: number };
     /** Pauses that targets have asked for, by id, in milliseconds. */
     readonly pausesMs?: Readonly<Record<string, number>>;
+    /** Limits of targets; none by default. */
+    readonly limits?: TargetLimits;
     /** Requests that have crashed targets; none by default. */
     readonly crashes?: CrashSuspects;
     /** What crashes targets; nothing by default. */
@@ -203,8 +211,9 @@
         send: (call) => {
           calls.push(call);
           sentAt.push(performance.now() - startedAt);
-          if (call.isQuarantined?.()) {
-            return Promise.resolve({ kind: "withheld", hold: "quarantined" });
+          const hold = call.tryGetHold?.();
+          if (hold !== undefined) {
+            return Promise.resolve({ kind: "withheld", hold });
           }
           const respond = behaviours[calls.length - 1] ?? hang;
           return Promise.resolve(respond(call, pauses));
@@ -220,6 +229,7 @@
         },
       },
       pauses,
+      limits: options.limits ?? createTestLimits(),
       loads,
       cachedParts,
       prefills,
