Let the soak name limits of targets, and judge them

Change: targets name 0.5 to 8.5 requests a second for 6 to 12 s, in one, two or half of them; LIMIT is judged from arrivals at targets and from when each router was told.

--- a/test/soak/fault_actions.ts
+++ b/test/soak/fault_actions.ts
@@ -54,6 +54,12 @@
         share: fault.answer === "full_pause" ? 1 : 0.1 + 0.6 * fault.share,
         retryAfterS: Number((0.6 + 1.9 * fault.share).toFixed(2)),
       }, fault.lengthMs)),
+  target_limit: (host, fault) =>
+    forTargets(host, fault, (target) =>
+      target.nameLimit(
+        Number((0.5 + 8 * fault.share).toFixed(1)),
+        fault.lengthMs,
+      )),
   target_leaving: (host, fault) =>
     forTargets(host, fault, (target) => target.sayLeaving(fault.lengthMs)),
   target_draining: (host, fault) =>
--- a/test/soak/judge.ts
+++ b/test/soak/judge.ts
@@ -6,6 +6,7 @@
 import { judgeCrashes } from "./judge_crashes.ts";
 import { createJudgeContext, type Violation } from "./judge_context.ts";
 import { judgeDrain } from "./judge_drain.ts";
+import { judgeLimits } from "./judge_limits.ts";
 import type { Observations } from "./observations.ts";
 
 /** Returns all broken rules. */
@@ -13,6 +14,6 @@
   const context = createJudgeContext(observations);
   return [
     ...[judgeAnswers, judgeBudget, judgeDrain, judgeConfiguration],
-    judgeCrashes,
+    ...[judgeCrashes, judgeLimits],
   ].flatMap((judgePart) => judgePart(context));
 }
--- a/test/soak/judge_context.ts
+++ b/test/soak/judge_context.ts
@@ -14,7 +14,7 @@
 export interface Violation {
   readonly rule:
     | ("REFUSED" | "TWICE" | "MIXED" | "ORDER" | "LOST")
-    | ("BUDGET" | "DRAIN" | "CONFIG");
+    | ("BUDGET" | "DRAIN" | "CONFIG" | "LIMIT");
   /** What was seen, with its times since the start of the run. */
   readonly text: string;
 }
--- a/test/soak/judge_test.ts
+++ b/test/soak/judge_test.ts
@@ -70,6 +70,7 @@
     versions: [createVersion(1, { at: 0, service: "a" })],
     routers: createRouters("start", 0),
     ...{ startedAt: 0, pauses: [], entries: [], storeSpans: [] },
+    ...{ limits: [], limitNotices: [] },
     ...seen,
   });
   return violations.map(({ rule }) => rule);
@@ -80,6 +81,42 @@
 }
 
 describe("the judge of a soak", () => {
+  describe("of targets that limit their requests", () => {
+    const limits = [{ life, perS: 2, from: 0, to: Infinity }];
+    const limitNotices = [{ router: "r0", life, at: calmAt - 500 }];
+
+    /** Judges as many arrivals within the window as are allowed, and one. */
+    function findLimits(seen: Partial<Observations> = {}): readonly string[] {
+      const arrivals = Array.from(
+        { length: 18 },
+        (_, index) => createArrival({ at: calmAt + index }),
+      );
+      const requests: readonly CallerRequest[] = [];
+      const more = { requests, arrivals, limits, limitNotices, ...seen };
+      return findRules(more).filter((rule) => rule === "LIMIT");
+    }
+
+    it("finds more arrivals than it takes", () => {
+      expect(findLimits()).toEqual(["LIMIT"]);
+    });
+
+    it.each<[string, Partial<Observations>]>([
+      ["of a router that was not told", { limitNotices: [] }],
+      ["of one that was told a moment ago", {
+        limitNotices: [{ router: "r0", life, at: calmAt }],
+      }],
+      ["of one that was frozen", { routers: createRouters("freeze", calmAt) }],
+      ["soon after it named the limit", {
+        limits: [{ life, perS: 2, from: calmAt - 100, to: Infinity }],
+      }],
+      ["within the limit", {
+        limits: [{ life, perS: 2.2, from: 0, to: Infinity }],
+      }],
+    ])("accepts arrivals %s", (_, seen) => {
+      expect(findLimits(seen)).toEqual([]);
+    });
+  });
+
   it("accepts a whole answer of one run", () => {
     expect(findRules({ requests: [createRequest("unsafe")] })).toEqual([]);
   });
--- a/test/soak/observations.ts
+++ b/test/soak/observations.ts
@@ -50,6 +50,19 @@
   readonly pauseMs: number;
 }
 
+/** A time in which a target named a rate that it takes. */
+export interface LimitSpan extends Span {
+  readonly life: string;
+  readonly perS: number;
+}
+
+/** When a response with a limit had reached a router. */
+export interface LimitNotice {
+  readonly router: string;
+  readonly life: string;
+  readonly at: number;
+}
+
 /** What a caller got. */
 export interface CallerResult {
   /** Undefined when the connection closed before a head. */
@@ -116,6 +129,8 @@
   readonly requests: readonly CallerRequest[];
   readonly arrivals: readonly Arrival[];
   readonly pauses: readonly AskedPauseNotice[];
+  readonly limits: readonly LimitSpan[];
+  readonly limitNotices: readonly LimitNotice[];
   readonly versions: readonly VersionRecord[];
   readonly entries: readonly EntryRecord[];
   /** Disruptions of routers, over all lives of their processes. */
@@ -131,7 +146,13 @@
 export const bounds = {
   ...{ contactMs: 3_000, drainMs: 2_000, configApplyMs: 2_000 },
   ...{ revertSlackMs: 250, graceMs: 8_000 },
-  ...{ retryRatio: 0.2, retrySlack: 30, retryWindowMs: 10_000 },
+  ...{ limitWindowMs: 4_000, limitRatio: 1.5, limitSlack: 5 },
+  ...{
+    limitNoticeMs: 500,
+    retryRatio: 0.2,
+    retrySlack: 30,
+    retryWindowMs: 10_000,
+  },
 } as const;
 
 /** Targets to which one request may be sent. */
--- a/test/soak/plants.ts
+++ b/test/soak/plants.ts
@@ -53,6 +53,18 @@
     [routerFile, "graceMs * drainGraceShare", "graceMs * 0.05"],
     [routerFile, "graceMs * servingGraceShare", "graceMs * 0.03"],
   ],
+  /** Limits of targets are not read. */
+  limit_ignored: [[
+    codecFile,
+    "limit: decodeLimit(headers.get(headerNames.rateLimit)),",
+    'limit: { kind: "none" },',
+  ]],
+  /** Each router takes the whole rate of a target. */
+  limit_of_each_router: [[
+    "src/process/direct/limit_schedule.ts",
+    "periodMs: slotMs * count",
+    "periodMs: slotMs",
+  ]],
   /** No crash is put down to a request that was in flight. */
   crashes_ignored: [[
     "src/process/direct/crash_keys.ts",
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -38,6 +38,7 @@
   store_compact: { weight: 1, lengthMs: [1, 1], ...ofStore },
   routers_removed: { weight: 1, lengthMs: [1, 1], ...ofStore },
   target_answers: { weight: 10, lengthMs: [1_000, 5_000], ...ofAnswers },
+  target_limit: { weight: 4, lengthMs: [6_000, 12_000], ...ofAnswers },
   target_leaving: { weight: 4, lengthMs: [4_000, 9_000], ...ofTargets },
   target_draining: { weight: 3, lengthMs: [2_300, 7_000], ...ofTargets },
   target_removed: { weight: 3, lengthMs: [2_300, 7_000], ...ofTargets },
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -14,6 +14,8 @@
   Arrival,
   AskedPauseNotice,
   CallerRequest,
+  LimitNotice,
+  LimitSpan,
   Observations,
 } from "./observations.ts";
 import { createOperator } from "./operator.ts";
@@ -76,13 +78,18 @@
   const store = await startSoakStore();
   const arrivals: Arrival[] = [];
   const pauses: AskedPauseNotice[] = [];
+  const limits: LimitSpan[] = [];
+  const limitNotices: LimitNotice[] = [];
   const requests: CallerRequest[] = [];
   const serviceCount = Math.ceil(options.targets / targetsPerService);
   const services = range(Math.max(2, serviceCount))
     .map((index) => `service-${index}`);
   const targets = range(options.targets).map((index) =>
     createSoakTarget(
-      { store, clock, arrivals, pauses, random: createRandom(100 + index) },
+      {
+        ...{ store, clock, arrivals, pauses, limits, limitNotices },
+        random: createRandom(100 + index),
+      },
       {
         ...{ index, address: `${network}.${100 + index}` },
         service: services[index % services.length] ?? "",
@@ -112,7 +119,8 @@
     await play();
     const longestBusyMs = Math.round(clock.getLongestBusyMs());
     return finish({
-      ...{ startedAt, requests, arrivals, pauses, routers },
+      ...{ startedAt, requests, arrivals, pauses, limits, limitNotices },
+      routers,
       ...{ versions: operator.versions, entries: store.entries },
       storeSpans: store.spans,
     }, longestBusyMs);
--- a/test/soak/soak_target.ts
+++ b/test/soak/soak_target.ts
@@ -9,7 +9,13 @@
 import type { Socket } from "node:net";
 import { sleep } from "../harness/wait.ts";
 import type { LoopClock } from "./loop_clock.ts";
-import type { Arrival, AskedPauseNotice, CrashCause } from "./observations.ts";
+import type {
+  Arrival,
+  AskedPauseNotice,
+  CrashCause,
+  LimitNotice,
+  LimitSpan,
+} from "./observations.ts";
 import type { SoakStore } from "./soak_store.ts";
 import { type AnswerName, answers, createEvents } from "./target_answers.ts";
 
@@ -39,6 +45,8 @@
   readonly clock: LoopClock;
   readonly arrivals: Arrival[];
   readonly pauses: AskedPauseNotice[];
+  readonly limits: LimitSpan[];
+  readonly limitNotices: LimitNotice[];
   random(): number;
 }
 
@@ -64,10 +72,11 @@
   let state: "ready" | "draining" | "removed" | "down" = "down";
   let isLeaving = false;
   let isBusy = false;
+  let limit: LimitSpan | undefined;
   let server: Server | undefined;
   const heartbeat = setInterval(tryWriteEntry, heartbeatMs);
 
-  return { start, misbehave, sayLeaving, leave, crash, close };
+  return { start, misbehave, sayLeaving, nameLimit, leave, crash, close };
 
   async function start(keepsId = true): Promise<void> {
     incarnation++;
@@ -75,6 +84,7 @@
     life = `${id}#${incarnation}`;
     born = Date.now();
     isLeaving = false;
+    endLimit();
     const started = createServer(handle);
     started.keepAliveTimeout = 10_000;
     server = started;
@@ -105,6 +115,22 @@
     faults.delete(fault);
   }
 
+  /** Names in all answers a rate that it takes, for a time. */
+  async function nameLimit(perS: number, lengthMs: number): Promise<void> {
+    if (state !== "ready") return;
+    endLimit();
+    const span = { life, perS, from: performance.now(), to: Infinity };
+    limit = span;
+    host.limits.push(span);
+    await sleep(lengthMs);
+    if (limit === span) endLimit();
+  }
+
+  function endLimit(): void {
+    if (limit !== undefined) limit.to = performance.now();
+    limit = undefined;
+  }
+
   /** Says in all answers that it leaves, with no word to the store. */
   async function sayLeaving(lengthMs: number): Promise<void> {
     await replace(false, async () => {
@@ -203,6 +229,7 @@
     const previousId = previousIds.get(socket);
     previousIds.set(socket, requestId);
     if (isLeaving) response.setHeader("Server-Leaving", "1");
+    if (limit !== undefined) sendLimit(limit, { router, response });
     response.setHeader("X-Instance", id);
     arrival.body = work.events > 0
       ? createEvents(arrival, work).join("")
@@ -224,6 +251,19 @@
     });
   }
 
+  function sendLimit(
+    { life, perS }: LimitSpan,
+    { router, response }: {
+      readonly router: string;
+      readonly response: ServerResponse;
+    },
+  ): void {
+    response.setHeader("Server-Limit", String(perS));
+    response.on("finish", () => {
+      host.limitNotices.push({ router, life, at: performance.now() });
+    });
+  }
+
   async function close(): Promise<void> {
     clearInterval(heartbeat);
     state = "down";
