Keep slots of limited engines for requests whose parts they have

Cause: a limited engine has the lowest load, so its few requests went to prompts that it had to copy first. Change: while others are under the load bound, it gets only requests whose parts it has.

--- a/src/process/direct/prefix_placement.ts
+++ b/src/process/direct/prefix_placement.ts
@@ -22,6 +22,8 @@
   readonly backlogTokens: number;
   /** Tokens of the request's shared parts that the engine has cached. */
   readonly heldTokens: number;
+  /** True when the engine limits the requests that it takes. */
+  readonly isLimited?: boolean;
 }
 
 /** An engine that cannot be chosen but whose cache can be copied from. */
@@ -106,9 +108,12 @@
     ),
   );
   const underBound = candidates.filter(({ load }) => load + 1 <= loadBound);
-  const eligible = underBound.length > 0
-    ? underBound
-    : getLeastLoaded(candidates);
+  // The few requests that a limited engine takes should need no copy there.
+  const preferred = underBound.filter(({ isLimited, heldTokens }) =>
+    isLimited !== true || heldTokens === maxHeldTokens
+  );
+  const eligible = [preferred, underBound, getLeastLoaded(candidates)]
+    .find(({ length }) => length > 0) ?? [];
   const ranks = new Map(candidates.map((candidate, rank) => [candidate, rank]));
   let chosen: EngineCandidate | undefined;
   let minCost = Number.POSITIVE_INFINITY;
--- a/src/process/direct/prefix_placement_test.ts
+++ b/src/process/direct/prefix_placement_test.ts
@@ -43,6 +43,29 @@
     expect(choice?.target.id).toBe("a");
   });
 
+  describe("with engines that limit their requests", () => {
+    const limited = createCandidate("a", { load: 2, isLimited: true });
+    const free = createCandidate("b", { load: 8 });
+
+    it("gives a slot to a request whose parts are there", () => {
+      const holder = { ...limited, heldTokens: 10_000 };
+      expect(chooseEngine(request, [holder, free])?.target.id).toBe("a");
+    });
+
+    it("uses no slot for a request that needs a copy", () => {
+      const holder = { ...free, heldTokens: 10_000 };
+      expect(chooseEngine(request, [limited, holder])?.target.id).toBe("b");
+      const other = createCandidate("c", { load: 9, heldTokens: 10_000 });
+      expect(chooseEngine(request, [limited, free, other])?.target.id)
+        .not.toBe("a");
+    });
+
+    it("uses a slot when the others are at the load bound", () => {
+      const full = createCandidate("b", { load: 40, heldTokens: 10_000 });
+      expect(chooseEngine(request, [limited, full])?.target.id).toBe("a");
+    });
+  });
+
   describe("a part that attracts much of the traffic", () => {
     it("is copied from its holder when that is at the load bound", () => {
       const choice = chooseEngine(request, [
--- a/src/request/direct_choice.ts
+++ b/src/request/direct_choice.ts
@@ -29,7 +29,7 @@
   readonly targets: Pick<TargetTable, "getReady" | "getLeaving">;
   readonly health: Pick<TargetHealth, "getUsable" | "isReachable">;
   readonly pauses: Pick<TargetPauses, "getUsable" | "isPaused">;
-  readonly limits: Pick<TargetLimits, "getUsable">;
+  readonly limits: Pick<TargetLimits, "getUsable" | "isLimited">;
   readonly loads: Pick<LoadView, "getLoad">;
   readonly cachedParts: Pick<CachedParts, "getCachedTokens" | "isCached">;
   readonly placement: Placement;
@@ -127,6 +127,7 @@
       load: requests,
       backlogTokens: unreadTokens,
       heldTokens: host.cachedParts.getCachedTokens(target.id, shared),
+      isLimited: host.limits.isLimited(target),
     };
   });
   const chosen = chooseEngine({
