Log the software version of targets and what a request takes up

Change: the version is decoded from the entry and logged when a target changes and at each try; Resumes and the event after which a caller goes on stand in the last line of a request. No decision uses them yet. Result: unit tests of codec and tables pass.

--- a/src/connection/direct_client_test.ts
+++ b/src/connection/direct_client_test.ts
@@ -526,6 +526,7 @@
     slots: 1,
     state: "ready",
     warmUpLeftMs: 0,
+    softwareVersion: "v1",
     startedAtMs: 0,
   };
   return {
--- a/src/connection/response_limits_test.ts
+++ b/src/connection/response_limits_test.ts
@@ -232,6 +232,7 @@
     slots: 1,
     state: "ready",
     warmUpLeftMs: 0,
+    softwareVersion: "v1",
     startedAtMs: 0,
   };
   const client = createDirectClient({
--- a/src/connection/target_connector_test.ts
+++ b/src/connection/target_connector_test.ts
@@ -242,6 +242,7 @@
       slots: 1,
       state: "ready",
       warmUpLeftMs: 0,
+      softwareVersion: "v1",
       startedAtMs: 0,
     },
     requestId: "request-1",
--- a/src/platform/caller_codec.ts
+++ b/src/platform/caller_codec.ts
@@ -43,6 +43,7 @@
     key: getHeader(message, headerNames.key),
     prompt: tryParsePrompt(message),
     lastEventId: getHeader(message, headerNames.lastEventId),
+    resumes: getHeader(message, headerNames.resumes),
   };
 }
 
--- a/src/platform/store_records.ts
+++ b/src/platform/store_records.ts
@@ -133,7 +133,8 @@
 
 /**
  * Decodes a target's registration. `ColdLeftMs` is how long the target stays
- * slow after its start, `born` when its process started, in epoch milliseconds.
+ * slow after its start, `born` when its process started, in epoch milliseconds,
+ * `Version` that of its software.
  */
 function decodeTarget(
   id: string,
@@ -159,6 +160,7 @@
     slots,
     zone: tryGetString(fields, "Zone") ?? "",
     warmUpLeftMs: getNumber(fields, "ColdLeftMs", 0),
+    softwareVersion: tryGetString(fields, "Version") ?? "",
     startedAtMs: getNumber(fields, "born", 0),
   });
 }
--- a/src/platform/store_records_test.ts
+++ b/src/platform/store_records_test.ts
@@ -20,7 +20,8 @@
 describe("store entries", () => {
   describe("of targets", () => {
     it("are decoded to targets", () => {
-      expect(decode("servers/i-1", { ...target, born: 7 })).toEqual({
+      const entry = { ...target, born: 7, Version: "v1.1" };
+      expect(decode("servers/i-1", entry)).toEqual({
         kind: "target",
         target: {
           id: "i-1",
@@ -30,11 +31,20 @@
           slots: 6,
           state: "ready",
           warmUpLeftMs: 0,
+          softwareVersion: "v1.1",
           startedAtMs: 7,
         },
       });
     });
 
+    it.each([undefined, 2, null, {}])(
+      "have no version where it is %p",
+      (Version) => {
+        const record = decode("servers/i-1", { ...target, Version });
+        expect(record).toMatchObject({ target: { softwareVersion: "" } });
+      },
+    );
+
     const invalidTargets = {
       "a value that is not JSON": "{",
       "an array as value": [],
--- a/src/platform/wire_names.ts
+++ b/src/platform/wire_names.ts
@@ -17,6 +17,8 @@
   lengthHint: "x-length-hint",
   /** Id of the last event that reached the caller of a resumed stream. */
   lastEventId: "last-event-id",
+  /** Id of the request that brought the first event of a resumed stream. */
+  resumes: "resumes",
   /** Id of the target incarnation that the request is meant for. */
   expectedTarget: "x-expect-instance",
   expectedVersion: "x-expect-version",
--- a/src/process/direct/directory_tables.ts
+++ b/src/process/direct/directory_tables.ts
@@ -161,7 +161,7 @@
       readonly source: ChangeSource;
     },
   ): void {
-    const { id, service, state, address } = target;
+    const { id, service, state, address, softwareVersion } = target;
     removedTargets.delete(id);
     expiredTargets.delete(id);
     if (targets.put(target)) {
@@ -169,7 +169,7 @@
       host.health.forget(id);
     }
     log.info("Target changed", {
-      ...{ target: id, service, state, address },
+      ...{ target: id, service, state, address, softwareVersion },
       ...getOrigin(revision, source),
     });
   }
--- a/src/request/attempt_description.ts
+++ b/src/request/attempt_description.ts
@@ -90,6 +90,7 @@
     kind: request.route.kind,
     service: request.service,
     target: choice.target.id,
+    softwareVersion: choice.target.softwareVersion,
     ...describeChoice(choice, request),
     result: result.kind,
     ...describeHead(result),
--- a/src/roles/direct_records.ts
+++ b/src/roles/direct_records.ts
@@ -71,6 +71,8 @@
       ...describeStatus(end, measured.getTargetStatus()),
       target,
       tries,
+      resumes: request.resumes,
+      afterEvent: request.lastEventId,
       ...decision,
       version: request.tableVersion,
       directoryAgeMs: Math.round(host.getDirectoryAgeMs()),
--- a/src/types/direct_request.ts
+++ b/src/types/direct_request.ts
@@ -21,6 +21,8 @@
   readonly prompt: Prompt | undefined;
   /** Id of the event after which a stream should resume. */
   readonly lastEventId: string | undefined;
+  /** Id of the request that began the stream that this one takes up. */
+  readonly resumes: string | undefined;
 }
 
 /** A request that the configuration allows, with its route. */
--- a/src/types/direct_target.ts
+++ b/src/types/direct_target.ts
@@ -13,6 +13,8 @@
   readonly state: "ready" | "draining";
   /** Time left until the target has warmed up, in milliseconds. */
   readonly warmUpLeftMs: number;
+  /** Version of the target's software; empty when it is unknown. */
+  readonly softwareVersion: string;
   /** Start time of the process, in epoch milliseconds; 0 when unknown. */
   readonly startedAtMs: number;
 }
--- a/test/support/direct.ts
+++ b/test/support/direct.ts
@@ -27,6 +27,7 @@
     slots: 64,
     state: "ready",
     warmUpLeftMs: 0,
+    softwareVersion: "v1",
     startedAtMs: 1,
     ...changes,
   };
@@ -85,6 +86,7 @@
     key: "key-1",
     prompt: undefined,
     lastEventId: undefined,
+    resumes: undefined,
     route,
     service: "cards",
     holder: { workspace: "artists", priority: 1 },
--- a/test/support/directory_fleet.ts
+++ b/test/support/directory_fleet.ts
@@ -105,6 +105,7 @@
     const target = createTarget(id, {
       service: replayedService,
       state: state === "draining" ? "draining" : "ready",
+      softwareVersion: "v1",
       startedAtMs: Number(startedAtMs),
     });
     return { kind: "target", target };
