Show that streams go on at another software version

Result: red: streams hold events of both versions inside one answer, at a router that never saw the stream, after its first router has gone, and where only the other version is left.

--- /dev/null
+++ b/test/known_red/stream_versions_test.ts
@@ -0,0 +1,233 @@
+import { request as httpRequest } from "node:http";
+import {
+  type FleetRouter,
+  hasLogged,
+  sendRequest,
+  startConfiguredStore,
+  startFleetRouter,
+  waitUntil,
+} from "../platform/direct_fleet.ts";
+import type { StoreStandIn } from "../platform/store_stand_in.ts";
+import {
+  setIdentityHeaders,
+  startTarget,
+  type TargetStandIn,
+} from "../platform/target_stand_in.ts";
+
+/** Events of a whole stream. */
+const lastEvent = 6;
+
+/** Streams that a test begins. */
+const streamCount = 24;
+
+/** Time for routers to tell each other of streams, in milliseconds. */
+const exchangeMs = 300;
+
+/** A stream of which a caller has two events. */
+interface Begun {
+  readonly id: string;
+  readonly body: string;
+}
+
+/** Reads two events of a new stream and closes its connection. */
+function readTwoEvents({ settings }: FleetRouter, id: string): Promise<Begun> {
+  return new Promise((resolve, reject) => {
+    const request = httpRequest({
+      host: settings.frontend.address,
+      port: settings.frontend.port,
+      method: "POST",
+      path: "/draft/1",
+      headers: {
+        host: "cards.example",
+        "x-request-id": id,
+        "x-deadline-ms": "5000",
+        "x-credential": "key-1",
+      },
+    }, (response) => {
+      let text = "";
+      response.on("error", () => undefined);
+      response.on("data", (data: Buffer) => {
+        text += data.toString();
+        const events = text.split("\n\n");
+        if (events.length < 3) return;
+        request.destroy();
+        resolve({ id, body: events.slice(0, 2).join("\n\n") });
+      });
+    });
+    request.on("error", reject);
+    request.end();
+  });
+}
+
+describe("a stream of a service with two software versions", () => {
+  let store: StoreStandIn;
+  let routers: readonly FleetRouter[];
+  let targets: readonly TargetStandIn[];
+  /** Event after which targets break a new stream off. */
+  let breakAfter: number;
+
+  beforeEach(async () => {
+    store = await startConfiguredStore();
+    breakAfter = 2;
+    targets = await Promise.all([
+      ...["old-1", "old-2"].map((id) => addTarget(id, "v1")),
+      ...["new-1", "new-2"].map((id) => addTarget(id, "v1.1")),
+    ]);
+    routers = await Promise.all(
+      ["router-1", "router-2", "router-3"].map((id) =>
+        startFleetRouter(id, store, { retrySlack: 3_000 })
+      ),
+    );
+    await waitUntil(() =>
+      routers.every((router) => hasLogged(router, "Router is ready"))
+    );
+    await waitUntil(() =>
+      routers.every(({ id }) => store.tryGet(`routers/${id}`) !== undefined)
+    );
+    await new Promise((resolve) => setTimeout(resolve, exchangeMs));
+  });
+
+  afterEach(async () => {
+    await Promise.all(
+      routers.map(({ directRouter }) => directRouter.stop("test")),
+    );
+    await Promise.all(targets.map((target) => target.close()));
+    await store.close();
+  });
+
+  async function addTarget(
+    id: string,
+    version: string,
+  ): Promise<TargetStandIn> {
+    const target = await startTarget(id, "desk");
+    target.setHandler((request, response) => {
+      setIdentityHeaders(request, response, id);
+      response.setHeader("Content-Type", "text/event-stream");
+      const after = Number(request.headers["last-event-id"] ?? 0);
+      const isNew = after === 0;
+      for (let event = after + 1; event <= lastEvent; event++) {
+        if (isNew && event > breakAfter) {
+          return void setTimeout(() => response.socket?.destroy(), 10);
+        }
+        response.write(`id: ${event}\ndata: ${version}\n\n`);
+      }
+      response.end();
+    });
+    store.put(
+      `servers/${id}`,
+      target.createEntry("ready", { Version: version }),
+    );
+    return target;
+  }
+
+  /** Begins a stream; it breaks off unless the router goes on with it. */
+  function begin(router: FleetRouter, requestId: string) {
+    return sendRequest(router, "/draft/1", {
+      method: "POST",
+      headers: { "x-request-id": requestId },
+    });
+  }
+
+  /** Takes a stream up at a router after its first two events. */
+  function takeUp(router: FleetRouter, requestId: string) {
+    return sendRequest(router, "/draft/1", {
+      method: "POST",
+      headers: {
+        "x-request-id": `${requestId}-again`,
+        "last-event-id": "2",
+        resumes: requestId,
+      },
+    });
+  }
+
+  function getVersions(...texts: readonly string[]): readonly string[] {
+    const matches = texts.join("\n").matchAll(/data: (.*)/g);
+    return [...new Set([...matches].map(([, version = ""]) => version))];
+  }
+
+  it("goes on at its version inside one answer", async () => {
+    const answers = await Promise.all(
+      Array.from(
+        { length: streamCount },
+        (_, index) =>
+          begin(routers[index % 3] as FleetRouter, `stream-${index}`),
+      ),
+    );
+    const whole = answers.filter(({ isComplete }) => isComplete);
+    expect(whole.length).toBeGreaterThan(streamCount / 2);
+    for (const { body } of answers) {
+      expect(getVersions(body).length).toBeLessThanOrEqual(1);
+    }
+  });
+
+  describe("that a caller takes up", () => {
+    /** Begins streams and reads two events of each. */
+    function beginBroken(router: FleetRouter): Promise<readonly Begun[]> {
+      return Promise.all(
+        Array.from(
+          { length: streamCount },
+          (_, index) => readTwoEvents(router, `stream-${index}`),
+        ),
+      );
+    }
+
+    async function expectOneVersion(
+      begun: readonly Begun[],
+      router: FleetRouter,
+    ): Promise<void> {
+      const answers = await Promise.all(
+        begun.map(({ id }) => takeUp(router, id)),
+      );
+      answers.forEach(({ body }, index) => {
+        const before = begun[index]?.body ?? "";
+        expect(getVersions(before, body).length).toBe(1);
+      });
+      const whole = answers.filter(({ status, isComplete }) =>
+        status === 200 && isComplete
+      );
+      expect(whole.length).toBeGreaterThan(streamCount / 2);
+    }
+
+    it("goes on at its version at a router that never saw it", async () => {
+      breakAfter = lastEvent;
+      const [first, second] = routers as [FleetRouter, FleetRouter];
+      const begun = await beginBroken(first);
+      await expectOneVersion(begun, second);
+    });
+
+    it("goes on at its version when its first router has gone", async () => {
+      breakAfter = lastEvent;
+      const [first, second, third] = routers as [
+        FleetRouter,
+        FleetRouter,
+        FleetRouter,
+      ];
+      const begun = await beginBroken(first);
+      await first.directRouter.stop("test");
+      await expectOneVersion(begun, second);
+      await expectOneVersion(begun, third);
+    });
+
+    it("does not go on at another version that is left alone", async () => {
+      breakAfter = lastEvent;
+      const [first, second] = routers as [FleetRouter, FleetRouter];
+      const begun = await beginBroken(first);
+      const old = begun.filter(({ body }) => getVersions(body).includes("v1"));
+      expect(old.length).toBeGreaterThan(0);
+      store.remove("servers/old-1");
+      store.remove("servers/old-2");
+      await waitUntil(() =>
+        ["old-1", "old-2"].every((target) =>
+          hasLogged(second, "Target is gone", { target })
+        )
+      );
+      const answers = await Promise.all(
+        old.map(({ id }) => takeUp(second, id)),
+      );
+      for (const { status, body } of answers) {
+        expect(getVersions(body)).toEqual([]);
+        expect(status).not.toBe(200);
+      }
+    });
+  });
+});
