Keep a stream at the software version that began it

Callers got a stream whose events come from two versions of a service, inside one answer and when they took it up, mostly after a crash or a broken connection.

Cause: the target of a stream that goes on was chosen by load alone, by the router (hypothesis 1) and for a caller that comes again (2). Change: inside an answer only targets of the version of its first event may follow. A router that begins a resumable stream tells three others, chosen by the stream's key, its version, before the first event goes out; a router that takes one up asks them, for at most 120 ms. Nobody's word: 502, for good, unless the service has had no other version for two minutes; no answer, or a version that takes nothing now: 503 with a time. What is remembered is bounded (20,000 streams, two minutes), names are those of a workspace, and at most 512 lookups are open.

Evidence: the test over HTTP was red in all four cases and passes.

Changed tests: a caller that takes up a stream that never began is refused now, so two tests say which stream it is (whole_answers_http_test names one that the router has begun, whole_answers_test and one case of direct_run_test have a service with a single version); what they check is the same.

--- a/src/process/direct/peer_digests.ts
+++ b/src/process/direct/peer_digests.ts
@@ -17,6 +17,7 @@
 import type { PushFragment } from "./push_fragments.ts";
 import type { LimitRecord } from "./limit_records.ts";
 import type { StorePosition } from "../../types/store_position.ts";
+import type { StreamMessage } from "./stream_origins.ts";
 import type { TargetLoad } from "./load_view.ts";
 import type { TargetLeave } from "./target_table.ts";
 
@@ -69,10 +70,25 @@
   readonly crashEvidence: readonly CrashEvidence[];
   /** Limits that targets name or have ended. */
   readonly limits: readonly LimitRecord[];
+  /** Message about streams; a digest that has one carries nothing else. */
+  readonly streams: StreamMessage | undefined;
   /** Part of a push; a digest that has one carries no loads or parts. */
   readonly pushFragment: PushFragment | undefined;
 }
 
+/** Encodes a datagram with a message about streams alone. */
+export function encodeStreamMessage(
+  sender: string,
+  message: StreamMessage,
+): Uint8Array {
+  const streams = {
+    origins: message.origins.map((origin) => ({ ...origin })),
+    lookups: [...message.lookups],
+  };
+  const empty = PeerDigest.decode(new Uint8Array());
+  return PeerDigest.encode({ ...empty, sender, streams }).finish();
+}
+
 /** State that a process reports of itself. */
 export type DigestState = Pick<
   ReceivedDigest,
@@ -163,6 +179,7 @@
         ...record,
         lives: [...lives],
       })),
+      streams: undefined,
       pushFragment: pushFragment && {
         ...pushFragment.position,
         index: pushFragment.index,
@@ -258,6 +275,7 @@
         startedAtMs,
       })),
       limits: digest.limits.flatMap(toLimitRecord),
+      streams: digest.streams,
       pushFragment: digest.pushFragment && toPushFragment(digest.pushFragment),
       loads: new Map(
         digest.loads.map(({ target, requests, unreadTokens }) => [
--- a/src/process/direct/target_table.ts
+++ b/src/process/direct/target_table.ts
@@ -36,6 +36,8 @@
   mayReceive(target: DirectTarget): boolean;
   /** Returns a service's targets that may receive new work, sorted by id. */
   getReady(service: string): readonly DirectTarget[];
+  /** Returns the known targets in any state, of one service or of all. */
+  getAll(service?: string): readonly DirectTarget[];
   /** Returns the registered and ready targets of all services. */
   getAllReady(): readonly DirectTarget[];
   /** Returns a service's targets that get no new work but may still respond. */
@@ -101,6 +103,7 @@
     isLeaving,
     mayReceive,
     getReady,
+    getAll,
     getAllReady,
     getLeaving,
     tryGet,
@@ -195,6 +198,12 @@
     return ready;
   }
 
+  function getAll(service?: string): readonly DirectTarget[] {
+    return [...entriesById.values()]
+      .map(({ target }) => target)
+      .filter((target) => service === undefined || target.service === service);
+  }
+
   function getAllReady(): readonly DirectTarget[] {
     return [...entriesById.values()]
       .filter(({ target, usableUntil }) =>
--- a/src/request/direct_choice.ts
+++ b/src/request/direct_choice.ts
@@ -57,17 +57,17 @@
 }
 
 /**
- * Chooses a target that the request has not been sent to; undefined when none
- * is left.
+ * Chooses one of the targets that the request may use; undefined when none is
+ * left.
  */
 export function tryChooseTarget(
   host: ChoiceHost,
   request: DirectRequest,
-  attempted: ReadonlySet<string>,
+  mayUse: (target: DirectTarget) => boolean,
 ): DirectChoice | undefined {
   const ready = host.targets.getReady(request.service);
   const remaining = host.limits.getUsable(host.pauses.getUsable(ready))
-    .filter(({ id }) => !attempted.has(id));
+    .filter(mayUse);
   const usable = host.health.getUsable(remaining);
   return request.prompt === undefined
     ? tryChooseSlot(host, usable)
--- a/src/request/direct_choice_test.ts
+++ b/src/request/direct_choice_test.ts
@@ -70,7 +70,7 @@
         random: () => 0.5,
       },
       request,
-      new Set(attempted),
+      ({ id }) => !attempted.includes(id),
     );
   }
 
@@ -141,7 +141,7 @@
             random: () => 0.5,
           },
           request,
-          new Set(),
+          () => true,
         );
         const id = choice?.target.id ?? "none";
         loads.begin(id, part.tokens).finishPrefill();
--- a/src/request/direct_end.ts
+++ b/src/request/direct_end.ts
@@ -9,6 +9,7 @@
 import { createReport, type DiagnosticCode } from "../types/diagnostics.ts";
 import type { RequestEnd } from "../types/reply.ts";
 import type { DirectHost } from "./direct_host.ts";
+import type { DirectStreamVersion } from "./direct_stream_version.ts";
 import { createEnd } from "./request_end.ts";
 import type { StopReason } from "./request_stop.ts";
 
@@ -16,15 +17,20 @@
 export function createUnservedEnd(
   host: Pick<DirectHost, "limits" | "pauses" | "random" | "targets">,
   service: string,
-  { lastRefusal, lastQueue, timeLeftMs }: {
+  { lastRefusal, lastQueue, timeLeftMs, streamVersion }: {
     readonly lastRefusal: DiagnosticCode | undefined;
     /** Queue of the last target that refused or would come too late. */
     readonly lastQueue: TargetQueue | undefined;
     readonly timeLeftMs: number;
+    readonly streamVersion: Pick<
+      DirectStreamVersion,
+      "mayUse" | "tryGetRefusal"
+    >;
   },
 ): RequestEnd {
   const ready = host.targets.getReady(service);
-  const open = host.pauses.getUsable(ready);
+  const open = host.pauses.getUsable(ready).filter(streamVersion.mayUse);
+  const versionRefusal = streamVersion.tryGetRefusal();
   const isLimited = lastRefusal === undefined ||
     lastRefusal === "target_limited";
   if (isLimited && host.limits.areAllLimited(open)) {
@@ -32,7 +38,11 @@
       retryAfterMs: host.limits.reserveReturn(service, open),
     }));
   }
-  const code = lastRefusal ?? (ready.length > 0 ? "target_full" : "no_target");
+  if (versionRefusal === "stream_version_gone") {
+    return createEnd(createReport(versionRefusal, { service }));
+  }
+  const code = lastRefusal ?? versionRefusal ??
+    (ready.length > 0 ? "target_full" : "no_target");
   return createEnd(createReport(code, { service }, {
     retryAfterMs: getRetryAfterMs(lastQueue, {
       timeLeftMs,
--- a/src/request/direct_host.ts
+++ b/src/request/direct_host.ts
@@ -10,6 +10,9 @@
 import type { RetryShare } from "../process/direct/retry_share.ts";
 import type { TargetCrashes } from "../process/direct/target_crashes.ts";
 import type { TargetHealth } from "../process/direct/target_health.ts";
+import type { ServiceVersions } from "../process/direct/service_versions.ts";
+import type { StreamOrigins } from "../process/direct/stream_origins.ts";
+import type { TargetTable } from "../process/direct/target_table.ts";
 import type { TargetLimits } from "../process/direct/target_limits.ts";
 import type { TargetPauses } from "../process/direct/target_pauses.ts";
 import type { Log } from "../process/telemetry/log.ts";
@@ -21,6 +24,12 @@
 /** What running a request needs from the process. */
 export interface DirectHost extends ChoiceHost {
   readonly calls: DirectCalls;
+  readonly targets: Pick<TargetTable, "getAll" | "getLeaving" | "getReady">;
+  readonly streamOrigins: Pick<
+    StreamOrigins,
+    "getVersion" | "lookUp" | "record"
+  >;
+  readonly serviceVersions: Pick<ServiceVersions, "tryGetOnly">;
   readonly health: Pick<
     TargetHealth,
     "getUsable" | "isReachable" | "recordOutcome" | "recordSent"
--- a/src/request/direct_prefill_wait.ts
+++ b/src/request/direct_prefill_wait.ts
@@ -2,6 +2,7 @@
 
 import { getSharedParts } from "../process/direct/prefix_placement.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
+import type { DirectTarget } from "../types/direct_target.ts";
 import { type DirectChoice, tryChooseTarget } from "./direct_choice.ts";
 import type { DirectHost } from "./direct_host.ts";
 
@@ -19,7 +20,7 @@
    * target or the engine to copy from may have changed.
    */
   tryChooseTarget(
-    attempted: ReadonlySet<string>,
+    mayUse: (target: DirectTarget) => boolean,
   ): Promise<DirectChoice | undefined>;
   /** Returns the time of the waits, for the log; nothing without a wait. */
   describe(): Readonly<Record<string, number>>;
@@ -43,9 +44,9 @@
   }
 
   async function tryChooseAfterPrefill(
-    attempted: ReadonlySet<string>,
+    mayUse: (target: DirectTarget) => boolean,
   ): Promise<DirectChoice | undefined> {
-    const choice = tryChooseTarget(host, request, attempted);
+    const choice = tryChooseTarget(host, request, mayUse);
     if (choice === undefined || prompt === undefined) return choice;
     const holder = choice.fetchFrom ?? choice.target;
     const waitedMs = await host.prefills.wait(
@@ -55,6 +56,6 @@
     );
     if (waitedMs === 0) return choice;
     readWaitMs += waitedMs;
-    return tryChooseTarget(host, request, attempted);
+    return tryChooseTarget(host, request, mayUse);
   }
 }
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -13,6 +13,7 @@
 import type { TargetOutcome } from "../process/direct/target_health.ts";
 import type { DirectResult } from "../types/direct_calls.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
+import type { DirectTarget } from "../types/direct_target.ts";
 import type { DiagnosticCode } from "../types/diagnostics.ts";
 import { promisesNotRun } from "../types/promises.ts";
 import type { Reply, RequestEnd } from "../types/reply.ts";
@@ -41,6 +42,7 @@
 import { createDirectQuarantine } from "./direct_quarantine.ts";
 import { createDirectResponse } from "./direct_response.ts";
 import { createDirectRetry } from "./direct_retry.ts";
+import { createDirectStreamVersion } from "./direct_stream_version.ts";
 import { getPriorityClass } from "./direct_timeouts.ts";
 import type { RequestSummary } from "./request_host.ts";
 import { createRequestStop } from "./request_stop.ts";
@@ -77,6 +79,7 @@
   const retry = createDirectRetry(host.retries, service);
   const quarantine = createDirectQuarantine(host, request);
   const prefillWait = createDirectPrefillWait(host, request);
+  const streamVersion = createDirectStreamVersion(host, request);
   const attempted = new Set<string>();
   let sends = 0;
   /** Number of targets that may have run the request. */
@@ -90,9 +93,10 @@
 
   try {
     host.retries.recordRequest(service);
-    const end = await runAttempts();
+    const end = await streamVersion.tryRefuse() ?? await runAttempts();
     if (end.outcome === "done") response.finish();
     reply.end(end);
+    decision = { ...decision, ...streamVersion.describe() };
     return { end, target, tries: sends, decision };
   } finally {
     response.release();
@@ -109,7 +113,7 @@
         decision = describeRefusal(refusal);
         return mayHaveRun() ? endUnserved() : createQuarantinedEnd(refusal);
       }
-      const choice = await prefillWait.tryChooseTarget(attempted);
+      const choice = await prefillWait.tryChooseTarget(mayUse);
       if (stop.getReason() !== undefined) return endStopped();
       if (choice === undefined || sends >= maxAttempts) {
         decision ??= describeLimited(host, service);
@@ -225,7 +229,10 @@
       request,
       stopSignal: stop.signal,
       ...{ canRetryAfterTimeout, getTimeLeftMs },
-      handleFirstEvent: quarantine.recordResponseBegun,
+      handleFirstEvent: () => {
+        streamVersion.recordFirstEvent(chosen);
+        quarantine.recordResponseBegun();
+      },
     });
   }
 
@@ -378,10 +385,14 @@
     }
     const timeLeftMs = getTimeLeftMs();
     return createUnservedEnd(host, service, {
-      ...{ lastRefusal, lastQueue, timeLeftMs },
+      ...{ lastRefusal, lastQueue, timeLeftMs, streamVersion },
     });
   }
 
+  function mayUse(candidate: DirectTarget): boolean {
+    return !attempted.has(candidate.id) && streamVersion.mayUse(candidate);
+  }
+
   function mayHaveRun(): boolean {
     return possibleRuns > 0 || lastFailure !== undefined;
   }
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -4,6 +4,7 @@
   createTarget,
   createTestLimits,
   createTestQuarantine,
+  createTestStreamOrigins,
 } from "../../test/support/direct.ts";
 import {
   abortableStream,
@@ -21,6 +22,7 @@
   type CrashSuspects,
   createCrashSuspects,
 } from "../process/direct/crash_suspects.ts";
+import type { StreamOrigins } from "../process/direct/stream_origins.ts";
 import type { TargetLimits } from "../process/direct/target_limits.ts";
 import type { DirectRoute } from "../types/route_table.ts";
 
@@ -241,6 +243,127 @@
     });
   });
 
+  describe("whose stream targets of two versions may serve", () => {
+    const versions = { a: "v1", b: "v1.1", c: "v1" };
+
+    it("goes on at the version that began it", async () => {
+      const begun: string[] = [];
+      const result = await run(resumable, [
+        ({ target }) => {
+          begun.push(target.id);
+          return stream(event(1), new Error("crash"));
+        },
+        () => stream(event(2)),
+      ], { versions: { ...versions, b: "v1" } });
+      expect(result.text).toBe(event(1) + event(2));
+      const [first = ""] = begun;
+      const others = ["a", "b", "c"].filter((id) => id !== first);
+      const [same = "", other = ""] = others;
+      const again = await run(resumable, [
+        () => stream(event(1), new Error("crash")),
+        () => stream(event(2)),
+      ], { versions: { [first]: "v1", [same]: "v1", [other]: "v1.1" } });
+      expect(again.targets).toEqual([first, same]);
+    });
+
+    it("breaks off where no other target has its version", async () => {
+      const result = await run(resumable, [
+        () => stream(event(1), new Error("crash")),
+      ], { versions: { a: "v1", b: "v1.1", c: "v2" } });
+      expect(result).toMatchObject({ text: event(1), code: "answer_cut" });
+      expect(result.calls.length).toBe(1);
+    });
+
+    it("breaks off where the version of its target is not known", async () => {
+      const result = await run(resumable, [
+        () => stream(event(1), new Error("crash")),
+      ], { versions: { a: "", b: "", c: "" } });
+      expect(result.calls.length).toBe(1);
+    });
+
+    it("may begin at another version while the caller has no event", async () => {
+      const result = await run(resumable, [lost, () => stream(event(1))], {
+        versions: { a: "v1", b: "v1.1", c: "v2" },
+      });
+      expect(result).toMatchObject({ text: event(1), outcome: "done" });
+    });
+
+    describe("and that a caller takes up", () => {
+      const request = { resumes: "first", lastEventId: "1" };
+
+      function createOrigins(version: string): StreamOrigins {
+        const streamOrigins = createTestStreamOrigins();
+        streamOrigins.record(
+          { workspace: "artists", requestId: "first" },
+          createTarget("a", { softwareVersion: version }),
+        );
+        return streamOrigins;
+      }
+
+      it("goes on at its version", async () => {
+        for (const id of ["a", "b", "c"]) {
+          const result = await run(resumable, [() => stream(event(2))], {
+            ...{ request, streamOrigins: createOrigins("v2") },
+            versions: { a: "v1", b: "v1", c: "v1", [id]: "v2" },
+          });
+          expect(result.targets).toEqual([id]);
+        }
+      });
+
+      it("is refused for good when nobody knows its version", async () => {
+        const result = await run(resumable, [], { request, versions });
+        expect(result.calls).toEqual([]);
+        expect(result).toMatchObject({
+          ...{ outcome: "failed", code: "stream_version_unknown" },
+          retryAfterMs: 0,
+        });
+      });
+
+      it("is refused for good when its version has gone", async () => {
+        const result = await run(resumable, [], {
+          ...{ request, versions, streamOrigins: createOrigins("v0") },
+        });
+        expect(result).toMatchObject({
+          ...{ outcome: "failed", code: "stream_version_gone" },
+          retryAfterMs: 0,
+        });
+      });
+
+      it("may come back when its version takes nothing now", async () => {
+        const result = await run(resumable, [], {
+          ...{ request, versions, streamOrigins: createOrigins("v1.1") },
+          pausesMs: { b: 500 },
+        });
+        expect(result).toMatchObject({
+          ...{ outcome: "not_run", code: "stream_version_unavailable" },
+        });
+        expect(result.retryAfterMs).toBeGreaterThan(0);
+      });
+
+      it("may come back when those that know it don't answer", async () => {
+        const result = await run(resumable, [], {
+          ...{ request, versions },
+          streamOrigins: createTestStreamOrigins({
+            lookUp: () => Promise.resolve({ kind: "unanswered" }),
+          }),
+        });
+        expect(result).toMatchObject({
+          ...{ outcome: "not_run", code: "stream_version_unanswered" },
+        });
+        expect(result.retryAfterMs).toBeGreaterThan(0);
+      });
+
+      it("is not taken for that of another workspace", async () => {
+        const holder = { workspace: "forger", priority: 1 };
+        const result = await run(resumable, [], {
+          request: { ...request, holder },
+          ...{ versions, streamOrigins: createOrigins("v1") },
+        });
+        expect(result.code).toBe("stream_version_unknown");
+      });
+    });
+  });
+
   describe("that may run only once", () => {
     for (const [name, behaviour] of Object.entries({ lost, spoiled })) {
       it(`is not retried after a ${name} response`, async () => {
@@ -673,8 +796,11 @@
     });
 
     it("ends as done when the caller resumes behind the last event", async () => {
+      const streamOrigins = createTestStreamOrigins();
       const result = await run(resumable, [() => stream()], {
         request: { lastEventId: "4" },
+        streamOrigins,
+        onlyVersion: streamOrigins.getVersion(createTarget("a")),
       });
       expect(result).toMatchObject({ text: "", outcome: "done", status: 200 });
     });
--- a/src/roles/digest_exchange.ts
+++ b/src/roles/digest_exchange.ts
@@ -16,6 +16,7 @@
 import {
   createDigestWriter,
   type DigestState,
+  encodeStreamMessage,
   type ReceivedDigest,
   tryDecodeDigest,
 } from "../process/direct/peer_digests.ts";
@@ -24,6 +25,7 @@
   createPushAssembly,
   splitPush,
 } from "../process/direct/push_fragments.ts";
+import type { StreamMessage } from "../process/direct/stream_origins.ts";
 import type { TargetTable } from "../process/direct/target_table.ts";
 import type { Endpoint } from "../process/membership/exchange.ts";
 import type { Log } from "../process/telemetry/log.ts";
@@ -39,16 +41,11 @@
   originPosition,
   type StorePosition,
 } from "../types/store_position.ts";
+import { createPeerContact } from "./peer_contact.ts";
 
 /** Interval at which it is decided whether to send a digest, in ms. */
 const tickIntervalMs = 60;
 
-/**
- * Idle time of a peer after which updates may have been missed, in
- * milliseconds; above the interval of digests in a fleet of hundreds.
- */
-const peerIdleTimeoutMs = 2_500;
-
 /** Maximum time of contact with the store that is reported, in milliseconds. */
 const maxReportedContactMs = 16_000;
 
@@ -98,6 +95,8 @@
   /** Applies the crash record of a peer. */
   mergeCrash(record: CrashRecordUpdate): void;
   readonly quarantine: Pick<Quarantine, "hasChanges" | "merge" | "takeRecords">;
+  /** Handles what a peer tells or asks of streams. */
+  handleStreamMessage(peer: string, message: StreamMessage): void;
   /** Returns the position up to which all changes are known. */
   getPosition(): StorePosition;
   /** Returns the number of entries of which more is known than the store has. */
@@ -130,6 +129,8 @@
   isPeerSettled(id: string): boolean;
   /** Returns true without peers, or when one was heard of lately. */
   isInContact(): boolean;
+  /** Sends a message about streams to one peer, if its address is known. */
+  sendStreamMessage(peer: string, message: StreamMessage): void;
 }
 
 /** Creates the exchange of a router that has no peers yet. */
@@ -140,8 +141,10 @@
   const digestWriter = createDigestWriter(settings.id);
   /** Peers whose latest digest reports that they have nothing to recover. */
   const settledPeers = new Set<string>();
-  /** Times of the peers' latest digests, on the steady clock. */
-  const lastHeardAt = new Map<string, number>();
+  const contact = createPeerContact({
+    ...{ routers, roster: host.roster, cachedParts: host.cachedParts },
+    tryPullCachedParts: pulls.tryPullCachedParts,
+  });
   const pace = createDigestPace();
   const assembly = createPushAssembly();
   const catchUp = createCatchUp({
@@ -152,7 +155,6 @@
   });
   /** Newest position that a peer has pushed. */
   let peerPushPosition = originPosition;
-  let isPullingParts = false;
   let tickTimer: NodeJS.Timeout | undefined;
   const socket = createGossipSocket({
     receive: (bytes, from) => {
@@ -173,7 +175,8 @@
     recordParts,
     reportCrash: digestWriter.queueCrash,
     isPeerSettled: (id) => settledPeers.has(id),
-    isInContact,
+    isInContact: contact.isInContact,
+    sendStreamMessage,
   };
 
   async function start(): Promise<void> {
@@ -187,12 +190,6 @@
     void socket.close();
   }
 
-  function isInContact(): boolean {
-    const since = performance.now() - peerIdleTimeoutMs;
-    return routers.size <= 1 ||
-      [...lastHeardAt.values()].some((heardAt) => heardAt >= since);
-  }
-
   function tick(): void {
     const state = {
       peers: routers.size - 1,
@@ -244,6 +241,15 @@
     }
   }
 
+  function sendStreamMessage(peer: string, message: StreamMessage): void {
+    const router = routers.get(peer);
+    if (router === undefined) return;
+    const { address, digestPort } = router;
+    socket.send(encodeStreamMessage(settings.id, message), {
+      ...{ address, port: digestPort },
+    });
+  }
+
   function getDigestState(leaveMs = leaveReportMs): DigestState {
     const isWatching = sync.isWatching();
     return {
@@ -280,7 +286,10 @@
   function handleDigest(digest: ReceivedDigest, from: Endpoint): void {
     const { sender, isWatching } = digest;
     if (sender === settings.id) return;
-    handlePeerActivity(sender);
+    contact.record(sender);
+    if (digest.streams !== undefined) {
+      return host.handleStreamMessage(sender, digest.streams);
+    }
     host.watchers.recordPeer(sender, { isWatching });
     handleDirectory(digest, from);
     if (digest.pushFragment !== undefined) return;
@@ -363,29 +372,4 @@
     if (position.era === host.getPosition().era) sync.applyPush(push);
     else catchUp.reportPeer(position);
   }
-
-  /**
-   * Records that a peer sent a digest. After an idle time, pulls the cached
-   * parts that the peer may have reported meanwhile. A router that was paused
-   * itself hears all peers again at once, and one copy is enough.
-   */
-  function handlePeerActivity(sender: string): void {
-    const now = performance.now();
-    const previouslyHeardAt = lastHeardAt.get(sender);
-    lastHeardAt.set(sender, now);
-    host.roster.recordHeard(sender);
-    if (
-      previouslyHeardAt === undefined ||
-      now - previouslyHeardAt < peerIdleTimeoutMs
-    ) return;
-    const peer = routers.get(sender);
-    if (peer === undefined || isPullingParts) return;
-    isPullingParts = true;
-    void pulls.tryPullCachedParts(peer).then((parts) => {
-      isPullingParts = false;
-      parts?.forEach(({ target, part }) =>
-        host.cachedParts.recordPart(target, part)
-      );
-    });
-  }
 }
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -24,6 +24,7 @@
   createRouteMatcher,
   type RouteMatcher,
 } from "../process/direct/route_match.ts";
+import { createServiceVersions } from "../process/direct/service_versions.ts";
 import { createTargetCrashes } from "../process/direct/target_crashes.ts";
 import { createTargetHealth } from "../process/direct/target_health.ts";
 import { createTargetLimits } from "../process/direct/target_limits.ts";
@@ -139,10 +140,11 @@
 
   const placementHost = await loadPlacementHost();
   const textEncoder = new TextEncoder();
+  const hash = (text: string): number =>
+    placementHost.hash(textEncoder.encode(text), 0);
   const limits = createTargetLimits({
-    ...{ log, metrics },
+    ...{ log, metrics, hash },
     getPlace: () => directory.getRouterPlace(),
-    hash: (text) => placementHost.hash(textEncoder.encode(text), 0),
   });
   const notices = createTargetNotices({
     ...{ targets, pauses, limits, metrics, log },
@@ -182,7 +184,7 @@
   const directory = await createDirectory({
     ...{ settings, store: host.store, log, metrics },
     ...{ targets, health, cachedParts, prefills, loads, placement, calls },
-    ...{ limits, mergeCrash: crashes.merge, quarantine },
+    ...{ hash, limits, mergeCrash: crashes.merge, quarantine },
     handleRouteTable: (table) => {
       const isFirst = matcher === undefined;
       matcher = createRouteMatcher(table);
@@ -197,11 +199,17 @@
     handleTargetsChanged: () => {
       calls.retain(targets.getAddresses());
       limits.retain((id) => targets.tryGet(id) !== undefined);
+      serviceVersions.record();
     },
   });
+  const { streamOrigins } = directory;
+  const serviceVersions = createServiceVersions({
+    getTargets: targets.getAll,
+    getVersion: streamOrigins.getVersion,
+  });
   const requestHost = {
     ...{ calls, targets, health, pauses, limits, loads, prefills, placement },
-    log,
+    ...{ log, streamOrigins, serviceVersions },
     cachedParts: { ...cachedParts, recordParts: directory.recordParts },
     retries: createRetryShare(
       { getRouterCount: directory.getPeakRouterCount },
@@ -221,7 +229,7 @@
   const state = createDirectState({
     ...{ metrics, directory, targets, health, pauses, loads, quarantine },
     ...{ cachedParts, responseMemory, retries: requestHost.retries, isReady },
-    limits,
+    ...{ limits, streamOrigins },
     getVersion: () => matcher?.table.version ?? 0,
     getInFlight: () => inFlight,
   });
--- a/src/roles/direct_state.ts
+++ b/src/roles/direct_state.ts
@@ -6,6 +6,7 @@
 import type { MemoryBudget } from "../process/direct/memory_budget.ts";
 import type { RetryShare } from "../process/direct/retry_share.ts";
 import type { TargetHealth } from "../process/direct/target_health.ts";
+import type { StreamOrigins } from "../process/direct/stream_origins.ts";
 import type { TargetLimits } from "../process/direct/target_limits.ts";
 import type { TargetPauses } from "../process/direct/target_pauses.ts";
 import type { TargetTable } from "../process/direct/target_table.ts";
@@ -22,6 +23,7 @@
   readonly pauses: Pick<TargetPauses, "getPaused">;
   readonly limits: Pick<TargetLimits, "getAll">;
   readonly loads: Pick<LoadView, "getOwnLoads">;
+  readonly streamOrigins: Pick<StreamOrigins, "getSize">;
   readonly quarantine: Pick<Quarantine, "getAll">;
   readonly cachedParts: Pick<CachedParts, "getSize">;
   readonly responseMemory: Pick<MemoryBudget, "getUsedBytes">;
@@ -43,6 +45,7 @@
   metrics.gauge("targets_aside", () => health.getEjected().length);
   metrics.gauge("targets_paused", () => pauses.getPaused().length);
   metrics.gauge("targets_limited", () => host.limits.getAll().length);
+  metrics.gauge("streams_remembered", host.streamOrigins.getSize);
   metrics.gauge("quarantined", () => quarantine.getAll().length);
   metrics.gauge("held_parts", host.cachedParts.getSize);
   metrics.gauge("response_memory_bytes", host.responseMemory.getUsedBytes);
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -26,6 +26,10 @@
   createRouterRoster,
   type RouterPlace,
 } from "../process/direct/router_roster.ts";
+import {
+  createStreamOrigins,
+  type StreamOrigins,
+} from "../process/direct/stream_origins.ts";
 import type { TargetLimits } from "../process/direct/target_limits.ts";
 import { createRecentMaximum } from "../process/direct/recent_maximum.ts";
 import { createDirectorySync } from "../process/direct/directory_sync.ts";
@@ -76,6 +80,8 @@
   readonly prefills: Pick<PartPrefills, "recordPeerPrefill">;
   readonly loads: Pick<LoadView, "recordReport" | "getOwnLoads">;
   readonly limits: Pick<TargetLimits, "merge" | "reports">;
+  /** Returns a 32-bit hash of a text. */
+  hash(text: string): number;
   /** Applies the crash record of a peer. */
   mergeCrash(record: CrashRecordUpdate): void;
   readonly quarantine: Pick<
@@ -116,6 +122,7 @@
   getPeakRouterCount(): number;
   /** Returns this router's place among those that run. */
   getRouterPlace(): RouterPlace;
+  readonly streamOrigins: StreamOrigins;
   /** Time since the last response of the store, in milliseconds. */
   getAgeMs(): number;
   /** True when the last call to the store failed. */
@@ -238,6 +245,7 @@
   const exchange = createDigestExchange({
     ...{ settings, log, routers, roster, watchers, sync, pulls, targets },
     limits: host.limits,
+    handleStreamMessage: (peer, message) => streamOrigins.handle(peer, message),
     cachedParts: host.cachedParts,
     prefills: host.prefills,
     loads: host.loads,
@@ -247,6 +255,12 @@
     countLostEntries: replica.countLostEntries,
     isSettled: recovery.isSettled,
   });
+  const streamOrigins = createStreamOrigins({
+    ...{ selfId: settings.id, metrics, hash: host.hash },
+    placement: host.placement,
+    getRouterIds: () => routers.keys(),
+    send: exchange.sendStreamMessage,
+  });
   reportEraFaults(host);
   let isRecoveryStarted = false;
   let caughtUpPosition = originPosition;
@@ -262,6 +276,7 @@
     tryGetTrialDelayMs,
     getPeakRouterCount: () => Math.max(1, peakRouterCount.get()),
     getRouterPlace: roster.getPlace,
+    streamOrigins,
     getAgeMs: sync.getAgeMs,
     isStoreUnavailable: sync.hasFailed,
     waitForCacheRecovery: recovery.wait,
--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -74,6 +74,16 @@
     text:
       "Part {part} of the prompt was at {crashes} targets when they crashed",
   },
+  stream_version_unanswered: {
+    category: "not_run",
+    status: 503,
+    text: "Routers that know the stream's software version do not answer",
+  },
+  stream_version_unavailable: {
+    category: "not_run",
+    status: 503,
+    text: "No target of {service} with the stream's version takes requests now",
+  },
   retry_budget_spent: {
     category: "not_run",
     status: 503,
@@ -134,6 +144,16 @@
     status: 410,
     text: "The request has run, its answer is no longer kept",
   },
+  stream_version_unknown: {
+    category: "failed",
+    status: 502,
+    text: "The software version that began the stream is not known any more",
+  },
+  stream_version_gone: {
+    category: "failed",
+    status: 502,
+    text: "No target of {service} has the software version of the stream",
+  },
   answer_cut: {
     category: "failed",
     status: 502,
--- a/test/emulator/fleet.ts
+++ b/test/emulator/fleet.ts
@@ -27,6 +27,7 @@
   createTarget,
   createTestLimits,
   createTestQuarantine,
+  createTestStreamOrigins,
 } from "../support/direct.ts";
 import type { Arrival, LoadPattern } from "./arrivals.ts";
 import { disturbanceMs } from "./arrivals.ts";
@@ -250,6 +251,8 @@
     health: createTargetHealth({ log: createSilentLog() }),
     pauses: createTargetPauses({ log: createSilentLog(), random: () => 0.5 }),
     limits: createTestLimits(),
+    streamOrigins: createTestStreamOrigins(),
+    serviceVersions: { tryGetOnly: () => undefined },
     loads,
     cachedParts: options.policy === "rank"
       ? { ...createRankedHolders(options), recordParts: () => undefined }
--- a/test/platform/whole_answers_http_test.ts
+++ b/test/platform/whole_answers_http_test.ts
@@ -90,6 +90,9 @@
   ),
 });
 
+/** The first request of a run, whose stream later ones take up. */
+const begunId = "request-1";
+
 /** Cases with a resumable route by the failure that they led to. */
 const knownCases: Readonly<Record<string, Partial<Case>>> = {
   "an error appended to a stream that broke off": {
@@ -175,6 +178,12 @@
     });
     router = await startFleetRouter("router-1", store, { retrySlack: 5_000 });
     await waitUntil(() => hasLogged(router, "Router is ready"));
+    const begun = { route: "resumable", behaviours: [wholeStream] } as const;
+    expect(
+      await tryFindFault({
+        ...{ ...begun, lastEventId: undefined, closesAfterBody: false },
+      }),
+    ).toBeUndefined();
   });
 
   afterAll(async () => {
@@ -198,7 +207,9 @@
         "x-deadline-ms": String(deadlineMs),
         "x-credential": "key-1",
         ...(route === "unsafe" ? { "content-length": "0" } : {}),
-        ...(lastEventId === undefined ? {} : { "last-event-id": lastEventId }),
+        ...(lastEventId === undefined
+          ? {}
+          : { "last-event-id": lastEventId, resumes: begunId }),
       },
     });
     return findFault(testCase, runs, response) ??
--- a/test/platform/whole_answers_test.ts
+++ b/test/platform/whole_answers_test.ts
@@ -23,6 +23,7 @@
   createTarget,
   createTestLimits,
   createTestQuarantine,
+  createTestStreamOrigins,
 } from "../support/direct.ts";
 import {
   findResponseFault,
@@ -338,6 +339,7 @@
   const misuses: string[] = [];
   let end: RequestEnd | undefined;
   let retriesLeft = testCase.retries;
+  const streamOrigins = createTestStreamOrigins();
   const targets = createTargetTable();
   targetIds.forEach((id) => targets.put(createTarget(id)));
   const running = runDirect(
@@ -346,6 +348,10 @@
       targets,
       health: createTargetHealth({ log: createSilentLog() }),
       limits: createTestLimits(),
+      streamOrigins,
+      serviceVersions: {
+        tryGetOnly: () => streamOrigins.getVersion(createTarget("a")),
+      },
       pauses: createTargetPauses({ log: createSilentLog(), random: () => 0.5 }),
       loads: createLoadView(),
       cachedParts: createCachedParts(),
--- a/test/support/direct.ts
+++ b/test/support/direct.ts
@@ -8,6 +8,11 @@
   createTargetLimits,
   type TargetLimits,
 } from "../../src/process/direct/target_limits.ts";
+import {
+  createStreamOrigins,
+  type StreamOrigins,
+} from "../../src/process/direct/stream_origins.ts";
+import { createPlacement } from "../../src/process/placement/placement.ts";
 import { createSilentLog, type Log } from "../../src/process/telemetry/log.ts";
 import { createMetrics } from "../../src/process/telemetry/metrics.ts";
 import type { DirectRequest } from "../../src/types/direct_request.ts";
@@ -123,3 +128,23 @@
     hash: (text) => text.length,
   });
 }
+
+/** Creates origins of streams that this router alone knows. */
+export function createTestStreamOrigins(
+  changes: Partial<StreamOrigins> = {},
+): StreamOrigins {
+  const metrics = createMetrics();
+  const hash = (text: string): number =>
+    [...text].reduce((sum, sign) => sum * 31 + sign.charCodeAt(0) | 0, 7) >>> 0;
+  return {
+    ...createStreamOrigins({
+      ...{ selfId: "router-1", metrics, hash },
+      placement: createPlacement({
+        hash: (key, seed) => key.length * 7 + seed,
+      }),
+      getRouterIds: () => ["router-1"],
+      send: () => undefined,
+    }),
+    ...changes,
+  };
+}
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -5,6 +5,7 @@
   createTarget,
   createTestLimits,
   createTestQuarantine,
+  createTestStreamOrigins,
 } from "./direct.ts";
 import { createRunTimes } from "../../src/process/direct/admission_estimate.ts";
 import {
@@ -24,6 +25,7 @@
   createTargetPauses,
   type TargetPauses,
 } from "../../src/process/direct/target_pauses.ts";
+import type { StreamOrigins } from "../../src/process/direct/stream_origins.ts";
 import type { TargetLimits } from "../../src/process/direct/target_limits.ts";
 import { createTargetTable } from "../../src/process/direct/target_table.ts";
 import { createSilentLog } from "../../src/process/telemetry/log.ts";
@@ -124,6 +126,12 @@
     readonly queue?: { readonly requests: number; readonly meanRunMs: number };
     /** Pauses that targets have asked for, by id, in milliseconds. */
     readonly pausesMs?: Readonly<Record<string, number>>;
+    /** What is known of streams; nothing by default. */
+    readonly streamOrigins?: StreamOrigins;
+    /** The version of a service that has had no other one lately. */
+    readonly onlyVersion?: number;
+    /** Software versions of the targets; "v1" by default. */
+    readonly versions?: Readonly<Record<string, string>>;
     /** Limits of targets; none by default. */
     readonly limits?: TargetLimits;
     /** Requests that have crashed targets; none by default. */
@@ -147,7 +155,12 @@
   const targets = createTargetTable();
   const { startedAtMs = 1 } = options;
   ["a", "b", "c"].forEach((id) =>
-    targets.put(createTarget(id, { startedAtMs }))
+    targets.put(
+      createTarget(id, {
+        startedAtMs,
+        softwareVersion: options.versions?.[id] ?? "v1",
+      }),
+    )
   );
   const retriesSentAt: number[] = [];
   let unsentRetries = 0;
@@ -230,6 +243,8 @@
       },
       pauses,
       limits: options.limits ?? createTestLimits(),
+      streamOrigins: options.streamOrigins ?? createTestStreamOrigins(),
+      serviceVersions: { tryGetOnly: () => options.onlyVersion },
       loads,
       cachedParts,
       prefills,
