Give the slots of limited engines to large prompts first

Cause: limited engines count requests, not tokens. Change: a prompt above the mean size of its service takes a slot where there is one; others do in the second half of the slot's time, or where the others are at their bound.

--- a/src/process/direct/prefix_placement.ts
+++ b/src/process/direct/prefix_placement.ts
@@ -8,6 +8,10 @@
  * engine stays under the load bound, else to the cheapest other one, which
  * copies them. Parts that no engine has cached are placed by rank, on which all
  * routers agree.
+ *
+ * Engines that limit their requests count them, not their tokens, and leave the
+ * rest to the others. Their slots go to large prompts first, to small ones only
+ * before they are lost.
  */
 
 import type { DirectTarget } from "../../types/direct_target.ts";
@@ -22,8 +26,11 @@
   readonly backlogTokens: number;
   /** Tokens of the request's shared parts that the engine has cached. */
   readonly heldTokens: number;
-  /** True when the engine limits the requests that it takes. */
-  readonly isLimited?: boolean;
+  /**
+   * The slot that is free at an engine that limits its requests: `late` when it
+   * is lost soon. Undefined for engines without a limit.
+   */
+  readonly slot?: "fresh" | "late" | undefined;
 }
 
 /** An engine that cannot be chosen but whose cache can be copied from. */
@@ -41,6 +48,8 @@
   readonly zone: string;
   /** Maximum load of an engine, as a multiple of the mean load. */
   readonly loadMultiple: number;
+  /** True when the prompt is larger than most of its service. */
+  readonly isLarge?: boolean;
   /** Engines that are leaving, ejected or already attempted. */
   readonly unavailableHolders: readonly UnavailableHolder[];
 }
@@ -108,9 +117,10 @@
     ),
   );
   const underBound = candidates.filter(({ load }) => load + 1 <= loadBound);
-  // The few requests that a limited engine takes should need no copy there.
-  const preferred = underBound.filter(({ isLimited, heldTokens }) =>
-    isLimited !== true || heldTokens === maxHeldTokens
+  const preferred = underBound.filter(
+    request.isLarge === true
+      ? ({ slot }) => slot !== undefined
+      : ({ slot }) => slot !== "fresh",
   );
   const eligible = [preferred, underBound, getLeastLoaded(candidates)]
     .find(({ length }) => length > 0) ?? [];
--- a/src/process/direct/prefix_placement_test.ts
+++ b/src/process/direct/prefix_placement_test.ts
@@ -44,25 +44,36 @@
   });
 
   describe("with engines that limit their requests", () => {
-    const limited = createCandidate("a", { load: 2, isLimited: true });
-    const free = createCandidate("b", { load: 8 });
+    const large = { ...request, isLarge: true };
+    const slot = createCandidate("a", { load: 2, slot: "fresh" });
+    const lateSlot = createCandidate("a", { load: 2, slot: "late" });
+    const free = createCandidate("b", { load: 8, heldTokens: 10_000 });
 
-    it("gives a slot to a request whose parts are there", () => {
-      const holder = { ...limited, heldTokens: 10_000 };
-      expect(chooseEngine(request, [holder, free])?.target.id).toBe("a");
+    it("gives slots to large prompts, also if they must be copied", () => {
+      const choice = chooseEngine(large, [slot, free]);
+      expect(choice?.target.id).toBe("a");
+      expect(choice?.fetchFrom?.id).toBe("b");
     });
 
-    it("uses no slot for a request that needs a copy", () => {
-      const holder = { ...free, heldTokens: 10_000 };
-      expect(chooseEngine(request, [limited, holder])?.target.id).toBe("b");
-      const other = createCandidate("c", { load: 9, heldTokens: 10_000 });
-      expect(chooseEngine(request, [limited, free, other])?.target.id)
-        .not.toBe("a");
+    it("prefers the slot of an engine that has the parts", () => {
+      const holder = createCandidate("c", { ...slot, heldTokens: 10_000 });
+      const candidates = [slot, { ...holder, target: createTarget("c") }, free];
+      expect(chooseEngine(large, candidates)?.target.id).toBe("c");
     });
 
-    it("uses a slot when the others are at the load bound", () => {
+    it("keeps fresh slots from other prompts", () => {
+      const other = createCandidate("b", { load: 8 });
+      expect(chooseEngine(request, [slot, other])?.target.id).toBe("b");
+      expect(chooseEngine(request, [lateSlot, other])?.target.id).toBe("a");
+    });
+
+    it("gives fresh slots to others where there is no room", () => {
       const full = createCandidate("b", { load: 40, heldTokens: 10_000 });
-      expect(chooseEngine(request, [limited, full])?.target.id).toBe("a");
+      expect(chooseEngine(request, [slot, full])?.target.id).toBe("a");
+    });
+
+    it("sends large prompts to others where there is no slot", () => {
+      expect(chooseEngine(large, [free])?.target.id).toBe("b");
     });
   });
 
--- a/src/process/direct/target_limits.ts
+++ b/src/process/direct/target_limits.ts
@@ -28,6 +28,9 @@
 /** Time after a slot in which it can be used, in milliseconds. */
 const slotTtlMs = 400;
 
+/** Part of that time in which a slot counts as fresh. */
+const freshSlotShare = 0.5;
+
 /**
  * Rate at which a target that takes nothing or nearly nothing still gets
  * requests, so that the end of its limit is noticed.
@@ -84,6 +87,11 @@
   merge(record: LimitRecord): void;
   /** Returns the targets that may receive a request now. */
   getUsable(targets: readonly DirectTarget[]): readonly DirectTarget[];
+  /**
+   * Returns whether the slot that is free at a target is lost soon; undefined
+   * without a limit or a slot.
+   */
+  tryGetSlotState(target: DirectTarget): "fresh" | "late" | undefined;
   /** Returns true when the target limits its requests. */
   isLimited(target: DirectTarget): boolean;
   /** Returns true when there are targets and each has a limit. */
@@ -136,6 +144,7 @@
     record,
     merge,
     getUsable,
+    tryGetSlotState,
     isLimited,
     areAllLimited,
     tryTake,
@@ -174,6 +183,15 @@
     });
   }
 
+  function tryGetSlotState(
+    { id }: DirectTarget,
+  ): "fresh" | "late" | undefined {
+    const perS = records.tryGetPerS(id);
+    const slotAt = perS === undefined ? undefined : tryGetSlot(id, perS);
+    if (slotAt === undefined) return undefined;
+    return getTime() - slotAt < slotTtlMs * freshSlotShare ? "fresh" : "late";
+  }
+
   function areAllLimited(targets: readonly DirectTarget[]): boolean {
     return targets.length > 0 && targets.every(isLimited);
   }
--- a/src/request/direct_choice.ts
+++ b/src/request/direct_choice.ts
@@ -15,6 +15,7 @@
   getSharedParts,
 } from "../process/direct/prefix_placement.ts";
 import { chooseSlot } from "../process/direct/slot_placement.ts";
+import type { PromptSizes } from "../process/direct/prompt_sizes.ts";
 import type { TargetHealth } from "../process/direct/target_health.ts";
 import type { TargetLimits } from "../process/direct/target_limits.ts";
 import type { TargetPauses } from "../process/direct/target_pauses.ts";
@@ -29,7 +30,8 @@
   readonly targets: Pick<TargetTable, "getReady" | "getLeaving">;
   readonly health: Pick<TargetHealth, "getUsable" | "isReachable">;
   readonly pauses: Pick<TargetPauses, "getUsable" | "isPaused">;
-  readonly limits: Pick<TargetLimits, "getUsable" | "isLimited">;
+  readonly limits: Pick<TargetLimits, "getUsable" | "tryGetSlotState">;
+  readonly promptSizes: Pick<PromptSizes, "isLarge">;
   readonly loads: Pick<LoadView, "getLoad">;
   readonly cachedParts: Pick<CachedParts, "getCachedTokens" | "isCached">;
   readonly placement: Placement;
@@ -127,13 +129,17 @@
       load: requests,
       backlogTokens: unreadTokens,
       heldTokens: host.cachedParts.getCachedTokens(target.id, shared),
-      isLimited: host.limits.isLimited(target),
+      slot: host.limits.tryGetSlotState(target),
     };
   });
   const chosen = chooseEngine({
     sharedTokens: shared.reduce((sum, { tokens }) => sum + tokens, 0),
     zone: host.zone,
     loadMultiple: host.loadMultiple,
+    isLarge: host.promptSizes.isLarge(
+      request.service,
+      request.prompt?.promptTokens ?? 0,
+    ),
     unavailableHolders: [
       ...excluded,
       ...host.targets.getLeaving(request.service),
--- a/src/request/direct_choice_test.ts
+++ b/src/request/direct_choice_test.ts
@@ -10,6 +10,7 @@
   createTargetHealth,
   type TargetOutcome,
 } from "../process/direct/target_health.ts";
+import { createPromptSizes } from "../process/direct/prompt_sizes.ts";
 import { createTargetPauses } from "../process/direct/target_pauses.ts";
 import { createTargetTable } from "../process/direct/target_table.ts";
 import { createPlacement } from "../process/placement/placement.ts";
@@ -60,6 +61,7 @@
         health,
         pauses,
         limits: createTestLimits(),
+        promptSizes: createPromptSizes(),
         loads: createLoadView(),
         cachedParts,
         placement: createPlacement({
@@ -133,6 +135,7 @@
           {
             ...{ targets, loads, cachedParts, pauses, loadMultiple },
             limits: createTestLimits(),
+            promptSizes: createPromptSizes(),
             health: createTargetHealth({ log: createSilentLog() }),
             placement: createPlacement({
               hash: (key, seed) => key.length * 7 + seed,
--- a/src/request/direct_host.ts
+++ b/src/request/direct_host.ts
@@ -7,6 +7,7 @@
 import type { LoadView } from "../process/direct/load_view.ts";
 import type { MemoryBudget } from "../process/direct/memory_budget.ts";
 import type { PartPrefills } from "../process/direct/part_prefills.ts";
+import type { PromptSizes } from "../process/direct/prompt_sizes.ts";
 import type { RetryShare } from "../process/direct/retry_share.ts";
 import type { TargetCrashes } from "../process/direct/target_crashes.ts";
 import type { TargetHealth } from "../process/direct/target_health.ts";
@@ -40,8 +41,14 @@
   >;
   readonly limits: Pick<
     TargetLimits,
-    "areAllLimited" | "getUsable" | "isLimited" | "reserveReturn" | "tryTake"
+    | "areAllLimited"
+    | "getUsable"
+    | "isLimited"
+    | "reserveReturn"
+    | "tryGetSlotState"
+    | "tryTake"
   >;
+  readonly promptSizes: PromptSizes;
   readonly loads: Pick<LoadView, "getLoad" | "begin">;
   readonly cachedParts: Pick<CachedParts, "getCachedTokens" | "isCached"> & {
     /** Records that a target gets `parts` and prefills `prefillParts`. */
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -93,6 +93,7 @@
 
   try {
     host.retries.recordRequest(service);
+    host.promptSizes.record(service, request.prompt?.promptTokens);
     const end = await streamVersion.tryRefuse() ?? await runAttempts();
     if (end.outcome === "done") response.finish();
     reply.end(end);
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -19,6 +19,7 @@
 import { createCrashSuspects } from "../process/direct/crash_suspects.ts";
 import { createPartPrefills } from "../process/direct/part_prefills.ts";
 import { createLoadView } from "../process/direct/load_view.ts";
+import { createPromptSizes } from "../process/direct/prompt_sizes.ts";
 import { createRetryShare } from "../process/direct/retry_share.ts";
 import {
   createRouteMatcher,
@@ -220,7 +221,7 @@
       quarantine,
       targetCrashes,
       responseMemory,
-      runTimes: createRunTimes(),
+      ...{ runTimes: createRunTimes(), promptSizes: createPromptSizes() },
     },
     zone: settings.zone,
     loadMultiple: settings.loadMultiple,
--- a/test/emulator/fleet.ts
+++ b/test/emulator/fleet.ts
@@ -1,5 +1,6 @@
 /** Replays loads through direct routers at emulated engines, on fake timers. */
 
+import { createPromptSizes } from "../../src/process/direct/prompt_sizes.ts";
 import { createRunTimes } from "../../src/process/direct/admission_estimate.ts";
 import { createCachedParts } from "../../src/process/direct/cached_parts.ts";
 import type { PlacedPart } from "../../src/process/direct/cached_parts.ts";
@@ -250,6 +251,7 @@
     targets: table,
     health: createTargetHealth({ log: createSilentLog() }),
     pauses: createTargetPauses({ log: createSilentLog(), random: () => 0.5 }),
+    promptSizes: createPromptSizes(),
     limits: createTestLimits(),
     streamOrigins: createTestStreamOrigins(),
     serviceVersions: { tryGetOnly: () => undefined },
--- a/test/platform/whole_answers_test.ts
+++ b/test/platform/whole_answers_test.ts
@@ -1,4 +1,5 @@
 import * as fc from "fast-check";
+import { createPromptSizes } from "../../src/process/direct/prompt_sizes.ts";
 import { targetCodec } from "../../src/platform/target_codec.ts";
 import { headerNames } from "../../src/platform/wire_names.ts";
 import { createRunTimes } from "../../src/process/direct/admission_estimate.ts";
@@ -347,6 +348,7 @@
       calls: { send, tryListCachedParts: () => Promise.resolve(undefined) },
       targets,
       health: createTargetHealth({ log: createSilentLog() }),
+      promptSizes: createPromptSizes(),
       limits: createTestLimits(),
       streamOrigins,
       serviceVersions: {
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -1,5 +1,6 @@
 /** Runs direct requests at targets whose behaviour a test chooses. */
 
+import { createPromptSizes } from "../../src/process/direct/prompt_sizes.ts";
 import {
   createRequest,
   createTarget,
@@ -242,6 +243,7 @@
         },
       },
       pauses,
+      promptSizes: createPromptSizes(),
       limits: options.limits ?? createTestLimits(),
       streamOrigins: options.streamOrigins ?? createTestStreamOrigins(),
       serviceVersions: { tryGetOnly: () => options.onlyVersion },
