Count the limit of a target by its address

Each request is tried there and gets 421; the target in need, which has another id, got 490 to 534 requests in 4 s. Change: limits are kept by address, a 421 or a response of another id may name one; it ends only with a response of the target that was meant.

--- a/src/platform/target_codec.ts
+++ b/src/platform/target_codec.ts
@@ -122,7 +122,7 @@
 
 /**
  * Decodes what a target says of itself. The response of another target at the
- * same address says nothing of this one.
+ * same address says nothing of this one, but may name a limit of the address.
  */
 function decodeNotice(
   status: number,
@@ -130,6 +130,7 @@
   target: DirectTarget,
 ): TargetNotice {
   const headers = indexHeaders(rawHeaders);
+  const limit = decodeLimit(headers.get(headerNames.rateLimit));
   const respondingTarget = headers.get(headerNames.respondingTarget);
   const isOther = status === wrongTargetStatus ||
     (respondingTarget !== undefined && respondingTarget !== target.id);
@@ -137,7 +138,8 @@
     return {
       isLeaving: false,
       pause: { kind: "none" },
-      limit: { kind: "untold" },
+      // Its absence may be that of the target which answered.
+      limit: limit.kind === "none" ? { kind: "untold" } : limit,
     };
   }
   return {
@@ -145,7 +147,7 @@
     pause: status === unavailableStatus
       ? decodePause(headers.get(headerNames.retryAfter))
       : { kind: "none" },
-    limit: decodeLimit(headers.get(headerNames.rateLimit)),
+    limit,
   };
 }
 
--- a/src/platform/target_codec_test.ts
+++ b/src/platform/target_codec_test.ts
@@ -190,10 +190,17 @@
       expect(decodeNotice(200, {}).limit).toEqual({ kind: "none" });
     });
 
-    it("says nothing from another target at the address", () => {
+    it("is also read from another target at the address", () => {
       const headers = { "Server-Limit": "2" };
-      expect(decodeNotice(421, headers).limit).toEqual({ kind: "untold" });
+      const limit = { kind: "named", perS: 2 };
+      expect(decodeNotice(421, headers).limit).toEqual(limit);
       expect(decodeNotice(200, { ...headers, "X-Instance": "i-2" }).limit)
+        .toEqual(limit);
+    });
+
+    it("does not end with a response of another target", () => {
+      expect(decodeNotice(421, {}).limit).toEqual({ kind: "untold" });
+      expect(decodeNotice(200, { "X-Instance": "i-2" }).limit)
         .toEqual({ kind: "untold" });
     });
   });
--- a/src/process/direct/limit_records.ts
+++ b/src/process/direct/limit_records.ts
@@ -3,7 +3,9 @@
  *
  * Responses overtake each other, and reports of peers are older than they arrive.
  * A limit is therefore withdrawn only by a response to a request that was sent
- * after the limit was last named, and the later of two records counts.
+ * after the limit was last named, and the later of two records counts. A limit
+ * belongs to an address: a target in need is spared also the requests that are
+ * meant for one that was there before.
  */
 
 import type { NamedLimit } from "../../types/direct_calls.ts";
@@ -12,7 +14,8 @@
 
 /** What is known of the limit of one target. */
 export interface LimitRecord {
-  readonly target: string;
+  /** IP address and port; requests for another target there count too. */
+  readonly address: string;
   /** Requests a second from all routers; undefined when it has ended. */
   readonly perS: number | undefined;
   /** Time up to which this is known, on the monotonic clock, in ms. */
@@ -23,7 +26,7 @@
 export interface LimitRecords {
   /** Records what a response says; returns the record if it counts. */
   record(
-    target: string,
+    address: string,
     limit: NamedLimit,
     options: {
       /**
@@ -35,15 +38,15 @@
   ): LimitRecord | undefined;
   /** Applies the record of a peer; returns true if it is newer. */
   merge(record: LimitRecord): boolean;
-  tryGet(target: string): LimitRecord | undefined;
+  tryGet(address: string): LimitRecord | undefined;
   /** Returns the limit in force; undefined without one. */
-  tryGetPerS(target: string): number | undefined;
+  tryGetPerS(address: string): number | undefined;
   /** Returns true while no target has a limit. */
   isEmpty(): boolean;
   /** Returns the limits in force. */
   getAll(): readonly LimitRecord[];
   /** Drops the records of targets that are gone. */
-  retain(isKnown: (target: string) => boolean): void;
+  retain(isKnown: (address: string) => boolean): void;
 }
 
 /** Change of a limit from which on it is logged, as a share of it. */
@@ -59,6 +62,8 @@
 export interface LimitRecordsHost {
   readonly log: Pick<Log, "info" | "warn">;
   readonly metrics: Pick<Metrics, "count">;
+  /** Returns the target that is registered at an address, for the log. */
+  tryGetTargetId(address: string): string | undefined;
 }
 
 /** Creates records without a limit. */
@@ -72,8 +77,8 @@
   return {
     record,
     merge,
-    tryGet: (target) => records.get(target),
-    tryGetPerS: (target) => records.get(target)?.perS,
+    tryGet: (address) => records.get(address),
+    tryGetPerS: (address) => records.get(address)?.perS,
     isEmpty: () => inForce === 0,
     getAll: () =>
       [...records.values()].filter(({ perS }) => perS !== undefined),
@@ -81,7 +86,7 @@
   };
 
   function record(
-    target: string,
+    address: string,
     limit: NamedLimit,
     { sentAt }: { readonly sentAt: number | undefined },
   ): LimitRecord | undefined {
@@ -89,16 +94,16 @@
       case "untold":
         return undefined;
       case "unreadable":
-        reportUnreadable(target, limit.text);
+        reportUnreadable(address, limit.text);
         return undefined;
       case "named":
-        unreadable.delete(target);
+        unreadable.delete(address);
         host.metrics.count("target_limits_named_total");
-        return apply({ target, perS: limit.perS, at: performance.now() });
+        return apply({ address, perS: limit.perS, at: performance.now() });
       case "none":
-        return sentAt === undefined || !records.has(target)
+        return sentAt === undefined || !records.has(address)
           ? undefined
-          : apply({ target, perS: undefined, at: sentAt });
+          : apply({ address, perS: undefined, at: sentAt });
     }
   }
 
@@ -107,13 +112,13 @@
   }
 
   function put(record: LimitRecord, source: "own" | "peer"): boolean {
-    const { target, perS, at } = record;
-    const known = records.get(target);
+    const { address, perS, at } = record;
+    const known = records.get(address);
     if (known !== undefined && known.at >= at) return false;
     if (known?.perS !== undefined) inForce--;
     if (perS !== undefined) inForce++;
-    records.delete(target);
-    records.set(target, record);
+    records.delete(address);
+    records.set(address, record);
     logChange(record, { previousPerS: known?.perS, source });
     dropOldest();
     return true;
@@ -124,19 +129,19 @@
     if (records.size > maxRecords && oldest !== undefined) remove(oldest);
   }
 
-  function remove({ target, perS }: LimitRecord): void {
+  function remove({ address, perS }: LimitRecord): void {
     if (perS !== undefined) inForce--;
-    records.delete(target);
+    records.delete(address);
   }
 
   function merge(record: LimitRecord): boolean {
     // Without a limit, its end is nothing to remember.
-    if (record.perS === undefined && !records.has(record.target)) return false;
+    if (record.perS === undefined && !records.has(record.address)) return false;
     return put(record, "peer");
   }
 
   function logChange(
-    { target, perS }: LimitRecord,
+    { address, perS }: LimitRecord,
     { previousPerS, source }: {
       readonly previousPerS: number | undefined;
       readonly source: "own" | "peer";
@@ -145,7 +150,8 @@
     if (perS === undefined) {
       if (previousPerS === undefined) return;
       return host.log.info("Target limits its requests no more", {
-        ...{ target, source },
+        ...describe(address),
+        source,
       });
     }
     const changeable = loggedChangeShare * (previousPerS ?? 0);
@@ -153,26 +159,31 @@
       previousPerS !== undefined && Math.abs(perS - previousPerS) <= changeable
     ) return;
     host.log.info("Target limits its requests", {
-      ...{ target, perS, previousPerS, source },
+      ...{ address, perS, previousPerS, source },
     });
   }
 
   /** Logs the first such limit of a target, until it names another one. */
-  function reportUnreadable(target: string, text: string): void {
+  function reportUnreadable(address: string, text: string): void {
     host.metrics.count("target_limits_unreadable_total");
-    if (unreadable.has(target) || unreadable.size >= maxLoggedTargets) return;
-    unreadable.add(target);
+    if (unreadable.has(address) || unreadable.size >= maxLoggedTargets) return;
+    unreadable.add(address);
     host.log.warn("Target names a limit that cannot be read", {
-      ...{ target, text },
+      ...describe(address),
+      text,
     });
   }
 
-  function retain(isKnown: (target: string) => boolean): void {
+  function describe(address: string) {
+    return { target: host.tryGetTargetId(address), address };
+  }
+
+  function retain(isKnown: (address: string) => boolean): void {
     for (const record of records.values()) {
-      if (!isKnown(record.target)) remove(record);
+      if (!isKnown(record.address)) remove(record);
     }
-    for (const target of unreadable) {
-      if (!isKnown(target)) unreadable.delete(target);
+    for (const address of unreadable) {
+      if (!isKnown(address)) unreadable.delete(address);
     }
   }
 }
--- a/src/process/direct/limit_records_test.ts
+++ b/src/process/direct/limit_records_test.ts
@@ -18,6 +18,7 @@
     const records = createLimitRecords({
       log: { info: write, warn: write },
       metrics: { count: (name) => void counts.push(name) },
+      tryGetTargetId: () => "a",
     });
     return { records, lines, counts };
   }
@@ -76,7 +77,7 @@
       const at = performance.now();
       jest.advanceTimersByTime(10);
       records.record("a", named(4), { sentAt: at });
-      expect(records.merge({ target: "a", perS: undefined, at })).toBe(false);
+      expect(records.merge({ address: "a", perS: undefined, at })).toBe(false);
       expect(records.tryGetPerS("a")).toBe(4);
     });
   });
@@ -85,9 +86,9 @@
     const { records } = create();
     records.record("a", named(4), { sentAt: 0 });
     const at = performance.now() + 5;
-    expect(records.merge({ target: "a", perS: 2, at })).toBe(true);
+    expect(records.merge({ address: "a", perS: 2, at })).toBe(true);
     expect(records.tryGetPerS("a")).toBe(2);
-    expect(records.merge({ target: "a", perS: 3, at: at - 1 })).toBe(false);
+    expect(records.merge({ address: "a", perS: 3, at: at - 1 })).toBe(false);
     jest.advanceTimersByTime(10);
     records.record("a", named(6), { sentAt: 0 });
     expect(records.tryGetPerS("a")).toBe(6);
@@ -99,8 +100,8 @@
       records.record(`t-${index}`, named(1), { sentAt: 0 });
     }
     expect(records.getAll().length).toBe(4_096);
-    records.retain((target) => target === "t-4999");
-    expect(records.getAll().map(({ target }) => target)).toEqual(["t-4999"]);
+    records.retain((address) => address === "t-4999");
+    expect(records.getAll().map(({ address }) => address)).toEqual(["t-4999"]);
     records.retain(() => false);
     expect(records.isEmpty()).toBe(true);
   });
--- a/src/process/direct/limit_reports.ts
+++ b/src/process/direct/limit_reports.ts
@@ -25,24 +25,24 @@
 export interface LimitReports {
   /** Reports a record that this router has made, if peers need it. */
   offer(record: LimitRecord, previousPerS: number | undefined): void;
-  /** Records that peers know of the target's limit now. */
-  recordReceived(target: string): void;
+  /** Records that peers know of the limit at an address now. */
+  recordReceived(address: string): void;
   hasChanges(): boolean;
   /** Returns the records for the next digest. */
   take(): readonly LimitRecord[];
   /** Returns limits in force for a router that starts. */
   getForStart(): readonly LimitRecord[];
   /** Forgets the targets that are gone. */
-  retain(isKnown: (target: string) => boolean): void;
+  retain(isKnown: (address: string) => boolean): void;
 }
 
 /** Creates reports with nothing to report. */
 export function createLimitReports(
   records: Pick<LimitRecords, "getAll" | "tryGet">,
 ): LimitReports {
-  /** Number of digests that are still to carry a limit, by target. */
+  /** Number of digests that are still to carry a limit, by address. */
   const unsent = new Map<string, number>();
-  /** When peers last knew of a limit, on the monotonic clock, by target. */
+  /** When peers last knew of a limit, on the monotonic clock, by address. */
   const sharedTimes = new Map<string, number>();
 
   return {
@@ -55,37 +55,37 @@
   };
 
   function offer(
-    { target, perS, at }: LimitRecord,
+    { address, perS, at }: LimitRecord,
     previousPerS: number | undefined,
   ): void {
-    const sharedAt = sharedTimes.get(target) ?? Number.NEGATIVE_INFINITY;
+    const sharedAt = sharedTimes.get(address) ?? Number.NEGATIVE_INFINITY;
     if (perS === previousPerS && at - sharedAt < repeatIntervalMs) return;
-    sharedTimes.set(target, at);
-    unsent.set(target, sendsPerReport);
+    sharedTimes.set(address, at);
+    unsent.set(address, sendsPerReport);
     const [oldest] = unsent.keys();
     if (unsent.size > maxUnsent && oldest !== undefined) unsent.delete(oldest);
   }
 
-  function recordReceived(target: string): void {
-    sharedTimes.set(target, performance.now());
-    unsent.delete(target);
+  function recordReceived(address: string): void {
+    sharedTimes.set(address, performance.now());
+    unsent.delete(address);
   }
 
   function take(): readonly LimitRecord[] {
-    const targets = [...unsent.keys()].slice(0, maxLimitsPerDigest);
-    return targets.flatMap((target) => {
-      const sendsLeft = (unsent.get(target) ?? 0) - 1;
-      unsent.delete(target);
-      if (sendsLeft > 0) unsent.set(target, sendsLeft);
-      return records.tryGet(target) ?? [];
+    const addresses = [...unsent.keys()].slice(0, maxLimitsPerDigest);
+    return addresses.flatMap((address) => {
+      const sendsLeft = (unsent.get(address) ?? 0) - 1;
+      unsent.delete(address);
+      if (sendsLeft > 0) unsent.set(address, sendsLeft);
+      return records.tryGet(address) ?? [];
     });
   }
 
-  function retain(isKnown: (target: string) => boolean): void {
-    for (const target of sharedTimes.keys()) {
-      if (isKnown(target)) continue;
-      sharedTimes.delete(target);
-      unsent.delete(target);
+  function retain(isKnown: (address: string) => boolean): void {
+    for (const address of sharedTimes.keys()) {
+      if (isKnown(address)) continue;
+      sharedTimes.delete(address);
+      unsent.delete(address);
     }
   }
 }
--- a/src/process/direct/peer_digests.ts
+++ b/src/process/direct/peer_digests.ts
@@ -234,17 +234,17 @@
     : [];
 }
 
-function toLimitReport({ target, perS, at }: LimitRecord): LimitMessage {
+function toLimitReport({ address, perS, at }: LimitRecord): LimitMessage {
   const ageMs = Math.round(performance.now() - at);
-  return { target, perS, ageMs: Math.max(0, Math.min(maxLimitAgeMs, ageMs)) };
+  return { address, perS, ageMs: Math.max(0, Math.min(maxLimitAgeMs, ageMs)) };
 }
 
 /** A rate of another form, which no router sends, is left out. */
 function toLimitRecord(
-  { target, perS, ageMs }: LimitMessage,
+  { address, perS, ageMs }: LimitMessage,
 ): readonly LimitRecord[] {
   return perS === undefined || (Number.isFinite(perS) && perS >= 0)
-    ? [{ target, perS, at: performance.now() - ageMs }]
+    ? [{ address, perS, at: performance.now() - ageMs }]
     : [];
 }
 
--- a/src/process/direct/target_limits.ts
+++ b/src/process/direct/target_limits.ts
@@ -67,7 +67,7 @@
 
 /** A limit, for operators. */
 export interface TargetLimit {
-  readonly target: string;
+  readonly address: string;
   readonly perS: number;
   /** Requests a second that this router may send. */
   readonly ownPerS: number;
@@ -79,7 +79,7 @@
 export interface TargetLimits {
   /** Applies what a response says of the target's limit. */
   record(
-    target: string,
+    address: string,
     limit: NamedLimit,
     options: Parameters<LimitRecords["record"]>[2],
   ): void;
@@ -97,7 +97,7 @@
   /** Returns true when there are targets and each has a limit. */
   areAllLimited(targets: readonly DirectTarget[]): boolean;
   /** Takes a permit for one request; undefined when there is none now. */
-  tryTake(target: string): SendPermit | undefined;
+  tryTake(address: string): SendPermit | undefined;
   /**
    * Returns the time after which a refused caller should come back, in
    * milliseconds, and keeps it for this caller.
@@ -105,7 +105,7 @@
   reserveReturn(service: string, targets: readonly DirectTarget[]): number;
   getAll(): readonly TargetLimit[];
   /** Drops what is known of targets that are gone. */
-  retain(isKnown: (target: string) => boolean): void;
+  retain(isKnown: (address: string) => boolean): void;
   readonly reports: LimitReports;
 }
 
@@ -133,7 +133,7 @@
 export function createTargetLimits(host: TargetLimitsHost): TargetLimits {
   const records = createLimitRecords(host);
   const reports = createLimitReports(records);
-  const slotsByTarget = new Map<string, TargetSlots>();
+  const slotsByAddress = new Map<string, TargetSlots>();
   /** When the latest refused caller of a service comes back, by service. */
   const returnTimes = new Map<string, number>();
   // Steps of the wall clock would skip or repeat slots.
@@ -160,34 +160,34 @@
   }
 
   function record(
-    target: string,
+    address: string,
     limit: NamedLimit,
     options: Parameters<LimitRecords["record"]>[2],
   ): void {
-    const previousPerS = records.tryGetPerS(target);
-    const recorded = records.record(target, limit, options);
+    const previousPerS = records.tryGetPerS(address);
+    const recorded = records.record(address, limit, options);
     if (recorded !== undefined) reports.offer(recorded, previousPerS);
   }
 
   function merge(peerRecord: LimitRecord): void {
-    if (records.merge(peerRecord)) reports.recordReceived(peerRecord.target);
+    if (records.merge(peerRecord)) reports.recordReceived(peerRecord.address);
   }
 
   function getUsable(
     targets: readonly DirectTarget[],
   ): readonly DirectTarget[] {
     if (records.isEmpty()) return targets;
-    return targets.filter(({ id }) => {
-      const perS = records.tryGetPerS(id);
-      return perS === undefined || tryGetSlot(id, perS) !== undefined;
+    return targets.filter(({ address }) => {
+      const perS = records.tryGetPerS(address);
+      return perS === undefined || tryGetSlot(address, perS) !== undefined;
     });
   }
 
   function tryGetSlotState(
-    { id }: DirectTarget,
+    { address }: DirectTarget,
   ): "fresh" | "late" | undefined {
-    const perS = records.tryGetPerS(id);
-    const slotAt = perS === undefined ? undefined : tryGetSlot(id, perS);
+    const perS = records.tryGetPerS(address);
+    const slotAt = perS === undefined ? undefined : tryGetSlot(address, perS);
     if (slotAt === undefined) return undefined;
     return getTime() - slotAt < slotTtlMs * freshSlotShare ? "fresh" : "late";
   }
@@ -196,12 +196,12 @@
     return targets.length > 0 && targets.every(isLimited);
   }
 
-  function isLimited({ id }: DirectTarget): boolean {
-    return records.tryGetPerS(id) !== undefined;
+  function isLimited({ address }: DirectTarget): boolean {
+    return records.tryGetPerS(address) !== undefined;
   }
 
-  function getSequence(target: string, perS: number): SlotSequence {
-    const slots = getSlots(target);
+  function getSequence(address: string, perS: number): SlotSequence {
+    const slots = getSlots(address);
     const { scheduledPerS, offset } = slots;
     if (perS < scheduledPerS || perS > scheduledPerS * (1 + ignoredRise)) {
       slots.scheduledPerS = perS;
@@ -210,33 +210,33 @@
     return createSlotSequence(ratePerS, host.getPlace(), { offset });
   }
 
-  function getSlots(target: string): TargetSlots {
-    const known = slotsByTarget.get(target);
+  function getSlots(address: string): TargetSlots {
+    const known = slotsByAddress.get(address);
     if (known !== undefined) return known;
     const created: TargetSlots = {
-      offset: host.hash(target),
+      offset: host.hash(address),
       scheduledPerS: 0,
       takenUntil: Number.NEGATIVE_INFINITY,
       returned: [],
     };
-    slotsByTarget.set(target, created);
+    slotsByAddress.set(address, created);
     return created;
   }
 
   /** Returns a slot that can be used now. */
-  function tryGetSlot(target: string, perS: number): number | undefined {
+  function tryGetSlot(address: string, perS: number): number | undefined {
     const now = getTime();
-    const returned = getSlots(target).returned
+    const returned = getSlots(address).returned
       .find((slotAt) => slotAt >= now - slotTtlMs);
     if (returned !== undefined) return returned;
-    const slotAt = getNextSlot(target, perS);
+    const slotAt = getNextSlot(address, perS);
     return slotAt <= now ? slotAt : undefined;
   }
 
   /** Returns the first slot that is neither taken nor lost. */
-  function getNextSlot(target: string, perS: number): number {
-    const sequence = getSequence(target, perS);
-    const { takenUntil } = getSlots(target);
+  function getNextSlot(address: string, perS: number): number {
+    const sequence = getSequence(address, perS);
+    const { takenUntil } = getSlots(address);
     const { periodShare, maxMs } = minSlotDistance;
     const minDistanceMs = Math.min(sequence.periodMs * periodShare, maxMs);
     return getFirstSlot(
@@ -245,10 +245,10 @@
     );
   }
 
-  function tryTakeSlot(target: string, perS: number): number | undefined {
-    const slotAt = tryGetSlot(target, perS);
+  function tryTakeSlot(address: string, perS: number): number | undefined {
+    const slotAt = tryGetSlot(address, perS);
     if (slotAt === undefined) return undefined;
-    const slots = getSlots(target);
+    const slots = getSlots(address);
     const now = getTime();
     slots.returned = slots.returned.filter((at) =>
       at !== slotAt && at >= now - slotTtlMs
@@ -257,18 +257,18 @@
     return slotAt;
   }
 
-  function tryTake(target: string): SendPermit | undefined {
-    const perS = records.tryGetPerS(target);
-    let slotAt = perS === undefined ? undefined : tryTakeSlot(target, perS);
+  function tryTake(address: string): SendPermit | undefined {
+    const perS = records.tryGetPerS(address);
+    let slotAt = perS === undefined ? undefined : tryTakeSlot(address, perS);
     if (perS !== undefined && slotAt === undefined) return undefined;
     return { tryUse, release };
 
     /** The limit may have begun or ended while the request was waiting. */
     function tryUse(): boolean {
-      const currentPerS = records.tryGetPerS(target);
+      const currentPerS = records.tryGetPerS(address);
       if (currentPerS === undefined) return true;
       if (slotAt === undefined || slotAt < getTime() - slotTtlMs) {
-        slotAt = tryTakeSlot(target, currentPerS);
+        slotAt = tryTakeSlot(address, currentPerS);
       }
       const isUsable = slotAt !== undefined;
       slotAt = undefined;
@@ -277,7 +277,7 @@
 
     function release(): void {
       if (slotAt === undefined) return;
-      const slots = getSlots(target);
+      const slots = getSlots(address);
       slots.returned = [...slots.returned, slotAt];
       slotAt = undefined;
     }
@@ -288,40 +288,43 @@
     targets: readonly DirectTarget[],
   ): number {
     const now = getTime();
-    const nextSlots = targets.map(({ id }) =>
-      getNextSlot(id, records.tryGetPerS(id) ?? 0)
+    const nextSlots = targets.map(({ address }) =>
+      getNextSlot(address, records.tryGetPerS(address) ?? 0)
     );
     const earliest = Math.max(
       Math.min(...nextSlots, now + maxReturnDelayMs),
       returnTimes.get(service) ?? now,
     );
-    const ownPerS = targets.reduce((sum, { id }) => sum + getOwnPerS(id), 0);
+    const ownPerS = targets.reduce(
+      (sum, { address }) => sum + getOwnPerS(address),
+      0,
+    );
     const returnAt = Math.min(earliest, now + maxReturnDelayMs);
     returnTimes.set(service, returnAt + msPerSecond / ownPerS);
     return returnAt - now;
   }
 
-  function getOwnPerS(target: string): number {
-    const perS = Math.max(minPerS, records.tryGetPerS(target) ?? 0);
+  function getOwnPerS(address: string): number {
+    const perS = Math.max(minPerS, records.tryGetPerS(address) ?? 0);
     return perS / host.getPlace().count;
   }
 
   function getAll(): readonly TargetLimit[] {
-    return records.getAll().flatMap(({ target, perS, at }) =>
+    return records.getAll().flatMap(({ address, perS, at }) =>
       perS === undefined ? [] : [{
-        target,
+        address,
         perS,
-        ownPerS: getOwnPerS(target),
+        ownPerS: getOwnPerS(address),
         ageMs: Math.round(performance.now() - at),
       }]
     );
   }
 
-  function retain(isKnown: (target: string) => boolean): void {
+  function retain(isKnown: (address: string) => boolean): void {
     records.retain(isKnown);
     reports.retain(isKnown);
-    for (const target of slotsByTarget.keys()) {
-      if (!isKnown(target)) slotsByTarget.delete(target);
+    for (const address of slotsByAddress.keys()) {
+      if (!isKnown(address)) slotsByAddress.delete(address);
     }
   }
 }
--- a/src/process/direct/target_limits_test.ts
+++ b/src/process/direct/target_limits_test.ts
@@ -8,7 +8,7 @@
 } from "../../../test/support/limited_fleet.ts";
 import type { TargetLimits } from "./target_limits.ts";
 
-const target = createTarget("a");
+const target = createTarget("a", { address: "a" });
 
 /** Names a limit as a response of the target does. */
 function nameLimit(limits: TargetLimits, perS: number, id = "a"): void {
@@ -191,7 +191,7 @@
   describe("and refuses callers", () => {
     it("tells each of them a later time with room", () => {
       const limits = createTestLimits({ count: 5 });
-      const other = createTarget("b");
+      const other = createTarget("b", { address: "b" });
       nameLimit(limits, 4);
       nameLimit(limits, 6, "b");
       jest.advanceTimersByTime(1_200);
@@ -241,7 +241,7 @@
 
   it("is not told on by routers that hear it from a peer", () => {
     const limits = createTestLimits();
-    limits.merge({ target: "a", perS: 4, at: performance.now() });
+    limits.merge({ address: "a", perS: 4, at: performance.now() });
     expect(limits.reports.hasChanges()).toBe(false);
     jest.advanceTimersByTime(1_000);
     nameLimit(limits, 4);
--- a/src/process/direct/target_notices.ts
+++ b/src/process/direct/target_notices.ts
@@ -43,7 +43,7 @@
     { sentAt }: { readonly sentAt: number | undefined },
   ): void {
     if (isLeaving) handleLeaving(target);
-    host.limits.record(target.id, limit, { sentAt });
+    host.limits.record(target.address, limit, { sentAt });
     handlePause(target, pause);
   }
 
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -125,7 +125,7 @@
         lastRefusal = "target_full";
         return endUnserved();
       }
-      const permit = host.limits.tryTake(choice.target.id);
+      const permit = host.limits.tryTake(choice.target.address);
       // Another request has taken the last permit since the choice.
       if (permit === undefined) continue;
       const result = await runAttempt(choice, permit);
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -188,7 +188,9 @@
     function createLimits(ids: readonly string[], perS: number): TargetLimits {
       const limits = createTestLimits({ count: 5 });
       ids.forEach((id) =>
-        limits.record(id, { kind: "named", perS }, { sentAt: undefined })
+        limits.record(`10.0.0.1:${id}`, { kind: "named", perS }, {
+          sentAt: undefined,
+        })
       );
       jest.advanceTimersByTime(1);
       return limits;
@@ -224,7 +226,7 @@
       const limits = createTestLimits({ count: 5 });
       const result = await run(safe, [
         ({ target }) => {
-          limits.record(target.id, { kind: "named", perS: 1 }, {
+          limits.record(target.address, { kind: "named", perS: 1 }, {
             sentAt: undefined,
           });
           return { kind: "withheld", hold: "limited" };
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -145,6 +145,8 @@
     placementHost.hash(textEncoder.encode(text), 0);
   const limits = createTargetLimits({
     ...{ log, metrics, hash },
+    tryGetTargetId: (address) =>
+      targets.getAll().find((target) => target.address === address)?.id,
     getPlace: () => directory.getRouterPlace(),
   });
   const notices = createTargetNotices({
@@ -160,8 +162,8 @@
       if (!targets.mayReceive(target)) return "leaving";
       return pauses.isPaused(target) ? "paused" : undefined;
     },
-    tryGetOwnRequestHold: ({ id }) =>
-      limits.tryTake(id)?.tryUse() === true ? undefined : "limited",
+    tryGetOwnRequestHold: ({ address }) =>
+      limits.tryTake(address)?.tryUse() === true ? undefined : "limited",
     getMaxConnections: (service) => {
       const limit = matcher?.table.services.get(service)?.maxConnections ?? 1;
       return Math.max(1, Math.floor(limit / directory.getPeakRouterCount()));
@@ -198,8 +200,9 @@
       }
     },
     handleTargetsChanged: () => {
-      calls.retain(targets.getAddresses());
-      limits.retain((id) => targets.tryGet(id) !== undefined);
+      const addresses = targets.getAddresses();
+      calls.retain(addresses);
+      limits.retain((address) => addresses.has(address));
       serviceVersions.record();
     },
   });
--- a/src/types/direct_calls.ts
+++ b/src/types/direct_calls.ts
@@ -65,7 +65,7 @@
 /**
  * The rate of requests that a target takes from all routers together.
  *
- * - `untold`: the response is none of this target, or may belong to the past.
+ * - `untold`: the response says nothing of the limit.
  * - `none`: the target limits nothing.
  * - `named`: the target takes that many requests a second.
  * - `unreadable`: the response names a rate in a form that is not supported.
--- a/test/soak/judge_limits.ts
+++ b/test/soak/judge_limits.ts
@@ -1,6 +1,6 @@
 /** LIMIT: a target gets more than it takes from routers that it has told. */
 
-import type { JudgeContext, Violation } from "./judge_context.ts";
+import { groupBy, type JudgeContext, type Violation } from "./judge_context.ts";
 import { type Arrival, bounds, type LimitSpan } from "./observations.ts";
 
 /** Judges the arrivals at targets while they name a limit. */
@@ -15,18 +15,19 @@
   const { life, perS } = span;
   const { limitRatio, limitSlack, limitWindowMs } = bounds;
   const allowed = limitRatio * perS * limitWindowMs / 1_000 + limitSlack;
-  const counted = context.arrivals
-    .filter((arrival) =>
-      arrival.life === life && counts(context, arrival, span)
-    )
-    .map(({ at }) => at);
-  const busiest = findBusiest(counted);
+  const counted = context.arrivals.filter((arrival) =>
+    arrival.life === life && counts(context, arrival, span)
+  );
+  const busiest = findBusiest(counted.map(({ at }) => at));
   if (busiest.count <= allowed) return [];
+  const kinds = [...groupBy(counted, ({ kind, router }) => `${kind} ${router}`)]
+    .map(([kind, arrivals]) => `${kind} ${arrivals.length}`);
   return [{
     rule: "LIMIT",
     text:
       `${life} took ${perS} a second and got ${busiest.count} requests in ` +
-      `4 s up to ${context.formatTime(busiest.endsAt)}; allowed ${allowed}`,
+      `4 s up to ${context.formatTime(busiest.endsAt)}; allowed ${allowed}; ` +
+      `in all ${kinds.join(", ")}`,
   }];
 }
 
--- a/test/soak/plants.ts
+++ b/test/soak/plants.ts
@@ -56,8 +56,8 @@
   /** Limits of targets are not read. */
   limit_ignored: [[
     codecFile,
-    "limit: decodeLimit(headers.get(headerNames.rateLimit)),",
-    'limit: { kind: "none" },',
+    "  const limit = decodeLimit(headers.get(headerNames.rateLimit));\n",
+    '  const limit = { kind: "none" } as const;\n',
   ]],
   /** Each router takes the whole rate of a target. */
   limit_of_each_router: [[
--- a/test/support/direct.ts
+++ b/test/support/direct.ts
@@ -126,6 +126,7 @@
     metrics: createMetrics(),
     getPlace: () => ({ index, count }),
     hash: (text) => text.length,
+    tryGetTargetId: () => undefined,
   });
 }
 
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -159,6 +159,7 @@
     targets.put(
       createTarget(id, {
         startedAtMs,
+        address: `10.0.0.1:${id}`,
         softwareVersion: options.versions?.[id] ?? "v1",
       }),
     )
--- a/test/support/limited_fleet.ts
+++ b/test/support/limited_fleet.ts
@@ -99,6 +99,7 @@
       metrics: createMetrics(),
       getPlace: roster.getPlace,
       hash: (text) => text.length,
+      tryGetTargetId: () => target.id,
     });
     const router = { id, limits, roster };
     routers.set(id, router);
@@ -106,7 +107,9 @@
   }
 
   function nameLimit({ limits }: LimitedRouter): void {
-    limits.record(target.id, { kind: "named", perS }, { sentAt: undefined });
+    limits.record(target.address, { kind: "named", perS }, {
+      sentAt: undefined,
+    });
   }
 
   function exchangeDigests(): void {
@@ -123,7 +126,7 @@
       advance(stepMs);
       for (const { limits } of routers.values()) {
         if (limits.getUsable([target]).length === 0) continue;
-        if (limits.tryTake(target.id)?.tryUse() === true) {
+        if (limits.tryTake(target.address)?.tryUse() === true) {
           arrivals.push(performance.now());
         }
       }
