Let the soak's callers take streams up over two software versions

Change: targets run two versions and may change it with a new id; a quarter of the callers of resumable streams leave after two events, and callers take broken streams up at any router, up to three times. ORDER is judged over all requests of a stream, LOST by the shares of streams that go on and that begin. Two slips of the soak itself were mended on the way: callers that leave were taken for cut off, and what they had not read for a short stream.

--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -26,10 +26,13 @@
 /** Longest time of a caller between two requests, in milliseconds. */
 const maxThinkMs = 160;
 
+/** Most requests with which a caller takes one stream up. */
+const maxTakes = 3;
+
 /** Chances of what a caller does, such as leaving a router that answers. */
 const chances = {
   ...{ lastingRoute: 0.7, lastingKey: 0.9, longWork: 0.15, move: 0.02 },
-  ...{ stoppingRouter: 0.2, resumption: 0.2 },
+  ...{ stoppingRouter: 0.2, leaveStream: 0.25, takeUp: 0.9 },
 } as const;
 
 /** What callers need from the soak. */
@@ -72,10 +75,38 @@
       host.requests.push(request);
       const path = createPath(request);
       request.result = await send(request, { router, agent, path });
+      await takeUpStream(request, path);
       isOpen = request.result.status !== undefined && !isChance("move");
     }
   }
 
+  /** Takes a stream up at any router until it is whole or can't go on. */
+  async function takeUpStream(
+    begun: CallerRequest,
+    path: string,
+  ): Promise<void> {
+    let { lastEventId } = begun;
+    let request = begun;
+    for (let takes = 0; takes < maxTakes; takes++) {
+      const { body = "", isComplete = true } = request.result ?? {};
+      lastEventId = getLastEvent(body) ?? lastEventId;
+      const isBroken = begun.kind === "resumable" && lastEventId > 0 &&
+        !isComplete;
+      if (!isBroken || isStopped || !isChance("takeUp")) return;
+      const router = chooseRouter();
+      request = {
+        ...begun,
+        ...{ id: `${host.run}-${host.requests.length}`, router: router.id },
+        ...{ resumes: begun.id, lastEventId, leavesAfter: undefined },
+        ...{ sentAt: performance.now(), result: undefined },
+      };
+      host.requests.push(request);
+      const agent = new Agent();
+      request.result = await send(request, { router, agent, path });
+      agent.destroy();
+    }
+  }
+
   function chooseRouter(): RouterProcess {
     const running = host.routers.filter((router) =>
       router.isRunning() && (!router.isStopping() || isChance("stoppingRouter"))
@@ -85,7 +116,7 @@
 
   function createRequest(router: string): CallerRequest {
     const { kind, prefix } = chooseRoute();
-    const isResumption = kind === "resumable" && isChance("resumption");
+    const isLeaving = kind === "resumable" && isChance("leaveStream");
     return {
       ...{ id: `${host.run}-${host.requests.length}`, router, kind, prefix },
       key: isChance("lastingKey") ? lastingKey : choose(changingKeys),
@@ -93,7 +124,8 @@
         ? ["shared", prefix, `${host.requests.length}`]
         : [],
       cause: undefined,
-      lastEventId: isResumption ? 2 : 0,
+      ...{ lastEventId: 0, resumes: undefined },
+      leavesAfter: isLeaving ? 2 : undefined,
       deadlineMs: 1_500 + Math.floor(host.random() * 1_500),
       sentAt: performance.now(),
       result: undefined,
@@ -125,6 +157,13 @@
   }
 }
 
+/** Returns the number of the last whole event; undefined without one. */
+function getLastEvent(body: string): number | undefined {
+  const ids = [...body.matchAll(/id: (\d+)\ndata: [^\n]*\n\n/g)];
+  const last = ids.at(-1)?.[1];
+  return last === undefined ? undefined : Number(last);
+}
+
 /** Sends a request and waits for the end of its response. */
 export function send(
   request: CallerRequest,
@@ -134,11 +173,12 @@
     readonly path: string;
   },
 ): Promise<CallerResult> {
-  const { id, key, deadlineMs, kind, lastEventId, parts } = request;
+  const { id, key, deadlineMs, kind, lastEventId, parts, resumes } = request;
   return new Promise((resolve) => {
     let head: IncomingMessage | undefined;
     let headAt: number | undefined;
     let gaveUp = false;
+    let hasLeft = false;
     let isMalformed = false;
     const chunks: Buffer[] = [];
     const isPost = kind === "unsafe";
@@ -150,6 +190,7 @@
         ...{ "x-deadline-ms": deadlineMs, "x-via": router.id },
         ...(parts.length > 0 ? createPromptHeaders(parts) : {}),
         ...(lastEventId > 0 ? { "last-event-id": lastEventId } : {}),
+        ...(resumes === undefined ? {} : { resumes }),
       },
     });
     const timer = setTimeout(() => {
@@ -159,7 +200,13 @@
     message.on("response", (response) => {
       head = response;
       headAt = performance.now();
-      response.on("data", (chunk: Buffer) => chunks.push(chunk));
+      response.on("data", (chunk: Buffer) => {
+        chunks.push(chunk);
+        const events = getLastEvent(Buffer.concat(chunks).toString()) ?? 0;
+        if (events < (request.leavesAfter ?? Infinity)) return;
+        hasLeft = true;
+        message.destroy();
+      });
       response.on("error", recordError);
       response.on("close", finish);
     });
@@ -179,7 +226,8 @@
       resolve({
         ...{ status: head?.statusCode, headAt, gaveUp, isMalformed },
         body: Buffer.concat(chunks).toString(),
-        isComplete: head?.complete === true,
+        // What arrives after the caller has left is dropped.
+        isComplete: head?.complete === true && !hasLeft,
         signature: headers["x-server-stamp"]?.toString(),
         isLeaving: headers["server-leaving"] === "1",
         responseId: headers["x-request-id"]?.toString(),
--- a/test/soak/crashing_callers.ts
+++ b/test/soak/crashing_callers.ts
@@ -52,6 +52,7 @@
     return {
       ...{ id, router, kind: kinds[cause], prefix, key: lastingKey, cause },
       parts: cause === "part" ? ["shared", prefix, crashingPart, id] : [],
+      ...{ resumes: undefined, leavesAfter: undefined },
       ...{ lastEventId: 0, deadlineMs: 2_000, sentAt: performance.now() },
       result: undefined,
     };
--- a/test/soak/judge.ts
+++ b/test/soak/judge.ts
@@ -7,6 +7,7 @@
 import { createJudgeContext, type Violation } from "./judge_context.ts";
 import { judgeDrain } from "./judge_drain.ts";
 import { judgeLimits } from "./judge_limits.ts";
+import { judgeVersions } from "./judge_versions.ts";
 import type { Observations } from "./observations.ts";
 
 /** Returns all broken rules. */
@@ -14,6 +15,6 @@
   const context = createJudgeContext(observations);
   return [
     ...[judgeAnswers, judgeBudget, judgeDrain, judgeConfiguration],
-    ...[judgeCrashes, judgeLimits],
+    ...[judgeCrashes, judgeLimits, judgeVersions],
   ].flatMap((judgePart) => judgePart(context));
 }
--- a/test/soak/judge_answers.ts
+++ b/test/soak/judge_answers.ts
@@ -146,6 +146,8 @@
   { request, result: { isComplete, gaveUp, endedAt }, runs }: Case,
 ): string | undefined {
   if (isComplete || gaveUp || runs.length === 0) return undefined;
+  // The caller closed the connection itself.
+  if (request.leavesAfter !== undefined) return undefined;
   if (runs.some(({ brokeOff }) => brokeOff)) return undefined;
   const limitMs = Math.min(request.deadlineMs, routeTimeoutMs);
   if (endedAt - request.sentAt >= limitMs - deadlineSlackMs) return undefined;
--- a/test/soak/judge_test.ts
+++ b/test/soak/judge_test.ts
@@ -23,6 +23,7 @@
   return {
     ...{ id, router: "r0", kind, prefix: "/a/", key: "key", sentAt },
     ...{ lastEventId: 0, deadlineMs: 3_000, parts: [], cause: undefined },
+    ...{ resumes: undefined, leavesAfter: undefined },
     result: {
       ...{ status: 200, body: "whole", isComplete: true, gaveUp: false },
       ...{ isMalformed: false, signature: life, isLeaving: false },
@@ -70,7 +71,7 @@
     versions: [createVersion(1, { at: 0, service: "a" })],
     routers: createRouters("start", 0),
     ...{ startedAt: 0, pauses: [], entries: [], storeSpans: [] },
-    ...{ limits: [], limitNotices: [] },
+    ...{ limits: [], limitNotices: [], lives: [] },
     ...seen,
   });
   return violations.map(({ rule }) => rule);
@@ -121,6 +122,52 @@
     expect(findRules({ requests: [createRequest("unsafe")] })).toEqual([]);
   });
 
+  describe("of streams that callers take up", () => {
+    const lives = ["v1", "v1.1", "v1"].map((version, index) => ({
+      ...{ life: `t${index}#1`, service: "a", version },
+      ...{ from: 0, to: Infinity },
+    }));
+
+    /** Creates a stream of which each request got events of one process. */
+    function createStream(...eventLives: readonly string[]) {
+      return eventLives.map((eventLife, index) => ({
+        ...createRequest("resumable", {
+          body: `id: ${index + 1}\ndata: q${index} ${eventLife} ${
+            index + 1
+          }/9\n\n`,
+          isComplete: false,
+        }, { id: `q${index}` }),
+        ...(index > 0 ? { resumes: "q0", lastEventId: index } : {}),
+      }));
+    }
+
+    function findVersionRules(requests: readonly CallerRequest[]) {
+      return findRules({ requests, lives, arrivals: [] });
+    }
+
+    it("finds events of two versions", () => {
+      expect(findVersionRules(createStream("t0#1", "t1#1"))).toEqual(["ORDER"]);
+      expect(findVersionRules(createStream("t0#1", "t2#1"))).toEqual([]);
+    });
+
+    it("finds that too few go on", () => {
+      const begun = Array.from({ length: 12 }, () => createStream("t0#1"));
+      const takenUp = Array.from({ length: 12 }, () => ({
+        ...createRequest("resumable", { status: 502, signature: undefined }, {
+          id: "again",
+        }),
+        resumes: "q0",
+      }));
+      expect(findVersionRules([...begun.flat(), ...takenUp])).toEqual(["LOST"]);
+      const goingOn = Array.from(
+        { length: 12 },
+        () => createStream("t0#1", "t2#1")[1] as CallerRequest,
+      );
+      expect(findVersionRules([...begun.flat(), ...takenUp, ...goingOn]))
+        .toEqual([]);
+    });
+  });
+
   describe("of what callers got", () => {
     it.each([408, 421, 429, 503])("finds work refused with %d", (status) => {
       const find = (kind: SoakRouteKind) =>
--- a/test/soak/observations.ts
+++ b/test/soak/observations.ts
@@ -56,6 +56,14 @@
   readonly perS: number;
 }
 
+/** One process of a target, while it serves. */
+export interface TargetLife extends Span {
+  readonly life: string;
+  readonly service: string;
+  /** Version of its software. */
+  readonly version: string;
+}
+
 /** When a response with a limit had reached a router. */
 export interface LimitNotice {
   readonly router: string;
@@ -92,6 +100,10 @@
   /** Why targets crash at it, if they do. */
   readonly cause: CrashCause | undefined;
   readonly lastEventId: number;
+  /** Id of the request that began the stream that this one takes up. */
+  readonly resumes: string | undefined;
+  /** Number of events after which the caller leaves; undefined if it stays. */
+  readonly leavesAfter: number | undefined;
   readonly deadlineMs: number;
   readonly sentAt: number;
   result: CallerResult | undefined;
@@ -129,6 +141,7 @@
   readonly requests: readonly CallerRequest[];
   readonly arrivals: readonly Arrival[];
   readonly pauses: readonly AskedPauseNotice[];
+  readonly lives: readonly TargetLife[];
   readonly limits: readonly LimitSpan[];
   readonly limitNotices: readonly LimitNotice[];
   readonly versions: readonly VersionRecord[];
--- a/test/soak/plants.ts
+++ b/test/soak/plants.ts
@@ -65,6 +65,22 @@
     "periodMs: slotMs * count",
     "periodMs: slotMs",
   ]],
+  /** A stream goes on at any version, inside one answer and when taken up. */
+  versions_ignored: [[
+    "src/request/direct_stream_version.ts",
+    "    return version === undefined ||\n",
+    "    return true || version === undefined ||\n",
+  ]],
+  /** No router is told of a stream, or answers what it knows. */
+  streams_untold: [[
+    "src/process/direct/stream_origins.ts",
+    "    getKeepers(key).forEach((peer) => host.send(peer, message));\n",
+    "    void message;\n",
+  ], [
+    "src/process/direct/stream_origins.ts",
+    "version: records.tryGet(key) ?? unknownVersion",
+    "version: unknownVersion",
+  ]],
   /** No crash is put down to a request that was in flight. */
   crashes_ignored: [[
     "src/process/direct/crash_keys.ts",
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -17,6 +17,7 @@
   LimitNotice,
   LimitSpan,
   Observations,
+  TargetLife,
 } from "./observations.ts";
 import { createOperator } from "./operator.ts";
 import { createRouterProcess } from "./router_process.ts";
@@ -80,6 +81,7 @@
   const pauses: AskedPauseNotice[] = [];
   const limits: LimitSpan[] = [];
   const limitNotices: LimitNotice[] = [];
+  const lives: TargetLife[] = [];
   const requests: CallerRequest[] = [];
   const serviceCount = Math.ceil(options.targets / targetsPerService);
   const services = range(Math.max(2, serviceCount))
@@ -87,7 +89,7 @@
   const targets = range(options.targets).map((index) =>
     createSoakTarget(
       {
-        ...{ store, clock, arrivals, pauses, limits, limitNotices },
+        ...{ store, clock, arrivals, pauses, limits, limitNotices, lives },
         random: createRandom(100 + index),
       },
       {
@@ -120,7 +122,7 @@
     const longestBusyMs = Math.round(clock.getLongestBusyMs());
     return finish({
       ...{ startedAt, requests, arrivals, pauses, limits, limitNotices },
-      routers,
+      ...{ lives, routers },
       ...{ versions: operator.versions, entries: store.entries },
       storeSpans: store.spans,
     }, longestBusyMs);
--- a/test/soak/soak_target.ts
+++ b/test/soak/soak_target.ts
@@ -15,6 +15,7 @@
   CrashCause,
   LimitNotice,
   LimitSpan,
+  TargetLife,
 } from "./observations.ts";
 import type { SoakStore } from "./soak_store.ts";
 import { type AnswerName, answers, createEvents } from "./target_answers.ts";
@@ -28,6 +29,12 @@
 /** Time for which a target is down that crashes at a request, in ms. */
 const crashDownMs = 1_200;
 
+/** Versions of the software of targets, of which pairs have the same. */
+const versions = ["v1", "v1.1"] as const;
+
+/** Chance that a target under a new id runs the other version. */
+const versionChangeChance = 0.3;
+
 /** Port at the target's own address. */
 const port = 7_000;
 
@@ -46,6 +53,7 @@
   readonly arrivals: Arrival[];
   readonly pauses: AskedPauseNotice[];
   readonly limits: LimitSpan[];
+  readonly lives: TargetLife[];
   readonly limitNotices: LimitNotice[];
   random(): number;
 }
@@ -73,6 +81,8 @@
   let isLeaving = false;
   let isBusy = false;
   let limit: LimitSpan | undefined;
+  let version: string = versions[Math.floor(index / 2) % versions.length] ?? "";
+  let currentLife: TargetLife | undefined;
   let server: Server | undefined;
   const heartbeat = setInterval(tryWriteEntry, heartbeatMs);
 
@@ -81,6 +91,10 @@
   async function start(keepsId = true): Promise<void> {
     incarnation++;
     if (!keepsId) id = `t${index}n${incarnation}`;
+    // A replacement may run other software.
+    if (!keepsId && host.random() < versionChangeChance) {
+      version = versions.find((other) => other !== version) ?? version;
+    }
     life = `${id}#${incarnation}`;
     born = Date.now();
     isLeaving = false;
@@ -93,6 +107,9 @@
       started.listen(port, address, resolve);
     });
     state = "ready";
+    const from = performance.now();
+    currentLife = { life, service, version, from, to: Infinity };
+    host.lives.push(currentLife);
     tryWriteEntry();
   }
 
@@ -100,7 +117,7 @@
     if (state !== "ready" && state !== "draining") return true;
     return host.store.tryPutTarget({ targetId: id, life, state }, {
       ...{ Service: service, Address: `${address}:${port}`, Zone: "zone-a" },
-      ...{ Version: "v1", Slots: 64, State: state, ColdLeftMs: 0 },
+      ...{ Version: version, Slots: 64, State: state, ColdLeftMs: 0 },
       ...{ Seq: ++sequence, born },
     });
   }
@@ -190,6 +207,7 @@
   }
 
   async function stopServer(): Promise<void> {
+    if (currentLife !== undefined) currentLife.to = performance.now();
     const stopped = server;
     server = undefined;
     host.arrivals
