Trust no version of a target whose process has crashed

A target may start again under its id with other software, and the router has the entry of the process before until the next is registered. Change: a process of which this router knows that it has crashed has no version for streams that go on, are taken up or begin. Left: a router that had nothing in flight at the crash does not know of it.

--- a/src/process/direct/target_crashes.ts
+++ b/src/process/direct/target_crashes.ts
@@ -32,14 +32,24 @@
    * target that leaves ends as planned and has not.
    */
   check(target: DirectTarget): Promise<boolean>;
+  /**
+   * Returns true when this process has crashed. Another one may be at its address
+   * before its entry tells what that is.
+   */
+  hasCrashed(target: DirectTarget): boolean;
 }
 
 /** Creates the check of a router that has seen no crash. */
 export function createTargetCrashes(host: TargetCrashesHost): TargetCrashes {
   /** Running probes, and the results of those that found a crash, by process. */
   const checks = new Map<string, Promise<boolean>>();
+  /** Processes that have crashed. */
+  const crashedLives = new Set<string>();
 
-  return { check };
+  return {
+    check,
+    hasCrashed: (target) => crashedLives.has(getTargetLife(target)),
+  };
 
   function check(target: DirectTarget): Promise<boolean> {
     const life = getTargetLife(target);
@@ -55,7 +65,8 @@
   async function probe(target: DirectTarget, life: string): Promise<boolean> {
     const result = await host.probe(target.address);
     const hasCrashed = result === "refuses";
-    if (!hasCrashed) checks.delete(life);
+    if (hasCrashed) crashedLives.add(life);
+    else checks.delete(life);
     dropOldest();
     host.metrics.count("dropped_connections_total", { probe: result });
     if (hasCrashed) {
@@ -68,7 +79,9 @@
   function dropOldest(): void {
     if (checks.size <= maxCrashedTargets) return;
     const [oldest] = checks.keys();
-    if (oldest !== undefined) checks.delete(oldest);
+    if (oldest === undefined) return;
+    checks.delete(oldest);
+    crashedLives.delete(oldest);
   }
 }
 
--- a/src/process/direct/target_crashes_test.ts
+++ b/src/process/direct/target_crashes_test.ts
@@ -61,6 +61,16 @@
     expect(await crashes.check(target)).toBe(true);
   });
 
+  it("remembers which process has crashed", async () => {
+    const { crashes } = create(["accepts", "refuses"]);
+    await crashes.check(target);
+    expect(crashes.hasCrashed(target)).toBe(false);
+    await crashes.check(target);
+    expect(crashes.hasCrashed(target)).toBe(true);
+    const restarted = createTarget("a", { startedAtMs: 2 });
+    expect(crashes.hasCrashed(restarted)).toBe(false);
+  });
+
   it("tells the processes of one target apart", async () => {
     const { crashes } = create(["refuses", "accepts"]);
     const restarted = createTarget("a", { startedAtMs: 2 });
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -283,6 +283,23 @@
       expect(result.calls.length).toBe(1);
     });
 
+    it("does not go on at the process after one that has crashed", async () => {
+      const result = await run(resumable, [
+        () => stream(event(1), new Error("crash")),
+      ], { crashed: ["a", "b", "c"] });
+      expect(result.calls.length).toBe(1);
+      const streamOrigins = createTestStreamOrigins();
+      const request = { resumes: "first", lastEventId: "1" };
+      streamOrigins.record(
+        { workspace: "artists", requestId: "first" },
+        createTarget("a"),
+      );
+      const takenUp = await run(resumable, [() => stream(event(2))], {
+        ...{ request, streamOrigins, crashed: ["a", "c"] },
+      });
+      expect(takenUp.targets).toEqual(["b"]);
+    });
+
     it("may begin at another version while the caller has no event", async () => {
       const result = await run(resumable, [lost, () => stream(event(1))], {
         versions: { a: "v1", b: "v1.1", c: "v2" },
--- a/src/request/direct_stream_version.ts
+++ b/src/request/direct_stream_version.ts
@@ -1,5 +1,6 @@
 /** Keeps the stream of one request at the software version that began it. */
 
+import { unknownVersion } from "../process/direct/stream_records.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
 import type { DirectTarget } from "../types/direct_target.ts";
 import { createReport, type DiagnosticCode } from "../types/diagnostics.ts";
@@ -32,7 +33,10 @@
 
 /** Creates the version of a stream that has not begun here. */
 export function createDirectStreamVersion(
-  host: Pick<DirectHost, "streamOrigins" | "serviceVersions" | "targets">,
+  host: Pick<
+    DirectHost,
+    "serviceVersions" | "streamOrigins" | "targetCrashes" | "targets"
+  >,
   request: DirectRequest,
 ): DirectStreamVersion {
   const { route, service, requestId, resumes, lastEventId } = request;
@@ -75,13 +79,22 @@
 
   function mayUse(target: DirectTarget): boolean {
     return version === undefined ||
-      (version !== 0 && host.streamOrigins.getVersion(target) === version);
+      (version !== unknownVersion && getVersion(target) === version);
+  }
+
+  /** The version in the entry of a crashed process may not be that of the next. */
+  function getVersion(target: DirectTarget): number {
+    return host.targetCrashes.hasCrashed(target)
+      ? unknownVersion
+      : host.streamOrigins.getVersion(target);
   }
 
   function recordFirstEvent(target: DirectTarget): void {
     if (version !== undefined) return;
-    version = host.streamOrigins.getVersion(target);
-    if (route.kind === "stream" && route.isResumable) {
+    version = getVersion(target);
+    if (
+      version !== unknownVersion && route.kind === "stream" && route.isResumable
+    ) {
       host.streamOrigins.record({ workspace, requestId }, target);
     }
   }
--- a/test/emulator/fleet.ts
+++ b/test/emulator/fleet.ts
@@ -267,7 +267,10 @@
       report: () => undefined,
     }),
     runTimes: createRunTimes(),
-    targetCrashes: { check: () => Promise.resolve(false) },
+    targetCrashes: {
+      check: () => Promise.resolve(false),
+      hasCrashed: () => false,
+    },
     quarantine: createTestQuarantine(),
     responseMemory: createMemoryBudget(),
     retries: {
--- a/test/platform/whole_answers_test.ts
+++ b/test/platform/whole_answers_test.ts
@@ -372,7 +372,10 @@
         report: () => undefined,
       }),
       runTimes: createRunTimes(),
-      targetCrashes: { check: () => Promise.resolve(false) },
+      targetCrashes: {
+        check: () => Promise.resolve(false),
+        hasCrashed: () => false,
+      },
       quarantine: createTestQuarantine(),
       responseMemory: createMemoryBudget(),
       log: createSilentLog(),
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -141,6 +141,8 @@
     readonly quarantine?: Quarantine;
     /** Start of the targets' processes. */
     readonly startedAtMs?: number;
+    /** Targets whose registered processes have crashed. */
+    readonly crashed?: readonly string[];
     /** True when targets that drop a connection have crashed. */
     readonly hasCrashed?: boolean;
     /** A part that a peer has just sent to an engine for prefill. */
@@ -267,6 +269,7 @@
         }),
       targetCrashes: {
         check: () => Promise.resolve(options.hasCrashed ?? false),
+        hasCrashed: ({ id }) => options.crashed?.includes(id) ?? false,
       },
       quarantine: options.quarantine ?? createTestQuarantine(),
       runTimes,
