--- a/src/cli/explanation.ts
+++ b/src/cli/explanation.ts
@@ -24,7 +24,7 @@
   requestId: string,
 ): readonly string[] {
   const lines = logs.split("\n").flatMap(parseLine);
-  const requestLines = lines.filter(({ request }) => request === requestId);
+  const requestLines = lines.filter(isOfRequest);
   if (requestLines.length === 0) return [];
   const targets = new Set(requestLines.flatMap(getTargets));
   const quarantinedKeys = new Set(
@@ -45,13 +45,18 @@
     ).map(formatLine),
   ]);
 
+  /** Returns true for lines of the request, or of one that takes its stream up. */
+  function isOfRequest({ request, resumes }: Line): boolean {
+    return request === requestId || resumes === requestId;
+  }
+
   /**
    * Returns true for lines of the request, and for lines without a request that
    * concern one of its targets, what it was quarantined for, or the whole router.
    */
   function isRelated(line: Line): boolean {
     const { request, target, quarantined, message } = line;
-    if (request !== undefined) return request === requestId;
+    if (request !== undefined) return isOfRequest(line);
     if (quarantined !== undefined) return quarantinedKeys.has(quarantined);
     return target === undefined
       ? generalMessages.has(message)
--- a/src/cli/explanation_test.ts
+++ b/src/cli/explanation_test.ts
@@ -30,6 +30,10 @@
   createLine(5, "Request ended", { request: "r4", quarantined: "request:1" }),
   createLine(2, "Target limits its requests", { target: "t7", perS: 2 }),
   createLine(5, "Request ended", { request: "r5", limited: "t6 t7" }),
+  createLine(30, "Request ended", { request: "r6", target: "t6" }),
+  createLine(31, "Request ended", {
+    ...{ request: "r7", process: "router-3", target: "t7", resumes: "r6" },
+  }),
 ].join("\n");
 
 describe("explainRequest", () => {
@@ -64,6 +68,15 @@
     ]);
   });
 
+  it("shows the requests that took its stream up", () => {
+    expect(explainRequest(logs, "r6")).toEqual([
+      "router-1:",
+      "  00:00:30.000 Request ended  target=t6",
+      "router-3:",
+      "  00:00:31.000 Request ended  target=t7  resumes=r6",
+    ]);
+  });
+
   it("is empty for a request that the logs do not contain", () => {
     expect(explainRequest(logs, "r3")).toEqual([]);
   });
