Wait for both routers after an outage before patches are tested

The test before them ends an outage; the first of the three waits until router 1 takes its patch, then asks router 2 at once. The first test then fails before it has counted its version, which fails the other two. Change: the three tests are back in their file, in their order, unchanged; after each test both routers must reach the platform within 3 s, which is checked too.

--- a/test/processes/patch_test.ts
+++ b/test/processes/patch_test.ts
@@ -4,12 +4,15 @@
   type TestFleet,
   waitForVersion,
 } from "../harness/fleet.ts";
-import { callHttp } from "../harness/http.ts";
+import { callHttp, readPath } from "../harness/http.ts";
 import { waitFor } from "../harness/wait.ts";
 
 /** Maximum time until an accepted patch is in force, in milliseconds. */
 const maxPatchDelayMs = 6000;
 
+/** Longest time for which a router refuses calls after an outage, in ms. */
+const maxBackOffMs = 3_000;
+
 describe("configuration patches", () => {
   let fleet: TestFleet;
   let first: RunningProcess;
@@ -23,6 +26,7 @@
   afterAll(() => fleet?.stop());
   afterEach(async () => {
     await setFaults({ outage: false, lostAnswers: 0, lostRequests: 0 });
+    await Promise.all([first, second].map(waitUntilPlatformIsReached));
   });
 
   it("are in force on every process within 6 s", async () => {
@@ -69,6 +73,59 @@
     await expectInForceEverywhere();
   });
 
+  it("are accepted once if the platform's response is lost", async () => {
+    await setFaults({ lostAnswers: 1, lostPrefix: "config/patch/" });
+    const versionBefore = version;
+    await waitFor("the patch to be accepted", async () => {
+      const response = await post(first, "lost-answer", versionBefore);
+      version = Number(response.json?.["version"] ?? version);
+      return response.status < 300;
+    });
+    expect(version).toBe(versionBefore + 1);
+    const secondResponse = await post(second, "lost-answer", versionBefore);
+    expect(secondResponse.json).toMatchObject({ version, wasKnown: true });
+    const patchResponse = await callHttp(
+      `${second.adminUrl}/config/patches/lost-answer`,
+    );
+    expect(patchResponse.json).toMatchObject({ version, operator: "test" });
+    await expectInForceEverywhere();
+  });
+
+  it("that conflict are ordered, and the later one is refused", async () => {
+    const responses = await Promise.all([
+      post(first, "race-1", version),
+      post(second, "race-2", version),
+    ]);
+    const statuses = responses.map(({ status }) => status).sort();
+    expect(statuses).toEqual([201, 409]);
+    const conflictResponse = responses.find(({ status }) => status === 409);
+    expect(
+      readPath(conflictResponse?.json, "error.code") ??
+        conflictResponse?.text,
+    ).toContain("patch_conflict");
+    version++;
+    await expectInForceEverywhere();
+  });
+
+  it("with an invalid field are refused and change nothing", async () => {
+    const response = await callHttp(`${first.adminUrl}/config/patches`, {
+      body: {
+        id: "bad",
+        operator: "test",
+        baseVersion: version,
+        operations: [{
+          kind: "put_workspace",
+          name: "team-1",
+          value: { weight: "heavy", requestsPerSecond: 0, services: [] },
+        }],
+      },
+    });
+    expect(response.status).toBe(422);
+    expect(response.text).toContain("weight");
+    const status = await callHttp(`${first.adminUrl}/status`);
+    expect(status.json?.["configurationVersion"]).toBe(version);
+  });
+
   async function submit(router: RunningProcess, id: string): Promise<void> {
     const response = await post(router, id);
     expect(response.status).toBe(201);
@@ -94,6 +151,16 @@
     });
   }
 
+  /** Waits for the end of the back-off that a router has after an outage. */
+  async function waitUntilPlatformIsReached(
+    { adminUrl }: RunningProcess,
+  ): Promise<void> {
+    await waitFor("the router to reach the platform", async () => {
+      const { status } = await callHttp(`${adminUrl}/config/patches/unknown`);
+      return status === 404;
+    }, { timeoutMs: maxBackOffMs });
+  }
+
   /** Expects the newest version with one checksum in all processes. */
   async function expectInForceEverywhere(): Promise<void> {
     const processes = fleet.getProcesses();
