Begin requests that take nothing up without a turn of the queue

Cause: the check of a stream's version was awaited for each request. Change: only a request that takes a stream up waits.

--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -94,7 +94,8 @@
   try {
     host.retries.recordRequest(service);
     host.promptSizes.record(service, request.prompt?.promptTokens);
-    const end = await streamVersion.tryRefuse() ?? await runAttempts();
+    const refusal = streamVersion.tryRefuse();
+    const end = (refusal && await refusal) ?? await runAttempts();
     if (end.outcome === "done") response.finish();
     reply.end(end);
     decision = { ...decision, ...streamVersion.describe() };
@@ -385,9 +386,8 @@
       return createLostEnd(lastFailure, response.getSentBytes());
     }
     const timeLeftMs = getTimeLeftMs();
-    return createUnservedEnd(host, service, {
-      ...{ lastRefusal, lastQueue, timeLeftMs, streamVersion },
-    });
+    const state = { lastRefusal, lastQueue, timeLeftMs, streamVersion };
+    return createUnservedEnd(host, service, state);
   }
 
   function mayUse(candidate: DirectTarget): boolean {
--- a/src/request/direct_stream_version.ts
+++ b/src/request/direct_stream_version.ts
@@ -17,10 +17,10 @@
 /** The version of the stream of one request. */
 export interface DirectStreamVersion {
   /**
-   * Finds out the version of a stream that the request takes up. Returns the end
-   * of the request if the stream can't go on.
+   * Finds out the version of a stream that the request takes up; undefined for
+   * other requests. Resolves to the end of the request if it can't go on.
    */
-  tryRefuse(): Promise<RequestEnd | undefined>;
+  tryRefuse(): Promise<RequestEnd | undefined> | undefined;
   /** Returns true when the stream may go on, or begin, at the target. */
   mayUse(target: DirectTarget): boolean;
   /** Records that the caller gets the first event of a target's run. */
@@ -48,8 +48,12 @@
 
   return { tryRefuse, mayUse, recordFirstEvent, tryGetRefusal, describe };
 
-  async function tryRefuse(): Promise<RequestEnd | undefined> {
-    const code = isTakenUp ? await tryResolve() : undefined;
+  function tryRefuse(): Promise<RequestEnd | undefined> | undefined {
+    return isTakenUp ? resolveOrRefuse() : undefined;
+  }
+
+  async function resolveOrRefuse(): Promise<RequestEnd | undefined> {
+    const code = await tryResolve();
     if (code === undefined) return undefined;
     const isUnanswered = code === "stream_version_unanswered";
     return createEnd(createReport(code, { service }, {
