--- a/src/process/direct/peer_digests_test.ts
+++ b/src/process/direct/peer_digests_test.ts
@@ -3,6 +3,7 @@
 import { createEvidenceReports } from "./evidence_reports.ts";
 import {
   createDigestWriter,
+  encodeStreamMessage,
   maxDigestBytes,
   tryDecodeDigest,
 } from "./peer_digests.ts";
@@ -63,6 +64,40 @@
     });
   });
 
+  describe("of limits of targets", () => {
+    beforeEach(() => void jest.useFakeTimers());
+    afterEach(() => void jest.useRealTimers());
+
+    it("carry rates and ends, with their ages", () => {
+      const writer = createDigestWriter("router-1");
+      jest.advanceTimersByTime(5_000);
+      const at = performance.now() - 400;
+      const limits = [
+        { address: "10.0.0.1:80", perS: 4.25, at },
+        { address: "10.0.0.2:80", perS: 0, at },
+        { address: "10.0.0.3:80", perS: undefined, at },
+      ];
+      const bytes = writer.write({ ...noLoads, limits });
+      jest.advanceTimersByTime(100);
+      const received = tryDecodeDigest(bytes)?.limits;
+      expect(received).toEqual(
+        limits.map((limit) => ({ ...limit, at: at + 100 })),
+      );
+    });
+  });
+
+  it("carry a message about streams alone", () => {
+    const message = {
+      origins: [{ key: 2 ** 52 - 1, version: 0xffff_fffe }],
+      lookups: [1, 2 ** 51],
+    };
+    const digest = tryDecodeDigest(encodeStreamMessage("router-1", message));
+    expect(digest?.sender).toBe("router-1");
+    expect(digest?.streams).toEqual(message);
+    const writer = createDigestWriter("router-1");
+    expect(tryDecodeDigest(writer.write(noLoads))?.streams).toBeUndefined();
+  });
+
   it("carry each crash record twice, beside the parts", () => {
     const writer = createDigestWriter("router-1");
     const record = { fingerprint: "0f", crashes: 2, expiresAtMs: 1_800_000 };
