Send a request to one address only once

The id of a request tells attempts apart only at different processes. Change: an address counts as attempted, not an id. Test: three ids at one address; without the change it is sent three times.

--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -13,7 +13,6 @@
 import type { TargetOutcome } from "../process/direct/target_health.ts";
 import type { DirectResult } from "../types/direct_calls.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
-import type { DirectTarget } from "../types/direct_target.ts";
 import type { DiagnosticCode } from "../types/diagnostics.ts";
 import { promisesNotRun } from "../types/promises.ts";
 import type { Reply, RequestEnd } from "../types/reply.ts";
@@ -80,6 +79,7 @@
   const quarantine = createDirectQuarantine(host, request);
   const prefillWait = createDirectPrefillWait(host, request);
   const streamVersion = createDirectStreamVersion(host, request);
+  /** A process that gets a request twice may answer the first one late. */
   const attempted = new Set<string>();
   let sends = 0;
   /** Number of targets that may have run the request. */
@@ -212,7 +212,7 @@
   /** Records that the request is sent to a target and starts the attempt. */
   function startAttempt(choice: DirectChoice): DirectAttempt {
     const { target: chosen, prefillParts } = choice;
-    attempted.add(chosen.id);
+    attempted.add(chosen.address);
     target = chosen.id;
     decision = {
       ...describeChoice(choice, request),
@@ -390,8 +390,8 @@
     return createUnservedEnd(host, service, state);
   }
 
-  function mayUse(candidate: DirectTarget): boolean {
-    return !attempted.has(candidate.id) && streamVersion.mayUse(candidate);
+  function mayUse(candidate: DirectChoice["target"]): boolean {
+    return !attempted.has(candidate.address) && streamVersion.mayUse(candidate);
   }
 
   function mayHaveRun(): boolean {
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -436,6 +436,18 @@
     });
   });
 
+  describe("to a target that has another id now", () => {
+    const notRun: Behaviour = () => ({ kind: "wrong_target" });
+
+    it("is not sent to its address again", async () => {
+      const result = await run(unsafe, [notRun, notRun, notRun], {
+        addresses: { a: "10.0.0.1:1", b: "10.0.0.1:1", c: "10.0.0.1:1" },
+      });
+      expect(result.calls.length).toBe(1);
+      expect(result).toMatchObject({ code: "wrong_incarnation" });
+    });
+  });
+
   describe("that waits for a connection", () => {
     // It was set aside as silent while it served other requests.
     it("does not count against the target before it is sent", async () => {
--- a/test/platform/whole_answers_test.ts
+++ b/test/platform/whole_answers_test.ts
@@ -342,7 +342,9 @@
   let retriesLeft = testCase.retries;
   const streamOrigins = createTestStreamOrigins();
   const targets = createTargetTable();
-  targetIds.forEach((id) => targets.put(createTarget(id)));
+  targetIds.forEach((id) =>
+    targets.put(createTarget(id, { address: `10.0.0.1:${id}` }))
+  );
   const running = runDirect(
     {
       calls: { send, tryListCachedParts: () => Promise.resolve(undefined) },
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -131,6 +131,8 @@
     readonly streamOrigins?: StreamOrigins;
     /** The version of a service that has had no other one lately. */
     readonly onlyVersion?: number;
+    /** Addresses of the targets; a different one for each by default. */
+    readonly addresses?: Readonly<Record<string, string>>;
     /** Software versions of the targets; "v1" by default. */
     readonly versions?: Readonly<Record<string, string>>;
     /** Limits of targets; none by default. */
@@ -161,7 +163,7 @@
     targets.put(
       createTarget(id, {
         startedAtMs,
-        address: `10.0.0.1:${id}`,
+        address: options.addresses?.[id] ?? `10.0.0.1:${id}`,
         softwareVersion: options.versions?.[id] ?? "v1",
       }),
     )
