Register a router again when its entry is removed while it runs

Change: a router that sees the removal of its own entry writes it again after a random time of at most a second.

--- a/src/process/direct/router_registration.ts
+++ b/src/process/direct/router_registration.ts
@@ -3,7 +3,8 @@
  *
  * Load pattern: after a return of the store from an older copy, all routers learn
  * at the same time that entries may be gone. Only those whose entries are write
- * again, each at a random time.
+ * again, each at a random time. Entries that were removed while their routers run
+ * come back in the same way.
  */
 
 import type { EitherAsync } from "purify-ts";
@@ -33,7 +34,7 @@
 export interface RouterRegistration {
   /** Registers the router at the first call, unless it is registered. */
   registerOnce(): void;
-  /** Registers the router again if the store has lost its entry. */
+  /** Registers the router again, after a random time, if its entry is lost. */
   handleReturn(): void;
   stop(): void;
 }
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -344,6 +344,7 @@
     evidenceStore.apply(changes);
     peakRouterCount.record(routers.size);
     registration.registerOnce();
+    if (changes.some(isOwnRemoval)) registration.handleReturn();
     recoverOnce();
     if (pendingTable !== undefined) host.handleRouteTable(pendingTable);
     pendingTable = undefined;
@@ -356,6 +357,12 @@
     host.handleTargetsChanged();
   }
 
+  function isOwnRemoval({ key, value }: DirectoryChange): boolean {
+    const record = store.resolveKey(key);
+    return value === undefined && record?.kind === "router" &&
+      record.id === self.id;
+  }
+
   /** Starts recovery once the first configuration and targets are known. */
   function recoverOnce(): void {
     if (isRecoveryStarted || directoryTables.getVersion() === 0) return;
