Tell how long reads of the store take, what is pushed, and how old the copy is at a send

Change: each response of the store is counted with its bytes and the time of its body, and logged when it is long; each push is logged with its fragments; the age of the copy is recorded right before the first byte of a request. The pushes have a module of their own. No decision is changed. Result: unit tests of platform, direct and roles pass (936).

--- a/src/connection/bounded_body.ts
+++ b/src/connection/bounded_body.ts
@@ -11,12 +11,17 @@
  */
 export async function readBoundedText(
   body: AsyncIterable<Uint8Array>,
-  { maxBytes }: { readonly maxBytes: number },
+  { maxBytes, onChunk }: {
+    readonly maxBytes: number;
+    /** Called with the size of each piece that has arrived, in bytes. */
+    onChunk?(bytes: number): void;
+  },
 ): Promise<string> {
   const chunks: Uint8Array[] = [];
   let bytes = 0;
   for await (const chunk of body) {
     bytes += chunk.byteLength;
+    onChunk?.(chunk.byteLength);
     if (bytes > maxBytes) throw createLimitError(maxBytes);
     chunks.push(chunk);
   }
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -9,6 +9,7 @@
   DirectoryError,
   DirectoryStore,
   Listing,
+  StoreRead,
 } from "../types/directory.ts";
 import type { Entry, WatchEvent } from "../types/platform.ts";
 import {
@@ -91,6 +92,7 @@
   // of one would be taken for the success of the next write.
   const writePool = new Pool(baseUrl, { ...poolOptions, pipelining: 0 });
   const eraReader = createEraReader();
+  let handleRead: (read: StoreRead) => void = () => undefined;
 
   return {
     list: () =>
@@ -100,6 +102,9 @@
     watch,
     getEra: eraReader.getNewest,
     onEraFault: eraReader.onFault,
+    onRead: (handler) => {
+      handleRead = handler;
+    },
     announce: (router) =>
       change({
         [`${storeKeys.routerPrefix}${router.id}`]: encodeRouter(router),
@@ -154,6 +159,7 @@
     const query = new URLSearchParams({ Prefix: allKeysPrefix });
     if (after !== "") query.set("After", after);
     const page = await call({
+      name: "list",
       path: `${storePaths.range}?${query}`,
       maxBytes: budget.bytes,
     });
@@ -207,6 +213,7 @@
     });
     const eraBefore = eraReader.getNewest();
     const result = call({
+      name: "watch",
       path: `${storePaths.watch}?${query}`,
       waitMs,
     });
@@ -233,6 +240,7 @@
   ): EitherAsync<DirectoryError, void> {
     const entries = Object.entries(values);
     const result = call({
+      name: "write",
       path: storePaths.write,
       body: {
         Precondition: expectedRevision === undefined
@@ -252,7 +260,8 @@
   }
 
   async function call(
-    { path, body, waitMs = 0, maxBytes = maxResponseBytes }: {
+    { name, path, body, waitMs = 0, maxBytes = maxResponseBytes }: {
+      readonly name: StoreRead["call"];
       readonly path: string;
       readonly body?: JsonObject;
       readonly waitMs?: number;
@@ -264,6 +273,9 @@
       headMs: headTimeoutMs + waitMs,
       bodyMs: bodyTimeoutMs,
     });
+    let headAt: number | undefined;
+    let bytes = 0;
+    let isComplete = false;
     try {
       const callPool = body === undefined ? pool : writePool;
       const response = await callPool.request({
@@ -276,13 +288,24 @@
         }),
       });
       timeout.recordHead();
+      headAt = performance.now();
       const era = eraReader.read(response.headers[headerNames.storeEra]);
-      const text = await readBoundedText(response.body, { maxBytes });
+      const text = await readBoundedText(response.body, {
+        maxBytes,
+        onChunk: (length) => {
+          bytes += length;
+        },
+      });
+      isComplete = true;
       return parseResponse(response.statusCode, text, era);
     } catch (cause) {
       return Left(toConnectionError(cause, kind));
     } finally {
       timeout.clear();
+      if (headAt !== undefined) {
+        const bodyMs = performance.now() - headAt;
+        handleRead({ call: name, bytes, bodyMs, isComplete });
+      }
     }
   }
 }
--- a/src/roles/digest_exchange.ts
+++ b/src/roles/digest_exchange.ts
@@ -25,7 +25,7 @@
 } from "../process/direct/peers/peer_digests.ts";
 import type { ListMessage } from "../process/direct/peers/list_fragments.ts";
 import type { PeerPulls } from "../process/direct/peers/peer_pulls.ts";
-import { splitPush } from "../process/direct/peers/push_fragments.ts";
+import { createChangePushes } from "../process/direct/peers/change_pushes.ts";
 import type { StreamMessage } from "../process/direct/streams/stream_origins.ts";
 import type { TargetTable } from "../process/direct/targets/target_table.ts";
 import type { Endpoint } from "../process/membership/exchange.ts";
@@ -36,10 +36,7 @@
 import type { RouterPeer } from "../types/direct_target.ts";
 import type { WatchEvent } from "../types/platform.ts";
 import type { PromptPart } from "../types/prompt.ts";
-import {
-  comparePositions,
-  type StorePosition,
-} from "../types/store_position.ts";
+import type { StorePosition } from "../types/store_position.ts";
 import { createDirectoryDigests } from "./directory_digests.ts";
 import { createPeerContact } from "./peer_contact.ts";
 
@@ -64,12 +61,6 @@
 /** Time for which a leave is reported to a router that starts, in ms. */
 const leaveResponseMs = 10_000;
 
-/**
- * Delay of a push per router of higher rank that reads the store too, in
- * milliseconds. All of them read a change at the same time; one push is enough.
- */
-const pushDelayMs = 25;
-
 /** What the exchange needs from the process. */
 export interface DigestExchangeHost {
   readonly settings: DirectSettings;
@@ -173,6 +164,14 @@
     getPosition: host.getPosition,
     countLostEntries: host.countLostEntries,
   });
+  const pushes = createChangePushes({
+    log: host.log,
+    countWatchersAhead: () => host.watchers.countWatchersAhead(),
+    getPushPosition: directoryDigests.getPushPosition,
+    sendFragment: (fragment) =>
+      sendToAll(digestWriter.writePush(getDigestState(), fragment)),
+    sendDigest,
+  });
   let tickTimer: NodeJS.Timeout | undefined;
   const socket = createGossipSocket({
     receive: (bytes, from) =>
@@ -192,7 +191,7 @@
     start,
     stop,
     sendDigest,
-    pushChanges,
+    pushChanges: pushes.push,
     recordParts,
     reportCrash: digestWriter.queueCrash,
     isPeerSettled: contact.isSettled,
@@ -246,26 +245,6 @@
     );
   }
 
-  function pushChanges(
-    changes: readonly WatchEvent[],
-    { era, revision: afterRevision }: StorePosition,
-  ): void {
-    const revision = Math.max(...changes.map((change) => change.revision));
-    const position = { era, revision };
-    setTimeout(() => {
-      if (comparePositions(directoryDigests.getPushPosition(), position) >= 0) {
-        return;
-      }
-      const fragments = splitPush({ afterRevision, position, changes });
-      const state = getDigestState();
-      fragments.forEach((fragment) =>
-        sendToAll(digestWriter.writePush(state, fragment))
-      );
-      // Peers learn from the revision that they have to read the changes.
-      if (fragments.length === 0) sendDigest();
-    }, host.watchers.countWatchersAhead() * pushDelayMs).unref();
-  }
-
   function sendToAll(bytes: Uint8Array): void {
     [...routers.keys()].filter((id) => id !== settings.id)
       .forEach((id) => send(bytes, id));
--- a/src/roles/direct_holds.ts
+++ b/src/roles/direct_holds.ts
@@ -7,13 +7,15 @@
 
 /** Creates the holds from what is known of the targets. */
 export function createDirectHolds(
-  { targets, pauses, limits }: {
+  { targets, pauses, limits, recordSend }: {
     readonly targets: Pick<
       TargetTable,
       "isAddressEvacuated" | "isEvacuated" | "mayReceive"
     >;
     readonly pauses: Pick<TargetPauses, "isPaused">;
     readonly limits: Pick<TargetLimits, "tryTake">;
+    /** Called when a request may be sent, right before its first byte. */
+    recordSend?(): void;
   },
 ): Required<
   Pick<DirectClientHost, "tryGetHold" | "tryGetOwnRequestHold">
@@ -25,7 +27,9 @@
         (fetchFrom !== undefined && targets.isAddressEvacuated(fetchFrom))
       ) return "evacuated";
       if (!targets.mayReceive(target)) return "leaving";
-      return pauses.isPaused(target) ? "paused" : undefined;
+      if (pauses.isPaused(target)) return "paused";
+      recordSend?.();
+      return undefined;
     },
     tryGetOwnRequestHold: ({ address }) =>
       limits.tryTake(address)?.tryUse() === true ? undefined : "limited",
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -39,7 +39,7 @@
 import { createTargetTable } from "../process/direct/targets/target_table.ts";
 import { createZoneEvacuations } from "../process/direct/targets/zone_evacuations.ts";
 import type { Log } from "../process/telemetry/log.ts";
-import { createMetrics } from "../process/telemetry/metrics.ts";
+import { createMetrics, type Metrics } from "../process/telemetry/metrics.ts";
 import {
   createPlacement,
   loadPlacementHost,
@@ -158,7 +158,10 @@
     measureResponse: (read) => turns.measure("response", read),
     onLimitExceeded: (limit) =>
       metrics.count("responses_over_limit_total", { limit }),
-    ...createDirectHolds({ targets, pauses, limits }),
+    ...createDirectHolds({
+      ...{ targets, pauses, limits },
+      recordSend: () => recordCopyAge(metrics, directory.getCopyAgeMs()),
+    }),
     getMaxConnections: (service) => {
       const limit = matcher?.table.services.get(service)?.maxConnections ?? 1;
       return Math.max(1, Math.floor(limit / directory.getPeakRouterCount()));
@@ -333,3 +336,9 @@
     return stopping;
   }
 }
+
+/** Records how old the copy of the directory was when a request was sent. */
+function recordCopyAge(metrics: Metrics, ageMs: number): void {
+  if (Number.isFinite(ageMs)) metrics.record("copy_age_at_send_ms", ageMs);
+  else metrics.count("sends_while_behind_total");
+}
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -67,7 +67,7 @@
 import { createPullService } from "./pull_service.ts";
 import { createRouterRank } from "./router_rank.ts";
 import { createSavedTargetUse } from "./saved_target_use.ts";
-import { reportEraFaults } from "./store_faults.ts";
+import { reportStoreResponses } from "./store_reports.ts";
 
 /**
  * Time for which a router counts whose entry is gone, in milliseconds: it may
@@ -146,6 +146,8 @@
   readonly prefillTurns: PrefillTurns;
   /** Time since the last response of the store, in milliseconds. */
   getAgeMs(): number;
+  /** As `StoreContact.getCopyAgeMs`. */
+  getCopyAgeMs(): number;
   /** True when the last call to the store failed. */
   isStoreUnavailable(): boolean;
   /**
@@ -276,7 +278,7 @@
       isSettled: listRecovery.isSettled(),
     }),
   });
-  reportEraFaults(host);
+  reportStoreResponses(host);
   let isRecoveryStarted = false;
   let caughtUpPosition = originPosition;
   let pendingTable: RouteTable | undefined;
@@ -293,7 +295,7 @@
     getRouterPlace: roster.getPlace,
     ...{ streamOrigins, versionStore },
     prefillTurns: listRecovery.prefillTurns,
-    getAgeMs: sync.getAgeMs,
+    ...{ getAgeMs: sync.getAgeMs, getCopyAgeMs: sync.getCopyAgeMs },
     isStoreUnavailable: sync.hasFailed,
     waitForCacheRecovery: listRecovery.wait,
     dump,
--- a/src/types/directory.ts
+++ b/src/types/directory.ts
@@ -111,6 +111,16 @@
   readonly removed: readonly string[];
 }
 
+/** A response of the store that was read, or whose reading was given up. */
+export interface StoreRead {
+  readonly call: "list" | "watch" | "write";
+  /** Size of what has arrived of the body, in bytes. */
+  readonly bytes: number;
+  /** Time from the head of the response to the end of the reading, in ms. */
+  readonly bodyMs: number;
+  readonly isComplete: boolean;
+}
+
 /** The store that every router replicates, as a narrow host. */
 export interface DirectoryStore {
   /** Reads all entries. */
@@ -126,6 +136,8 @@
   getEra(): number;
   /** Sets the handler of eras that could not be used as they were. */
   onEraFault(handler: (fault: EraFault) => void): void;
+  /** Sets the handler of responses that have begun, failed ones included. */
+  onRead(handler: (read: StoreRead) => void): void;
   /** Writes this router's addresses; the entry outlives the process. */
   announce(router: RouterPeer): EitherAsync<DirectoryError, void>;
   /** Writes what is known of crashes at a key. */
