--- a/src/roles/directory_digests.ts
+++ b/src/roles/directory_digests.ts
@@ -38,13 +38,16 @@
   countLostEntries(): number;
 }
 
+/** What a digest tells of the directory. */
+type DirectoryDigest = Pick<
+  ReceivedDigest,
+  "lostEntries" | "position" | "pushFragment" | "sender" | "storeContactMs"
+>;
+
 /** The directory as peers tell of it. */
 export interface DirectoryDigests {
   /** Handles a digest that was received from an address. */
-  handle(
-    digest: ReceivedDigest,
-    from: Pick<SocketAddress, "address">,
-  ): void;
+  handle(digest: DirectoryDigest, from: Pick<SocketAddress, "address">): void;
   /** Returns the newest position that a peer has pushed. */
   getPushPosition(): StorePosition;
 }
@@ -60,7 +63,7 @@
   return { handle: handleDirectory, getPushPosition: () => peerPushPosition };
 
   function handleDirectory(
-    digest: ReceivedDigest,
+    digest: DirectoryDigest,
     from: Pick<SocketAddress, "address">,
   ): void {
     const { sender, pushFragment, position, storeContactMs } = digest;
@@ -84,7 +87,7 @@
   }
 
   function handleLostEntries(
-    { position, lostEntries }: ReceivedDigest,
+    { position, lostEntries }: DirectoryDigest,
     peer: SocketAddress,
   ): void {
     const own = host.getPosition();
--- a/test/fakes/returning_store.ts
+++ b/test/fakes/returning_store.ts
@@ -22,6 +22,14 @@
 /** How the store treats the calls of one router. */
 export type StoreAccess = "serve" | "refuse" | "silent";
 
+/** The link of one router to the store. */
+export interface StoreLink {
+  /** Bytes that arrive per millisecond. */
+  readonly bytesPerMs: number;
+  /** Time after which a response is given up, in milliseconds. */
+  readonly bodyTimeoutMs: number;
+}
+
 /** The calls of one router. */
 export interface ReturningStoreClient
   extends Pick<DirectoryStore, "getEra" | "list" | "watch"> {
@@ -36,7 +44,10 @@
 
 /** A store that a test controls. */
 export interface ReturningStore {
-  createClient(getAccess: () => StoreAccess): ReturningStoreClient;
+  createClient(
+    getAccess: () => StoreAccess,
+    link?: StoreLink,
+  ): ReturningStoreClient;
   put(key: string, value: string): void;
   remove(key: string): void;
   tryGet(key: string): string | undefined;
@@ -53,6 +64,15 @@
 /** Time of a call to the store or back, in milliseconds. */
 const latencyMs = 3;
 
+/** A link that takes no time, over which no response is given up. */
+const idealLink: StoreLink = {
+  bytesPerMs: Number.POSITIVE_INFINITY,
+  bodyTimeoutMs: Number.POSITIVE_INFINITY,
+};
+
+/** Size of a response beyond the values in it, in bytes for each of them. */
+const entryBytes = 120;
+
 /** Maximum number of entries in one page of a listing. */
 const maxPageEntries = 500;
 
@@ -64,6 +84,16 @@
   message: "The store is unavailable",
 };
 
+type WatchOptions = Parameters<DirectoryStore["watch"]>[0];
+
+/** Returns the size of a response, whose values are base64 text. */
+function getBytes(entries: readonly WatchEvent[]): number {
+  return entries.reduce(
+    (sum, { value = "" }) => sum + entryBytes + value.length * 4 / 3,
+    0,
+  );
+}
+
 /** Creates an empty store in era 1. */
 export function createReturningStore(): ReturningStore {
   const entries = new Map<string, Entry>();
@@ -129,13 +159,24 @@
     cut.forEach((watch) => watch.cut());
   }
 
-  function createClient(getAccess: () => StoreAccess): ReturningStoreClient {
+  function createClient(
+    getAccess: () => StoreAccess,
+    { bytesPerMs, bodyTimeoutMs }: StoreLink = idealLink,
+  ): ReturningStoreClient {
     const eras = createEraReader();
     return {
       getEra: eras.getNewest,
-      list: () => call(list, { kind: "read", pages: countPages }),
-      watch: ({ afterRevision, waitMs }) =>
-        call(() => watch(afterRevision, waitMs), { kind: "read" }),
+      list: () =>
+        call(list, {
+          kind: "read",
+          pages: countPages,
+          getEntries: ({ entries }) => entries,
+        }),
+      watch: (options) =>
+        call(() => watch(options), {
+          kind: "read",
+          getEntries: ({ events }) => events,
+        }),
       put: (key, value) =>
         call(() => {
           put(key, value);
@@ -145,9 +186,10 @@
 
     function call<T>(
       respond: () => Promise<Either<DirectoryError, T>>,
-      { kind, pages = () => 1 }: {
+      { kind, pages = () => 1, getEntries = () => [] }: {
         readonly kind: StoreCall["kind"];
         readonly pages?: () => number;
+        getEntries?(value: T): readonly WatchEvent[];
       },
     ): EitherAsync<DirectoryError, T> {
       const result = send();
@@ -166,6 +208,13 @@
         const header = hasEra ? String(era) : undefined;
         await sleep(latencyMs);
         if (getAccess() === "silent") return Left(unavailable);
+        const bytes = response.caseOf({
+          Left: () => 0,
+          Right: (value) => getBytes(getEntries(value)),
+        });
+        const bodyMs = bytes / bytesPerMs;
+        await sleep(Math.min(bodyMs, bodyTimeoutMs));
+        if (bodyMs > bodyTimeoutMs) return Left(unavailable);
         return eras.read(header).isOutdated
           ? Left({ kind: "outdated", message: "The era has ended" })
           : response;
@@ -180,8 +229,7 @@
     }
 
     async function watch(
-      afterRevision: number,
-      waitMs: number,
+      { afterRevision, waitMs }: WatchOptions,
     ): Promise<Either<DirectoryError, Changes>> {
       if (afterRevision < oldestRevision || afterRevision > revision) {
         return Left({ kind: "compacted", message: "gone" });
--- a/test/support/directory_fleet.ts
+++ b/test/support/directory_fleet.ts
@@ -9,7 +9,6 @@
 import { createCatchUp } from "../../src/process/direct/directory/catch_up.ts";
 import {
   createDirectoryReplica,
-  type DirectoryPush,
   type DirectoryReplica,
 } from "../../src/process/direct/directory/directory_replica.ts";
 import {
@@ -20,13 +19,23 @@
   createDirectoryTables,
   type DirectoryTables,
 } from "../../src/process/direct/directory/directory_tables.ts";
+import {
+  type ChangePushes,
+  createChangePushes,
+} from "../../src/process/direct/peers/change_pushes.ts";
+import type { PushFragment } from "../../src/process/direct/peers/push_fragments.ts";
+import type { ReceivedDigest } from "../../src/process/direct/peers/peer_digests.ts";
+import { createDirectoryDigests } from "../../src/roles/directory_digests.ts";
 import { createPeerPulls } from "../../src/process/direct/peers/peer_pulls.ts";
 import { createRouterRegistration } from "../../src/process/direct/peers/router_registration.ts";
 import {
   createTargetTable,
   type TargetTable,
 } from "../../src/process/direct/targets/target_table.ts";
-import { createZoneEvacuations } from "../../src/process/direct/targets/zone_evacuations.ts";
+import {
+  createZoneEvacuations,
+  type ZoneEvacuations,
+} from "../../src/process/direct/targets/zone_evacuations.ts";
 import {
   createWatcherChoice,
   type WatcherChoice,
@@ -40,7 +49,11 @@
   comparePositions,
   type StorePosition,
 } from "../../src/types/store_position.ts";
-import type { ReturningStore, StoreAccess } from "../fakes/returning_store.ts";
+import type {
+  ReturningStore,
+  StoreAccess,
+  StoreLink,
+} from "../fakes/returning_store.ts";
 import { createTable, createTarget, createTestLimits } from "./direct.ts";
 
 /** A router of the replayed fleet. */
@@ -50,6 +63,7 @@
   readonly sync: DirectorySync;
   readonly tables: DirectoryTables;
   readonly targets: TargetTable;
+  readonly evacuations: ZoneEvacuations;
   /** Versions of the configuration that were in force, in order. */
   readonly versions: readonly number[];
   access: StoreAccess;
@@ -62,19 +76,21 @@
 /** Inner parts of a router. */
 interface RouterParts extends ReplayedRouter {
   readonly watchers: WatcherChoice;
+  readonly pushes: ChangePushes;
   receive(message: Message): void;
 }
 
-/** A digest, or a push in place of its directory position. */
-interface Message {
-  readonly sender: string;
-  readonly position: StorePosition;
-  readonly isWatching: boolean;
-  readonly contactMs: number;
-  readonly storeAgeMs: number;
-  readonly lostEntries: number;
-  readonly push: DirectoryPush | undefined;
-}
+/** What a digest tells of the directory. */
+type Message = Pick<
+  ReceivedDigest,
+  | "isWatching"
+  | "lostEntries"
+  | "position"
+  | "pushFragment"
+  | "sender"
+  | "storeAgeMs"
+  | "storeContactMs"
+>;
 
 /** Time of a datagram between two routers, in milliseconds. */
 const datagramMs = 5;
@@ -85,9 +101,6 @@
 /** Digests that a router sends per second to all of its peers together. */
 const datagramsPerSecond = 240;
 
-/** Largest value that a push carries; a larger one is read from the store. */
-const maxPushChars = 128 * 1024;
-
 /** Service of all targets. */
 export const replayedService = "desk";
 
@@ -101,7 +114,8 @@
 
 /** Decodes the entries of targets, routers and the configuration. */
 function decode({ key, value }: Entry): DirectoryRecord {
-  const [kind, id = ""] = key.split("/");
+  const [kind, id = "", zone = ""] = key.split("/");
+  if (id === "evacuate") return { kind: "evacuation", zone };
   if (kind === "servers") {
     const [state, startedAtMs] = value.split(" ");
     const target = createTarget(id, {
@@ -121,7 +135,8 @@
 }
 
 function resolveKey(key: string) {
-  const [kind, id = ""] = key.split("/");
+  const [kind, id = "", zone = ""] = key.split("/");
+  if (id === "evacuate") return { kind: "evacuation", id: zone } as const;
   if (kind === "servers") return { kind: "target", id } as const;
   return kind === "routers" ? { kind: "router", id } as const : undefined;
 }
@@ -141,21 +156,21 @@
       routers.filter(({ sync }) => sync.isWatching()),
   };
 
-  function startRouter(): ReplayedRouter {
-    const router = createRouter(`router-${routers.length}`);
+  function startRouter(link?: StoreLink): ReplayedRouter {
+    const router = createRouter(`router-${routers.length}`, link);
     routers.push(router);
     router.sync.start();
     sendDigests(router);
     return router;
   }
 
-  function createRouter(id: string): RouterParts {
+  function createRouter(id: string, link?: StoreLink): RouterParts {
     const self = { id, address: id, digestPort: 6, pullPort: 7 };
     const versions: number[] = [];
     const replica = createDirectoryReplica();
     const evacuations = createZoneEvacuations({ log: createSilentLog() });
     const targets = createTargetTable({ evacuations });
-    const client = store.createClient(() => router.access);
+    const client = store.createClient(() => router.access, link);
     const watchers = createWatcherChoice({
       selfId: id,
       placement,
@@ -175,17 +190,8 @@
       },
       handleReturn: () => registration.handleReturn(),
       handleOutageRevised: () => tables.handleOutageRevised(),
-      pushChanges: (changes, { era, revision: afterRevision }) => {
-        const revision = Math.max(...changes.map((change) => change.revision));
-        const push = { afterRevision, position: { era, revision }, changes };
-        const isPushed = changes.every(({ value = "" }) =>
-          value.length <= maxPushChars
-        );
-        setTimeout(
-          () => send(router, isPushed ? push : undefined),
-          watchers.countWatchersAhead() * 25,
-        );
-      },
+      pushChanges: (changes, after) =>
+        pushes.push(changes, router.namesEra ? after : { ...after, era: 0 }),
       countCall: () => undefined,
     });
     const tables = createDirectoryTables({
@@ -229,9 +235,23 @@
       catchUp: sync.catchUp,
       random: Math.random,
     });
+    const digests = createDirectoryDigests({
+      settings: { pull: { address: id, port: 7 } },
+      ...{ routers: tables.routers, sync, pulls, catchUp },
+      getPosition: replica.getPosition,
+      countLostEntries: replica.countLostEntries,
+    });
+    const pushes = createChangePushes({
+      log: createSilentLog(),
+      countWatchersAhead: watchers.countWatchersAhead,
+      getPushPosition: digests.getPushPosition,
+      sendFragment: (fragment) => send(router, fragment),
+      sendDigest: () => send(router, undefined),
+    });
     let caughtUp = replica.getPosition();
     const router: RouterParts = {
-      ...{ id, replica, sync, tables, targets, versions, watchers, receive },
+      ...{ id, replica, sync, tables, targets, evacuations, versions },
+      ...{ watchers, pushes, receive },
       access: "serve",
       isReached: true,
       namesEra: true,
@@ -239,28 +259,9 @@
     return router;
 
     function receive(message: Message): void {
-      const { sender, position, isWatching, contactMs, push } = message;
-      const { storeAgeMs } = message;
+      const { sender, isWatching, storeAgeMs = 0 } = message;
       watchers.recordPeer(sender, { isWatching, storeAgeMs });
-      if (contactMs > 0) sync.recordPeerContact(contactMs);
-      sync.recordPeerEra(position.era);
-      sync.recordPeerPosition(position);
-      if (push !== undefined) {
-        const isSameEra = push.position.era === replica.getPosition().era;
-        if (isSameEra) sync.applyPush(push);
-        else catchUp.reportPeer(push.position);
-        return;
-      }
-      const own = replica.getPosition();
-      if (position.era === own.era && position.revision >= own.revision) {
-        const counts = {
-          peer: message.lostEntries,
-          own: replica.countLostEntries(),
-        };
-        pulls.reportLostEntries({ address: sender, port: 7 }, counts);
-      }
-      if (!catchUp.reportPeer(position) || sync.isCatchingUp()) return;
-      pulls.reportPeerAhead({ address: sender, port: 7 });
+      digests.handle(message, { address: sender });
     }
   }
 
@@ -277,17 +278,23 @@
     }, intervalMs);
   }
 
-  function send(router: RouterParts, push: DirectoryPush | undefined): void {
+  function send(
+    router: RouterParts,
+    pushFragment: PushFragment | undefined,
+  ): void {
     if (!router.isReached) return;
     const { id, sync, replica, namesEra } = router;
-    const message = {
+    const message: Message = {
       sender: id,
       position: toSent(replica.getPosition()),
       isWatching: sync.isWatching(),
-      contactMs: sync.isWatching() ? sync.getContactMs() : 0,
+      storeContactMs: sync.isWatching() ? sync.getContactMs() : 0,
       storeAgeMs: sync.getOwnReadAgeMs(),
       lostEntries: replica.countLostEntries(),
-      push: push && { ...push, position: toSent(push.position) },
+      pushFragment: pushFragment && {
+        ...pushFragment,
+        position: toSent(pushFragment.position),
+      },
     };
     const known = router.tables.routers;
     setTimeout(() => {
