Read and push leaves and evacuations apart from large configurations

What callers saw (DRAIN): a request reached a target 3.0 to 3.1 s after the store had acknowledged its leave. Cause: entries of all kinds travel together. A leave in one answer with a configuration was known when the last byte of the configuration had arrived; such an answer was too large for a push, so that each router read it by itself over its own link; a router that watches paused and read the next configuration before it saw a leave written meanwhile. Ruled out: known and not obeyed (no request was sent after 'Target changed' in its router's log); long turns alone (0.33 s). Change: while a long response arrives (64 KB, or 100 ms), targets and evacuations are read by watches of their own, applied without a claim to be complete, and pushed at once; of changes that are too large together the small ones are pushed. Builds that don't know it take such a push as one after a gap.

--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -6,12 +6,15 @@
 import { startCallTimeout } from "../connection/call_timeout.ts";
 import { toConnectionError } from "../connection/platform_error.ts";
 import type {
+  Changes,
   DirectoryError,
   DirectoryStore,
   Listing,
+  ListOptions,
   StoreRead,
+  UrgentKind,
+  WatchOptions,
 } from "../types/directory.ts";
-import type { Entry, WatchEvent } from "../types/platform.ts";
 import {
   getArray,
   getNumber,
@@ -30,7 +33,17 @@
   encodeVersions,
   resolveStoreKey,
 } from "./store_records.ts";
-import { createEraReader, type ResponseEra } from "./store_era.ts";
+import { startRead } from "./store_read.ts";
+import { createEraReader } from "./store_era.ts";
+import {
+  createCopyError,
+  createOutdatedError,
+  decodeEvent,
+  decodeItem,
+  isPageAfter,
+  parseResponse,
+  type StoreResponse,
+} from "./store_responses.ts";
 import { headerNames, storeKeys, storePaths } from "./wire_names.ts";
 
 /**
@@ -57,20 +70,23 @@
 /** Timeout for opening a connection, in milliseconds. */
 const connectTimeoutMs = 800;
 
-/** Status of a watch whose start revision has been compacted. */
-const historyCompactedStatus = 410;
-
-/** Statuses of a write whose precondition does not hold. */
-const conflictStatuses: ReadonlySet<number> = new Set([409, 412]);
-
 /** Prefix of all keys, so that one watch covers every kind of entry. */
 const allKeysPrefix = "";
 
-/** Content of a response, the era in which it was read and its size. */
-interface StoreResponse {
-  readonly body: JsonObject;
-  readonly era: number;
-  readonly bytes: number;
+/** Prefixes of the kinds of entries that are also read by themselves. */
+const urgentPrefixes: Readonly<Record<UrgentKind, string>> = {
+  evacuation: storeKeys.evacuationPrefix,
+  target: storeKeys.targetPrefix,
+};
+
+/** A call to the store; without a body it reads. */
+interface StoreCall extends Pick<WatchOptions, "onLongBody"> {
+  readonly name: StoreRead["call"];
+  readonly path: string;
+  readonly body?: JsonObject;
+  /** Time for which the store may hold the call, in milliseconds. */
+  readonly waitMs?: number;
+  readonly maxBytes?: number;
 }
 
 /** What the rest of a listing may take. */
@@ -95,9 +111,9 @@
   let handleRead: (read: StoreRead) => void = () => undefined;
 
   return {
-    list: () =>
+    list: (options = {}) =>
       EitherAsync.fromPromise(() =>
-        listAfter("", { bytes: maxResponseBytes, pages: maxPages })
+        listAfter("", options, { bytes: maxResponseBytes, pages: maxPages })
       ),
     watch,
     getEra: eraReader.getNewest,
@@ -153,21 +169,23 @@
   /** Lists the entries after a key; an empty key lists all entries. */
   async function listAfter(
     after: string,
+    options: ListOptions,
     budget: ListingBudget,
   ): Promise<Either<DirectoryError, Listing>> {
     if (budget.pages === 0) return Left(createListingError());
-    const query = new URLSearchParams({ Prefix: allKeysPrefix });
+    const query = new URLSearchParams({ Prefix: getPrefix(options) });
     if (after !== "") query.set("After", after);
     const page = await call({
       name: "list",
       path: `${storePaths.range}?${query}`,
       maxBytes: budget.bytes,
+      onLongBody: options.onLongBody,
     });
     return page.caseOf<Promise<Either<DirectoryError, Listing>>>({
       Left: (error) => Promise.resolve(Left(error)),
       Right: (response) =>
         isPageAfter(response.body, after)
-          ? readPages(response, {
+          ? readPages(response, options, {
             bytes: budget.bytes - response.bytes,
             pages: budget.pages - 1,
           })
@@ -183,6 +201,7 @@
    */
   async function readPages(
     { body, era }: StoreResponse,
+    options: ListOptions,
     budget: ListingBudget,
   ): Promise<Either<DirectoryError, Listing>> {
     const items = getArray(body["Items"]);
@@ -192,7 +211,7 @@
     if (body["Truncated"] !== true || lastKey === undefined) {
       return Right({ entries, position });
     }
-    const nextPages = await listAfter(lastKey, budget);
+    const nextPages = await listAfter(lastKey, options, budget);
     return nextPages.chain<DirectoryError, Listing>((next) =>
       next.position.era === era
         ? Right({ entries: [...entries, ...next.entries], position })
@@ -201,13 +220,10 @@
   }
 
   function watch(
-    { afterRevision, waitMs }: {
-      readonly afterRevision: number;
-      readonly waitMs: number;
-    },
-  ) {
+    { afterRevision, waitMs, kind, onLongBody }: WatchOptions,
+  ): EitherAsync<DirectoryError, Changes> {
     const query = new URLSearchParams({
-      Prefix: allKeysPrefix,
+      Prefix: getPrefix({ kind }),
       After: String(afterRevision),
       WaitMs: String(waitMs),
     });
@@ -216,12 +232,13 @@
       name: "watch",
       path: `${storePaths.watch}?${query}`,
       waitMs,
+      onLongBody,
     });
     return EitherAsync.fromPromise(() => result).chain(({ body, era }) => {
       const revision = getNumber(body, "AsOf", afterRevision);
       // A late copy of the response to an earlier watch on this connection.
       const isCopy = era === eraBefore && revision < afterRevision;
-      return EitherAsync.liftEither(
+      return EitherAsync.liftEither<DirectoryError, Changes>(
         isCopy ? Left(createCopyError()) : Right({
           events: getArray(body["events"]).flatMap(decodeEvent),
           position: { era, revision },
@@ -260,22 +277,15 @@
   }
 
   async function call(
-    { name, path, body, waitMs = 0, maxBytes = maxResponseBytes }: {
-      readonly name: StoreRead["call"];
-      readonly path: string;
-      readonly body?: JsonObject;
-      readonly waitMs?: number;
-      readonly maxBytes?: number;
-    },
+    { name, path, body, waitMs = 0, maxBytes = maxResponseBytes, onLongBody }:
+      StoreCall,
   ): Promise<Either<DirectoryError, StoreResponse>> {
     const kind = body === undefined ? "read" : "write";
     const timeout = startCallTimeout({
       headMs: headTimeoutMs + waitMs,
       bodyMs: bodyTimeoutMs,
     });
-    let headAt: number | undefined;
-    let bytes = 0;
-    let isComplete = false;
+    const read = startRead(name, onLongBody);
     try {
       const callPool = body === undefined ? pool : writePool;
       const response = await callPool.request({
@@ -288,83 +298,28 @@
         }),
       });
       timeout.recordHead();
-      headAt = performance.now();
+      read.recordHead(Number(response.headers["content-length"] ?? 0));
       const era = eraReader.read(response.headers[headerNames.storeEra]);
       const text = await readBoundedText(response.body, {
         maxBytes,
-        onChunk: (length) => {
-          bytes += length;
+        onChunk: (bytes) => {
+          read.recordPiece(bytes);
         },
       });
-      isComplete = true;
+      read.recordEnd();
       return parseResponse(response.statusCode, text, era);
     } catch (cause) {
       return Left(toConnectionError(cause, kind));
     } finally {
       timeout.clear();
-      if (headAt !== undefined) {
-        const bodyMs = performance.now() - headAt;
-        handleRead({ call: name, bytes, bodyMs, isComplete });
-      }
+      const result = read.clear();
+      if (result !== undefined) handleRead(result);
     }
   }
 }
 
-function parseResponse(
-  status: number,
-  text: string,
-  { era, isOutdated }: ResponseEra,
-): Either<DirectoryError, StoreResponse> {
-  if (isOutdated) return Left(createOutdatedError(era));
-  if (conflictStatuses.has(status)) {
-    return Left({
-      kind: "conflict",
-      message: "The entry has another revision",
-    });
-  }
-  if (status === historyCompactedStatus) {
-    return Left({
-      kind: "compacted",
-      message: "The store's history was compacted",
-    });
-  }
-  const fields = status === 200 ? tryGetObject(JSON.parse(text)) : undefined;
-  if (fields === undefined) {
-    return Left({
-      kind: "unavailable",
-      message: `The store responded with status ${status}`,
-    });
-  }
-  return hasRevisions(fields)
-    ? Right({ body: fields, era, bytes: Buffer.byteLength(text) })
-    : Left({
-      kind: "unavailable",
-      message: "The store responded with a revision that is none",
-    });
-}
-
-/** Returns true when all revisions are numbers that digests can carry. */
-function hasRevisions(fields: JsonObject): boolean {
-  const items = [...getArray(fields["Items"]), ...getArray(fields["events"])];
-  const revisions = items.map((item) => tryGetObject(item)?.["Rev"]);
-  return [fields["AsOf"], ...revisions].every((revision) =>
-    typeof revision !== "number" ||
-    (Number.isSafeInteger(revision) && revision >= 0)
-  );
-}
-
-/** Returns false for a late copy of an earlier page. */
-function isPageAfter(body: JsonObject, after: string): boolean {
-  const [first] = getArray(body["Items"]);
-  const key = tryGetString(tryGetObject(first) ?? {}, "Key");
-  return key === undefined || after === "" || key > after;
-}
-
-function createCopyError(): DirectoryError {
-  return {
-    kind: "unavailable",
-    message: "The response is one to an earlier call",
-  };
+function getPrefix({ kind }: ListOptions): string {
+  return kind === undefined ? allKeysPrefix : urgentPrefixes[kind];
 }
 
 function createListingError(): DirectoryError {
@@ -373,32 +328,3 @@
     message: `The listing has more than ${maxPages} pages`,
   };
 }
-
-function createOutdatedError(era: number): DirectoryError {
-  return {
-    kind: "outdated",
-    message: `The store responded in era ${era}, which has ended or is unclear`,
-  };
-}
-
-/** Decodes a stored entry; `Value` is base64 and `Rev` its revision. */
-function decodeItem(value: unknown): readonly Entry[] {
-  const fields = tryGetObject(value) ?? {};
-  const key = tryGetString(fields, "Key");
-  const text = fields["Value"];
-  if (key === undefined || typeof text !== "string") return [];
-  return [{
-    key,
-    value: Buffer.from(text, "base64").toString("utf8"),
-    revision: getNumber(fields, "Rev", 0),
-  }];
-}
-
-/** Decodes a change; a removal has `Deleted` set and no value. */
-function decodeEvent(value: unknown): readonly WatchEvent[] {
-  const fields = tryGetObject(value) ?? {};
-  const key = tryGetString(fields, "Key");
-  if (key === undefined) return [];
-  if (fields["Deleted"] !== true) return decodeItem(value);
-  return [{ key, value: undefined, revision: getNumber(fields, "Rev", 0) }];
-}
--- a/src/process/direct/directory/directory_replica.ts
+++ b/src/process/direct/directory/directory_replica.ts
@@ -42,6 +42,11 @@
    * Applies all changes after the known position; returns those that were new.
    */
   applyChanges(changes: Changes): readonly DirectoryChange[];
+  /**
+   * Applies some of the changes after the known position, which stays; returns
+   * those that were new.
+   */
+  applySome(changes: Changes): readonly DirectoryChange[];
   /**
    * Applies the changes that a peer pushed; returns those that were new. If
    * changes before them are missing, the known position stays.
@@ -102,6 +107,7 @@
 
   return {
     applyChanges,
+    applySome,
     applyPush,
     applyListing,
     applyCopy,
@@ -119,6 +125,12 @@
     return applied;
   }
 
+  function applySome(
+    { events, position: { era } }: Changes,
+  ): readonly DirectoryChange[] {
+    return era === position.era ? events.filter(apply) : [];
+  }
+
   function applyPush(
     { afterRevision, position: { era, revision }, changes }: DirectoryPush,
   ): readonly DirectoryChange[] {
--- a/src/process/direct/directory/directory_sync.ts
+++ b/src/process/direct/directory/directory_sync.ts
@@ -12,6 +12,7 @@
   DirectoryError,
   DirectoryStore,
   Listing,
+  ListOptions,
 } from "../../../types/directory.ts";
 import type { WatchEvent } from "../../../types/platform.ts";
 import type { StorePosition } from "../../../types/store_position.ts";
@@ -29,6 +30,8 @@
   type StoreContact,
 } from "../store/store_contact.ts";
 import { createFirstListing } from "./first_listing.ts";
+import { createMissedChanges, readBesideUrgent } from "./missed_changes.ts";
+import { createUrgentReads } from "./urgent_reads.ts";
 import { createStoreReturns } from "../store/store_returns.ts";
 import type { WatcherChoice } from "../peers/watcher_choice.ts";
 
@@ -50,6 +53,8 @@
   handleReturn(): void;
   /** Pushes changes that were watched after a position to the peers. */
   pushChanges(changes: readonly WatchEvent[], after: StorePosition): void;
+  /** Pushes changes although others before them are not known here. */
+  pushUrgent(changes: readonly WatchEvent[], era: number): void;
   /** Handles that the end of the last outage is another than was known. */
   handleOutageRevised(): void;
   /** Counts one call to the store. */
@@ -127,9 +132,6 @@
  */
 const olderEraDelayMs = 500;
 
-/** Wait of a watch that only reads changes already made, in milliseconds. */
-const catchUpWaitMs = 1;
-
 /**
  * Delay after a watch that returned changes, in milliseconds. Changes come in
  * bursts, and without the delay each change costs a call from every router. It
@@ -166,7 +168,19 @@
     recordFailure: contact.recordFailure,
   });
   let hasTurn = false;
-  let isCatchingUp = false;
+  const urgentReads = createUrgentReads({
+    ...{ store: host.store, replica: host.replica },
+    ...{ handleChanges: host.handleChanges, countCall: host.countCall },
+    pushUrgent: host.pushUrgent,
+    recordProgress: contact.recordProgress,
+    hasTurn: () => hasTurn,
+  });
+  const missedChanges = createMissedChanges({
+    ...{ store: host.store, replica: host.replica, urgentReads, list },
+    ...{ hasReturned, applyAt, applyListing, log: host.log },
+    countCall: host.countCall,
+    isStopped: () => isStopped,
+  });
 
   return {
     ...contact,
@@ -178,8 +192,8 @@
       applyAt(copy.position, "peer", () => host.replica.applyCopy(copy)),
     applyPush: (push) =>
       applyAt(push.position, "push", () => host.replica.applyPush(push)),
-    catchUp,
-    isCatchingUp: () => isCatchingUp,
+    catchUp: missedChanges.read,
+    isCatchingUp: missedChanges.isReading,
     recordPeerEra: returns.recordEra,
     recordPeerRead: firstListing.reportPeerRead,
     isWatching,
@@ -220,7 +234,7 @@
   /** Lists after a random delay, unless a catch-up is sooner. */
   async function listAfterReturn(): Promise<void> {
     await sleep(Math.random() * maxListDelayMs);
-    if (hasReturned() && !isCatchingUp) await tryList();
+    if (hasReturned() && !missedChanges.isReading()) await tryList();
   }
 
   function startWatching(): void {
@@ -241,58 +255,11 @@
     });
   }
 
-  async function catchUp(era: number): Promise<boolean> {
-    if (isCatchingUp) return true;
-    isCatchingUp = true;
-    try {
-      const isBehind = era > host.replica.getPosition().era || hasReturned();
-      return await (isBehind ? listOnce() : watchOnce());
-    } finally {
-      isCatchingUp = false;
-    }
-  }
-
-  /** Reads the changes made so far; returns false after a failure. */
-  async function watchOnce(): Promise<boolean> {
-    host.countCall("watch");
-    const after = host.replica.getPosition();
-    const result = await host.store.watch({
-      afterRevision: after.revision,
-      waitMs: catchUpWaitMs,
-    }).run();
-    if (isStopped) return true;
-    return await result.caseOf<Promise<boolean>>({
-      Left: async (error) =>
-        error.kind === "compacted" ? await listOnce() : reportMissed(error),
-      Right: async (changes) => {
-        if (changes.position.era !== after.era) return await listOnce();
-        applyAt(
-          changes.position,
-          "watch",
-          () => host.replica.applyChanges(changes),
-        );
-        return true;
-      },
-    });
-  }
-
-  function list(): EitherAsync<DirectoryError, Listing> {
+  function list(
+    options?: ListOptions,
+  ): EitherAsync<DirectoryError, Listing> {
     host.countCall("list");
-    return host.store.list();
-  }
-
-  /** Reads all entries; returns false after a failure. */
-  async function listOnce(): Promise<boolean> {
-    const result = await list().run();
-    if (isStopped) return true;
-    return result.caseOf({ Left: reportMissed, Right: applyListing });
-  }
-
-  function reportMissed({ kind, message }: DirectoryError): boolean {
-    host.log.warn("Missed changes could not be read", {
-      ...{ kind, reason: message },
-    });
-    return false;
+    return host.store.list(options);
   }
 
   function applyListing(listing: Listing): boolean {
@@ -307,7 +274,9 @@
   /** Returns the position to watch from; undefined after a failure. */
   async function tryList(): Promise<StorePosition | undefined> {
     const isFirst = host.replica.getPosition().revision === 0;
-    const listing = await tryCall(isFirst ? firstListing.run() : list());
+    const listing = await tryCall((onLongBody) =>
+      isFirst ? firstListing.run() : list({ onLongBody })
+    );
     if (listing === undefined) return undefined;
     applyListing(listing);
     // Only a peer's copy is newer, and the store may take a while to follow.
@@ -321,11 +290,11 @@
     after: StorePosition,
   ): Promise<StorePosition | undefined> {
     host.countCall("watch");
-    const changes = await tryCall(
+    const changes = await tryCall((onLongBody) =>
       host.store.watch({
-        afterRevision: after.revision,
+        ...{ afterRevision: after.revision, onLongBody },
         waitMs: watchTimeoutMs,
-      }),
+      })
     );
     // Changes may have been missed while the store was unavailable.
     if (changes?.position.era !== after.era) return undefined;
@@ -344,9 +313,9 @@
   }
 
   async function tryCall<T extends Pick<Listing, "position">>(
-    call: EitherAsync<DirectoryError, T>,
+    call: (onLongBody: () => void) => EitherAsync<DirectoryError, T>,
   ): Promise<T | undefined> {
-    const result = await call.run();
+    const result = await readBesideUrgent(urgentReads, call);
     return await result.caseOf<Promise<T | undefined>>({
       Left: async (error) => {
         // Stopping closes the client, which fails the pending call.
--- a/src/process/direct/directory/directory_sync_test.ts
+++ b/src/process/direct/directory/directory_sync_test.ts
@@ -89,6 +89,8 @@
       },
       pushChanges: (events, { revision }) =>
         events.forEach(({ key }) => pushed.push(`${key} after ${revision}`)),
+      pushUrgent: (events) =>
+        events.forEach(({ key }) => pushed.push(`${key} at once`)),
       handleReturn: () => returns.push(performance.now()),
       handleOutageRevised: () => undefined,
       log: createSilentLog(),
@@ -235,6 +237,7 @@
         getLastWatchedAt: () => Number.NEGATIVE_INFINITY,
       },
       pushChanges: () => undefined,
+      pushUrgent: () => undefined,
       log,
       handleChanges: () => undefined,
       handleReturn: () => undefined,
--- a/src/process/direct/store/store_contact.ts
+++ b/src/process/direct/store/store_contact.ts
@@ -28,6 +28,8 @@
   recordFailure(error: DirectoryError): void;
   /** Records a response of the store, which knew all changes to a position. */
   recordSuccess(read: StorePosition): void;
+  /** Records that the store responds, while a read of it has not ended. */
+  recordProgress(): void;
   /** Records that this router begins to watch the store. */
   recordTurn(): void;
   /** Records that this router no longer watches the store. */
@@ -123,6 +125,9 @@
   return {
     recordFailure,
     recordSuccess,
+    recordProgress: () => {
+      if (isConnected) lastResponseAt = performance.now();
+    },
     recordTurn,
     recordTurnEnd: () => {
       hasTurn = false;
--- a/src/roles/digest_exchange.ts
+++ b/src/roles/digest_exchange.ts
@@ -25,7 +25,10 @@
 } from "../process/direct/peers/peer_digests.ts";
 import type { ListMessage } from "../process/direct/peers/list_fragments.ts";
 import type { PeerPulls } from "../process/direct/peers/peer_pulls.ts";
-import { createChangePushes } from "../process/direct/peers/change_pushes.ts";
+import {
+  type ChangePushes,
+  createChangePushes,
+} from "../process/direct/peers/change_pushes.ts";
 import type { StreamMessage } from "../process/direct/streams/stream_origins.ts";
 import type { TargetTable } from "../process/direct/targets/target_table.ts";
 import type { Endpoint } from "../process/membership/exchange.ts";
@@ -34,7 +37,6 @@
 import type { Metrics } from "../process/telemetry/metrics.ts";
 import type { DirectSettings } from "../types/direct_settings.ts";
 import type { RouterPeer } from "../types/direct_target.ts";
-import type { WatchEvent } from "../types/platform.ts";
 import type { PromptPart } from "../types/prompt.ts";
 import type { StorePosition } from "../types/store_position.ts";
 import { createDirectoryDigests } from "./directory_digests.ts";
@@ -119,7 +121,9 @@
   /** Sends a digest to all peers now. */
   sendDigest(): void;
   /** Pushes directory changes that were read from the store to all peers. */
-  pushChanges(changes: readonly WatchEvent[], after: StorePosition): void;
+  pushChanges: ChangePushes["push"];
+  /** Pushes changes although others before them are not known here. */
+  pushUrgent: ChangePushes["pushUrgent"];
   /**
    * Records that a target gets the parts of a prompt and has to prefill
    * `prefillParts`, and reports it to peers.
@@ -168,6 +172,7 @@
     log: host.log,
     countWatchersAhead: () => host.watchers.countWatchersAhead(),
     getPushPosition: directoryDigests.getPushPosition,
+    getUrgentPosition: directoryDigests.getUrgentPosition,
     sendFragment: (fragment) =>
       sendToAll(digestWriter.writePush(getDigestState(), fragment)),
     sendDigest,
@@ -192,6 +197,7 @@
     stop,
     sendDigest,
     pushChanges: pushes.push,
+    pushUrgent: pushes.pushUrgent,
     recordParts,
     reportCrash: digestWriter.queueCrash,
     isPeerSettled: contact.isSettled,
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -180,6 +180,7 @@
     handleReturn: () => registration.handleReturn(),
     handleOutageRevised: () => directoryTables.handleOutageRevised(),
     pushChanges: (changes, after) => exchange.pushChanges(changes, after),
+    pushUrgent: (changes, era) => exchange.pushUrgent(changes, era),
     countCall: (call) => metrics.count("store_calls_total", { call }),
   });
   const directoryTables = createDirectoryTables({
--- a/src/roles/directory_digests.ts
+++ b/src/roles/directory_digests.ts
@@ -50,6 +50,8 @@
   handle(digest: DirectoryDigest, from: Pick<SocketAddress, "address">): void;
   /** Returns the newest position that a peer has pushed. */
   getPushPosition(): StorePosition;
+  /** Returns the newest position of a push that left others to be read. */
+  getUrgentPosition(): StorePosition;
 }
 
 /** Creates the handling of a router that has received nothing. */
@@ -59,8 +61,13 @@
   const { settings, routers, sync, pulls, catchUp } = host;
   const assembly = createPushAssembly();
   let peerPushPosition = originPosition;
+  let urgentPosition = originPosition;
 
-  return { handle: handleDirectory, getPushPosition: () => peerPushPosition };
+  return {
+    handle: handleDirectory,
+    getPushPosition: () => peerPushPosition,
+    getUrgentPosition: () => urgentPosition,
+  };
 
   function handleDirectory(
     digest: DirectoryDigest,
@@ -101,10 +108,16 @@
   function handlePush(push: DirectoryPush | undefined): void {
     if (push === undefined) return;
     const { position } = push;
-    if (comparePositions(position, peerPushPosition) > 0) {
-      peerPushPosition = position;
+    if (push.afterRevision === position.revision) {
+      urgentPosition = getNewer(position, urgentPosition);
+    } else {
+      peerPushPosition = getNewer(position, peerPushPosition);
     }
     if (position.era === host.getPosition().era) sync.applyPush(push);
     else catchUp.reportPeer(position);
   }
 }
+
+function getNewer(left: StorePosition, right: StorePosition): StorePosition {
+  return comparePositions(left, right) > 0 ? left : right;
+}
--- a/src/types/directory.ts
+++ b/src/types/directory.ts
@@ -58,6 +58,27 @@
   readonly id: string;
 }
 
+/**
+ * The kinds of entries that routers also read by themselves: small ones that must
+ * be obeyed soon.
+ */
+export type UrgentKind = Extract<RecordKey["kind"], "evacuation" | "target">;
+
+/** What a watch of the store covers. */
+export interface WatchOptions {
+  /** Revision after which changes are returned. */
+  readonly afterRevision: number;
+  /** Time to wait for the first change, in milliseconds. */
+  readonly waitMs: number;
+  /** The only kind of entries to return; all kinds without it. */
+  readonly kind?: UrgentKind;
+  /** Called at most once, when the response will take or takes long to read. */
+  onLongBody?(): void;
+}
+
+/** What a listing of the store covers. */
+export type ListOptions = Pick<WatchOptions, "kind" | "onLongBody">;
+
 /** What is known of crashes at one key, as it outlasts all routers. */
 export interface SavedEvidence {
   readonly key: string;
@@ -123,12 +144,10 @@
 
 /** The store that every router replicates, as a narrow host. */
 export interface DirectoryStore {
-  /** Reads all entries. */
-  list(): EitherAsync<DirectoryError, Listing>;
-  /** Waits up to `waitMs` for changes after a revision. */
-  watch(
-    options: { readonly afterRevision: number; readonly waitMs: number },
-  ): EitherAsync<DirectoryError, Changes>;
+  /** Reads all entries, or all of one kind. */
+  list(options?: ListOptions): EitherAsync<DirectoryError, Listing>;
+  /** Waits for changes after a revision. */
+  watch(options: WatchOptions): EitherAsync<DirectoryError, Changes>;
   /**
    * Returns the newest era of all responses, failed calls included; 0 before
    * the first.
--- a/test/support/directory_fleet.ts
+++ b/test/support/directory_fleet.ts
@@ -192,6 +192,8 @@
       handleOutageRevised: () => tables.handleOutageRevised(),
       pushChanges: (changes, after) =>
         pushes.push(changes, router.namesEra ? after : { ...after, era: 0 }),
+      pushUrgent: (changes, era) =>
+        pushes.pushUrgent(changes, router.namesEra ? era : 0),
       countCall: () => undefined,
     });
     const tables = createDirectoryTables({
@@ -245,6 +247,7 @@
       log: createSilentLog(),
       countWatchersAhead: watchers.countWatchersAhead,
       getPushPosition: digests.getPushPosition,
+      getUrgentPosition: digests.getUrgentPosition,
       sendFragment: (fragment) => send(router, fragment),
       sendDigest: () => send(router, undefined),
     });
