Read a response of the store to its end while pieces of it arrive

What callers saw (EVAC): traffic in a zone that was being emptied. Cause: a read was given up 3 s after its head, however much had arrived, with the evacuation in it. A link that is slower than a configuration in 3 s, or as busy, never reads one: the next answer holds a newer configuration. Evidence: leave_delay_test, 'while no router can read a configuration in time': unknown after 10 s on. A play that breaks EVAC was not found. Change: a body may take 15 s in all and 1.5 s between two pieces, so that silence is noticed sooner than before.

--- a/src/connection/call_timeout_test.ts
+++ b/src/connection/call_timeout_test.ts
@@ -22,6 +22,30 @@
     expect(timeout.signal.aborted).toBe(true);
   });
 
+  it("leaves a slow response its time while pieces of it arrive", () => {
+    const timeout = startCallTimeout({
+      ...{ headMs: 1_000, bodyMs: 15_000, bodySilenceMs: 1_500 },
+    });
+    timeout.recordHead();
+    for (let piece = 0; piece < 10; piece++) {
+      jest.advanceTimersByTime(1_400);
+      timeout.recordPiece();
+    }
+    expect(timeout.signal.aborted).toBe(false);
+    jest.advanceTimersByTime(1_000);
+    expect(timeout.signal.aborted).toBe(true);
+  });
+
+  it("ends a response whose next piece does not come", () => {
+    const timeout = startCallTimeout({
+      ...{ headMs: 1_000, bodyMs: 15_000, bodySilenceMs: 1_500 },
+    });
+    timeout.recordHead();
+    timeout.recordPiece();
+    jest.advanceTimersByTime(1_500);
+    expect(timeout.signal.aborted).toBe(true);
+  });
+
   it("ends with the call", () => {
     const timeout = startCallTimeout({ headMs: 1_000, bodyMs: 3_000 });
     timeout.clear();
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -52,11 +52,15 @@
  */
 const headTimeoutMs = 1_000;
 
+/** Timeout for the next piece of a body, in milliseconds. */
+const bodySilenceMs = 1_500;
+
 /**
- * Timeout from the head of a response to its end, in milliseconds: long enough
- * for a large configuration over the slowest link.
+ * Timeout from the head of a response to its end, in milliseconds. A link that is
+ * slow and busy takes seconds for a large configuration; a read that is given up
+ * before its end has to begin again.
  */
-const bodyTimeoutMs = 3_000;
+const bodyTimeoutMs = 15_000;
 
 /**
  * Maximum size of a response and of all pages of a listing, in bytes: many
@@ -284,6 +288,7 @@
     const timeout = startCallTimeout({
       headMs: headTimeoutMs + waitMs,
       bodyMs: bodyTimeoutMs,
+      bodySilenceMs,
     });
     const read = startRead(name, onLongBody);
     try {
@@ -303,6 +308,7 @@
       const text = await readBoundedText(response.body, {
         maxBytes,
         onChunk: (bytes) => {
+          timeout.recordPiece();
           read.recordPiece(bytes);
         },
       });
