Push a large configuration by what differs from the one before

Change: a push holds the ranges of the earlier value that the new one keeps and its new text. A router without the earlier value, and a build that doesn't know edits, takes the push as one after a gap and reads from the store; a push that came during that read is applied after it.

--- a/src/process/direct/directory/directory_replica.ts
+++ b/src/process/direct/directory/directory_replica.ts
@@ -13,6 +13,8 @@
   type StorePosition,
 } from "../../../types/store_position.ts";
 
+import { applyPieces, type ValueEdit } from "./value_edit.ts";
+
 /** Maximum number of tombstones kept; the oldest is evicted first. */
 const maxTombstones = 4_096;
 
@@ -65,6 +67,8 @@
    * Changes beyond a gap are left out of the latter.
    */
   getCopyAfter(after: StorePosition): DirectoryCopy;
+  /** Returns an entry as it is known; undefined when it is removed or unknown. */
+  tryGet(key: string): WatchEvent | undefined;
   /** Returns the number of entries of which more is known than the store has. */
   countLostEntries(): number;
   /**
@@ -81,6 +85,8 @@
   /** The changes are all that were made up to this position. */
   readonly position: StorePosition;
   readonly changes: readonly WatchEvent[];
+  /** Changes of large values, by what differs from earlier ones. */
+  readonly edits?: readonly ValueEdit[];
 }
 
 /** What a router returns to a peer that pulls. */
@@ -112,6 +118,7 @@
     applyListing,
     applyCopy,
     getCopyAfter,
+    tryGet: (key) => live.get(key),
     countLostEntries: () => getLostEntries().length,
     getPosition: () => position,
   };
@@ -132,20 +139,40 @@
   }
 
   function applyPush(
-    { afterRevision, position: { era, revision }, changes }: DirectoryPush,
+    { afterRevision, position: { era, revision }, changes, edits = [] }:
+      DirectoryPush,
   ): readonly DirectoryChange[] {
     if (era !== position.era) return [];
-    const applied = changes.filter(apply);
-    if (afterRevision <= position.revision) advance(revision);
+    const edited = edits.flatMap((edit) => tryEdit(edit) ?? []);
+    const applied = [...changes, ...edited].filter(apply);
+    const isComplete = edits.every((edit) =>
+      (tryGetKnown(edit.key)?.revision ?? 0) >= edit.revision
+    );
+    if (isComplete && afterRevision <= position.revision) advance(revision);
     return applied;
   }
 
+  /** Returns the new value; undefined without the one that it was made from. */
+  function tryEdit(edit: ValueEdit): WatchEvent | undefined {
+    const { key, revision, baseRevision } = edit;
+    const base = live.get(key);
+    if (base?.value === undefined || base.revision !== baseRevision) {
+      return undefined;
+    }
+    const value = applyPieces(base.value, edit);
+    return value === undefined ? undefined : { key, value, revision };
+  }
+
+  function tryGetKnown(key: string): WatchEvent | undefined {
+    return live.get(key) ?? tombstones.get(key);
+  }
+
   function advance(revision: number): void {
     if (revision > position.revision) position = { ...position, revision };
   }
 
   function apply(event: WatchEvent): boolean {
-    const known = live.get(event.key) ?? tombstones.get(event.key);
+    const known = tryGetKnown(event.key);
     if (known !== undefined && known.revision >= event.revision) return false;
     lostEntries.delete(event.key);
     store(event);
--- a/src/process/direct/directory/directory_sync.ts
+++ b/src/process/direct/directory/directory_sync.ts
@@ -15,7 +15,10 @@
   ListOptions,
 } from "../../../types/directory.ts";
 import type { WatchEvent } from "../../../types/platform.ts";
-import type { StorePosition } from "../../../types/store_position.ts";
+import {
+  comparePositions,
+  type StorePosition,
+} from "../../../types/store_position.ts";
 import type { ChangeSource } from "./directory_tables.ts";
 import { getBackOffMs } from "../../membership/jitter.ts";
 import type { Log } from "../../telemetry/log.ts";
@@ -33,6 +36,7 @@
 import { createMissedChanges, readBesideUrgent } from "./missed_changes.ts";
 import { createUrgentReads } from "./urgent_reads.ts";
 import { createStoreReturns } from "../store/store_returns.ts";
+import { maxSmallLength, type PushBase } from "../peers/change_pushes.ts";
 import type { WatcherChoice } from "../peers/watcher_choice.ts";
 
 /** What the synchronization needs from the process. */
@@ -52,7 +56,7 @@
   /** Handles a return of the store, after its changes. */
   handleReturn(): void;
   /** Pushes changes that were watched after a position to the peers. */
-  pushChanges(changes: readonly WatchEvent[], after: StorePosition): void;
+  pushChanges(changes: readonly WatchEvent[], base: PushBase): void;
   /** Pushes changes although others before them are not known here. */
   pushUrgent(changes: readonly WatchEvent[], era: number): void;
   /** Handles that the end of the last outage is another than was known. */
@@ -152,6 +156,9 @@
  */
 const failureBackOff = { firstMs: 60, maxMs: 500 } as const;
 
+/** Maximum number of pushes that wait for what is read. */
+const maxOpenPushes = 8;
+
 /** Creates the synchronization, which begins with `start`. */
 export function createDirectorySync(host: DirectorySyncHost): DirectorySync {
   let isStopped = false;
@@ -168,6 +175,8 @@
     recordFailure: contact.recordFailure,
   });
   let hasTurn = false;
+  /** Pushes that could not be applied as a whole, the latest last. */
+  let openPushes: readonly DirectoryPush[] = [];
   const urgentReads = createUrgentReads({
     ...{ store: host.store, replica: host.replica },
     ...{ handleChanges: host.handleChanges, countCall: host.countCall },
@@ -190,8 +199,7 @@
     },
     applyPeerCopy: (copy) =>
       applyAt(copy.position, "peer", () => host.replica.applyCopy(copy)),
-    applyPush: (push) =>
-      applyAt(push.position, "push", () => host.replica.applyPush(push)),
+    applyPush,
     catchUp: missedChanges.read,
     isCatchingUp: missedChanges.isReading,
     recordPeerEra: returns.recordEra,
@@ -226,6 +234,21 @@
     }
   }
 
+  function applyPush(push: DirectoryPush): void {
+    applyAt(push.position, "push", () => host.replica.applyPush(push));
+    const isBehind =
+      comparePositions(host.replica.getPosition(), push.position) < 0;
+    if (!isBehind || push.edits === undefined) return;
+    openPushes = [...openPushes, push].slice(-maxOpenPushes);
+  }
+
+  /** Applies the pushes again whose edits needed what has been read since. */
+  function applyOpenPushes(): void {
+    const pushes = openPushes;
+    openPushes = [];
+    pushes.forEach(applyPush);
+  }
+
   /** Returns true when the store has named a newer era than the replica's. */
   function hasReturned(): boolean {
     return host.store.getEra() > host.replica.getPosition().era;
@@ -298,12 +321,12 @@
     );
     // Changes may have been missed while the store was unavailable.
     if (changes?.position.era !== after.era) return undefined;
-    const before = host.replica.getPosition();
+    const base = getPushBase(changes.events);
     const applied = host.replica.applyChanges(changes);
     const unknown = changes.events.filter(({ revision }) =>
-      revision > before.revision
+      revision > base.position.revision
     );
-    if (unknown.length > 0) host.pushChanges(unknown, before);
+    if (unknown.length > 0) host.pushChanges(unknown, base);
     notify(applied, "watch");
     if (changes.events.length > 0) {
       const isStandby = host.watchers.countWatchersAhead() > 0;
@@ -312,6 +335,17 @@
     return changes.position;
   }
 
+  /** Returns what is known before changes are applied. */
+  function getPushBase(events: readonly WatchEvent[]): PushBase {
+    const entries = events
+      .filter(({ value = "" }) => value.length > maxSmallLength)
+      .flatMap(({ key }) => host.replica.tryGet(key) ?? []);
+    return {
+      position: host.replica.getPosition(),
+      entries: new Map(entries.map((entry) => [entry.key, entry])),
+    };
+  }
+
   async function tryCall<T extends Pick<Listing, "position">>(
     call: (onLongBody: () => void) => EitherAsync<DirectoryError, T>,
   ): Promise<T | undefined> {
@@ -352,6 +386,7 @@
     }
     notify(changes, source);
     if (isReturn) host.handleReturn();
+    if (source !== "push") applyOpenPushes();
   }
 
   function notify(
--- a/src/process/direct/directory/directory_sync_test.ts
+++ b/src/process/direct/directory/directory_sync_test.ts
@@ -87,7 +87,7 @@
         countWatchersAhead: () => watchers.watchersAhead,
         getLastWatchedAt: () => watchers.lastWatchedAt,
       },
-      pushChanges: (events, { revision }) =>
+      pushChanges: (events, { position: { revision } }) =>
         events.forEach(({ key }) => pushed.push(`${key} after ${revision}`)),
       pushUrgent: (events) =>
         events.forEach(({ key }) => pushed.push(`${key} at once`)),
--- a/src/process/direct/peers/change_pushes.ts
+++ b/src/process/direct/peers/change_pushes.ts
@@ -12,6 +12,8 @@
   comparePositions,
   type StorePosition,
 } from "../../../types/store_position.ts";
+import type { DirectoryPush } from "../directory/directory_replica.ts";
+import { findPieces, type ValueEdit } from "../directory/value_edit.ts";
 import type { Log } from "../../telemetry/log.ts";
 import { type PushFragment, splitPush } from "./push_fragments.ts";
 
@@ -36,19 +38,26 @@
   sendDigest(): void;
 }
 
+/** What is known before pushed changes. */
+export interface PushBase {
+  readonly position: StorePosition;
+  /** The entries of large values that the changes replace, by key. */
+  readonly entries: ReadonlyMap<string, WatchEvent>;
+}
+
 /** The pushes of one router. */
 export interface ChangePushes {
   /**
    * Pushes all changes that were made after a position. Of those that are too
    * large together, the small ones are pushed and the position is told.
    */
-  push(changes: readonly WatchEvent[], after: StorePosition): void;
+  push(changes: readonly WatchEvent[], base: PushBase): void;
   /** Pushes changes although others before them are not known here. */
   pushUrgent(changes: readonly WatchEvent[], era: number): void;
 }
 
-/** Largest value that is pushed beside one that is too large, in characters. */
-const maxSmallChars = 4_096;
+/** Largest value that counts as small, in UTF-16 code units. */
+export const maxSmallLength = 4_096;
 
 /** Creates the pushes of a router that has read nothing. */
 export function createChangePushes(host: ChangePushesHost): ChangePushes {
@@ -56,13 +65,14 @@
 
   function push(
     changes: readonly WatchEvent[],
-    { era, revision: afterRevision }: StorePosition,
+    { position: { era, revision: afterRevision }, entries }: PushBase,
   ): void {
     const revision = getNewestRevision(changes);
     const position = { era, revision };
     sendInTurn(() => {
       if (comparePositions(host.getPushPosition(), position) >= 0) return;
-      const fragments = splitPush({ afterRevision, position, changes });
+      const content = separateEdits(changes, entries);
+      const fragments = splitPush({ afterRevision, position, ...content });
       fragments.forEach(host.sendFragment);
       if (fragments.length === 0) {
         sendSmall(changes, era);
@@ -71,6 +81,7 @@
       }
       host.log.info("Changes were pushed", {
         ...{ ...position, afterRevision, changes: changes.length },
+        edits: content.edits.length,
         fragments: fragments.length,
       });
     });
@@ -91,7 +102,7 @@
   /** Pushes the small ones of changes, so that receivers expect others. */
   function sendSmall(changes: readonly WatchEvent[], era: number): void {
     const small = changes.filter(({ value = "" }) =>
-      value.length <= maxSmallChars
+      value.length <= maxSmallLength
     );
     if (small.length === 0) return;
     const revision = getNewestRevision(small);
@@ -108,6 +119,31 @@
   }
 }
 
+/** Describes large values, of which the newest counts, by what differs. */
+function separateEdits(
+  changes: readonly WatchEvent[],
+  entries: PushBase["entries"],
+): Required<Pick<DirectoryPush, "changes" | "edits">> {
+  const newest = new Map(changes.map((change) => [change.key, change]));
+  const edits = [...newest.values()].flatMap((change) =>
+    tryCreateEdit(change, entries.get(change.key)) ?? []
+  );
+  const edited = new Set(edits.map(({ key }) => key));
+  return { changes: changes.filter(({ key }) => !edited.has(key)), edits };
+}
+
+function tryCreateEdit(
+  { key, value, revision }: WatchEvent,
+  base: WatchEvent | undefined,
+): ValueEdit | undefined {
+  if (value === undefined || base?.value === undefined) return undefined;
+  const pieces = findPieces(base.value, value);
+  return pieces && {
+    ...{ key, revision, pieces },
+    ...{ baseRevision: base.revision, length: value.length },
+  };
+}
+
 function getNewestRevision(changes: readonly WatchEvent[]): number {
   return Math.max(...changes.map(({ revision }) => revision));
 }
--- a/src/process/direct/peers/push_fragments.ts
+++ b/src/process/direct/peers/push_fragments.ts
@@ -11,12 +11,14 @@
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import {
   DirectoryPush as PushMessage,
+  type ValueEdit as EditMessage,
 } from "../../../generated/mimosatray/v1/peer_digest.ts";
 import {
   comparePositions,
   type StorePosition,
 } from "../../../types/store_position.ts";
 import type { DirectoryPush } from "../directory/directory_replica.ts";
+import type { ValueEdit } from "../directory/value_edit.ts";
 
 /** Maximum size of the data in one fragment, in bytes. */
 const maxFragmentBytes = 1_150;
@@ -44,13 +46,7 @@
 
 /** Returns the fragments of a push; none when it takes too many. */
 export function splitPush(push: DirectoryPush): readonly PushFragment[] {
-  const message = PushMessage
-    .encode({
-      ...push.position,
-      afterRevision: push.afterRevision,
-      changes: [...push.changes],
-    })
-    .finish();
+  const message = PushMessage.encode(toMessage(push)).finish();
   if (message.length > maxPushBytes) return [];
   const bytes = deflateRawSync(message);
   const count = Math.ceil(bytes.length / maxFragmentBytes);
@@ -121,18 +117,56 @@
     const bytes = inflateRawSync(Buffer.concat(ordered), {
       maxOutputLength: maxPushBytes,
     });
-    const { afterRevision, era, revision, changes } = PushMessage.decode(bytes);
-    return {
-      afterRevision,
-      position: { era, revision },
-      changes: changes.map((change) => ({
-        key: change.key,
-        value: change.value,
-        revision: change.revision,
-      })),
-    };
+    return fromMessage(PushMessage.decode(bytes));
   } catch {
     // Any process may send to the port, so other bytes are ignored.
     return undefined;
   }
 }
+
+function toMessage(
+  { afterRevision, position, changes, edits = [] }: DirectoryPush,
+): PushMessage {
+  const hasEdits = edits.length > 0;
+  return {
+    ...position,
+    changes: [...changes],
+    edits: edits.map(({ pieces, ...edit }) => ({
+      ...edit,
+      pieces: pieces.map((piece) => ({
+        ...{ from: 0, length: 0, text: "" },
+        ...piece,
+      })),
+    })),
+    // A build that does not know edits must expect the changes that they are.
+    afterRevision: hasEdits ? position.revision : afterRevision,
+    editedAfterRevision: hasEdits ? afterRevision : undefined,
+  };
+}
+
+function fromMessage(
+  { afterRevision, editedAfterRevision, era, revision, changes, edits }:
+    PushMessage,
+): DirectoryPush {
+  return {
+    afterRevision: editedAfterRevision ?? afterRevision,
+    position: { era, revision },
+    changes: changes.map((change) => ({
+      key: change.key,
+      value: change.value,
+      revision: change.revision,
+    })),
+    ...(edits.length > 0 && { edits: edits.map(fromMessageEdit) }),
+  };
+}
+
+function fromMessageEdit({ pieces, ...edit }: EditMessage): ValueEdit {
+  return {
+    ...edit,
+    pieces: pieces.map(({ from, length, text }) =>
+      length > 0
+        ? { kind: "range", from, length } as const
+        : { kind: "text", text } as const
+    ),
+  };
+}
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -179,7 +179,7 @@
     handleChanges: applyChanges,
     handleReturn: () => registration.handleReturn(),
     handleOutageRevised: () => directoryTables.handleOutageRevised(),
-    pushChanges: (changes, after) => exchange.pushChanges(changes, after),
+    pushChanges: (changes, base) => exchange.pushChanges(changes, base),
     pushUrgent: (changes, era) => exchange.pushUrgent(changes, era),
     countCall: (call) => metrics.count("store_calls_total", { call }),
   });
--- a/test/support/directory_fleet.ts
+++ b/test/support/directory_fleet.ts
@@ -113,7 +113,10 @@
 }
 
 /** Decodes the entries of targets, routers and the configuration. */
-function decode({ key, value }: Entry): DirectoryRecord {
+function decode(
+  { key, value }: Entry,
+  decodeVersion: (value: string) => number,
+): DirectoryRecord {
   const [kind, id = "", zone = ""] = key.split("/");
   if (id === "evacuate") return { kind: "evacuation", zone };
   if (kind === "servers") {
@@ -130,7 +133,7 @@
     ? { kind: "router", router: JSON.parse(value) as RouterPeer }
     : {
       kind: "route_table",
-      table: createTable({ version: Number(value) }),
+      table: createTable({ version: decodeVersion(value) }),
     };
 }
 
@@ -145,6 +148,10 @@
 export function createDirectoryFleet(
   store: ReturningStore,
   placement: Placement,
+  { decodeVersion = Number }: {
+    /** Returns the version of a configuration. */
+    decodeVersion?(value: string): number;
+  } = {},
 ) {
   const routers: RouterParts[] = [];
 
@@ -190,14 +197,17 @@
       },
       handleReturn: () => registration.handleReturn(),
       handleOutageRevised: () => tables.handleOutageRevised(),
-      pushChanges: (changes, after) =>
-        pushes.push(changes, router.namesEra ? after : { ...after, era: 0 }),
+      pushChanges: (changes, { position, entries }) =>
+        pushes.push(changes, {
+          position: router.namesEra ? position : { ...position, era: 0 },
+          entries,
+        }),
       pushUrgent: (changes, era) =>
         pushes.pushUrgent(changes, router.namesEra ? era : 0),
       countCall: () => undefined,
     });
     const tables = createDirectoryTables({
-      store: { decode, resolveKey },
+      store: { decode: (entry) => decode(entry, decodeVersion), resolveKey },
       ...{ targets, evacuations, limits: createTestLimits() },
       health: { forget: () => undefined },
       cachedParts: createCachedParts(),
