--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -38,6 +38,7 @@
 import {
   createCopyError,
   createOutdatedError,
+  createUselessError,
   decodeEvent,
   decodeItem,
   isPageAfter,
@@ -91,6 +92,8 @@
   /** Time for which the store may hold the call, in milliseconds. */
   readonly waitMs?: number;
   readonly maxBytes?: number;
+  /** Size of a body above which it is not read, in bytes. */
+  readonly maxUsefulBytes?: number;
 }
 
 /** What the rest of a listing may take. */
@@ -224,7 +227,8 @@
   }
 
   function watch(
-    { afterRevision, waitMs, kind, onLongBody }: WatchOptions,
+    { afterRevision, waitMs, kind, maxBytes = Infinity, onLongBody }:
+      WatchOptions,
   ): EitherAsync<DirectoryError, Changes> {
     const query = new URLSearchParams({
       Prefix: getPrefix({ kind }),
@@ -237,6 +241,7 @@
       path: `${storePaths.watch}?${query}`,
       waitMs,
       onLongBody,
+      maxUsefulBytes: maxBytes,
     });
     return EitherAsync.fromPromise(() => result).chain(({ body, era }) => {
       const revision = getNumber(body, "AsOf", afterRevision);
@@ -281,9 +286,10 @@
   }
 
   async function call(
-    { name, path, body, waitMs = 0, maxBytes = maxResponseBytes, onLongBody }:
-      StoreCall,
+    request: StoreCall,
   ): Promise<Either<DirectoryError, StoreResponse>> {
+    const { name, path, body, waitMs = 0, onLongBody } = request;
+    const { maxBytes = maxResponseBytes, maxUsefulBytes = Infinity } = request;
     const kind = body === undefined ? "read" : "write";
     const timeout = startCallTimeout({
       headMs: headTimeoutMs + waitMs,
@@ -303,10 +309,15 @@
         }),
       });
       timeout.recordHead();
-      read.recordHead(Number(response.headers["content-length"] ?? 0));
+      const bodyBytes = Number(response.headers["content-length"] ?? 0);
+      if (bodyBytes > maxUsefulBytes) {
+        response.body.on("error", () => undefined).destroy();
+        return Left(createUselessError(bodyBytes));
+      }
+      read.recordHead(bodyBytes);
       const era = eraReader.read(response.headers[headerNames.storeEra]);
       const text = await readBoundedText(response.body, {
-        maxBytes,
+        maxBytes: Math.min(maxBytes, maxUsefulBytes),
         onChunk: (bytes) => {
           timeout.recordPiece();
           read.recordPiece(bytes);
@@ -315,7 +326,12 @@
       read.recordEnd();
       return parseResponse(response.statusCode, text, era);
     } catch (cause) {
-      return Left(toConnectionError(cause, kind));
+      const bytes = read.getBytes();
+      return Left(
+        bytes > maxUsefulBytes
+          ? createUselessError(bytes)
+          : toConnectionError(cause, kind),
+      );
     } finally {
       timeout.clear();
       const result = read.clear();
--- a/src/platform/store_client_test.ts
+++ b/src/platform/store_client_test.ts
@@ -41,6 +41,37 @@
     return client.watch({ afterRevision, waitMs: 1 }).run();
   }
 
+  describe("beside a large response", () => {
+    const large = "x".repeat(100_000);
+
+    it("tells of it with its head, and reads kinds by themselves", async () => {
+      store.put("servers/a", {});
+      store.put("op/config", large);
+      store.put("op/evacuate/zone-a", "");
+      let longBodies = 0;
+      const options = { afterRevision: 1, waitMs: 1 };
+      const all = await client
+        .watch({ ...options, onLongBody: () => longBodies++ }).run();
+      expect(all.unsafeCoerce().events.length).toBe(3);
+      expect(longBodies).toBe(1);
+      for (const kind of ["target", "evacuation"] as const) {
+        const changes = await client.watch({ ...options, kind }).run();
+        expect(changes.unsafeCoerce().events.length).toBe(1);
+        const listing = await client.list({ kind }).run();
+        expect(listing.unsafeCoerce().entries.length).toBe(1);
+      }
+    });
+
+    it("asks for a listing where that takes less", async () => {
+      store.put("op/config", large);
+      store.put("op/config", large);
+      const result = await client
+        .watch({ afterRevision: 1, waitMs: 1, maxBytes: 200_000 }).run();
+      expect(result.swap().toMaybe().extract()?.kind).toBe("compacted");
+      expect((await client.list().run()).isRight()).toBe(true);
+    });
+  });
+
   describe("reads the era", () => {
     it("of a listing, over all of its pages", async () => {
       ["a", "b", "c", "d"].forEach((key) => store.put(key, key));
--- a/src/platform/store_read.ts
+++ b/src/platform/store_read.ts
@@ -14,6 +14,8 @@
   recordHead(bodyBytes: number): void;
   /** Records a piece of the body with its size in bytes. */
   recordPiece(bytes: number): void;
+  /** Returns what has arrived of the body, in bytes. */
+  getBytes(): number;
   recordEnd(): void;
   /** Stops; returns what was read, undefined without a head. */
   clear(): StoreRead | undefined;
@@ -28,12 +30,15 @@
   let headAt: number | undefined;
   let bytes = 0;
   let isComplete = false;
+  let isLong = false;
 
   return {
     recordHead,
     recordPiece: (length) => {
       bytes += length;
+      if (bytes >= longBodyBytes) reportLongBody();
     },
+    getBytes: () => bytes,
     recordEnd: () => {
       isComplete = true;
     },
@@ -42,9 +47,14 @@
 
   function recordHead(bodyBytes: number): void {
     headAt = performance.now();
-    if (handleLongBody === undefined) return;
-    if (bodyBytes >= longBodyBytes) return handleLongBody();
-    timer = setTimeout(handleLongBody, longBodyMs).unref();
+    if (bodyBytes >= longBodyBytes) return reportLongBody();
+    timer = setTimeout(reportLongBody, longBodyMs).unref();
+  }
+
+  function reportLongBody(): void {
+    clearTimeout(timer);
+    if (!isLong) handleLongBody?.();
+    isLong = true;
   }
 
   function clear(): StoreRead | undefined {
--- a/src/platform/store_responses.ts
+++ b/src/platform/store_responses.ts
@@ -84,6 +84,14 @@
   };
 }
 
+/** Creates the error of changes that are larger than a listing. */
+export function createUselessError(bytes: number): DirectoryError {
+  return {
+    kind: "compacted",
+    message: `The changes take ${bytes} bytes, more than all entries`,
+  };
+}
+
 /** Creates the error of a response whose era cannot be used. */
 export function createOutdatedError(era: number): DirectoryError {
   return {
--- a/src/process/direct/directory/directory_replica.ts
+++ b/src/process/direct/directory/directory_replica.ts
@@ -67,6 +67,8 @@
    * Changes beyond a gap are left out of the latter.
    */
   getCopyAfter(after: StorePosition): DirectoryCopy;
+  /** Returns the length of all known values, in UTF-16 code units. */
+  getValueLength(): number;
   /** Returns an entry as it is known; undefined when it is removed or unknown. */
   tryGet(key: string): WatchEvent | undefined;
   /** Returns the number of entries of which more is known than the store has. */
@@ -119,6 +121,11 @@
     applyCopy,
     getCopyAfter,
     tryGet: (key) => live.get(key),
+    getValueLength: () =>
+      [...live.values()].reduce(
+        (sum, { value = "" }) => sum + value.length,
+        0,
+      ),
     countLostEntries: () => getLostEntries().length,
     getPosition: () => position,
   };
--- a/src/process/direct/directory/directory_sync.ts
+++ b/src/process/direct/directory/directory_sync.ts
@@ -34,9 +34,10 @@
 } from "../store/store_contact.ts";
 import { createFirstListing } from "./first_listing.ts";
 import { createMissedChanges, readBesideUrgent } from "./missed_changes.ts";
+import { getMaxWatchBytes } from "./watch_size.ts";
 import { createUrgentReads } from "./urgent_reads.ts";
 import { createStoreReturns } from "../store/store_returns.ts";
-import { maxSmallLength, type PushBase } from "../peers/change_pushes.ts";
+import { getPushBase, type PushBase } from "../peers/change_pushes.ts";
 import type { WatcherChoice } from "../peers/watcher_choice.ts";
 
 /** What the synchronization needs from the process. */
@@ -317,11 +318,12 @@
       host.store.watch({
         ...{ afterRevision: after.revision, onLongBody },
         waitMs: watchTimeoutMs,
+        maxBytes: getMaxWatchBytes(host.replica),
       })
     );
     // Changes may have been missed while the store was unavailable.
     if (changes?.position.era !== after.era) return undefined;
-    const base = getPushBase(changes.events);
+    const base = getPushBase(host.replica, changes.events);
     const applied = host.replica.applyChanges(changes);
     const unknown = changes.events.filter(({ revision }) =>
       revision > base.position.revision
@@ -335,17 +337,6 @@
     return changes.position;
   }
 
-  /** Returns what is known before changes are applied. */
-  function getPushBase(events: readonly WatchEvent[]): PushBase {
-    const entries = events
-      .filter(({ value = "" }) => value.length > maxSmallLength)
-      .flatMap(({ key }) => host.replica.tryGet(key) ?? []);
-    return {
-      position: host.replica.getPosition(),
-      entries: new Map(entries.map((entry) => [entry.key, entry])),
-    };
-  }
-
   async function tryCall<T extends Pick<Listing, "position">>(
     call: (onLongBody: () => void) => EitherAsync<DirectoryError, T>,
   ): Promise<T | undefined> {
--- a/src/process/direct/directory/missed_changes.ts
+++ b/src/process/direct/directory/missed_changes.ts
@@ -15,11 +15,15 @@
 import type { DirectoryChange, DirectoryReplica } from "./directory_replica.ts";
 import type { ChangeSource } from "./directory_tables.ts";
 import type { UrgentReads } from "./urgent_reads.ts";
+import { getMaxWatchBytes } from "./watch_size.ts";
 
 /** What the reads need from the process. */
 export interface MissedChangesHost {
   readonly store: Pick<DirectoryStore, "watch">;
-  readonly replica: Pick<DirectoryReplica, "applyChanges" | "getPosition">;
+  readonly replica: Pick<
+    DirectoryReplica,
+    "applyChanges" | "getPosition" | "getValueLength"
+  >;
   readonly urgentReads: UrgentReads;
   readonly log: Pick<Log, "warn">;
   list(options?: ListOptions): EitherAsync<DirectoryError, Listing>;
@@ -81,6 +85,7 @@
         host.store.watch({
           ...{ afterRevision: after.revision, onLongBody },
           waitMs: watchWaitMs,
+          maxBytes: getMaxWatchBytes(host.replica),
         }),
     );
     if (host.isStopped()) return true;
--- a/src/process/direct/peers/change_pushes.ts
+++ b/src/process/direct/peers/change_pushes.ts
@@ -12,7 +12,10 @@
   comparePositions,
   type StorePosition,
 } from "../../../types/store_position.ts";
-import type { DirectoryPush } from "../directory/directory_replica.ts";
+import type {
+  DirectoryPush,
+  DirectoryReplica,
+} from "../directory/directory_replica.ts";
 import { findPieces, type ValueEdit } from "../directory/value_edit.ts";
 import type { Log } from "../../telemetry/log.ts";
 import { type PushFragment, splitPush } from "./push_fragments.ts";
@@ -57,7 +60,7 @@
 }
 
 /** Largest value that counts as small, in UTF-16 code units. */
-export const maxSmallLength = 4_096;
+const maxSmallLength = 4_096;
 
 /** Creates the pushes of a router that has read nothing. */
 export function createChangePushes(host: ChangePushesHost): ChangePushes {
@@ -119,6 +122,20 @@
   }
 }
 
+/** Returns what is known before changes are applied. */
+export function getPushBase(
+  replica: Pick<DirectoryReplica, "getPosition" | "tryGet">,
+  changes: readonly WatchEvent[],
+): PushBase {
+  const entries = changes
+    .filter(({ value = "" }) => value.length > maxSmallLength)
+    .flatMap(({ key }) => replica.tryGet(key) ?? []);
+  return {
+    position: replica.getPosition(),
+    entries: new Map(entries.map((entry) => [entry.key, entry])),
+  };
+}
+
 /** Describes large values, of which the newest counts, by what differs. */
 function separateEdits(
   changes: readonly WatchEvent[],
--- a/src/types/directory.ts
+++ b/src/types/directory.ts
@@ -72,6 +72,11 @@
   readonly waitMs: number;
   /** The only kind of entries to return; all kinds without it. */
   readonly kind?: UrgentKind;
+  /**
+   * Size above which the response is not read, in bytes; the error is then the
+   * one of a compacted history.
+   */
+  readonly maxBytes?: number;
   /** Called at most once, when the response will take or takes long to read. */
   onLongBody?(): void;
 }
--- a/test/fakes/returning_store.ts
+++ b/test/fakes/returning_store.ts
@@ -185,6 +185,7 @@
       watch: (options) =>
         call(() => watch(options), {
           ...{ kind: "read", onLongBody: options.onLongBody },
+          maxBytes: options.maxBytes,
           getEntries: ({ events }) => events,
         }),
       put: (key, value) =>
@@ -196,8 +197,15 @@
 
     function call<T>(
       respond: () => Promise<Either<DirectoryError, T>>,
-      { kind, pages = () => 1, getEntries = () => [], onLongBody }: {
+      {
+        kind,
+        pages = () => 1,
+        getEntries = () => [],
+        maxBytes = Number.POSITIVE_INFINITY,
+        onLongBody,
+      }: {
         readonly kind: StoreCall["kind"];
+        readonly maxBytes?: number;
         readonly onLongBody?: WatchOptions["onLongBody"];
         readonly pages?: () => number;
         getEntries?(value: T): readonly WatchEvent[];
@@ -223,6 +231,9 @@
           Left: () => 0,
           Right: (value) => getBytes(getEntries(value)),
         });
+        if (bytes > maxBytes) {
+          return Left({ kind: "compacted", message: "large" });
+        }
         const bodyMs = bytes / bytesPerMs;
         if (bytes >= longBodyBytes) onLongBody?.();
         await sleep(Math.min(bodyMs, bodyTimeoutMs));
