Judge evacuations in the soak, and leaves beside large values over narrow links

Change: targets in two zones, of which one is evacuated for a time; large values over links of 150 bytes a ms, with and without leaves beside them; the rule EVAC, bound 2 s. Planted faults: urgent_reads_missing and evacuation_ignored.

--- a/test/soak/fault_actions.ts
+++ b/test/soak/fault_actions.ts
@@ -5,7 +5,7 @@
 import type { RouterProcess } from "./router_process.ts";
 import type { Fault, FaultName } from "./schedule.ts";
 import type { SoakStore } from "./soak_store.ts";
-import type { SoakTarget } from "./soak_target.ts";
+import { type SoakTarget, zones } from "./soak_target.ts";
 
 /** Time for which a store hangs before it returns from a copy, in ms. */
 const returnAwayMs = 500;
@@ -19,6 +19,12 @@
 /** Interval between the versions of a storm, in milliseconds. */
 const stormIntervalMs = 120;
 
+/** Zone that faults evacuate. */
+const evacuatedZone = zones[1];
+
+/** Time for which large values are written before a leave, in milliseconds. */
+const leaveDelayMs = 900;
+
 /** What the faults act on. */
 export interface FaultHost {
   readonly routers: readonly RouterProcess[];
@@ -90,6 +96,17 @@
     await sleep(800 * share);
     await actions.target_removed(host, fault);
   },
+  large_values: ({ store }, { lengthMs }) => store.writeLarge(lengthMs),
+  zone_evacuated: ({ store }, { lengthMs }) =>
+    store.evacuate(evacuatedZone, lengthMs),
+  leaves_beside_large_values: async (host, fault) => {
+    const large = actions.large_values(host, fault);
+    await sleep(leaveDelayMs);
+    const { lengthMs } = fault;
+    const evacuation = host.store.evacuate(evacuatedZone, lengthMs);
+    await actions.target_draining(host, fault);
+    await Promise.all([large, evacuation]);
+  },
   target_crash: (host, fault) =>
     forTargets(
       host,
--- a/test/soak/judge_test.ts
+++ b/test/soak/judge_test.ts
@@ -37,6 +37,7 @@
 function createArrival(changes: Partial<Arrival> = {}): Arrival {
   return {
     ...{ requestId: "q", router: "r0", life, targetId: "t0", service: "a" },
+    zone: "zone-a",
     ...{ at: calmAt + 5, lastEventId: 0, workspace: "ws", kind: "run" },
     cause: undefined,
     ...{ status: 200, body: "whole", completedAt: undefined, brokeOff: false },
@@ -73,6 +74,7 @@
     routers: createRouters("start", 0),
     ...{ startedAt: 0, pauses: [], entries: [], storeSpans: [] },
     ...{ limits: [], limitNotices: [], lives: [] },
+    ...{ largeSpans: [], evacuations: [] },
     ...seen,
   });
   return violations.map(({ rule }) => rule);
@@ -382,4 +384,34 @@
       ).toEqual([]);
     });
   });
+
+  describe("of an evacuated zone", () => {
+    function findEvacuation(from: number, seen: Partial<Observations> = {}) {
+      const evacuations = [{ zone: "zone-a", from, to: calmAt + 5_000 }];
+      return findRules({ evacuations, ...seen });
+    }
+    const begunAt = calmAt - bounds.evacuateMs;
+
+    it("breaks EVAC with an arrival after the bound", () => {
+      expect(findEvacuation(begunAt - 1)).toEqual(["EVAC"]);
+    });
+
+    it("breaks nothing before the bound, after the end or elsewhere", () => {
+      expect(findEvacuation(begunAt + 10)).toEqual([]);
+      const ended = [{ zone: "zone-a", from: 0, to: calmAt }];
+      expect(findRules({ evacuations: ended })).toEqual([]);
+      const arrivals = [createArrival({ zone: "zone-b" })];
+      expect(findEvacuation(0, { arrivals })).toEqual([]);
+    });
+
+    it("breaks nothing by a router out of touch", () => {
+      const routers = createRouters("cut", calmAt - 1_000);
+      expect(findEvacuation(begunAt - 1, { routers })).toEqual([]);
+    });
+
+    it("breaks EVAC and DRAIN beside large values too", () => {
+      const largeSpans = [{ from: 0, to: Infinity }];
+      expect(findEvacuation(begunAt - 1, { largeSpans })).toEqual(["EVAC"]);
+    });
+  });
 });
--- a/test/soak/judge_timeouts_test.ts
+++ b/test/soak/judge_timeouts_test.ts
@@ -25,6 +25,7 @@
     routers: [{ id: "r0", spans }],
     arrivals: arrivedAt === undefined ? [] : [arrival],
     ...{ pauses: [], limits: [], limitNotices: [], lives: [] },
+    ...{ largeSpans: [], evacuations: [] },
     ...{ versions: [], entries: [] },
   });
   return judgeTimeouts(context, { timeoutMs }).map(({ text }) => text);
--- a/test/soak/observations.ts
+++ b/test/soak/observations.ts
@@ -31,6 +31,8 @@
   readonly life: string;
   readonly targetId: string;
   readonly service: string;
+  /** Zone of the target. */
+  readonly zone: string;
   /** Earliest possible time of arrival. */
   readonly at: number;
   readonly lastEventId: number;
@@ -69,6 +71,13 @@
   readonly version: string;
 }
 
+/** A time in which a zone was evacuated, from its acknowledgement on. */
+export interface EvacuationSpan {
+  readonly zone: string;
+  from: number;
+  to: number;
+}
+
 /** When a response with a limit had reached a router. */
 export interface LimitNotice {
   readonly router: string;
@@ -162,11 +171,15 @@
   }[];
   /** Times in which the store did not serve as it should. */
   readonly storeSpans: readonly Span[];
+  /** Times in which a large value was written again and again. */
+  readonly largeSpans: readonly Span[];
+  readonly evacuations: readonly EvacuationSpan[];
 }
 
 /** Bounds of the users' rules. */
 export const bounds = {
   ...{ contactMs: 3_000, drainMs: 2_000, configApplyMs: 2_000 },
+  evacuateMs: 2_000,
   ...{ revertSlackMs: 250, graceMs: 8_000 },
   ...{ limitWindowMs: 4_000, limitRatio: 1.5, limitSlack: 5 },
   ...{
--- a/test/soak/plants.ts
+++ b/test/soak/plants.ts
@@ -48,6 +48,18 @@
     "    leavesById.delete(target.id);\n    readyByService.clear();\n" +
     "    return previous",
   ]],
+  /** Leaves and evacuations wait for large responses. */
+  urgent_reads_missing: [[
+    "src/process/direct/directory/urgent_reads.ts",
+    "    urgentKinds.forEach((kind) => void follow(kind));\n",
+    "    void follow;\n",
+  ]],
+  /** An evacuation is read and not obeyed. */
+  evacuation_ignored: [[
+    "src/process/direct/targets/zone_evacuations.ts",
+    "    evacuated.add(zone);\n",
+    "",
+  ]],
   /** A target whose entry says that it drains counts as ready. */
   draining_ignored: [[
     "src/platform/store_records.ts",
--- a/test/soak/press_run.ts
+++ b/test/soak/press_run.ts
@@ -80,6 +80,7 @@
       createSoakTarget({
         ...{ store, clock, arrivals, random: createSeededRandom(seed + index) },
         ...{ pauses: [], limits: [], limitNotices: [], lives: [] },
+        ...{ largeSpans: [], evacuations: [] },
       }, {
         ...{ index, address: `${network}.${100 + index}` },
         service: services[index % services.length] ?? "",
@@ -142,6 +143,7 @@
     const context = createJudgeContext({
       ...{ startedAt, requests, arrivals, routers, storeSpans: [] },
       ...{ pauses: [], limits: [], limitNotices: [], lives: [] },
+      ...{ largeSpans: [], evacuations: [] },
       ...{ versions: operator.versions, entries: store.entries },
     });
     const violations = judgeTimeouts(context, { timeoutMs: pressTimeoutMs });
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -54,6 +54,13 @@
     lengthMs: [2_300, 7_000],
     ...ofTargets,
   },
+  large_values: { weight: 3, lengthMs: [3_000, 7_000], ...ofStore },
+  zone_evacuated: { weight: 3, lengthMs: [3_000, 7_000], ...ofStore },
+  leaves_beside_large_values: {
+    weight: 3,
+    lengthMs: [4_000, 7_000],
+    ...ofTargets,
+  },
   target_crash: { weight: 3, lengthMs: [300, 2_500], ...ofTargets },
   versions_storm: { weight: 3, lengthMs: [800, 2_000], ...ofStore },
 } as const satisfies Record<string, FaultShape>;
--- a/test/soak/soak_store.ts
+++ b/test/soak/soak_store.ts
@@ -1,12 +1,13 @@
 /** The store of a soak: its disruptions, and what it has acknowledged. */
 
+import { randomBytes } from "node:crypto";
 import { sleep } from "../harness/wait.ts";
 import {
   startStore,
   type StoreCopy,
   type StoreMode,
 } from "../platform/store_stand_in.ts";
-import type { EntryRecord, Span } from "./observations.ts";
+import type { EntryRecord, EvacuationSpan, Span } from "./observations.ts";
 
 /** Time without a heartbeat after which an entry is removed, in ms. */
 const expiryMs = 1_500;
@@ -14,6 +15,15 @@
 /** Interval at which expired entries are looked for, in milliseconds. */
 const expiryIntervalMs = 100;
 
+/** Size of the value that keeps the store's responses busy, in characters. */
+const largeLength = 200_000;
+
+/** Interval at which it is written, in milliseconds. */
+const largeIntervalMs = 300;
+
+/** Rate of the store's bodies meanwhile, in bytes per millisecond. */
+const narrowBytesPerMs = 150;
+
 /** Maximum entries per page of a listing. */
 const maxPageItems = 500;
 
@@ -24,6 +34,8 @@
 export async function startSoakStore() {
   const store = await startStore({ maxPageItems });
   const spans: Span[] = [];
+  const largeSpans: Span[] = [];
+  const evacuations: EvacuationSpan[] = [];
   const entries: EntryRecord[] = [];
   const known = new Map<string, EntryRecord>();
   const heartbeats = new Map<string, number>();
@@ -38,6 +50,7 @@
     compact: store.compact,
     ...{ spans, entries, tryPutConfiguration, tryPutTarget, tryRemoveTarget },
     ...{ getVersion, disrupt, returnFrom, writeOthers, removeRouters, close },
+    ...{ largeSpans, evacuations, writeLarge, evacuate },
   };
 
   /** Writes the configuration; returns false while the store is away. */
@@ -150,6 +163,40 @@
     for (let index = 0; index < count; index++) store.put("other/key", index);
   }
 
+  /** Writes a large value that is new each time, over narrow links. */
+  async function writeLarge(lengthMs: number): Promise<void> {
+    const span: Span = { from: performance.now(), to: Infinity };
+    largeSpans.push(span);
+    store.setBodyRate(narrowBytesPerMs);
+    const write = () => {
+      if (away === 0) {
+        store.put("other/large", randomBytes(largeLength / 2).toString("hex"));
+      }
+    };
+    write();
+    const writes = setInterval(write, largeIntervalMs);
+    await sleep(lengthMs);
+    clearInterval(writes);
+    span.to = performance.now();
+    const isLast = largeSpans.every(({ to }) => to < Infinity);
+    if (isLast) store.setBodyRate(Infinity);
+  }
+
+  /** Evacuates a zone for a time, once the store takes it. */
+  async function evacuate(zone: string, lengthMs: number): Promise<void> {
+    if (evacuations.some((other) => other.to === Infinity)) return;
+    const key = `op/evacuate/${zone}`;
+    const span = { zone, from: Infinity, to: Infinity };
+    evacuations.push(span);
+    while (away > 0) await sleep(50);
+    store.put(key, "");
+    span.from = performance.now();
+    await sleep(lengthMs);
+    while (away > 0) await sleep(50);
+    span.to = performance.now();
+    store.remove(key);
+  }
+
   function removeRouters(): void {
     if (away > 0) return;
     [...store.copy().items.keys()]
