End the turn of a router whose reads of the store take over two seconds

Cause: found by reading. Urgent reads count as responses of the store, so that a router on a slow link reported that it watches while it read one configuration for seconds; nobody took over, and the others hear of the configuration only after that read. Change: a router reports that it watches while a whole read has ended within 2 s, as before the urgent reads; they still keep a long read from counting as an outage. Result: store_contact_test, fails with the last response in place of the last read.

--- a/src/process/direct/directory/directory_sync.ts
+++ b/src/process/direct/directory/directory_sync.ts
@@ -212,7 +212,7 @@
 
   function isWatching(): boolean {
     return hasTurn && contact.isConnected() &&
-      contact.hasRespondedWithin(watchReportMs);
+      contact.hasReadWithin(watchReportMs);
   }
 
   async function run(): Promise<void> {
--- a/src/process/direct/store/store_contact.ts
+++ b/src/process/direct/store/store_contact.ts
@@ -43,8 +43,8 @@
   recordPeerPosition(position: StorePosition): void;
   /** Returns true while the store responds; false before its first response. */
   isConnected(): boolean;
-  /** Returns true when the store has responded within a time. */
-  hasRespondedWithin(ms: number): boolean;
+  /** Returns true when a read of the store has ended within a time. */
+  hasReadWithin(ms: number): boolean;
   /** Returns true when changes should be pulled from peers. */
   needsPeers(): boolean;
   /** Returns true when the last call to the store failed. */
@@ -115,7 +115,7 @@
   /** Time of the first failure since the store last responded. */
   let disconnectedAt = performance.now();
   let lastResponseAt = performance.now();
-  /** Time of the last response; unlike the above, none before the first. */
+  /** End of the last read; unlike the above, none before the first. */
   let lastReadAt = Number.NEGATIVE_INFINITY;
   /** Newest position that the store has told, beyond that of its entries. */
   let readPosition = originPosition;
@@ -139,7 +139,7 @@
     },
     recordPeerPosition,
     isConnected: () => isConnected,
-    hasRespondedWithin: (ms) => performance.now() - lastResponseAt < ms,
+    hasReadWithin: (ms) => performance.now() - lastReadAt < ms,
     needsPeers,
     hasFailed: () => failures > 0,
     getFailures: () => failures,
--- a/src/process/direct/store/store_contact_test.ts
+++ b/src/process/direct/store/store_contact_test.ts
@@ -107,3 +107,29 @@
     expect(tryGetCurrentEra()).toBe(1);
   });
 });
+
+/** Guards against turns that a router keeps whose link is too slow for them. */
+describe("a read of the store that takes long", () => {
+  beforeEach(() => void jest.useFakeTimers());
+  afterEach(() => void jest.useRealTimers());
+
+  it("ends the turn, and is no outage while the store responds", () => {
+    const contact = createStoreContact({
+      log: createSilentLog(),
+      getPosition: () => originPosition,
+      getLastWatchedAt: () => Number.NEGATIVE_INFINITY,
+      handleOutageRevised: () => undefined,
+    });
+    contact.recordSuccess({ era: 1, revision: 1 });
+    contact.recordTurn();
+    contact.recordSuccess({ era: 1, revision: 2 });
+    for (let tick = 0; tick < 16; tick++) {
+      jest.advanceTimersByTime(500);
+      contact.recordProgress();
+    }
+    expect(contact.hasReadWithin(2_000)).toBe(false);
+    contact.recordSuccess({ era: 1, revision: 3 });
+    expect(contact.hasReadWithin(2_000)).toBe(true);
+    expect(contact.getOutageEndedAt()).toBe(Number.NEGATIVE_INFINITY);
+  });
+});
