Read what has changed since a long listing before a router is taken into service

Cause: a listing is as old as it took. Over a narrow link it took 3.1 s, so that the router was taken into service with what held 3.1 s before, and learnt of the removal 0.4 s later, with its first urgent read. Change: after a listing of 300 ms or more, targets and evacuations since are read by themselves, for 0.7 s at most, and applied with it as one. Result: leave_delay_test, 'at a router that starts over a slow link', red without the read.

--- a/src/process/direct/directory/directory_sync.ts
+++ b/src/process/direct/directory/directory_sync.ts
@@ -15,10 +15,7 @@
   ListOptions,
 } from "../../../types/directory.ts";
 import type { WatchEvent } from "../../../types/platform.ts";
-import {
-  comparePositions,
-  type StorePosition,
-} from "../../../types/store_position.ts";
+import type { StorePosition } from "../../../types/store_position.ts";
 import type { ChangeSource } from "./directory_tables.ts";
 import { getBackOffMs } from "../../membership/jitter.ts";
 import type { Log } from "../../telemetry/log.ts";
@@ -33,6 +30,7 @@
   type StoreContact,
 } from "../store/store_contact.ts";
 import { createFirstListing } from "./first_listing.ts";
+import { createOpenPushes } from "./open_pushes.ts";
 import { createMissedChanges, readBesideUrgent } from "./missed_changes.ts";
 import { getMaxWatchBytes } from "./watch_size.ts";
 import { createUrgentReads } from "./urgent_reads.ts";
@@ -157,8 +155,11 @@
  */
 const failureBackOff = { firstMs: 60, maxMs: 500 } as const;
 
-/** Maximum number of pushes that wait for what is read. */
-const maxOpenPushes = 8;
+/**
+ * Time of a listing from which a router first reads what has changed since, in
+ * milliseconds, so that it is not taken into service with an old copy.
+ */
+const longListingMs = 300;
 
 /** Creates the synchronization, which begins with `start`. */
 export function createDirectorySync(host: DirectorySyncHost): DirectorySync {
@@ -176,8 +177,7 @@
     recordFailure: contact.recordFailure,
   });
   let hasTurn = false;
-  /** Pushes that could not be applied as a whole, the latest last. */
-  let openPushes: readonly DirectoryPush[] = [];
+  const openPushes = createOpenPushes();
   const urgentReads = createUrgentReads({
     ...{ store: host.store, replica: host.replica },
     ...{ handleChanges: host.handleChanges, countCall: host.countCall },
@@ -237,17 +237,7 @@
 
   function applyPush(push: DirectoryPush): void {
     applyAt(push.position, "push", () => host.replica.applyPush(push));
-    const isBehind =
-      comparePositions(host.replica.getPosition(), push.position) < 0;
-    if (!isBehind || push.edits === undefined) return;
-    openPushes = [...openPushes, push].slice(-maxOpenPushes);
-  }
-
-  /** Applies the pushes again whose edits needed what has been read since. */
-  function applyOpenPushes(): void {
-    const pushes = openPushes;
-    openPushes = [];
-    pushes.forEach(applyPush);
+    openPushes.record(push, host.replica.getPosition());
   }
 
   /** Returns true when the store has named a newer era than the replica's. */
@@ -286,23 +276,30 @@
     return host.store.list(options);
   }
 
-  function applyListing(listing: Listing): boolean {
-    applyAt(
-      listing.position,
-      "listing",
-      () => host.replica.applyListing(listing),
-    );
+  /** Applies a listing, and some of the changes since, as one. */
+  function applyListing(
+    listing: Listing,
+    since: readonly WatchEvent[] = [],
+  ): boolean {
+    const { position } = listing;
+    applyAt(position, "listing", () => [
+      ...host.replica.applyListing(listing),
+      ...host.replica.applySome({ events: since, position }),
+    ]);
     return true;
   }
 
   /** Returns the position to watch from; undefined after a failure. */
   async function tryList(): Promise<StorePosition | undefined> {
     const isFirst = host.replica.getPosition().revision === 0;
+    const startedAt = performance.now();
     const listing = await tryCall((onLongBody) =>
       isFirst ? firstListing.run() : list({ onLongBody })
     );
     if (listing === undefined) return undefined;
-    applyListing(listing);
+    const isLong = performance.now() - startedAt >= longListingMs;
+    const since = isLong ? await urgentReads.readSince(listing.position) : [];
+    applyListing(listing, since);
     // Only a peer's copy is newer, and the store may take a while to follow.
     const isOlder = listing.position.era < host.replica.getPosition().era;
     if (isOlder) await sleep(olderEraDelayMs);
@@ -377,7 +374,7 @@
     }
     notify(changes, source);
     if (isReturn) host.handleReturn();
-    if (source !== "push") applyOpenPushes();
+    if (source !== "push") openPushes.take().forEach(applyPush);
   }
 
   function notify(
--- a/src/process/direct/directory/leave_delay_test.ts
+++ b/src/process/direct/directory/leave_delay_test.ts
@@ -159,6 +159,26 @@
     );
   });
 
+  describe("at a router that starts over a slow link", () => {
+    // A listing is as old as it took when the router is taken into service.
+    it("is known when its first configuration is in force", async () => {
+      const { store, fleet, stop } = await startFleet(10, { seed: 31 });
+      stop();
+      store.put("op/config", `9${largePadding}`);
+      await jest.advanceTimersByTimeAsync(3_000);
+      const router = fleet.startRouter(links[2]);
+      await jest.advanceTimersByTimeAsync(500);
+      store.put("servers/target-1", encodeTarget("draining"));
+      store.put("op/evacuate/zone-b", "");
+      while (router.tables.getVersion() === 0) {
+        expect(router.targets.tryGet("target-1")).toBeUndefined();
+        await jest.advanceTimersByTimeAsync(1);
+      }
+      expect(router.targets.tryGet("target-1")?.state).toBe("draining");
+      expect(router.evacuations.isEvacuated("zone-b")).toBe(true);
+    });
+  });
+
   describe("while no router can read a configuration in time", () => {
     const state = { seed: 21, getLink: () => busyLink };
 
--- a/src/process/direct/directory/urgent_reads.ts
+++ b/src/process/direct/directory/urgent_reads.ts
@@ -37,6 +37,11 @@
 export interface UrgentReads {
   /** Begins to read for as long as another read lasts; returns its end. */
   begin(): () => void;
+  /**
+   * Reads what has changed since a listing, at or after whose position it was
+   * read; returns what is known after a short timeout.
+   */
+  readSince(listed: StorePosition): Promise<readonly WatchEvent[]>;
 }
 
 /** Kinds of entries that are read. */
@@ -51,6 +56,9 @@
 /** Pause after a failed read, in milliseconds. */
 const failureDelayMs = 200;
 
+/** Timeout of the reads after a listing, in milliseconds. */
+const sinceTimeoutMs = 700;
+
 /** Creates the reads; none is made before `begin`. */
 export function createUrgentReads(host: UrgentReadsHost): UrgentReads {
   const { store, replica } = host;
@@ -58,7 +66,7 @@
   /** Number of long reads that last. */
   let longReads = 0;
 
-  return { begin };
+  return { begin, readSince };
 
   function begin(): () => void {
     let hasEnded = false;
@@ -82,6 +90,22 @@
     following.delete(kind);
   }
 
+  async function readSince(
+    { era, revision }: StorePosition,
+  ): Promise<readonly WatchEvent[]> {
+    const events: WatchEvent[] = [];
+    const reads = urgentKinds.map(async (kind) => {
+      host.countCall("watch");
+      const result = await store
+        .watch({ afterRevision: revision, waitMs: 1, kind }).run();
+      result.ifRight((changes) => {
+        if (changes.position.era === era) events.push(...changes.events);
+      });
+    });
+    await Promise.race([Promise.all(reads), sleep(sinceTimeoutMs)]);
+    return [...events];
+  }
+
   /** Returns the position to read from; undefined after a failure. */
   async function readAfter(
     kind: UrgentKind,
