--- a/src/process/direct/directory/directory_sync.ts
+++ b/src/process/direct/directory/directory_sync.ts
@@ -155,12 +155,6 @@
  */
 const failureBackOff = { firstMs: 60, maxMs: 500 } as const;
 
-/**
- * Time of a listing from which a router first reads what has changed since, in
- * milliseconds, so that it is not taken into service with an old copy.
- */
-const longListingMs = 300;
-
 /** Creates the synchronization, which begins with `start`. */
 export function createDirectorySync(host: DirectorySyncHost): DirectorySync {
   let isStopped = false;
@@ -172,12 +166,14 @@
   });
   const returns = createStoreReturns(host);
   const firstListing = createFirstListing({
-    list,
+    list: () => listNoting(),
     isNeeded: () => !isStopped && host.replica.getPosition().revision === 0,
     recordFailure: contact.recordFailure,
   });
   let hasTurn = false;
   const openPushes = createOpenPushes();
+  /** True when the listing that was made last took long to read. */
+  let isListingLong = false;
   const urgentReads = createUrgentReads({
     ...{ store: host.store, replica: host.replica },
     ...{ handleChanges: host.handleChanges, countCall: host.countCall },
@@ -276,6 +272,16 @@
     return host.store.list(options);
   }
 
+  /** Lists, and notes whether that takes long. */
+  function listNoting(onLongBody?: () => void) {
+    return list({
+      onLongBody: () => {
+        isListingLong = true;
+        onLongBody?.();
+      },
+    });
+  }
+
   /** Applies a listing, and some of the changes since, as one. */
   function applyListing(
     listing: Listing,
@@ -292,13 +298,15 @@
   /** Returns the position to watch from; undefined after a failure. */
   async function tryList(): Promise<StorePosition | undefined> {
     const isFirst = host.replica.getPosition().revision === 0;
-    const startedAt = performance.now();
+    isListingLong = false;
     const listing = await tryCall((onLongBody) =>
-      isFirst ? firstListing.run() : list({ onLongBody })
+      isFirst ? firstListing.run() : listNoting(onLongBody)
     );
     if (listing === undefined) return undefined;
-    const isLong = performance.now() - startedAt >= longListingMs;
-    const since = isLong ? await urgentReads.readSince(listing.position) : [];
+    // A listing is as old as it took.
+    const since = isListingLong
+      ? await urgentReads.readSince(listing.position)
+      : [];
     applyListing(listing, since);
     // Only a peer's copy is newer, and the store may take a while to follow.
     const isOlder = listing.position.era < host.replica.getPosition().era;
