--- a/review/stand_ins/case.mjs
+++ b/review/stand_ins/case.mjs
@@ -1,9 +1,11 @@
 /** Runs one case: keeps its record, ends what it started, and its exit code. */
 
 import { createWriteStream, mkdtempSync, rmSync } from "node:fs";
+import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
+import { listen } from "./common.mjs";
 import { createRouter } from "./router.mjs";
 import { startServer } from "./server.mjs";
 import { startStore } from "./store.mjs";
@@ -11,6 +13,12 @@
 /** Exit codes of a case. */
 const exitCodes = { held: 0, broken: 1, notRun: 2 };
 
+/** Port at which each router serves its metrics; its settings don't name one. */
+const metricsPort = 9464;
+
+/** Maximum number of routers of a case. */
+const maxRouters = 5;
+
 /** Longest time of a case, in milliseconds. */
 const maxRunMs = 110_000;
 
@@ -34,8 +42,13 @@
     record("case took too long", {});
     void finish();
   }, maxRunMs);
+  for (const signal of ["SIGINT", "SIGTERM"]) {
+    process.once(signal, () => void finish());
+  }
   record("case starts", { hasTrouble });
+  let network;
   try {
+    network = await findNetwork();
     const { isBroken, ...summary } = await play({
       record,
       ...{ addStore, addRouter, addServer },
@@ -73,16 +86,20 @@
   /** Creates a router with a gate of the store of its own. */
   async function addRouter(store) {
     const index = ++routers;
-    const net = `127.${10 + process.pid % 200}.${(process.pid >> 8) % 200}`;
     const gate = await store.openGate();
     const router = createRouter({
-      ...{ id: `router-${index}`, ip: `${net}.${index}`, folder, record },
-      ...{ storeAddress: gate.address, seeds: [`${net}.1`, `${net}.2`] },
+      ...{ id: `router-${index}`, ip: getIp(index) },
+      ...{ ports: network.ports, folder, record },
+      ...{ storeAddress: gate.address, seeds: [1, 2].map(getIp) },
     });
     ends.push(router.kill);
     return { ...router, gate };
   }
 
+  function getIp(index) {
+    return `${network.prefix}.${index}`;
+  }
+
   async function addServer(store, options) {
     const server = await startServer({ record, service: "desk", ...options });
     ends.push(server.close);
@@ -91,6 +108,49 @@
   }
 }
 
+/** Finds loopback addresses and ports that nothing listens at. */
+async function findNetwork() {
+  const [front, ready, control, peers] = await Promise.all(
+    Array.from({ length: 4 }, () => findPort()),
+  );
+  for (let tries = 0; tries < 50; tries++) {
+    const draw = () => 1 + Math.floor(Math.random() * 254);
+    const prefix = `127.${draw()}.${draw()}`;
+    const hosts = Array.from(
+      { length: maxRouters },
+      (_, index) => `${prefix}.${index + 1}`,
+    );
+    const checks = hosts.flatMap((host) =>
+      [metricsPort, front, ready, control, peers].map((port) =>
+        isFree(host, port)
+      )
+    );
+    const areFree = await Promise.all(checks);
+    if (areFree.every((free) => free)) {
+      return { prefix, ports: { front, ready, control, peers } };
+    }
+  }
+  throw new Error("No loopback addresses are free");
+}
+
+async function findPort() {
+  const server = createServer();
+  const port = await listen(server, "127.0.0.1");
+  await new Promise((resolve) => server.close(resolve));
+  return Math.min(port, 65_000);
+}
+
+async function isFree(host, port) {
+  const server = createServer();
+  try {
+    await listen(server, host, port);
+    await new Promise((resolve) => server.close(resolve));
+    return true;
+  } catch {
+    return false;
+  }
+}
+
 /** Starts routers and waits until all are ready. */
 export async function startRouters(routers) {
   routers.forEach((router) => router.start());
--- a/review/stand_ins/router.mjs
+++ b/review/stand_ins/router.mjs
@@ -5,8 +5,6 @@
 import { join } from "node:path";
 import { sleep } from "./common.mjs";
 
-const ports = { front: 8227, ready: 8220, control: 8229 };
-
 /** Bounds of the small deployments in SYSTEM.md. */
 export const bounds = {
   ...{ SeedLagS: 3, ReuseAfterS: 2, ContactMs: 3000, AckMs: 4000 },
@@ -17,8 +15,13 @@
   ...{ ReuseWindowS: 10, CapFactor: 2 },
 };
 
-/** Creates a router at a loopback address of its own; `start` runs it. */
-export function createRouter({ id, ip, storeAddress, seeds, folder, record }) {
+/**
+ * Creates a router at a loopback address of its own; `start` runs it. `ports` are
+ * the same for all routers.
+ */
+export function createRouter(
+  { id, ip, ports, storeAddress, seeds, folder, record },
+) {
   const settingsFile = join(folder, `${id}.yaml`);
   // JSON is also YAML.
   writeFileSync(settingsFile, JSON.stringify(getSettings()));
@@ -88,7 +91,7 @@
         ReadyAddr: `${ip}:${ports.ready}`,
         Control: `${ip}:${ports.control}`,
       },
-      PortRange: [7340, 7355],
+      PortRange: [ports.peers, ports.peers + 15],
       Seeds: seeds.map((seed) => `${seed}:${ports.control}`),
       ...{ Bootstrap: true, InTolerance: false, DataDir: null },
       Limits: {
