--- a/src/request/attempt_description.ts
+++ b/src/request/attempt_description.ts
@@ -98,7 +98,7 @@
 /** Logs a try that ended without an answer or that resumed a stream. */
 export function logAttempt(
   log: Pick<Log, "info">,
-  { request, choice, result, end, sentBefore, sends }: {
+  { request, choice, result, end, sentBefore, sends, silentMs }: {
     readonly request: DirectRequest;
     readonly choice: DirectChoice;
     readonly result: DirectResult;
@@ -110,6 +110,8 @@
     };
     /** Number of attempts of the request so far. */
     readonly sends: number;
+    /** Time since the target has last sent anything, in milliseconds. */
+    readonly silentMs: number;
   },
 ): void {
   const message = end.kind === "done"
@@ -128,6 +130,7 @@
     reason: getReason(result) ?? getReason(end),
     ...(end.kind === "lost" ? { fingerprint: getFingerprint(request) } : {}),
     verdict: end.kind,
+    silentMs: Math.round(silentMs),
     sends,
     leftMs: Math.round(request.deadlineAt - performance.now()),
   });
--- a/src/request/direct_attempt.ts
+++ b/src/request/direct_attempt.ts
@@ -46,6 +46,11 @@
   recordRun(): void;
   /** Returns true when the attempt was aborted for the target's silence. */
   hasTimedOut(): boolean;
+  /**
+   * Returns the time since the target has last sent anything that counts, or since
+   * the start of the attempt, in milliseconds.
+   */
+  getSilentMs(): number;
   /** Ends the count of its load and its timeouts. */
   end(): void;
 }
@@ -97,6 +102,7 @@
   if (stopSignal.aborted) abort();
   let hasTimedOut = false;
   let hasResponded = false;
+  let respondedAt = startedAt;
   const unresponsiveTimer = createSilenceTimer({
     onSilent: () => {
       if (hasResponded) return;
@@ -133,6 +139,7 @@
     expectProgress,
     recordRun,
     hasTimedOut: () => hasTimedOut,
+    getSilentMs: () => performance.now() - respondedAt,
     end,
   };
 
@@ -173,6 +180,7 @@
       prefill.finish();
     }
     hasResponded = true;
+    respondedAt = performance.now();
     isOnHold = false;
     idleTimer.stop();
   }
--- /dev/null
+++ b/src/request/direct_offer.ts
@@ -0,0 +1,127 @@
+/** Sends a direct request to one target and counts it there while it runs. */
+
+import { getSharedParts } from "../process/direct/placement/prefix_placement.ts";
+import type { SendPermit } from "../process/direct/limits/target_limits.ts";
+import type { TargetOutcome } from "../process/direct/targets/target_health.ts";
+import type { DirectResult } from "../types/direct_calls.ts";
+import { type DirectAttempt, startDirectAttempt } from "./direct_attempt.ts";
+import { createDirectCall } from "./direct_call.ts";
+import type { DirectChoice } from "./direct_choice.ts";
+import type { DirectContext } from "./direct_context.ts";
+import { mayHaveArrived } from "./direct_host.ts";
+import type { DirectResponse } from "./direct_response.ts";
+
+/** A target that is chosen for a request, with the right to send it there. */
+export interface Reservation {
+  readonly choice: DirectChoice;
+  readonly permit: SendPermit;
+}
+
+/** A request that is on its way to a target, or at it. */
+export interface DirectOffer {
+  readonly choice: DirectChoice;
+  readonly attempt: DirectAttempt;
+  /** The end of the call, or the head of the response. */
+  readonly result: Promise<DirectResult>;
+  /** What the caller had received when the attempt started. */
+  readonly sentBefore: ReturnType<DirectResponse["getSent"]>;
+  /** Number of attempts of the request, with this one. */
+  readonly sends: number;
+  /** Counts, at most once, that the target may have run the request. */
+  countPossibleRun(): void;
+  /** Records the outcome of the attempt; only the first one counts. */
+  recordOutcome(outcome: TargetOutcome): void;
+  /** Ends the counts of the attempt and gives its permit back. */
+  end(): void;
+}
+
+/** Sends a request to the target that is reserved for it. */
+export function startOffer(
+  context: DirectContext,
+  reservation: Reservation,
+): DirectOffer {
+  try {
+    return createOffer(context, reservation);
+  } catch (error) {
+    reservation.permit.release();
+    throw error;
+  }
+}
+
+function createOffer(
+  context: DirectContext,
+  { choice, permit }: Reservation,
+): DirectOffer {
+  const { host, request, response, history, quarantine, queueWait } = context;
+  const { target: chosen, prefillParts } = choice;
+  const { prompt } = request;
+  history.attempted.add(chosen.address);
+  history.sends++;
+  /** An idle timeout counts this attempt as a run, which it may be already. */
+  const runs = history.possibleRuns + 1;
+  if (prompt !== undefined) {
+    const shared = getSharedParts(prompt.parts);
+    host.cachedParts.recordParts(chosen.id, shared, prefillParts);
+  }
+  const attempt = startDirectAttempt(host, choice, {
+    ...{ request, getTimeLeftMs: context.getTimeLeftMs },
+    canRetryAfterTimeout: () =>
+      context.tryGetRepeatObstacle(runs) === undefined &&
+      host.targets.getReady(request.service).some(context.mayUse),
+    stopSignal: context.stop.signal,
+    handleFirstEvent: () => {
+      context.streamVersion.recordFirstEvent(chosen);
+      queueWait.recordFirstEvent();
+      quarantine.recordResponseBegun();
+    },
+  });
+  let isRunCounted = false;
+  let isOutcomeRecorded = false;
+
+  return {
+    ...{ choice, attempt, countPossibleRun, recordOutcome, end },
+    sentBefore: response.getSent(),
+    sends: history.sends,
+    result: send(),
+  };
+
+  async function send(): Promise<DirectResult> {
+    const result = await host.calls.send({
+      ...createDirectCall(request, choice),
+      deadlineMs: context.getTimeLeftMs(),
+      lastEventId: response.getLastEventId() ?? request.lastEventId,
+      signal: attempt.signal,
+      tryGetHold: () => {
+        // The timer of the deadline may be due and have had no turn.
+        if (context.getTimeLeftMs() <= 0 || queueWait.isTooLate()) {
+          return "late";
+        }
+        if (quarantine.isQuarantined()) return "quarantined";
+        return permit.tryUse() ? undefined : "limited";
+      },
+      recordSent: () => {
+        context.retry.recordSent();
+        attempt.recordSent();
+      },
+    });
+    attempt.recordResult(result);
+    if (mayHaveArrived(result)) context.retry.recordSent();
+    return result;
+  }
+
+  function countPossibleRun(): void {
+    if (!isRunCounted) history.possibleRuns++;
+    isRunCounted = true;
+  }
+
+  function recordOutcome(outcome: TargetOutcome): void {
+    if (isOutcomeRecorded) return;
+    isOutcomeRecorded = true;
+    host.health.recordOutcome(chosen, outcome);
+  }
+
+  function end(): void {
+    attempt.end();
+    permit.release();
+  }
+}
--- /dev/null
+++ b/src/request/direct_verdict.ts
@@ -0,0 +1,155 @@
+/**
+ * Decides how one attempt of a direct request ended, and forwards the response of
+ * its target.
+ */
+
+import type { TargetOutcome } from "../process/direct/targets/target_health.ts";
+import type { DirectResult } from "../types/direct_calls.ts";
+import type { DiagnosticCode } from "../types/diagnostics.ts";
+import { isServerError, promisesNotRun } from "../types/promises.ts";
+import type { DirectContext } from "./direct_context.ts";
+import {
+  type AttemptEnd,
+  createNotRun,
+  holdCodes,
+  isOnlySourceEvacuated,
+} from "./direct_host.ts";
+import type { DirectOffer } from "./direct_offer.ts";
+
+/** A response whose head has arrived. */
+type Answer = Extract<DirectResult, { readonly kind: "answer" }>;
+
+/** Waits for the end of an attempt; forwards the response if there is one. */
+export async function followOffer(
+  context: DirectContext,
+  offer: DirectOffer,
+): Promise<{ readonly end: AttemptEnd; readonly result: DirectResult }> {
+  const result = await offer.result;
+  const end = result.kind === "answer"
+    ? await forwardResponse(context, offer, result)
+    : await judgeFailure(context, offer, result);
+  return { end, result };
+}
+
+/** Decides how a call without a response ended. */
+async function judgeFailure(
+  context: DirectContext,
+  offer: DirectOffer,
+  result: Exclude<DirectResult, Answer>,
+): Promise<AttemptEnd> {
+  const { host, history, queueWait, quarantine } = context;
+  const { target: chosen } = offer.choice;
+  switch (result.kind) {
+    case "not_sent":
+      offer.recordOutcome("unreachable");
+      return createNotRun("no_target");
+    case "withheld":
+      if (result.hold === "late" && offer.attempt.hasTimedOut()) {
+        return endAborted(offer);
+      }
+      if (isOnlySourceEvacuated(host, result.hold, chosen)) {
+        history.attempted.delete(chosen.address);
+      }
+      return createNotRun(holdCodes[result.hold]);
+    case "refused":
+      queueWait.recordRefused(chosen);
+      return createNotRun("target_full", { arrived: true });
+    case "wrong_target":
+      offer.recordOutcome("unreachable");
+      return createNotRun("wrong_incarnation", { arrived: true });
+    case "aborted":
+      return endAborted(offer);
+    case "lost":
+    case "spoiled":
+      if (result.kind === "lost") await quarantine.recordLoss(chosen);
+      return endLost(offer, "outcome_unknown", { reason: result.reason });
+  }
+}
+
+async function forwardResponse(
+  context: DirectContext,
+  offer: DirectOffer,
+  { head, body, drop }: Answer,
+): Promise<AttemptEnd> {
+  const { host, request, response, quarantine } = context;
+  const { attempt, choice: { target: chosen } } = offer;
+  offer.countPossibleRun();
+  const isError = isServerError(head.status);
+  if (promisesNotRun(head.status)) {
+    drop();
+    return endUnproved(context, offer, head.status);
+  }
+  if (isError) offer.recordOutcome("failed");
+  else attempt.recordAnswer(head);
+  if (!response.accepts(head)) {
+    drop();
+    return endLost(offer, "answer_cut", {
+      reason: "The response is no continuation of what the caller has",
+      // The target responded, if not with a stream that it could resume.
+      outcome: "served",
+    });
+  }
+  if (isError && tryRepeat(context)) {
+    drop();
+    return { kind: "repeat", code: "target_error" };
+  }
+  if (!head.isEventStream) attempt.recordHead();
+  const end = await response.forward(head, body, attempt);
+  if (end.kind === "complete") {
+    host.crashes.recordResponse(request);
+    if (isError) return { kind: "error_answer" };
+    quarantine.recordResponse();
+    offer.recordOutcome("served");
+    attempt.recordRun();
+    return { kind: "done" };
+  }
+  drop();
+  if (attempt.signal.aborted) return endAborted(offer);
+  await quarantine.recordLoss(chosen);
+  return endLost(offer, "answer_cut", { reason: end.reason });
+}
+
+/** Returns true when a retry of work that may have run is granted. */
+function tryRepeat(
+  { history, retry, tryGetRepeatObstacle }: DirectContext,
+): boolean {
+  return tryGetRepeatObstacle(history.possibleRuns) === undefined &&
+    retry.trySpend();
+}
+
+/** Ends an attempt that was refused by a target that may have run it. */
+function endUnproved(
+  { host }: DirectContext,
+  offer: DirectOffer,
+  status: number,
+): AttemptEnd {
+  const isPaused = host.pauses.isPaused(offer.choice.target);
+  // A target that asks for a pause is busy, not at fault.
+  if (!isPaused) offer.recordOutcome("failed");
+  const reason = `Status ${status} does not prove that it has not run`;
+  return { kind: "lost", code: "unproved_refusal", reason };
+}
+
+function endAborted(offer: DirectOffer): AttemptEnd {
+  if (offer.attempt.hasTimedOut()) {
+    return endLost(offer, "outcome_unknown", {
+      outcome: "silent",
+      reason: "The target did not respond within its timeout",
+    });
+  }
+  offer.countPossibleRun();
+  return { kind: "stopped" };
+}
+
+function endLost(
+  offer: DirectOffer,
+  code: DiagnosticCode,
+  { reason, outcome = "failed" }: {
+    readonly reason: string;
+    readonly outcome?: TargetOutcome;
+  },
+): AttemptEnd {
+  offer.countPossibleRun();
+  offer.recordOutcome(outcome);
+  return { kind: "lost", code, reason };
+}
--- a/test/soak/plants.ts
+++ b/test/soak/plants.ts
@@ -53,7 +53,7 @@
   ],
   /** A target's own 503 reaches the caller, though the target has run it. */
   refusal_passed_on: [[
-    "src/request/direct_run.ts",
+    "src/request/direct_verdict.ts",
     "if (promisesNotRun(head.status)) {",
     "if (head.status !== 503 && promisesNotRun(head.status)) {",
   ]],
