Keep a silent attempt running until another target has its request

What callers saw: streams cut and 502s for safe calls whose target was silent for a while and would have finished, beside a stop and with the retries of the service spent.

Cause: when the timer of a silent target fired, the attempt was aborted first; whether another target may take the request (stop, budget, queue, places, limits, quarantine, versions, evacuation, ejected targets, deadline) was asked after it, and the target's own refusal came after that. The class: a running attempt is given up for a successor that is only hoped for.

Change: on silence the next attempt is reserved without a wait (place, target, permit, retry); with an obstacle the attempt goes on and the move is tried again every 250 ms. The request is offered to the reserved target while the first attempt runs on. That one ends when the other has responded, or has had the request for 150 ms without refusing it (two targets may work on one request for 400 ms), or right before the first byte while timers fire late. A response of the first target cancels the other attempt. Each attempt has its own retry grant, so that an unsent one is not used twice. An error of a target is not dropped for a retry that a stop would refuse.

--- a/src/process/telemetry/loop_turns.ts
+++ b/src/process/telemetry/loop_turns.ts
@@ -16,6 +16,12 @@
 /** Lateness of that timer from which the process was busy or paused, in ms. */
 const minLateMs = 5;
 
+/** Lateness of that timer from which the event loop counts as busy, in ms. */
+const busyLateMs = 50;
+
+/** Time for which the event loop counts as busy after that, in milliseconds. */
+const busyMs = 1_000;
+
 /** What the turns need from the process. */
 export interface LoopTurnsHost {
   readonly metrics: Pick<Metrics, "record">;
@@ -40,6 +46,8 @@
   measure<Result>(kind: WorkKind, run: () => Result): Result;
   /** Begins a piece of work; returns a function that ends it. */
   begin(kind: WorkKind): () => void;
+  /** Returns true when timers have fired late within the last second. */
+  isBusy(): boolean;
   /** Stops to mark turns. */
   stop(): void;
 }
@@ -50,9 +58,19 @@
   let idleMs = host.getIdleMs();
   let beatDueAt = polledAt + beatMs;
   let turn: LoopTurn | undefined;
+  let busyUntil = Number.NEGATIVE_INFINITY;
   const timer = setInterval(beat, beatMs).unref();
 
-  return { getTurn, measure, begin, stop: () => clearInterval(timer) };
+  return {
+    ...{ getTurn, measure, begin, isBusy },
+    stop: () => clearInterval(timer),
+  };
+
+  /** The timer may be due and have had no turn. */
+  function isBusy(): boolean {
+    const now = performance.now();
+    return now < busyUntil || now - beatDueAt >= busyLateMs;
+  }
 
   function measure<Result>(kind: WorkKind, run: () => Result): Result {
     getTurn();
@@ -90,7 +108,9 @@
 
   function beat(): void {
     const now = performance.now();
-    host.metrics.record("event_loop_late_ms", now - beatDueAt);
+    const lateMs = now - beatDueAt;
+    host.metrics.record("event_loop_late_ms", lateMs);
+    if (lateMs >= busyLateMs) busyUntil = now + busyMs;
     getTurn();
     beatDueAt = now + beatMs;
   }
--- a/src/request/direct_attempt.ts
+++ b/src/request/direct_attempt.ts
@@ -44,8 +44,14 @@
   expectProgress(): void;
   /** Records the duration of a run that did not wait for a slot. */
   recordRun(): void;
+  /** Aborts the attempt for the target's silence. */
+  giveUp(): void;
+  /** Aborts the attempt for another reason. */
+  cancel(): void;
   /** Returns true when the attempt was aborted for the target's silence. */
   hasTimedOut(): boolean;
+  /** Handles the target's silence anew after a time in milliseconds. */
+  watchSilence(durationMs: number): void;
   /**
    * Returns the time since the target has last sent anything that counts, or since
    * the start of the attempt, in milliseconds.
@@ -74,8 +80,12 @@
     readonly request: DirectRequest;
     /** Aborted at the deadline or when the caller disconnects. */
     readonly stopSignal: AbortSignal;
-    /** Returns true when an idle timeout may cause a retry. */
-    canRetryAfterTimeout(): boolean;
+    /** True when the request may move to another target. */
+    readonly isRepeatable: boolean;
+    /** Called when the target has sent nothing for too long. */
+    handleSilence(): void;
+    /** Called when the target has sent a part of a response. */
+    handleResponding(): void;
     /** Called when the first data of an event stream has arrived. */
     handleFirstEvent(): void;
     getTimeLeftMs(): number;
@@ -113,12 +123,7 @@
   let isSent = false;
   /** True while the caller takes a comment, for which no timer runs. */
   let isOnHold = false;
-  const idleTimer = createSilenceTimer({
-    onSilent: () => {
-      hasTimedOut = true;
-      abort();
-    },
-  });
+  const idleTimer = createSilenceTimer({ onSilent: options.handleSilence });
   startIdleTimer();
 
   return {
@@ -138,7 +143,13 @@
     },
     expectProgress,
     recordRun,
+    giveUp: () => {
+      hasTimedOut = true;
+      abort();
+    },
+    cancel: abort,
     hasTimedOut: () => hasTimedOut,
+    watchSilence: idleTimer.start,
     getSilentMs: () => performance.now() - respondedAt,
     end,
   };
@@ -169,7 +180,7 @@
   }
 
   function startIdleTimer(): void {
-    if (!options.canRetryAfterTimeout()) return;
+    if (!options.isRepeatable) return;
     const getTimeoutMs = hasResponded ? getGapTimeoutMs : getIdleTimeoutMs;
     idleTimer.start(getTimeoutMs(request.route, options.getTimeLeftMs()));
   }
@@ -183,14 +194,13 @@
     respondedAt = performance.now();
     isOnHold = false;
     idleTimer.stop();
+    options.handleResponding();
   }
 
   /** After a comment, the time that was left goes on. */
   function expectProgress(): void {
     if (!isOnHold) times.recordTaken();
-    if (request.route.kind !== "stream" || !options.canRetryAfterTimeout()) {
-      return;
-    }
+    if (request.route.kind !== "stream") return;
     if (isOnHold) idleTimer.resume();
     else startIdleTimer();
     isOnHold = false;
--- a/src/request/direct_context.ts
+++ b/src/request/direct_context.ts
@@ -48,6 +48,8 @@
  * - `retry_budget`: no retry is granted.
  * - `queue`: callers compete, and there is no place for it.
  * - `no_target`: no other target of its version may be used now.
+ * - `ejected`: the others are ejected, so they may be as silent as the current one.
+ * - `limited`: the chosen target takes no more requests now.
  */
 export type AttemptObstacle =
   | "stopping"
@@ -59,7 +61,9 @@
   | "quarantined"
   | "retry_budget"
   | "queue"
-  | "no_target";
+  | "no_target"
+  | "ejected"
+  | "limited";
 
 /** What is known of the attempts of one request so far. */
 export interface AttemptHistory {
@@ -95,6 +99,8 @@
   /** Returns true when the request may still be sent to a target. */
   mayUse(target: DirectTarget): boolean;
   hasAttemptsLeft(): boolean;
+  /** True when more than one target may run the request. */
+  readonly isRepeatable: boolean;
   /** Returns true when a target may have run the request. */
   mayHaveRun(): boolean;
   /**
@@ -139,7 +145,7 @@
 
   return {
     ...{ host, request, stop, response, retry, quarantine, queueWait },
-    ...{ streamVersion, history },
+    ...{ streamVersion, history, isRepeatable },
     prefillWait: createDirectPrefillWait(host, request),
     ...{ getTimeLeftMs, mayUse, hasAttemptsLeft, mayHaveRun },
     tryGetRepeatObstacle,
@@ -176,8 +182,9 @@
   function end(): void {
     response.release();
     stop.clear();
+    queueWait.releaseNext();
     queueWait.leave();
-    retry.end();
+    retry.giveBack();
     quarantine.end();
   }
 }
--- /dev/null
+++ b/src/request/direct_handover.ts
@@ -0,0 +1,177 @@
+/**
+ * Moves a request from a silent target to another one.
+ *
+ * Load pattern: targets pause in the middle of their responses, many at once,
+ * while the router stops, the retries of the service are spent or the other
+ * targets are full. A silent target may be about to finish, so its attempt goes on
+ * until another target has taken the request. What can keep another target from
+ * taking it is settled before it is sent there. Both attempts run side by side only
+ * until the new target has responded, or has had the request for a short time
+ * without refusing it.
+ */
+
+import type { DirectResult } from "../types/direct_calls.ts";
+import { isServerError, promisesNotRun } from "../types/promises.ts";
+import type { AttemptObstacle, DirectContext } from "./direct_context.ts";
+import type { AttemptEnd } from "./direct_host.ts";
+import { type DirectOffer, startOffer } from "./direct_offer.ts";
+import { tryReserve } from "./direct_reservation.ts";
+import { judgeUnused } from "./direct_verdict.ts";
+
+/**
+ * Time after the request is written to the new target until the attempt at the
+ * silent one ends, in milliseconds. A target that is full refuses well within it.
+ * Two targets may work on one request for 400 ms; a late timer stays below that.
+ */
+export const maxOverlapMs = 150;
+
+/** Interval at which a move that is held up is tried again, in milliseconds. */
+const retryIntervalMs = 250;
+
+/** The move of a request from its current attempt to the next one. */
+export interface DirectHandover {
+  /**
+   * Ends the move with the current attempt. Returns the attempt with which the
+   * request goes on; undefined without one.
+   */
+  finish(end: AttemptEnd): DirectOffer | undefined;
+}
+
+/** Ends after which a request goes on elsewhere if another target has it. */
+const continuedEnds: ReadonlySet<AttemptEnd["kind"]> = new Set([
+  "lost",
+  "not_run",
+  "repeat",
+]);
+
+/**
+ * Obstacles that lie in the request and last while its target is silent. What can't
+ * move says nothing of its target's health either.
+ */
+const lastingObstacles: ReadonlySet<AttemptObstacle> = new Set([
+  "deadline",
+  "caller_gone",
+  "not_repeatable",
+  "response_begun",
+  "attempts",
+  "quarantined",
+]);
+
+/** Moves a request when the target of its current attempt is silent. */
+export function createDirectHandover(
+  context: DirectContext,
+  current: DirectOffer,
+): DirectHandover {
+  const { host } = context;
+  let next: DirectOffer | undefined;
+  let isFinished = false;
+  let overlapTimer: NodeJS.Timeout | undefined;
+  let reportedObstacle: AttemptObstacle | undefined;
+  current.watch({
+    handleSilence,
+    handleResponding: () => {
+      // The attempt is given up; its target has responded too late.
+      if (!current.attempt.hasTimedOut()) cancelNext();
+    },
+    isMoving: () => next !== undefined,
+  });
+
+  return { finish };
+
+  function handleSilence(): void {
+    if (isFinished || next !== undefined) return;
+    const reservation = tryReserve(context, current);
+    const isHeld = typeof reservation === "string";
+    if (isHeld) recordObstacle(reservation);
+    if (isHeld && lastingObstacles.has(reservation)) return;
+    current.recordSilence();
+    if (isHeld) return current.attempt.watchSilence(retryIntervalMs);
+    const offer = startOffer(context, reservation, {
+      handleSent,
+      handleSilence: () => {
+        if (!current.attempt.hasTimedOut()) offer.attempt.cancel();
+      },
+    });
+    next = offer;
+    void settle(offer);
+  }
+
+  /** Called right before the request is written to the next target. */
+  function handleSent(): void {
+    if (isFinished) return;
+    // A busy event loop runs the timer late.
+    if (host.isLoopBusy()) abandonCurrent();
+    else overlapTimer = setTimeout(abandonCurrent, maxOverlapMs);
+  }
+
+  async function settle(offer: DirectOffer): Promise<void> {
+    const result = await offer.result;
+    if (next !== offer || isFinished) return;
+    if (isAcceptable(context, result)) return abandonCurrent();
+    clearTimeout(overlapTimer);
+    next = undefined;
+    context.queueWait.releaseNext();
+    await endUnused(offer, result);
+    if (!isFinished) current.attempt.watchSilence(retryIntervalMs);
+  }
+
+  function abandonCurrent(): void {
+    clearTimeout(overlapTimer);
+    host.metrics.count("attempts_moved_total");
+    current.attempt.giveUp();
+  }
+
+  function cancelNext(): void {
+    const offer = next;
+    if (offer === undefined) return;
+    clearTimeout(overlapTimer);
+    next = undefined;
+    context.queueWait.releaseNext();
+    offer.attempt.cancel();
+    void offer.result.then((result) => endUnused(offer, result));
+  }
+
+  async function endUnused(
+    offer: DirectOffer,
+    result: DirectResult,
+  ): Promise<void> {
+    try {
+      await judgeUnused(context, offer, result);
+    } finally {
+      offer.end();
+    }
+  }
+
+  function finish(end: AttemptEnd): DirectOffer | undefined {
+    clearTimeout(overlapTimer);
+    if (!continuedEnds.has(end.kind)) cancelNext();
+    isFinished = true;
+    return next;
+  }
+
+  /** Logs each reason once, as a move is tried again and again. */
+  function recordObstacle(obstacle: AttemptObstacle): void {
+    host.metrics.count("attempt_moves_held_total", { reason: obstacle });
+    if (obstacle === reportedObstacle) return;
+    reportedObstacle = obstacle;
+    host.log.info("Silent attempt goes on", {
+      request: context.request.requestId,
+      service: context.request.service,
+      target: current.choice.target.id,
+      heldBy: obstacle,
+      silentMs: Math.round(current.attempt.getSilentMs()),
+      leftMs: Math.round(context.getTimeLeftMs()),
+    });
+  }
+}
+
+/** Returns true for a response with which the request can go on. */
+function isAcceptable(
+  { response }: DirectContext,
+  result: DirectResult,
+): boolean {
+  if (result.kind !== "answer") return false;
+  const { head } = result;
+  return !isServerError(head.status) && !promisesNotRun(head.status) &&
+    response.accepts(head);
+}
--- /dev/null
+++ b/src/request/direct_handover_test.ts
@@ -0,0 +1,270 @@
+import {
+  createRequest,
+  createRoute,
+  createTestLimits,
+  createTestQuarantine,
+  createTestQueue,
+} from "../../test/support/direct.ts";
+import {
+  type Behaviour,
+  createResponse,
+  event,
+  run,
+  stream,
+} from "../../test/support/direct_runs.ts";
+import type { DirectCall } from "../types/direct_calls.ts";
+import { getCrashKeys } from "../process/direct/crashes/crash_keys.ts";
+import { maxOverlapMs } from "./direct_handover.ts";
+
+const resumable = createRoute({
+  kind: "stream",
+  maxTargets: 3,
+  isResumable: true,
+  timeoutMs: 12_000,
+  latencyGoalMs: 300,
+});
+const safe = createRoute({
+  ...{ kind: "safe", maxTargets: 3, timeoutMs: 12_000, latencyGoalMs: 300 },
+});
+
+/** Time after which the silence of a target moves its request, in ms. */
+const idleMs = { stream: 1_500, safe: 600 } as const;
+
+const whole = event(1) + event(2);
+
+describe("a request whose target is silent for a while", () => {
+  /** When calls were written, and aborted, after the start of the test. */
+  let sentAt: number[];
+  let abortedAt: (number | undefined)[];
+  let startedAt: number;
+
+  beforeEach(() => {
+    jest.useFakeTimers();
+    startedAt = performance.now();
+    sentAt = [];
+    abortedAt = [];
+  });
+  afterEach(() => void jest.useRealTimers());
+
+  function getTime(): number {
+    return performance.now() - startedAt;
+  }
+
+  /** Records the call as sent, and when it is aborted. */
+  function recordCall(call: DirectCall): void {
+    const index = sentAt.push(getTime()) - 1;
+    abortedAt[index] = undefined;
+    call.signal.addEventListener("abort", () => {
+      abortedAt[index] ??= getTime();
+    });
+    call.recordSent?.();
+  }
+
+  /** Resolves after a time, or rejects once the call is aborted. */
+  function pause({ signal }: DirectCall, ms: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      setTimeout(resolve, ms);
+      signal.addEventListener("abort", () => reject(new Error("aborted")));
+    });
+  }
+
+  /** Sends an event, falls silent, and sends the other. */
+  function pausingStream(ms: number): Behaviour {
+    return (call) => {
+      recordCall(call);
+      return {
+        ...createResponse([], { isEventStream: true }),
+        body: (async function* () {
+          yield Buffer.from(event(1));
+          await pause(call, ms);
+          yield Buffer.from(event(2));
+        })(),
+      };
+    };
+  }
+
+  /** Is silent before the whole response. */
+  function pausingCall(ms: number): Behaviour {
+    return async (call) => {
+      recordCall(call);
+      try {
+        await pause(call, ms);
+      } catch {
+        return { kind: "aborted" };
+      }
+      return createResponse(["proof"]);
+    };
+  }
+
+  const silent = pausingCall(60_000);
+
+  describe("goes on there", () => {
+    const keys = getCrashKeys(createRequest(resumable));
+    const obstacles: Readonly<
+      Record<string, () => Parameters<typeof run>[2]>
+    > = {
+      retry_budget: () => ({ retryCredit: 0 }),
+      stopping: () => ({
+        requestQueue: {
+          ...createTestQueue(),
+          hasTimeFor: () => getTime() < 500,
+        },
+      }),
+      quarantined: () => ({
+        quarantine: {
+          ...createTestQuarantine(),
+          hasEvidence: () => getTime() > 500,
+          tryGetRefusal: () => ({ key: keys[0]!, crashes: 3, retryAfterMs: 1 }),
+        },
+      }),
+      limited: () => {
+        const limits = createTestLimits();
+        return {
+          limits: {
+            ...limits,
+            tryTake: (address) =>
+              getTime() > 500 ? undefined : limits.tryTake(address),
+          },
+        };
+      },
+      no_target: () => ({
+        addresses: { a: "10.0.0.1:1", b: "10.0.0.1:1", c: "10.0.0.1:1" },
+      }),
+    };
+
+    // Its caller lost a response that the target was about to finish.
+    it.each(Object.keys(obstacles))(
+      "while no other may take it (%s)",
+      async (obstacle) => {
+        const options = obstacles[obstacle]?.();
+        const result = await run(resumable, [pausingStream(3_000)], options);
+        expect(result).toMatchObject({ outcome: "done", text: whole });
+        expect(abortedAt).toEqual([undefined]);
+        expect(result.logLines).toContainEqual(expect.objectContaining({
+          ...{ message: "Silent attempt goes on", heldBy: obstacle },
+        }));
+      },
+    );
+
+    const refusals: Readonly<Record<string, Behaviour>> = {
+      refused: () => ({ kind: "refused", status: 503 }),
+      wrong_target: () => ({ kind: "wrong_target" }),
+      not_sent: () => ({ kind: "not_sent", reason: "connection refused" }),
+      withheld: () => ({ kind: "withheld", hold: "busy" }),
+      lost: () => ({ kind: "lost", reason: "reset" }),
+      spoiled: () => ({ kind: "spoiled", reason: "other id" }),
+      error: () => createResponse(["error"], { status: 500 }),
+      unproved: () => createResponse(["full"], { status: 503 }),
+      no_stream: () => createResponse(["text"]),
+    };
+
+    it.each(Object.keys(refusals))(
+      "when the others don't take it (%s)",
+      async (name) => {
+        const refuse = refusals[name] as Behaviour;
+        const behaviours = [pausingStream(3_000), refuse, refuse];
+        const result = await run(resumable, behaviours);
+        expect(result).toMatchObject({ outcome: "done", text: whole });
+        expect(result.calls.length).toBeGreaterThan(1);
+        expect(abortedAt).toEqual([undefined]);
+      },
+    );
+
+    it("while the request waits for a connection to the other", async () => {
+      const result = await run(resumable, [
+        pausingStream(1_700),
+        ({ signal }) =>
+          new Promise((resolve) => {
+            const end = { kind: "withheld", hold: "late" } as const;
+            signal.addEventListener("abort", () => resolve(end));
+          }),
+      ]);
+      expect(result).toMatchObject({ outcome: "done", text: whole });
+      expect(result.calls.length).toBe(2);
+      expect(result.calls[1]?.signal.aborted).toBe(true);
+      expect(result.unsentRetries).toBe(1);
+    });
+
+    it("when it responds before the other", async () => {
+      const result = await run(resumable, [
+        pausingStream(idleMs.stream + 100),
+        silent,
+      ]);
+      expect(result).toMatchObject({ outcome: "done", text: whole });
+      expect(abortedAt).toEqual([undefined, idleMs.stream + 100]);
+    });
+
+    it("as a safe call without a retry", async () => {
+      const result = await run(safe, [pausingCall(3_000)], { retryCredit: 0 });
+      expect(result).toMatchObject({ outcome: "done", text: "proof" });
+    });
+  });
+
+  describe("moves to another target", () => {
+    it("as soon as that one responds", async () => {
+      const result = await run(resumable, [pausingStream(3_000), (call) => {
+        recordCall(call);
+        return stream(event(2));
+      }]);
+      expect(result).toMatchObject({ outcome: "done", text: whole });
+      expect(result.calls[1]?.lastEventId).toBe("1");
+      expect(abortedAt).toEqual([idleMs.stream, undefined]);
+      expect(result.outcomes).toEqual(["silent", "served"]);
+    });
+
+    // Two targets may not work on one request for 400 ms.
+    it("that does not refuse it for a short time", async () => {
+      const behaviours = [silent, pausingCall(500)];
+      const result = await run(safe, behaviours);
+      expect(result).toMatchObject({ outcome: "done", text: "proof" });
+      expect(sentAt).toEqual([0, idleMs.safe]);
+      expect(abortedAt).toEqual([idleMs.safe + maxOverlapMs, undefined]);
+    });
+
+    // The timer that ends the overlap would fire late.
+    it("before it is sent there while the event loop is busy", async () => {
+      const behaviours = [silent, pausingCall(500)];
+      const result = await run(safe, behaviours, { isLoopBusy: true });
+      expect(result).toMatchObject({ outcome: "done", text: "proof" });
+      expect(abortedAt).toEqual([idleMs.safe, undefined]);
+    });
+
+    it("once a retry is granted", async () => {
+      const behaviours = [silent, pausingCall(10)];
+      let granted = 0;
+      setTimeout(() => granted = 1, 2_000);
+      const result = await run(safe, behaviours, {
+        tryGrant: () => granted-- > 0,
+      });
+      expect(result).toMatchObject({ outcome: "done", text: "proof" });
+      expect(sentAt[1]).toBeGreaterThanOrEqual(2_000);
+      expect(sentAt[1]).toBeLessThan(2_300);
+    });
+
+    it("that has taken it when the first one breaks off", async () => {
+      const result = await run(safe, [
+        async (call) => {
+          recordCall(call);
+          await new Promise((resolve) =>
+            setTimeout(resolve, idleMs.safe + maxOverlapMs - 50)
+          );
+          return { kind: "lost", reason: "reset" };
+        },
+        pausingCall(400),
+      ]);
+      expect(result).toMatchObject({ outcome: "done", text: "proof" });
+      expect(result.calls.length).toBe(2);
+    });
+
+    it("with one retry for each send", async () => {
+      const result = await run({ ...safe, maxTargets: 3 }, [
+        silent,
+        silent,
+        pausingCall(10),
+      ]);
+      expect(result).toMatchObject({ outcome: "done", text: "proof" });
+      expect(result.retriesSentAt.length).toBe(2);
+      expect(result.unsentRetries).toBe(0);
+    });
+  });
+});
--- a/src/request/direct_host.ts
+++ b/src/request/direct_host.ts
@@ -25,6 +25,7 @@
 import type { TargetPauses } from "../process/direct/targets/target_pauses.ts";
 import type { TargetSpeeds } from "../process/direct/targets/target_speeds.ts";
 import type { Log } from "../process/telemetry/log.ts";
+import type { Metrics } from "../process/telemetry/metrics.ts";
 import type { DirectCalls, DirectResult, Hold } from "../types/direct_calls.ts";
 import type { DiagnosticCode } from "../types/diagnostics.ts";
 import type { DirectTarget } from "../types/direct_target.ts";
@@ -53,7 +54,11 @@
   >;
   readonly health: Pick<
     TargetHealth,
-    "getUsable" | "isReachable" | "recordOutcome" | "recordSent"
+    | "getUsable"
+    | "isReachable"
+    | "isUsable"
+    | "recordOutcome"
+    | "recordSent"
   >;
   readonly pauses: Pick<
     TargetPauses,
@@ -74,7 +79,12 @@
   readonly speeds: TargetSpeeds;
   readonly queue: Pick<
     RequestQueue,
-    "enter" | "enterUnheld" | "hasTimeFor" | "recordRefused" | "tryGetEngine"
+    | "enter"
+    | "enterUnheld"
+    | "hasTimeFor"
+    | "preview"
+    | "recordRefused"
+    | "tryGetEngine"
   >;
   readonly repeats: Pick<RepeatRecords, "recordRefusal" | "tryGetPlaceTime">;
   readonly loads: Pick<LoadView, "getLoad" | "begin">;
@@ -107,6 +117,9 @@
   readonly responseMemory: Pick<MemoryBudget, "begin">;
   readonly readPace: ReadPace;
   readonly log: Log;
+  readonly metrics: Pick<Metrics, "count">;
+  /** Returns true when timers fire late, as the event loop has much to do. */
+  isLoopBusy(): boolean;
 }
 
 /**
--- a/src/request/direct_offer.ts
+++ b/src/request/direct_offer.ts
@@ -17,6 +17,16 @@
   readonly permit: SendPermit;
 }
 
+/** What happens at the target of an attempt that runs. */
+export interface OfferWatcher {
+  /** Handles that the target has sent nothing for too long. */
+  handleSilence(): void;
+  /** Handles that the target has sent a part of a response. */
+  handleResponding(): void;
+  /** Returns true while another target is asked to take the request. */
+  isMoving(): boolean;
+}
+
 /** A request that is on its way to a target, or at it. */
 export interface DirectOffer {
   readonly choice: DirectChoice;
@@ -29,19 +39,34 @@
   readonly sends: number;
   /** Counts, at most once, that the target may have run the request. */
   countPossibleRun(): void;
+  isRunCounted(): boolean;
   /** Records the outcome of the attempt; only the first one counts. */
   recordOutcome(outcome: TargetOutcome): void;
+  /** Records, at most once, that the target is silent; it may respond yet. */
+  recordSilence(): void;
+  /** Watches the target, in place of what handles its silence until then. */
+  watch(watcher: OfferWatcher): void;
+  isMoving(): boolean;
   /** Ends the counts of the attempt and gives its permit back. */
   end(): void;
 }
 
+/** What an offer tells before it is watched. */
+export interface OfferOptions {
+  /** Called right before the request is written to a connection. */
+  handleSent?(): void;
+  /** Called when the target is silent. */
+  handleSilence?(): void;
+}
+
 /** Sends a request to the target that is reserved for it. */
 export function startOffer(
   context: DirectContext,
   reservation: Reservation,
+  options: OfferOptions = {},
 ): DirectOffer {
   try {
-    return createOffer(context, reservation);
+    return createOffer(context, reservation, options);
   } catch (error) {
     reservation.permit.release();
     throw error;
@@ -51,35 +76,45 @@
 function createOffer(
   context: DirectContext,
   { choice, permit }: Reservation,
+  options: OfferOptions,
 ): DirectOffer {
   const { host, request, response, history, quarantine, queueWait } = context;
   const { target: chosen, prefillParts } = choice;
   const { prompt } = request;
   history.attempted.add(chosen.address);
   history.sends++;
-  /** An idle timeout counts this attempt as a run, which it may be already. */
-  const runs = history.possibleRuns + 1;
   if (prompt !== undefined) {
     const shared = getSharedParts(prompt.parts);
     host.cachedParts.recordParts(chosen.id, shared, prefillParts);
   }
   const attempt = startDirectAttempt(host, choice, {
     ...{ request, getTimeLeftMs: context.getTimeLeftMs },
-    canRetryAfterTimeout: () =>
-      context.tryGetRepeatObstacle(runs) === undefined &&
-      host.targets.getReady(request.service).some(context.mayUse),
+    isRepeatable: context.isRepeatable,
     stopSignal: context.stop.signal,
+    handleSilence: () => {
+      if (watcher === undefined) options.handleSilence?.();
+      else watcher.handleSilence();
+    },
+    handleResponding: () => watcher?.handleResponding(),
     handleFirstEvent: () => {
       context.streamVersion.recordFirstEvent(chosen);
       queueWait.recordFirstEvent();
       quarantine.recordResponseBegun();
     },
   });
+  let watcher: OfferWatcher | undefined;
+  const retry = context.retry.beginAttempt();
   let isRunCounted = false;
   let isOutcomeRecorded = false;
+  let isSilenceRecorded = false;
 
   return {
     ...{ choice, attempt, countPossibleRun, recordOutcome, end },
+    ...{ recordSilence, isRunCounted: () => isRunCounted },
+    watch: (value) => {
+      watcher = value;
+    },
+    isMoving: () => watcher?.isMoving() ?? false,
     sentBefore: response.getSent(),
     sends: history.sends,
     result: send(),
@@ -99,16 +134,19 @@
         if (quarantine.isQuarantined()) return "quarantined";
         return permit.tryUse() ? undefined : "limited";
       },
-      recordSent: () => {
-        context.retry.recordSent();
-        attempt.recordSent();
-      },
+      recordSent,
     });
     attempt.recordResult(result);
-    if (mayHaveArrived(result)) context.retry.recordSent();
+    if (mayHaveArrived(result)) retry.recordSent();
     return result;
   }
 
+  function recordSent(): void {
+    retry.recordSent();
+    attempt.recordSent();
+    options.handleSent?.();
+  }
+
   function countPossibleRun(): void {
     if (!isRunCounted) history.possibleRuns++;
     isRunCounted = true;
@@ -120,7 +158,14 @@
     host.health.recordOutcome(chosen, outcome);
   }
 
+  function recordSilence(): void {
+    if (isSilenceRecorded) return;
+    isSilenceRecorded = true;
+    host.health.recordOutcome(chosen, "silent");
+  }
+
   function end(): void {
+    retry.end();
     attempt.end();
     permit.release();
   }
--- a/src/request/direct_queue_wait.ts
+++ b/src/request/direct_queue_wait.ts
@@ -32,6 +32,15 @@
     /** True when the caller has a part of the response and can't wait. */
     readonly hasBegun: boolean;
   }): Promise<void> | undefined;
+  /**
+   * Takes a place for the next attempt beside that of the current one; false when
+   * the request would have to wait for it.
+   */
+  tryReserveNext(options: { readonly hasBegun: boolean }): boolean;
+  /** Gives the place of the next attempt back. */
+  releaseNext(): void;
+  /** Returns the target that the place of the next attempt names, if any. */
+  getNextTarget(): DirectTarget | undefined;
   /** Chooses a target, the one that the place names if there is one. */
   chooseTarget(
     choose: DirectPrefillWait["tryChooseTarget"],
@@ -45,7 +54,7 @@
   isTooLate(): boolean;
   /** Records that the first event of a stream has arrived. */
   recordFirstEvent(): void;
-  /** Gives the place back after an attempt. */
+  /** Gives the place back after an attempt; that of the next one is kept. */
   leave(): void;
   /** Records that a target had no place for the request. */
   recordRefused(target: DirectTarget): void;
@@ -89,12 +98,16 @@
   },
 ): DirectQueueWait {
   let place: Place | undefined;
+  let nextPlace: Place | undefined;
   let refusal: QueueRefusal | undefined;
   let waitedMs = 0;
   let position = 0;
 
   return {
     tryWait,
+    tryReserveNext,
+    releaseNext,
+    getNextTarget: () => nextPlace?.target,
     chooseTarget,
     tryGetEnd,
     isTooLate,
@@ -122,6 +135,27 @@
     return waitForEnd(entry);
   }
 
+  function tryReserveNext(
+    { hasBegun }: { readonly hasBegun: boolean },
+  ): boolean {
+    if (!host.contention.isActive()) return true;
+    const queued = createQueuedRequest(host, request, mayUse);
+    if (hasBegun) {
+      nextPlace = host.queue.enterUnheld(queued);
+      return true;
+    }
+    if (host.queue.preview(queued).kind !== "place") return false;
+    const entry = host.queue.enter(queued);
+    if (entry.kind === "place") nextPlace = entry.place;
+    if (entry.kind === "waiting") entry.leave();
+    return entry.kind === "place";
+  }
+
+  function releaseNext(): void {
+    nextPlace?.end();
+    nextPlace = undefined;
+  }
+
   /** A caller who comes before the time it was told gets the place of then. */
   function getInOrder(queued: QueuedRequest): QueuedRequest {
     const { requestId, arrivedAt, deadlineAt } = request;
@@ -180,7 +214,8 @@
 
   function leave(): void {
     place?.end();
-    place = undefined;
+    place = nextPlace;
+    nextPlace = undefined;
   }
 
   function describe(
--- a/src/request/direct_response.ts
+++ b/src/request/direct_response.ts
@@ -167,6 +167,7 @@
     const pace = readPace.begin();
     cursor.beginRun();
     for await (const data of splitEvents(body)) {
+      if (attempt.signal.aborted) return abortedEnd;
       const step = cursor.push(data);
       if (step.data.length > 0) {
         if (step.hasEvents) attempt.recordProgress();
--- a/src/request/direct_retry.ts
+++ b/src/request/direct_retry.ts
@@ -4,11 +4,19 @@
 
 /** The retries of one request. */
 export interface DirectRetry {
-  /** Spends a retry unless one is granted that was not sent; false without. */
+  /** Spends a retry unless one is granted that no attempt uses; false without. */
   trySpend(): boolean;
-  /** Records that an attempt is sent now, which may be the granted retry. */
+  /** Begins an attempt, which uses the retry that is granted, if any. */
+  beginAttempt(): AttemptRetry;
+  /** Gives back a retry that is granted and that no attempt uses. */
+  giveBack(): void;
+}
+
+/** The retry that one attempt uses; nothing for the first attempt. */
+export interface AttemptRetry {
+  /** Records that the attempt is sent now; only the first call counts. */
   recordSent(): void;
-  /** Gives back a retry that was not sent. */
+  /** Ends the attempt; a retry that was not sent is left for the next one. */
   end(): void;
 }
 
@@ -17,22 +25,35 @@
   share: Pick<RetryShare, "recordSent" | "recordUnsent" | "trySpend">,
   service: string,
 ): DirectRetry {
-  let isUnsent = false;
+  let isGranted = false;
 
-  return { trySpend, recordSent, end };
+  return { trySpend, beginAttempt, giveBack };
 
   function trySpend(): boolean {
-    isUnsent ||= share.trySpend(service);
-    return isUnsent;
+    isGranted ||= share.trySpend(service);
+    return isGranted;
   }
 
-  function recordSent(): void {
-    if (isUnsent) share.recordSent(service);
-    isUnsent = false;
+  function beginAttempt(): AttemptRetry {
+    let isUnsent = isGranted;
+    isGranted = false;
+    return { recordSent, end };
+
+    function recordSent(): void {
+      if (isUnsent) share.recordSent(service);
+      isUnsent = false;
+    }
+
+    function end(): void {
+      if (!isUnsent) return;
+      isUnsent = false;
+      if (isGranted) share.recordUnsent(service);
+      isGranted = true;
+    }
   }
 
-  function end(): void {
-    if (isUnsent) share.recordUnsent(service);
-    isUnsent = false;
+  function giveBack(): void {
+    if (isGranted) share.recordUnsent(service);
+    isGranted = false;
   }
 }
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -11,8 +11,8 @@
   describeChoice,
   describeRefusal,
   describeUnavailable,
-  logAttempt,
 } from "./attempt_description.ts";
+import type { DirectChoice } from "./direct_choice.ts";
 import { type AttemptObstacle, createDirectContext } from "./direct_context.ts";
 import type { AttemptEnd, DirectHost } from "./direct_host.ts";
 import {
@@ -22,10 +22,17 @@
   createUnservedEnd,
   getTargetQueue,
 } from "./direct_end.ts";
-import { type Reservation, startOffer } from "./direct_offer.ts";
-import { followOffer } from "./direct_verdict.ts";
+import { createDirectHandover } from "./direct_handover.ts";
+import { type DirectOffer, startOffer } from "./direct_offer.ts";
+import { followOffer, logOffer } from "./direct_verdict.ts";
 import type { RequestSummary } from "./request_host.ts";
 
+/**
+ * What came of the begin of an attempt: the attempt, the end of a request that
+ * can't be sent, or nothing when it has to be begun anew.
+ */
+type Beginning = DirectOffer | RequestEnd | undefined;
+
 /** Runs a request to its end and reports the end to the caller. */
 export async function runDirect(
   host: DirectHost,
@@ -56,44 +63,73 @@
 
   async function runAttempts(): Promise<RequestEnd> {
     while (true) {
-      if (stop.getReason() !== undefined) return endStopped();
-      const refusal = quarantine.tryRefuse();
-      if (refusal !== undefined) {
-        history.decision = describeRefusal(refusal);
-        return context.mayHaveRun()
-          ? endHeld("quarantined")
-          : createQuarantinedEnd(refusal);
-      }
-      const wait = queueWait.tryWait({ hasBegun: response.getSentBytes() > 0 });
-      if (wait !== undefined) {
-        await wait;
-        continue;
-      }
-      const refused = queueWait.tryGetEnd();
-      if (refused !== undefined) {
-        if (!context.mayHaveRun()) return refused;
-        return endHeld(queueWait.isTooLate() ? "stopping" : "queue");
-      }
-      const chosen = queueWait.chooseTarget(prefillWait.tryChooseTarget);
-      const choice = chosen instanceof Promise ? await chosen : chosen;
-      if (stop.getReason() !== undefined) return endStopped();
-      if (choice === undefined || !context.hasAttemptsLeft()) {
-        history.decision ??= describeUnavailable(host, service);
-        return endHeld(choice === undefined ? "no_target" : "attempts");
-      }
-      history.lastQueue = getTargetQueue(host, choice);
-      if (isBeyondDeadline(history.lastQueue, context.getTimeLeftMs())) {
-        history.lastRefusal = "target_full";
-        return endHeld("deadline");
-      }
-      const permit = host.limits.tryTake(choice.target.address);
-      // Another request has taken the last permit since the choice.
-      if (permit === undefined) continue;
-      const end = handleAttemptEnd(await runAttempt({ choice, permit }));
+      const begun = begin();
+      const offer = begun instanceof Promise ? await begun : begun;
+      if (offer === undefined) continue;
+      if ("outcome" in offer) return offer;
+      const end = await runFrom(offer);
       if (end !== undefined) return end;
     }
   }
 
+  /**
+   * Begins an attempt, if need be after a wait; undefined when that has to be done
+   * anew. Returns the end of a request that can't be sent.
+   */
+  function begin(): Beginning | Promise<Beginning> {
+    if (stop.getReason() !== undefined) return endStopped();
+    const refusal = quarantine.tryRefuse();
+    if (refusal !== undefined) {
+      history.decision = describeRefusal(refusal);
+      return context.mayHaveRun()
+        ? endHeld("quarantined")
+        : createQuarantinedEnd(refusal);
+    }
+    const wait = queueWait.tryWait({ hasBegun: response.getSentBytes() > 0 });
+    if (wait !== undefined) return wait.then(() => undefined);
+    const refused = queueWait.tryGetEnd();
+    if (refused !== undefined) {
+      if (!context.mayHaveRun()) return refused;
+      return endHeld(queueWait.isTooLate() ? "stopping" : "queue");
+    }
+    const chosen = queueWait.chooseTarget(prefillWait.tryChooseTarget);
+    // Without a wait, the attempt begins before another request chooses.
+    return chosen instanceof Promise ? chosen.then(beginAt) : beginAt(chosen);
+  }
+
+  function beginAt(choice: DirectChoice | undefined): Beginning {
+    if (stop.getReason() !== undefined) return endStopped();
+    if (choice === undefined || !context.hasAttemptsLeft()) {
+      history.decision ??= describeUnavailable(host, service);
+      return endHeld(choice === undefined ? "no_target" : "attempts");
+    }
+    history.lastQueue = getTargetQueue(host, choice);
+    if (isBeyondDeadline(history.lastQueue, context.getTimeLeftMs())) {
+      history.lastRefusal = "target_full";
+      return endHeld("deadline");
+    }
+    const permit = host.limits.tryTake(choice.target.address);
+    // Without one, another request has taken the last permit since the choice.
+    return permit && startOffer(context, { choice, permit });
+  }
+
+  /**
+   * Runs an attempt and those that the request moves to. Returns the end of the
+   * request; undefined when it should be sent to another target.
+   */
+  async function runFrom(first: DirectOffer): Promise<RequestEnd | undefined> {
+    let offer = first;
+    while (true) {
+      const { end, next } = await runAttempt(offer);
+      if (end.kind === "not_run") history.lastRefusal = end.code;
+      if (end.kind === "lost" || end.kind === "repeat") {
+        history.lastFailure = end.code;
+      }
+      if (next === undefined) return handleAttemptEnd(end);
+      offer = next;
+    }
+  }
+
   /**
    * Returns the end of the request after one attempt; undefined when the
    * request should be sent to the next target.
@@ -106,17 +142,14 @@
       case "stopped":
         return endStopped();
       case "not_run":
-        history.lastRefusal = result.code;
         // A request that did not arrive put no load on the target, so its
         // retry is not charged to the budget.
         if (!result.arrived) return undefined;
         if (!host.crashes.canRetry(request)) return endHeld("quarantined");
         return retry.trySpend() ? undefined : endHeld("retry_budget");
       case "repeat":
-        history.lastFailure = result.code;
         return undefined;
       case "lost": {
-        history.lastFailure = result.code;
         const obstacle = context.tryGetRepeatObstacle(history.possibleRuns);
         if (obstacle !== undefined) return endHeld(obstacle);
         return retry.trySpend() ? undefined : endHeld("retry_budget");
@@ -124,27 +157,34 @@
     }
   }
 
-  async function runAttempt(reservation: Reservation): Promise<AttemptEnd> {
-    const { choice } = reservation;
+  async function runAttempt(
+    offer: DirectOffer,
+  ): Promise<{
+    readonly end: AttemptEnd;
+    /** The attempt that the request has moved to, if it has. */
+    readonly next: DirectOffer | undefined;
+  }> {
+    const { choice, sentBefore } = offer;
     history.target = choice.target.id;
     history.decision = {
       ...describeChoice(choice, request),
       ...prefillWait.describe(),
     };
-    const offer = startOffer(context, reservation);
-    const { sentBefore, sends, attempt } = offer;
+    const handover = createDirectHandover(context, offer);
+    let end: AttemptEnd = { kind: "stopped" };
+    let next: DirectOffer | undefined;
     try {
-      const { end, result } = await followOffer(context, offer);
+      const followed = await followOffer(context, offer);
+      ({ end } = followed);
       if (end.kind !== "done" || sentBefore.sentBytes > 0) {
-        const silentMs = attempt.getSilentMs();
-        const ends = { choice, result, end, sentBefore, sends, silentMs };
-        logAttempt(host.log, { request, ...ends });
+        logOffer(context, offer, followed);
       }
-      return end;
     } finally {
       offer.end();
+      next = handover.finish(end);
       queueWait.leave();
     }
+    return { end, next };
   }
 
   function endStopped(): RequestEnd {
--- a/src/request/direct_verdict.ts
+++ b/src/request/direct_verdict.ts
@@ -7,6 +7,7 @@
 import type { DirectResult } from "../types/direct_calls.ts";
 import type { DiagnosticCode } from "../types/diagnostics.ts";
 import { isServerError, promisesNotRun } from "../types/promises.ts";
+import { logAttempt } from "./attempt_description.ts";
 import type { DirectContext } from "./direct_context.ts";
 import {
   type AttemptEnd,
@@ -31,6 +32,48 @@
   return { end, result };
 }
 
+/**
+ * Judges an attempt whose request goes on at another target. Its response, if
+ * there is one, is not forwarded.
+ */
+export async function judgeUnused(
+  context: DirectContext,
+  offer: DirectOffer,
+  result: DirectResult,
+): Promise<void> {
+  const end = result.kind === "answer"
+    ? judgeUnusedAnswer(context, offer, result)
+    : await judgeFailure(context, offer, result);
+  logOffer(context, offer, { end, result });
+}
+
+function judgeUnusedAnswer(
+  context: DirectContext,
+  offer: DirectOffer,
+  { head, drop }: Answer,
+): AttemptEnd {
+  drop();
+  if (promisesNotRun(head.status)) {
+    return endUnproved(context, offer, head.status);
+  }
+  const outcome = isServerError(head.status) ? "failed" : "served";
+  const reason = "The request goes on at another target";
+  return endLost(offer, "answer_cut", { reason, outcome });
+}
+
+/** Logs how an attempt ended. */
+export function logOffer(
+  { host, request }: DirectContext,
+  { choice, sentBefore, sends, attempt }: DirectOffer,
+  ends: { readonly end: AttemptEnd; readonly result: DirectResult },
+): void {
+  const silentMs = attempt.getSilentMs();
+  logAttempt(host.log, {
+    ...{ request, choice, sentBefore, sends, silentMs },
+    ...ends,
+  });
+}
+
 /** Decides how a call without a response ended. */
 async function judgeFailure(
   context: DirectContext,
@@ -73,12 +116,12 @@
 ): Promise<AttemptEnd> {
   const { host, request, response, quarantine } = context;
   const { attempt, choice: { target: chosen } } = offer;
-  offer.countPossibleRun();
   const isError = isServerError(head.status);
   if (promisesNotRun(head.status)) {
     drop();
     return endUnproved(context, offer, head.status);
   }
+  offer.countPossibleRun();
   if (isError) offer.recordOutcome("failed");
   else attempt.recordAnswer(head);
   if (!response.accepts(head)) {
@@ -89,7 +132,7 @@
       outcome: "served",
     });
   }
-  if (isError && tryRepeat(context)) {
+  if (isError && (offer.isMoving() || tryRepeat(context))) {
     drop();
     return { kind: "repeat", code: "target_error" };
   }
@@ -111,10 +154,10 @@
 
 /** Returns true when a retry of work that may have run is granted. */
 function tryRepeat(
-  { history, retry, tryGetRepeatObstacle }: DirectContext,
+  { history, queueWait, retry, tryGetRepeatObstacle }: DirectContext,
 ): boolean {
   return tryGetRepeatObstacle(history.possibleRuns) === undefined &&
-    retry.trySpend();
+    !queueWait.isTooLate() && retry.trySpend();
 }
 
 /** Ends an attempt that was refused by a target that may have run it. */
@@ -123,6 +166,7 @@
   offer: DirectOffer,
   status: number,
 ): AttemptEnd {
+  offer.countPossibleRun();
   const isPaused = host.pauses.isPaused(offer.choice.target);
   // A target that asks for a pause is busy, not at fault.
   if (!isPaused) offer.recordOutcome("failed");
@@ -131,14 +175,10 @@
 }
 
 function endAborted(offer: DirectOffer): AttemptEnd {
-  if (offer.attempt.hasTimedOut()) {
-    return endLost(offer, "outcome_unknown", {
-      outcome: "silent",
-      reason: "The target did not respond within its timeout",
-    });
-  }
   offer.countPossibleRun();
-  return { kind: "stopped" };
+  if (!offer.attempt.hasTimedOut()) return { kind: "stopped" };
+  const reason = "The target did not respond within its timeout";
+  return { kind: "lost", code: "outcome_unknown", reason };
 }
 
 function endLost(
--- a/test/emulator/emulated_host.ts
+++ b/test/emulator/emulated_host.ts
@@ -65,6 +65,7 @@
       recordUnsent: () => undefined,
     },
     log: createSilentLog(),
+    ...{ metrics: { count: () => undefined }, isLoopBusy: () => false },
     zone: "zone-0",
     loadMultiple: 2,
     random: () => 0.5,
--- a/test/known_red/silent_targets_test.ts
+++ b/test/platform/silent_targets_test.ts
@@ -7,13 +7,13 @@
   startConfiguredStore,
   startFleetRouter,
   waitUntil,
-} from "../platform/direct_fleet.ts";
-import type { StoreStandIn } from "../platform/store_stand_in.ts";
+} from "./direct_fleet.ts";
+import type { StoreStandIn } from "./store_stand_in.ts";
 import {
   setIdentityHeaders,
   startTarget,
   type TargetStandIn,
-} from "../platform/target_stand_in.ts";
+} from "./target_stand_in.ts";
 
 /** Time that a stop may take, in milliseconds. */
 const graceMs = 4_000;
--- a/test/platform/whole_answers_test.ts
+++ b/test/platform/whole_answers_test.ts
@@ -397,6 +397,7 @@
       },
       quarantine: createTestQuarantine(),
       ...{ responseMemory: createMemoryBudget(), readPace: createReadPace() },
+      ...{ metrics: { count: () => undefined }, isLoopBusy: () => false },
       log: createSilentLog(),
       zone: "zone-a",
       loadMultiple: 2,
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -129,6 +129,8 @@
   options: {
     readonly request?: Partial<DirectRequest>;
     readonly retryCredit?: number;
+    /** Grants a retry, in place of the credit. */
+    readonly tryGrant?: () => boolean;
     readonly disconnectAfterMs?: number;
     readonly durationMs?: number;
     /** Time that the caller takes to read what is written; 0 by default. */
@@ -161,6 +163,8 @@
     readonly startedAtMs?: number;
     /** Targets whose registered processes have crashed. */
     readonly crashed?: readonly string[];
+    /** True when timers fire late. */
+    readonly isLoopBusy?: boolean;
     /** True when targets that drop a connection have crashed. */
     readonly hasCrashed?: boolean;
     /** A part that a peer has just sent to an engine for prefill. */
@@ -292,7 +296,7 @@
       }),
       retries: {
         recordRequest: () => undefined,
-        trySpend: () => retriesLeft-- > 0,
+        trySpend: options.tryGrant ?? (() => retriesLeft-- > 0),
         recordSent: () => retriesSentAt.push(performance.now() - startedAt),
         recordUnsent: () => void unsentRetries++,
       },
@@ -312,6 +316,8 @@
         ...createSilentLog(),
         info: (message, fields) => logLines.push({ message, ...fields }),
       },
+      metrics: { count: () => undefined },
+      isLoopBusy: () => options.isLoopBusy ?? false,
       zone: "zone-a",
       loadMultiple: 2,
       random: () => 0.5,
--- a/test/support/prompt_turns.ts
+++ b/test/support/prompt_turns.ts
@@ -7,6 +7,7 @@
   return {
     measure: (_kind, run) => run(),
     begin: () => () => undefined,
+    isBusy: () => false,
     getTurn: () => {
       const now = performance.now();
       return { startedAt: now, arrivedAt: now };
