Log whether a 421 states that the request has not run

Cause: the line of an attempt that a target refused says neither the status 421 nor whether the target stated that it has not run the request, so a 421 of a target that ran it can't be told from a proof.

Change: 'Try ended without an answer' has isStated for a refusal and a 421. No decision depends on it.

--- a/src/platform/target_codec.ts
+++ b/src/platform/target_codec.ts
@@ -94,7 +94,12 @@
   if (requestId !== call.requestId) {
     return createCorruptedResult("The response has another request's id");
   }
-  if (status === wrongTargetStatus) return { kind: "wrong_target" };
+  if (status === wrongTargetStatus) {
+    return {
+      kind: "wrong_target",
+      isStated: headers.has(headerNames.notRun),
+    };
+  }
   if (headers.has(headerNames.notRun)) {
     return refusalStatuses.has(status)
       ? { kind: "refused", status }
--- a/src/request/attempt_description.ts
+++ b/src/request/attempt_description.ts
@@ -82,7 +82,10 @@
 function describeHead(
   result: DirectResult,
 ): Readonly<Record<string, number | boolean>> {
-  if (result.kind === "refused") return { status: result.status };
+  if (result.kind === "refused") {
+    return { status: result.status, isStated: true };
+  }
+  if (result.kind === "wrong_target") return { isStated: result.isStated };
   if (result.kind !== "answer") return {};
   const { status, isEventStream } = result.head;
   return { status, isEventStream };
--- a/src/request/direct_limits_test.ts
+++ b/src/request/direct_limits_test.ts
@@ -46,7 +46,10 @@
     runs: true,
   },
   refused: { respond: () => ({ kind: "refused", status: 503 }), runs: false },
-  wrongTarget: { respond: () => ({ kind: "wrong_target" }), runs: false },
+  wrongTarget: {
+    respond: () => ({ kind: "wrong_target", isStated: true }),
+    runs: false,
+  },
   notSent: {
     respond: () => ({ kind: "not_sent", reason: "refused" }),
     runs: false,
--- a/src/types/direct_calls.ts
+++ b/src/types/direct_calls.ts
@@ -148,7 +148,11 @@
     drop(): void;
   }
   | { readonly kind: "refused"; readonly status: number }
-  | { readonly kind: "wrong_target" }
+  | {
+    readonly kind: "wrong_target";
+    /** True when the response states that the request has not run. */
+    readonly isStated: boolean;
+  }
   | { readonly kind: "not_sent"; readonly reason: string }
   | { readonly kind: "withheld"; readonly hold: Hold }
   | { readonly kind: "lost"; readonly reason: string }
