Take only a stated refusal for a proof that a request has not run

Cause: any 421 with the request's id counted as that of another incarnation that has run nothing, also without X-Not-Run. PROTOCOL.md says that X-Not-Run states it and that no other response does. A request that such a target had run was sent to the next target, or ended with 503.

Change: what proves that a request has not run is one list, types/not_run_proof.ts: no connection, a hold before the first byte, a stated refusal with the id and a status that fits, an agent's settlement. The codec, the ends of attempts of direct routers, the verdicts on attempts at agents and the agent's execution use it. A 421 without X-Not-Run is a response like any other: unsafe work ends with 502, work that may run again spends a retry and counts as a run. Its notices are read as before. The line of an attempt that has not run names the proof, in place of isStated.

Stand-ins that say 421 without having run a request (target_stand_in, second_response_test, review/stand_ins) now send X-Not-Run, as the protocol lists it; those tests demand the same as before.

--- a/review/stand_ins/server.mjs
+++ b/review/stand_ins/server.mjs
@@ -58,6 +58,7 @@
       return write(socket, "421 Misdirected Request", {
         "X-Request-Id": requestId,
         "X-Instance": id,
+        "X-Not-Run": "other",
       });
     }
     record("run", { server: id, request: requestId, method, path });
--- a/src/connection/second_response_test.ts
+++ b/src/connection/second_response_test.ts
@@ -61,7 +61,7 @@
       "x-not-run: busy\r\nretry-after: 0.1\r\ncontent-length: 0",
     ),
   "that another target was meant": (id) =>
-    formatHead("421 Other", id, "content-length: 0"),
+    formatHead("421 Other", id, "x-not-run: other\r\ncontent-length: 0"),
 };
 
 // The next caller was told that its request, which ran, had not run.
--- a/src/platform/target_codec.ts
+++ b/src/platform/target_codec.ts
@@ -12,6 +12,7 @@
 } from "../types/direct_calls.ts";
 import type { DirectTarget } from "../types/direct_target.ts";
 import type { PromptPart } from "../types/prompt.ts";
+import { canStateNotRun } from "../types/not_run_proof.ts";
 import { isEventStream } from "../types/response.ts";
 import type { Header } from "../types/work.ts";
 import { getArray, tryGetObject } from "./json_fields.ts";
@@ -29,12 +30,9 @@
   "trailer",
 ]);
 
-/** Status of a target that has another id than expected; nothing was run. */
+/** Status of a target that has another id than expected. */
 const wrongTargetStatus = 421;
 
-/** Statuses with which a target says that it has not run a request. */
-const refusalStatuses: ReadonlySet<number> = new Set([400, 421, 429, 503]);
-
 /** Status with which a target turns requests away for a time. */
 const unavailableStatus = 503;
 
@@ -79,7 +77,8 @@
  * Decodes status and headers. A response counts as corrupted without the
  * request's id, without a target's signature or with an encoding. What a target
  * says of a request that it has not run needs the id too: on a connection that
- * has carried other requests it may belong to one of them.
+ * has carried other requests it may belong to one of them. A 421 that does not
+ * say so is a response like any other.
  */
 function decodeHead(
   status: number,
@@ -94,19 +93,19 @@
   if (requestId !== call.requestId) {
     return createCorruptedResult("The response has another request's id");
   }
-  if (status === wrongTargetStatus) {
-    return {
-      kind: "wrong_target",
-      isStated: headers.has(headerNames.notRun),
-    };
-  }
   if (headers.has(headerNames.notRun)) {
-    return refusalStatuses.has(status)
-      ? { kind: "refused", status }
-      : createCorruptedResult(`A refusal cannot have the status ${status}`);
+    if (!canStateNotRun(status)) {
+      return createCorruptedResult(
+        `A refusal cannot have the status ${status}`,
+      );
+    }
+    const kind = status === wrongTargetStatus ? "wrong_target" : "refused";
+    return { kind, status };
   }
   if (!headers.has(headerNames.signature)) {
-    return createCorruptedResult("The response has no signature of a target");
+    return createCorruptedResult(
+      `The response with status ${status} has no signature of a target`,
+    );
   }
   if (headers.has("content-encoding")) {
     return createCorruptedResult(
--- a/src/platform/target_codec_test.ts
+++ b/src/platform/target_codec_test.ts
@@ -48,7 +48,16 @@
     });
 
     it("is that of a wrong target, status 421", () => {
-      expect(decode(421, own)).toBe("wrong_target");
+      expect(decode(421, { ...own, [headerNames.notRun]: "other" }))
+        .toBe("wrong_target");
+    });
+
+    // Such a target may have run the request, which was sent to another one.
+    it("proves nothing with a 421 that does not state it", () => {
+      expect(decode(421, own)).toBe("spoiled");
+      expect(decode(421, { ...own, "X-Instance": "another" })).toBe("spoiled");
+      const signed = { ...own, [headerNames.signature]: "target" };
+      expect(decode(421, signed)).toBe("head");
     });
 
     it("proves nothing without the request's id", () => {
--- a/src/request/attempt_description.ts
+++ b/src/request/attempt_description.ts
@@ -82,10 +82,9 @@
 function describeHead(
   result: DirectResult,
 ): Readonly<Record<string, number | boolean>> {
-  if (result.kind === "refused") {
-    return { status: result.status, isStated: true };
+  if (result.kind === "refused" || result.kind === "wrong_target") {
+    return { status: result.status };
   }
-  if (result.kind === "wrong_target") return { isStated: result.isStated };
   if (result.kind !== "answer") return {};
   const { status, isEventStream } = result.head;
   return { status, isEventStream };
@@ -131,6 +130,7 @@
     ...describeHead(result),
     ...sentBefore,
     reason: getReason(result) ?? getReason(end),
+    ...(end.kind === "not_run" ? { proof: end.proof } : {}),
     ...(end.kind === "lost" ? { fingerprint: getFingerprint(request) } : {}),
     verdict: end.kind,
     silentMs: Math.round(silentMs),
--- a/src/request/attempt_run.ts
+++ b/src/request/attempt_run.ts
@@ -13,6 +13,7 @@
 } from "../types/agent_calls.ts";
 import type { Usage } from "../types/response.ts";
 import type { DiagnosticCode } from "../types/diagnostics.ts";
+import type { NotRunProof } from "../types/not_run_proof.ts";
 import { promisesNotRun } from "../types/promises.ts";
 import type { ResponseAssembly } from "./response_assembly.ts";
 import type { Delivery } from "./delivery.ts";
@@ -60,6 +61,7 @@
   | { readonly kind: "done"; readonly usage: Usage }
   | {
     readonly kind: "not_run";
+    readonly proof: NotRunProof;
     readonly code: DiagnosticCode;
     readonly retryAfterMs: number;
     /** Load of the target that refused; undefined when it was not reached. */
@@ -144,6 +146,7 @@
 /** Verdict on an attempt that was never sent, and so never runs. */
 const notReached: AttemptVerdict = {
   kind: "not_run",
+  proof: "unsent",
   code: "no_target",
   retryAfterMs: 0,
   load: undefined,
@@ -164,6 +167,7 @@
     case "not_run":
       return {
         kind: "not_run",
+        proof: "settled",
         code: "attempt_settled",
         retryAfterMs: 0,
         load: undefined,
@@ -239,7 +243,7 @@
       ) {
         return { kind: "lost", sent: true };
       }
-      return { ...event, kind: "not_run" };
+      return { ...event, kind: "not_run", proof: "stated" };
     case "failure":
       if (!options.isRunStream && event.code === "answer_gone") {
         return { kind: "answer_gone" };
--- a/src/request/direct_host.ts
+++ b/src/request/direct_host.ts
@@ -28,6 +28,12 @@
 import type { DirectCalls, DirectResult, Hold } from "../types/direct_calls.ts";
 import type { DiagnosticCode } from "../types/diagnostics.ts";
 import type { DirectTarget } from "../types/direct_target.ts";
+import {
+  getProof,
+  type NotRunProof,
+  type ProvenResult,
+  tryGetProof,
+} from "../types/not_run_proof.ts";
 import type { PromptPart } from "../types/prompt.ts";
 import type { ChoiceHost } from "./direct_choice.ts";
 
@@ -112,8 +118,8 @@
 /**
  * How one attempt ended.
  * - `done`: the response was forwarded to its end.
- * - `not_run`: the target has not run the request; `arrived` is true when the
- *   request reached it.
+ * - `not_run`: it is proven that the target has not run the request; `arrived` is
+ *   true when the request reached it.
  * - `error_answer`: the target's error response was forwarded.
  * - `repeat`: the target responded with an error and a retry is granted.
  * - `lost`: the target may have run the request, but its response is lost or
@@ -125,6 +131,7 @@
   | {
     readonly kind: "not_run";
     readonly code: DiagnosticCode;
+    readonly proof: NotRunProof;
     readonly arrived: boolean;
   }
   | { readonly kind: "error_answer" }
@@ -139,9 +146,10 @@
 /** Creates the end of an attempt that the target has not run. */
 export function createNotRun(
   code: DiagnosticCode,
-  { arrived = false }: { readonly arrived?: boolean } = {},
+  { kind }: ProvenResult,
 ): AttemptEnd {
-  return { kind: "not_run", code, arrived };
+  const proof = getProof(kind);
+  return { kind: "not_run", code, proof, arrived: proof === "stated" };
 }
 
 /** Diagnostics of a request that was not sent. */
@@ -169,5 +177,6 @@
 
 /** Returns true when the request of the call may have reached its target. */
 export function mayHaveArrived({ kind }: DirectResult): boolean {
-  return kind !== "not_sent" && kind !== "withheld";
+  const proof = tryGetProof(kind);
+  return proof === undefined || proof === "stated";
 }
--- a/src/request/direct_limits_test.ts
+++ b/src/request/direct_limits_test.ts
@@ -47,7 +47,7 @@
   },
   refused: { respond: () => ({ kind: "refused", status: 503 }), runs: false },
   wrongTarget: {
-    respond: () => ({ kind: "wrong_target", isStated: true }),
+    respond: () => ({ kind: "wrong_target", status: 421 }),
     runs: false,
   },
   notSent: {
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -471,7 +471,7 @@
   });
 
   describe("to a target that has another id now", () => {
-    const notRun: Behaviour = () => ({ kind: "wrong_target", isStated: true });
+    const notRun: Behaviour = () => ({ kind: "wrong_target", status: 421 });
 
     it("is not sent to its address again", async () => {
       const result = await run(unsafe, [notRun, notRun, notRun], {
--- a/src/request/direct_verdict.ts
+++ b/src/request/direct_verdict.ts
@@ -42,7 +42,7 @@
   switch (result.kind) {
     case "not_sent":
       offer.recordOutcome("unreachable");
-      return createNotRun("no_target");
+      return createNotRun("no_target", result);
     case "withheld":
       if (result.hold === "late" && offer.attempt.hasTimedOut()) {
         return endAborted(offer);
@@ -50,13 +50,13 @@
       if (isOnlySourceEvacuated(host, result.hold, chosen)) {
         history.attempted.delete(chosen.address);
       }
-      return createNotRun(holdCodes[result.hold]);
+      return createNotRun(holdCodes[result.hold], result);
     case "refused":
       queueWait.recordRefused(chosen);
-      return createNotRun("target_full", { arrived: true });
+      return createNotRun("target_full", result);
     case "wrong_target":
       offer.recordOutcome("unreachable");
-      return createNotRun("wrong_incarnation", { arrived: true });
+      return createNotRun("wrong_incarnation", result);
     case "aborted":
       return endAborted(offer);
     case "lost":
--- a/src/request/execution.ts
+++ b/src/request/execution.ts
@@ -20,6 +20,7 @@
 import type { SuspectClaims } from "../process/membership/suspect_claims.ts";
 import type { HealthChecker } from "../process/membership/health_checker.ts";
 import type { WorkQueue } from "../process/admission/work_queue.ts";
+import { tryGetProof } from "../types/not_run_proof.ts";
 import type { Failure, Refusal, Usage } from "../types/response.ts";
 import type { DiagnosticCode } from "../types/diagnostics.ts";
 import type { RunOrder } from "../types/run_order.ts";
@@ -282,7 +283,7 @@
 
   async function finishWithError(error: TargetError): Promise<void> {
     if (error.kind === "aborted") return finishFailed(abortCode);
-    if (error.kind === "not_sent") {
+    if (tryGetProof(error.kind) !== undefined) {
       host.quarantine.recordEnd(entry.key, { targetSurvived: false });
       void host.watch.checkCrash();
       return refuse(createRefusal("no_target", downRetryAfterMs));
--- a/src/types/direct_calls.ts
+++ b/src/types/direct_calls.ts
@@ -131,8 +131,8 @@
  * The result of a call:
  *
  * - `answer`: the head of the response has arrived.
- * - `refused`: the target reports that it has not run the request.
- * - `wrong_target`: another incarnation has the address; nothing has run.
+ * - `refused`: the target states that it has not run the request.
+ * - `wrong_target`: another incarnation has the address, and states the same.
  * - `not_sent`: no connection was established, so nothing has run.
  * - `withheld`: a hold kept the request from being sent; nothing has run.
  * - `lost`: the connection broke after the request was sent.
@@ -147,11 +147,9 @@
     /** Discards the response and closes its connection. */
     drop(): void;
   }
-  | { readonly kind: "refused"; readonly status: number }
   | {
-    readonly kind: "wrong_target";
-    /** True when the response states that the request has not run. */
-    readonly isStated: boolean;
+    readonly kind: "refused" | "wrong_target";
+    readonly status: number;
   }
   | { readonly kind: "not_sent"; readonly reason: string }
   | { readonly kind: "withheld"; readonly hold: Hold }
--- a/test/platform/target_stand_in.ts
+++ b/test/platform/target_stand_in.ts
@@ -142,8 +142,8 @@
       return;
     }
     if (message.headers["x-expect-instance"] !== id) {
-      response.writeHead(421, { "X-Request-Id": requestId, "X-Instance": id });
-      response.end();
+      const headers = { "X-Request-Id": requestId, "X-Instance": id };
+      response.writeHead(421, { ...headers, "X-Not-Run": "other" }).end();
       return;
     }
     const request: ReceivedRequest = {
@@ -218,6 +218,7 @@
       response.writeHead(421, {
         "X-Request-Id": request.headers["x-request-id"] ?? "",
         "X-Instance": "another",
+        "X-Not-Run": "other",
       });
       response.end();
     },
--- a/test/platform/unproved_refusals_test.ts
+++ b/test/platform/unproved_refusals_test.ts
@@ -35,7 +35,7 @@
   >
 > = {
   ...Object.fromEntries(
-    [408, 429, 503].map((status) => [
+    [408, 421, 429, 503].map((status) => [
       `${status} without a proof`,
       { status, headers: identity },
     ]),
@@ -46,6 +46,10 @@
   },
   "503 with a proof but no id": { status: 503, headers: { "X-Not-Run": "1" } },
   "421 without an id": { status: 421, headers: {} },
+  "421 of another target, without a proof": {
+    status: 421,
+    headers: { "X-Request-Id": "id-1", "X-Instance": "another" },
+  },
   ...Object.fromEntries(
     [200, 204, 404, 408, 500, 504].map((status) => [
       `${status} with a proof that contradicts it`,
--- a/test/platform/whole_answers_test.ts
+++ b/test/platform/whole_answers_test.ts
@@ -200,7 +200,7 @@
 > = {
   not_sent: () => ({ kind: "not_sent", reason: "connection refused" }),
   refused: () => ({ kind: "refused", status: 503 }),
-  wrong_target: () => ({ kind: "wrong_target", isStated: true }),
+  wrong_target: () => ({ kind: "wrong_target", status: 421 }),
   lost: () => ({ kind: "lost", reason: "reset" }),
   spoiled: () => ({ kind: "spoiled", reason: "another request's id" }),
   hang: async ({ signal }) => {
