Don't stop a request at the question whether a silent target may be retried

Cause: since the timer of silence asks tryGetRepeatObstacle, which asks the request's stop for its reason, and that stops a request whose deadline has passed. After a pause of the process, a stream whose whole response had arrived in time was cut at its first event.

Change: past the deadline the timer of silence isn't started, without the question.

--- a/src/request/direct_offer.ts
+++ b/src/request/direct_offer.ts
@@ -65,7 +65,10 @@
   }
   const attempt = startDirectAttempt(host, choice, {
     ...{ request, getTimeLeftMs: context.getTimeLeftMs },
+    // The question for an obstacle stops a request whose deadline has passed, but
+    // after a pause the rest of its response may be about to be read.
     canRetryAfterTimeout: () =>
+      context.getTimeLeftMs() > 0 &&
       context.tryGetRepeatObstacle(runs) === undefined &&
       host.targets.getReady(request.service).some(context.mayUse),
     stopSignal: context.stop.signal,
