--- a/src/request/direct_context.ts
+++ b/src/request/direct_context.ts
@@ -170,9 +170,11 @@
   }
 
   function tryGetRepeatObstacle(runs: number): AttemptObstacle | undefined {
+    // To ask for the reason past the deadline stops the request, but after a pause
+    // of the process the rest of its response may be about to be read.
+    if (getTimeLeftMs() <= minTimeLeftMs) return "deadline";
     const reason = stop.getReason();
     if (reason !== undefined) return reason;
-    if (getTimeLeftMs() <= minTimeLeftMs) return "deadline";
     if (!isRepeatable) return "not_repeatable";
     if (!response.canContinue()) return "response_begun";
     if (runs >= route.maxTargets || !hasAttemptsLeft()) return "attempts";
--- a/src/request/direct_handover_test.ts
+++ b/src/request/direct_handover_test.ts
@@ -148,7 +148,7 @@
 
     const refusals: Readonly<Record<string, Behaviour>> = {
       refused: () => ({ kind: "refused", status: 503 }),
-      wrong_target: () => ({ kind: "wrong_target" }),
+      wrong_target: () => ({ kind: "wrong_target", status: 421 }),
       not_sent: () => ({ kind: "not_sent", reason: "connection refused" }),
       withheld: () => ({ kind: "withheld", hold: "busy" }),
       lost: () => ({ kind: "lost", reason: "reset" }),
