Log how attempts at agents end and what holds the next one

Cause: 'Request ended' of a router with agents has the code of the end and the number of attempts, not why each attempt ended, for how long its target had sent nothing, nor what kept the request from another target.

Change: a request with an attempt that did not end whole has verdicts, silentMs and heldBy (retry_budget, no_target, crashes, begun, not_repeatable) in its line.

--- a/src/request/attempt_run.ts
+++ b/src/request/attempt_run.ts
@@ -42,6 +42,8 @@
    * An attempt that another router sent may still be on its way to the target.
    */
   readonly settleDelayMs?: number;
+  /** Called when the target has sent something. */
+  onEvent?(): void;
 }
 
 /**
@@ -198,6 +200,7 @@
     if (signal.aborted) return { kind: "stopped" };
     for await (const event of events) {
       if (signal.aborted) return { kind: "stopped" };
+      if (event.kind !== "lost") options.onEvent?.();
       if (event.kind === "lost") host.recordContact(target, "failed");
       else if (!hasResponded) host.recordContact(target, "answered");
       const result = handleEvent(event, {
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -16,6 +16,7 @@
   joinAttempt,
   runAttempt,
 } from "./attempt_run.ts";
+import { createAttemptTrace } from "./attempt_trace.ts";
 import { createClaimedRequest } from "./claimed_request.ts";
 import { createDelivery } from "./delivery.ts";
 import { createEnd } from "./request_end.ts";
@@ -86,7 +87,9 @@
     calls: host.calls,
     recordContact: host.members.recordContact,
   };
+  const trace = createAttemptTrace();
   const attemptOptions: AttemptOptions = {
+    onEvent: trace.recordEvent,
     response,
     delivery,
     signal: stop.signal,
@@ -112,7 +115,7 @@
     const end = await checkLimit() ?? await runOnTargets();
     if (end.outcome === "done") delivery.finish();
     reply.end(end);
-    return { end, target, tries: attemptCount };
+    return { end, target, tries: attemptCount, decision: trace.describe() };
   } finally {
     stop.clear();
   }
@@ -149,6 +152,7 @@
     if (stop.getReason() !== undefined) return await endBeforeAttempt();
     attemptCount++;
     if (delivery.isPending()) resetResponse();
+    trace.recordStart();
     const verdict = await runAttempt(attemptHost, {
       ...placed,
       work,
@@ -162,6 +166,7 @@
         : host.hashConversation(getPlacementKey(work)),
       onlyIfHeld,
     }, attemptOptions);
+    trace.recordEnd(verdict);
     return await handleVerdict(verdict, placed);
   }
 
@@ -206,6 +211,7 @@
           : createEnd(createReport("answer_gone"));
       case "cut":
         host.calls.cancel(placed);
+        trace.recordObstacle("begun");
         return endFailed("answer_cut");
       case "stopped":
         return await endDuringAttempt(placed);
@@ -231,6 +237,7 @@
     }
     host.refusals.recordUnreachable(placed.target.id);
     if (host.retries.trySpend(work.service)) return undefined;
+    trace.recordObstacle("retry_budget");
     return await endNotRun("retry_budget_spent", defaultRetryAfterMs);
   }
 
@@ -238,6 +245,7 @@
     if (!work.repeatable) return endUnknown();
     if (code === "target_crashed") crashes++;
     if (code === "deadline_exceeded" || crashes >= maxCrashes) {
+      trace.recordObstacle("crashes");
       return endFailed(code);
     }
     return retryOrEnd(code);
@@ -263,7 +271,9 @@
    */
   function retryOrEnd(code: DiagnosticCode): RequestEnd | undefined {
     lastFailure = code;
-    return host.retries.trySpend(work.service) ? undefined : endFailed(code);
+    if (host.retries.trySpend(work.service)) return undefined;
+    trace.recordObstacle("retry_budget");
+    return endFailed(code);
   }
 
   /** Ends a request whose last attempt failed and may have run. */
@@ -278,6 +288,7 @@
   }
 
   function endUnknown(): RequestEnd {
+    trace.recordObstacle("not_repeatable");
     return createEnd(createReport("outcome_unknown", {}, {
       retryAfterMs: usesClaim ? defaultRetryAfterMs : 0,
     }));
@@ -285,6 +296,7 @@
 
   /** Ends a request when no target is left to try. */
   function endRefused(): Promise<RequestEnd> {
+    trace.recordObstacle("no_target");
     return endNotRun(lastRefusal.code, lastRefusal.retryAfterMs);
   }
 
--- a/src/roles/router.ts
+++ b/src/roles/router.ts
@@ -179,6 +179,7 @@
       code,
       target: summary.target,
       tries: summary.tries,
+      ...summary.decision,
       firstByteMs: firstByteMs && Math.round(firstByteMs),
       totalMs: Math.round(totalMs),
     });
