Give a running attempt up only when another target can take the request

Cause: a call that may run again left its attempt after one question to the agent without an answer: the attempt was cancelled, and only then was a retry asked for and a target looked for. With the retries spent, no other target left, or all others refusing, the caller got 502 although the target finished the run. Calls that may not run again, and responses that had begun, were given up after five questions, about 3 s, whatever the deadline.

Change: the attempt is left only once a target is left and the retry is spent, and is held until the next agent has taken the request (an event, or no refusal for 200 ms after it was sent); it is cancelled then. When none takes the request, the router goes back to the held attempt. Otherwise the agent is asked until it answers, the deadline passes, or its process is known to have ended.

--- a/src/connection/agent_client.ts
+++ b/src/connection/agent_client.ts
@@ -78,12 +78,13 @@
 
   return { run, attach, settle, cancel, close, dump };
 
-  function run(dispatch: Dispatch): AgentEvents {
+  function run(dispatch: Dispatch, onSent?: () => void): AgentEvents {
     const deadline = dispatch.work.deadlineAt + deadlineGraceMs;
-    return openEvents(
-      dispatch.target,
-      (client) => client.run(toRunRequest(dispatch), { deadline }),
-    );
+    return openEvents(dispatch.target, (client) => {
+      const stream = client.run(toRunRequest(dispatch), { deadline });
+      onSent?.();
+      return stream;
+    });
   }
 
   function attach(placed: PlacedAttempt, offset: number): AgentEvents {
--- a/src/request/attempt_run.ts
+++ b/src/request/attempt_run.ts
@@ -35,15 +35,22 @@
   readonly delivery: Delivery;
   /** Aborted at the deadline or when the caller disconnects. */
   readonly signal: AbortSignal;
-  /** Returns the current maximum number of settle calls for a lost attempt. */
-  getMaxSettleCalls(): number;
+  /**
+   * Returns true when the request can leave an attempt whose agent does not answer
+   * for another target; what that takes is then reserved.
+   */
+  tryLeave(placed: PlacedAttempt): boolean;
+  /** Returns true when the process of the attempt's agent has ended. */
+  isGone(placed: PlacedAttempt): boolean;
+  /** Called when the attempt was sent to its agent. */
+  onSent?(): void;
   /**
    * Delay before a lost attempt is settled for the first time, in milliseconds.
    * An attempt that another router sent may still be on its way to the target.
    */
   readonly settleDelayMs?: number;
   /** Called when the target has sent something. */
-  onEvent?(): void;
+  onEvent?(event: AgentEvent): void;
 }
 
 /**
@@ -88,7 +95,7 @@
   options.response.beginAttempt();
   return followAttempt(host, dispatch, {
     ...options,
-    startStream: () => host.calls.run(dispatch),
+    startStream: () => host.calls.run(dispatch, options.onSent),
   });
 }
 
@@ -158,8 +165,9 @@
   options: AttemptOptions,
 ): Promise<AttemptVerdict | undefined> {
   const state = await settleAttempt(host, placed, {
-    maxCalls: options.getMaxSettleCalls(),
     signal: options.signal,
+    tryLeave: () => options.tryLeave(placed),
+    isGone: () => options.isGone(placed),
   });
   if (options.signal.aborted) return { kind: "stopped" };
   switch (state) {
@@ -200,7 +208,7 @@
     if (signal.aborted) return { kind: "stopped" };
     for await (const event of events) {
       if (signal.aborted) return { kind: "stopped" };
-      if (event.kind !== "lost") options.onEvent?.();
+      if (event.kind !== "lost") options.onEvent?.(event);
       if (event.kind === "lost") host.recordContact(target, "failed");
       else if (!hasResponded) host.recordContact(target, "answered");
       const result = handleEvent(event, {
--- a/src/request/attempt_run_test.ts
+++ b/src/request/attempt_run_test.ts
@@ -86,7 +86,8 @@
       end: () => undefined,
     }),
     signal: new AbortController().signal,
-    getMaxSettleCalls: () => 1,
+    tryLeave: () => true,
+    isGone: () => false,
   });
 }
 
--- /dev/null
+++ b/src/request/held_attempt.ts
@@ -0,0 +1,74 @@
+/**
+ * Holds an attempt that is left for another target until the next one has the
+ * request. The agent of the held attempt did not answer, but its target may still
+ * run it; it goes on when the next target refuses the request.
+ */
+
+import type { AgentCalls, PlacedAttempt } from "../types/agent_calls.ts";
+
+/**
+ * Time in which an agent refuses a request that it does not take, in milliseconds.
+ * Two attempts may run side by side for 400 ms at most.
+ */
+const refusalTimeMs = 200;
+
+/** The held attempt of one request. */
+export interface HeldAttempt {
+  /** Holds an attempt; one that was held before is cancelled. */
+  hold(placed: PlacedAttempt): void;
+  /** Records that the next attempt was sent to its agent. */
+  recordSent(): void;
+  /** Records that the next attempt was refused, so that the hold goes on. */
+  recordRefused(): void;
+  /** Cancels the held attempt, as the next one has the request. */
+  release(): void;
+  /** Ends the hold and returns the attempt; undefined when none is held. */
+  tryTake(): PlacedAttempt | undefined;
+}
+
+/** Creates a holder without an attempt. */
+export function createHeldAttempt(
+  host: { readonly calls: Pick<AgentCalls, "cancel"> },
+): HeldAttempt {
+  let held: PlacedAttempt | undefined;
+  let timer: ReturnType<typeof setTimeout> | undefined;
+
+  return {
+    hold,
+    recordSent,
+    recordRefused: () => clearTimeout(timer),
+    release,
+    tryTake,
+  };
+
+  function hold(placed: PlacedAttempt): void {
+    release();
+    held = placed;
+  }
+
+  function recordSent(): void {
+    if (held === undefined) return;
+    clearTimeout(timer);
+    const sent = held;
+    // After a pause of the process, a refusal may be ready to be read.
+    timer = setTimeout(
+      () =>
+        setImmediate(() => {
+          if (held === sent) release();
+        }),
+      refusalTimeMs,
+    );
+  }
+
+  function release(): void {
+    const placed = tryTake();
+    if (placed !== undefined) host.calls.cancel(placed);
+  }
+
+  function tryTake(): PlacedAttempt | undefined {
+    clearTimeout(timer);
+    const placed = held;
+    held = undefined;
+    return placed;
+  }
+}
--- a/src/request/request_host.ts
+++ b/src/request/request_host.ts
@@ -18,7 +18,10 @@
 /** The long-lived components that all requests share. */
 export interface RequestHost {
   readonly calls: AgentCalls;
-  readonly members: Pick<MemberView, "getAvailableAgents" | "recordContact">;
+  readonly members: Pick<
+    MemberView,
+    "getAvailableAgents" | "recordContact" | "tryGetMember"
+  >;
   readonly configuration: Pick<ConfigurationView, "getConfiguration">;
   readonly crashes: Pick<CrashView, "getCrashes">;
   readonly limits: LimitView;
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -5,7 +5,7 @@
  * attempt never runs.
  */
 
-import type { PlacedAttempt } from "../types/agent_calls.ts";
+import type { AgentEvent, PlacedAttempt } from "../types/agent_calls.ts";
 import { createReport, type DiagnosticCode } from "../types/diagnostics.ts";
 import type { Reply, RequestEnd } from "../types/reply.ts";
 import type { Work } from "../types/work.ts";
@@ -21,6 +21,7 @@
 import { createDelivery } from "./delivery.ts";
 import { createEnd } from "./request_end.ts";
 import type { RequestHost, RequestSummary } from "./request_host.ts";
+import { createHeldAttempt } from "./held_attempt.ts";
 import { createRequestStop } from "./request_stop.ts";
 import {
   createRouting,
@@ -32,18 +33,6 @@
 /** Number of crashed targets after which a request is not retried. */
 const maxCrashes = 2;
 
-/**
- * Maximum number of settle calls for a lost attempt that cannot be retried at
- * another target.
- */
-const maxSettleCalls = 5;
-
-/**
- * Maximum number of settle calls for a lost attempt that can be retried at
- * another target.
- */
-const maxSettleCallsIfRetryable = 1;
-
 /**
  * Time that an attempt of another router may take to arrive, in milliseconds.
  */
@@ -88,12 +77,14 @@
     recordContact: host.members.recordContact,
   };
   const trace = createAttemptTrace();
+  const held = createHeldAttempt(host);
   const attemptOptions: AttemptOptions = {
     onEvent: trace.recordEvent,
     response,
     delivery,
     signal: stop.signal,
-    getMaxSettleCalls,
+    tryLeave,
+    isGone,
   };
   const usesClaim = !work.repeatable && work.idempotencyKey !== undefined;
   const claimedRequest = usesClaim
@@ -105,6 +96,8 @@
    */
   let lastFailure: DiagnosticCode | undefined;
   let crashes = 0;
+  /** True when the retry of the next attempt is spent already. */
+  let hasRetry = false;
   let attemptCount = 0;
   let target = "";
   let lastRefusal = createReport("no_target", { service: work.service }, {
@@ -117,6 +110,7 @@
     reply.end(end);
     return { end, target, tries: attemptCount, decision: trace.describe() };
   } finally {
+    held.release();
     stop.clear();
   }
 
@@ -131,9 +125,9 @@
     while (true) {
       if (stop.getReason() !== undefined) return await endBeforeAttempt();
       const choice = routing.tryGetNext();
-      if (choice === undefined) return await endRefused();
-      await waitUnlessAborted(choice.delayMs, stop.signal);
-      const end = await runOnTarget(choice);
+      const end = choice === undefined
+        ? await endRefused()
+        : await runOnTarget(choice);
       if (end !== undefined) return end;
     }
   }
@@ -142,8 +136,9 @@
    * Runs one attempt; returns undefined when the next target should be tried.
    */
   async function runOnTarget(
-    { member, onlyIfHeld, observedLoads, silentTargets }: RoutingChoice,
+    { member, delayMs, ...choice }: RoutingChoice,
   ): Promise<RequestEnd | undefined> {
+    await waitUnlessAborted(delayMs, stop.signal);
     const attempt = host.attempts.createAttempt();
     const placed = { attempt, target: member };
     target = member.id;
@@ -159,25 +154,42 @@
       crashes: Math.max(crashes, host.crashes.getCrashes(work.fingerprint)),
       claim: claimedRequest?.key ?? "",
       configurationVersion: host.configuration.getConfiguration().version,
-      observedLoads,
-      silentTargets,
+      ...choice,
       conversationHash: work.conversation === ""
         ? 0
         : host.hashConversation(getPlacementKey(work)),
-      onlyIfHeld,
-    }, attemptOptions);
+    }, { ...attemptOptions, onEvent, onSent: held.recordSent });
     trace.recordEnd(verdict);
+    if (verdict.kind === "not_run") held.recordRefused();
+    else held.release();
     return await handleVerdict(verdict, placed);
   }
 
   /**
-   * Returns the maximum number of settle calls. It is higher for work that may
-   * not run twice, or whose response the caller has begun to read, because a
-   * retry at another target is not possible then.
+   * An attempt may still run although its agent does not answer. It is left only
+   * when a retry is allowed and a target is left to try. No other target can
+   * continue a response that the caller has begun to read.
    */
-  function getMaxSettleCalls(): number {
-    const canRetryElsewhere = work.repeatable && delivery.isPending();
-    return canRetryElsewhere ? maxSettleCallsIfRetryable : maxSettleCalls;
+  function tryLeave(placed: PlacedAttempt): boolean {
+    if (!work.repeatable || !delivery.isPending()) return false;
+    if (isGone(placed)) return true;
+    if (!routing.hasNext()) trace.recordObstacle("no_target");
+    else if (!host.retries.trySpend(work.service)) {
+      trace.recordObstacle("retry_budget");
+    } else hasRetry = true;
+    return hasRetry;
+  }
+
+  function isGone({ target: { id, incarnation } }: PlacedAttempt): boolean {
+    const member = host.members.tryGetMember(id);
+    return member === undefined || member.state === "dead" ||
+      member.incarnation > incarnation;
+  }
+
+  /** A refusal leaves the attempt before it in force. */
+  function onEvent(event: AgentEvent): void {
+    trace.recordEvent();
+    if (event.kind !== "refusal") held.release();
   }
 
   function resetResponse(): void {
@@ -223,7 +235,7 @@
     placed: PlacedAttempt,
   ): Promise<RequestEnd | undefined> {
     const { code, retryAfterMs, load } = refusal;
-    if (finalRefusals.has(code)) return await endNotRun(code, retryAfterMs);
+    if (finalRefusals.has(code)) return await resumeOrEnd(code, retryAfterMs);
     lastRefusal = createReport(code, { service: work.service }, {
       retryAfterMs: retryAfterMs || defaultRetryAfterMs,
     });
@@ -238,7 +250,7 @@
     host.refusals.recordUnreachable(placed.target.id);
     if (host.retries.trySpend(work.service)) return undefined;
     trace.recordObstacle("retry_budget");
-    return await endNotRun("retry_budget_spent", defaultRetryAfterMs);
+    return await resumeOrEnd("retry_budget_spent", defaultRetryAfterMs);
   }
 
   function handleFailure(code: DiagnosticCode): RequestEnd | undefined {
@@ -261,8 +273,9 @@
 
   function handleUnknownOutcome(placed: PlacedAttempt): RequestEnd | undefined {
     if (!work.repeatable) return endUnknown();
-    host.calls.cancel(placed);
     host.refusals.recordUnreachable(placed.target.id);
+    if (hasRetry) held.hold(placed);
+    else host.calls.cancel(placed);
     return retryOrEnd("outcome_unknown");
   }
 
@@ -271,7 +284,9 @@
    */
   function retryOrEnd(code: DiagnosticCode): RequestEnd | undefined {
     lastFailure = code;
-    if (host.retries.trySpend(work.service)) return undefined;
+    const canRetry = hasRetry || host.retries.trySpend(work.service);
+    hasRetry = false;
+    if (canRetry) return undefined;
     trace.recordObstacle("retry_budget");
     return endFailed(code);
   }
@@ -295,9 +310,25 @@
   }
 
   /** Ends a request when no target is left to try. */
-  function endRefused(): Promise<RequestEnd> {
+  function endRefused(): Promise<RequestEnd | undefined> {
     trace.recordObstacle("no_target");
-    return endNotRun(lastRefusal.code, lastRefusal.retryAfterMs);
+    return resumeOrEnd(lastRefusal.code, lastRefusal.retryAfterMs);
+  }
+
+  /**
+   * Goes back to the attempt that was left for another target, as none takes the
+   * request. Ends the request when there is no such attempt.
+   */
+  async function resumeOrEnd(
+    code: DiagnosticCode,
+    retryAfterMs: number,
+  ): Promise<RequestEnd | undefined> {
+    const placed = held.tryTake();
+    if (placed === undefined) return await endNotRun(code, retryAfterMs);
+    target = placed.target.id;
+    const verdict = await join(placed);
+    trace.recordEnd(verdict);
+    return await handleVerdict(verdict, placed);
   }
 
   /** Ends a request that was stopped while no attempt was in flight. */
--- a/src/request/routing.ts
+++ b/src/request/routing.ts
@@ -84,6 +84,11 @@
 export interface Routing {
   /** Returns the next target to try, or undefined when there is none left. */
   tryGetNext(): RoutingChoice | undefined;
+  /**
+   * Returns true when a target is left that was not asked yet and that recently
+   * responded.
+   */
+  hasNext(): boolean;
   /** Records the refusal of the target that was returned last. */
   recordRefusal(refusal: TargetRefusal): void;
 }
@@ -115,7 +120,7 @@
   let loadRetries = 0;
   let lastChoice: RoutingChoice | undefined;
 
-  return { tryGetNext, recordRefusal };
+  return { tryGetNext, hasNext, recordRefusal };
 
   function tryGetNext(): RoutingChoice | undefined {
     // The members may have changed since the last attempt.
@@ -125,6 +130,15 @@
     return lastChoice;
   }
 
+  function hasNext(): boolean {
+    if (attemptedTargets.size >= maxTargets) return false;
+    return getUnattempted(rankMembers()).some(({ id }) =>
+      id !== lastChoice?.member.id && !host.refusals.isUnreachable(id) &&
+      (recentRefuserAttempts < maxRecentRefusers ||
+        !host.refusals.isDeprioritized(id))
+    );
+  }
+
   function rankMembers(): readonly Member[] {
     const members = host.members.getAvailableAgents(work.service);
     return host.placement.rankTargets(getPlacementKey(work), members, {
--- a/src/request/settlement.ts
+++ b/src/request/settlement.ts
@@ -6,38 +6,49 @@
   SettleState,
 } from "../types/agent_calls.ts";
 
-/** Delays before the settle calls, in milliseconds. */
+/** Delays before the settle calls, in milliseconds; the last one is repeated. */
 const callDelaysMs: readonly number[] = [0, 100, 300, 900, 1_500];
 
+/** Settle calls without an answer after which an attempt can be given up. */
+const minCalls = callDelaysMs.length;
+
 /** What settlement needs from the process. */
 export interface SettlementHost {
   readonly calls: Pick<AgentCalls, "settle">;
 }
 
-/** Limits of one settlement. */
+/** When a settlement without an answer ends. */
 export interface SettlementOptions {
-  /** Maximum number of calls; at most five. */
-  readonly maxCalls: number;
-  /** Ends the delays early; the result is then `no_answer`. */
+  /** Ends the settlement; the result is then `no_answer`. */
   readonly signal: AbortSignal;
+  /**
+   * Returns true when the request can go to another target now. What that takes
+   * is then reserved.
+   */
+  tryLeave(): boolean;
+  /** Returns true when the agent's process has ended, as far as is known. */
+  isGone(): boolean;
 }
 
 /**
- * Calls the agent until it responds. Once it has responded, an attempt that had
- * not started never runs.
+ * Calls the agent until it responds, the request can go to another target or the
+ * agent is gone. Once it has responded, an attempt that had not started never
+ * runs.
  */
 export async function settleAttempt(
   host: SettlementHost,
   placed: PlacedAttempt,
   options: SettlementOptions,
 ): Promise<SettleState> {
-  for (const delayMs of callDelaysMs.slice(0, options.maxCalls)) {
-    if (delayMs > 0) await waitUnlessAborted(delayMs, options.signal);
+  for (let calls = 1;; calls++) {
+    const delayMs = callDelaysMs[Math.min(calls, minCalls) - 1] ?? 0;
+    await waitUnlessAborted(delayMs, options.signal);
     if (options.signal.aborted) return "no_answer";
     const state = await host.calls.settle(placed);
-    if (state !== "no_answer") return state;
+    if (state !== "no_answer" || options.signal.aborted) return state;
+    if (calls >= minCalls && options.isGone()) return state;
+    if (options.tryLeave()) return state;
   }
-  return "no_answer";
 }
 
 /** Waits for a delay or until the signal is aborted. */
--- a/src/types/agent_calls.ts
+++ b/src/types/agent_calls.ts
@@ -96,8 +96,8 @@
 
 /** The calls to agents. */
 export interface AgentCalls {
-  /** Starts an attempt and returns its events. */
-  run(dispatch: Dispatch): AgentEvents;
+  /** Starts an attempt and returns its events; calls back when it was sent. */
+  run(dispatch: Dispatch, onSent?: () => void): AgentEvents;
   /** Returns the events of an existing attempt from an offset in bytes. */
   attach(placed: PlacedAttempt, offset: number): AgentEvents;
   /** Writes a tombstone if the attempt has not started; returns its state. */
--- a/test/fakes/fake_targets.ts
+++ b/test/fakes/fake_targets.ts
@@ -174,10 +174,11 @@
     return deliveries.shift() ?? faultlessDelivery;
   }
 
-  function run(dispatch: Dispatch): AgentEvents {
+  function run(dispatch: Dispatch, onSent?: () => void): AgentEvents {
     const { requestId } = dispatch.work;
     const targets = attemptedTargets.get(requestId) ?? new Set();
     attemptedTargets.set(requestId, targets.add(dispatch.target.id));
+    if (deliveries[0]?.fault !== "unsent") onSent?.();
     return send((deliver) => startRun(dispatch, deliver));
   }
 
--- a/test/support/request_history.ts
+++ b/test/support/request_history.ts
@@ -77,6 +77,8 @@
     calls: options.calls ?? targets.calls,
     members: {
       getAvailableAgents: targets.getMembers,
+      tryGetMember: (id) =>
+        targets.getMembers().find((member) => member.id === id),
       recordContact: () => undefined,
     },
     configuration: { getConfiguration: () => configuration },
