Resume an attempt at an agent as often as its connection is lost

Cause: an attempt was given up at the fifth loss of the connection to its agent, also when each connection brought more of the response and the agent said that it runs. A stream that the caller reads was cut then, as no other target can continue it.

Change: losses are not counted; the deadline, the state that the agent states and the end of its process bound them. Resumptions without new bytes come 100 ms later each, up to 500 ms. Responses that are corrupted end as before after five.

--- a/src/request/attempt_handover_test.ts
+++ b/src/request/attempt_handover_test.ts
@@ -163,6 +163,36 @@
     expect(targets.runs).toHaveLength(1);
   });
 
+  describe("for long, as its connections are lost", () => {
+    const answered: Delivery = { fault: "none", delayMs: 1, events: 0 };
+
+    it.each([
+      ["after each event", 2],
+      ["without a new event", 1],
+    ])("of a stream is read to its end, %s", async (_name, events) => {
+      const cut: Delivery = { fault: "cut", delayMs: 1, events };
+      prepare([
+        { fault: "cut", delayMs: 1, events: 2 },
+        ...Array.from({ length: 6 }, () => [answered, cut]).flat(),
+      ]);
+      targets.behaviour.usesStreams = true;
+      await run();
+      expect(caller.end()?.outcome).toBe("done");
+      expect(targets.runs).toHaveLength(1);
+    });
+
+    it("is given up when each response of it is corrupt", async () => {
+      const crossed: Delivery = { fault: "crossed", delayMs: 1, events: 0 };
+      prepare([
+        crossed,
+        ...Array.from({ length: 20 }, () => [answered, crossed]).flat(),
+      ], { repeatable: false });
+      await run();
+      expect(caller.end()?.report?.code).toBe("outcome_unknown");
+      expect(caller.durationMs()).toBeLessThan(5_000);
+    });
+  });
+
   /** Prepares one router, three targets and a call that may run again. */
   function prepare(
     deliveries: readonly Delivery[],
--- a/src/request/attempt_run.ts
+++ b/src/request/attempt_run.ts
@@ -19,8 +19,14 @@
 import { settleAttempt, waitUnlessAborted } from "./settlement.ts";
 import { waitUntilWritable } from "./reply_wait.ts";
 
-/** Maximum number of times that one attempt is resumed after a loss. */
-const maxResumes = 4;
+/** Maximum number of corrupted responses after which an attempt is given up. */
+const maxCorruptions = 5;
+
+/** Delay that each resumption without new bytes adds, in milliseconds. */
+const resumeDelayMs = 100;
+
+/** Maximum delay before a resumption, in milliseconds. */
+const maxResumeDelayMs = 500;
 
 /** What following an attempt needs from the process. */
 export interface AttemptHost {
@@ -122,7 +128,11 @@
   const { response, delivery, signal } = options;
   let events = options.startStream?.() ?? host.calls.attach(placed, 0);
   let isRunStream = options.startStream !== undefined;
-  for (let resumes = 0; resumes <= maxResumes; resumes++) {
+  let corruptions = 0;
+  let idleResumes = 0;
+  // An attempt that still runs is resumed as often as its connection is lost.
+  for (let resumes = 0;; resumes++) {
+    const offset = response.getOffset();
     const result = await readEvents(host, events, {
       ...options,
       placed,
@@ -130,6 +140,7 @@
     });
     if (result.kind === "corrupted") {
       if (!delivery.isPending()) return { kind: "cut" };
+      if (++corruptions >= maxCorruptions) return { kind: "unknown" };
       delivery.reset();
       response.reset();
     } else if (result.kind !== "lost") {
@@ -142,12 +153,16 @@
     }
     const verdict = await settleLostAttempt(host, placed, options);
     if (verdict !== undefined) return verdict;
-    if (resumes > 0) await waitUnlessAborted(resumes * 100, signal);
+    idleResumes = response.getOffset() > offset ? 0 : idleResumes + 1;
+    await waitUnlessAborted(getResumeDelayMs(idleResumes), signal);
     if (signal.aborted) return { kind: "stopped" };
     events = host.calls.attach(placed, response.getOffset());
     isRunStream = false;
   }
-  return { kind: "unknown" };
+}
+
+function getResumeDelayMs(idleResumes: number): number {
+  return Math.min(maxResumeDelayMs, resumeDelayMs * idleResumes);
 }
 
 /** Verdict on an attempt that was never sent, and so never runs. */
