End calls at agents in time although an agent does not answer

Change: a question is left at the deadline, and the one that withdraws the attempt is awaited for 250 ms; without an answer the outcome stays unknown.

--- a/src/request/attempt_handover_test.ts
+++ b/src/request/attempt_handover_test.ts
@@ -3,6 +3,7 @@
   type Delivery,
   type FakeTargets,
 } from "../../test/fakes/fake_targets.ts";
+import { createEventQueue } from "../../test/fakes/event_queue.ts";
 import { createMemoryPlatform } from "../../test/fakes/memory_platform.ts";
 import {
   createCaller,
@@ -15,7 +16,7 @@
 } from "../../test/support/request_history.ts";
 import { loadBodyDigests } from "../process/attempts/body_digest.ts";
 import { loadPlacementHost } from "../process/placement/placement.ts";
-import type { AgentCalls } from "../types/agent_calls.ts";
+import type { AgentCalls, AgentEvents } from "../types/agent_calls.ts";
 import type { Member } from "../types/member.ts";
 import type { Work } from "../types/work.ts";
 import type { RequestHost, RequestSummary } from "./request_host.ts";
@@ -193,6 +194,28 @@
     });
   });
 
+  // Questions to the agent went on for up to 5 s after the deadline.
+  it.each([[true, 50], [false, 50], [true, 5_000], [false, 5_000]])(
+    "ends in time at the deadline, repeatable %s, lost after %i ms",
+    async (repeatable, lostAfterMs) => {
+      const deadlineMs = 400;
+      prepare([], { repeatable, deadlineAt: Date.now() + deadlineMs });
+      targets.behaviour.queueDelayMs = 10_000;
+      const settle = () => sleep(1_500).then(() => "no_answer" as const);
+      const open = (): AgentEvents => {
+        const queue = createEventQueue();
+        void sleep(lostAfterMs).then(() =>
+          queue.push({ kind: "lost", sent: true })
+        );
+        return queue.events;
+      };
+      const calls = { ...targets.calls, run: open, attach: open, settle };
+      await run({ calls });
+      expect(caller.end()?.outcome).not.toBe("not_run");
+      expect(caller.durationMs()).toBeLessThanOrEqual(deadlineMs + 300);
+    },
+  );
+
   /** Prepares one router, three targets and a call that may run again. */
   function prepare(
     deliveries: readonly Delivery[],
@@ -230,3 +253,7 @@
     expect(findViolations(targets, [caller])).toEqual([]);
   }
 });
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -28,7 +28,7 @@
   getPlacementKey,
   type RoutingChoice,
 } from "./routing.ts";
-import { waitUnlessAborted } from "./settlement.ts";
+import { waitUnlessAborted, withdrawAttempt } from "./settlement.ts";
 
 /** Number of crashed targets after which a request is not retried. */
 const maxCrashes = 2;
@@ -353,7 +353,7 @@
     }
     // Work that may not run twice is withdrawn when it has not started, and
     // otherwise left to run to its end.
-    const state = await host.calls.settle(placed);
+    const state = await withdrawAttempt(host, placed);
     if (isDisconnected) return createEnd(createReport("caller_gone"));
     return state === "not_run"
       ? await endNotRun("deadline_passed", 0)
--- a/src/request/settlement.ts
+++ b/src/request/settlement.ts
@@ -5,6 +5,7 @@
   PlacedAttempt,
   SettleState,
 } from "../types/agent_calls.ts";
+import { waitAtMost } from "./bounded_wait.ts";
 
 /** Delays before the settle calls, in milliseconds; the last one is repeated. */
 const callDelaysMs: readonly number[] = [0, 100, 300, 900, 1_500];
@@ -12,6 +13,9 @@
 /** Settle calls without an answer after which an attempt can be given up. */
 const minCalls = callDelaysMs.length;
 
+/** Time that an agent has to withdraw an attempt at its deadline, in ms. */
+const withdrawalTimeMs = 250;
+
 /** What settlement needs from the process. */
 export interface SettlementHost {
   readonly calls: Pick<AgentCalls, "settle">;
@@ -44,13 +48,49 @@
     const delayMs = callDelaysMs[Math.min(calls, minCalls) - 1] ?? 0;
     await waitUnlessAborted(delayMs, options.signal);
     if (options.signal.aborted) return "no_answer";
-    const state = await host.calls.settle(placed);
+    const state = await waitForState(host.calls.settle(placed), options.signal);
     if (state !== "no_answer" || options.signal.aborted) return state;
     if (calls >= minCalls && options.isGone()) return state;
     if (options.tryLeave()) return state;
   }
 }
 
+/**
+ * Withdraws an attempt at the deadline of its caller, who cannot wait for long.
+ * Returns its state, `no_answer` when the agent takes too long to respond.
+ */
+export async function withdrawAttempt(
+  host: SettlementHost,
+  placed: PlacedAttempt,
+): Promise<SettleState> {
+  const settled = host.calls.settle(placed);
+  let state: SettleState = "no_answer";
+  await waitAtMost(
+    settled.then((value) => {
+      state = value;
+    }),
+    withdrawalTimeMs,
+  );
+  return state;
+}
+
+/** Returns what a call resolves to, or `no_answer` when the signal is aborted. */
+async function waitForState(
+  settled: Promise<SettleState>,
+  signal: AbortSignal,
+): Promise<SettleState> {
+  let stop = (): void => undefined;
+  const aborted = new Promise<SettleState>((resolve) => {
+    stop = () => resolve("no_answer");
+  });
+  signal.addEventListener("abort", stop, { once: true });
+  try {
+    return await Promise.race([settled, aborted]);
+  } finally {
+    signal.removeEventListener("abort", stop);
+  }
+}
+
 /** Waits for a delay or until the signal is aborted. */
 export function waitUnlessAborted(
   delayMs: number,
