Record no crash for the requests that the end of an agent's stop cuts off

Cause: at the end of its grace period an agent closes its connections to the target. The requests that still run then asked whether the target had crashed; the health check failed on the closed connections too, so they were recorded as in flight at a crash and reported as 'target_crashed'. Routers count two crashes per request, after which it is not retried and held back, so a long request that meets two planned stops was refused.

Change: a health checker that is stopped finds no crash; the requests end with 'target_error', which is retried.

--- a/src/process/membership/health_checker.ts
+++ b/src/process/membership/health_checker.ts
@@ -32,6 +32,7 @@
 export interface HealthChecker {
   /** Checks once, then at intervals until `stop` is called. */
   start(): Promise<void>;
+  /** Stops the checks; lost connections are no crash afterwards. */
   stop(): void;
   isUp(): boolean;
   /**
@@ -91,6 +92,7 @@
   }
 
   async function checkCrash(): Promise<boolean> {
+    if (stopped) return false;
     const crashesBefore = crashes;
     // The target may have responded to a pending check before the loss.
     if (pendingCheck !== undefined) await pendingCheck;
@@ -127,6 +129,7 @@
   }
 
   function recordCrash(): void {
+    if (stopped) return;
     isUp = false;
     failures = 0;
     crashes++;
--- a/src/process/membership/health_checker_test.ts
+++ b/src/process/membership/health_checker_test.ts
@@ -59,6 +59,16 @@
     expect(crashes).toBe(1);
   });
 
+  // An agent that stops closes its connections to the target itself. Requests that
+  // are still running then counted as in flight at a crash, and after two stops
+  // they were held back.
+  it("takes connections that its own process closes for no crash", async () => {
+    checker.stop();
+    state = "gone";
+    expect(await checker.checkCrash()).toBe(false);
+    expect(crashes).toBe(0);
+  });
+
   it("detects a restart by a changed instance", async () => {
     instance = "1";
     await checker.checkCrash();
--- a/test/agent/engine_test.ts
+++ b/test/agent/engine_test.ts
@@ -126,6 +126,25 @@
     });
   });
 
+  describe("a request that the end of a stop cuts off", () => {
+    it("is not recorded as in flight at a crash", async () => {
+      client.close();
+      await role.stop();
+      host.server.forceShutdown();
+      host = createAgentHost(`http://127.0.0.1:${engine.port}`, {
+        shutdownMs: 50,
+      });
+      ({ role, client } = await startAgent(host));
+      const events = collect(client.run(createChat(1, { tokens: 5_000 })));
+      await waitUntil(() => engine.engine.getCounts().started === 1);
+      expect((await role.stop()).cutOff).toBe(1);
+      expect(getLastEvent(await events)).toMatchObject({
+        code: "target_error",
+      });
+      expect(host.crashes.getCrashes("f1")).toBe(0);
+    });
+  });
+
   describe("orders", () => {
     it("reach the engine only with the highest fencing number", async () => {
       expect(await sendOrder(client, 2)).toEqual({ accepted: true, code: "" });
