Cancel an attempt again until its agent has received the call

Cause: a router that leaves an attempt for another target cancels it with one call, which fails at once while the agent cannot be reached.

Change: the call is repeated after 0.2, 0.4, 0.8, 1.6 and 3.2 s until the agent has answered it.

--- a/src/connection/agent_client.ts
+++ b/src/connection/agent_client.ts
@@ -31,6 +31,12 @@
 /** Timeout of calls that an agent responds to at once, in milliseconds. */
 const shortCallTimeoutMs = 1_000;
 
+/**
+ * Delays before an attempt is cancelled again whose agent did not answer, in
+ * milliseconds. Without a reader, agents cancel it after 10 s themselves.
+ */
+const cancelDelaysMs: readonly number[] = [0, 200, 400, 800, 1_600, 3_200];
+
 /** Time from the caller's deadline until the stream is closed, in ms. */
 const deadlineGraceMs = 2_000;
 
@@ -75,6 +81,7 @@
   const connections = new Map<string, Connection>();
   const sweepTimer = setInterval(closeIdleConnections, sweepIntervalMs);
   sweepTimer.unref();
+  let isStopped = false;
 
   return { run, attach, settle, cancel, close, dump };
 
@@ -159,13 +166,27 @@
   }
 
   function cancel(placed: PlacedAttempt): void {
+    void cancelUntilAnswered(placed);
+  }
+
+  async function cancelUntilAnswered(placed: PlacedAttempt): Promise<void> {
+    for (const delayMs of cancelDelaysMs) {
+      if (delayMs > 0) await sleep(delayMs);
+      if (isStopped || await tryCancel(placed)) return;
+    }
+  }
+
+  /** Returns true when the agent has received the call. */
+  function tryCancel(placed: PlacedAttempt): Promise<boolean> {
     const { client } = getConnection(placed.target);
-    client.cancel(
-      toAttemptRequest(placed),
-      new Metadata(),
-      { deadline: Date.now() + shortCallTimeoutMs },
-      () => undefined,
-    );
+    return new Promise((resolve) => {
+      client.cancel(
+        toAttemptRequest(placed),
+        new Metadata(),
+        { deadline: Date.now() + shortCallTimeoutMs },
+        (error) => resolve(error === null),
+      );
+    });
   }
 
   function getConnection(target: Target): Connection {
@@ -195,6 +216,7 @@
   }
 
   function close(): void {
+    isStopped = true;
     clearInterval(sweepTimer);
     connections.forEach(({ client }) => client.close());
     connections.clear();
@@ -211,6 +233,13 @@
   }
 }
 
+/** Waits without keeping the process alive. */
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, delayMs).unref();
+  });
+}
+
 /** Returns the key of the connection to one incarnation of an agent. */
 function getConnectionKey(target: Target): string {
   return `${target.id}/${target.incarnation}` +
--- a/src/connection/agent_client_test.ts
+++ b/src/connection/agent_client_test.ts
@@ -40,13 +40,14 @@
   async function startAgent(
     port: number,
     run: AgentServerHost["run"],
+    cancel: AgentServerHost["cancel"] = () => undefined,
   ): Promise<{ readonly server: Server; readonly port: number }> {
     const server = new Server();
     addAgentService(server, {
       run,
       attach: () => silentReader,
       settle: () => "running",
-      cancel: () => undefined,
+      cancel,
       order: () => Promise.reject(new Error("No order is expected")),
       drain: () => 0,
       getLoad: () => 0,
@@ -151,6 +152,21 @@
     },
   );
 
+  // The target went on with the attempt beside the next one.
+  it("that cancels arrives once the agent is reached again", async () => {
+    const cancelled = new Promise<void>((resolve) => {
+      void startAgent(0, () => silentReader, () => resolve())
+        .then(async ({ port }) => {
+          const relay = await startRelay(1);
+          const client = createAgentClient();
+          cleanUps.push(client.close);
+          client.cancel(createDispatch(relay.port));
+          setTimeout(() => relay.leadTo(port), 300);
+        });
+    });
+    await cancelled;
+  }, 10_000);
+
   it("is not sent without a connection", async () => {
     const { server, port } = await startAgent(0, () => silentReader);
     server.forceShutdown();
