--- a/src/request/attempt_run.ts
+++ b/src/request/attempt_run.ts
@@ -20,8 +20,14 @@
 import { settleAttempt, waitUnlessAborted } from "./settlement.ts";
 import { waitUntilWritable } from "./reply_wait.ts";
 
-/** Maximum number of times that one attempt is resumed after a loss. */
-const maxResumes = 4;
+/** Maximum number of corrupted responses after which an attempt is given up. */
+const maxCorruptions = 5;
+
+/** Delay that each resumption without new bytes adds, in milliseconds. */
+const resumeDelayMs = 100;
+
+/** Maximum delay before a resumption, in milliseconds. */
+const maxResumeDelayMs = 500;
 
 /** What following an attempt needs from the process. */
 export interface AttemptHost {
@@ -36,13 +42,22 @@
   readonly delivery: Delivery;
   /** Aborted at the deadline or when the caller disconnects. */
   readonly signal: AbortSignal;
-  /** Returns the current maximum number of settle calls for a lost attempt. */
-  getMaxSettleCalls(): number;
+  /**
+   * Returns true when the request can leave an attempt whose agent does not answer
+   * for another target; what that takes is then reserved.
+   */
+  tryLeave(placed: PlacedAttempt): boolean;
+  /** Returns true when the process of the attempt's agent has ended. */
+  isGone(placed: PlacedAttempt): boolean;
+  /** Called when the attempt was sent to its agent. */
+  onSent?(): void;
   /**
    * Delay before a lost attempt is settled for the first time, in milliseconds.
    * An attempt that another router sent may still be on its way to the target.
    */
   readonly settleDelayMs?: number;
+  /** Called when the target has sent something. */
+  onEvent?(event: AgentEvent): void;
 }
 
 /**
@@ -88,7 +103,7 @@
   options.response.beginAttempt();
   return followAttempt(host, dispatch, {
     ...options,
-    startStream: () => host.calls.run(dispatch),
+    startStream: () => host.calls.run(dispatch, options.onSent),
   });
 }
 
@@ -115,7 +130,11 @@
   const { response, delivery, signal } = options;
   let events = options.startStream?.() ?? host.calls.attach(placed, 0);
   let isRunStream = options.startStream !== undefined;
-  for (let resumes = 0; resumes <= maxResumes; resumes++) {
+  let corruptions = 0;
+  let idleResumes = 0;
+  // An attempt that still runs is resumed as often as its connection is lost.
+  for (let resumes = 0;; resumes++) {
+    const offset = response.getOffset();
     const result = await readEvents(host, events, {
       ...options,
       placed,
@@ -123,6 +142,7 @@
     });
     if (result.kind === "corrupted") {
       if (!delivery.isPending()) return { kind: "cut" };
+      if (++corruptions >= maxCorruptions) return { kind: "unknown" };
       delivery.reset();
       response.reset();
     } else if (result.kind !== "lost") {
@@ -135,12 +155,16 @@
     }
     const verdict = await settleLostAttempt(host, placed, options);
     if (verdict !== undefined) return verdict;
-    if (resumes > 0) await waitUnlessAborted(resumes * 100, signal);
+    idleResumes = response.getOffset() > offset ? 0 : idleResumes + 1;
+    await waitUnlessAborted(getResumeDelayMs(idleResumes), signal);
     if (signal.aborted) return { kind: "stopped" };
     events = host.calls.attach(placed, response.getOffset());
     isRunStream = false;
   }
-  return { kind: "unknown" };
+}
+
+function getResumeDelayMs(idleResumes: number): number {
+  return Math.min(maxResumeDelayMs, resumeDelayMs * idleResumes);
 }
 
 /** Verdict on an attempt that was never sent, and so never runs. */
@@ -159,8 +183,9 @@
   options: AttemptOptions,
 ): Promise<AttemptVerdict | undefined> {
   const state = await settleAttempt(host, placed, {
-    maxCalls: options.getMaxSettleCalls(),
     signal: options.signal,
+    tryLeave: () => options.tryLeave(placed),
+    isGone: () => options.isGone(placed),
   });
   if (options.signal.aborted) return { kind: "stopped" };
   switch (state) {
@@ -202,6 +227,7 @@
     if (signal.aborted) return { kind: "stopped" };
     for await (const event of events) {
       if (signal.aborted) return { kind: "stopped" };
+      if (event.kind !== "lost") options.onEvent?.(event);
       if (event.kind === "lost") host.recordContact(target, "failed");
       else if (!hasResponded) host.recordContact(target, "answered");
       const result = handleEvent(event, {
