Read repeated events at the pace of others

A target that repeats its last event without end took the event loop: the repeats are dropped before they are forwarded, and only what was forwarded was taken from the pace. Repeats now take from it too, and the wait for more comments counts as the target's silence, which it did not.

The soak has five more forms of floods: repeated events alone, behind new ones and between comments, lines of an event that never ends, and an event in chunks of one byte.

Two tests of direct_response_test.ts failed before; the two of direct_run_test.ts passed and guard the timer.

--- a/src/request/direct_response.ts
+++ b/src/request/direct_response.ts
@@ -173,10 +173,13 @@
         else attempt.recordComment();
         startEvents(head);
         await send(step.data, attempt.signal);
-        await sleepUntilAborted(pace.take(step.pieces), attempt.signal);
-        if (attempt.signal.aborted) return abortedEnd;
-        attempt.expectProgress();
+        // The wait for more comments is part of the target's silence.
+        if (!step.hasEvents) attempt.expectProgress();
       }
+      // Repeated events cost as much to read as those that are forwarded.
+      await sleepUntilAborted(pace.take(step.pieces), attempt.signal);
+      if (attempt.signal.aborted) return abortedEnd;
+      if (step.hasEvents) attempt.expectProgress();
       if (step.kind === "broken") return step;
       if (!memory.trySet(cursor.getBufferedBytes())) {
         return {
--- a/src/request/direct_response_test.ts
+++ b/src/request/direct_response_test.ts
@@ -101,4 +101,56 @@
       expect(text).toEqual(["id: 1\ndata: a\n\n"]);
     });
   });
+
+  describe("from a target that sends without end", () => {
+    /** Forwards a body; returns what happened and the pieces that were taken. */
+    async function trace(...parts: readonly string[]) {
+      const calls: string[] = [];
+      let pieces = 0;
+      const response = createDirectResponse({
+        disconnectSignal: new AbortController().signal,
+        start: () => undefined,
+        write: () => undefined,
+        end: () => undefined,
+      }, {
+        readPace: {
+          begin: () => ({
+            take: (taken) => {
+              pieces += taken;
+              calls.push("wait");
+              return 1;
+            },
+          }),
+        },
+        lastEventId: undefined,
+        isResumable: true,
+        method: "GET",
+        memory: createMemoryBudget().begin(),
+      });
+      await response.forward(head, createBody(...parts), {
+        signal: new AbortController().signal,
+        recordProgress: () => void calls.push("progress"),
+        recordComment: () => void calls.push("comment"),
+        expectProgress: () => void calls.push("expect"),
+      });
+      return { calls, pieces };
+    }
+
+    // They were dropped at full speed, and took the time of all other callers.
+    it("reads repeated events at its pace, as no progress", async () => {
+      const event = "id: 1\ndata: a\n\n";
+      const { calls, pieces } = await trace(event, event.repeat(1_000));
+      expect(pieces).toBe(1_001);
+      expect(calls.filter((call) => call !== "wait"))
+        .toEqual(["progress", "expect"]);
+    });
+
+    // A target that sent comments alone was hardly ever taken for silent.
+    it("counts the wait for more comments as silence", async () => {
+      expect((await trace(": wait\n\n")).calls)
+        .toEqual(["comment", "expect", "wait"]);
+      expect((await trace("data: a\n\n")).calls)
+        .toEqual(["progress", "wait", "expect"]);
+    });
+  });
 });
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -918,6 +918,21 @@
       },
     );
 
+    // What brings the caller nothing new must not keep a stalled stream.
+    it.each([["one event", event(1)], ["parts of an event", "data: "]])(
+      "is taken from a target that sends %s again and again",
+      async (_name, repeated) => {
+        const repeats = Array.from({ length: 30 }, () => repeated);
+        const result = await run({ ...resumable, timeoutMs: 10_000 }, [
+          abortableStream([event(1), ...repeats], { pauseMs: 300 }),
+          () => stream(event(2)),
+        ]);
+        expect(result.outcomes).toEqual(["silent", "served"]);
+        expect(result.text).toBe(event(1) + event(2));
+        expect(result.endedAtMs).toBeLessThan(2_500);
+      },
+    );
+
     it("does not blame its target for a caller who reads comments slowly", async () => {
       const chunks = [": beat\n\n", ": beat\n\n", event(1), event(2)];
       const result = await run({ ...resumable, timeoutMs: 60_000 }, [
--- a/test/soak/flood_peer.ts
+++ b/test/soak/flood_peer.ts
@@ -16,6 +16,20 @@
 const port = 7_000;
 
 const streamHead = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+const chunkedStreamHead = streamHead.replace(
+  "\r\n\r\n",
+  "\r\ntransfer-encoding: chunked\r\n\r\n",
+);
+
+/** Events that follow a new one in a stream of few new events. */
+const repeatsOfNewEvent = 2_000;
+
+/** A response without end. */
+interface Flood {
+  readonly start: string;
+  /** What follows again and again, or what follows at each turn. */
+  readonly repeated: string | ((turn: number) => string);
+}
 
 /** Responses without end: what they begin with, and what they repeat. */
 export const floods = {
@@ -23,10 +37,7 @@
   "small events": { start: streamHead, repeated: "data: some text\n\n" },
   "empty events": { start: streamHead, repeated: "\n\n" },
   "events in chunks of their own": {
-    start: streamHead.replace(
-      "\r\n\r\n",
-      "\r\ntransfer-encoding: chunked\r\n\r\n",
-    ),
+    start: chunkedStreamHead,
     repeated: "11\r\ndata: some text\n\n\r\n",
   },
   "statuses below 100": {
@@ -37,7 +48,22 @@
     start: "HTTP/1.1 503 Full\r\nx-not-run: full\r\n\r\n",
     repeated: "x".repeat(1_024),
   },
-} as const;
+  "events of one id": { start: streamHead, repeated: "id: 1\ndata: a\n\n" },
+  "events of one id behind new ones": {
+    start: streamHead,
+    repeated: (turn) =>
+      `id: ${turn + 1}\ndata: a\n\n`.repeat(repeatsOfNewEvent),
+  },
+  "events of one id between comments": {
+    start: streamHead,
+    repeated: "id: 1\ndata: a\n\n: wait\n\n",
+  },
+  "lines of an event": { start: streamHead, repeated: "data: a\n" },
+  "an event in chunks of one byte": {
+    start: `${chunkedStreamHead}6\r\ndata: \r\n`,
+    repeated: "1\r\nx\r\n",
+  },
+} as const satisfies Readonly<Record<string, Flood>>;
 
 /** The form of a flood: of responses, or of datagrams to the router. */
 export type FloodName = keyof typeof floods | "datagrams";
@@ -95,14 +121,17 @@
     readonly address: string;
   },
 ): Promise<FloodPeer> {
-  const { start, repeated } = floods[name];
-  const block = Buffer.from(
-    repeated.repeat(Math.ceil(writeBytes / repeated.length)),
-    "latin1",
-  );
+  const { start, repeated }: Flood = floods[name];
+  const block = typeof repeated === "string"
+    ? Buffer.from(
+      repeated.repeat(Math.ceil(writeBytes / repeated.length)),
+      "latin1",
+    )
+    : undefined;
   const sockets = new Set<Socket>();
   let sentBytes = 0;
   const server = createServer((socket) => {
+    let turn = 0;
     sockets.add(socket);
     socket.on("error", () => undefined);
     socket.on("close", () => {
@@ -119,7 +148,12 @@
     });
 
     function flood(): void {
-      while (!socket.destroyed && socket.write(block));
+      while (!socket.destroyed && socket.write(block ?? createBlock()));
+    }
+
+    function createBlock(): Buffer {
+      const text = typeof repeated === "string" ? repeated : repeated(turn++);
+      return Buffer.from(text, "latin1");
     }
   });
   await new Promise<void>((resolve) => server.listen(port, address, resolve));
