Give the bytes of responses a pace

The pace counted pieces alone, and a piece may hold 64 KB. A hundred bodies of bytes, or events that break off at their largest size and are sent again, took the time of other callers.

--- a/src/connection/paced_reading.ts
+++ b/src/connection/paced_reading.ts
@@ -24,7 +24,7 @@
     };
     handler.onData = (data) => {
       isWanted = onData?.(data) ?? true;
-      const waitMs = response.take(1);
+      const waitMs = response.take(1, { bytes: data.length });
       if (waitMs === 0) return isWanted;
       isWaiting = true;
       setTimeout(endWait, waitMs);
--- a/src/process/admission/read_pace_test.ts
+++ b/src/process/admission/read_pace_test.ts
@@ -47,6 +47,35 @@
     },
   );
 
+  // Many bodies of bytes without end took the time of all other callers.
+  it("bounds the bytes of 100 responses, and delays no short one", () => {
+    const pieceBytes = 64 * 1024;
+    const pace = createReadPace();
+    const floods = Array.from(
+      { length: 100 },
+      () => ({ pace: pace.begin(), waitsUntil: 0 }),
+    );
+    let bytes = 0;
+    let shortWaitMs = 0;
+    for (let elapsedMs = 0; elapsedMs < lengthMs; elapsedMs += stepMs) {
+      for (const flood of floods) {
+        if (performance.now() < flood.waitsUntil) continue;
+        bytes += pieceBytes;
+        flood.waitsUntil = performance.now() +
+          flood.pace.take(1, { bytes: pieceBytes });
+      }
+      const short = pace.begin();
+      for (let piece = 0; piece < 8; piece++) {
+        shortWaitMs += short.take(1, { bytes: pieceBytes });
+      }
+      jest.advanceTimersByTime(stepMs);
+    }
+    const perS = bytes / (lengthMs / 1_000);
+    expect(perS).toBeLessThan(100e6);
+    expect(perS).toBeGreaterThan(50e6);
+    expect(shortWaitMs).toBe(0);
+  });
+
   it("lets a long response that arrives at once through in a second", () => {
     const response: ResponsePace = createReadPace().begin();
     let elapsedMs = 0;
