End the parsing of trailers at their limit

The HTTP library closes a connection whose headers or trailers exceed 16 KB, but parses the rest of the piece of up to 64 KB all the same, and creates an error for each header and value in it. The error of the close now ends the call of the parser, and a closed connection is not read any more.

--- a/src/connection/response_limits.ts
+++ b/src/connection/response_limits.ts
@@ -7,6 +7,7 @@
 
 import type { Socket } from "node:net";
 import type { Dispatcher } from "undici";
+import { hasCode } from "./call_errors.ts";
 
 /**
  * Maximum size of a response on its connection, in bytes. It is above any body
@@ -41,6 +42,9 @@
 /** Error code of a response that exceeded a limit. */
 const limitErrorCode = "RESPONSE_LIMIT";
 
+/** Code of the library's error for too many bytes of headers or trailers. */
+const headersOverflowCode = "UND_ERR_HEADERS_OVERFLOW";
+
 /** The limit that a response exceeded. */
 export type ResponseLimit =
   | "response_bytes"
@@ -136,6 +140,7 @@
     const write = socket.write.bind(socket) as (...args: unknown[]) => boolean;
     let count: ResponseCount | undefined;
 
+    endParsing(socket);
     socket.write = (...args: unknown[]) => {
       count = starting ?? count;
       starting = undefined;
@@ -161,6 +166,24 @@
   }
 }
 
+/**
+ * Ends the parsing of a connection that the library closes for its headers or
+ * trailers. The library would parse the rest of what was read, with an error
+ * for each of them.
+ */
+function endParsing(socket: Socket): void {
+  const destroy = socket.destroy.bind(socket);
+  const read = socket.read.bind(socket);
+  socket.destroy = (error) => {
+    destroy(error);
+    // Only an error that is thrown here ends the call of the parser.
+    if (hasCode(error, headersOverflowCode)) throw error;
+    return socket;
+  };
+  socket.read = (size?: number): unknown =>
+    socket.destroyed ? null : read(size);
+}
+
 /** Counts the bytes of a head up to its end, behind which a body may follow. */
 function countHead(count: ResponseCount, data: Buffer): void {
   if (count.headBytes === undefined) return;
--- a/test/processes/flooded_router_test.ts
+++ b/test/processes/flooded_router_test.ts
@@ -10,6 +10,8 @@
   "a body in chunks of one byte",
   "interim responses",
   "headers",
+  "events of one id",
+  "trailers",
 ];
 
 describe("a router whose targets send responses without end", () => {
--- a/test/soak/plants.ts
+++ b/test/soak/plants.ts
@@ -51,6 +51,18 @@
       "const maxHeadBytes = Infinity;",
     ],
   ],
+  /** All trailers of a piece are parsed, with an error for each. */
+  trailers_parsed: [[
+    "src/connection/response_limits.ts",
+    "if (hasCode(error, headersOverflowCode)) throw error;",
+    "",
+  ]],
+  /** Repeated events are read as fast as they come. */
+  repeats_unpaced: [[
+    "src/request/direct_response.ts",
+    "pace.take(step.pieces)",
+    "pace.take(step.data.length > 0 ? step.pieces : 0)",
+  ]],
   /** A target's own 503 reaches the caller, though the target has run it. */
   refusal_passed_on: [[
     "src/request/direct_verdict.ts",
