Keep the send time of each attempt apart in the quarantine

A request that may run at two targets at the same time had one send time and one "response has begun" for all its attempts, those of the latest. The loss of an earlier attempt was then recorded with the times of the next one: a crash that it did not follow extended the chain.

beginAttempt() returns the state of one attempt.

--- a/src/request/direct_offer.ts
+++ b/src/request/direct_offer.ts
@@ -9,6 +9,7 @@
 import type { DirectChoice } from "./direct_choice.ts";
 import type { DirectContext } from "./direct_context.ts";
 import { mayHaveArrived } from "./direct_host.ts";
+import type { QuarantineAttempt } from "./direct_quarantine.ts";
 import type { DirectResponse } from "./direct_response.ts";
 
 /** A target that is chosen for a request, with the right to send it there. */
@@ -21,6 +22,8 @@
 export interface DirectOffer {
   readonly choice: DirectChoice;
   readonly attempt: DirectAttempt;
+  /** The attempt as far as the request may be quarantined. */
+  readonly quarantine: QuarantineAttempt;
   /** The end of the call, or the head of the response. */
   readonly result: Promise<DirectResult>;
   /** What the caller had received when the attempt started. */
@@ -52,8 +55,9 @@
   context: DirectContext,
   { choice, permit }: Reservation,
 ): DirectOffer {
-  const { host, request, response, history, quarantine, queueWait } = context;
+  const { host, request, response, history, queueWait } = context;
   const { target: chosen, prefillParts } = choice;
+  const quarantine = context.quarantine.beginAttempt(chosen);
   const { prompt } = request;
   history.attempted.add(chosen.address);
   history.sends++;
@@ -79,7 +83,7 @@
   let isOutcomeRecorded = false;
 
   return {
-    ...{ choice, attempt, countPossibleRun, recordOutcome, end },
+    ...{ choice, attempt, quarantine, countPossibleRun, recordOutcome, end },
     sentBefore: response.getSent(),
     sends: history.sends,
     result: send(),
--- a/src/request/direct_quarantine.ts
+++ b/src/request/direct_quarantine.ts
@@ -25,27 +25,33 @@
 export interface DirectQuarantine {
   /** Returns a refusal when the request is quarantined and not its trial. */
   tryRefuse(): QuarantineRefusal | undefined;
+  /** Returns false when work that may have run must not be sent again. */
+  canRepeat(): boolean;
+  /** Begins an attempt at a target; several may run at the same time. */
+  beginAttempt(target: DirectTarget): QuarantineAttempt;
+  /** Records that a target has sent a whole response. */
+  recordResponse(): void;
+  /** Ends the request; a trial without a result can then be repeated. */
+  end(): void;
+}
+
+/** One attempt of a request that may be quarantined. */
+export interface QuarantineAttempt {
   /**
    * Called when the request is about to be sent. Returns true when it must not be
    * sent at this moment. One that is quarantined becomes its trial when that is due.
    */
   isQuarantined(): boolean;
-  /** Returns false when work that may have run must not be sent again. */
-  canRepeat(): boolean;
   /**
-   * Records that a target dropped the request's connection; resolves when it is
+   * Records that the target dropped the request's connection; resolves when it is
    * known whether the target has crashed, or after a short time.
    */
-  recordLoss(target: DirectTarget): Promise<void>;
+  recordLoss(): Promise<void>;
   /**
-   * Records the first event of a target's response, which shows that it has begun
-   * to write on all parts of the prompt.
+   * Records the first event of the target's response, which shows that it has
+   * begun to write on all parts of the prompt.
    */
   recordResponseBegun(): void;
-  /** Records that a target has sent a whole response. */
-  recordResponse(): void;
-  /** Ends the request; a trial without a result can then be repeated. */
-  end(): void;
 }
 
 /** Creates the quarantine of a request that was not sent yet. */
@@ -61,20 +67,9 @@
   const checks: Promise<void>[] = [];
   let keys: readonly CrashKey[] | undefined;
   let isTrial = false;
-  /** Send time of the latest attempt, on the monotonic clock. */
-  let sentAt = 0;
-  let hasResponseBegun = false;
   let hasResult = false;
 
-  return {
-    tryRefuse,
-    isQuarantined,
-    canRepeat,
-    recordLoss,
-    recordResponseBegun,
-    recordResponse,
-    end,
-  };
+  return { tryRefuse, canRepeat, beginAttempt, recordResponse, end };
 
   function getKeys(): readonly CrashKey[] {
     keys ??= getCrashKeys(request);
@@ -90,14 +85,6 @@
     return refusal;
   }
 
-  function isQuarantined(): boolean {
-    sentAt = performance.now();
-    hasResponseBegun = false;
-    if (isTrial || !hasQuarantinedKey()) return false;
-    isTrial = quarantine.tryStartTrial(getKeys());
-    return !isTrial;
-  }
-
   function hasQuarantinedKey(): boolean {
     return quarantine.hasEvidence() &&
       quarantine.tryGetRefusal(getKeys()) !== undefined;
@@ -107,25 +94,41 @@
     return host.crashes.canRetry(request) && !hasQuarantinedKey();
   }
 
-  async function recordLoss(target: DirectTarget): Promise<void> {
-    const losses = host.crashes.recordCrash(request);
-    const options = { hasResponseBegun, sentAt, losses };
-    const check = host.targetCrashes.check(target).then((hasCrashed) => {
-      if (!hasCrashed) return;
-      hasResult = true;
-      const keys = options.hasResponseBegun
-        ? getKeys().filter(({ kind }) => kind === "request")
-        : getKeys();
-      quarantine.recordCrash(keys, target, options);
-    });
-    checks.push(check);
-    await waitAtMost(check, maxCrashCheckMs);
-  }
+  function beginAttempt(target: DirectTarget): QuarantineAttempt {
+    /** When the request was sent to the target, on the monotonic clock. */
+    let sentAt = 0;
+    let hasResponseBegun = false;
+
+    return { isQuarantined, recordLoss, recordResponseBegun };
+
+    function isQuarantined(): boolean {
+      sentAt = performance.now();
+      hasResponseBegun = false;
+      if (isTrial || !hasQuarantinedKey()) return false;
+      isTrial = quarantine.tryStartTrial(getKeys());
+      return !isTrial;
+    }
+
+    async function recordLoss(): Promise<void> {
+      const losses = host.crashes.recordCrash(request);
+      const options = { hasResponseBegun, sentAt, losses };
+      const check = host.targetCrashes.check(target).then((hasCrashed) => {
+        if (!hasCrashed) return;
+        hasResult = true;
+        const keys = options.hasResponseBegun
+          ? getKeys().filter(({ kind }) => kind === "request")
+          : getKeys();
+        quarantine.recordCrash(keys, target, options);
+      });
+      checks.push(check);
+      await waitAtMost(check, maxCrashCheckMs);
+    }
 
-  function recordResponseBegun(): void {
-    hasResponseBegun = true;
-    if (quarantine.hasEvidence()) {
-      quarantine.recordResponse(getPartKeys(request));
+    function recordResponseBegun(): void {
+      hasResponseBegun = true;
+      if (quarantine.hasEvidence()) {
+        quarantine.recordResponse(getPartKeys(request));
+      }
     }
   }
 
--- a/src/request/direct_verdict.ts
+++ b/src/request/direct_verdict.ts
@@ -37,7 +37,7 @@
   offer: DirectOffer,
   result: Exclude<DirectResult, Answer>,
 ): Promise<AttemptEnd> {
-  const { host, history, queueWait, quarantine } = context;
+  const { host, history, queueWait } = context;
   const { target: chosen } = offer.choice;
   switch (result.kind) {
     case "not_sent":
@@ -61,7 +61,7 @@
       return endAborted(offer);
     case "lost":
     case "spoiled":
-      if (result.kind === "lost") await quarantine.recordLoss(chosen);
+      if (result.kind === "lost") await offer.quarantine.recordLoss();
       return endLost(offer, "outcome_unknown", { reason: result.reason });
   }
 }
@@ -72,7 +72,7 @@
   { head, body, drop }: Answer,
 ): Promise<AttemptEnd> {
   const { host, request, response, quarantine } = context;
-  const { attempt, choice: { target: chosen } } = offer;
+  const { attempt } = offer;
   offer.countPossibleRun();
   const isError = isServerError(head.status);
   if (promisesNotRun(head.status)) {
@@ -105,7 +105,7 @@
   }
   drop();
   if (attempt.signal.aborted) return endAborted(offer);
-  await quarantine.recordLoss(chosen);
+  await offer.quarantine.recordLoss();
   return endLost(offer, "answer_cut", { reason: end.reason });
 }
 
--- a/test/support/crash_fleet.ts
+++ b/test/support/crash_fleet.ts
@@ -26,6 +26,7 @@
 import {
   createDirectQuarantine,
   type DirectQuarantine,
+  type QuarantineAttempt,
 } from "../../src/request/direct_quarantine.ts";
 import type { DirectRequest } from "../../src/types/direct_request.ts";
 import type { DirectTarget } from "../../src/types/direct_target.ts";
@@ -88,6 +89,7 @@
 interface Run {
   readonly request: RepeatedRequest;
   readonly quarantine: DirectQuarantine;
+  readonly attempt: QuarantineAttempt;
   readonly target: DirectTarget;
   readonly startedAt: number;
   hasBegun: boolean;
@@ -194,13 +196,15 @@
     const running = targets.filter(({ id }) => !down.has(id));
     const target = running[replay.chooseTarget(running.length)];
     if (target === undefined) return;
-    if (quarantine.tryRefuse() !== undefined || quarantine.isQuarantined()) {
+    const attempt = quarantine.beginAttempt(target);
+    if (quarantine.tryRefuse() !== undefined || attempt.isQuarantined()) {
       refused.set(request.path, (refused.get(request.path) ?? 0) + 1);
       return;
     }
     push(sentAt, request.path);
     const startedAt = getNow();
-    runs.push({ request, quarantine, target, startedAt, hasBegun: false });
+    const run = { request, quarantine, attempt, target, startedAt };
+    runs.push({ ...run, hasBegun: false });
   }
 
   async function endRuns(): Promise<void> {
@@ -210,7 +214,7 @@
       const ranMs = getNow() - run.startedAt;
       if (!run.hasBegun && ranMs >= runMs * responseBeginsAt) {
         run.hasBegun = end !== "crash_before_event";
-        if (run.hasBegun) quarantine.recordResponseBegun();
+        if (run.hasBegun) run.attempt.recordResponseBegun();
       }
       if (ranMs < runMs) continue;
       if (end === "served") quarantine.recordResponse();
@@ -244,9 +248,7 @@
       down.set(target.id, getNow() + downMs);
       return createLife(index);
     });
-    for (const { quarantine, target } of lost) {
-      void quarantine.recordLoss(target);
-    }
+    for (const { attempt } of lost) void attempt.recordLoss();
     await Promise.resolve();
     await Promise.resolve();
     for (const { quarantine } of lost) quarantine.end();
