Count crashes of targets that run what their caller has left

Cause: an aborted attempt has no connection that a crash could drop, and recorded nothing. A trial that its caller left was repeated after a second.

Aborted attempts are kept in a table of 1,024 for as long as their target may run them: until the deadline, 3 s at most. Each becomes a loss when the target drops another connection and refuses a new one, when its entry is replaced or removed without a leave, or when a probe is refused: one after 1 s and one at the end, two a second at most for all targets. In a herd of crashes only the first three count. A trial that was left is released when its target has lived on. What no peer knows is withdrawn by a response at another router, which the record of losses tells.

The replay now withdraws losses as routers do, but not in the test of herds, whose figures stay comparable.

--- a/src/process/direct/crashes/crash_keys.ts
+++ b/src/process/direct/crashes/crash_keys.ts
@@ -22,6 +22,9 @@
 /** Hexadecimal digits of a fingerprint. */
 const fingerprintDigits = 16;
 
+/** Prefix of the keys of requests. */
+const requestPrefix = "request:";
+
 /** Prefix of the keys of prompt parts. */
 const partPrefix = "part:";
 
@@ -57,11 +60,24 @@
 export function getCrashKeys(request: CrashCandidate): readonly CrashKey[] {
   const label = `${request.method} ${request.path}`.slice(0, maxLabelLength);
   return [
-    { kind: "request", id: `request:${getFingerprint(request)}`, label },
+    { kind: "request", id: getRequestKeyId(getFingerprint(request)), label },
     ...getPartKeys(request),
   ];
 }
 
+/** Returns the id of the key of a request with a fingerprint. */
+export function getRequestKeyId(fingerprint: string): string {
+  return `${requestPrefix}${fingerprint}`;
+}
+
+/** Returns the fingerprint of the request whose keys these are. */
+export function tryGetKeyFingerprint(
+  keys: readonly CrashKey[],
+): string | undefined {
+  return keys.find(({ kind }) => kind === "request")?.id
+    .slice(requestPrefix.length);
+}
+
 /** Returns true for the id of a prompt part's key. */
 export function isPartKey(id: string): boolean {
   return id.startsWith(partPrefix);
--- a/src/process/direct/crashes/crash_replay_test.ts
+++ b/src/process/direct/crashes/crash_replay_test.ts
@@ -14,6 +14,9 @@
 /** What a router may send for control, in bytes a second. */
 const controlBytesPerS = 22_000;
 
+/** Probes of targets that a router may send for aborted requests, a second. */
+const maxProbesPerS = 2.5;
+
 const crashing = "/draft/crashing";
 
 const sound: readonly RepeatedRequest[] = Array.from(
@@ -26,6 +29,12 @@
   }),
 );
 
+/** The same, where callers of every second one leave before its response. */
+const leaving = sound.map((request): RepeatedRequest => ({
+  ...request,
+  leaves: { afterMs: 250, oneOf: 2 },
+}));
+
 /** How a request comes to the routers of a fleet, by the name of the way. */
 const orders = {
   "the next router": (_random: () => number, count: number) => (sent: number) =>
@@ -67,8 +76,52 @@
     });
   });
 
+  // What its caller had left was in flight at no crash.
+  describe.each([5, 31, 88])(
+    "of %d routers, left by their callers",
+    (routers) => {
+      describe.each(
+        [
+          ["after half a second of work", 1_000],
+          ["after seconds of work", 3_000],
+        ] as const,
+      )("one that crashes them %s", (_moment, runMs) => {
+        describe.each([["alone", []], ["beside others", leaving]])(
+          "%s",
+          (_beside, others) => {
+            it.each([700, 1_500, 3_300])(
+              "is sent three times at most long after the third crash, each %d ms",
+              async (gapMs) => {
+                const random = createSeededRandom(routers + gapMs);
+                const result = await replayCrashes({
+                  ...{ routers, targets: 20, lengthMs: 50_000 },
+                  requests: [{
+                    ...{ path: crashing, gapMs, runMs },
+                    end: "crash_before_event",
+                    leaves: { afterMs: 500, oneOf: 1 },
+                  }, ...others],
+                  chooseRouter: orders["any router"](random, routers),
+                  chooseTarget: (count) => Math.floor(random() * count),
+                });
+                expect(countLateSends(result)).toBeLessThanOrEqual(
+                  maxLateSends,
+                );
+                expect(countRefusedSound(result)).toBe(0);
+              },
+            );
+          },
+        );
+      });
+    },
+  );
+
   // A crash names all that was in flight, whose bodies may come again at once.
-  describe("sound ones at herds of crashes", () => {
+  describe.each(
+    [
+      ["stay", undefined],
+      ["leave in one of three cases", { afterMs: 1_500, oneOf: 3 }],
+    ] as const,
+  )("sound ones at herds of crashes, whose callers %s", (_name, leaves) => {
     it.each([31, 88, 350])(
       "are not refused, and fit into the control budget of %d routers",
       async (routers) => {
@@ -78,11 +131,12 @@
           { length: targets * 16 },
           (_, index): RepeatedRequest => ({
             path: `/draft/sound-${index}`,
-            ...{ gapMs: 4_000, runMs: 3_000, end: "served" },
+            ...{ gapMs: 4_000, runMs: 3_000, end: "served", leaves },
           }),
         );
         const result = await replayCrashes({
           ...{ routers, targets, lengthMs: 30_000, requests },
+          withdrawsLosses: false,
           chooseRouter: () => Math.floor(random() * routers),
           chooseTarget: (count) => Math.floor(random() * count),
           // One after another, and all at once.
@@ -95,6 +149,7 @@
         });
         expect(countRefusedSound(result)).toBe(0);
         expect(result.bytesPerS).toBeLessThan(controlBytesPerS);
+        expect(result.probesPerS).toBeLessThan(maxProbesPerS);
       },
     );
   });
--- a/src/process/direct/crashes/crash_suspects.ts
+++ b/src/process/direct/crashes/crash_suspects.ts
@@ -26,6 +26,10 @@
    * many such losses are known, at any router.
    */
   recordCrash(request: CrashCandidate): number;
+  /** As `recordCrash`, for the request with a fingerprint. */
+  recordLoss(fingerprint: string): number;
+  /** Returns true when a loss of the request with a fingerprint is known. */
+  hasLosses(fingerprint: string): boolean;
   /** Records that a target responded to the request. */
   recordResponse(request: CrashCandidate): void;
   /** Returns false for a request that is not to be sent to another target. */
@@ -40,13 +44,18 @@
     readonly log: Log;
     /** Reports a changed record to the peers. */
     report(record: CrashRecordUpdate): void;
+    /** Called when a target has responded to a suspect at another router. */
+    handlePeerResponse(fingerprint: string): void;
   },
 ): CrashSuspects {
   const records = createCrashRecords();
   let hasRecords = false;
 
   return {
-    recordCrash,
+    recordCrash: (request) => recordLoss(getFingerprint(request)),
+    recordLoss,
+    hasLosses: (fingerprint) =>
+      hasRecords && records.getCrashes(fingerprint) > 0,
     recordResponse,
     canRetry: (request) =>
       !hasRecords || records.getCrashes(getFingerprint(request)) < maxCrashes,
@@ -57,6 +66,7 @@
     const previous = records.getCrashes(record.fingerprint);
     if (records.merge(record)) {
       hasRecords = true;
+      if (record.crashes === 0) host.handlePeerResponse(record.fingerprint);
       return logSuspect(record, { previous, source: "peer" });
     }
     // A peer that has just started does not know the crashes before.
@@ -64,9 +74,8 @@
     if (known !== undefined && isLower(record, known)) host.report(known);
   }
 
-  function recordCrash(request: CrashCandidate): number {
+  function recordLoss(fingerprint: string): number {
     hasRecords = true;
-    const fingerprint = getFingerprint(request);
     const previous = records.getCrashes(fingerprint);
     const record = records.recordCrash(fingerprint);
     logSuspect(record, { previous, source: "own" });
--- a/src/process/direct/crashes/crash_suspects_test.ts
+++ b/src/process/direct/crashes/crash_suspects_test.ts
@@ -12,6 +12,7 @@
   function createCrashed(crashes: number): CrashSuspects {
     const suspects = createCrashSuspects({
       log: createSilentLog(),
+      handlePeerResponse: () => undefined,
       report: () => undefined,
     });
     for (let count = 0; count < crashes; count++) suspects.recordCrash(request);
@@ -55,6 +56,7 @@
         ...createSilentLog(),
         warn: (message) => void warnings.push(message),
       },
+      handlePeerResponse: () => undefined,
       report: () => undefined,
     });
     for (let count = 0; count < 9; count++) suspects.recordCrash(request);
@@ -71,6 +73,7 @@
     const routers: CrashSuspects[] = [1, 2].map(() =>
       createCrashSuspects({
         log: createSilentLog(),
+        handlePeerResponse: () => undefined,
         report: (record) => routers.forEach((router) => router.merge(record)),
       })
     );
@@ -78,6 +81,7 @@
     for (let count = 0; count < 3; count++) first.recordCrash(request);
     const fresh = createCrashSuspects({
       log: createSilentLog(),
+      handlePeerResponse: () => undefined,
       report: (record) => first.merge(record),
     });
     routers[1] = fresh;
@@ -111,6 +115,7 @@
     () =>
       createCrashSuspects({
         log: createSilentLog(),
+        handlePeerResponse: () => undefined,
         report: (record) => {
           if (!isShared) return;
           setTimeout(
--- a/src/process/direct/crashes/evidence_reports.ts
+++ b/src/process/direct/crashes/evidence_reports.ts
@@ -34,6 +34,8 @@
   queue(key: string): void;
   /** Records that peers know the key, as one of them has reported it. */
   recordReceived(key: string): void;
+  /** Returns true when a peer knows the key, or is about to. */
+  isShared(key: string): boolean;
   /**
    * Queues a record that was withdrawn, unless no peer has heard of it before.
    */
@@ -56,6 +58,7 @@
   return {
     queue,
     recordReceived: share,
+    isShared: (key) => shared.has(key) || unsent.has(key),
     queueWithdrawal,
     hasChanges: () => unsent.size > 0,
     take,
--- a/src/process/direct/crashes/quarantine.ts
+++ b/src/process/direct/crashes/quarantine.ts
@@ -22,7 +22,8 @@
   type StoredEvidence,
   toUpdate,
 } from "./crash_evidence.ts";
-import { type CrashKey, isPartKey } from "./crash_keys.ts";
+import { createCrashHerd } from "./crash_herd.ts";
+import { type CrashKey, getRequestKeyId, isPartKey } from "./crash_keys.ts";
 import { createEvidenceReports } from "./evidence_reports.ts";
 import { getTargetLife } from "./target_crashes.ts";
 
@@ -56,13 +57,6 @@
 /** Minimum time after which a caller may return, in milliseconds. */
 const minRetryAfterMs = 1_000;
 
-/**
- * Targets that crash within `herdMs`, in milliseconds, from which they have a
- * common cause, such as a loss of power.
- */
-const herdCrashes = 4;
-const herdMs = 1_000;
-
 /** Maximum number of labels of quarantined keys that are remembered. */
 const maxLabels = 1_024;
 
@@ -134,6 +128,11 @@
   ): void;
   /** Records that a target has responded; ends the quarantine of the keys. */
   recordResponse(keys: readonly CrashKey[]): void;
+  /**
+   * Records that a target has responded to a request at another router. Withdraws
+   * what no peer knows; the others withdraw the rest.
+   */
+  recordPeerResponse(fingerprint: string): void;
   /** Applies the record of a peer. */
   merge(record: CrashEvidence): void;
   /** Returns true when changed records wait to be reported. */
@@ -152,8 +151,7 @@
   const reports = createEvidenceReports(table);
   /** What operators know quarantined keys as. */
   const labels = new Map<string, string>();
-  /** When processes were seen to crash, the latest ones, by their hash. */
-  const crashedAt = new Map<number, number>();
+  const herd = createCrashHerd();
 
   return {
     hasEvidence: () => !table.isEmpty(),
@@ -164,6 +162,10 @@
     releaseTrial,
     recordCrash,
     recordResponse,
+    recordPeerResponse: (fingerprint) => {
+      const id = getRequestKeyId(fingerprint);
+      if (!reports.isShared(id)) table.clear(id);
+    },
     merge,
     hasChanges: reports.hasChanges,
     takeRecords: reports.take,
@@ -258,33 +260,18 @@
     const quarantined = getQuarantinedKeys(keys).map(({ key }) => key);
     quarantined.forEach(remember);
     const life = hashLife(target);
-    recordLife(life);
+    herd.recordCrash(life);
     for (const key of quarantined.length > 0 ? quarantined : keys) {
       const wasQuarantined = isKeyQuarantined(key.id);
       const mayOverlap = key.kind === "request";
       if (!table.addLife(key.id, life, { sentAt, mayOverlap })) continue;
       const crashes = table.tryGet(key.id)?.lives.length ?? 0;
-      const isSuspect = crashes > 1 || (losses > 1 && !isHerd());
+      const isSuspect = crashes > 1 || (losses > 1 && !herd.isHerd());
       if (!hasResponseBegun || isSuspect) reports.queue(key.id);
       if (!wasQuarantined && isKeyQuarantined(key.id)) startQuarantine(key);
     }
   }
 
-  function recordLife(life: number): void {
-    if (crashedAt.has(life)) return;
-    crashedAt.set(life, performance.now());
-    const [oldest] = crashedAt.keys();
-    if (crashedAt.size > herdCrashes && oldest !== undefined) {
-      crashedAt.delete(oldest);
-    }
-  }
-
-  function isHerd(): boolean {
-    const [oldestAt = 0] = crashedAt.values();
-    return crashedAt.size === herdCrashes &&
-      performance.now() - oldestAt < herdMs;
-  }
-
   function startQuarantine(key: CrashKey): void {
     const trialAt = performance.now() + firstTrialDelayMs;
     table.setTrial(key.id, { trialAt, startsNow: false });
@@ -383,7 +370,8 @@
   );
 }
 
-function hashLife(target: DirectTarget): number {
+/** Returns the number that stands for one process of a target in records. */
+export function hashLife(target: DirectTarget): number {
   return createHash("sha256").update(getTargetLife(target)).digest()
     .readUInt32BE();
 }
--- a/src/process/direct/crashes/target_crashes.ts
+++ b/src/process/direct/crashes/target_crashes.ts
@@ -15,6 +15,14 @@
 /** Maximum number of crashed targets that are remembered. */
 const maxCrashedTargets = 1_024;
 
+/** Counters of probes by what causes them. */
+const probeCounters = {
+  dropped_connection: "dropped_connections_total",
+  aborted_attempt: "aborted_attempt_probes_total",
+} as const;
+
+type ProbeCause = keyof typeof probeCounters;
+
 /** What the check needs from the process. */
 export interface TargetCrashesHost {
   readonly log: Pick<Log, "warn">;
@@ -23,6 +31,8 @@
   probe(address: string): Promise<ProbeResult>;
   /** Returns true while the target has not said that it leaves. */
   mayReceive(target: DirectTarget): boolean;
+  /** Called once for each process that has crashed. */
+  handleCrash(target: DirectTarget): void;
 }
 
 /** The crashes of targets that this router has seen. */
@@ -32,6 +42,11 @@
    * target that leaves ends as planned and has not.
    */
   check(target: DirectTarget): Promise<boolean>;
+  /**
+   * As `check`, for a target that dropped no connection of this router and has not
+   * said that it leaves.
+   */
+  checkAborted(target: DirectTarget): Promise<boolean>;
   /**
    * Returns true when this process has crashed. Another one may be at its address
    * before its entry tells what that is.
@@ -48,30 +63,45 @@
 
   return {
     check,
+    checkAborted: (target) => startCheck(target, "aborted_attempt"),
     hasCrashed: (target) => crashedLives.has(getTargetLife(target)),
   };
 
   function check(target: DirectTarget): Promise<boolean> {
+    const life = getTargetLife(target);
+    // A target that leaves may end before the probe is over.
+    if (!checks.has(life) && !host.mayReceive(target)) {
+      return Promise.resolve(false);
+    }
+    return startCheck(target, "dropped_connection");
+  }
+
+  function startCheck(
+    target: DirectTarget,
+    cause: ProbeCause,
+  ): Promise<boolean> {
     const life = getTargetLife(target);
     const known = checks.get(life);
     if (known !== undefined) return known;
-    // A target that leaves may end before the probe is over.
-    if (!host.mayReceive(target)) return Promise.resolve(false);
-    const started = probe(target, life);
+    const started = probe(target, { life, cause });
     checks.set(life, started);
     return started;
   }
 
-  async function probe(target: DirectTarget, life: string): Promise<boolean> {
+  async function probe(
+    target: DirectTarget,
+    { life, cause }: { readonly life: string; readonly cause: ProbeCause },
+  ): Promise<boolean> {
     const result = await host.probe(target.address);
     const hasCrashed = result === "refuses";
     if (hasCrashed) crashedLives.add(life);
     else checks.delete(life);
     dropOldest();
-    host.metrics.count("dropped_connections_total", { probe: result });
+    host.metrics.count(probeCounters[cause], { probe: result });
     if (hasCrashed) {
       const { id, service, address } = target;
       host.log.warn("Target has crashed", { target: id, service, address });
+      host.handleCrash(target);
     }
     return hasCrashed;
   }
--- a/src/process/direct/crashes/target_crashes_test.ts
+++ b/src/process/direct/crashes/target_crashes_test.ts
@@ -21,6 +21,7 @@
       metrics: createMetrics(),
       probe: () => Promise.resolve(results[probes++] ?? "unknown"),
       mayReceive: () => mayReceive,
+      handleCrash: () => undefined,
     });
     return { crashes, warnings, countProbes: () => probes };
   }
--- a/src/request/direct_dry_run_test.ts
+++ b/src/request/direct_dry_run_test.ts
@@ -285,6 +285,7 @@
       ...host,
       crashes: { canRetry: () => true, recordCrash: () => 1 },
       targetCrashes: { ...host.targetCrashes, check: () => never },
+      abortedAttempts: { add: () => undefined },
     }, request);
     const mayUse = host.serviceVersions.mayBegin;
     got.push(quarantine.tryRefuse()?.retryAfterMs);
--- a/src/request/direct_host.ts
+++ b/src/request/direct_host.ts
@@ -15,6 +15,7 @@
 import type { RequestQueue } from "../process/direct/queue/request_queue.ts";
 import type { Contention } from "../process/direct/limits/contention.ts";
 import type { RetryShare } from "../process/direct/limits/retry_share.ts";
+import type { AbortedAttempts } from "../process/direct/crashes/aborted_attempts.ts";
 import type { TargetCrashes } from "../process/direct/crashes/target_crashes.ts";
 import type { TargetHealth } from "../process/direct/targets/target_health.ts";
 import type { ServiceVersions } from "../process/direct/streams/service_versions.ts";
@@ -102,7 +103,8 @@
     "canRetry" | "recordCrash" | "recordResponse"
   >;
   readonly quarantine: Quarantine;
-  readonly targetCrashes: TargetCrashes;
+  readonly targetCrashes: Pick<TargetCrashes, "check" | "hasCrashed">;
+  readonly abortedAttempts: Pick<AbortedAttempts, "add">;
   readonly runTimes: RunTimes;
   readonly responseMemory: Pick<MemoryBudget, "begin">;
   readonly readPace: ReadPace;
--- a/src/request/direct_quarantine.ts
+++ b/src/request/direct_quarantine.ts
@@ -1,5 +1,6 @@
 /** One request, as far as it may be quarantined. */
 
+import type { AbortedAttempts } from "../process/direct/crashes/aborted_attempts.ts";
 import type {
   Quarantine,
   QuarantineRefusal,
@@ -52,6 +53,11 @@
    * begun to write on all parts of the prompt.
    */
   recordResponseBegun(): void;
+  /**
+   * Records that this router has aborted the attempt. The target may still run it
+   * and crash.
+   */
+  recordAbort(): void;
 }
 
 /** Creates the quarantine of a request that was not sent yet. */
@@ -59,7 +65,8 @@
   host: {
     readonly crashes: Pick<CrashSuspects, "canRetry" | "recordCrash">;
     readonly quarantine: Quarantine;
-    readonly targetCrashes: TargetCrashes;
+    readonly targetCrashes: Pick<TargetCrashes, "check">;
+    readonly abortedAttempts: Pick<AbortedAttempts, "add">;
   },
   request: DirectRequest,
 ): DirectQuarantine {
@@ -76,6 +83,15 @@
     return keys;
   }
 
+  /** Returns what a crash during an attempt can be put down to. */
+  function getSuspectKeys(
+    { hasResponseBegun }: { readonly hasResponseBegun: boolean },
+  ): readonly CrashKey[] {
+    return hasResponseBegun
+      ? getKeys().filter(({ kind }) => kind === "request")
+      : getKeys();
+  }
+
   function tryRefuse(): QuarantineRefusal | undefined {
     if (isTrial || !quarantine.hasEvidence()) return undefined;
     const refusal = quarantine.tryGetRefusal(getKeys());
@@ -95,11 +111,11 @@
   }
 
   function beginAttempt(target: DirectTarget): QuarantineAttempt {
-    /** When the request was sent to the target, on the monotonic clock. */
-    let sentAt = 0;
+    /** When the request was sent, on the monotonic clock. */
+    let sentAt: number | undefined;
     let hasResponseBegun = false;
 
-    return { isQuarantined, recordLoss, recordResponseBegun };
+    return { isQuarantined, recordLoss, recordResponseBegun, recordAbort };
 
     function isQuarantined(): boolean {
       sentAt = performance.now();
@@ -111,19 +127,27 @@
 
     async function recordLoss(): Promise<void> {
       const losses = host.crashes.recordCrash(request);
-      const options = { hasResponseBegun, sentAt, losses };
+      const options = { hasResponseBegun, sentAt: sentAt ?? 0, losses };
       const check = host.targetCrashes.check(target).then((hasCrashed) => {
         if (!hasCrashed) return;
         hasResult = true;
-        const keys = options.hasResponseBegun
-          ? getKeys().filter(({ kind }) => kind === "request")
-          : getKeys();
-        quarantine.recordCrash(keys, target, options);
+        quarantine.recordCrash(getSuspectKeys(options), target, options);
       });
       checks.push(check);
       await waitAtMost(check, maxCrashCheckMs);
     }
 
+    function recordAbort(): void {
+      if (sentAt === undefined) return;
+      hasResult = true;
+      host.abortedAttempts.add({
+        ...{ target, sentAt, hasResponseBegun },
+        keys: getSuspectKeys({ hasResponseBegun }),
+        deadlineAt: request.deadlineAt,
+        trialKeys: isTrial ? getKeys() : [],
+      });
+    }
+
     function recordResponseBegun(): void {
       hasResponseBegun = true;
       if (quarantine.hasEvidence()) {
--- a/src/request/direct_quarantine_test.ts
+++ b/src/request/direct_quarantine_test.ts
@@ -20,10 +20,8 @@
         ...createTestQuarantine(),
         recordCrash: (_, { id }, options) => recorded.push([id, options]),
       },
-      targetCrashes: {
-        check: () => Promise.resolve(true),
-        hasCrashed: () => true,
-      },
+      targetCrashes: { check: () => Promise.resolve(true) },
+      abortedAttempts: { add: () => undefined },
     }, createRequest(createRoute()));
     const first = request.beginAttempt(createTarget("a"));
     const firstSentAt = performance.now();
--- a/src/request/direct_run_test.ts
+++ b/src/request/direct_run_test.ts
@@ -16,6 +16,7 @@
   stream,
 } from "../../test/support/direct_runs.ts";
 import { createSilentLog } from "../process/telemetry/log.ts";
+import type { AbortedAttempt } from "../process/direct/crashes/aborted_attempts.ts";
 import type { Quarantine } from "../process/direct/crashes/quarantine.ts";
 import { getCrashKeys } from "../process/direct/crashes/crash_keys.ts";
 import {
@@ -45,6 +46,7 @@
 function createCrashes(): CrashSuspects {
   return createCrashSuspects({
     log: createSilentLog(),
+    handlePeerResponse: () => undefined,
     report: () => undefined,
   });
 }
@@ -718,6 +720,25 @@
       expect(quarantine.hasEvidence()).toBe(false);
     });
 
+    // An attempt without a connection was forgotten, its trial repeated.
+    it("is kept when its caller leaves it at a target", async () => {
+      const aborted: AbortedAttempt[] = [];
+      const options = {
+        ...{ request, disconnectAfterMs: 100, durationMs: 200 },
+        handleAborted: (attempt: AbortedAttempt) => aborted.push(attempt),
+      };
+      await run(unsafe, [hang], options);
+      const quarantine = createQuarantined(safe);
+      await jest.advanceTimersByTimeAsync(5_000);
+      await run(safe, [hang], { ...options, quarantine });
+      expect(aborted).toMatchObject([
+        { target: { id: "a" }, sentAt: 0, trialKeys: [] },
+        { trialKeys: [{ kind: "request" }] },
+      ]);
+      const next = await run(safe, [], { ...options, quarantine });
+      expect(next.retryAfterMs).toBeGreaterThan(10_000);
+    });
+
     describe("with a part that others have", () => {
       function prompted(own: string) {
         return {
--- a/src/request/direct_verdict.ts
+++ b/src/request/direct_verdict.ts
@@ -131,6 +131,7 @@
 }
 
 function endAborted(offer: DirectOffer): AttemptEnd {
+  offer.quarantine.recordAbort();
   if (offer.attempt.hasTimedOut()) {
     return endLost(offer, "outcome_unknown", {
       outcome: "silent",
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -15,6 +15,7 @@
 import { createProcessMemory } from "../process/direct/limits/memory_budget.ts";
 import { createReadPace } from "../process/admission/read_pace.ts";
 import { createQuarantine } from "../process/direct/crashes/quarantine.ts";
+import { createAbortedAttempts } from "../process/direct/crashes/aborted_attempts.ts";
 import { createCrashSuspects } from "../process/direct/crashes/crash_suspects.ts";
 import { createRepeatRecords } from "../process/direct/queue/repeat_records.ts";
 import { createRequestQueue } from "../process/direct/queue/request_queue.ts";
@@ -172,6 +173,8 @@
   const crashes = createCrashSuspects({
     log,
     report: (record) => directory.reportCrash(record),
+    handlePeerResponse: (fingerprint) =>
+      quarantine.recordPeerResponse(fingerprint),
   });
   const quarantine = createQuarantine({
     ...{ log, metrics },
@@ -194,6 +197,10 @@
     ...{ log, metrics },
     probe: probeTarget,
     mayReceive: targets.mayReceive,
+    handleCrash: (target) => abortedAttempts.recordCrash(target),
+  });
+  const abortedAttempts = createAbortedAttempts({
+    ...{ crashes, quarantine, targetCrashes, targets },
   });
   const directory = await createDirectory({
     ...{ settings, store: host.store, log, metrics, turns },
@@ -223,6 +230,7 @@
         serviceVersions.record();
         startWait.notify();
         queue.refresh();
+        abortedAttempts.checkTargets();
       }),
   });
   const { streamOrigins, versionStore, prefillTurns } = directory;
@@ -243,7 +251,8 @@
       { getRouterCount: directory.getPeakRouterCount },
       settings.retries,
     ),
-    ...{ crashes, quarantine, targetCrashes, responseMemory, readPace },
+    ...{ crashes, quarantine, targetCrashes, abortedAttempts },
+    ...{ responseMemory, readPace },
     ...{ runTimes, queue, promptSizes: createPromptSizes() },
     ...{ contention, pace, speeds, prefillTurns, partDemand },
     repeats: createRepeatRecords(),
--- a/test/emulator/emulated_host.ts
+++ b/test/emulator/emulated_host.ts
@@ -49,6 +49,7 @@
     ...createTestPace({ loads: createLoadView() }),
     crashes: createCrashSuspects({
       log: createSilentLog(),
+      handlePeerResponse: () => undefined,
       report: () => undefined,
     }),
     runTimes: createRunTimes(),
@@ -56,6 +57,7 @@
       check: () => Promise.resolve(false),
       hasCrashed: () => false,
     },
+    abortedAttempts: { add: () => undefined },
     quarantine: createTestQuarantine(),
     ...{ responseMemory: createMemoryBudget(), readPace: createReadPace() },
     retries: {
--- a/test/platform/whole_answers_test.ts
+++ b/test/platform/whole_answers_test.ts
@@ -388,6 +388,7 @@
       },
       crashes: createCrashSuspects({
         log: createSilentLog(),
+        handlePeerResponse: () => undefined,
         report: () => undefined,
       }),
       runTimes: createRunTimes(),
@@ -395,6 +396,7 @@
         check: () => Promise.resolve(false),
         hasCrashed: () => false,
       },
+      abortedAttempts: { add: () => undefined },
       quarantine: createTestQuarantine(),
       ...{ responseMemory: createMemoryBudget(), readPace: createReadPace() },
       log: createSilentLog(),
--- a/test/support/crash_fleet.ts
+++ b/test/support/crash_fleet.ts
@@ -3,6 +3,10 @@
  * crashes and the digests in which they travel. Needs paused time.
  */
 
+import {
+  type AbortedAttempts,
+  createAbortedAttempts,
+} from "../../src/process/direct/crashes/aborted_attempts.ts";
 import {
   type CrashSuspects,
   createCrashSuspects,
@@ -28,7 +32,6 @@
   type DirectQuarantine,
   type QuarantineAttempt,
 } from "../../src/request/direct_quarantine.ts";
-import type { DirectRequest } from "../../src/types/direct_request.ts";
 import type { DirectTarget } from "../../src/types/direct_target.ts";
 import { createRequest, createRoute, createTarget } from "./direct.ts";
 
@@ -38,6 +41,12 @@
 /** Time for which a crashed target is down, in milliseconds. */
 const downMs = 2_000;
 
+/** Time from a crash to the removal of the target's entry, in milliseconds. */
+const entryLapseMs = 3_600;
+
+/** Time after which a request is answered or ended, in milliseconds. */
+const deadlineMs = 15_000;
+
 /** Fraction of a request's run after which its response begins. */
 const responseBeginsAt = 0.1;
 
@@ -49,6 +58,8 @@
   readonly runMs: number;
   /** How a run ends: by a whole response, or by a crash of its target. */
   readonly end: "served" | "crash_before_event" | "crash_after_event";
+  /** Callers that leave: the time after which, and one of how many does. */
+  readonly leaves?: { readonly afterMs: number; readonly oneOf: number };
 }
 
 /** Size and load of a replay. */
@@ -61,6 +72,8 @@
   chooseRouter(sent: number): number;
   /** Returns the index of a running target, of so many. */
   chooseTarget(running: number): number;
+  /** False without the withdrawals of losses, which digests carry too. */
+  readonly withdrawsLosses?: boolean;
   /** Times at which targets crash by themselves, and the share that does. */
   readonly herds?: readonly { readonly atMs: number; readonly share: number }[];
 }
@@ -74,12 +87,15 @@
   readonly bytesPerS: number;
   /** The same in the second in which a router sent most. */
   readonly peakBytesPerS: number;
+  /** Probes of targets that may run what was aborted, a second and router. */
+  readonly probesPerS: number;
 }
 
 interface Router {
   readonly id: string;
   readonly suspects: CrashSuspects;
   readonly quarantine: Quarantine;
+  readonly abortedAttempts: AbortedAttempts;
   readonly writer: DigestWriter;
   readonly pace: DigestPace;
   /** Bytes of crash records sent, by second. */
@@ -92,7 +108,11 @@
   readonly attempt: QuarantineAttempt;
   readonly target: DirectTarget;
   readonly startedAt: number;
+  /** When its caller leaves; infinite for one that stays. */
+  readonly leavesAt: number;
+  recordResponse(): void;
   hasBegun: boolean;
+  hasLeft: boolean;
 }
 
 const emptyState: DigestState = {
@@ -114,6 +134,12 @@
   const crashedAt = new Map<string, number[]>();
   const refused = new Map<string, number>();
   const down = new Map<string, number>();
+  /** Crashed processes that still have an entry, with the time of its removal. */
+  const lapsesAt = new Map<DirectTarget, number>();
+  const removed = new Set<DirectTarget>();
+  const crashed = new Set<DirectTarget>();
+  let probes = 0;
+  const counts = new Map<RepeatedRequest, number>();
   const herds = [...replay.herds ?? []];
   const nextAt = new Map(
     replay.requests.map((request, index) => [
@@ -131,10 +157,14 @@
 
   while (getNow() < replay.lengthMs) {
     startRequests();
+    leave();
     await endRuns();
     await crashHerd();
+    await removeEntries();
     routers.forEach(sendWhenDue);
     jest.advanceTimersByTime(stepMs);
+    await Promise.resolve();
+    await Promise.resolve();
   }
   const seconds = replay.lengthMs / 1_000;
   const totals = routers.map(({ bytes }) =>
@@ -142,6 +172,7 @@
   );
   return {
     ...{ sentAt, crashedAt, refused },
+    probesPerS: probes / seconds / replay.routers,
     bytesPerS: Math.round(Math.max(...totals) / seconds),
     peakBytesPerS: Math.max(
       ...routers.map(({ bytes }) => Math.max(...bytes)),
@@ -159,22 +190,40 @@
   function createRouter(_: unknown, rank: number): Router {
     const id = `router-${rank}`;
     const writer = createDigestWriter(id);
+    const suspects = createCrashSuspects({
+      log: createSilentLog(),
+      report: writer.queueCrash,
+      handlePeerResponse: (fingerprint) =>
+        quarantine.recordPeerResponse(fingerprint),
+    });
+    const quarantine = createQuarantine({
+      log: createSilentLog(),
+      metrics: createMetrics(),
+      tryGetTrialDelayMs: () => rank * 250,
+      announce: () => undefined,
+    });
+    const abortedAttempts = createAbortedAttempts({
+      ...{ crashes: suspects, quarantine },
+      targetCrashes: {
+        checkAborted: (target) => {
+          probes++;
+          return Promise.resolve(crashed.has(target));
+        },
+        hasCrashed: () => false,
+      },
+      targets: {
+        ...{ getAll: () => [], tryGet: () => undefined },
+        ...{ isEvacuated: () => false, isLeaving: () => false },
+        mayReceive: (target) => !removed.has(target),
+      },
+    });
     return {
+      ...{ suspects, quarantine, abortedAttempts },
       ...{ id, writer, pace: createDigestPace() },
       bytes: Array.from(
         { length: Math.ceil(replay.lengthMs / 1_000) },
         () => 0,
       ),
-      suspects: createCrashSuspects({
-        log: createSilentLog(),
-        report: writer.queueCrash,
-      }),
-      quarantine: createQuarantine({
-        log: createSilentLog(),
-        metrics: createMetrics(),
-        tryGetTrialDelayMs: () => rank * 250,
-        announce: () => undefined,
-      }),
     };
   }
 
@@ -188,11 +237,20 @@
 
   function start(request: RepeatedRequest): void {
     const router = routers[replay.chooseRouter(sent++)] as Router;
+    const deadlineAt = performance.now() + deadlineMs;
+    const { path } = request;
+    const candidate = createRequest(route, { path, deadlineAt });
     const quarantine = createDirectQuarantine({
       crashes: router.suspects,
       quarantine: router.quarantine,
-      targetCrashes: { check: () => Promise.resolve(true) } as never,
-    }, createRequest(route, { path: request.path }) as DirectRequest);
+      targetCrashes: {
+        check: (target) => {
+          router.abortedAttempts.recordCrash(target);
+          return Promise.resolve(true);
+        },
+      },
+      abortedAttempts: router.abortedAttempts,
+    }, candidate);
     const running = targets.filter(({ id }) => !down.has(id));
     const target = running[replay.chooseTarget(running.length)];
     if (target === undefined) return;
@@ -203,27 +261,52 @@
     }
     push(sentAt, request.path);
     const startedAt = getNow();
-    const run = { request, quarantine, attempt, target, startedAt };
-    runs.push({ ...run, hasBegun: false });
+    const count = (counts.get(request) ?? 0) + 1;
+    counts.set(request, count);
+    const { afterMs = 0, oneOf = Infinity } = request.leaves ?? {};
+    runs.push({
+      ...{ request, quarantine, attempt, target, startedAt },
+      recordResponse: () => {
+        if (replay.withdrawsLosses ?? true) {
+          router.suspects.recordResponse(candidate);
+        }
+        quarantine.recordResponse();
+      },
+      leavesAt: count % oneOf === 0 ? startedAt + afterMs : Infinity,
+      ...{ hasBegun: false, hasLeft: false },
+    });
+  }
+
+  /** Targets go on with what crashes them, and drop the others. */
+  function leave(): void {
+    for (const run of runs) {
+      if (run.hasLeft || getNow() < run.leavesAt) continue;
+      run.hasLeft = true;
+      run.attempt.recordAbort();
+      run.quarantine.end();
+    }
+    runs = runs.filter(({ request, hasLeft }) =>
+      !hasLeft || request.end !== "served"
+    );
   }
 
   async function endRuns(): Promise<void> {
-    const crashed = new Set<DirectTarget>();
+    const ended = new Set<DirectTarget>();
     for (const run of runs) {
-      const { request: { runMs, end, path }, quarantine } = run;
+      const { request: { runMs, end, path } } = run;
       const ranMs = getNow() - run.startedAt;
       if (!run.hasBegun && ranMs >= runMs * responseBeginsAt) {
         run.hasBegun = end !== "crash_before_event";
-        if (run.hasBegun) run.attempt.recordResponseBegun();
+        if (run.hasBegun && !run.hasLeft) run.attempt.recordResponseBegun();
       }
       if (ranMs < runMs) continue;
-      if (end === "served") quarantine.recordResponse();
-      else if (!crashed.has(run.target)) {
-        crashed.add(run.target);
+      if (end === "served") run.recordResponse();
+      else if (!ended.has(run.target)) {
+        ended.add(run.target);
         push(crashedAt, path);
       }
     }
-    await crash(crashed);
+    await crash(ended);
     runs = runs.filter(({ request, startedAt }) =>
       getNow() - startedAt < request.runMs
     );
@@ -239,13 +322,17 @@
   }
 
   /** Crashes targets, with all that is in flight at them. */
-  async function crash(crashed: ReadonlySet<DirectTarget>): Promise<void> {
-    if (crashed.size === 0) return;
-    const lost = runs.filter(({ target }) => crashed.has(target));
-    runs = runs.filter(({ target }) => !crashed.has(target));
+  async function crash(ended: ReadonlySet<DirectTarget>): Promise<void> {
+    if (ended.size === 0) return;
+    const lost = runs.filter(({ target, hasLeft }) =>
+      ended.has(target) && !hasLeft
+    );
+    runs = runs.filter(({ target }) => !ended.has(target));
     targets = targets.map((target, index) => {
-      if (!crashed.has(target)) return target;
+      if (!ended.has(target)) return target;
       down.set(target.id, getNow() + downMs);
+      lapsesAt.set(target, getNow() + entryLapseMs);
+      crashed.add(target);
       return createLife(index);
     });
     for (const { attempt } of lost) void attempt.recordLoss();
@@ -254,6 +341,18 @@
     for (const { quarantine } of lost) quarantine.end();
   }
 
+  async function removeEntries(): Promise<void> {
+    const due = [...lapsesAt].filter(([, at]) => getNow() >= at);
+    for (const [target] of due) {
+      lapsesAt.delete(target);
+      removed.add(target);
+    }
+    if (due.length === 0) return;
+    for (const { abortedAttempts } of routers) abortedAttempts.checkTargets();
+    await Promise.resolve();
+    await Promise.resolve();
+  }
+
   function sendWhenDue(router: Router): void {
     const { quarantine, writer, pace, bytes } = router;
     const hasUpdates = writer.getQueueLength() > 0 || quarantine.hasChanges();
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -20,6 +20,7 @@
   type CrashSuspects,
   createCrashSuspects,
 } from "../../src/process/direct/crashes/crash_suspects.ts";
+import type { AbortedAttempt } from "../../src/process/direct/crashes/aborted_attempts.ts";
 import type { Quarantine } from "../../src/process/direct/crashes/quarantine.ts";
 import type { RequestQueue } from "../../src/process/direct/queue/request_queue.ts";
 import { createCachedParts } from "../../src/process/direct/placement/cached_parts.ts";
@@ -161,6 +162,8 @@
     readonly startedAtMs?: number;
     /** Targets whose registered processes have crashed. */
     readonly crashed?: readonly string[];
+    /** Called with what was sent and aborted. */
+    readonly handleAborted?: (attempt: AbortedAttempt) => void;
     /** True when targets that drop a connection have crashed. */
     readonly hasCrashed?: boolean;
     /** A part that a peer has just sent to an engine for prefill. */
@@ -299,12 +302,14 @@
       crashes: options.crashes ??
         createCrashSuspects({
           log: createSilentLog(),
+          handlePeerResponse: () => undefined,
           report: () => undefined,
         }),
       targetCrashes: {
         check: () => Promise.resolve(options.hasCrashed ?? false),
         hasCrashed: ({ id }) => options.crashed?.includes(id) ?? false,
       },
+      abortedAttempts: { add: options.handleAborted ?? (() => undefined) },
       quarantine: options.quarantine ?? createTestQuarantine(),
       runTimes,
       ...{ responseMemory: createMemoryBudget(), readPace: createReadPace() },
