Save requests that were at two crashes in the store

Cause: only records of three crashes were saved.

The router that sees the second loss of a request saves its record after 0.5 s, later by 10 ms per rank; others keep it for a minute after the last crash known to them. At most 32 such entries, and none while more than 32 records of two crashes are younger than two seconds, as in a herd. An entry that differs from what another router would choose is no longer removed, only one whose record is withdrawn, expired or old.

--- a/src/process/direct/crashes/evidence_store.ts
+++ b/src/process/direct/crashes/evidence_store.ts
@@ -1,9 +1,12 @@
 /**
- * Keeps what is quarantined in the store, for the loss of all routers at once.
+ * Keeps what is quarantined, or was at two crashes, in the store for the loss of all
+ * routers at once.
  *
  * Load pattern: all routers see that an entry is missing, outdated or left over at
  * the same time. Each waits for its turn, by its rank for the key, and one write
- * is enough. Nothing depends on the store while it is away.
+ * is enough. What was at two crashes is written by the router that saw the second,
+ * and its writes are spread, as crashes name sound requests too. Nothing depends on
+ * the store while it is away.
  */
 
 import type { EitherAsync } from "purify-ts";
@@ -14,7 +17,7 @@
 } from "../../../types/directory.ts";
 import type { WatchEvent } from "../../../types/platform.ts";
 import type { Log } from "../../telemetry/log.ts";
-import type { CrashEvidence } from "./crash_evidence.ts";
+import { type CrashEvidence, isConclusive } from "./crash_evidence.ts";
 
 /** Interval at which entries are compared with what is known, in ms. */
 const checkIntervalMs = 500;
@@ -26,9 +29,18 @@
  */
 const turnDelaysMs = { first: 500, perRank: 2_000 } as const;
 
+/**
+ * Further time per rank for what is not quarantined, in milliseconds. Hundreds of
+ * routers that see the same crashes then write over seconds.
+ */
+const suspectDelayPerRankMs = 10;
+
 /** Maximum number of entries; further keys are known to running routers only. */
 const maxEntries = 64;
 
+/** Maximum number of entries about what is not quarantined. */
+const maxSuspectEntries = 32;
+
 /** What the entries need from the process. */
 export interface EvidenceStoreHost {
   readonly store: Pick<
@@ -36,8 +48,10 @@
     "decodeEvidence" | "removeEvidence" | "saveEvidence"
   >;
   readonly log: Pick<Log, "warn">;
-  /** Returns the records of what is quarantined. */
+  /** As `Quarantine.getRecords`. */
   getRecords(): readonly CrashEvidence[];
+  /** As `Quarantine.mayStaySaved`. */
+  mayStaySaved(key: string): boolean;
   /** Applies a record that was saved. */
   merge(record: CrashEvidence): void;
   /** Returns this router's rank for a key, from 0. */
@@ -85,24 +99,43 @@
 
   function check(): void {
     const records = new Map(
-      host.getRecords().slice(-maxEntries)
-        .map((record) => [record.key, record] as const),
+      chooseRecords().map((record) => [record.key, record] as const),
     );
-    const differing = new Set([...records.keys(), ...saved.keys()].filter(
-      (key) => differs(saved.get(key), records.get(key)),
-    ));
+    const differing = new Set([
+      ...[...records.values()]
+        .filter((record) => differs(saved.get(record.key), record))
+        .map(({ key }) => key),
+      ...[...saved.keys()].filter((key) => !host.mayStaySaved(key)),
+    ]);
     for (const key of differsSince.keys()) {
       if (!differing.has(key)) differsSince.delete(key);
     }
     for (const key of differing) {
       const since = differsSince.get(key) ?? performance.now();
       differsSince.set(key, since);
+      const record = records.get(key);
+      const perRankMs = record === undefined || isConclusive(record)
+        ? turnDelaysMs.perRank
+        : suspectDelayPerRankMs;
       const turnAt = since + turnDelaysMs.first +
-        host.getRank(key) * turnDelaysMs.perRank;
-      if (performance.now() >= turnAt) void write(key, records.get(key));
+        host.getRank(key) * perRankMs;
+      if (performance.now() >= turnAt) void write(key, record);
     }
   }
 
+  function chooseRecords(): readonly CrashEvidence[] {
+    const records = host.getRecords();
+    const places = maxSuspectEntries -
+      [...saved.values()].filter((record) => !isConclusive(record)).length;
+    const suspects = records.filter((record) => !isConclusive(record));
+    return [
+      ...records.filter(isConclusive).slice(-maxEntries),
+      ...suspects.filter(({ key }) => saved.has(key)),
+      ...suspects.filter(({ key }) => !saved.has(key))
+        .slice(0, Math.max(0, places)),
+    ];
+  }
+
   async function write(
     key: string,
     record: CrashEvidence | undefined,
@@ -126,10 +159,9 @@
 
 function differs(
   saved: SavedEvidence | undefined,
-  record: CrashEvidence | undefined,
+  record: CrashEvidence,
 ): boolean {
-  if (saved === undefined || record === undefined) return saved !== record;
-  return saved.generation !== record.generation ||
+  return saved === undefined || saved.generation !== record.generation ||
     saved.trials < record.trials ||
     record.lives.some((life) => !saved.lives.includes(life));
 }
--- a/src/process/direct/crashes/evidence_store_test.ts
+++ b/src/process/direct/crashes/evidence_store_test.ts
@@ -24,6 +24,7 @@
   let merged: CrashEvidence[];
   let calls: string[];
   let isAway: boolean;
+  let mayStay: (key: string) => boolean;
   const entries = new Map<string, SavedEvidence>();
 
   beforeEach(() => {
@@ -32,6 +33,7 @@
     merged = [];
     calls = [];
     isAway = false;
+    mayStay = (key) => records.some((saved) => saved.key === key);
     entries.clear();
   });
 
@@ -42,6 +44,7 @@
         log: createSilentLog(),
         getRank: () => rank,
         getRecords: () => records,
+        mayStaySaved: (key) => mayStay(key),
         merge: (evidence) => merged.push(evidence),
         store: {
           decodeEvidence: ({ key, value }) => ({
@@ -125,6 +128,31 @@
     expect(merged).toHaveLength(1);
   });
 
+  it("is written early for two crashes, and kept by other routers", async () => {
+    startRouters(300);
+    records = [{ ...record, lives: [1, 2] }];
+    await jest.advanceTimersByTimeAsync(1_500);
+    expect(calls).toEqual(["save"]);
+    const kept = records;
+    mayStay = (key) => kept.some((saved) => saved.key === key);
+    records = [];
+    await jest.advanceTimersByTimeAsync(60_000);
+    expect(calls).toEqual(["save"]);
+    mayStay = () => false;
+    await jest.advanceTimersByTimeAsync(3_000);
+    expect(calls).toEqual(["save", "remove"]);
+  });
+
+  it("has few entries about two crashes", async () => {
+    startRouters(1);
+    records = Array.from({ length: 500 }, (_, index) => ({
+      ...{ ...record, lives: [1, 2] },
+      key: `request:${index}`,
+    }));
+    await jest.advanceTimersByTimeAsync(120_000);
+    expect(calls).toHaveLength(32);
+  });
+
   it("has a bounded number of entries", async () => {
     startRouters(1);
     records = Array.from({ length: 500 }, (_, index) => ({
--- a/src/process/direct/crashes/quarantine.ts
+++ b/src/process/direct/crashes/quarantine.ts
@@ -24,6 +24,7 @@
 } from "./crash_evidence.ts";
 import { createCrashHerd } from "./crash_herd.ts";
 import { type CrashKey, getRequestKeyId, isPartKey } from "./crash_keys.ts";
+import { createEvidenceChoice, isWorthSaving } from "./evidence_choice.ts";
 import { createEvidenceReports } from "./evidence_reports.ts";
 import { getTargetLife } from "./target_crashes.ts";
 
@@ -139,8 +140,13 @@
   hasChanges(): boolean;
   /** Returns the records that the next digest reports. */
   takeRecords(): readonly CrashEvidence[];
-  /** Returns the records of what is quarantined. */
+  /**
+   * Returns the records that this router may save: of what is quarantined, and of
+   * what it has itself lost two targets with lately.
+   */
   getRecords(): readonly CrashEvidence[];
+  /** Returns true when the record of a key is still to be saved, if it is. */
+  mayStaySaved(key: string): boolean;
   /** Returns what is quarantined now. */
   getAll(): readonly QuarantinedKey[];
 }
@@ -152,6 +158,7 @@
   /** What operators know quarantined keys as. */
   const labels = new Map<string, string>();
   const herd = createCrashHerd();
+  const choice = createEvidenceChoice();
 
   return {
     hasEvidence: () => !table.isEmpty(),
@@ -169,7 +176,11 @@
     merge,
     hasChanges: reports.hasChanges,
     takeRecords: reports.take,
-    getRecords: () => table.getAll().filter(isConclusive).map(toUpdate),
+    getRecords: () => choice.choose(table.getAll()).map(toUpdate),
+    mayStaySaved: (key) => {
+      const record = table.tryGet(key);
+      return record !== undefined && isWorthSaving(record);
+    },
     getAll,
   };
 
@@ -268,6 +279,7 @@
       const crashes = table.tryGet(key.id)?.lives.length ?? 0;
       const isSuspect = crashes > 1 || (losses > 1 && !herd.isHerd());
       if (!hasResponseBegun || isSuspect) reports.queue(key.id);
+      if (isSuspect) choice.addSuspect(key.id);
       if (!wasQuarantined && isKeyQuarantined(key.id)) startQuarantine(key);
     }
   }
--- a/src/process/direct/crashes/quarantine_test.ts
+++ b/src/process/direct/crashes/quarantine_test.ts
@@ -6,7 +6,7 @@
 import { createSilentLog } from "../../telemetry/log.ts";
 import { createMetrics } from "../../telemetry/metrics.ts";
 import { createQuarantine, type Quarantine } from "./quarantine.ts";
-import { getCrashKeys } from "./crash_keys.ts";
+import { getCrashKeys, getFingerprint } from "./crash_keys.ts";
 
 const route = createRoute();
 const request = createRequest(route, { path: "/draft/1" });
@@ -53,6 +53,20 @@
     return router;
   }
 
+  // What no peer had heard of stayed when another router saw the response.
+  it("is forgotten at a response elsewhere that withdraws a loss only", () => {
+    const router = createRouter();
+    const fingerprint = getFingerprint(request);
+    const begun = () => ({ ...sentNow(), hasResponseBegun: true });
+    router.recordCrash(keys, createTarget("a"), begun());
+    expect(router.takeRecords()).toEqual([]);
+    router.recordPeerResponse(fingerprint);
+    expect(router.mayStaySaved(keys[0]?.id ?? "")).toBe(false);
+    crash(router, 1);
+    router.recordPeerResponse(fingerprint);
+    expect(router.mayStaySaved(keys[0]?.id ?? "")).toBe(true);
+  });
+
   describe("is quarantined", () => {
     it("after three crashes, and nothing else is", () => {
       const router = createRouter();
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -105,7 +105,7 @@
   mergeCrash(record: CrashRecordUpdate): void;
   readonly quarantine: Pick<
     Quarantine,
-    "getRecords" | "hasChanges" | "merge" | "takeRecords"
+    "getRecords" | "hasChanges" | "mayStaySaved" | "merge" | "takeRecords"
   >;
   /** Called when a newer version of the configuration is in force. */
   handleRouteTable(table: RouteTable): void;
@@ -215,6 +215,7 @@
   const evidenceStore = createEvidenceStore({
     ...{ store, log, getRank },
     getRecords: host.quarantine.getRecords,
+    mayStaySaved: host.quarantine.mayStaySaved,
     merge: host.quarantine.merge,
   });
   const versionStore = createVersionStore({
