--- a/src/process/direct/crashes/quarantine.ts
+++ b/src/process/direct/crashes/quarantine.ts
@@ -22,7 +22,9 @@
   type StoredEvidence,
   toUpdate,
 } from "./crash_evidence.ts";
-import { type CrashKey, isPartKey } from "./crash_keys.ts";
+import { createCrashHerd } from "./crash_herd.ts";
+import { type CrashKey, getRequestKeyId, isPartKey } from "./crash_keys.ts";
+import { createEvidenceChoice, isWorthSaving } from "./evidence_choice.ts";
 import { createEvidenceReports } from "./evidence_reports.ts";
 import { getTargetLife } from "./target_crashes.ts";
 
@@ -56,13 +58,6 @@
 /** Minimum time after which a caller may return, in milliseconds. */
 const minRetryAfterMs = 1_000;
 
-/**
- * Targets that crash within `herdMs`, in milliseconds, from which they have a
- * common cause, such as a loss of power.
- */
-const herdCrashes = 4;
-const herdMs = 1_000;
-
 /** Maximum number of labels of quarantined keys that are remembered. */
 const maxLabels = 1_024;
 
@@ -134,14 +129,24 @@
   ): void;
   /** Records that a target has responded; ends the quarantine of the keys. */
   recordResponse(keys: readonly CrashKey[]): void;
+  /**
+   * Records that a target has responded to a request at another router. Withdraws
+   * what no peer knows; the others withdraw the rest.
+   */
+  recordPeerResponse(fingerprint: string): void;
   /** Applies the record of a peer. */
   merge(record: CrashEvidence): void;
   /** Returns true when changed records wait to be reported. */
   hasChanges(): boolean;
   /** Returns the records that the next digest reports. */
   takeRecords(): readonly CrashEvidence[];
-  /** Returns the records of what is quarantined. */
+  /**
+   * Returns the records that this router may save: of what is quarantined, and of
+   * what it has itself lost two targets with lately.
+   */
   getRecords(): readonly CrashEvidence[];
+  /** Returns true when the record of a key is still to be saved, if it is. */
+  mayStaySaved(key: string): boolean;
   /** Returns what is quarantined now. */
   getAll(): readonly QuarantinedKey[];
 }
@@ -152,8 +157,8 @@
   const reports = createEvidenceReports(table);
   /** What operators know quarantined keys as. */
   const labels = new Map<string, string>();
-  /** When processes were seen to crash, the latest ones, by their hash. */
-  const crashedAt = new Map<number, number>();
+  const herd = createCrashHerd();
+  const choice = createEvidenceChoice();
 
   return {
     hasEvidence: () => !table.isEmpty(),
@@ -164,10 +169,18 @@
     releaseTrial,
     recordCrash,
     recordResponse,
+    recordPeerResponse: (fingerprint) => {
+      const id = getRequestKeyId(fingerprint);
+      if (!reports.isShared(id)) table.clear(id);
+    },
     merge,
     hasChanges: reports.hasChanges,
     takeRecords: reports.take,
-    getRecords: () => table.getAll().filter(isConclusive).map(toUpdate),
+    getRecords: () => choice.choose(table.getAll()).map(toUpdate),
+    mayStaySaved: (key) => {
+      const record = table.tryGet(key);
+      return record !== undefined && isWorthSaving(record);
+    },
     getAll,
   };
 
@@ -258,33 +271,19 @@
     const quarantined = getQuarantinedKeys(keys).map(({ key }) => key);
     quarantined.forEach(remember);
     const life = hashLife(target);
-    recordLife(life);
+    herd.recordCrash(life);
     for (const key of quarantined.length > 0 ? quarantined : keys) {
       const wasQuarantined = isKeyQuarantined(key.id);
       const mayOverlap = key.kind === "request";
       if (!table.addLife(key.id, life, { sentAt, mayOverlap })) continue;
       const crashes = table.tryGet(key.id)?.lives.length ?? 0;
-      const isSuspect = crashes > 1 || (losses > 1 && !isHerd());
+      const isSuspect = crashes > 1 || (losses > 1 && !herd.isHerd());
       if (!hasResponseBegun || isSuspect) reports.queue(key.id);
+      if (isSuspect) choice.addSuspect(key.id);
       if (!wasQuarantined && isKeyQuarantined(key.id)) startQuarantine(key);
     }
   }
 
-  function recordLife(life: number): void {
-    if (crashedAt.has(life)) return;
-    crashedAt.set(life, performance.now());
-    const [oldest] = crashedAt.keys();
-    if (crashedAt.size > herdCrashes && oldest !== undefined) {
-      crashedAt.delete(oldest);
-    }
-  }
-
-  function isHerd(): boolean {
-    const [oldestAt = 0] = crashedAt.values();
-    return crashedAt.size === herdCrashes &&
-      performance.now() - oldestAt < herdMs;
-  }
-
   function startQuarantine(key: CrashKey): void {
     const trialAt = performance.now() + firstTrialDelayMs;
     table.setTrial(key.id, { trialAt, startsNow: false });
@@ -383,7 +382,8 @@
   );
 }
 
-function hashLife(target: DirectTarget): number {
+/** Returns the number that stands for one process of a target in records. */
+export function hashLife(target: DirectTarget): number {
   return createHash("sha256").update(getTargetLife(target)).digest()
     .readUInt32BE();
 }
--- a/src/request/direct_verdict.ts
+++ b/src/request/direct_verdict.ts
@@ -80,7 +80,7 @@
   offer: DirectOffer,
   result: Exclude<DirectResult, Answer>,
 ): Promise<AttemptEnd> {
-  const { host, history, queueWait, quarantine } = context;
+  const { host, history, queueWait } = context;
   const { target: chosen } = offer.choice;
   switch (result.kind) {
     case "not_sent":
@@ -104,7 +104,7 @@
       return endAborted(offer);
     case "lost":
     case "spoiled":
-      if (result.kind === "lost") await quarantine.recordLoss(chosen);
+      if (result.kind === "lost") await offer.quarantine.recordLoss();
       return endLost(offer, "outcome_unknown", { reason: result.reason });
   }
 }
@@ -115,7 +115,7 @@
   { head, body, drop }: Answer,
 ): Promise<AttemptEnd> {
   const { host, request, response, quarantine } = context;
-  const { attempt, choice: { target: chosen } } = offer;
+  const { attempt } = offer;
   const isError = isServerError(head.status);
   if (promisesNotRun(head.status)) {
     drop();
@@ -148,7 +148,7 @@
   }
   drop();
   if (attempt.signal.aborted) return endAborted(offer);
-  await quarantine.recordLoss(chosen);
+  await offer.quarantine.recordLoss();
   return endLost(offer, "answer_cut", { reason: end.reason });
 }
 
@@ -175,6 +175,7 @@
 }
 
 function endAborted(offer: DirectOffer): AttemptEnd {
+  offer.quarantine.recordAbort();
   offer.countPossibleRun();
   if (!offer.attempt.hasTimedOut()) return { kind: "stopped" };
   const reason = "The target did not respond within its timeout";
--- a/test/support/crash_fleet.ts
+++ b/test/support/crash_fleet.ts
@@ -4,32 +4,18 @@
  */
 
 import {
-  type CrashSuspects,
-  createCrashSuspects,
-} from "../../src/process/direct/crashes/crash_suspects.ts";
-import {
-  createQuarantine,
-  type Quarantine,
-} from "../../src/process/direct/crashes/quarantine.ts";
-import {
-  createDigestPace,
-  type DigestPace,
-} from "../../src/process/direct/peers/digest_pace.ts";
-import {
-  createDigestWriter,
   type DigestState,
-  type DigestWriter,
   tryDecodeDigest,
 } from "../../src/process/direct/peers/peer_digests.ts";
-import { createSilentLog } from "../../src/process/telemetry/log.ts";
-import { createMetrics } from "../../src/process/telemetry/metrics.ts";
 import {
   createDirectQuarantine,
   type DirectQuarantine,
+  type QuarantineAttempt,
 } from "../../src/request/direct_quarantine.ts";
-import type { DirectRequest } from "../../src/types/direct_request.ts";
 import type { DirectTarget } from "../../src/types/direct_target.ts";
+import { type CrashRouter, createCrashRouter } from "./crash_router.ts";
 import { createRequest, createRoute, createTarget } from "./direct.ts";
+import { createFleetStore } from "./fleet_store.ts";
 
 /** Step of the replay, that of the routers' decision about digests, in ms. */
 const stepMs = 60;
@@ -37,6 +23,12 @@
 /** Time for which a crashed target is down, in milliseconds. */
 const downMs = 2_000;
 
+/** Time from a crash to the removal of the target's entry, in milliseconds. */
+const entryLapseMs = 3_600;
+
+/** Time after which a request is answered or ended, in milliseconds. */
+const deadlineMs = 15_000;
+
 /** Fraction of a request's run after which its response begins. */
 const responseBeginsAt = 0.1;
 
@@ -48,6 +40,8 @@
   readonly runMs: number;
   /** How a run ends: by a whole response, or by a crash of its target. */
   readonly end: "served" | "crash_before_event" | "crash_after_event";
+  /** Callers that leave: the time after which, and one of how many does. */
+  readonly leaves?: { readonly afterMs: number; readonly oneOf: number };
 }
 
 /** Size and load of a replay. */
@@ -60,6 +54,14 @@
   chooseRouter(sent: number): number;
   /** Returns the index of a running target, of so many. */
   chooseTarget(running: number): number;
+  /** When all routers are killed: so long after a crash of `path`, by its number. */
+  readonly kill?: {
+    readonly path: string;
+    readonly crash: number;
+    readonly afterMs: number;
+  };
+  /** False without the withdrawals of losses, which digests carry too. */
+  readonly withdrawsLosses?: boolean;
   /** Times at which targets crash by themselves, and the share that does. */
   readonly herds?: readonly { readonly atMs: number; readonly share: number }[];
 }
@@ -73,24 +75,26 @@
   readonly bytesPerS: number;
   /** The same in the second in which a router sent most. */
   readonly peakBytesPerS: number;
-}
-
-interface Router {
-  readonly id: string;
-  readonly suspects: CrashSuspects;
-  readonly quarantine: Quarantine;
-  readonly writer: DigestWriter;
-  readonly pace: DigestPace;
-  /** Bytes of crash records sent, by second. */
-  readonly bytes: number[];
+  /** Probes of targets that may run what was aborted, a second and router. */
+  readonly probesPerS: number;
+  /** Writes to the store by all routers, and most of them in one second. */
+  readonly writes: number;
+  readonly peakWritesPerS: number;
+  /** When all routers were killed. */
+  readonly killedAt: number | undefined;
 }
 
 interface Run {
   readonly request: RepeatedRequest;
   readonly quarantine: DirectQuarantine;
+  readonly attempt: QuarantineAttempt;
   readonly target: DirectTarget;
   readonly startedAt: number;
+  /** When its caller leaves; infinite for one that stays. */
+  readonly leavesAt: number;
+  recordResponse(): void;
   hasBegun: boolean;
+  hasLeft: boolean;
 }
 
 const emptyState: DigestState = {
@@ -106,12 +110,20 @@
 ): Promise<CrashReplayResult> {
   const startedAt = performance.now();
   let lives = 0;
-  const routers = Array.from({ length: replay.routers }, createRouter);
+  const store = createFleetStore(() => routers);
+  let routers = Array.from({ length: replay.routers }, createRouter);
+  let killedAt: number | undefined;
   const route = createRoute();
   const sentAt = new Map<string, number[]>();
   const crashedAt = new Map<string, number[]>();
   const refused = new Map<string, number>();
   const down = new Map<string, number>();
+  /** Crashed processes that still have an entry, with the time of its removal. */
+  const lapsesAt = new Map<DirectTarget, number>();
+  const removed = new Set<DirectTarget>();
+  const crashed = new Set<DirectTarget>();
+  let probes = 0;
+  const counts = new Map<RepeatedRequest, number>();
   const herds = [...replay.herds ?? []];
   const nextAt = new Map(
     replay.requests.map((request, index) => [
@@ -128,18 +140,26 @@
   let sent = 0;
 
   while (getNow() < replay.lengthMs) {
+    killRouters();
     startRequests();
+    leave();
     await endRuns();
     await crashHerd();
+    await removeEntries();
     routers.forEach(sendWhenDue);
     jest.advanceTimersByTime(stepMs);
+    await Promise.resolve();
+    await Promise.resolve();
   }
+  routers.forEach(({ evidenceStore }) => evidenceStore.stop());
   const seconds = replay.lengthMs / 1_000;
   const totals = routers.map(({ bytes }) =>
     bytes.reduce((sum, count) => sum + count, 0)
   );
   return {
-    ...{ sentAt, crashedAt, refused },
+    ...{ sentAt, crashedAt, refused, killedAt },
+    ...store.getWrites(),
+    probesPerS: probes / seconds / replay.routers,
     bytesPerS: Math.round(Math.max(...totals) / seconds),
     peakBytesPerS: Math.max(
       ...routers.map(({ bytes }) => Math.max(...bytes)),
@@ -154,26 +174,29 @@
     return createTarget(`t${index}`, { startedAtMs: ++lives });
   }
 
-  function createRouter(_: unknown, rank: number): Router {
-    const id = `router-${rank}`;
-    const writer = createDigestWriter(id);
-    return {
-      ...{ id, writer, pace: createDigestPace() },
-      bytes: Array.from(
-        { length: Math.ceil(replay.lengthMs / 1_000) },
-        () => 0,
-      ),
-      suspects: createCrashSuspects({
-        log: createSilentLog(),
-        report: writer.queueCrash,
-      }),
-      quarantine: createQuarantine({
-        log: createSilentLog(),
-        metrics: createMetrics(),
-        tryGetTrialDelayMs: () => rank * 250,
-        announce: () => undefined,
-      }),
-    };
+  function createRouter(_: unknown, rank: number): CrashRouter {
+    return createCrashRouter({
+      ...{ rank, store, routers: replay.routers },
+      seconds: Math.ceil(replay.lengthMs / 1_000),
+      checkAborted: (target) => {
+        probes++;
+        return Promise.resolve(crashed.has(target));
+      },
+      hasEntry: (target) => !removed.has(target),
+    });
+  }
+
+  /** Kills all routers, with what they know; new ones read the store. */
+  function killRouters(): void {
+    if (replay.kill === undefined || killedAt !== undefined) return;
+    const { path, crash: number, afterMs } = replay.kill;
+    const at = crashedAt.get(path)?.[number - 1] ?? Infinity;
+    if (getNow() < at + afterMs) return;
+    killedAt = getNow();
+    routers.forEach(({ evidenceStore }) => evidenceStore.stop());
+    routers = Array.from({ length: replay.routers }, createRouter);
+    store.tellAll();
+    runs.forEach((run) => run.hasLeft = true);
   }
 
   function startRequests(): void {
@@ -185,41 +208,77 @@
   }
 
   function start(request: RepeatedRequest): void {
-    const router = routers[replay.chooseRouter(sent++)] as Router;
+    const router = routers[replay.chooseRouter(sent++)] as CrashRouter;
+    const deadlineAt = performance.now() + deadlineMs;
+    const { path } = request;
+    const candidate = createRequest(route, { path, deadlineAt });
     const quarantine = createDirectQuarantine({
       crashes: router.suspects,
       quarantine: router.quarantine,
-      targetCrashes: { check: () => Promise.resolve(true) } as never,
-    }, createRequest(route, { path: request.path }) as DirectRequest);
+      targetCrashes: {
+        check: (target) => {
+          router.abortedAttempts.recordCrash(target);
+          return Promise.resolve(true);
+        },
+      },
+      abortedAttempts: router.abortedAttempts,
+    }, candidate);
     const running = targets.filter(({ id }) => !down.has(id));
     const target = running[replay.chooseTarget(running.length)];
     if (target === undefined) return;
-    if (quarantine.tryRefuse() !== undefined || quarantine.isQuarantined()) {
+    const attempt = quarantine.beginAttempt(target);
+    if (quarantine.tryRefuse() !== undefined || attempt.isQuarantined()) {
       refused.set(request.path, (refused.get(request.path) ?? 0) + 1);
       return;
     }
     push(sentAt, request.path);
     const startedAt = getNow();
-    runs.push({ request, quarantine, target, startedAt, hasBegun: false });
+    const count = (counts.get(request) ?? 0) + 1;
+    counts.set(request, count);
+    const { afterMs = 0, oneOf = Infinity } = request.leaves ?? {};
+    runs.push({
+      ...{ request, quarantine, attempt, target, startedAt },
+      recordResponse: () => {
+        if (replay.withdrawsLosses ?? true) {
+          router.suspects.recordResponse(candidate);
+        }
+        quarantine.recordResponse();
+      },
+      leavesAt: count % oneOf === 0 ? startedAt + afterMs : Infinity,
+      ...{ hasBegun: false, hasLeft: false },
+    });
+  }
+
+  /** Targets go on with what crashes them, and drop the others. */
+  function leave(): void {
+    for (const run of runs) {
+      if (run.hasLeft || getNow() < run.leavesAt) continue;
+      run.hasLeft = true;
+      run.attempt.recordAbort();
+      run.quarantine.end();
+    }
+    runs = runs.filter(({ request, hasLeft }) =>
+      !hasLeft || request.end !== "served"
+    );
   }
 
   async function endRuns(): Promise<void> {
-    const crashed = new Set<DirectTarget>();
+    const ended = new Set<DirectTarget>();
     for (const run of runs) {
-      const { request: { runMs, end, path }, quarantine } = run;
+      const { request: { runMs, end, path } } = run;
       const ranMs = getNow() - run.startedAt;
       if (!run.hasBegun && ranMs >= runMs * responseBeginsAt) {
         run.hasBegun = end !== "crash_before_event";
-        if (run.hasBegun) quarantine.recordResponseBegun();
+        if (run.hasBegun && !run.hasLeft) run.attempt.recordResponseBegun();
       }
       if (ranMs < runMs) continue;
-      if (end === "served") quarantine.recordResponse();
-      else if (!crashed.has(run.target)) {
-        crashed.add(run.target);
+      if (end === "served") run.recordResponse();
+      else if (!ended.has(run.target)) {
+        ended.add(run.target);
         push(crashedAt, path);
       }
     }
-    await crash(crashed);
+    await crash(ended);
     runs = runs.filter(({ request, startedAt }) =>
       getNow() - startedAt < request.runMs
     );
@@ -235,24 +294,38 @@
   }
 
   /** Crashes targets, with all that is in flight at them. */
-  async function crash(crashed: ReadonlySet<DirectTarget>): Promise<void> {
-    if (crashed.size === 0) return;
-    const lost = runs.filter(({ target }) => crashed.has(target));
-    runs = runs.filter(({ target }) => !crashed.has(target));
+  async function crash(ended: ReadonlySet<DirectTarget>): Promise<void> {
+    if (ended.size === 0) return;
+    const lost = runs.filter(({ target, hasLeft }) =>
+      ended.has(target) && !hasLeft
+    );
+    runs = runs.filter(({ target }) => !ended.has(target));
     targets = targets.map((target, index) => {
-      if (!crashed.has(target)) return target;
+      if (!ended.has(target)) return target;
       down.set(target.id, getNow() + downMs);
+      lapsesAt.set(target, getNow() + entryLapseMs);
+      crashed.add(target);
       return createLife(index);
     });
-    for (const { quarantine, target } of lost) {
-      void quarantine.recordLoss(target);
-    }
+    for (const { attempt } of lost) void attempt.recordLoss();
     await Promise.resolve();
     await Promise.resolve();
     for (const { quarantine } of lost) quarantine.end();
   }
 
-  function sendWhenDue(router: Router): void {
+  async function removeEntries(): Promise<void> {
+    const due = [...lapsesAt].filter(([, at]) => getNow() >= at);
+    for (const [target] of due) {
+      lapsesAt.delete(target);
+      removed.add(target);
+    }
+    if (due.length === 0) return;
+    for (const { abortedAttempts } of routers) abortedAttempts.checkTargets();
+    await Promise.resolve();
+    await Promise.resolve();
+  }
+
+  function sendWhenDue(router: CrashRouter): void {
     const { quarantine, writer, pace, bytes } = router;
     const hasUpdates = writer.getQueueLength() > 0 || quarantine.hasChanges();
     const peers = routers.length - 1;
