--- a/src/process/telemetry/loop_turns.ts
+++ b/src/process/telemetry/loop_turns.ts
@@ -17,7 +17,7 @@
 const minLateMs = 5;
 
 /** Lateness of that timer from which the event loop counts as busy, in ms. */
-const busyLateMs = 50;
+const busyLateMs = 200;
 
 /** Time for which the event loop counts as busy after that, in milliseconds. */
 const busyMs = 1_000;
--- a/src/request/direct_context.ts
+++ b/src/request/direct_context.ts
@@ -45,6 +45,7 @@
  * - `response_begun`: the caller has a part that no other target continues.
  * - `attempts`: it was sent as often as it may be.
  * - `quarantined`: it may crash its targets.
+ * - `busy`: timers fire late, so two attempts would run side by side for too long.
  * - `retry_budget`: no retry is granted.
  * - `queue`: callers compete, and there is no place for it.
  * - `no_target`: no other target of its version may be used now.
@@ -59,6 +60,7 @@
   | "response_begun"
   | "attempts"
   | "quarantined"
+  | "busy"
   | "retry_budget"
   | "queue"
   | "no_target"
--- a/src/request/direct_handover.ts
+++ b/src/request/direct_handover.ts
@@ -21,7 +21,8 @@
 /**
  * Time after the request is written to the new target until the attempt at the
  * silent one ends, in milliseconds. A target that is full refuses well within it.
- * Two targets may work on one request for 400 ms; a late timer stays below that.
+ * Two targets may work on one request for 400 ms; a timer that is late by as much
+ * as an event loop that is not busy stays below that.
  */
 export const maxOverlapMs = 150;
 
@@ -99,9 +100,7 @@
   /** Called right before the request is written to the next target. */
   function handleSent(): void {
     if (isFinished) return;
-    // A busy event loop runs the timer late.
-    if (host.isLoopBusy()) abandonCurrent();
-    else overlapTimer = setTimeout(abandonCurrent, maxOverlapMs);
+    overlapTimer = setTimeout(abandonCurrent, maxOverlapMs);
   }
 
   async function settle(offer: DirectOffer): Promise<void> {
--- a/src/request/direct_reservation.ts
+++ b/src/request/direct_reservation.ts
@@ -19,6 +19,8 @@
   const runs = history.possibleRuns + (current.isRunCounted() ? 0 : 1);
   const obstacle = context.tryGetRepeatObstacle(runs);
   if (obstacle !== undefined) return obstacle;
+  // The first attempt would end late, as timers do.
+  if (context.host.isLoopBusy()) return "busy";
   if (queueWait.isTooLate()) return "stopping";
   if (quarantine.tryRefuse() !== undefined) return "quarantined";
   if (!retry.trySpend()) return "retry_budget";
