--- a/test/platform/queued_request_test.ts
+++ b/test/platform/queued_request_test.ts
@@ -80,5 +80,31 @@
         expect(target.countArrivals()).toBe(1);
       });
     }
+
+    it(`is not sent to the next target of its address (${prefix})`, async () => {
+      let held: ServerResponse | undefined;
+      target.setHandler((request, response) => {
+        setIdentityHeaders(request, response, "target-1");
+        held ??= response;
+        if (held !== response) response.end("run by the target before");
+      });
+      const responses = Promise.all(
+        Array.from(
+          { length: 12 },
+          (_, index) => sendRequest(router, `${prefix}${index}`),
+        ),
+      );
+      await waitUntil(() => held !== undefined && other.countArrivals() > 0);
+      store.remove("servers/target-1");
+      store.put("servers/target-9", target.createEntry());
+      await waitUntil(() =>
+        hasLogged(router, "Target changed", { target: "target-9" })
+      );
+      held?.end("done");
+      expect((await responses).map(({ status }) => status))
+        .toEqual(Array.from({ length: 12 }, () => 200));
+      // Requests for the next target are refused here, those for it would run.
+      expect(target.getReceivedRequests()).toHaveLength(1);
+    });
   }
 });
