Resume an engine's stream although one connection cannot be opened

Cause: when the connection to an engine broke, the agent tried one call to resume the stream. If its connection could not be opened in time, as at a busy engine, the attempt was reported as failed while the engine generated on; the caller lost a stream that no other target can continue.

Change: a connection that cannot be opened is tried again up to twice, 200 and 400 ms later, unless the engine is found to have crashed.

--- a/src/request/target_stream.ts
+++ b/src/request/target_stream.ts
@@ -17,6 +17,7 @@
 } from "../connection/response_limits.ts";
 import { isEventStream } from "../types/response.ts";
 import { createByteCollector } from "./byte_collector.ts";
+import { waitUnlessAborted } from "./settlement.ts";
 
 /** Header in which an engine sends the id of a resumable stream. */
 const streamIdHeader = "x-stream-id";
@@ -24,6 +25,9 @@
 /** Maximum number of consecutive resumptions without a new event. */
 const maxIdleResumes = 2;
 
+/** Delay before a connection that could not be opened is tried again, in ms. */
+const reconnectDelayMs = 200;
+
 /** Start of an event: the name of a field, or a colon before a comment. */
 const eventStart = /^(?:data|event|id|retry)?:/;
 
@@ -97,7 +101,6 @@
       // the event that finishes the stream again.
       if (isFinished) throw error;
       if (idleResumes > maxIdleResumes) throw error;
-      if (await host.checkCrash()) throw error;
       const resumed = await tryResume(host, { id, offset: events, signal });
       if (resumed === undefined) throw error;
       body = resumed.body;
@@ -106,29 +109,52 @@
   }
 }
 
+/** Which stream is resumed, and where. */
+interface ResumeOptions {
+  readonly id: string;
+  readonly offset: number;
+  readonly signal: AbortSignal;
+}
+
 /**
- * Resumes a stream; returns undefined, and ends the call, when the response
- * isn't the continuation of the stream.
+ * Resumes a stream of a target that has not crashed. A connection that cannot be
+ * opened is tried again, as the target may still run the stream.
  */
 async function tryResume(
   host: TargetStreamHost,
-  { id, offset, signal }: {
-    readonly id: string;
-    readonly offset: number;
-    readonly signal: AbortSignal;
-  },
+  options: ResumeOptions,
 ): Promise<TargetResponse | undefined> {
+  for (let calls = 0; calls <= maxIdleResumes; calls++) {
+    await waitUnlessAborted(calls * reconnectDelayMs, options.signal);
+    if (await host.checkCrash()) return undefined;
+    const resumed = await callResume(host, options);
+    if (resumed !== "not_sent") return resumed;
+  }
+  return undefined;
+}
+
+/**
+ * Calls the target to resume a stream; returns undefined, and ends the call, when
+ * the response isn't the continuation of the stream.
+ */
+async function callResume(
+  host: TargetStreamHost,
+  { id, offset, signal }: ResumeOptions,
+): Promise<TargetResponse | "not_sent" | undefined> {
   const controller = new AbortController();
   const resumed = await host.target.resume({
     id,
     offset,
     signal: AbortSignal.any([signal, controller.signal]),
   }).run();
-  if (resumed.isLeft()) return undefined;
-  const response = resumed.unsafeCoerce();
-  if (isSameStream(response, id)) return response;
-  controller.abort();
-  return undefined;
+  return resumed.caseOf<TargetResponse | "not_sent" | undefined>({
+    Left: ({ kind }) => kind === "not_sent" ? kind : undefined,
+    Right: (response) => {
+      if (isSameStream(response, id)) return response;
+      controller.abort();
+      return undefined;
+    },
+  });
 }
 
 /** Returns true for an event stream that bears this id or none. */
--- a/src/request/target_stream_test.ts
+++ b/src/request/target_stream_test.ts
@@ -40,6 +40,20 @@
       .rejects.toThrow("socket closed");
   });
 
+  // The engine still generated, and was only too busy to take a connection.
+  it("resumes although one connection could not be opened", async () => {
+    const { text, offsets } = await read([events[0] ?? "", "cut"], {
+      unsent: 1,
+    });
+    expect(text).toBe(events.join(""));
+    expect(offsets).toEqual([1, 1]);
+  });
+
+  it("gives up when no connection can be opened", async () => {
+    await expect(read([events[0] ?? "", "cut"], { unsent: 100 }))
+      .rejects.toThrow("socket closed");
+  });
+
   it("gives up on a stream that yields no new event", async () => {
     await expect(read(["cut"], { resumed: ["cut"] }))
       .rejects.toThrow("socket closed");
@@ -185,6 +199,8 @@
     /** Chunks of a resumed stream, in place of the remaining events. */
     readonly resumed?: readonly string[];
     readonly resumedHeaders?: readonly Header[];
+    /** Number of calls that resume the stream which find no connection. */
+    readonly unsent?: number;
     /** Receives the offsets of the calls that resume the stream. */
     readonly offsets?: number[];
   } = {},
@@ -206,8 +222,11 @@
       checkCrash: () => Promise.resolve(crashed),
       target: {
         resume: ({ offset, signal }) =>
-          EitherAsync<TargetError, TargetResponse>(() => {
+          EitherAsync<TargetError, TargetResponse>(({ throwE }) => {
             offsets.push(offset);
+            if (offsets.length <= (options.unsent ?? 0)) {
+              return throwE({ kind: "not_sent", message: "No connection" });
+            }
             resumeSignal = signal;
             const rest = options.resumed ?? events.slice(offset);
             return Promise.resolve({
