Withdraw calls at agents within a bound from their deadline

Cause: the 250 ms in which an agent may withdraw a call began when the deadline was noticed, which a busy router does late; the caller then had its response after more than 0.5 s.

Change: the time ends 250 ms after the deadline itself.

--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -353,7 +353,7 @@
     }
     // Work that may not run twice is withdrawn when it has not started, and
     // otherwise left to run to its end.
-    const state = await withdrawAttempt(host, placed);
+    const state = await withdrawAttempt(host, placed, work.deadlineAt);
     if (isDisconnected) return createEnd(createReport("caller_gone"));
     return state === "not_run"
       ? await endNotRun("deadline_passed", 0)
--- a/src/request/settlement.ts
+++ b/src/request/settlement.ts
@@ -13,7 +13,10 @@
 /** Settle calls without an answer after which an attempt can be given up. */
 const minCalls = callDelaysMs.length;
 
-/** Time that an agent has to withdraw an attempt at its deadline, in ms. */
+/**
+ * Time after its deadline in which an agent may withdraw an attempt, in
+ * milliseconds. The caller must have a response 500 ms after the deadline.
+ */
 const withdrawalTimeMs = 250;
 
 /** What settlement needs from the process. */
@@ -62,6 +65,7 @@
 export async function withdrawAttempt(
   host: SettlementHost,
   placed: PlacedAttempt,
+  deadlineAt: number,
 ): Promise<SettleState> {
   const settled = host.calls.settle(placed);
   let state: SettleState = "no_answer";
@@ -69,7 +73,7 @@
     settled.then((value) => {
       state = value;
     }),
-    withdrawalTimeMs,
+    deadlineAt + withdrawalTimeMs - Date.now(),
   );
   return state;
 }
