Refuse calls that wait at agents before a router's stop cuts them off

Cause: a call in flight at the end of a router's grace period lost its connection without a response, also when its agent had only queued it; the agent still ran it afterwards.

Change: in the last twelfth of the grace period, at most 1 s, the router sends nothing new and withdraws what agents have queued; those callers get 503 router_stopping with the proof that nothing ran. Calls that run go on to the end.

Measured: the new test of attempt_handover failed on the code before ('failed' at the deadline in place of 'not_run'); 824 tests of attempts, request_run, retries, claims, test/agent, test/matrix and roles pass.

--- a/src/request/attempt_handover_test.ts
+++ b/src/request/attempt_handover_test.ts
@@ -194,6 +194,24 @@
     });
   });
 
+  // Requests that waited at an agent lost their connections without a response.
+  it.each([
+    ["is refused while it waits", 20_000, "not_run", 0],
+    ["goes on while it runs", 0, "done", 1],
+  ])(
+    "at the end of the router's grace period, %s",
+    async (_name, queueDelayMs, outcome, runs) => {
+      prepare([], { deadlineAt: Date.now() + 10_000 });
+      targets.behaviour.queueDelayMs = queueDelayMs;
+      const closing = new AbortController();
+      setTimeout(() => closing.abort(), 100);
+      await run({ closingSignal: closing.signal });
+      expect(caller.end()?.outcome).toBe(outcome);
+      expect(targets.runs).toHaveLength(runs);
+      expect(caller.durationMs()).toBeLessThan(500);
+    },
+  );
+
   // Questions to the agent went on for up to 5 s after the deadline.
   it.each([[true, 50], [false, 50], [true, 5_000], [false, 5_000]])(
     "ends in time at the deadline, repeatable %s, lost after %i ms",
--- a/src/request/request_host.ts
+++ b/src/request/request_host.ts
@@ -31,6 +31,11 @@
   readonly attempts: AttemptNumbers;
   readonly digests: BodyDigests;
   readonly claims: ClaimHost;
+  /**
+   * Aborted shortly before the end of the router's grace period; nothing new is
+   * sent then.
+   */
+  readonly closingSignal: AbortSignal;
   /** Hashes the key of a conversation to 32 bits. */
   hashConversation(key: string): number;
 }
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -22,6 +22,7 @@
 import { createEnd } from "./request_end.ts";
 import type { RequestHost, RequestSummary } from "./request_host.ts";
 import { createHeldAttempt } from "./held_attempt.ts";
+import { finalRefusals, unbudgetedRefusals } from "./refusal_codes.ts";
 import { createRequestStop } from "./request_stop.ts";
 import {
   createRouting,
@@ -41,24 +42,6 @@
 /** Retry-after delay when no target reported one, in milliseconds. */
 const defaultRetryAfterMs = 1_000;
 
-/**
- * Refusals that cost a target nothing. The next target is tried at once, and no
- * retry is spent.
- */
-const unbudgetedRefusals: ReadonlySet<DiagnosticCode> = new Set([
-  "target_full",
-  "context_not_held",
-  "queue_wait_too_long",
-  "target_leaving",
-  "wrong_incarnation",
-]);
-
-/** Refusals that hold for every target. */
-const finalRefusals: ReadonlySet<DiagnosticCode> = new Set([
-  "request_quarantined",
-  "deadline_passed",
-]);
-
 /** Runs a request to its end and reports the end to the caller. */
 export async function runRequest(
   host: RequestHost,
@@ -124,6 +107,9 @@
     host.retries.recordFirstAttempt(work.service, getRetryBudget());
     while (true) {
       if (stop.getReason() !== undefined) return await endBeforeAttempt();
+      if (host.closingSignal.aborted) {
+        return await endNotRun("router_stopping", defaultRetryAfterMs);
+      }
       const choice = routing.tryGetNext();
       const end = choice === undefined
         ? await endRefused()
@@ -148,6 +134,9 @@
     attemptCount++;
     if (delivery.isPending()) resetResponse();
     trace.recordStart();
+    // An attempt that is still queued then would end without a response.
+    const withdraw = (): void => void host.calls.settle(placed);
+    host.closingSignal.addEventListener("abort", withdraw);
     const verdict = await runAttempt(attemptHost, {
       ...placed,
       work,
@@ -158,7 +147,9 @@
       conversationHash: work.conversation === ""
         ? 0
         : host.hashConversation(getPlacementKey(work)),
-    }, { ...attemptOptions, onEvent, onSent: held.recordSent });
+    }, { ...attemptOptions, onEvent, onSent: held.recordSent }).finally(() =>
+      host.closingSignal.removeEventListener("abort", withdraw)
+    );
     trace.recordEnd(verdict);
     if (verdict.kind === "not_run") held.recordRefused();
     else held.release();
--- a/src/roles/router.ts
+++ b/src/roles/router.ts
@@ -1,6 +1,7 @@
 /** Runs the router role: accepts callers' requests and places them. */
 
 import { randomUUID } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import { createAgentClient } from "../connection/agent_client.ts";
 import {
   type CallerRequest,
@@ -35,6 +36,15 @@
 /** Interval at which a shutdown checks for requests in flight, in ms. */
 const shutdownPollIntervalMs = 20;
 
+/**
+ * Part of the grace period at its end in which nothing new is sent to targets, and
+ * requests that wait at agents are refused.
+ */
+const closingShare = 1 / 12;
+
+/** Maximum length of that part, in milliseconds. */
+const maxClosingMs = 1_000;
+
 /** Maximum number of requests in flight that a dump lists. */
 const maxDumpedRequests = 100;
 
@@ -49,6 +59,9 @@
   const { log, turns } = watchLoop({ log: host.log, metrics });
   const inFlight = new Map<symbol, InFlightRequest>();
   let isDraining = false;
+  const closing = new AbortController();
+  // Each request in flight listens.
+  setMaxListeners(0, closing.signal);
   const calls = createAgentClient();
   const placementHost = await loadPlacementHost();
   const encoder = new TextEncoder();
@@ -66,6 +79,7 @@
       routerIncarnation: fleet.getSelf().incarnation,
     }),
     digests: await loadBodyDigests(),
+    closingSignal: closing.signal,
     claims: {
       platform: host.platform,
       leases: createClaimLeases({ platform: host.platform }),
@@ -196,7 +210,10 @@
     const startedAt = performance.now();
     drain(settings.id);
     const end = startedAt + settings.shutdownMs;
+    const closingAt = end -
+      Math.min(maxClosingMs, settings.shutdownMs * closingShare);
     while (inFlight.size > 0 && performance.now() < end) {
+      if (performance.now() >= closingAt) closing.abort();
       await new Promise((resolve) =>
         setTimeout(resolve, shutdownPollIntervalMs)
       );
--- a/test/support/request_history.ts
+++ b/test/support/request_history.ts
@@ -92,6 +92,7 @@
       routerIncarnation: 1,
     }),
     digests: libraries.digests,
+    closingSignal: new AbortController().signal,
     claims: { platform, leases: createClaimLeases({ platform }) },
     hashConversation: () => 0,
   };
