--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -107,17 +107,18 @@
     host.retries.recordFirstAttempt(work.service, getRetryBudget());
     while (true) {
       if (stop.getReason() !== undefined) return await endBeforeAttempt();
-      if (host.closingSignal.aborted) {
-        return await endNotRun("router_stopping", defaultRetryAfterMs);
-      }
-      const choice = routing.tryGetNext();
-      const end = choice === undefined
-        ? await endRefused()
-        : await runOnTarget(choice);
+      const end = host.closingSignal.aborted
+        ? await resumeOrEnd("router_stopping", defaultRetryAfterMs)
+        : await runOnNextTarget();
       if (end !== undefined) return end;
     }
   }
 
+  function runOnNextTarget(): Promise<RequestEnd | undefined> {
+    const choice = routing.tryGetNext();
+    return choice === undefined ? endRefused() : runOnTarget(choice);
+  }
+
   /**
    * Runs one attempt; returns undefined when the next target should be tried.
    */
@@ -234,6 +235,7 @@
     // The target may still accept other requests, so the refusal is not
     // recorded.
     if (code === "context_not_held") return undefined;
+    if (host.closingSignal.aborted) return undefined;
     if (unbudgetedRefusals.has(code)) {
       host.refusals.recordRefusal(placed.target.id, retryAfterMs);
       return undefined;
