Don't probe targets that said that they leave for aborted attempts

A leave that a response or a peer tells changes no entry, so that the attempts stayed in the table and the end of the target, as planned, was taken for a crash.

--- a/src/process/direct/crashes/aborted_attempts.ts
+++ b/src/process/direct/crashes/aborted_attempts.ts
@@ -141,6 +141,7 @@
   }
 
   async function probe({ life, target }: KeptAttempt): Promise<void> {
+    if (leaves(target)) return void takeAll(life);
     const probedAt = performance.now();
     if (await targetCrashes.checkAborted(target)) return recordCrash(target);
     for (const attempt of attempts) {
@@ -205,11 +206,8 @@
     target: DirectTarget,
     atAddress: DirectTarget | undefined,
   ): void {
+    if (leaves(target)) return void takeAll(life);
     const registered = targets.tryGet(target.id);
-    const isDraining = registered?.startedAtMs === target.startedAtMs &&
-      registered.state === "draining";
-    // A target that leaves ends as planned.
-    if (isDraining || targets.isLeaving(target)) return void takeAll(life);
     if (isLater(registered, target) || isLater(atAddress, target)) {
       return recordCrash(target);
     }
@@ -220,6 +218,14 @@
     });
   }
 
+  /** Returns true for a target that says that it leaves, and ends as planned. */
+  function leaves(target: DirectTarget): boolean {
+    const registered = targets.tryGet(target.id);
+    return targets.isLeaving(target) ||
+      (registered?.startedAtMs === target.startedAtMs &&
+        registered.state === "draining");
+  }
+
   /** Removes and returns the attempts at a process. */
   function takeAll(life: string): readonly KeptAttempt[] {
     const taken = [...attempts].filter((attempt) => attempt.life === life);
--- a/src/process/direct/crashes/aborted_attempts_test.ts
+++ b/src/process/direct/crashes/aborted_attempts_test.ts
@@ -130,6 +130,14 @@
     expect([losses, probes]).toEqual([0, 0]);
   });
 
+  it("are not probed at a target that said in a response that it leaves", async () => {
+    add();
+    targets.recordLeaving(target);
+    hasCrashed = true;
+    await wait(10_000);
+    expect([losses, probes]).toEqual([0, 0]);
+  });
+
   it("cost two probes a second at most, and none later", async () => {
     for (let index = 0; index < 50; index++) add(createTarget(`t${index}`));
     await wait(10_000);
