Bound what members and agents send without end

Pulls of members and of the configuration had no limit of fields, an empty part of the configuration counted as no bytes, and the events of an agent were read as fast as they came, also those that are ignored and those behind the last one.

- a configuration has at most 20,000 parts (members keep 500 patches);
- events of agents are read at the pace of responses, and a stream with more than 16 messages behind its last one is reset.

--- a/src/connection/agent_client.ts
+++ b/src/connection/agent_client.ts
@@ -5,10 +5,12 @@
   type ClientReadableStream,
   connectivityState,
   credentials,
+  makeGenericClientConstructor,
   Metadata,
 } from "@grpc/grpc-js";
 import {
-  AgentServiceClient,
+  type AgentServiceClient,
+  AgentServiceService,
   type RunEvent,
 } from "../generated/mimosatray/v1/agent.ts";
 import {
@@ -21,9 +23,11 @@
   settleStates,
   type Target,
 } from "../types/agent_calls.ts";
+import { createReadPace } from "../process/admission/read_pace.ts";
 import type { Dump } from "../types/role.ts";
 import { toRunRequest } from "./agent_client_codec.ts";
 import { createEventReader, type EventReader } from "./event_reader.ts";
+import { limitResponses } from "./message_limits.ts";
 
 /** Time in which a channel must connect, in milliseconds. */
 const connectTimeoutMs = 500;
@@ -64,6 +68,14 @@
 
 type ClientChannel = ReturnType<AgentServiceClient["getChannel"]>;
 
+/** Field of the head, which has a list of headers, in an event. */
+const headField = 2;
+
+const LimitedClient = makeGenericClientConstructor(
+  limitResponses(AgentServiceService, { counted: [headField] }),
+  "mimosatray.v1.AgentService",
+) as unknown as typeof AgentServiceClient;
+
 interface Connection {
   readonly client: AgentServiceClient;
   inUse: number;
@@ -73,6 +85,7 @@
 /** Creates a client; it connects with the first call to an agent. */
 export function createAgentClient(): AgentClient {
   const connections = new Map<string, Connection>();
+  const readPace = createReadPace();
   const sweepTimer = setInterval(closeIdleConnections, sweepIntervalMs);
   sweepTimer.unref();
 
@@ -130,7 +143,7 @@
     async function tryOpenReader(): Promise<EventReader | undefined> {
       const isOpen = await waitUntilReady(connection.client.getChannel());
       if (!isOpen || isClosed) return undefined;
-      return createEventReader(open(connection.client));
+      return createEventReader(open(connection.client), readPace.begin());
     }
 
     function close(): void {
@@ -174,7 +187,7 @@
       existing.lastUsedAt = performance.now();
       return existing;
     }
-    const client = new AgentServiceClient(
+    const client = new LimitedClient(
       `${target.address}:${target.grpcPort}`,
       credentials.createInsecure(),
       channelOptions,
--- a/src/connection/configuration_client.ts
+++ b/src/connection/configuration_client.ts
@@ -1,8 +1,10 @@
 /** Pulls the configuration from other members over gRPC. */
 
+import { makeGenericClientConstructor } from "@grpc/grpc-js";
 import { type Either, EitherAsync, Left, Right } from "purify-ts";
 import {
-  ControlServiceClient,
+  type ControlServiceClient,
+  ControlServiceService,
   type PullConfigurationResponse,
   type SnapshotPart,
 } from "../generated/mimosatray/v1/control.ts";
@@ -13,7 +15,12 @@
   PullFromMember,
 } from "../version/peer_pull.ts";
 import { getResponseSize } from "./configuration_server.ts";
-import { createPeerConnections, maxMessageBytes } from "./peer_connections.ts";
+import { limitResponses } from "./message_limits.ts";
+import {
+  type ClientConstructor,
+  createPeerConnections,
+  maxMessageBytes,
+} from "./peer_connections.ts";
 
 /** What the client needs from the process. */
 export interface ConfigurationClientHost {
@@ -33,11 +40,25 @@
 /** Maximum size of a pulled configuration, in bytes. */
 const maxPullBytes = maxMessageBytes;
 
+/**
+ * Maximum number of patches or parts of a snapshot, many times what a member
+ * has. Empty ones cost time and memory, too.
+ */
+const maxResponses = 20_000;
+
+/** Field of a part of a snapshot in a response. */
+const snapshotField = 2;
+
+const LimitedClient = makeGenericClientConstructor(
+  limitResponses(ControlServiceService, { counted: [snapshotField] }),
+  "mimosatray.v1.ControlService",
+) as unknown as ClientConstructor<ControlServiceClient>;
+
 /** Creates a client; it connects with the first pull. */
 export function createConfigurationClient(
   host: ConfigurationClientHost,
 ): ConfigurationClient {
-  const connections = createPeerConnections(ControlServiceClient);
+  const connections = createPeerConnections(LimitedClient);
 
   return { pull, close: connections.close };
 
@@ -55,14 +76,19 @@
     return new Promise((resolve) => {
       const responses: PullConfigurationResponse[] = [];
       let bytes = 0;
+      let isCut = false;
       const call = connections.get(member).pullConfiguration(
         { afterVersion },
         { deadline: Date.now() + pullTimeoutMs },
       );
       call.on("data", (response: PullConfigurationResponse) => {
         bytes += getResponseSize(response);
-        if (bytes <= maxPullBytes) return void responses.push(response);
-        const message = `The configuration exceeds ${maxPullBytes} bytes`;
+        responses.push(response);
+        isCut ||= bytes > maxPullBytes || responses.length > maxResponses;
+        if (!isCut) return;
+        responses.length = 0;
+        const message = `The configuration exceeds ${maxPullBytes} bytes or ` +
+          `${maxResponses} parts`;
         resolve(Left({ kind: "unreachable", message }));
         call.cancel();
       });
@@ -70,7 +96,7 @@
         resolve(Left({ kind: "unreachable", message: error.message }));
       });
       call.on("end", () => {
-        if (bytes > maxPullBytes) return;
+        if (isCut) return;
         host.recordBytes(bytes, "received");
         resolve(parseResponses(responses));
       });
--- a/src/connection/event_reader.ts
+++ b/src/connection/event_reader.ts
@@ -1,17 +1,21 @@
 /**
- * Reads the events of one gRPC stream at the pace of its consumer. A stream
- * that has ended is never reset: servers close a connection on which many
- * streams are reset.
+ * Reads the events of one gRPC stream at the pace of its consumer, and at most at
+ * that of the process. A stream that has ended is not reset, because servers close
+ * a connection on which many streams are reset, unless messages go on behind it.
  */
 
 import type { ClientReadableStream } from "@grpc/grpc-js";
 import type { RunEvent } from "../generated/mimosatray/v1/agent.ts";
+import type { ResponsePace } from "../process/admission/read_pace.ts";
 import type { AgentEvent } from "../types/agent_calls.ts";
 import { tryParseRunEvent } from "./agent_client_codec.ts";
 
 /** Number of buffered events at which the stream is paused. */
 const maxBufferedEvents = 16;
 
+/** Number of messages behind the last event that are ignored. */
+const maxLateMessages = 16;
+
 /** A reader of one stream. */
 export interface EventReader {
   /** Returns the next event; after the last one, a connection loss. */
@@ -25,11 +29,16 @@
 /** Starts reading a stream. */
 export function createEventReader(
   stream: ClientReadableStream<RunEvent>,
+  pace: ResponsePace,
 ): EventReader {
   const buffered: AgentEvent[] = [];
   let pendingRead: ((event: AgentEvent) => void) | undefined;
   let isFinished = false;
-  let isPaused = false;
+  let lateMessages = 0;
+  /** True while the buffer is full. */
+  let isFull = false;
+  /** True while the next message has to wait. */
+  let isWaiting = false;
   stream.on("data", handleMessage);
   stream.on("end", () => finish(lost));
   // The library's error does not prove whether the attempt has run.
@@ -39,12 +48,32 @@
 
   function handleMessage(message: RunEvent): void {
     const event = tryParseRunEvent(message);
-    if (event === undefined || isFinished) return;
+    // Messages that are ignored cost as much to read as others.
+    waitFor(pace.take(1, { bytes: getDataBytes(event) }));
+    if (isFinished) {
+      if (lateMessages++ === maxLateMessages) stream.cancel();
+      return;
+    }
+    if (event === undefined) return;
     if (event.kind !== "head" && event.kind !== "chunk") return finish(event);
     deliver(event);
     if (buffered.length < maxBufferedEvents) return;
-    isPaused = true;
+    isFull = true;
+    stream.pause();
+  }
+
+  function waitFor(ms: number): void {
+    if (ms === 0 || isWaiting) return;
+    isWaiting = true;
     stream.pause();
+    setTimeout(() => {
+      isWaiting = false;
+      resumeIfDue();
+    }, ms);
+  }
+
+  function resumeIfDue(): void {
+    if (!isFull && !isWaiting) stream.resume();
   }
 
   /** Records the last event; later messages of the stream are ignored. */
@@ -65,9 +94,9 @@
     const event = buffered.shift();
     if (event !== undefined) return Promise.resolve(event);
     if (isFinished) return Promise.resolve(lost);
-    if (isPaused) {
-      isPaused = false;
-      stream.resume();
+    if (isFull) {
+      isFull = false;
+      resumeIfDue();
     }
     return new Promise((resolve) => {
       pendingRead = resolve;
@@ -76,10 +105,15 @@
 
   function close(): void {
     if (isFinished) {
-      if (isPaused) stream.resume();
-      return;
+      if (!isFull) return;
+      isFull = false;
+      return resumeIfDue();
     }
     finish(lost);
     stream.cancel();
   }
 }
+
+function getDataBytes(event: AgentEvent | undefined): number {
+  return event?.kind === "chunk" ? event.data.length : 0;
+}
--- a/src/connection/member_pull.ts
+++ b/src/connection/member_pull.ts
@@ -2,14 +2,15 @@
 
 import {
   credentials,
+  makeGenericClientConstructor,
   Metadata,
   type sendUnaryData,
   type Server,
   type ServerUnaryCall,
   status,
 } from "@grpc/grpc-js";
+import type { ControlServiceClient } from "../generated/mimosatray/v1/control.ts";
 import {
-  ControlServiceClient,
   ControlServiceService,
   type PullMembersRequest,
   PullMembersResponse,
@@ -24,10 +25,16 @@
   type MemberTable,
 } from "../process/membership/member_table.ts";
 import type { Member } from "../types/member.ts";
+import { limitResponses } from "./message_limits.ts";
 
 /** Timeout of a pull, including its connection, in milliseconds. */
 const pullTimeoutMs = 2_000;
 
+const LimitedClient = makeGenericClientConstructor(
+  limitResponses(ControlServiceService),
+  "mimosatray.v1.ControlService",
+) as unknown as typeof ControlServiceClient;
+
 /** What serving pulls needs from the process. */
 export interface MemberPullHost {
   readonly budget: ControlBudget;
@@ -77,7 +84,7 @@
     class: "pull",
   });
   if (!isAllowed) return Promise.resolve(undefined);
-  const client = new ControlServiceClient(
+  const client = new LimitedClient(
     `${from.address}:${from.grpcPort}`,
     credentials.createInsecure(),
   );
--- a/src/connection/message_limits.ts
+++ b/src/connection/message_limits.ts
@@ -9,15 +9,22 @@
  */
 const maxFields = 200_000;
 
-/** Returns a service whose responses are checked before they are decoded. */
+/** Type on the wire of strings, bytes and messages. */
+const lengthDelimited = 2;
+
+/**
+ * Returns a service whose responses are checked before they are decoded. The
+ * fields of a message inside a response count, too, where its number is given.
+ */
 export function limitResponses<Service extends ServiceDefinition>(
   service: Service,
+  { counted = [] }: { readonly counted?: readonly number[] } = {},
 ): Service {
   return Object.fromEntries(
     Object.entries(service).map(([name, method]) => [name, {
       ...method,
       responseDeserialize: (bytes: Buffer): unknown => {
-        checkFields(bytes);
+        checkFields(bytes, counted);
         return method.responseDeserialize(bytes);
       },
     }]),
@@ -25,13 +32,20 @@
 }
 
 /** Throws when a message has too many fields. */
-function checkFields(bytes: Buffer): void {
-  const reader = new BinaryReader(bytes);
-  for (let fields = 0; reader.pos < reader.len; fields++) {
-    if (fields >= maxFields) {
-      throw new Error(`The message has more than ${maxFields} fields`);
+function checkFields(bytes: Buffer, counted: readonly number[]): void {
+  let fields = 0;
+  countFields(bytes, counted);
+
+  function countFields(message: Uint8Array, inside: readonly number[]): void {
+    const reader = new BinaryReader(message);
+    while (reader.pos < reader.len) {
+      if (fields++ >= maxFields) {
+        throw new Error(`The message has more than ${maxFields} fields`);
+      }
+      const [field, wireType] = reader.tag();
+      if (wireType === lengthDelimited && inside.includes(field)) {
+        countFields(reader.bytes(), []);
+      } else reader.skip(wireType, field);
     }
-    const [field, wireType] = reader.tag();
-    reader.skip(wireType, field);
   }
 }
