--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -2,6 +2,13 @@
 
 import { Agent, type IncomingMessage, request as httpRequest } from "node:http";
 import { sleep } from "../harness/wait.ts";
+import {
+  digestHeader,
+  getDigest,
+  readSlowly,
+  sendInPieces,
+  shorten,
+} from "./long_bodies.ts";
 import {
   type CallerRequest,
   type CallerResult,
@@ -32,9 +39,13 @@
 /** Most requests with which a caller takes one stream up. */
 const maxTakes = 3;
 
+/** Copies of the order in a long body, which has some 60 KB. */
+const longBodyOrders = 4_000;
+
 /** Chances of what a caller does, such as leaving a router that answers. */
 const chances = {
   ...{ lastingRoute: 0.7, lastingKey: 0.9, longWork: 0.15, move: 0.02 },
+  leaveRefusal: 0.3,
   ...{ stoppingRouter: 0.2, leaveStream: 0.25, takeUp: 0.9 },
 } as const;
 
@@ -79,7 +90,9 @@
       const path = createPath(request);
       request.result = await send(request, { router, agent, path });
       await takeUpStream(request, path);
-      isOpen = request.result.status !== undefined && !isChance("move");
+      const { status } = request.result;
+      const isLeaving = isChance(status === 503 ? "leaveRefusal" : "move");
+      isOpen = status !== undefined && !isLeaving;
     }
   }
 
@@ -134,7 +147,7 @@
         : [],
       cause: undefined,
       ...{ lastEventId: 0, resumes: undefined },
-      leavesAfter: isLeaving ? 2 : undefined,
+      ...{ leavesAfter: isLeaving ? 2 : undefined, manner: "plain" },
       deadlineMs: 1_500 + Math.floor(host.random() * 1_500),
       sentAt: performance.now(),
       result: undefined,
@@ -183,16 +196,20 @@
   },
 ): Promise<CallerResult> {
   const { id, key, deadlineMs, kind, lastEventId, parts, resumes } = request;
+  const { manner } = request;
   return new Promise((resolve) => {
     let head: IncomingMessage | undefined;
     let headAt: number | undefined;
     let openedAt: number | undefined;
+    let writtenAt: number | undefined;
     let connection: CallerResult["connection"] = "none";
     let gaveUp = false;
     let hasLeft = false;
     let isMalformed = false;
     const chunks: Buffer[] = [];
     const isPost = kind === "unsafe";
+    const body = createBody(request);
+    const isInPieces = manner === "pieces" || manner === "chunked_pieces";
     const message = httpRequest({
       ...{ host: router.address, port: router.port, agent, path },
       method: isPost ? "POST" : "GET",
@@ -202,6 +219,8 @@
         ...(parts.length > 0 ? createPromptHeaders(parts) : {}),
         ...(lastEventId > 0 ? { "last-event-id": lastEventId } : {}),
         ...(resumes === undefined ? {} : { resumes }),
+        ...(isInPieces ? { [digestHeader]: getDigest(body) } : {}),
+        ...(manner === "pieces" ? { "content-length": body.length } : {}),
       },
     });
     const timer = setTimeout(() => {
@@ -223,11 +242,13 @@
       headAt = performance.now();
       response.on("data", (chunk: Buffer) => {
         chunks.push(chunk);
+        if (request.leavesAfter === undefined) return;
         const events = getLastEvent(Buffer.concat(chunks).toString()) ?? 0;
-        if (events < (request.leavesAfter ?? Infinity)) return;
+        if (events < request.leavesAfter) return;
         hasLeft = true;
         message.destroy();
       });
+      if (manner === "slow_reader") readSlowly(response);
       response.on("error", recordError);
       response.on("close", finish);
     });
@@ -235,7 +256,10 @@
       recordError(error);
       if (head === undefined) finish();
     });
-    message.end(isPost ? createBody(request) : undefined);
+    message.on("finish", () => writtenAt = performance.now());
+    if (isInPieces) {
+      void sendInPieces(message, body, { lengthMs: deadlineMs / 4 });
+    } else message.end(isPost ? body : undefined);
 
     function recordError(error: NodeJS.ErrnoException): void {
       isMalformed ||= error.code?.startsWith("HPE_") === true;
@@ -246,8 +270,8 @@
       const headers = head?.headers ?? {};
       resolve({
         ...{ status: head?.statusCode, headAt, gaveUp, isMalformed },
-        ...{ connection, openedAt },
-        body: Buffer.concat(chunks).toString(),
+        ...{ connection, openedAt, writtenAt },
+        body: isStream(kind) ? received() : shorten(received()),
         // What arrives after the caller has left is dropped.
         isComplete: head?.complete === true && !hasLeft,
         signature: headers["x-server-stamp"]?.toString(),
@@ -256,6 +280,10 @@
         endedAt: performance.now(),
       });
     }
+
+    function received(): string {
+      return Buffer.concat(chunks).toString();
+    }
   });
 }
 
@@ -269,6 +297,7 @@
 }
 
 /** Creates a body that is the same each time that a crashing request comes. */
-function createBody({ id, cause }: CallerRequest): string {
+function createBody({ id, cause, manner }: CallerRequest): string {
+  if (manner !== "plain") return `order ${id} `.repeat(longBodyOrders);
   return cause === "request" ? "order that crashes" : `order ${id}`;
 }
--- a/test/soak/crashing_callers.ts
+++ b/test/soak/crashing_callers.ts
@@ -57,7 +57,7 @@
     return {
       ...{ id, router, kind: kinds[cause], prefix, key: lastingKey, cause },
       parts: cause === "part" ? ["shared", prefix, crashingPart, id] : [],
-      ...{ resumes: undefined, leavesAfter: undefined },
+      ...{ resumes: undefined, leavesAfter: undefined, manner: "plain" },
       ...{ lastEventId: 0, deadlineMs: 2_000, sentAt: performance.now() },
       result: undefined,
     };
--- a/test/soak/fault_actions.ts
+++ b/test/soak/fault_actions.ts
@@ -1,6 +1,8 @@
 /** Carries out the faults of a schedule. */
 
 import { sleep } from "../harness/wait.ts";
+import type { CallersHost } from "./callers.ts";
+import { sendBurst } from "./long_callers.ts";
 import type { Operator } from "./operator.ts";
 import type { RouterProcess } from "./router_process.ts";
 import type { Fault, FaultName } from "./schedule.ts";
@@ -25,8 +27,34 @@
 /** Time for which large values are written before a leave, in milliseconds. */
 const leaveDelayMs = 900;
 
+/** Time for which a router is down after a planned stop, in milliseconds. */
+const plannedDownMs = 300;
+
+/** Earliest and latest start of a pause after SIGTERM, in milliseconds. */
+const pauseDelayMs = { least: 1_500, most: 6_500 } as const;
+
+/** Share of the targets that pause beside a stop. */
+const pausedShare = 0.5;
+
+/** Streams of a burst, and the time until they lose their targets, in ms. */
+const burst = { count: 120, pauseDelayMs: 1_000 } as const;
+
+/** Share of the targets of a service that pause beside a burst. */
+const burstPausedShare = 0.6;
+
+/** Orders in which a process gets signals; a variation chooses one. */
+const signalOrders = [
+  ["SIGTERM", "SIGHUP"],
+  ["SIGHUP", "SIGTERM"],
+  ["SIGHUP", "SIGHUP", "SIGTERM", "SIGTERM", "SIGHUP"],
+  ["SIGTERM", "SIGHUP", "SIGTERM", "SIGHUP", "SIGTERM"],
+  ["SIGHUP", "SIGHUP", "SIGHUP"],
+] as const;
+
 /** What the faults act on. */
 export interface FaultHost {
+  /** What callers of a burst need. */
+  readonly callers: CallersHost;
   readonly routers: readonly RouterProcess[];
   readonly targets: readonly SoakTarget[];
   readonly store: SoakStore;
@@ -115,6 +143,50 @@
     ),
   versions_storm: ({ operator }, { lengthMs }) =>
     operator.storm(Math.ceil(lengthMs / stormIntervalMs), stormIntervalMs),
+  routers_roll: async ({ routers }, { lengthMs }) => {
+    const stops: Promise<void>[] = [];
+    for (const router of routers) {
+      stops.push(router.restart(plannedDownMs));
+      await sleep(lengthMs);
+    }
+    await Promise.all(stops);
+  },
+  routers_signals: (host, fault) =>
+    forRouters(host, fault, (router) => sendSignals(router, fault)),
+  routers_stop_freeze: (host, fault) =>
+    forRouters(host, fault, async (router) => {
+      const stop = router.restart(plannedDownMs);
+      await sleep(fault.share * pauseDelayMs.least);
+      await Promise.all([router.freeze(fault.lengthMs), stop]);
+    }),
+  targets_pause: (host, fault) =>
+    forTargets(host, fault, (target) => target.standStill(fault.lengthMs)),
+  stop_beside_pause: async (host, fault) => {
+    const { least, most } = pauseDelayMs;
+    const stops = forRouters(
+      host,
+      fault,
+      (router) => router.restart(plannedDownMs),
+    );
+    await sleep(least + fault.share * (most - least));
+    const paused = takeShare(host.targets, pausedShare, fault);
+    await Promise.all(
+      paused.map((target) => target.standStill(fault.lengthMs)),
+    );
+    await stops;
+  },
+  burst_beside_pause: async (host, fault) => {
+    const { services } = host.callers;
+    const service = services[fault.atMs % services.length] ?? "";
+    const sent = sendBurst(host.callers, { count: burst.count, service });
+    await sleep(burst.pauseDelayMs);
+    const own = host.targets.filter((target) => target.service === service);
+    await Promise.all(
+      takeShare(own, burstPausedShare, fault)
+        .map((target) => target.standStill(fault.lengthMs)),
+    );
+    await sent;
+  },
 };
 
 /** Carries out one fault; resolves when it is over. */
@@ -122,6 +194,32 @@
   return actions[fault.name](host, fault);
 }
 
+/** Sends one of the orders of signals, the first SIGTERM as a planned stop. */
+async function sendSignals(
+  router: RouterProcess,
+  { lengthMs, share }: Fault,
+): Promise<void> {
+  const order = signalOrders[Math.floor(share * signalOrders.length)] ?? [];
+  let stop: Promise<void> | undefined;
+  for (const name of order) {
+    if (name === "SIGTERM" && stop === undefined) {
+      stop = router.restart(plannedDownMs);
+    } else router.signal(name);
+    await sleep(lengthMs);
+  }
+  await stop;
+}
+
+/** Returns a share of the targets; the start of the fault decides which. */
+function takeShare(
+  targets: readonly SoakTarget[],
+  share: number,
+  { atMs }: Fault,
+): readonly SoakTarget[] {
+  const count = Math.ceil(targets.length * share);
+  return targets.filter((_, index) => (index + atMs) % targets.length < count);
+}
+
 /** Lets the store lose other writes and the leave of a target. */
 async function returnStore(host: FaultHost, fault: Fault): Promise<void> {
   const { store } = host;
--- a/test/soak/judge.ts
+++ b/test/soak/judge.ts
@@ -12,6 +12,8 @@
 import { judgeDrain } from "./judge_drain.ts";
 import { judgeEvacuations } from "./judge_evacuations.ts";
 import { judgeLimits } from "./judge_limits.ts";
+import { judgeLosses } from "./judge_losses.ts";
+import { judgeOverlaps } from "./judge_overlaps.ts";
 import { judgeVersions } from "./judge_versions.ts";
 import type { Observations } from "./observations.ts";
 
@@ -29,5 +31,6 @@
     ...[judgeAnswers, judgeBudget, judgeDrain],
     () => judgeConfiguration(wideContext),
     ...[judgeCrashes, judgeEvacuations, judgeLimits, judgeVersions],
+    ...[judgeLosses, judgeOverlaps],
   ].flatMap((judgePart) => judgePart(context));
 }
--- a/test/soak/judge_answers.ts
+++ b/test/soak/judge_answers.ts
@@ -1,33 +1,18 @@
-/** REFUSED, TWICE, MIXED, ORDER and LOST: what callers got for a request. */
+/** REFUSED, TWICE, MIXED, ORDER and UNASKED: what callers got for a request. */
 
 import {
   formatArrivals,
   type JudgeContext,
-  overlaps,
   type Violation,
 } from "./judge_context.ts";
 import {
   type Arrival,
-  bounds,
   type CallerRequest,
   type CallerResult,
   isRepeatable,
   isStream,
-  routeTimeoutMs,
 } from "./observations.ts";
 
-/** Time before the deadline in which an end counts as due to it, in ms. */
-const deadlineSlackMs = 50;
-
-/** Share of the grace period after which work may be cut off. */
-const servingGraceShare = 5 / 6;
-
-/** Time after SIGTERM until which requests may be cut off so, in ms. */
-const earlyRequestMs = 3_000;
-
-/** Time after the grace period in which a stop still counts, in ms. */
-const stopSlackMs = 1_000;
-
 /** Status codes that promise that a request has not run and never will. */
 const refusalStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -52,7 +37,7 @@
       TWICE: tryFindTwice(found),
       MIXED: tryFindMixed(found),
       ORDER: tryFindDisorder(found),
-      LOST: tryFindLost(context, found),
+      UNASKED: tryFindChanged(found),
     } as const;
     return Object.entries(problems).flatMap(([rule, problem]) =>
       problem === undefined ? [] : [{
@@ -87,6 +72,12 @@
     : undefined;
 }
 
+function tryFindChanged({ arrivals }: Case): string | undefined {
+  return arrivals.some(({ hasOtherBody }) => hasOtherBody)
+    ? "another body than the caller's"
+    : undefined;
+}
+
 function tryFindMixed(
   { request, result, arrivals, runs }: Case,
 ): string | undefined {
@@ -139,34 +130,3 @@
     ? `complete after event ${last} of ${total}`
     : undefined;
 }
-
-/** Finds a request that a stop has cut off. */
-function tryFindLost(
-  { storeSpans, getSpans, getLifeStart }: JudgeContext,
-  { request, result: { isComplete, gaveUp, endedAt }, runs }: Case,
-): string | undefined {
-  if (isComplete || gaveUp || runs.length === 0) return undefined;
-  // The caller closed the connection itself.
-  if (request.leavesAfter !== undefined) return undefined;
-  if (runs.some(({ brokeOff }) => brokeOff)) return undefined;
-  const limitMs = Math.min(request.deadlineMs, routeTimeoutMs);
-  if (endedAt - request.sentAt >= limitMs - deadlineSlackMs) return undefined;
-  const { graceMs, contactMs } = bounds;
-  const spans = getSpans(request.router);
-  const stop = spans.findLast(({ kind, from }) =>
-    kind === "stop" && from <= endedAt
-  );
-  const isOfStop = stop !== undefined &&
-    endedAt <= stop.from + graceMs + stopSlackMs &&
-    getLifeStart(request.router, request.sentAt) <= stop.from;
-  if (!isOfStop) return undefined;
-  const unplanned = spans.filter(({ kind }) =>
-    kind !== "stop" && kind !== "exit"
-  );
-  const isExcused = [...unplanned, ...storeSpans].some((span) =>
-    overlaps(span, request.sentAt - contactMs, endedAt)
-  );
-  const isLastOfGrace = endedAt >= stop.from + graceMs * servingGraceShare &&
-    request.sentAt <= stop.from + earlyRequestMs;
-  return isExcused || isLastOfGrace ? undefined : "cut off by a stop";
-}
--- a/test/soak/judge_context.ts
+++ b/test/soak/judge_context.ts
@@ -13,7 +13,7 @@
 /** One case in which a rule was broken. */
 export interface Violation {
   readonly rule:
-    | ("REFUSED" | "TWICE" | "MIXED" | "ORDER" | "LOST")
+    | ("REFUSED" | "TWICE" | "MIXED" | "ORDER" | "LOST" | "UNASKED")
     | ("BUDGET" | "DRAIN" | "EVAC" | "CONFIG" | "LIMIT");
   /** What was seen, with its times since the start of the run. */
   readonly text: string;
@@ -26,12 +26,14 @@
 export function createJudgeContext(observations: Observations) {
   const { routers, storeSpans, largeSpans, startedAt } = observations;
   const spansById = new Map(routers.map(({ id, spans }) => [id, spans]));
+  const starvedById = new Map(routers.map(({ id, starved }) => [id, starved]));
+  const reloadsById = new Map(routers.map(({ id, reloads }) => [id, reloads]));
 
   return {
     ...observations,
     arrivalsById: groupBy(observations.arrivals, ({ requestId }) => requestId),
     ...{ getSpans, isInTouch, isStoreStable, isDisturbed, getLifeStart },
-    hasWideLinks,
+    ...{ getReloads, getStarved, hasWideLinks },
     formatTime: (at: number) => `${((at - startedAt) / 1_000).toFixed(3)} s`,
   };
 
@@ -39,6 +41,15 @@
     return spansById.get(router) ?? [];
   }
 
+  function getReloads(router: string): readonly number[] {
+    return reloadsById.get(router) ?? [];
+  }
+
+  /** Returns when the machine did not let the router run. */
+  function getStarved(router: string): readonly Span[] {
+    return starvedById.get(router) ?? [];
+  }
+
   /** Returns true when the router was in touch, as the rules define it. */
   function isInTouch(router: string, at: number): boolean {
     const from = at - bounds.contactMs;
@@ -77,6 +88,11 @@
   return span.from <= to && span.to >= from;
 }
 
+/** Returns when a target has ended its work on an arrival, or was told to. */
+export function getEndedAt({ completedAt, closedAt }: Arrival): number {
+  return completedAt ?? closedAt ?? Infinity;
+}
+
 /** Groups values by a key. */
 export function groupBy<T>(
   values: readonly T[],
@@ -96,7 +112,13 @@
   { formatTime }: JudgeContext,
   arrivals: readonly Arrival[],
 ): string {
-  return arrivals.map(({ kind, life, at, status = "none" }) =>
-    `${kind} at ${life} ${formatTime(at)} status ${status}`
-  ).join("; ");
+  return arrivals.map((arrival) => {
+    const { kind, life, at, status = "none", completedAt, closedAt } = arrival;
+    const end = completedAt === undefined ? "closed" : "completed";
+    const endedAt = completedAt ?? closedAt;
+    const until = endedAt === undefined ? "" : ` ${end} ${formatTime(endedAt)}`;
+    const brokeOff = arrival.brokeOff ? " broke off" : "";
+    return `${kind} at ${life} ${formatTime(at)} status ${status}${until}` +
+      brokeOff;
+  }).join("; ");
 }
--- a/test/soak/judge_test.ts
+++ b/test/soak/judge_test.ts
@@ -1,85 +1,21 @@
-import { judge } from "./judge.ts";
+import {
+  calmAt,
+  createArrival,
+  createRequest,
+  createRouters,
+  createVersion,
+  findRules,
+  life,
+} from "./judge_fixtures.ts";
 import {
   type Arrival,
   bounds,
   type CallerRequest,
   type CallerResult,
   type Observations,
-  type RouterSpan,
   type SoakRouteKind,
-  type VersionRecord,
 } from "./observations.ts";
 
-/** A time at which everything has been calm for long, in milliseconds. */
-const calmAt = 20_000;
-
-const life = "t0#1";
-
-function createRequest(
-  kind: SoakRouteKind,
-  result: Partial<CallerResult> = {},
-  { id = "q", sentAt = calmAt } = {},
-): CallerRequest {
-  return {
-    ...{ id, router: "r0", kind, prefix: "/a/", key: "key", sentAt },
-    ...{ lastEventId: 0, deadlineMs: 3_000, parts: [], cause: undefined },
-    ...{ resumes: undefined, leavesAfter: undefined },
-    result: {
-      ...{ status: 200, body: "whole", isComplete: true, gaveUp: false },
-      ...{ isMalformed: false, signature: life, isLeaving: false },
-      ...{ responseId: id, headAt: sentAt + 20, endedAt: sentAt + 30 },
-      ...{ connection: "kept", openedAt: undefined },
-      ...result,
-    },
-  };
-}
-
-function createArrival(changes: Partial<Arrival> = {}): Arrival {
-  return {
-    ...{ requestId: "q", router: "r0", life, targetId: "t0", service: "a" },
-    zone: "zone-a",
-    ...{ at: calmAt + 5, lastEventId: 0, workspace: "ws", kind: "run" },
-    cause: undefined,
-    ...{ status: 200, body: "whole", completedAt: undefined, brokeOff: false },
-    ...changes,
-  };
-}
-
-function createVersion(
-  version: number,
-  { at, service }: { readonly at: number; readonly service: string },
-): VersionRecord {
-  return {
-    ...{ version, sentAt: at, acks: [{ from: at, to: Infinity }] },
-    routes: new Map([["/a/", { kind: "safe", service }]]),
-    keys: new Map([["key", "ws"]]),
-  };
-}
-
-/** A router that had a disruption of 10 ms. */
-function createRouters(
-  kind: RouterSpan["kind"],
-  from: number,
-): Observations["routers"] {
-  const start = { kind: "start", from: 0, to: 0 } as const;
-  return [{ id: "r0", spans: [start, { kind, from, to: from + 10 }] }];
-}
-
-/** Returns the rules that were broken, by default by one request. */
-function findRules(seen: Partial<Observations>): readonly string[] {
-  const violations = judge({
-    requests: [createRequest("safe")],
-    arrivals: [createArrival()],
-    versions: [createVersion(1, { at: 0, service: "a" })],
-    routers: createRouters("start", 0),
-    ...{ startedAt: 0, pauses: [], entries: [], storeSpans: [] },
-    ...{ limits: [], limitNotices: [], lives: [] },
-    ...{ largeSpans: [], evacuations: [] },
-    ...seen,
-  });
-  return violations.map(({ rule }) => rule);
-}
-
 function createEvent(id: number, run = life): string {
   return `id: ${id}\ndata: q ${run} ${id}/2\n\n`;
 }
@@ -182,6 +118,11 @@
       expect(find("safe")).toEqual([]);
     });
 
+    it("finds a target that got another body", () => {
+      const arrivals = [createArrival({ hasOtherBody: true })];
+      expect(findRules({ arrivals })).toEqual(["UNASKED"]);
+    });
+
     it("finds work that ran twice, also late", () => {
       const late = createArrival({ at: calmAt + 9_000 });
       const requests = [createRequest("unsafe")];
--- a/test/soak/judge_timeouts_test.ts
+++ b/test/soak/judge_timeouts_test.ts
@@ -22,7 +22,7 @@
   const arrival = { requestId: "q", at: arrivedAt } as unknown as Arrival;
   const context = createJudgeContext({
     ...{ startedAt: 0, requests: [request], storeSpans: [] },
-    routers: [{ id: "r0", spans }],
+    routers: [{ id: "r0", spans, reloads: [] }],
     arrivals: arrivedAt === undefined ? [] : [arrival],
     ...{ pauses: [], limits: [], limitNotices: [], lives: [] },
     ...{ largeSpans: [], evacuations: [] },
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,6 +1,7 @@
 /**
  * Command of the soak: `npm run soak -- --seeds 1..50 --jobs 3`, or `--seeds 3,8`.
- * Each seed runs in a process of its own, with `--seed`. With `--press` routers
+ * Each seed runs in a process of its own, with `--seed`. Every third one (2, 5, 8)
+ * plays planned work alone, beside targets that pause or fail. With `--press` routers
  * get more than they can bear in place of faults, and timeouts are judged. With
  * `--flood` targets send responses without end, and the router's memory and what
  * other callers get are judged.
--- a/test/soak/observations.ts
+++ b/test/soak/observations.ts
@@ -44,9 +44,17 @@
   status: number | undefined;
   /** The whole body of the response, also if it breaks off. */
   body: string;
+  /** When its response was whole, whatever that says. */
   completedAt: number | undefined;
-  /** True when the target broke its response off or sent none. */
+  /** When its connection closed before that, as the target saw it. */
+  closedAt: number | undefined;
+  /**
+   * True when the target broke its response off, sent none, or sent bytes on the
+   * connection that name no request or another one.
+   */
   brokeOff: boolean;
+  /** True when another body than the caller's arrived. */
+  hasOtherBody: boolean;
 }
 
 /** A 503 with `Retry-After` that a target sent to a router. */
@@ -102,9 +110,17 @@
   readonly connection: "none" | "new" | "kept";
   /** When its new connection was open. */
   readonly openedAt: number | undefined;
+  /** When the last byte of the request was written; undefined before that. */
+  readonly writtenAt: number | undefined;
   readonly endedAt: number;
 }
 
+/**
+ * How a caller sends a body and takes the response: in one piece each, with the
+ * body in pieces of a known or unknown total length, or reading at a trickle.
+ */
+export type Manner = "plain" | "pieces" | "chunked_pieces" | "slow_reader";
+
 /** A request as its caller sent it. */
 export interface CallerRequest {
   readonly id: string;
@@ -122,6 +138,7 @@
   readonly resumes: string | undefined;
   /** Number of events after which the caller leaves; undefined if it stays. */
   readonly leavesAfter: number | undefined;
+  readonly manner: Manner;
   readonly deadlineMs: number;
   readonly sentAt: number;
   result: CallerResult | undefined;
@@ -168,9 +185,15 @@
   readonly routers: readonly {
     readonly id: string;
     readonly spans: readonly RouterSpan[];
+    /** When its process got a SIGHUP. */
+    readonly reloads: readonly number[];
+    /** When its process waited for the machine, without a quota. */
+    readonly starved?: readonly Span[];
   }[];
   /** Times in which the store did not serve as it should. */
   readonly storeSpans: readonly Span[];
+  /** Times in which the observing process was busy or had no processor. */
+  readonly busySpans?: readonly Span[];
   /** Times in which a large value was written again and again. */
   readonly largeSpans: readonly Span[];
   readonly evacuations: readonly EvacuationSpan[];
@@ -179,7 +202,7 @@
 /** Bounds of the users' rules. */
 export const bounds = {
   ...{ contactMs: 3_000, drainMs: 2_000, configApplyMs: 2_000 },
-  evacuateMs: 2_000,
+  ...{ evacuateMs: 2_000, lossSlackMs: 200, overlapMs: 400 },
   ...{ revertSlackMs: 250, graceMs: 8_000 },
   ...{ limitWindowMs: 4_000, limitRatio: 1.5, limitSlack: 5 },
   ...{
@@ -195,9 +218,20 @@
   ...{ safe: 3, unsafe: 1, stream: 1, resumable: 3 },
 };
 
-/** Time that a route allows a request, in milliseconds. */
+/** Time that most routes allow a request, in milliseconds. */
 export const routeTimeoutMs = 4_000;
 
+/** Begin of the prefixes of routes that allow long requests. */
+export const longPrefix = "/long-";
+
+/** Time that these routes allow, in milliseconds. */
+export const longTimeoutMs = 12_000;
+
+/** Returns the time that the route of a prefix allows, in milliseconds. */
+export function getTimeoutMs(prefix: string): number {
+  return prefix.startsWith(longPrefix) ? longTimeoutMs : routeTimeoutMs;
+}
+
 /** Returns true for requests that may run more than once. */
 export function isRepeatable(kind: SoakRouteKind): boolean {
   return kind === "safe" || kind === "resumable";
--- a/test/soak/operator.ts
+++ b/test/soak/operator.ts
@@ -3,7 +3,8 @@
 import { sleep } from "../harness/wait.ts";
 import {
   attemptsByKind,
-  routeTimeoutMs,
+  getTimeoutMs,
+  longPrefix,
   type SoakRoute,
   type SoakRouteKind,
   type VersionRecord,
@@ -30,6 +31,12 @@
   attemptsByKind,
 ) as readonly SoakRouteKind[];
 
+/** Goals of routes. */
+const goals = { GoalMs: 500, GapGoalMs: 400 } as const;
+
+/** Goals of routes for long requests, those of a reported case. */
+const longGoals = { GoalMs: 300, GapGoalMs: 250 } as const;
+
 /** Interval at which the store is looked at, in milliseconds. */
 const checkIntervalMs = 50;
 
@@ -44,6 +51,11 @@
   return `/${kind}-${service}/`;
 }
 
+/** Returns the prefix of the route of a kind to a service for long requests. */
+export function getLongPrefix(kind: SoakRouteKind, service: string): string {
+  return `${longPrefix}${kind}-${service}/`;
+}
+
 /** Returns the kind of a route that versions add, move or drop. */
 export function getChangingKind(prefix: string): SoakRouteKind {
   const index = Number(/\d/.exec(prefix)?.[0] ?? 0);
@@ -54,7 +66,7 @@
 export function createOperator(
   host: { readonly store: SoakStore; random(): number },
   services: readonly string[],
-  { timeoutMs = routeTimeoutMs }: { readonly timeoutMs?: number } = {},
+  { timeoutMs }: { readonly timeoutMs?: number } = {},
 ) {
   const versions: VersionRecord[] = [];
   const moved = new Map<string, string>();
@@ -119,6 +131,7 @@
     for (const service of services) {
       for (const kind of routeKinds) {
         routes.set(getLastingPrefix(kind, service), { kind, service });
+        routes.set(getLongPrefix(kind, service), { kind, service });
       }
     }
     for (const prefix of [...movingPrefixes, ...extras]) {
@@ -141,7 +154,7 @@
   { version, routes, keys }: VersionRecord,
   { services, timeoutMs }: {
     readonly services: readonly string[];
-    readonly timeoutMs: number;
+    readonly timeoutMs: number | undefined;
   },
 ): unknown {
   return {
@@ -150,7 +163,8 @@
       ...{ Name: prefix, Host: soakHost, Prefix: prefix, Service: service },
       Type: kind === "resumable" ? "stream" : kind,
       Resumable: kind === "resumable",
-      ...{ TimeoutMs: timeoutMs, GoalMs: 500, GapGoalMs: 400 },
+      TimeoutMs: timeoutMs ?? getTimeoutMs(prefix),
+      ...(prefix.startsWith(longPrefix) ? longGoals : goals),
       ...{ Priority: 1, Attempts: attemptsByKind[kind], Public: false },
     })),
     Services: services.map((Name) => ({
--- a/test/soak/press_callers.ts
+++ b/test/soak/press_callers.ts
@@ -79,7 +79,8 @@
       ...{ id: `${host.run}-${host.requests.length}`, router: router.id, kind },
       ...{ prefix: getPrefix(kind), key: lastingKey, parts: [] },
       ...{ cause: undefined, lastEventId: 0, resumes: undefined },
-      ...{ leavesAfter: undefined, deadlineMs, sentAt: performance.now() },
+      ...{ leavesAfter: undefined, manner: "plain", deadlineMs },
+      sentAt: performance.now(),
       result: undefined,
     };
     host.requests.push(request);
--- a/test/soak/router_process.ts
+++ b/test/soak/router_process.ts
@@ -4,7 +4,7 @@
 import { settingsVariable } from "../../src/platform/wire_names.ts";
 import { type Child, startChild } from "../harness/child.ts";
 import { sleep } from "../harness/wait.ts";
-import { bounds, type RouterSpan } from "./observations.ts";
+import { bounds, type RouterSpan, type Span } from "./observations.ts";
 import type { SoakStore } from "./soak_store.ts";
 
 /** Ports at the router's own address. */
@@ -16,6 +16,9 @@
 /** Time after which a router that ended by itself is started again, in ms. */
 const ownExitDelayMs = 500;
 
+/** Time from the start of a process in which it gets no signals, in ms. */
+const handlerDelayMs = 1_500;
+
 /** Period of a quota of processor time, in milliseconds. */
 const quotaPeriodMs = 100;
 
@@ -49,6 +52,8 @@
 export function createRouterProcess(options: RouterProcessOptions) {
   const { id, address, directory } = options;
   const spans: RouterSpan[] = [];
+  const reloads: number[] = [];
+  const starved: Span[] = [];
   let child: Child | undefined;
   let starts = 0;
   let ownExits = 0;
@@ -60,7 +65,7 @@
   writeFileSync(settingsFile, JSON.stringify(createSettings(options)));
 
   return {
-    ...{ id, spans, address, port: ports.frontend },
+    ...{ id, spans, reloads, starved, address, port: ports.frontend },
     /** Returns true while a process runs, frozen or not. */
     isRunning: () => child !== undefined,
     /** Returns true between SIGTERM and the end of the process. */
@@ -68,7 +73,8 @@
     getPid: () => child?.pid,
     /** Returns how often a process ended without being told to. */
     countOwnExits: () => ownExits,
-    ...{ start, restart, kill, freeze, cutOff, end, throttle },
+    ...{ start, restart, signal, kill, freeze, cutOff, end, throttle },
+    watchStarvation,
   };
 
   function start(): void {
@@ -111,6 +117,18 @@
     start();
   }
 
+  /**
+   * Sends one more signal to the process: a SIGHUP, or a SIGTERM while it stops.
+   * One that has just started has no handler yet, which is not judged.
+   */
+  function signal(name: "SIGHUP" | "SIGTERM"): void {
+    const now = performance.now();
+    if (child === undefined || now < child.startedAt + handlerDelayMs) return;
+    if (name === "SIGTERM" && !isStopping) return;
+    if (name === "SIGHUP") reloads.push(now);
+    child.signal(name);
+  }
+
   /** Sends SIGKILL and starts the next process. */
   async function kill(downMs: number): Promise<void> {
     if (child === undefined) return;
@@ -170,6 +188,21 @@
     }
   }
 
+  /** Records when the process waits for the machine; returns what ends this. */
+  function watchStarvation(): () => void {
+    let from = performance.now();
+    let before = getProcessorTimes();
+    const timer = setInterval(() => {
+      const to = performance.now();
+      const times = getProcessorTimes();
+      const waitedMs = times.waitedMs - before.waitedMs;
+      if (waitedMs > maxWaitedMs) starved.push({ from, to });
+      from = to;
+      before = times;
+    }, quotaPeriodMs);
+    return () => clearInterval(timer);
+  }
+
   /** Returns how long the main thread has run, and waited to run, in ms. */
   function getProcessorTimes(): { usedMs: number; waitedMs: number } {
     const none = { usedMs: 0, waitedMs: 0 };
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -63,6 +63,15 @@
   },
   target_crash: { weight: 3, lengthMs: [300, 2_500], ...ofTargets },
   versions_storm: { weight: 3, lengthMs: [800, 2_000], ...ofStore },
+  /** SIGTERM to all in turn; the length is the time from one to the next. */
+  routers_roll: { weight: 0, lengthMs: [800, 3_500], ...ofStore },
+  /** SIGTERM and SIGHUP, in turn and several of each. */
+  routers_signals: { weight: 0, lengthMs: [100, 900], ...ofRouters },
+  routers_stop_freeze: { weight: 0, lengthMs: [300, 2_000], ...ofRouters },
+  targets_pause: { weight: 0, lengthMs: [1_000, 3_000], ...ofAnswers },
+  stop_beside_pause: { weight: 0, lengthMs: [1_200, 3_000], ...ofRouters },
+  /** Many streams at once, which then all lack a target that answers. */
+  burst_beside_pause: { weight: 0, lengthMs: [1_700, 3_000], ...ofStore },
 } as const satisfies Record<string, FaultShape>;
 
 /** Name of a fault. */
@@ -90,6 +99,41 @@
   ...["nameless_503", "stray", "stray", "stray_nameless"] as const,
 ];
 
+/** Answers without a proof, of which some come from targets that have run. */
+const unprovedAnswers: readonly AnswerName[] = [
+  ...["pause", "pause", "ran_421", "ran_400", "ran_421_unsigned"] as const,
+  ...["ran_429_unsigned", "ran_503_unsigned", "ran_400_unsigned"] as const,
+  ...["ran_421", "ran_429", "ran_503", "nameless_421"] as const,
+];
+
+/** Faults of planned work, which each planned schedule has, and more of them. */
+const plannedFaults: readonly FaultName[] = [
+  ...["stop_beside_pause", "stop_beside_pause", "burst_beside_pause"] as const,
+  ...["routers_signals", "target_answers", "targets_pause"] as const,
+];
+
+/** Further faults of a planned schedule, drawn from these. */
+const drawnPlannedFaults: readonly FaultName[] = [
+  ...plannedFaults,
+  ...["routers_stop", "versions_storm", "target_draining"] as const,
+  ...["target_answers", "target_answers", "target_leaving"] as const,
+];
+
+/** Number of these. */
+const drawnPlannedCount = 4;
+
+/** Faults that come in addition to those of unplanned work, drawn from these. */
+const addedFaults: readonly FaultName[] = [
+  ...["routers_signals", "routers_stop_freeze", "targets_pause"] as const,
+  ...["stop_beside_pause", "burst_beside_pause", "target_answers"] as const,
+];
+
+/** Number of these. */
+const addedCount = 3;
+
+/** Of so many seeds, one has planned work only. */
+const plannedSeedPeriod = 3;
+
 /** Time before the first fault and after the last start of one, in ms. */
 const calmMs = { before: 1_500, after: 5_000 } as const;
 
@@ -102,25 +146,81 @@
 /** Chance that a fault comes as a series. */
 const seriesChance = 0.35;
 
+/** What a schedule is drawn for. */
+interface ScheduleOptions {
+  readonly durationMs: number;
+  readonly routers: number;
+  readonly targets: number;
+}
+
+/** Returns true for seeds with no disruption but planned work and targets. */
+export function isPlannedSeed(seed: number): boolean {
+  return seed % plannedSeedPeriod === plannedSeedPeriod - 1;
+}
+
 /** Draws a schedule; its faults overlap and come in series. */
 export function createSchedule(
   random: () => number,
-  { durationMs, routers, targets }: {
-    readonly durationMs: number;
-    readonly routers: number;
-    readonly targets: number;
-  },
+  options: ScheduleOptions,
 ): readonly Fault[] {
   const names = (Object.keys(faultShapes) as FaultName[]).flatMap((name) =>
     Array.from({ length: faultShapes[name].weight }, () => name)
   );
-  const latestMs = durationMs - calmMs.after;
+  const { durationMs, routers, targets } = options;
   const length = Math.round(baseCount + (routers + targets) * countPerMember);
+  const draws = createDraws(random, options, faultyAnswers);
+  const { drawSeries, drawFault, drawBetween, pick } = draws;
   const drawn = Array.from({ length }, () => pick(names)).flatMap(drawSeries);
-  const lossMs = drawBetween(calmMs.before, latestMs);
-  return [...drawn, drawFault("routers_lost", lossMs)]
-    .filter(({ atMs }) => atMs < latestMs)
+  const lossMs = drawBetween(calmMs.before, durationMs - calmMs.after);
+  return sortFaults([...drawn, drawFault("routers_lost", lossMs)], options);
+}
+
+/** Draws what comes in addition, from a source of its own. */
+export function createAddedFaults(
+  random: () => number,
+  options: ScheduleOptions,
+): readonly Fault[] {
+  const { pick, drawSeries } = createDraws(random, options, unprovedAnswers);
+  const names = Array.from({ length: addedCount }, () => pick(addedFaults));
+  return sortFaults(names.flatMap(drawSeries), options);
+}
+
+/** Draws a schedule of planned work, beside targets that misbehave. */
+export function createPlannedSchedule(
+  random: () => number,
+  options: ScheduleOptions,
+): readonly Fault[] {
+  const draws = createDraws(random, options, unprovedAnswers);
+  const { pick, drawSeries, drawFault, drawBetween } = draws;
+  const latestMs = options.durationMs - calmMs.after;
+  const drawn = Array.from(
+    { length: drawnPlannedCount },
+    () => pick(drawnPlannedFaults),
+  );
+  const rollMs = drawBetween(calmMs.before, latestMs / 2);
+  return sortFaults([
+    ...[...plannedFaults, ...drawn].flatMap(drawSeries),
+    drawFault("routers_roll", rollMs),
+  ], options);
+}
+
+function sortFaults(
+  faults: readonly Fault[],
+  { durationMs }: ScheduleOptions,
+): readonly Fault[] {
+  return faults.filter(({ atMs }) => atMs < durationMs - calmMs.after)
     .sort((left, right) => left.atMs - right.atMs);
+}
+
+/** Creates the draws of one source. */
+function createDraws(
+  random: () => number,
+  { durationMs, routers, targets }: ScheduleOptions,
+  faulty: readonly AnswerName[],
+) {
+  const latestMs = durationMs - calmMs.after;
+
+  return { drawSeries, drawFault, drawBetween, pick };
 
   function drawSeries(name: FaultName): readonly Fault[] {
     const count = random() < seriesChance ? 2 + Math.floor(random() * 3) : 1;
@@ -140,7 +240,7 @@
       ...{ name, atMs: Math.round(atMs) },
       lengthMs: Math.round(drawBetween(...shape.lengthMs)),
       members: drawMembers(total, breadths[pick(shape.breadths)]),
-      answer: pick(faultyAnswers),
+      answer: pick(faulty),
       share: random(),
     };
   }
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -3,7 +3,7 @@
 import { mkdirSync, rmSync, writeFileSync } from "node:fs";
 import { sleep } from "../harness/wait.ts";
 import { createSeededRandom } from "../support/seeded_random.ts";
-import { startCallers } from "./callers.ts";
+import { type CallersHost, startCallers } from "./callers.ts";
 import { startCrashingCallers } from "./crashing_callers.ts";
 import { runFault } from "./fault_actions.ts";
 import { judge } from "./judge.ts";
@@ -20,7 +20,14 @@
 } from "./observations.ts";
 import { createOperator } from "./operator.ts";
 import { createRouterProcess } from "./router_process.ts";
-import { createSchedule, formatFault } from "./schedule.ts";
+import { type LongCallerCounts, startLongCallers } from "./long_callers.ts";
+import {
+  createAddedFaults,
+  createPlannedSchedule,
+  createSchedule,
+  formatFault,
+  isPlannedSeed,
+} from "./schedule.ts";
 import { allocateNetwork } from "./soak_network.ts";
 import { startSoakStore } from "./soak_store.ts";
 import { createSoakTarget } from "./soak_target.ts";
@@ -55,6 +62,20 @@
 /** Callers per router, and of all routers together at most. */
 const callerCounts = { perRouter: 9, most: 120 } as const;
 
+/** Callers whose requests last long, per router. */
+const longCallerCounts: LongCallerCounts = {
+  ...{ stream: 1, slowReader: 0, pieces: 0, chunkedPieces: 1 },
+};
+
+/**
+ * Callers beside planned work: few ask often, so that repeats of the others may
+ * use up what is granted.
+ */
+const plannedCounts = {
+  perRouter: 2,
+  long: { stream: 6, slowReader: 1, pieces: 1, chunkedPieces: 1 },
+} as const;
+
 /** Interval between configurations outside of storms, in milliseconds. */
 const changeIntervalMs = 900;
 
@@ -110,12 +131,25 @@
     })
   );
   const operator = createOperator({ store, random: createRandom(1) }, services);
-  const schedule = createSchedule(createRandom(2), options);
+  const isPlanned = isPlannedSeed(seed);
+  const watches: (() => void)[] = [];
+  const schedule = isPlanned
+    ? createPlannedSchedule(createRandom(5), options)
+    : [
+      ...createSchedule(createRandom(2), options),
+      // From a source of their own, so that the others stay as they were.
+      ...createAddedFaults(createRandom(5), options),
+    ].sort((left, right) => left.atMs - right.atMs);
+  const createHost = (stream: number): CallersHost => ({
+    ...{ routers, services, requests, random: createRandom(stream) },
+    run: `q${seed}`,
+  });
 
   try {
     await operator.change();
     await Promise.all(targets.map((target) => target.start()));
     routers.forEach((router) => router.start());
+    watches.push(...routers.map((router) => router.watchStarvation()));
     await sleep(startMs);
     const startedAt = performance.now();
     await play();
@@ -125,34 +159,41 @@
       ...{ lives, routers },
       ...{ versions: operator.versions, entries: store.entries },
       ...{ storeSpans: store.spans, largeSpans: store.largeSpans },
-      evacuations: store.evacuations,
+      ...{ evacuations: store.evacuations, busySpans: clock.busySpans },
     }, longestBusyMs);
   } finally {
     operator.stop();
     clock.stop();
+    watches.forEach((stopWatch) => stopWatch());
     await Promise.all(routers.map((router) => router.end()));
     await Promise.all(targets.map((target) => target.close()));
     await store.close();
   }
 
   async function play(): Promise<void> {
-    const stopCallers = startCallers({
-      ...{ routers, services, requests, random: createRandom(3) },
-      run: `q${seed}`,
-    }, Math.min(callerCounts.most, options.routers * callerCounts.perRouter));
-    const stopCrashingCallers = startCrashingCallers({
-      ...{ routers, services, requests, random: createRandom(4) },
-      run: `q${seed}`,
-    });
+    const perRouter = (isPlanned ? plannedCounts : callerCounts).perRouter;
+    const stops = [
+      startCallers(
+        createHost(3),
+        Math.min(callerCounts.most, options.routers * perRouter),
+      ),
+      startLongCallers(
+        createHost(6),
+        isPlanned ? plannedCounts.long : longCallerCounts,
+      ),
+      // Targets that crash are no planned work.
+      ...(isPlanned ? [] : [startCrashingCallers(createHost(4))]),
+    ];
+    const callers = createHost(7);
     const changes = setInterval(() => void operator.change(), changeIntervalMs);
     const faults = schedule.map(async (fault) => {
       await sleep(fault.atMs);
-      await runFault({ routers, targets, store, operator }, fault);
+      await runFault({ callers, routers, targets, store, operator }, fault);
     });
     await Promise.all([sleep(durationMs), ...faults]);
     await sleep(settleMs);
     clearInterval(changes);
-    await Promise.all([stopCallers(), stopCrashingCallers()]);
+    await Promise.all(stops.map((stop) => stop()));
   }
 
   function finish(
--- a/test/soak/soak_target.ts
+++ b/test/soak/soak_target.ts
@@ -17,6 +17,7 @@
   LimitSpan,
   TargetLife,
 } from "./observations.ts";
+import { createBodyRecord, shorten } from "./long_bodies.ts";
 import type { SoakStore } from "./soak_store.ts";
 import { type AnswerName, answers, createEvents } from "./target_answers.ts";
 
@@ -90,10 +91,14 @@
   let limit: LimitSpan | undefined;
   let version: string = versions[Math.floor(index / 2) % versions.length] ?? "";
   let currentLife: TargetLife | undefined;
+  let stillUntil = 0;
   let server: Server | undefined;
   const heartbeat = setInterval(tryWriteEntry, heartbeatMs);
 
-  return { start, misbehave, sayLeaving, nameLimit, leave, crash, close };
+  return {
+    ...{ service, start, misbehave, standStill, sayLeaving, nameLimit },
+    ...{ leave, crash, close },
+  };
 
   async function start(keepsId = true): Promise<void> {
     incarnation++;
@@ -139,6 +144,21 @@
     faults.delete(fault);
   }
 
+  /** Does no work for a time, and goes on with all requests then. */
+  async function standStill(lengthMs: number): Promise<void> {
+    stillUntil = Math.max(stillUntil, performance.now() + lengthMs);
+    await sleep(lengthMs);
+  }
+
+  /** Acts after a time, and not while the target stands still. */
+  function after(ms: number, act: () => void): void {
+    setTimeout(() => {
+      const stillMs = stillUntil - performance.now();
+      if (stillMs > 0) after(stillMs, act);
+      else act();
+    }, ms);
+  }
+
   /** Names in all answers a rate that it takes, for a time. */
   async function nameLimit(perS: number, lengthMs: number): Promise<void> {
     if (state !== "ready") return;
@@ -219,7 +239,8 @@
     server = undefined;
     host.arrivals
       .filter((arrival) =>
-        arrival.life === life && arrival.completedAt === undefined
+        arrival.life === life && arrival.completedAt === undefined &&
+        arrival.closedAt === undefined
       )
       .forEach((arrival) => arrival.brokeOff = true);
     stopped?.closeAllConnections();
@@ -229,13 +250,13 @@
   function handle(request: IncomingMessage, response: ServerResponse): void {
     request.on("error", () => undefined);
     response.on("error", () => undefined);
-    request.resume();
     const { headers, socket } = request;
     const router = headers["x-via"]?.toString();
-    if (router === undefined) return void response.end();
+    const body = createBodyRecord(request);
+    if (router === undefined) return after(0, () => response.end());
     const requestId = String(headers["x-request-id"]);
     const { searchParams } = new URL(request.url ?? "/", "http://target");
-    const [events = 0, stepMs = 0] = ["events", "ms"]
+    const [events = 0, stepMs = 0, size = 0] = ["events", "ms", "size"]
       .map((name) => Number(searchParams.get(name)));
     const work = { events, stepMs };
     const arrival: Arrival = {
@@ -245,9 +266,16 @@
       workspace: headers["x-tenant"]?.toString(),
       cause: getCrashCause(searchParams.get("crash")),
       ...{ kind: "run", status: undefined, body: "" },
-      ...{ completedAt: undefined, brokeOff: false },
+      ...{ completedAt: undefined, closedAt: undefined, brokeOff: false },
+      hasOtherBody: false,
     };
     host.arrivals.push(arrival);
+    response.on("finish", () => arrival.completedAt = performance.now());
+    response.on("close", () => {
+      if (response.writableFinished) return;
+      arrival.closedAt = host.clock.getEarliest();
+    });
+    request.on("end", () => arrival.hasOtherBody = body.isOther());
     if (arrival.cause !== undefined && headers["x-expect-instance"] === id) {
       if (searchParams.get("moment") !== "event") return crashNow();
       sendFirstEvent(response, arrival);
@@ -260,9 +288,10 @@
     if (isLeaving) response.setHeader("Server-Leaving", "1");
     if (limit !== undefined) sendLimit(limit, { router, response });
     response.setHeader("X-Instance", id);
-    arrival.body = work.events > 0
+    const text = work.events > 0
       ? createEvents(arrival, work).join("")
-      : `${requestId} ${life} ${"x".repeat(work.stepMs * 10)}`;
+      : `${requestId} ${life} ${"x".repeat(size || work.stepMs * 10)}`;
+    arrival.body = shorten(text);
     const fault = [...faults].find(({ share }) => host.random() < share);
     const retryAfterS = fault?.retryAfterS ?? 0;
     response.on("finish", () => {
@@ -274,10 +303,15 @@
       }
     });
     const isExpected = headers["x-expect-instance"] === id;
-    answers[isExpected ? fault?.answer ?? "served" : "wrong_target"]({
-      ...{ request, response, arrival, work, previousId, retryAfterS },
-      share: host.random(),
-    });
+    const exchange = {
+      ...{ request, response, arrival, work, previousId, retryAfterS, after },
+      ...{ body: text, share: host.random() },
+    };
+    const answer = answers[
+      isExpected ? fault?.answer ?? "served" : "wrong_target"
+    ];
+    if (body.isLong) request.on("end", () => answer(exchange));
+    else answer(exchange);
   }
 
   function sendLimit(
--- a/test/soak/target_answers.ts
+++ b/test/soak/target_answers.ts
@@ -27,8 +27,22 @@
   readonly retryAfterS: number;
   /** A number from 0 up to 1 that varies the answer. */
   readonly share: number;
+  /** The whole body of the response, where it has no events. */
+  readonly body: string;
+  /** Acts after a time, and not while the target stands still. */
+  after(ms: number, act: () => void): void;
 }
 
+/** Shortest and longest pause in the middle of an answer, in milliseconds. */
+const pausesMs = { least: 1_000, most: 3_000 } as const;
+
+/** What a head lacks. */
+interface HeadOptions {
+  readonly isUnsigned?: boolean;
+}
+
+const unsigned: HeadOptions = { isUnsigned: true };
+
 /** Ways to answer, by name. */
 export type AnswerName = keyof typeof answers;
 
@@ -42,6 +56,20 @@
   ran_503_pause: (exchange) => runAndFail(withPause(exchange), 503),
   ran_429: (exchange) => runAndFail(exchange, 429),
   ran_408: (exchange) => runAndFail(exchange, 408),
+  ran_421: (exchange) => runAndFail(exchange, 421),
+  ran_400: (exchange) => runAndFail(exchange, 400),
+  ran_421_unsigned: (exchange) => runAndFail(exchange, 421, unsigned),
+  ran_429_unsigned: (exchange) => runAndFail(exchange, 429, unsigned),
+  ran_503_unsigned: (exchange) => runAndFail(exchange, 503, unsigned),
+  ran_400_unsigned: (exchange) => runAndFail(exchange, 400, unsigned),
+  /** Sends nothing for a time in the middle of an answer, and ends it whole. */
+  pause: (exchange) => {
+    const { share, work } = exchange;
+    const { least, most } = pausesMs;
+    const pauseMs = least + share * (most - least);
+    if (work.events > 0) sendEvents(exchange, { pauseMs });
+    else sendBodyAfterPause(exchange, pauseMs);
+  },
   error_500: (exchange) => runAndFail(exchange, 500),
   reset: (exchange) =>
     serveUntil(exchange, () => exchange.request.socket.resetAndDestroy()),
@@ -54,10 +82,12 @@
   },
   nameless_421: ({ response, arrival }) => {
     arrival.kind = "wrong_target";
+    arrival.brokeOff = true;
     response.writeHead(421, { "X-Instance": "another" }).end();
   },
   nameless_503: ({ response, arrival }) => {
     arrival.kind = "not_run";
+    arrival.brokeOff = true;
     response.writeHead(503, { "X-Not-Run": "full" }).end();
   },
   /** An extra response to the request before, in place of this one's. */
@@ -83,10 +113,11 @@
 
 /** Writes an extra response where the connection has carried a request. */
 function writeStray(
-  { request, share, previousId }: Exchange,
+  { request, share, previousId, arrival }: Exchange,
   identity: readonly string[],
 ): void {
   if (previousId === undefined) return;
+  arrival.brokeOff = true;
   const heads = identity.length > 0 ? strayHeads : strayHeads.slice(0, 2);
   const head = heads[Math.floor(share * heads.length)] ?? [];
   const lines = [...head, ...identity, "Content-Length: 0", "", ""];
@@ -110,15 +141,35 @@
 }
 
 /** Runs the request and answers with a failure that does not say "not run". */
-function runAndFail(exchange: Exchange, status: number): void {
-  exchange.arrival.body = `failed ${exchange.arrival.requestId}`;
-  setTimeout(() => sendBody(exchange, status), exchange.work.stepMs);
+function runAndFail(
+  exchange: Exchange,
+  status: number,
+  options: HeadOptions = {},
+): void {
+  const { arrival, work } = exchange;
+  const body = `failed ${arrival.requestId}`;
+  arrival.body = body;
+  const failed = { ...exchange, body };
+  exchange.after(work.stepMs, () => sendBody(failed, status, options));
 }
 
 function serve(exchange: Exchange): void {
   const { work } = exchange;
-  if (work.events > 0) sendEvents(exchange, undefined);
-  else setTimeout(() => sendBody(exchange, 200), work.stepMs);
+  if (work.events > 0) sendEvents(exchange);
+  else exchange.after(work.stepMs, () => sendBody(exchange, 200));
+}
+
+/** Pauses before the head, or between the head and the body. */
+function sendBodyAfterPause(exchange: Exchange, pauseMs: number): void {
+  const { after, response, work, share, body } = exchange;
+  if (share < 0.5) {
+    return after(work.stepMs + pauseMs, () => sendBody(exchange, 200));
+  }
+  after(work.stepMs, () => {
+    writeHead(exchange, 200, { "Content-Type": "text/plain" });
+    response.flushHeaders();
+    after(pauseMs, () => response.end(body));
+  });
 }
 
 /** Serves a part of a stream, or nothing, and breaks off. */
@@ -128,35 +179,48 @@
     arrival.brokeOff = true;
     end();
   };
-  if (work.events > 0 && share > 0.4) sendEvents(exchange, breakOff);
-  else setTimeout(breakOff, work.stepMs);
+  if (work.events > 0 && share > 0.4) sendEvents(exchange, { breakOff });
+  else exchange.after(work.stepMs, breakOff);
 }
 
-function sendBody(exchange: Exchange, status: number): void {
-  writeHead(exchange, status, { "Content-Type": "text/plain" });
-  endResponse(exchange, exchange.arrival.body);
+function sendBody(
+  exchange: Exchange,
+  status: number,
+  options: HeadOptions = {},
+): void {
+  const type = { "Content-Type": "text/plain" };
+  writeHead(exchange, status, type, options);
+  exchange.response.end(exchange.body);
 }
 
 function sendEvents(
   exchange: Exchange,
-  breakOff: (() => void) | undefined,
+  { breakOff, pauseMs = 0 }: {
+    readonly breakOff?: () => void;
+    readonly pauseMs?: number;
+  } = {},
 ): void {
   const { response, arrival, work, share } = exchange;
   const events = createEvents(arrival, work);
   const breakAt = breakOff === undefined ? Infinity : events.length * share;
+  const pauseAt = Math.floor(events.length * share);
   let sent = 0;
-  const timer = setInterval(sendNext, work.stepMs);
-  response.on("close", () => clearInterval(timer));
+  scheduleNext();
+
+  function scheduleNext(): void {
+    const extraMs = sent === pauseAt ? pauseMs : 0;
+    exchange.after(work.stepMs + extraMs, sendNext);
+  }
 
   function sendNext(): void {
-    const isBreaking = sent >= breakAt;
-    if (isBreaking || sent + 1 >= events.length) clearInterval(timer);
-    if (isBreaking) return breakOff?.();
+    if (response.destroyed) return;
+    if (sent >= breakAt) return breakOff?.();
     if (sent === 0) {
       writeHead(exchange, 200, { "Content-Type": "text/event-stream" });
     }
     response.write(events[sent++] ?? "");
-    if (sent === events.length) endResponse(exchange, "");
+    if (sent === events.length) response.end();
+    else scheduleNext();
   }
 }
 
@@ -164,20 +228,16 @@
   { response, arrival }: Exchange,
   status: number,
   headers: OutgoingHttpHeaders,
+  { isUnsigned = false }: HeadOptions = {},
 ): void {
   arrival.status = status;
   response.writeHead(status, {
     ...headers,
     "X-Request-Id": arrival.requestId,
-    "X-Server-Stamp": arrival.life,
+    ...(isUnsigned ? {} : { "X-Server-Stamp": arrival.life }),
   });
 }
 
-function endResponse({ response, arrival }: Exchange, text: string): void {
-  response.on("finish", () => arrival.completedAt = performance.now());
-  response.end(text);
-}
-
 /** Creates the events after the last one that the caller has. */
 export function createEvents(
   { requestId, life, lastEventId }: Arrival,
