--- a/test/soak/plants.ts
+++ b/test/soak/plants.ts
@@ -8,6 +8,7 @@
 type Edit = readonly [string, string, string];
 
 const codecFile = "src/platform/target_codec.ts";
+const clientFile = "src/connection/direct_client.ts";
 const stopFile = "src/roles/direct_stop.ts";
 
 /** Planted faults by name. */
@@ -156,6 +157,24 @@
     "if (!table.clear(key.id)) continue;",
     "continue;",
   ]],
+  /** Each 421 counts as proof, also from a target that has run the request. */
+  unstated_421_proof: [[
+    codecFile,
+    "  if (headers.has(headerNames.notRun)) {\n",
+    '  if (status === wrongTargetStatus) return { kind: "wrong_target", ' +
+    "status };\n  if (headers.has(headerNames.notRun)) {\n",
+  ]],
+  /** The call to a silent target goes on while another target has the request. */
+  silent_call_kept: [
+    [clientFile, "        signal: call.signal,\n", ""],
+    [
+      clientFile,
+      "const data = await dispatch(call);",
+      "const data = await Promise.race([dispatch(call), " +
+      "new Promise<never>((_, reject) => " +
+      'call.signal.addEventListener("abort", () => reject(new Error())))]);',
+    ],
+  ],
   /** Requests on new connections are sent to targets in a pause. */
   pause_of_one_path: [
     [
