Run two seeds of planned work in the short soak

Change: seed 8 has planned work only now, and seed 17 comes in addition, with several SIGTERMs and SIGHUPs to one process.

--- a/test/processes/soak_test.ts
+++ b/test/processes/soak_test.ts
@@ -10,7 +10,8 @@
   });
 
   describe("with faults of routers, store, targets and operator", () => {
-    it.each([3, 8])("keep all rules (seed %d)", async (seed) => {
+    // Seed 3 plays all faults, 8 and 17 planned work and targets that pause.
+    it.each([3, 8, 17])("keep all rules (seed %d)", async (seed) => {
       const { violations, ownExits, requests, served } = await runSoak({
         ...{ seed, routers: 4, targets: 6, durationMs: 26_000 },
         program: "target/mimosatray.cjs",
