Let no attempt go on beside a run that has begun at another target

Measured: two new tests of direct_handover_test; 343 tests of the direct path, the client, the soak's judges, silent targets, paused routers and slow readers pass.

--- a/src/connection/direct_client.ts
+++ b/src/connection/direct_client.ts
@@ -206,6 +206,8 @@
             : call.tryGetHold?.());
         // An error that is thrown here leaves the connection open.
         if (hold !== undefined) throw createWithheldError(hold);
+        // The library connects calls too that were aborted in its queue.
+        if (call?.signal.aborted === true) throw createWithheldError("late");
         if (call !== undefined) {
           sentTimes.set(call, performance.now());
           call.recordSent?.();
--- a/src/connection/sent_once_test.ts
+++ b/src/connection/sent_once_test.ts
@@ -10,6 +10,9 @@
 
 const callCount = 300;
 
+/** Port at which nothing listens. */
+const closedPort = 1;
+
 /** Longer than the timeout of a connection attempt, in milliseconds. */
 const longBlockMs = 400;
 
@@ -206,10 +209,12 @@
 
 function openAgentClient(port: number, random: Random): Client {
   const client = createTargetClient(`http://127.0.0.1:${port}`);
-  return { send, disturb: () => undefined, close: client.close };
+  const unreachable = createTargetClient(`http://127.0.0.1:${closedPort}`);
+  return { send, disturb: () => undefined, close };
 
   async function send(id: string, signal: AbortSignal): Promise<string> {
-    const result = await client.send({
+    const chosen = random() < 0.05 ? unreachable : client;
+    const result = await chosen.send({
       ...{ requestId: id, method: "POST", path: "/", headers: [] },
       ...{ body: createBody(random), signal },
     }).run();
@@ -217,6 +222,10 @@
     await readAll(result.unsafeCoerce().body);
     return "answer";
   }
+
+  async function close(): Promise<void> {
+    await Promise.all([client.close(), unreachable.close()]);
+  }
 }
 
 /** Bodies that take one write, or more than the system takes at once. */
--- a/src/request/direct_attempt.ts
+++ b/src/request/direct_attempt.ts
@@ -50,6 +50,8 @@
   cancel(): void;
   /** Returns true when the attempt was aborted for the target's silence. */
   hasTimedOut(): boolean;
+  /** Returns true while the target has sent nothing since it was silent. */
+  isSilent(): boolean;
   /** Handles the target's silence anew after a time in milliseconds. */
   watchSilence(durationMs: number): void;
   /**
@@ -123,7 +125,13 @@
   let isSent = false;
   /** True while the caller takes a comment, for which no timer runs. */
   let isOnHold = false;
-  const idleTimer = createSilenceTimer({ onSilent: options.handleSilence });
+  let isSilent = false;
+  const idleTimer = createSilenceTimer({
+    onSilent: () => {
+      isSilent = true;
+      options.handleSilence();
+    },
+  });
   startIdleTimer();
 
   return {
@@ -149,6 +157,7 @@
     },
     cancel: abort,
     hasTimedOut: () => hasTimedOut,
+    isSilent: () => isSilent,
     watchSilence: idleTimer.start,
     getSilentMs: () => performance.now() - respondedAt,
     end,
@@ -194,6 +203,7 @@
     respondedAt = performance.now();
     isOnHold = false;
     idleTimer.stop();
+    isSilent = false;
     options.handleResponding();
   }
 
--- a/src/request/direct_handover.ts
+++ b/src/request/direct_handover.ts
@@ -66,38 +66,62 @@
   const { host } = context;
   let next: DirectOffer | undefined;
   let isFinished = false;
-  let isSilent = false;
+  /** Number of moves that were begun or cancelled. */
+  let moves = 0;
+  /** True once the request is written to the next target. */
+  let isNextSent = false;
+  /** Tells those who wait who goes on with the request. */
+  let decide: (() => void) | undefined;
+  let decision: Promise<void> | undefined;
   let overlapTimer: NodeJS.Timeout | undefined;
   let reportedObstacle: AttemptObstacle | undefined;
   current.watch({
-    handleSilence: () => {
-      isSilent = true;
-      tryMove();
-    },
-    handleResponding,
+    handleSilence: tryMove,
+    ...{ handleResponding, handleData },
     isMoving: () => next !== undefined,
   });
 
   return { finish };
 
   function handleResponding(): void {
-    isSilent = false;
-    // Once it is given up, its target has responded too late.
-    if (!current.attempt.hasTimedOut()) cancelNext();
+    if (!current.attempt.hasTimedOut() && !isNextSent) cancelNext();
+  }
+
+  /**
+   * A target that may have the request is not left for the one before, which would
+   * go on beside a run that has begun. So data waits until the next target has
+   * refused the request, or the current attempt ends.
+   */
+  function handleData(): Promise<void> | undefined {
+    if (next === undefined || !isNextSent) return undefined;
+    if (current.attempt.hasTimedOut()) return undefined;
+    decision ??= new Promise((resolve) => {
+      decide = resolve;
+    });
+    return decision;
+  }
+
+  function endWait(): void {
+    decide?.();
+    decide = undefined;
+    decision = undefined;
   }
 
   function tryMove(): void {
-    if (isFinished || !isSilent || next !== undefined) return;
+    const { attempt } = current;
+    if (isFinished || !attempt.isSilent() || next !== undefined) return;
     const reservation = tryReserve(context, current, { handlePlace: tryMove });
     const isHeld = typeof reservation === "string";
     if (isHeld) recordObstacle(reservation);
     if (isHeld && lastingObstacles.has(reservation)) return;
     current.recordSilence();
-    if (isHeld) return current.attempt.watchSilence(retryIntervalMs);
+    if (isHeld) return attempt.watchSilence(retryIntervalMs);
+    const move = ++moves;
+    isNextSent = false;
     const offer = startOffer(context, reservation, {
-      handleSent,
+      handleSent: () => handleSent(move),
       handleSilence: () => {
-        if (!current.attempt.hasTimedOut()) offer.attempt.cancel();
+        if (!attempt.hasTimedOut()) offer.attempt.cancel();
       },
     });
     next = offer;
@@ -105,8 +129,9 @@
   }
 
   /** Called right before the request is written to the next target. */
-  function handleSent(): void {
-    if (isFinished) return;
+  function handleSent(move: number): void {
+    if (isFinished || move !== moves) return;
+    isNextSent = true;
     overlapTimer = setTimeout(abandonCurrent, maxOverlapMs);
   }
 
@@ -117,8 +142,12 @@
     clearTimeout(overlapTimer);
     next = undefined;
     context.queueWait.releaseNext();
+    endWait();
     await endUnused(offer, result);
-    if (!isFinished && isSilent) current.attempt.watchSilence(retryIntervalMs);
+    const { attempt } = current;
+    if (!isFinished && attempt.isSilent()) {
+      attempt.watchSilence(retryIntervalMs);
+    }
   }
 
   function abandonCurrent(): void {
@@ -126,6 +155,7 @@
     if (current.attempt.hasTimedOut()) return;
     host.metrics.count("attempts_moved_total");
     current.attempt.giveUp();
+    endWait();
   }
 
   function cancelNext(): void {
@@ -134,6 +164,7 @@
     if (offer === undefined) return;
     clearTimeout(overlapTimer);
     next = undefined;
+    moves++;
     offer.attempt.cancel();
     void offer.result.then((result) => endUnused(offer, result));
   }
@@ -153,6 +184,7 @@
     clearTimeout(overlapTimer);
     if (next === undefined || !continuedEnds.has(end.kind)) cancelNext();
     isFinished = true;
+    endWait();
     return next;
   }
 
--- a/src/request/direct_handover_test.ts
+++ b/src/request/direct_handover_test.ts
@@ -187,13 +187,20 @@
       expect(result.unsentRetries).toBe(1);
     });
 
-    it("when it responds before the other", async () => {
+    // It would go on beside the run that has begun at the other.
+    it("when the other refuses after it has responded", async () => {
       const result = await run(resumable, [
-        pausingStream(idleMs.stream + 100),
-        silent,
+        pausingStream(idleMs.stream + 50),
+        async (call) => {
+          recordCall(call);
+          await pause(call, maxOverlapMs - 50);
+          return { kind: "refused", status: 503 };
+        },
       ]);
       expect(result).toMatchObject({ outcome: "done", text: whole });
-      expect(abortedAt).toEqual([undefined, idleMs.stream + 100]);
+      expect(abortedAt).toEqual([undefined, undefined]);
+      // Its data waits for the refusal.
+      expect(result.endedAtMs).toBe(idleMs.stream + maxOverlapMs - 50);
     });
 
     it("as a safe call without a retry", async () => {
@@ -223,6 +230,19 @@
       expect(abortedAt).toEqual([idleMs.safe + maxOverlapMs, undefined]);
     });
 
+    it("that has the request, though it responds again", async () => {
+      const result = await run(resumable, [
+        pausingStream(idleMs.stream + 50),
+        async (call) => {
+          recordCall(call);
+          await pause(call, 400);
+          return stream(event(2));
+        },
+      ]);
+      expect(result).toMatchObject({ outcome: "done", text: whole });
+      expect(abortedAt).toEqual([idleMs.stream + maxOverlapMs, undefined]);
+    });
+
     it("once a retry is granted", async () => {
       const behaviours = [silent, pausingCall(10)];
       let granted = 0;
--- a/src/request/direct_offer.ts
+++ b/src/request/direct_offer.ts
@@ -24,6 +24,11 @@
   handleSilence(): void;
   /** Handles that the target has sent a part of a response. */
   handleResponding(): void;
+  /**
+   * Handles that the target has sent data, which may be none of that. While another target may have taken the
+   * request, the promise resolves when it is decided who goes on.
+   */
+  handleData(): Promise<void> | undefined;
   /** Returns true while another target is asked to take the request. */
   isMoving(): boolean;
 }
@@ -50,6 +55,8 @@
   /** Watches the target, in place of what handles its silence until then. */
   watch(watcher: OfferWatcher): void;
   isMoving(): boolean;
+  /** Called when data has arrived, before it is used; see `OfferWatcher`. */
+  handleData(): Promise<void> | undefined;
   /** Ends the counts of the attempt and gives its permit back. */
   end(): void;
 }
@@ -119,6 +126,7 @@
       watcher = value;
     },
     isMoving: () => watcher?.isMoving() ?? false,
+    handleData: () => watcher?.handleData(),
     sentBefore: response.getSent(),
     sends: history.sends,
     result: send(),
--- a/src/request/direct_response.ts
+++ b/src/request/direct_response.ts
@@ -34,6 +34,11 @@
 export interface ForwardedAttempt {
   /** Aborted when the attempt ends; its data is then no longer waited for. */
   readonly signal: AbortSignal;
+  /**
+   * Called when data of an event stream has arrived. The promise, if there is one,
+   * resolves when it may be forwarded, or when the attempt is aborted.
+   */
+  handleData?(): Promise<void> | undefined;
   /** Records that the target has sent an event. */
   recordProgress(): void;
   /** Records that the target has sent what is no progress, such as a comment. */
@@ -167,6 +172,7 @@
     const pace = readPace.begin();
     cursor.beginRun();
     for await (const data of splitEvents(body)) {
+      await attempt.handleData?.();
       if (attempt.signal.aborted) return abortedEnd;
       const step = cursor.push(data);
       if (step.data.length > 0) {
--- a/src/request/direct_verdict.ts
+++ b/src/request/direct_verdict.ts
@@ -136,8 +136,16 @@
     drop();
     return { kind: "repeat", code: "target_error" };
   }
-  if (!head.isEventStream) attempt.recordHead();
-  const end = await response.forward(head, body, attempt);
+  if (!head.isEventStream) {
+    await offer.handleData();
+    if (attempt.signal.aborted) {
+      drop();
+      return endAborted(offer);
+    }
+    attempt.recordHead();
+  }
+  const { handleData } = offer;
+  const end = await response.forward(head, body, { ...attempt, handleData });
   if (end.kind === "complete") {
     host.crashes.recordResponse(request);
     if (isError) return { kind: "error_answer" };
--- a/test/soak/plants.ts
+++ b/test/soak/plants.ts
@@ -151,10 +151,16 @@
     "possible.size === 1 && only",
     "possible.size > 0 && only",
   ]],
+  /** A silent attempt is given up though no other target may take the request. */
+  silent_given_up: [[
+    "src/request/direct_handover.ts",
+    "    if (isHeld && lastingObstacles.has(reservation)) return;\n",
+    "    if (isHeld) return current.attempt.giveUp();\n",
+  ]],
   /** No crash is put down to a request that was in flight. */
   crashes_ignored: [[
     "src/process/direct/crashes/crash_keys.ts",
-    '    { kind: "request", id: `request:${getFingerprint(request)}`, label },\n',
+    '    { kind: "request", id: getRequestKeyId(getFingerprint(request)), label },\n',
     "",
   ]],
   /** No crash is put down to a part of a prompt. */
