Ask nothing of a call that was aborted before it connects

Cause: the hold of an aborted call was still asked for at its connection, which took its permit and could begin a trial of the quarantine.

Measured: the new test of direct_client (a call that is aborted one turn after it is sent) failed before with one question; passes.

--- a/src/connection/direct_client.ts
+++ b/src/connection/direct_client.ts
@@ -200,14 +200,14 @@
       const { call } = options as { readonly call?: DirectCall };
       const connect = handler.onConnect?.bind(handler);
       handler.onConnect = (...args) => {
+        // The library connects calls too that were aborted in its queue.
+        if (call?.signal.aborted === true) throw createWithheldError("late");
         const hold = (target && host.tryGetHold(target, call?.fetchFrom)) ??
           (call === undefined
             ? target && host.tryGetOwnRequestHold?.(target)
             : call.tryGetHold?.());
         // An error that is thrown here leaves the connection open.
         if (hold !== undefined) throw createWithheldError(hold);
-        // The library connects calls too that were aborted in its queue.
-        if (call?.signal.aborted === true) throw createWithheldError("late");
         if (call !== undefined) {
           sentTimes.set(call, performance.now());
           call.recordSent?.();
--- a/src/connection/direct_client_test.ts
+++ b/src/connection/direct_client_test.ts
@@ -79,6 +79,35 @@
     server.close();
   });
 
+  // It counted as sent, though the library writes no aborted call.
+  it("withholds a call that is aborted while its connection opens", async () => {
+    let requests = 0;
+    const server = createServer((socket) => {
+      socket.on("data", () => requests++);
+    });
+    const port = await listen(server);
+    const client = createDirectClient({
+      ...{ codec, log: createSilentLog(), getMaxConnections: () => 1 },
+      tryGetHold: () => undefined,
+      handleNotice: () => undefined,
+      onLimitExceeded: () => undefined,
+    });
+    const controller = new AbortController();
+    const tryGetHold = jest.fn(() => undefined);
+    const recordSent = jest.fn();
+    const { signal } = controller;
+    const call = { ...createCall(port, true), tryGetHold, recordSent, signal };
+    const result = client.send(call);
+    await Promise.resolve();
+    controller.abort();
+    expect(await result).toEqual({ kind: "withheld", hold: "late" });
+    expect(tryGetHold).not.toHaveBeenCalled();
+    expect(recordSent).not.toHaveBeenCalled();
+    expect(requests).toBe(0);
+    await client.close();
+    server.close();
+  });
+
   describe("a request that waits for the only connection", () => {
     for (const needsFreshConnection of [false, true]) {
       const kind = needsFreshConnection ? "fresh" : "persistent";
