Hold an attempt at an agent until the next one responds

Cause: any event but a refusal of the next agent cancelled the held attempt, also its failure, so a caller got 'target_crashed' although the first target finished the run.

Change: only a part of a response ends the hold; after a failure without a retry the request goes back to the held attempt.

--- a/src/request/attempt_handover_test.ts
+++ b/src/request/attempt_handover_test.ts
@@ -101,6 +101,35 @@
         .toMatch(/^unknown (not_run:target_full )+done$/);
     });
 
+    it("goes on when the next one fails at once", async () => {
+      prepare(unanswered);
+      let runs = 0;
+      let granted = 0;
+      await run({
+        calls: {
+          ...targets.calls,
+          run: (dispatch, onSent) => {
+            if (++runs === 1) return targets.calls.run(dispatch, onSent);
+            onSent?.();
+            const queue = createEventQueue();
+            setTimeout(
+              () =>
+                queue.push({
+                  kind: "failure",
+                  code: "target_crashed",
+                  mayHaveRun: true,
+                }),
+              5,
+            );
+            return queue.events;
+          },
+        },
+        retries: { ...host.retries, trySpend: () => granted++ < 1 },
+      });
+      expect(caller.end()?.outcome).toBe("done");
+      expect(runs).toBe(2);
+    });
+
     it("goes on when the others take their time to refuse", async () => {
       const late: Delivery = { fault: "none", delayMs: 150, events: 0 };
       prepare([...unanswered, late, late]);
--- a/src/request/held_attempt.ts
+++ b/src/request/held_attempt.ts
@@ -4,7 +4,12 @@
  * run it; it goes on when the next target refuses the request.
  */
 
-import type { AgentCalls, PlacedAttempt } from "../types/agent_calls.ts";
+import type {
+  AgentCalls,
+  AgentEvent,
+  PlacedAttempt,
+} from "../types/agent_calls.ts";
+import type { AttemptVerdict } from "./attempt_run.ts";
 
 /**
  * Time in which an agent refuses a request that it does not take, in milliseconds.
@@ -12,14 +17,29 @@
  */
 const refusalTimeMs = 200;
 
+/** Events by which an agent says that there is no response. */
+const refusalEvents: ReadonlySet<AgentEvent["kind"]> = new Set([
+  "refusal",
+  "failure",
+]);
+
+/** Verdicts on an attempt that has no response. */
+const failedVerdicts: ReadonlySet<AttemptVerdict["kind"]> = new Set([
+  "not_run",
+  "failed",
+  "unproved_refusal",
+]);
+
 /** The held attempt of one request. */
 export interface HeldAttempt {
   /** Holds an attempt; one that was held before is cancelled. */
   hold(placed: PlacedAttempt): void;
   /** Records that the next attempt was sent to its agent. */
   recordSent(): void;
-  /** Records that the next attempt was refused, so that the hold goes on. */
-  recordRefused(): void;
+  /** Records what the next agent sends: with a part of a response, the hold ends. */
+  recordEvent(event: Pick<AgentEvent, "kind">): void;
+  /** Records how the next attempt ended: without a response, the hold goes on. */
+  recordVerdict(verdict: Pick<AttemptVerdict, "kind">): void;
   /** Cancels the held attempt, as the next one has the request. */
   release(): void;
   /** Ends the hold and returns the attempt; undefined when none is held. */
@@ -36,7 +56,13 @@
   return {
     hold,
     recordSent,
-    recordRefused: () => clearTimeout(timer),
+    recordEvent: ({ kind }) => {
+      if (!refusalEvents.has(kind)) release();
+    },
+    recordVerdict: ({ kind }) => {
+      if (failedVerdicts.has(kind)) clearTimeout(timer);
+      else release();
+    },
     release,
     tryTake,
   };
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -152,8 +152,7 @@
       host.closingSignal.removeEventListener("abort", withdraw)
     );
     trace.recordEnd(verdict);
-    if (verdict.kind === "not_run") held.recordRefused();
-    else held.release();
+    held.recordVerdict(verdict);
     return await handleVerdict(verdict, placed);
   }
 
@@ -178,10 +177,9 @@
       member.incarnation > incarnation;
   }
 
-  /** A refusal leaves the attempt before it in force. */
   function onEvent(event: AgentEvent): void {
     trace.recordEvent();
-    if (event.kind !== "refusal") held.release();
+    held.recordEvent(event);
   }
 
   function resetResponse(): void {
@@ -204,9 +202,9 @@
         return await handleRefusal(verdict, placed);
       case "failed":
         host.refusals.recordUnreachable(placed.target.id);
-        return handleFailure(verdict.code);
+        return await resumeHeld(handleFailure(verdict.code));
       case "unproved_refusal":
-        return handleUnprovedRefusal(placed);
+        return await resumeHeld(handleUnprovedRefusal(placed));
       case "unknown":
         return handleUnknownOutcome(placed);
       case "answer_gone":
@@ -317,7 +315,22 @@
     retryAfterMs: number,
   ): Promise<RequestEnd | undefined> {
     const placed = held.tryTake();
-    if (placed === undefined) return await endNotRun(code, retryAfterMs);
+    return placed === undefined
+      ? await endNotRun(code, retryAfterMs)
+      : await resume(placed);
+  }
+
+  /** Goes back to a held attempt in place of an end without a response. */
+  async function resumeHeld(
+    end: RequestEnd | undefined,
+  ): Promise<RequestEnd | undefined> {
+    const placed = end && held.tryTake();
+    return placed === undefined ? end : await resume(placed);
+  }
+
+  async function resume(
+    placed: PlacedAttempt,
+  ): Promise<RequestEnd | undefined> {
     target = placed.target.id;
     const verdict = await join(placed);
     trace.recordEnd(verdict);
