Count one loss for a crash, however often a request was left there

Cause: each aborted attempt of one request at a target counted as a loss of its own; five of them and one crash kept a sound request from being retried.

Measured: the new test of aborted_attempts had 5 losses before and has 1.

--- a/src/process/direct/crashes/aborted_attempts.ts
+++ b/src/process/direct/crashes/aborted_attempts.ts
@@ -169,10 +169,14 @@
     const lagMs = isLate ? entryLapseMs : probeLagMs;
     const crashedAt = performance.now() - lagMs;
     herd.recordCrash(hashLife(target));
+    /** One crash is one loss of a request, however often it was left there. */
+    const counted = new Set<string>();
     for (const attempt of takeAll(life)) {
       if (attempt.mayRunUntil < crashedAt) continue;
       attempt.hasCrashed = true;
-      if (!herd.isHerd()) recordLoss(attempt);
+      const key = tryGetKeyFingerprint(attempt.keys) ?? "";
+      if (!herd.isHerd() && !counted.has(key)) recordLoss(attempt);
+      counted.add(key);
     }
   }
 
--- a/src/process/direct/crashes/aborted_attempts_test.ts
+++ b/src/process/direct/crashes/aborted_attempts_test.ts
@@ -74,6 +74,13 @@
     }]);
   });
 
+  // A sound call that is often left got no retry after one crash.
+  it("are one loss of a request that was left there often", () => {
+    for (let index = 0; index < 5; index++) add();
+    attempts.recordCrash(target);
+    expect(losses).toBe(1);
+  });
+
   it("are found by a probe, also in the last second of their run", async () => {
     add();
     await wait(2_900);
