Give back the retry of an attempt that ends after its request

Cause: a cancelled attempt that waits for its connection ends up to 350 ms after its request; its unsent retry was then kept for a next attempt that never comes, and counted until the process ended.

--- a/src/request/direct_context.ts
+++ b/src/request/direct_context.ts
@@ -190,7 +190,7 @@
     stop.clear();
     queueWait.releaseNext();
     queueWait.leave();
-    retry.giveBack();
+    retry.end();
     quarantine.end();
   }
 }
--- a/src/request/direct_retry.ts
+++ b/src/request/direct_retry.ts
@@ -10,6 +10,8 @@
   beginAttempt(): AttemptRetry;
   /** Gives back a retry that is granted and that no attempt uses. */
   giveBack(): void;
+  /** Ends the request; attempts that end later give their retries back. */
+  end(): void;
 }
 
 /** The retry that one attempt uses; nothing for the first attempt. */
@@ -26,8 +28,15 @@
   service: string,
 ): DirectRetry {
   let isGranted = false;
+  let isEnded = false;
 
-  return { trySpend, beginAttempt, giveBack };
+  return {
+    ...{ trySpend, beginAttempt, giveBack },
+    end: () => {
+      isEnded = true;
+      giveBack();
+    },
+  };
 
   function trySpend(): boolean {
     isGranted ||= share.trySpend(service);
@@ -47,8 +56,8 @@
     function end(): void {
       if (!isUnsent) return;
       isUnsent = false;
-      if (isGranted) share.recordUnsent(service);
-      isGranted = true;
+      if (isGranted || isEnded) share.recordUnsent(service);
+      else isGranted = true;
     }
   }
 
