--- a/src/request/direct_handover.ts
+++ b/src/request/direct_handover.ts
@@ -26,8 +26,11 @@
  */
 export const maxOverlapMs = 150;
 
-/** Interval at which a move that is held up is tried again, in milliseconds. */
-const retryIntervalMs = 250;
+/**
+ * Intervals at which a move that is held up is tried again, in milliseconds: the
+ * first one, which doubles up to the last, as thousands may be held at once.
+ */
+const retryIntervalsMs = { first: 250, last: 1_000 } as const;
 
 /** The move of a request from its current attempt to the next one. */
 export interface DirectHandover {
@@ -74,6 +77,7 @@
   let decide: (() => void) | undefined;
   let decision: Promise<void> | undefined;
   let overlapTimer: NodeJS.Timeout | undefined;
+  let retryIntervalMs: number = retryIntervalsMs.first;
   let reportedObstacle: AttemptObstacle | undefined;
   current.watch({
     handleSilence: tryMove,
@@ -83,7 +87,13 @@
 
   return { finish };
 
+  function watchAgain(): void {
+    current.attempt.watchSilence(retryIntervalMs);
+    retryIntervalMs = Math.min(2 * retryIntervalMs, retryIntervalsMs.last);
+  }
+
   function handleResponding(): void {
+    retryIntervalMs = retryIntervalsMs.first;
     if (!current.attempt.hasTimedOut() && !isNextSent) cancelNext();
   }
 
@@ -115,10 +125,11 @@
     if (isHeld) recordObstacle(reservation);
     if (isHeld && lastingObstacles.has(reservation)) return;
     current.recordSilence();
-    if (isHeld) return attempt.watchSilence(retryIntervalMs);
+    if (isHeld) return watchAgain();
     const move = ++moves;
     isNextSent = false;
     const offer = startOffer(context, reservation, {
+      tryGetHold: () => host.isLoopBusy() ? "busy" : undefined,
       handleSent: () => handleSent(move),
       handleSilence: () => {
         if (!attempt.hasTimedOut()) offer.attempt.cancel();
@@ -144,10 +155,7 @@
     context.queueWait.releaseNext();
     endWait();
     await endUnused(offer, result);
-    const { attempt } = current;
-    if (!isFinished && attempt.isSilent()) {
-      attempt.watchSilence(retryIntervalMs);
-    }
+    if (!isFinished && current.attempt.isSilent()) watchAgain();
   }
 
   function abandonCurrent(): void {
--- a/src/request/direct_offer.ts
+++ b/src/request/direct_offer.ts
@@ -3,7 +3,7 @@
 import { getSharedParts } from "../process/direct/placement/prefix_placement.ts";
 import type { SendPermit } from "../process/direct/limits/target_limits.ts";
 import type { TargetOutcome } from "../process/direct/targets/target_health.ts";
-import type { DirectResult } from "../types/direct_calls.ts";
+import type { DirectResult, Hold } from "../types/direct_calls.ts";
 import { type DirectAttempt, startDirectAttempt } from "./direct_attempt.ts";
 import { createDirectCall } from "./direct_call.ts";
 import type { DirectChoice } from "./direct_choice.ts";
@@ -61,8 +61,10 @@
   end(): void;
 }
 
-/** What an offer tells before it is watched. */
+/** What an offer asks and tells before it is watched. */
 export interface OfferOptions {
+  /** Returns why the request must not be written to a connection now. */
+  tryGetHold?(): Hold | undefined;
   /** Called right before the request is written to a connection. */
   handleSent?(): void;
   /** Called when the target is silent. */
@@ -124,6 +126,7 @@
     ...{ recordSilence, isRunCounted: () => isRunCounted },
     watch: (value) => {
       watcher = value;
+      if (attempt.isSilent()) watcher.handleSilence();
     },
     isMoving: () => watcher?.isMoving() ?? false,
     handleData: () => watcher?.handleData(),
@@ -144,7 +147,8 @@
           return "late";
         }
         if (quarantine.isQuarantined()) return "quarantined";
-        return permit.tryUse() ? undefined : "limited";
+        return options.tryGetHold?.() ??
+          (permit.tryUse() ? undefined : "limited");
       },
       recordSent,
     });
--- a/src/request/direct_queue_wait.ts
+++ b/src/request/direct_queue_wait.ts
@@ -146,7 +146,11 @@
       DirectQueueWait["tryReserveNext"]
     >[0],
   ): boolean {
-    if (nextPlace !== undefined || !host.contention.isActive()) return true;
+    if (nextPlace !== undefined) return true;
+    if (!host.contention.isActive()) {
+      releaseNext();
+      return true;
+    }
     if (leaveNext !== undefined) return false;
     const queued = createQueuedRequest(host, request, mayUse);
     if (hasBegun) {
--- a/src/request/direct_verdict.ts
+++ b/src/request/direct_verdict.ts
@@ -104,6 +104,8 @@
       return endAborted(offer);
     case "lost":
     case "spoiled":
+      // Another attempt may end meanwhile and ask how often it may have run.
+      offer.countPossibleRun();
       if (result.kind === "lost") await offer.quarantine.recordLoss();
       return endLost(offer, "outcome_unknown", { reason: result.reason });
   }
@@ -116,6 +118,11 @@
 ): Promise<AttemptEnd> {
   const { host, request, response, quarantine } = context;
   const { attempt } = offer;
+  await offer.handleData();
+  if (attempt.signal.aborted) {
+    drop();
+    return endAborted(offer);
+  }
   const isError = isServerError(head.status);
   if (promisesNotRun(head.status)) {
     drop();
@@ -136,14 +143,7 @@
     drop();
     return { kind: "repeat", code: "target_error" };
   }
-  if (!head.isEventStream) {
-    await offer.handleData();
-    if (attempt.signal.aborted) {
-      drop();
-      return endAborted(offer);
-    }
-    attempt.recordHead();
-  }
+  if (!head.isEventStream) attempt.recordHead();
   const { handleData } = offer;
   const end = await response.forward(head, body, { ...attempt, handleData });
   if (end.kind === "complete") {
