Ask the refused request itself for its refusal while memory is short

Cause: the test waited for the log line of a refused body and then sent another one, which had to be refused too. Its open calls then failed a test of another file in the same worker with 'aborted' (endless_pull_test once, target_pace_test once).

Change: bodies are sent until one is refused, and that response is checked. As before, one has to be refused with 503 router_overloaded and a time to come back, the step has to be logged, and the largest stalled response is broken off.

--- a/test/platform/slow_readers_test.ts
+++ b/test/platform/slow_readers_test.ts
@@ -108,12 +108,13 @@
     async () => {
       const slow = readSlowly("long", 24 * mebibyte);
       const stalled = Array.from({ length: 60 }, () => stallAt("long"));
-      await waitUntil(() =>
-        hasLogged(router, shortage, { step: "body_refused" }) ||
-        sendBody(200_000).then(() => false)
-      );
-      const refused = await sendBody(200_000);
-      expect(refused.status).toBe(503);
+      let refused = await sendBody(200_000);
+      await waitUntil(async () => {
+        if (refused.status === 503) return true;
+        refused = await sendBody(200_000);
+        return false;
+      });
+      expect(hasLogged(router, shortage, { step: "body_refused" })).toBe(true);
       expect(refused.body).toContain("router_overloaded");
       expect(Number(refused.headers["retry-after"])).toBeGreaterThan(0);
       // A request without a body takes nothing.
