End the wait for a place when the target responds after a refusal elsewhere

Cause: after another target had refused the request, the move counted as sent, so a response of the silent target did not end the wait for the next place. The place was then given to a request that needs none, until its response ended.

--- a/src/request/direct_handover.ts
+++ b/src/request/direct_handover.ts
@@ -92,6 +92,7 @@
     retryIntervalMs = Math.min(2 * retryIntervalMs, retryIntervalsMs.last);
   }
 
+  /** The move ends, but not when the next target may run the request already. */
   function handleResponding(): void {
     retryIntervalMs = retryIntervalsMs.first;
     if (!current.attempt.hasTimedOut() && !isNextSent) cancelNext();
@@ -152,6 +153,7 @@
     if (isAcceptable(context, result)) return abandonCurrent();
     clearTimeout(overlapTimer);
     next = undefined;
+    isNextSent = false;
     context.queueWait.releaseNext();
     endWait();
     await endUnused(offer, result);
--- a/src/request/direct_queue_wait_test.ts
+++ b/src/request/direct_queue_wait_test.ts
@@ -13,6 +13,7 @@
   QueuedRequest,
   WaitEnd,
 } from "../process/direct/queue/queued_request.ts";
+import type { DirectResult } from "../types/direct_calls.ts";
 import { createRepeatRecords } from "../process/direct/queue/repeat_records.ts";
 import type { RequestQueue } from "../process/direct/queue/request_queue.ts";
 
@@ -22,6 +23,10 @@
 const served: Behaviour = () => createResponse(["ok"], { length: 2 });
 const refused: Behaviour = () => ({ kind: "refused", status: 503 });
 
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
 /** Creates a queue whose targets have room from a time on. */
 function createQueue(
   { roomAtMs = 0 }: { readonly roomAtMs?: number } = {},
@@ -108,12 +113,35 @@
     it("leaves the queue when that one responds", async () => {
       const requestQueue = createFilledQueue();
       const result = await run(route, [async () => {
-        await new Promise((resolve) => setTimeout(resolve, 1_200));
+        await sleep(1_200);
         return createResponse(["ok"], { length: 2 });
       }], { requestQueue, durationMs: 2_000 });
       expect(result).toMatchObject({ code: "done", sentAt: [0] });
       expect(left).toBe(1);
     });
+
+    // Its place stayed taken until the response had ended.
+    it("leaves it also after another target has refused", async () => {
+      const requestQueue = createFilledQueue();
+      const refuse: Behaviour = (call) => {
+        call.recordSent?.();
+        return { kind: "refused", status: 503 };
+      };
+      let leftInBody = 0;
+      const respondSlowly: Behaviour = async () => {
+        await sleep(3_400);
+        const body = (async function* () {
+          await sleep(300);
+          leftInBody = left;
+          yield Buffer.from("ok");
+        })();
+        return { ...createResponse([], { length: 2 }), body } as DirectResult;
+      };
+      const behaviours = [respondSlowly, refuse];
+      const result = await run(route, behaviours, { requestQueue });
+      expect(result).toMatchObject({ code: "done", sentAt: [0, 2_100] });
+      expect(leftInBody).toBe(1);
+    });
   });
 
   it("is refused with a proof when there is no room in time", async () => {
