--- a/src/connection/direct_client.ts
+++ b/src/connection/direct_client.ts
@@ -382,12 +382,10 @@
   }
 
   async function close(): Promise<void> {
-    const allPools = [...pools.values()];
-    allPools.forEach(({ queue }) => queue.close());
-    await Promise.all(allPools.flatMap(({ persistent, fresh }) => [
-      persistent.destroy(),
-      fresh.destroy(),
-    ]));
+    await Promise.all([...pools.values()].flatMap((pool) => {
+      pool.queue.close();
+      return [pool.persistent.destroy(), pool.fresh.destroy()];
+    }));
   }
 }
 
