Ask whether timers fire late before a trial of the quarantine begins

Cause: a move that was withheld for a busy event loop could begin a trial that was not sent. Found by reading the diff; a quarantined request does not move, so that it had to become so between its reservation and its connection.

Measured: 216 tests of the direct path pass.

--- a/src/request/direct_offer.ts
+++ b/src/request/direct_offer.ts
@@ -25,8 +25,9 @@
   /** Handles that the target has sent a part of a response. */
   handleResponding(): void;
   /**
-   * Handles that the target has sent data, which may be none of that. While another target may have taken the
-   * request, the promise resolves when it is decided who goes on.
+   * Handles that the target has sent data, which may hold no event. While another
+   * target may have taken the request, the promise resolves when it is decided
+   * which of the two goes on.
    */
   handleData(): Promise<void> | undefined;
   /** Returns true while another target is asked to take the request. */
@@ -146,9 +147,10 @@
         if (context.getTimeLeftMs() <= 0 || queueWait.isTooLate()) {
           return "late";
         }
+        const hold = options.tryGetHold?.();
+        if (hold !== undefined) return hold;
         if (quarantine.isQuarantined()) return "quarantined";
-        return options.tryGetHold?.() ??
-          (permit.tryUse() ? undefined : "limited");
+        return permit.tryUse() ? undefined : "limited";
       },
       recordSent,
     });
