--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -6,8 +6,8 @@
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import {
-  allocateNetwork, createClient, createFolder, createRecord, createRouter,
-  now, sleep, startPath, startServer, startStore,
+  allocateNetwork, createClient, createFolder, createRecord, createRouter, endEarly,
+  now, ports, sleep, startPath, startServer, startStore,
 } from "./harness.mjs";
 
 const isTroubled = process.env.TROUBLE !== "0";
@@ -26,6 +26,7 @@
 const network = await allocateNetwork();
 const { directory, remove } = createFolder();
 const cleanups = [remove];
+endEarly(cleanups, record);
 let exitCode = 2;
 try {
   exitCode = await run();
@@ -58,12 +59,12 @@
   const routers = [];
   for (const [index, host] of hosts.entries()) {
     const pathHost = `${network}.${100 + index}`;
-    const path = await startPath(pathHost, 8_223, store.port);
+    const path = await startPath(pathHost, ports.path, store.port);
     paths.push(path);
     cleanups.push(path.close);
     const router = createRouter({
       ...{ id: `edge-${zones[index]}-${index}`, zone: zones[index], host, bounds, directory },
-      ...{ seeds: hosts.slice(0, 3), storeAddress: `${pathHost}:8223` },
+      ...{ seeds: hosts.slice(0, 3), storeAddress: `${pathHost}:${ports.path}` },
     });
     routers.push(router);
     cleanups.push(router.end);
@@ -152,7 +153,7 @@
   async function start({ id, service, index }) {
     const server = await startServer({
       ...{ id, service, zone: ["z-a", "z-b", "z-c"][index % 3], record },
-      ...{ host: `${network}.${50 + index}`, port: 8_080, runMs: 40 },
+      ...{ host: `${network}.${50 + index}`, port: ports.server, runMs: 40 },
     });
     cleanups.push(server.close);
     return server;
