Let no router keep an entry whose removal nobody alive has seen

A router that was cut off from the store while all others were killed and started again kept a target that had left, for good: 2 of 60 requests reached it 8.8 s after the leave, 20 of 60 without the header of leaving servers.

Cause: a listing tells what exists. A router that had listed took the revision of its newest entry for its position, so a removal after that was behind no position. A copy for a peer that pulls held the removals that the router had seen itself, as if these were all.

Why it works: the position after a listing is that of the listing, so routers with an older copy are behind it and read or pull. The replica knows after which revision its removals are complete; a copy for a peer from before that names the keys that exist, and the peer removes the others. Keys only, in the pull alone.

--- a/src/connection/directory_pull.ts
+++ b/src/connection/directory_pull.ts
@@ -38,8 +38,11 @@
 /** Maximum size of a request, in bytes; it names a position at most. */
 const maxRequestBytes = 1_024;
 
+/** Number of `PullDirectoryResponse.existing_keys`, a message of many fields. */
+const existingKeysField = 6;
+
 const LimitedClient = makeGenericClientConstructor(
-  limitResponses(PeerServiceService),
+  limitResponses(PeerServiceService, { counted: [existingKeysField] }),
   "mimosatray.v1.PeerService",
 ) as unknown as typeof PeerServiceClient;
 
@@ -75,12 +78,13 @@
       reply: sendUnaryData<PullDirectoryResponse>,
     ) => {
       const { afterEra, afterRevision } = call.request;
-      const { position, isComplete, changes, lostEntries } = host
+      const { position, isComplete, changes, keys, lostEntries } = host
         .getCopyAfter({ era: afterEra, revision: afterRevision });
       reply(null, {
         ...position,
         isComplete,
         changes: [...changes],
+        existingKeys: keys && { keys: [...keys] },
         lostEntries: [...lostEntries],
       });
     },
@@ -124,10 +128,11 @@
         reply,
       ),
   );
-  const { era, revision, isComplete } = response;
+  const { era, revision, isComplete, existingKeys } = response;
   return {
     position: { era, revision },
     isComplete,
+    keys: existingKeys?.keys,
     changes: response.changes.map((change) => ({
       key: change.key,
       value: change.value,
--- a/src/connection/pull_listener_test.ts
+++ b/src/connection/pull_listener_test.ts
@@ -21,6 +21,7 @@
     { key: "b", value: "y", revision: 90, restoredRevision: 0 },
     { key: "c", value: undefined, revision: 91, restoredRevision: 3 },
   ];
+  const keys = ["a", "b"];
   const part = { target: "t", part: { id: "p", tokens: 9 } };
   let address: SocketAddress;
   let listener: PullListener;
@@ -34,6 +35,7 @@
         position: { era: 2, revision: 8 },
         isComplete: era !== 2,
         changes: revision < change.revision ? [change] : [],
+        keys: era === 2 && revision < 5 ? keys : undefined,
         lostEntries,
       }),
       getCachedParts: () => ({ parts: [part], isSettled: true }),
@@ -57,6 +59,11 @@
     expect(errors).toEqual([]);
   });
 
+  it("names the keys that exist where removals may be missing", async () => {
+    await expect(pullDirectory(address, { era: 2, revision: 4 })).resolves
+      .toMatchObject({ isComplete: false, keys });
+  });
+
   it("serves concurrent pulls", async () => {
     const pulled = await Promise.all(
       [1, 2, 3].map(() => pullDirectory(address, originPosition)),
--- a/src/process/direct/directory/directory_replica.ts
+++ b/src/process/direct/directory/directory_replica.ts
@@ -4,6 +4,10 @@
  * compared within one era only: changes of an older era are ignored, and only a
  * complete copy begins a newer one, as changes alone do not tell what the store
  * has lost.
+ *
+ * A listing tells what exists, not what was removed before it. A replica
+ * therefore knows all removals only from its last listing on, and names to a peer
+ * at an older position the keys that exist instead.
  */
 
 import type { Changes, Listing } from "../../../types/directory.ts";
@@ -49,6 +53,14 @@
    * those that were new.
    */
   applySome(changes: Changes): readonly DirectoryChange[];
+  /**
+   * Applies a listing of some keys, which removes the missing ones of them; the
+   * known position stays. Returns the changes.
+   */
+  applySomeListed(
+    listing: Listing,
+    isListed: (key: string) => boolean,
+  ): readonly DirectoryChange[];
   /**
    * Applies the changes that a peer pushed; returns those that were new. If
    * changes before them are missing, the known position stays.
@@ -64,7 +76,8 @@
   /**
    * Returns what a peer at a position is missing, removals included: all that
    * is known when it is in another era, else the changes after its revision.
-   * Changes beyond a gap are left out of the latter.
+   * Changes beyond a gap are left out of the latter. Where removals after the
+   * revision are not all known, the keys that exist are named.
    */
   getCopyAfter(after: StorePosition): DirectoryCopy;
   /** Returns the length of all known values, in UTF-16 code units. */
@@ -78,6 +91,8 @@
    * none.
    */
   getPosition(): StorePosition;
+  /** Records that all changes up to a position of this era are known. */
+  confirm(position: StorePosition): void;
 }
 
 /** Changes that a router has read from the store and pushes to its peers. */
@@ -98,6 +113,11 @@
   /** True when this is all that is known, not only what has changed. */
   readonly isComplete: boolean;
   readonly changes: readonly WatchEvent[];
+  /**
+   * All keys that exist, when the changes may lack removals that were made up to
+   * the position; undefined when they lack none.
+   */
+  readonly keys?: readonly string[] | undefined;
   /** What the store has lost and the router knows. */
   readonly lostEntries: readonly LostEntry[];
 }
@@ -112,10 +132,13 @@
    */
   const lostEntries = new Map<string, WatchEvent>();
   let position = originPosition;
+  /** Revision after which all removals up to the position are tombstones. */
+  let removalsKnownAfter = originPosition.revision;
 
   return {
     applyChanges,
     applySome,
+    applySomeListed,
     applyPush,
     applyListing,
     applyCopy,
@@ -128,6 +151,9 @@
       ),
     countLostEntries: () => getLostEntries().length,
     getPosition: () => position,
+    confirm: ({ era, revision }) => {
+      if (era === position.era) advance(revision);
+    },
   };
 
   function applyChanges(
@@ -190,27 +216,52 @@
     live.delete(event.key);
     tombstones.delete(event.key);
     (event.value === undefined ? tombstones : live).set(event.key, event);
-    if (tombstones.size > maxTombstones) evictOldest(tombstones);
+    if (tombstones.size <= maxTombstones) return;
+    const evicted = evictOldest(tombstones);
+    removalsKnownAfter = Math.max(removalsKnownAfter, evicted?.revision ?? 0);
   }
 
   function applyListing(listing: Listing): readonly DirectoryChange[] {
-    const { entries, position: { era, revision: listedRevision } } = listing;
+    const { entries, position: { era, revision } } = listing;
     if (era < position.era) return [];
     if (era > position.era) return replaceAll(listing);
-    const listed = new Set(entries.map(({ key }) => key));
-    const missing = [...live.values()]
-      .filter(({ key, revision }) =>
-        !listed.has(key) && revision <= listedRevision
-      )
-      .map(({ key }) => ({ key, value: undefined, revision: listedRevision }));
-    const events = [...entries, ...missing];
-    const applied = events.filter(apply);
-    events
-      .filter(({ revision }) => revision <= listedRevision)
-      .forEach(({ revision }) => advance(revision));
+    const missing = findMissing(listing.position, entries);
+    const applied = [...entries, ...missing].filter(apply);
+    advanceWithoutRemovals(revision);
     return applied;
   }
 
+  function applySomeListed(
+    { entries, position: listed }: Listing,
+    isListed: (key: string) => boolean,
+  ): readonly DirectoryChange[] {
+    if (listed.era !== position.era) return [];
+    const missing = findMissing(listed, entries)
+      .filter(({ key }) => isListed(key));
+    return [...entries, ...missing].filter(apply);
+  }
+
+  /**
+   * Returns the removals of the entries that are known here and did not exist at a
+   * position. Their revisions are not known; none is newer than the position.
+   */
+  function findMissing(
+    { revision: existingAt }: StorePosition,
+    existing: readonly Pick<WatchEvent, "key">[],
+  ): readonly WatchEvent[] {
+    const keys = new Set(existing.map(({ key }) => key));
+    return [...live.values()]
+      .filter(({ key, revision }) => !keys.has(key) && revision <= existingAt)
+      .map(({ key }) => ({ key, value: undefined, revision: existingAt }));
+  }
+
+  /** Advances over changes whose removals are not all known. */
+  function advanceWithoutRemovals(revision: number): void {
+    if (revision <= position.revision) return;
+    advance(revision);
+    removalsKnownAfter = revision;
+  }
+
   function applyCopy(copy: DirectoryCopy): readonly DirectoryChange[] {
     const changes = applyCopiedChanges(copy);
     if (copy.position.era !== position.era) return changes;
@@ -239,33 +290,33 @@
   }
 
   function applyCopiedChanges(
-    { position: copied, isComplete, changes }: DirectoryCopy,
+    { position: copied, isComplete, changes, keys }: DirectoryCopy,
   ): readonly DirectoryChange[] {
-    if (!isComplete) {
-      return applyChanges({ events: changes, position: copied });
+    const entries = changes.flatMap(({ key, value, revision }) =>
+      value === undefined ? [] : [{ key, value, revision }]
+    );
+    if (copied.era > position.era && isComplete) {
+      return replaceAll({ entries, position: copied });
     }
-    if (copied.era < position.era) return [];
-    if (copied.era === position.era) {
+    if (copied.era !== position.era) return [];
+    const existing = keys?.map((key) => ({ key })) ??
+      (isComplete ? entries : undefined);
+    if (existing === undefined) {
       const applied = changes.filter(apply);
       advance(copied.revision);
       return applied;
     }
-    const entries = changes.flatMap(({ key, value, revision }) =>
-      value === undefined ? [] : [{ key, value, revision }]
-    );
-    return replaceAll({ entries, position: copied });
+    const missing = findMissing(copied, existing);
+    const applied = [...changes, ...missing].filter(apply);
+    advanceWithoutRemovals(copied.revision);
+    return applied;
   }
 
   /** Begins a newer era with all of its entries; returns what differs. */
   function replaceAll(listing: Listing): readonly DirectoryChange[] {
-    const { era, revision: listedRevision } = listing.position;
     const known = new Map([...tombstones, ...live]);
-    const newestRevision = listing.entries
-      .map(({ revision }) => revision)
-      .filter((revision) => revision <= listedRevision)
-      .reduce((left, right) => Math.max(left, right), 0);
-    // A peer without removals to tell of has the revision of its newest entry.
-    position = { era, revision: newestRevision || listedRevision };
+    position = listing.position;
+    removalsKnownAfter = position.revision;
     live.clear();
     tombstones.clear();
     const changes: DirectoryChange[] = [];
@@ -326,11 +377,19 @@
           : revision > after.revision && revision <= position.revision
       )
       .sort((left, right) => left.revision - right.revision);
-    return { position, isComplete, changes, lostEntries: getLostEntries() };
+    const lacksRemovals = !isComplete && after.revision < removalsKnownAfter;
+    return {
+      ...{ position, isComplete, changes },
+      keys: lacksRemovals ? [...live.keys()] : undefined,
+      lostEntries: getLostEntries(),
+    };
   }
 }
 
-function evictOldest(map: Map<string, unknown>): void {
-  const [oldest] = map.keys();
-  if (oldest !== undefined) map.delete(oldest);
+/** Removes the entry that was set first; returns its value. */
+function evictOldest<Value>(map: Map<string, Value>): Value | undefined {
+  const [oldest] = map;
+  if (oldest === undefined) return undefined;
+  map.delete(oldest[0]);
+  return oldest[1];
 }
--- a/src/process/direct/directory/directory_sync.ts
+++ b/src/process/direct/directory/directory_sync.ts
@@ -183,7 +183,7 @@
   });
   const missedChanges = createMissedChanges({
     ...{ store: host.store, replica: host.replica, urgentReads, list },
-    ...{ hasReturned, applyAt, applyListing, log: host.log },
+    ...{ hasReturned, applyAt, applyListing, confirm, log: host.log },
     countCall: host.countCall,
     isStopped: () => isStopped,
   });
@@ -335,6 +335,7 @@
     );
     if (unknown.length > 0) host.pushChanges(unknown, base);
     notify(applied, "watch");
+    confirm(changes.position);
     if (changes.events.length > 0) {
       const isStandby = host.watchers.countWatchersAhead() > 0;
       await sleep(isStandby ? standbyBatchDelayMs : batchDelayMs);
@@ -342,6 +343,16 @@
     return changes.position;
   }
 
+  /**
+   * Takes over the position of a peer up to which the store was read here. The
+   * store may count revisions of which it tells no change.
+   */
+  function confirm({ era, revision }: StorePosition): void {
+    const peer = contact.tryGetPeerPosition();
+    if (peer?.era !== era) return;
+    host.replica.confirm({ era, revision: Math.min(revision, peer.revision) });
+  }
+
   async function tryCall<T extends Pick<Listing, "position">>(
     call: (onLongBody: () => void) => EitherAsync<DirectoryError, T>,
   ): Promise<T | undefined> {
--- a/src/process/direct/directory/missed_changes.ts
+++ b/src/process/direct/directory/missed_changes.ts
@@ -36,6 +36,8 @@
     source: ChangeSource,
     apply: () => readonly DirectoryChange[],
   ): void;
+  /** Records that all changes up to a position were read from the store. */
+  confirm(position: StorePosition): void;
   /** Applies a listing; returns true. */
   applyListing(listing: Listing): boolean;
   /** Counts one call to the store. */
@@ -99,6 +101,7 @@
           "watch",
           () => host.replica.applyChanges(changes),
         );
+        host.confirm(changes.position);
         return true;
       },
     });
--- a/src/process/direct/peers/peer_pulls.ts
+++ b/src/process/direct/peers/peer_pulls.ts
@@ -12,7 +12,10 @@
   SocketAddress,
 } from "../../../types/direct_settings.ts";
 import type { RouterPeer } from "../../../types/direct_target.ts";
-import type { StorePosition } from "../../../types/store_position.ts";
+import {
+  comparePositions,
+  type StorePosition,
+} from "../../../types/store_position.ts";
 import type { Log } from "../../telemetry/log.ts";
 import type { CachedPart } from "../placement/cached_parts.ts";
 import type { DirectoryCopy } from "../directory/directory_replica.ts";
@@ -90,7 +93,11 @@
   const createdAt = performance.now();
   let isPulling = false;
   let nextSeed = 0;
-  let behindSince: number | undefined;
+  /** Since when a peer has been ahead of a position of this router. */
+  let behind: {
+    readonly since: number;
+    readonly position: StorePosition;
+  } | undefined;
   /** Largest number of lost entries that a peer has returned, and its era. */
   let pulledLost = { era: 0, entries: 0 };
 
@@ -98,7 +105,7 @@
     reportPeerAhead,
     reportLostEntries,
     reportCaughtUp: () => {
-      behindSince = undefined;
+      behind = undefined;
     },
     tick,
     tryPullCachedParts,
@@ -106,9 +113,12 @@
 
   function reportPeerAhead(peer: SocketAddress): void {
     const now = performance.now();
-    behindSince ??= now;
+    const position = host.getPosition();
+    if (!behind || comparePositions(position, behind.position) > 0) {
+      behind = { since: now, position };
+    }
     const mayPull = host.hasConfiguration()
-      ? now - behindSince >= maxLagMs
+      ? now - behind.since >= maxLagMs
       : host.needsPeers() && now - createdAt >= firstPullDelayMs;
     if (mayPull) void pull(peer);
   }
@@ -155,6 +165,7 @@
         fromEra: after.era,
         fromRevision: after.revision,
         changes: copy.changes.length,
+        existingKeys: copy.keys?.length,
         lostEntries,
       });
     } catch (error) {
--- a/src/process/direct/store/store_contact.ts
+++ b/src/process/direct/store/store_contact.ts
@@ -41,6 +41,8 @@
   recordPeerContact(contactMs: number): void;
   /** Records the position of a peer. */
   recordPeerPosition(position: StorePosition): void;
+  /** Returns the newest position that a peer has told lately, if any. */
+  tryGetPeerPosition(): StorePosition | undefined;
   /** Returns true while the store responds; false before its first response. */
   isConnected(): boolean;
   /** Returns true when a read of the store has ended within a time. */
@@ -138,6 +140,7 @@
       recordContact(now - contactMs, now);
     },
     recordPeerPosition,
+    tryGetPeerPosition: () => isPeerKept() ? peer.position : undefined,
     isConnected: () => isConnected,
     hasReadWithin: (ms) => performance.now() - lastReadAt < ms,
     needsPeers,
@@ -155,14 +158,17 @@
   };
 
   function recordPeerPosition(position: StorePosition): void {
-    const isKept = performance.now() - peer.at <= peerPositionTtlMs;
-    if (isKept && comparePositions(position, peer.position) < 0) return;
+    if (isPeerKept() && comparePositions(position, peer.position) < 0) return;
     peer = { position, at: performance.now() };
   }
 
+  function isPeerKept(): boolean {
+    return performance.now() - peer.at <= peerPositionTtlMs;
+  }
+
   /** Returns true when a peer knows changes that are not known here. */
   function isBehind(): boolean {
-    if (performance.now() - peer.at > peerPositionTtlMs) return false;
+    if (!isPeerKept()) return false;
     return comparePositions(peer.position, host.getPosition()) > 0 &&
       comparePositions(peer.position, readPosition) > 0;
   }
--- a/test/fakes/returning_store.ts
+++ b/test/fakes/returning_store.ts
@@ -60,6 +60,10 @@
   setAvailable(isAvailable: boolean): void;
   /** Leaves the era out of all responses. */
   omitEra(): void;
+  /** Discards the history. */
+  compact(): void;
+  /** Counts a change that no router can see. */
+  skipRevision(): void;
   getCalls(): readonly StoreCall[];
 }
 
@@ -130,6 +134,13 @@
     omitEra: () => {
       hasEra = false;
     },
+    compact: () => {
+      oldestRevision = revision;
+      history = [];
+    },
+    skipRevision: () => {
+      revision++;
+    },
     getCalls: () => calls,
   };
 
--- a/test/support/directory_fleet.ts
+++ b/test/support/directory_fleet.ts
@@ -158,6 +158,8 @@
   return {
     routers: routers as readonly ReplayedRouter[],
     startRouter,
+    killRouter,
+    restartRouter,
     /** Returns the routers that watch the store. */
     getWatching: (): readonly ReplayedRouter[] =>
       routers.filter(({ sync }) => sync.isWatching()),
@@ -171,6 +173,22 @@
     return router;
   }
 
+  /** Ends a router, whose entry stays; nothing of it is sent any more. */
+  function killRouter({ id }: ReplayedRouter): void {
+    const router = routers.find((other) => other.id === id);
+    if (router === undefined) return;
+    router.sync.stop();
+    Object.assign(router, { access: "refuse", isReached: false });
+  }
+
+  /** Starts a killed router again, which then knows nothing. */
+  function restartRouter({ id }: ReplayedRouter): void {
+    const router = createRouter(id);
+    routers[routers.findIndex((other) => other.id === id)] = router;
+    router.sync.start();
+    sendDigests(router);
+  }
+
   function createRouter(id: string, link?: StoreLink): RouterParts {
     const self = { id, address: id, digestPort: 6, pullPort: 7 };
     const versions: number[] = [];
@@ -286,6 +304,7 @@
     );
     const intervalMs = router.sync.hasTurn() ? watcherDigestMs : idleMs;
     setTimeout(() => {
+      if (!routers.includes(router)) return;
       send(router, undefined);
       sendDigests(router);
     }, intervalMs);
