Take only what the store did for its outage, not who was alive to read it

After the loss of the routers that read the store, another one, to which nothing had happened, sent 4 to 5 of 144 requests to a target that had left more than 3 s before. And in a silent outage of 2.5 s in which entries expire, all routers at times dropped all targets: 29 of 60 requests refused.

Cause: a second in which no router read the store counted as its outage. A call in vain counted as contact for 2 s after the last response, so that an outage was measured too short.

"Target is gone" now logs from when to when the store was read, by whom, and for how long it was silent since.

Why it works: an outage needs a router that asked and was not answered in time, beside two seconds without a read. Readers that are lost or frozen give no such evidence; a cut of all of them makes others read before the two seconds are over. Contact ends with the last response, so that silent outages count in full.

One call more when nobody has read the store for a second.

--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -78,6 +78,9 @@
 /** Maximum number of pages of a listing. */
 const maxPages = 500;
 
+/** Status of a response with what was read; others refuse the call. */
+const successStatus = 200;
+
 /** Timeout for opening a connection, in milliseconds. */
 const connectTimeoutMs = 800;
 
@@ -91,7 +94,7 @@
 };
 
 /** A call to the store; without a body it reads. */
-interface StoreCall extends Pick<WatchOptions, "onLongBody"> {
+interface StoreCall extends Pick<WatchOptions, "onHead" | "onLongBody"> {
   readonly name: StoreRead["call"];
   readonly path: string;
   readonly body?: JsonObject;
@@ -187,7 +190,7 @@
       name: "list",
       path: `${storePaths.range}?${query}`,
       maxBytes: Math.min(maxPageBytes, budget.bytes),
-      onLongBody: options.onLongBody,
+      ...{ onHead: options.onHead, onLongBody: options.onLongBody },
     });
     return page.caseOf<Promise<Either<DirectoryError, Listing>>>({
       Left: (error) => Promise.resolve(Left(error)),
@@ -228,9 +231,9 @@
   }
 
   function watch(
-    { afterRevision, waitMs, kind, maxBytes = Infinity, onLongBody }:
-      WatchOptions,
+    options: WatchOptions,
   ): EitherAsync<DirectoryError, Changes> {
+    const { afterRevision, waitMs, kind, maxBytes = Infinity } = options;
     const query = new URLSearchParams({
       Prefix: getPrefix({ kind }),
       After: String(afterRevision),
@@ -241,7 +244,7 @@
       name: "watch",
       path: `${storePaths.watch}?${query}`,
       waitMs,
-      onLongBody,
+      ...{ onHead: options.onHead, onLongBody: options.onLongBody },
       maxUsefulBytes: maxBytes,
     });
     return EitherAsync.fromPromise(() => result).chain(({ body, era }) => {
@@ -289,7 +292,7 @@
   async function call(
     request: StoreCall,
   ): Promise<Either<DirectoryError, StoreResponse>> {
-    const { name, path, body, waitMs = 0, onLongBody } = request;
+    const { name, path, body, waitMs = 0, onHead, onLongBody } = request;
     const { maxBytes = maxResponseBytes, maxUsefulBytes = Infinity } = request;
     const kind = body === undefined ? "read" : "write";
     const timeout = startCallTimeout({
@@ -310,6 +313,7 @@
         }),
       });
       timeout.recordHead();
+      if (response.statusCode === successStatus) onHead?.();
       const bodyBytes = Number(response.headers["content-length"] ?? 0);
       if (bodyBytes > maxUsefulBytes) {
         response.body.on("error", () => undefined).destroy();
--- a/src/process/direct/directory/directory_sync.ts
+++ b/src/process/direct/directory/directory_sync.ts
@@ -17,7 +17,6 @@
 import type { WatchEvent } from "../../../types/platform.ts";
 import type { StorePosition } from "../../../types/store_position.ts";
 import type { ChangeSource } from "./directory_tables.ts";
-import { getBackOffMs } from "../../membership/jitter.ts";
 import type { Log } from "../../telemetry/log.ts";
 import type {
   DirectoryChange,
@@ -31,15 +30,17 @@
 } from "../store/store_contact.ts";
 import { createFirstListing } from "./first_listing.ts";
 import { createOpenPushes } from "./open_pushes.ts";
-import { createMissedChanges, readBesideUrgent } from "./missed_changes.ts";
+import { createMissedChanges } from "./missed_changes.ts";
 import { getMaxWatchBytes } from "./watch_size.ts";
 import { createUrgentReads } from "./urgent_reads.ts";
+import { createWatcherCalls } from "./watcher_calls.ts";
 import { createStoreReturns } from "../store/store_returns.ts";
 import { getPushBase, type PushBase } from "../peers/change_pushes.ts";
 import type { WatcherChoice } from "../peers/watcher_choice.ts";
 
 /** What the synchronization needs from the process. */
 export interface DirectorySyncHost {
+  readonly selfId: string;
   readonly store: Pick<DirectoryStore, "getEra" | "list" | "watch">;
   readonly replica: DirectoryReplica;
   readonly watchers: Pick<
@@ -60,6 +61,8 @@
   pushUrgent(changes: readonly WatchEvent[], era: number): void;
   /** Handles that the end of the last outage is another than was known. */
   handleOutageRevised(): void;
+  /** Tells the peers that the store no longer answers this router. */
+  tellSilent(): void;
   /** Counts one call to the store. */
   countCall(call: "list" | "watch"): void;
 }
@@ -73,6 +76,7 @@
     | "getCopyAgeMs"
     | "getOutageEndedAt"
     | "getOwnReadAgeMs"
+    | "getSilentMs"
     | "hasFailed"
     | "isConnected"
     | "needsPeers"
@@ -103,6 +107,8 @@
   isWatching(): boolean;
   /** Returns true while this router has the turn to watch the store. */
   hasTurn(): boolean;
+  /** As `StoreContact.describe`. */
+  describeContact: StoreContact["describe"];
   /** As `StoreReturns.getReturnedAt`. */
   getReturnedAt(): number;
 }
@@ -114,11 +120,10 @@
 const watchTimeoutMs = 1_000;
 
 /**
- * Time since the last response after which a router no longer reports that it
- * watches the store, in milliseconds: the longest pause after changes, a watch
- * without changes and a slow round trip.
+ * Wait of the first watch after a time in which nobody has read the store, in
+ * milliseconds. The store answers it at once, so that its silence is noticed.
  */
-const watchReportMs = 2_000;
+const readWaitMs = 1;
 
 /** Interval at which a router checks whether to watch the store, in ms. */
 const turnCheckIntervalMs = 100;
@@ -149,28 +154,27 @@
  */
 const standbyBatchDelayMs = 600;
 
-/**
- * Delay after failed calls. It is short compared with the seconds within which
- * a change must take effect.
- */
-const failureBackOff = { firstMs: 60, maxMs: 500 } as const;
-
 /** Creates the synchronization, which begins with `start`. */
 export function createDirectorySync(host: DirectorySyncHost): DirectorySync {
   let isStopped = false;
   const contact = createStoreContact({
-    log: host.log,
+    ...{ selfId: host.selfId, log: host.log },
     getPosition: host.replica.getPosition,
     getLastWatchedAt: host.watchers.getLastWatchedAt,
     handleOutageRevised: host.handleOutageRevised,
+    handleSilent: () => {
+      if (hasTurn) host.tellSilent();
+    },
   });
   const returns = createStoreReturns(host);
   const firstListing = createFirstListing({
-    list: () => listNoting(),
+    list: () => listNoting({ onHead: contact.recordHead }),
     isNeeded: () => !isStopped && host.replica.getPosition().revision === 0,
     recordFailure: contact.recordFailure,
   });
   let hasTurn = false;
+  /** True until the first read of a turn when nobody has read the store lately. */
+  let isReadDue = false;
   const openPushes = createOpenPushes();
   /** True when the listing that was made last took long to read. */
   let isListingLong = false;
@@ -181,6 +185,10 @@
     recordProgress: contact.recordProgress,
     hasTurn: () => hasTurn,
   });
+  const { tryCall } = createWatcherCalls({
+    ...{ contact, urgentReads },
+    isStopped: () => isStopped,
+  });
   const missedChanges = createMissedChanges({
     ...{ store: host.store, replica: host.replica, urgentReads, list },
     ...{ hasReturned, applyAt, applyListing, confirm, log: host.log },
@@ -190,6 +198,7 @@
 
   return {
     ...contact,
+    describeContact: contact.describe,
     start: () => void run(),
     stop: () => {
       isStopped = true;
@@ -207,8 +216,7 @@
   };
 
   function isWatching(): boolean {
-    return hasTurn && contact.isConnected() &&
-      contact.hasReadWithin(watchReportMs);
+    return hasTurn && contact.isReading();
   }
 
   async function run(): Promise<void> {
@@ -250,7 +258,7 @@
   function startWatching(): void {
     if (hasTurn) return;
     hasTurn = true;
-    contact.recordTurn();
+    isReadDue = contact.recordTurn();
     host.log.info("Router watches the store", {
       ...host.replica.getPosition(),
     });
@@ -273,8 +281,9 @@
   }
 
   /** Lists, and notes whether that takes long. */
-  function listNoting(onLongBody?: () => void) {
+  function listNoting({ onHead, onLongBody }: ListOptions) {
     return list({
+      onHead,
       onLongBody: () => {
         isListingLong = true;
         onLongBody?.();
@@ -299,8 +308,9 @@
   async function tryList(): Promise<StorePosition | undefined> {
     const isFirst = host.replica.getPosition().revision === 0;
     isListingLong = false;
-    const listing = await tryCall((onLongBody) =>
-      isFirst ? firstListing.run() : listNoting(onLongBody)
+    const listing = await tryCall(
+      0,
+      (options) => isFirst ? firstListing.run() : listNoting(options),
     );
     if (listing === undefined) return undefined;
     // A listing is as old as it took.
@@ -319,13 +329,13 @@
     after: StorePosition,
   ): Promise<StorePosition | undefined> {
     host.countCall("watch");
-    const changes = await tryCall((onLongBody) =>
+    const waitMs = isReadDue ? readWaitMs : watchTimeoutMs;
+    isReadDue = false;
+    const changes = await tryCall(waitMs, (options) =>
       host.store.watch({
-        ...{ afterRevision: after.revision, onLongBody },
-        waitMs: watchTimeoutMs,
+        ...{ ...options, afterRevision: after.revision, waitMs },
         maxBytes: getMaxWatchBytes(host.replica),
-      })
-    );
+      }));
     // Changes may have been missed while the store was unavailable.
     if (changes?.position.era !== after.era) return undefined;
     const base = getPushBase(host.replica, changes.events);
@@ -353,29 +363,6 @@
     host.replica.confirm({ era, revision: Math.min(revision, peer.revision) });
   }
 
-  async function tryCall<T extends Pick<Listing, "position">>(
-    call: (onLongBody: () => void) => EitherAsync<DirectoryError, T>,
-  ): Promise<T | undefined> {
-    const result = await readBesideUrgent(urgentReads, call);
-    return await result.caseOf<Promise<T | undefined>>({
-      Left: async (error) => {
-        // Stopping closes the client, which fails the pending call.
-        if (isStopped) return undefined;
-        contact.recordFailure(error);
-        if (error.kind !== "compacted") await backOff();
-        return undefined;
-      },
-      Right: (value) => {
-        contact.recordSuccess(value.position);
-        return Promise.resolve(value);
-      },
-    });
-  }
-
-  async function backOff(): Promise<void> {
-    await sleep(getBackOffMs(contact.getFailures(), failureBackOff));
-  }
-
   /** Applies what was read at a position, and handles a return before it. */
   function applyAt(
     position: StorePosition,
--- a/src/process/direct/directory/directory_tables.ts
+++ b/src/process/direct/directory/directory_tables.ts
@@ -18,6 +18,7 @@
 import type { TargetHealth } from "../targets/target_health.ts";
 import type { TargetTable } from "../targets/target_table.ts";
 import type { TargetLimits } from "../limits/target_limits.ts";
+import type { StoreContactRecord } from "../store/store_availability.ts";
 import type { ZoneEvacuations } from "../targets/zone_evacuations.ts";
 
 /** Source of a change; a `push` comes from a peer that reads the store. */
@@ -54,6 +55,8 @@
   getEra(): number;
   /** Returns when the store's last outage ended, on the monotonic clock. */
   getOutageEndedAt(): number;
+  /** Returns what is known of the store's responses, for the log. */
+  describeContact(): StoreContactRecord;
   /**
    * Returns when the store was first known to have returned from an older copy
    * for the last time, on the monotonic clock.
@@ -315,6 +318,7 @@
       target: id,
       ...getOrigin(revision, source),
       usableForMs: Math.max(0, Math.round(usableUntil - performance.now())),
+      ...host.describeContact(),
     });
   }
 
--- a/src/process/direct/directory/directory_tables_test.ts
+++ b/src/process/direct/directory/directory_tables_test.ts
@@ -6,6 +6,7 @@
 import type { RouterPeer } from "../../../types/direct_target.ts";
 import type { DirectoryRecord } from "../../../types/directory.ts";
 import { createSilentLog } from "../../telemetry/log.ts";
+import { createStoreAvailability } from "../store/store_availability.ts";
 import { createDirectoryTables } from "./directory_tables.ts";
 import { createCachedParts } from "../placement/cached_parts.ts";
 import { createTargetTable } from "../targets/target_table.ts";
@@ -38,6 +39,7 @@
       log: createSilentLog(),
       expiryGraceMs: 2_200,
       getOutageEndedAt: () => outageEndedAt,
+      describeContact: createStoreAvailability().describe,
       getReturnedAt: () => returnedAt,
       getEra: () => 1,
       handleRouteTable: ({ version }) => versions.push(version),
--- a/src/process/direct/directory/unseen_removal_test.ts
+++ b/src/process/direct/directory/unseen_removal_test.ts
@@ -21,6 +21,9 @@
 /** Time after which a router in touch knows of a removal, in milliseconds. */
 const knownMs = 2_000;
 
+/** Time after which a router that reached nobody is in touch again, in ms. */
+const contactMs = 4_000;
+
 const leaver = "servers/target-3";
 const zoneKey = "op/evacuate/zone-9";
 const goneRouterKey = "routers/gone";
@@ -160,6 +163,18 @@
       await jest.advanceTimersByTimeAsync(knownMs);
       expect(isUsed(follower, "target-3")).toBe(false);
     });
+
+    it("is known to a router that reached nobody meanwhile", async () => {
+      const { store, fleet, follower, returnOthers } = await startFleet(size);
+      Object.assign(follower, { access: "silent", isReached: false });
+      const others = fleet.routers.filter((router) => router !== follower);
+      store.remove(leaver);
+      others.forEach(fleet.killRouter);
+      await returnOthers(others);
+      Object.assign(follower, { access: "serve", isReached: true });
+      await jest.advanceTimersByTimeAsync(contactMs);
+      expect(isUsed(follower, "target-3")).toBe(false);
+    });
   });
 
   describe("costs no reads of the whole fleet", () => {
--- /dev/null
+++ b/src/process/direct/directory/watcher_calls.ts
@@ -0,0 +1,83 @@
+/** Makes the calls of a router that reads the store, one after the other. */
+
+import type { EitherAsync } from "purify-ts";
+import type {
+  DirectoryError,
+  Listing,
+  ListOptions,
+} from "../../../types/directory.ts";
+import { getBackOffMs } from "../../membership/jitter.ts";
+import type { StoreContact } from "../store/store_contact.ts";
+import { readBesideUrgent } from "./missed_changes.ts";
+import type { UrgentReads } from "./urgent_reads.ts";
+
+/** What the calls need from the process. */
+export interface WatcherCallsHost {
+  readonly contact: Pick<
+    StoreContact,
+    | "beginCall"
+    | "getFailures"
+    | "recordFailure"
+    | "recordHead"
+    | "recordSuccess"
+  >;
+  readonly urgentReads: UrgentReads;
+  isStopped(): boolean;
+}
+
+/** The calls of one router. */
+export interface WatcherCalls {
+  /**
+   * Makes a call that the store may hold for `waitMs`, in milliseconds; returns
+   * undefined after a failure and a delay.
+   */
+  tryCall<T extends Pick<Listing, "position">>(
+    waitMs: number,
+    call: (options: ListOptions) => EitherAsync<DirectoryError, T>,
+  ): Promise<T | undefined>;
+}
+
+/**
+ * Delay after failed calls. It is short compared with the seconds within which
+ * a change must take effect.
+ */
+const failureBackOff = { firstMs: 60, maxMs: 500 } as const;
+
+/** Creates the calls; none is made before the first `tryCall`. */
+export function createWatcherCalls(host: WatcherCallsHost): WatcherCalls {
+  const { contact, urgentReads } = host;
+
+  return { tryCall };
+
+  async function tryCall<T extends Pick<Listing, "position">>(
+    waitMs: number,
+    call: (options: ListOptions) => EitherAsync<DirectoryError, T>,
+  ): Promise<T | undefined> {
+    const endCall = contact.beginCall(waitMs);
+    const result = await readBesideUrgent(
+      urgentReads,
+      (onLongBody) => call({ onLongBody, onHead: contact.recordHead }),
+    );
+    endCall();
+    return await result.caseOf<Promise<T | undefined>>({
+      Left: async (error) => {
+        // Stopping closes the client, which fails the pending call.
+        if (host.isStopped()) return undefined;
+        contact.recordFailure(error);
+        if (error.kind !== "compacted") await backOff();
+        return undefined;
+      },
+      Right: (value) => {
+        contact.recordSuccess(value.position);
+        return Promise.resolve(value);
+      },
+    });
+  }
+
+  function backOff(): Promise<void> {
+    return new Promise((resolve) => {
+      const delayMs = getBackOffMs(contact.getFailures(), failureBackOff);
+      setTimeout(resolve, delayMs).unref();
+    });
+  }
+}
--- a/src/process/direct/peers/peer_digests.ts
+++ b/src/process/direct/peers/peer_digests.ts
@@ -81,6 +81,11 @@
    * undefined when it does not watch the store or does not tell.
    */
   readonly storeAgeMs: number | undefined;
+  /**
+   * Time for which the store has owed the sender a response, in milliseconds; 0
+   * when it owes none.
+   */
+  readonly storeSilentMs: number;
   /** Number of entries of which the sender knows more than the store has. */
   readonly lostEntries: number;
   /** Processes that have lately told the sender that they leave. */
@@ -127,6 +132,7 @@
   | "isWatching"
   | "storeContactMs"
   | "storeAgeMs"
+  | "storeSilentMs"
   | "lostEntries"
   | "leaves"
   | "limits"
@@ -361,10 +367,10 @@
       isWatching: digest.isWatching,
       storeContactMs: digest.storeContactMs,
       storeAgeMs: digest.storeAgeMs,
+      storeSilentMs: digest.storeSilentMs,
       lostEntries: digest.lostEntries,
-      leaves: digest.leaves.map(({ target, startedAtMs }) => ({
-        id: target,
-        startedAtMs,
+      leaves: digest.leaves.map(({ target: id, startedAtMs }) => ({
+        ...{ id, startedAtMs },
       })),
       limits: digest.limits.flatMap(toLimitRecord),
       paces: digest.paces,
@@ -372,15 +378,11 @@
       lists: digest.lists && toListMessage(digest.lists),
       pushFragment: digest.pushFragment && toPushFragment(digest.pushFragment),
       loads: new Map(
-        digest.loads.map(({ target, requests, unreadTokens }) => [
-          target,
-          { requests, unreadTokens },
-        ]),
+        digest.loads.map(({ target, ...load }) => [target, load]),
       ),
       demands: digest.demands.flatMap(toDemands),
-      partRates: digest.partRates.map(({ hash, per10s }) => ({
-        ...{ hash, perS: per10s / 10 },
-      })),
+      partRates: digest.partRates
+        .map(({ hash, per10s }) => ({ hash, perS: per10s / 10 })),
       parts: digest.heldParts.map(
         ({ target, part, tokens, isBeingRead }) => ({
           target,
--- a/src/process/direct/store/store_contact.ts
+++ b/src/process/direct/store/store_contact.ts
@@ -10,10 +10,17 @@
   type StorePosition,
 } from "../../../types/store_position.ts";
 import type { Log } from "../../telemetry/log.ts";
-import { createStoreAvailability, minOutageMs } from "./store_availability.ts";
+import {
+  createStoreAvailability,
+  minOutageMs,
+  minSilenceMs,
+  type StoreContactRecord,
+} from "./store_availability.ts";
+import { createStoreSilence, type StoreSilence } from "./store_silence.ts";
 
 /** What the record needs from the process. */
 export interface StoreContactHost {
+  readonly selfId: string;
   readonly log: Log;
   /** Returns the position of the replica, for the log. */
   getPosition(): StorePosition;
@@ -21,30 +28,48 @@
   getLastWatchedAt(): number;
   /** Handles that the end of the last outage is another than was known. */
   handleOutageRevised(): void;
+  /** Handles that the store no longer answers this router. */
+  handleSilent(): void;
+}
+
+/** What a peer tells of its reads of the store; times in milliseconds. */
+export interface PeerStoreContact {
+  /** Time for which it has read the store without an outage; 0 for none. */
+  readonly contactMs: number;
+  /** Time since the last response to it. */
+  readonly ageMs: number;
+  /** Time for which the store has owed it a response; 0 when it owes none. */
+  readonly silentMs: number;
 }
 
 /** What is known of the store's responses and outages. */
 export interface StoreContact {
+  /** As `StoreSilence.beginCall`. */
+  beginCall: StoreSilence["beginCall"];
   recordFailure(error: DirectoryError): void;
+  /** Records that a response of the store has begun. */
+  recordHead(): void;
   /** Records a response of the store, which knew all changes to a position. */
   recordSuccess(read: StorePosition): void;
   /** Records that the store responds, while a read of it has not ended. */
   recordProgress(): void;
-  /** Records that this router begins to watch the store. */
-  recordTurn(): void;
-  /** Records that this router no longer watches the store. */
-  recordTurnEnd(): void;
   /**
-   * Records that a peer reads the store, and for how long it has done so
-   * without an outage, in milliseconds.
+   * Records that this router begins to watch the store; returns true if nobody is
+   * known to have read it lately.
    */
-  recordPeerContact(contactMs: number): void;
+  recordTurn(): boolean;
+  /** Records that this router no longer watches the store. */
+  recordTurnEnd(): void;
+  /** Records what a peer tells of its reads of the store. */
+  recordPeerContact(peer: string, contact: PeerStoreContact): void;
   /** Records the position of a peer. */
   recordPeerPosition(position: StorePosition): void;
   /** Returns the newest position that a peer has told lately, if any. */
   tryGetPeerPosition(): StorePosition | undefined;
   /** Returns true while the store responds; false before its first response. */
   isConnected(): boolean;
+  /** Returns true while the store answers the reads of this router in time. */
+  isReading(): boolean;
   /** Returns true when a read of the store has ended within a time. */
   hasReadWithin(ms: number): boolean;
   /** Returns true when changes should be pulled from peers. */
@@ -54,10 +79,14 @@
   /** Returns the number of failed calls since the last response. */
   getFailures(): number;
   /**
-   * Returns when the last time ended in which no router read the store, on the
-   * monotonic clock; negative infinity when there was none.
+   * Returns when the last outage of the store ended, on the monotonic clock;
+   * negative infinity when there was none.
    */
   getOutageEndedAt(): number;
+  /** As `StoreSilence.getSilentMs`. */
+  getSilentMs(): number;
+  /** Returns what is known of the store's responses, for the log. */
+  describe(): StoreContactRecord;
   /**
    * Returns for how long this router has watched the store without an outage,
    * in milliseconds; 0 before a response. Holds while this router is watching.
@@ -79,11 +108,17 @@
 }
 
 /**
- * Time after a response for which the store counts as reached until a call
- * fails, in milliseconds: the longest pause after changes and a watch without
- * changes. A process that was stopped meanwhile finds out later.
+ * Maximum time between two reads of a router that watches the store, in
+ * milliseconds: the longest pause after changes, a watch without changes and a
+ * slow round trip.
  */
-const maxIdleMs = 2_000;
+const maxReadPauseMs = 2_000;
+
+/**
+ * Time since the last read of any router after which one that begins to watch
+ * waits for a response before it says so, in milliseconds.
+ */
+const maxReadAgeMs = 1_000;
 
 /**
  * Time between two responses without a failure after which an outage may have
@@ -111,6 +146,10 @@
   let isConnected = false;
   let failures = 0;
   const availability = createStoreAvailability();
+  const silence = createStoreSilence({
+    recordSilence: availability.recordSilence,
+    handleSilent: host.handleSilent,
+  });
   let hasTurn = false;
   /** Time of the first response since the last outage, in this turn. */
   let contactSince: number | undefined;
@@ -126,27 +165,31 @@
 
   return {
     recordFailure,
+    beginCall: silence.beginCall,
     recordSuccess,
+    recordHead: recordResponse,
     recordProgress: () => {
-      if (isConnected) lastResponseAt = performance.now();
+      if (isConnected) recordResponse();
     },
     recordTurn,
     recordTurnEnd: () => {
       hasTurn = false;
       contactSince = undefined;
     },
-    recordPeerContact: (contactMs) => {
-      const now = performance.now();
-      recordContact(now - contactMs, now);
-    },
+    recordPeerContact,
     recordPeerPosition,
     tryGetPeerPosition: () => isPeerKept() ? peer.position : undefined,
     isConnected: () => isConnected,
+    isReading: () =>
+      isConnected && performance.now() - lastReadAt < maxReadPauseMs &&
+      silence.getSilentMs() < minSilenceMs,
     hasReadWithin: (ms) => performance.now() - lastReadAt < ms,
     needsPeers,
     hasFailed: () => failures > 0,
     getFailures: () => failures,
     getOutageEndedAt: availability.getOutageEndedAt,
+    getSilentMs: silence.getSilentMs,
+    describe: availability.describe,
     getContactMs: () =>
       contactSince === undefined ? 0 : performance.now() - contactSince,
     getAgeMs: () => performance.now() - getLastReadAt(),
@@ -184,27 +227,51 @@
     return Math.max(lastResponseAt, host.getLastWatchedAt());
   }
 
-  function recordContact(since: number, until: number): void {
-    if (availability.recordContact({ since, until })) {
+  function recordContact(since: number, until: number, reader: string): void {
+    if (availability.recordContact({ since, until }, reader)) {
       host.handleOutageRevised();
     }
   }
 
-  function recordTurn(): void {
+  function recordPeerContact(
+    peer: string,
+    { contactMs, ageMs, silentMs }: PeerStoreContact,
+  ): void {
+    const now = performance.now();
+    if (silentMs > 0) {
+      availability.recordSilence({ since: now - silentMs, until: now });
+    }
+    if (contactMs <= 0) return;
+    recordContact(now - Math.max(contactMs, ageMs), now - ageMs, peer);
+  }
+
+  function recordTurn(): boolean {
     hasTurn = true;
     contactSince = undefined;
-    // While no router has read the store, entries may have expired.
     const lastReadAt = getLastReadAt();
-    if (performance.now() - lastReadAt < minOutageMs) return;
+    if (performance.now() - lastReadAt < maxReadAgeMs) return false;
     isConnected = false;
     disconnectedAt = lastReadAt;
+    return true;
+  }
+
+  /** Ends the contact when the store was away until this response. */
+  function recordResponse(): void {
+    const now = performance.now();
+    const gapMs = now - lastResponseAt;
+    const wasAway = gapMs >= minOutageMs &&
+      silence.getSilentMs() >= minSilenceMs;
+    if (wasAway || gapMs > maxResponseGapMs) contactSince = undefined;
+    lastResponseAt = now;
+    silence.recordResponse();
   }
 
   function recordFailure(error: DirectoryError): void {
     failures++;
+    if (error.kind !== "compacted") silence.recordFailure();
     if (failures > 1 && !isConnected) return;
     if (error.kind !== "compacted") {
-      if (isConnected) recordDisconnected();
+      if (isConnected) disconnectedAt = performance.now();
       isConnected = false;
     }
     const { era, revision } = host.getPosition();
@@ -217,28 +284,21 @@
     });
   }
 
-  function recordDisconnected(): void {
-    disconnectedAt = Math.min(performance.now(), lastResponseAt + maxIdleMs);
-    if (contactSince !== undefined) recordContact(contactSince, disconnectedAt);
-  }
-
   function recordSuccess(read: StorePosition): void {
     const now = performance.now();
     if (comparePositions(read, readPosition) > 0) readPosition = read;
     lastReadAt = now;
+    recordResponse();
     if (!isConnected) {
-      if (now - disconnectedAt >= minOutageMs) contactSince = undefined;
       host.log.info("Store is reached", {
         failures,
         awayMs: Math.round(now - disconnectedAt),
       });
     }
-    if (now - lastResponseAt > maxResponseGapMs) contactSince = undefined;
     const since = contactSince ?? now;
     if (hasTurn) contactSince = since;
     isConnected = true;
     failures = 0;
-    lastResponseAt = now;
-    recordContact(since, now);
+    recordContact(since, now, host.selfId);
   }
 }
--- a/src/process/direct/store/store_contact_test.ts
+++ b/src/process/direct/store/store_contact_test.ts
@@ -22,10 +22,12 @@
       getRouterIds: () => ["r", "peer"],
     });
     const contact = createStoreContact({
+      selfId: "self",
       log: createSilentLog(),
       getPosition: () => position,
       getLastWatchedAt: watchers.getLastWatchedAt,
       handleOutageRevised: () => undefined,
+      handleSilent: () => undefined,
     });
     const none = () => {
       throw new Error("not expected");
@@ -115,10 +117,12 @@
 
   it("ends the turn, and is no outage while the store responds", () => {
     const contact = createStoreContact({
+      selfId: "self",
       log: createSilentLog(),
       getPosition: () => originPosition,
       getLastWatchedAt: () => Number.NEGATIVE_INFINITY,
       handleOutageRevised: () => undefined,
+      handleSilent: () => undefined,
     });
     contact.recordSuccess({ era: 1, revision: 1 });
     contact.recordTurn();
--- a/src/roles/digest_exchange.ts
+++ b/src/roles/digest_exchange.ts
@@ -78,6 +78,7 @@
     | "catchUp"
     | "getContactMs"
     | "getOwnReadAgeMs"
+    | "getSilentMs"
     | "hasTurn"
     | "isCatchingUp"
     | "isWatching"
@@ -274,6 +275,7 @@
         ? Math.min(maxReportedContactMs, Math.ceil(sync.getContactMs()))
         : 0,
       storeAgeMs: isWatching ? Math.ceil(sync.getOwnReadAgeMs()) : undefined,
+      storeSilentMs: Math.ceil(sync.getSilentMs()),
       lostEntries: host.countLostEntries(),
       leaves: host.targets.getOwnLeaves(leaveMs),
       ...{ limits: [], paces: [] },
--- a/src/roles/directory.ts
+++ b/src/roles/directory.ts
@@ -172,6 +172,7 @@
     getRouterIds: () => routers.keys(),
   });
   const sync = createDirectorySync({
+    selfId: settings.id,
     store,
     replica,
     watchers,
@@ -181,6 +182,7 @@
     handleOutageRevised: () => directoryTables.handleOutageRevised(),
     pushChanges: (changes, base) => exchange.pushChanges(changes, base),
     pushUrgent: (changes, era) => exchange.pushUrgent(changes, era),
+    tellSilent: () => exchange.sendDigest(),
     countCall: (call) => metrics.count("store_calls_total", { call }),
   });
   const directoryTables = createDirectoryTables({
@@ -189,6 +191,7 @@
     ...{ health: host.health, cachedParts: host.cachedParts },
     expiryGraceMs: settings.expiryGraceMs,
     getOutageEndedAt: sync.getOutageEndedAt,
+    describeContact: sync.describeContact,
     getReturnedAt: sync.getReturnedAt,
     getEra: () => replica.getPosition().era,
     handleRouteTable,
--- a/src/roles/directory_digests.ts
+++ b/src/roles/directory_digests.ts
@@ -41,7 +41,13 @@
 /** What a digest tells of the directory. */
 type DirectoryDigest = Pick<
   ReceivedDigest,
-  "lostEntries" | "position" | "pushFragment" | "sender" | "storeContactMs"
+  | "lostEntries"
+  | "position"
+  | "pushFragment"
+  | "sender"
+  | "storeAgeMs"
+  | "storeContactMs"
+  | "storeSilentMs"
 >;
 
 /** The directory as peers tell of it. */
@@ -73,10 +79,14 @@
     digest: DirectoryDigest,
     from: Pick<SocketAddress, "address">,
   ): void {
-    const { sender, pushFragment, position, storeContactMs } = digest;
+    const { sender, pushFragment, position } = digest;
     sync.recordPeerEra(position.era);
     sync.recordPeerPosition(position);
-    if (storeContactMs > 0) sync.recordPeerContact(storeContactMs);
+    sync.recordPeerContact(sender, {
+      contactMs: digest.storeContactMs,
+      ageMs: digest.storeAgeMs ?? 0,
+      silentMs: digest.storeSilentMs,
+    });
     if (position.revision > 0) sync.recordPeerRead();
     if (pushFragment !== undefined) {
       // The sender's revision counts once its push is complete.
--- a/src/types/directory.ts
+++ b/src/types/directory.ts
@@ -77,12 +77,20 @@
    * one of a compacted history.
    */
   readonly maxBytes?: number;
+  /**
+   * Called when a response that doesn't refuse the call has begun; once for each
+   * page of a listing.
+   */
+  onHead?(): void;
   /** Called at most once, when the response will take or takes long to read. */
   onLongBody?(): void;
 }
 
 /** What a listing of the store covers. */
-export type ListOptions = Pick<WatchOptions, "kind" | "onLongBody">;
+export type ListOptions = Pick<
+  WatchOptions,
+  "kind" | "onHead" | "onLongBody"
+>;
 
 /** What is known of crashes at one key, as it outlasts all routers. */
 export interface SavedEvidence {
--- a/test/platform/malformed_bytes_test.ts
+++ b/test/platform/malformed_bytes_test.ts
@@ -172,6 +172,7 @@
     ...{ position, isSettled: random() < 0.5, isWatching: random() < 0.5 },
     ...{ storeContactMs: small(), lostEntries: small() },
     storeAgeMs: small(),
+    storeSilentMs: small(),
     leaves: [{ id: name(), startedAtMs: big() }],
     limits: [{ address: name(), perS: big(), at: -big() }],
     loads: new Map([[name(), { requests: small(), unreadTokens: small() }]]),
--- a/test/soak/flood_peer.ts
+++ b/test/soak/flood_peer.ts
@@ -79,6 +79,7 @@
   const digest = createDigestWriter("r9").write({
     ...{ position: { era: 1, revision: 1 }, isSettled: true },
     ...{ isWatching: false, storeContactMs: 0, storeAgeMs: undefined },
+    ...{ storeSilentMs: 0 },
     ...{ lostEntries: 0, leaves: [], limits: [], paces: [], demands: [] },
     loads: new Map(
       Array.from(
