Take no response for whole while its request may meet a reset

What callers saw: a target that is killed in the middle of an upload, after it had begun a 200 without a length: the part as a whole response, 60 of 60. And statuses 600 and 999 with the target's stamp, 24 of 24.

Cause: such a target closes its side in order, and resets the connection only when more of the request arrives. The response was complete by then. Statuses had a lower bound only, and those that agents name had none.

Why it works: the connector of all HTTP pools holds the end of a connection with an open request of more than 8 KB until the request is written and a reset would have come (60 ms); the runtime then no longer knows the peer of a connection that was reset. One table says which statuses are responses, for the pools and for the heads of agents.

--- a/src/connection/agent_client_codec.ts
+++ b/src/connection/agent_client_codec.ts
@@ -3,6 +3,7 @@
 import type { RunEvent, RunRequest } from "../generated/mimosatray/v1/agent.ts";
 import type { AgentEvent, Dispatch } from "../types/agent_calls.ts";
 import { type DiagnosticCode, isDiagnosticCode } from "../types/diagnostics.ts";
+import { isFinalStatus } from "../types/response_status.ts";
 
 /** Maximum value of an unsigned 32-bit field. */
 const maxUint32 = 0xffff_ffff;
@@ -56,7 +57,9 @@
         load: message.load,
       };
     case "head":
-      return { kind: "head", ...event.value };
+      return isFinalStatus(event.value.status)
+        ? { kind: "head", ...event.value }
+        : { kind: "failure", code: "target_error", mayHaveRun: true };
     case "chunk":
       return { kind: "chunk", ...event.value };
     case "end": {
--- a/src/connection/direct_client.ts
+++ b/src/connection/direct_client.ts
@@ -20,6 +20,7 @@
   TargetNotice,
 } from "../types/direct_calls.ts";
 import type { DirectTarget } from "../types/direct_target.ts";
+import { isFinalStatus } from "../types/response_status.ts";
 import type { PromptPart } from "../types/prompt.ts";
 import type { Header } from "../types/work.ts";
 import { closeOnThrow, discardBody, readBoundedText } from "./bounded_body.ts";
@@ -117,9 +118,6 @@
 /** Timeout for the body of a refusal, in milliseconds. */
 const refusalBodyTimeoutMs = 1_000;
 
-/** Lowest status of a final response. */
-const minFinalStatus = 200;
-
 /** Creates a client; it connects with the first call to a target. */
 export function createDirectClient(host: DirectClientHost): DirectClient {
   const pools = new Map<string, TargetPools>();
@@ -235,7 +233,7 @@
       }
       handler.onHeaders = (...args) => {
         const [status, rawHeaders] = args;
-        if (status >= minFinalStatus) checkHead(call, status, rawHeaders);
+        if (isFinalStatus(status)) checkHead(call, status, rawHeaders);
         return handleHeaders(...args);
       };
       return dispatch(options, handler);
--- a/src/connection/http_pool.ts
+++ b/src/connection/http_pool.ts
@@ -8,6 +8,7 @@
   createReadPace,
   type ReadPace,
 } from "../process/admission/read_pace.ts";
+import { isResponseStatus } from "../types/response_status.ts";
 import { spoiledErrorCode } from "./call_errors.ts";
 import { createPacedReading } from "./paced_reading.ts";
 import {
@@ -36,9 +37,6 @@
   readonly onLimitExceeded?: ResponseLimitsOptions["onExceeded"];
 }
 
-/** Lowest status that a response can have. */
-const minStatus = 100;
-
 /** Creates a pool, which connects with the first call; callers set timeouts. */
 export function createHttpPool(
   origin: string,
@@ -69,15 +67,15 @@
 }
 
 /**
- * Ends a response whose status is none. The library passes such a one on and
- * then fails in an assertion. An error that is thrown here closes the connection.
+ * Ends a response whose status is none. The library passes such a one on, and
+ * fails in an assertion for the low ones. An error that is thrown here closes the connection.
  */
 function checkStatus(dispatch: Dispatcher["dispatch"]): Dispatcher["dispatch"] {
   return (request, handler) => {
     const onHeaders = handler.onHeaders?.bind(handler);
     handler.onHeaders = (...args) => {
       const [status] = args;
-      if (status < minStatus) throw createStatusError(status);
+      if (!isResponseStatus(status)) throw createStatusError(status);
       return onHeaders?.(...args) ?? true;
     };
     return dispatch(request, handler);
--- a/src/connection/http_pool_test.ts
+++ b/src/connection/http_pool_test.ts
@@ -14,6 +14,9 @@
   "one digit": "HTTP/1.1 7 OK\r\ncontent-length: 0\r\n\r\n",
   "a leading zero": "HTTP/1.1 099 Spoiled\r\ncontent-length: 0\r\n\r\n",
   "zero": "HTTP/1.1 000 Spoiled\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+  "above the range": "HTTP/1.1 600 Spoiled\r\ncontent-length: 0\r\n\r\n",
+  "the highest of three digits":
+    "HTTP/1.1 999 Spoiled\r\ncontent-length: 2\r\n\r\nok",
   "two digits behind an interim response":
     "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 20 OK\r\n\r\n",
 };
--- a/src/connection/response_limits.ts
+++ b/src/connection/response_limits.ts
@@ -7,6 +7,7 @@
 
 import type { Socket } from "node:net";
 import type { Dispatcher } from "undici";
+import { isFinalStatus } from "../types/response_status.ts";
 import { hasCode } from "./call_errors.ts";
 
 /**
@@ -36,9 +37,6 @@
 /** End of a head. */
 const headEnd = "\r\n\r\n";
 
-/** Lowest status of a final response. */
-const minFinalStatus = 200;
-
 /** Error code of a response that exceeded a limit. */
 const limitErrorCode = "RESPONSE_LIMIT";
 
@@ -57,7 +55,16 @@
   /** Ties each request to the connection on which it is sent. */
   readonly interceptor: Dispatcher.DispatcherComposeInterceptor;
   /** Applies the limits to a connection that the dispatcher opened. */
-  watch(socket: Socket): void;
+  watch(socket: Socket): WatchedConnection;
+}
+
+/** A connection with limits. */
+export interface WatchedConnection {
+  /**
+   * Returns the size of the request whose response has not ended, in bytes, as
+   * far as it was handed to the connection; 0 without one.
+   */
+  getOpenRequestBytes(): number;
 }
 
 /** The bytes of one response so far. */
@@ -108,8 +115,8 @@
       };
       handler.onHeaders = (...args) => {
         const [status] = args;
-        if (status < minFinalStatus) countInterim(count);
-        else count.headBytes = undefined;
+        if (isFinalStatus(status)) count.headBytes = undefined;
+        else countInterim(count);
         return onHeaders?.(...args) ?? true;
       };
       handler.onData = (data) => {
@@ -135,13 +142,16 @@
     };
   }
 
-  function watch(socket: Socket): void {
+  function watch(socket: Socket): WatchedConnection {
     const push = socket.push.bind(socket);
     const write = socket.write.bind(socket) as (...args: unknown[]) => boolean;
     let count: ResponseCount | undefined;
+    /** Bytes of the requests before the open one. */
+    let bytesBefore = 0;
 
     endParsing(socket);
     socket.write = (...args: unknown[]) => {
+      if (starting !== undefined) bytesBefore = socket.bytesWritten;
       count = starting ?? count;
       starting = undefined;
       return write(...args);
@@ -163,6 +173,12 @@
       socket.destroy(createLimitError(limit));
       return false;
     };
+    return {
+      getOpenRequestBytes: () =>
+        count === undefined || count.isComplete
+          ? 0
+          : socket.bytesWritten - bytesBefore,
+    };
   }
 }
 
--- a/src/connection/target_connector.ts
+++ b/src/connection/target_connector.ts
@@ -1,17 +1,32 @@
 /**
  * Opens connections to targets for the HTTP library such that the end of a
- * connection ends a response without a length only when the target closed it
- * and its bytes were read, and errors tell whether the connection was
- * established.
+ * connection ends a response without a length only when the target closed it,
+ * its bytes were read and the request has reached the target, and errors tell
+ * whether the connection was established.
  */
 
 import type { Socket } from "node:net";
 import { buildConnector } from "undici";
-import type { ResponseLimits } from "./response_limits.ts";
+import type { ResponseLimits, WatchedConnection } from "./response_limits.ts";
 
 /** Error code of a connection that was reset. */
 const resetErrorCode = "ANSWER_RESET";
 
+/**
+ * Size of a request, in bytes, up to which the target has it whole when it
+ * responds: it fits into the first segments of a connection.
+ */
+const maxFirstBytes = 8 * 1024;
+
+/**
+ * Time after a request was handed to the system and its response has ended in
+ * which a reset may still arrive, in milliseconds; several round trips.
+ */
+const resetWaitMs = 60;
+
+/** Interval at which a request that isn't written yet is checked, in ms. */
+const writeCheckIntervalMs = 10;
+
 /** Key that marks errors of connections that were never established. */
 const connectErrorKey = Symbol("connectError");
 
@@ -50,8 +65,8 @@
       socket.prependListener("error", (cause: NodeJS.ErrnoException) => {
         if (cause.code === "ECONNRESET") cause.code = resetErrorCode;
       });
-      checkEnd(socket);
-      options.limits.watch(socket);
+      checkEnd(socket, () => connection.getOpenRequestBytes());
+      const connection = options.limits.watch(socket);
       callback(null, socket);
     });
 }
@@ -63,8 +78,14 @@
  *   without an error. It becomes an error here.
  * - The library throws an uncaught error when a connection ends while it has
  *   paused reading for a slow reader. The end is held until it reads on.
+ * - A target that ends while a request is on its way to it closes its side first
+ *   and resets the connection when more of the request arrives. The end of a
+ *   response is held until the request is written and a reset would have come.
  */
-function checkEnd(socket: Socket): void {
+function checkEnd(
+  socket: Socket,
+  getOpenRequestBytes: WatchedConnection["getOpenRequestBytes"],
+): void {
   const push = socket.push.bind(socket);
   const unshift = socket.unshift.bind(socket);
   const read = socket.read.bind(socket);
@@ -73,16 +94,10 @@
 
   socket.push = (data: unknown, encoding?: BufferEncoding) => {
     if (data !== null) return push(data, encoding);
-    // The peer's address must not be read earlier, because the runtime caches
-    // it; it is gone once the connection was reset.
-    const end = socket.remoteAddress === undefined ? reset : close;
-    if (!isPaused && socket.readableLength === 0) {
-      end();
-      return false;
-    }
-    heldEnd = end;
     // The runtime would read the end again and again.
     socket._read = () => undefined;
+    if (getOpenRequestBytes() <= maxFirstBytes) handleEnd();
+    else waitForReset();
     return false;
   };
 
@@ -103,6 +118,24 @@
     return data;
   };
 
+  function waitForReset(): void {
+    if (socket.destroyed) return;
+    const isWritten = socket.writableLength === 0;
+    setTimeout(
+      isWritten ? handleEnd : waitForReset,
+      isWritten ? resetWaitMs : writeCheckIntervalMs,
+    ).unref();
+  }
+
+  function handleEnd(): void {
+    if (socket.destroyed) return;
+    // The peer's address must not be read earlier, because the runtime caches
+    // it; it is gone once the connection was reset.
+    const end = socket.remoteAddress === undefined ? reset : close;
+    if (isPaused || socket.readableLength > 0) heldEnd = end;
+    else end();
+  }
+
   function close(): void {
     push(null);
   }
