Let the soak lose routers beside leaves, and targets in the middle of uploads

Fleets of more than eight routers play, at every third seed, a leave right before the loss of all routers but one, and a leave while one is cut off from the store and all others are lost. All seeds have targets that end in the middle of an upload with a part of a response.

--- a/test/processes/soak_test.ts
+++ b/test/processes/soak_test.ts
@@ -9,6 +9,20 @@
     execFileSync(process.execPath, ["scripts/build_platform.js"]);
   });
 
+  describe("with losses of routers beside leaves, in a fleet of few readers", () => {
+    it("keep all rules (seed 6)", async () => {
+      const { violations, ownExits, inTouch } = await runSoak({
+        ...{ seed: 6, routers: 11, targets: 6, durationMs: 16_000 },
+        program: "target/mimosatray.cjs",
+        directory: "dist/soak/runs/ci_losses_6",
+      });
+      expect(violations).toEqual([]);
+      expect(ownExits).toBe(0);
+      // Requests to routers that are not in touch are hardly judged.
+      expect(inTouch).toBeGreaterThan(500);
+    }, timeoutMs);
+  });
+
   describe("with faults of routers, store, targets and operator", () => {
     // Seed 3 plays all faults, 8 and 17 planned work and targets that pause.
     it.each([3, 8, 17])("keep all rules (seed %d)", async (seed) => {
--- a/test/soak/fault_actions.ts
+++ b/test/soak/fault_actions.ts
@@ -42,6 +42,12 @@
 /** Share of the targets of a service that pause beside a burst. */
 const burstPausedShare = 0.6;
 
+/** Times around losses of routers, in milliseconds. */
+const lossMs = {
+  ...{ beforeLoss: 200, beforeLeave: 600, down: 1_200, cut: 3_500 },
+  afterLeave: 100,
+} as const;
+
 /** Orders in which a process gets signals; a variation chooses one. */
 const signalOrders = [
   ["SIGTERM", "SIGHUP"],
@@ -187,8 +193,43 @@
     );
     await sent;
   },
+  removed_beside_loss: async (host, fault) => {
+    const { kept, others } = keepOne(host, fault);
+    const cut = kept?.cutOff(lossMs.cut);
+    await sleep(lossMs.beforeLoss);
+    const losses = others.map((router) => router.kill(lossMs.down));
+    await sleep(lossMs.beforeLeave);
+    await Promise.all([cut, ...losses, actions.target_removed(host, fault)]);
+  },
+  removed_before_loss: async (host, fault) => {
+    const leave = actions.target_removed(host, fault);
+    await sleep(lossMs.afterLeave);
+    const { others } = keepOne(host, fault);
+    await Promise.all([
+      leave,
+      ...others.map((router) => router.kill(lossMs.down)),
+    ]);
+  },
+  uploads_cut: (host, fault) =>
+    forTargets(host, fault, (target) =>
+      target.misbehave({
+        ...{ answer: "cut_upload", share: 0.3 + 0.6 * fault.share },
+        retryAfterS: 0,
+      }, fault.lengthMs)),
 };
 
+/** Chooses the router that is not lost. */
+function keepOne(
+  { routers }: FaultHost,
+  { share }: Fault,
+): {
+  readonly kept: RouterProcess | undefined;
+  readonly others: readonly RouterProcess[];
+} {
+  const kept = routers[Math.floor(share * routers.length)];
+  return { kept, others: routers.filter((router) => router !== kept) };
+}
+
 /** Carries out one fault; resolves when it is over. */
 export function runFault(host: FaultHost, fault: Fault): Promise<unknown> {
   return actions[fault.name](host, fault);
--- a/test/soak/plants.ts
+++ b/test/soak/plants.ts
@@ -9,6 +9,7 @@
 
 const codecFile = "src/platform/target_codec.ts";
 const clientFile = "src/connection/direct_client.ts";
+const replicaFile = "src/process/direct/directory/directory_replica.ts";
 const stopFile = "src/roles/direct_stop.ts";
 
 /** Planted faults by name. */
@@ -29,10 +30,36 @@
     ["scripts/build_platform.js", "  lineLimit: maxLineLength,\n", ""],
     [
       "src/connection/http_pool.ts",
-      "if (status < minStatus)",
+      "if (!isResponseStatus(status))",
       "if (status < 0)",
     ],
   ],
+  /** The position after a listing is that of its newest entry. */
+  newest_entry_position: [
+    [
+      replicaFile,
+      "    advanceWithoutRemovals(revision);\n",
+      "    entries.forEach((entry) => advance(entry.revision));\n",
+    ],
+    [
+      replicaFile,
+      "    removalsKnownAfter = position.revision;\n",
+      "    position = { ...position, revision: Math.max(1, " +
+      "...listing.entries.map((entry) => entry.revision)) };\n",
+    ],
+  ],
+  /** A time in which nobody read the store counts as its outage. */
+  lost_readers_outage: [[
+    "src/process/direct/store/store_availability.ts",
+    ": span.since - available.until >= minOutageMs && silentMs >= minSilenceMs;",
+    ": span.since - available.until >= minOutageMs / 2;",
+  ]],
+  /** The end of a response counts, whatever becomes of its request. */
+  upload_end_trusted: [[
+    "src/connection/target_connector.ts",
+    "if (getOpenRequestBytes() <= maxFirstBytes) handleEnd();",
+    "if (getOpenRequestBytes() <= Infinity) handleEnd();",
+  ]],
   /** Responses of many small pieces are read as fast as they come. */
   responses_unpaced: [[
     "src/process/admission/read_pace.ts",
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -72,6 +72,12 @@
   stop_beside_pause: { weight: 0, lengthMs: [1_200, 3_000], ...ofRouters },
   /** Many streams at once, which then all lack a target that answers. */
   burst_beside_pause: { weight: 0, lengthMs: [1_700, 3_000], ...ofStore },
+  /** One router is cut off from the store, all others are lost, a target leaves. */
+  removed_beside_loss: { weight: 0, lengthMs: [12_000, 14_000], ...ofTargets },
+  /** A target leaves, and all routers but one are lost right after. */
+  removed_before_loss: { weight: 0, lengthMs: [5_000, 7_000], ...ofTargets },
+  /** Targets end in the middle of uploads, with a part of a response. */
+  uploads_cut: { weight: 0, lengthMs: [4_000, 9_000], ...ofAnswers },
 } as const satisfies Record<string, FaultShape>;
 
 /** Name of a fault. */
@@ -134,6 +140,15 @@
 /** Of so many seeds, one has planned work only. */
 const plannedSeedPeriod = 3;
 
+/** Number of routers up to which all of them read the store. */
+const smallFleetSize = 8;
+
+/** Most time before the first loss of routers, in milliseconds. */
+const maxLossDelayMs = 2_500;
+
+/** Time from one loss of routers to the next, in milliseconds. */
+const lossIntervalMs = 8_000;
+
 /** Time before the first fault and after the last start of one, in ms. */
 const calmMs = { before: 1_500, after: 5_000 } as const;
 
@@ -158,6 +173,39 @@
   return seed % plannedSeedPeriod === plannedSeedPeriod - 1;
 }
 
+/**
+ * Returns true for seeds in which routers of a fleet with a few readers are lost
+ * beside leaves, and are in touch between these.
+ */
+export function isLossSeed(
+  seed: number,
+  { routers }: Pick<ScheduleOptions, "routers">,
+): boolean {
+  return routers > smallFleetSize && seed % plannedSeedPeriod === 0;
+}
+
+/** Draws losses of routers beside leaves, one after the other. */
+export function createLossSchedule(
+  random: () => number,
+  options: ScheduleOptions,
+): readonly Fault[] {
+  const { drawFault, drawBetween } = createDraws(random, options, ["served"]);
+  const firstMs = drawBetween(calmMs.before, maxLossDelayMs);
+  return sortFaults([
+    drawFault("removed_before_loss", firstMs),
+    drawFault("removed_beside_loss", firstMs + lossIntervalMs),
+  ], options);
+}
+
+/** Draws the targets that end in the middle of uploads. */
+export function createUploadFaults(
+  random: () => number,
+  options: ScheduleOptions,
+): readonly Fault[] {
+  const { drawSeries } = createDraws(random, options, ["cut_upload"]);
+  return sortFaults(drawSeries("uploads_cut"), options);
+}
+
 /** Draws a schedule; its faults overlap and come in series. */
 export function createSchedule(
   random: () => number,
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -23,9 +23,13 @@
 import { type LongCallerCounts, startLongCallers } from "./long_callers.ts";
 import {
   createAddedFaults,
+  createLossSchedule,
   createPlannedSchedule,
   createSchedule,
+  createUploadFaults,
+  type Fault,
   formatFault,
+  isLossSeed,
   isPlannedSeed,
 } from "./schedule.ts";
 import { allocateNetwork } from "./soak_network.ts";
@@ -133,13 +137,8 @@
   const operator = createOperator({ store, random: createRandom(1) }, services);
   const isPlanned = isPlannedSeed(seed);
   const watches: (() => void)[] = [];
-  const schedule = isPlanned
-    ? createPlannedSchedule(createRandom(5), options)
-    : [
-      ...createSchedule(createRandom(2), options),
-      // From a source of their own, so that the others stay as they were.
-      ...createAddedFaults(createRandom(5), options),
-    ].sort((left, right) => left.atMs - right.atMs);
+  const schedule = drawSchedule()
+    .sort((left, right) => left.atMs - right.atMs);
   const createHost = (stream: number): CallersHost => ({
     ...{ routers, services, requests, random: createRandom(stream) },
     run: `q${seed}`,
@@ -170,6 +169,21 @@
     await store.close();
   }
 
+  /** Draws each part from a source of its own, so that others stay the same. */
+  function drawSchedule(): Fault[] {
+    if (isLossSeed(seed, options)) {
+      return [...createLossSchedule(createRandom(9), options)];
+    }
+    const uploads = createUploadFaults(createRandom(8), options);
+    return isPlanned
+      ? [...createPlannedSchedule(createRandom(5), options), ...uploads]
+      : [
+        ...createSchedule(createRandom(2), options),
+        ...createAddedFaults(createRandom(5), options),
+        ...uploads,
+      ];
+  }
+
   async function play(): Promise<void> {
     const perRouter = (isPlanned ? plannedCounts : callerCounts).perRouter;
     const stops = [
--- a/test/soak/soak_target.ts
+++ b/test/soak/soak_target.ts
@@ -305,13 +305,13 @@
     const isExpected = headers["x-expect-instance"] === id;
     const exchange = {
       ...{ request, response, arrival, work, previousId, retryAfterS, after },
-      ...{ body: text, share: host.random() },
+      ...{ body: text, isUpload: body.isLong, share: host.random() },
     };
-    const answer = answers[
-      isExpected ? fault?.answer ?? "served" : "wrong_target"
-    ];
-    if (body.isLong) request.on("end", () => answer(exchange));
-    else answer(exchange);
+    const answerName = isExpected ? fault?.answer ?? "served" : "wrong_target";
+    const answer = answers[answerName];
+    if (body.isLong && answerName !== "cut_upload") {
+      request.on("end", () => answer(exchange));
+    } else answer(exchange);
   }
 
   function sendLimit(
--- a/test/soak/target_answers.ts
+++ b/test/soak/target_answers.ts
@@ -29,6 +29,8 @@
   readonly share: number;
   /** The whole body of the response, where it has no events. */
   readonly body: string;
+  /** True when the caller sends a long body. */
+  readonly isUpload: boolean;
   /** Acts after a time, and not while the target stands still. */
   after(ms: number, act: () => void): void;
 }
@@ -36,6 +38,9 @@
 /** Shortest and longest pause in the middle of an answer, in milliseconds. */
 const pausesMs = { least: 1_000, most: 3_000 } as const;
 
+/** Time from the close of a connection to its reset, in milliseconds. */
+const resetDelayMs = 10;
+
 /** What a head lacks. */
 interface HeadOptions {
   readonly isUnsigned?: boolean;
@@ -75,6 +80,11 @@
     serveUntil(exchange, () => exchange.request.socket.resetAndDestroy()),
   closed: (exchange) =>
     serveUntil(exchange, () => exchange.request.socket.end()),
+  /** Ends like a process while the body is on its way; others are served. */
+  cut_upload: (exchange) => {
+    if (exchange.isUpload) cutUpload(exchange);
+    else serve(exchange);
+  },
   silent: (exchange) => serveUntil(exchange, () => undefined),
   noise: ({ request, arrival }) => {
     arrival.brokeOff = true;
@@ -124,6 +134,22 @@
   request.socket.write(lines.join("\r\n"));
 }
 
+/** Closes with a part of a response, and resets when more bytes arrive. */
+function cutUpload({ request, arrival, body }: Exchange): void {
+  const { socket } = request;
+  arrival.brokeOff = true;
+  const lines = [
+    ...["HTTP/1.1 200 OK", "Content-Type: text/plain", "Connection: close"],
+    `X-Request-Id: ${arrival.requestId}`,
+    `X-Server-Stamp: ${arrival.life}`,
+    ...["", body.slice(0, body.length / 2)],
+  ];
+  request.pause();
+  socket.end(lines.join("\r\n"), () => {
+    setTimeout(() => socket.resetAndDestroy(), resetDelayMs);
+  });
+}
+
 function withPause(exchange: Exchange): Exchange {
   const { response, retryAfterS } = exchange;
   response.setHeader("Retry-After", String(retryAfterS));
