Let urgent reads find what is gone when the history is compacted

A listing of one kind now removes the entries of that kind that it lacks; the position stays. urgent_reads_test, "finds what is gone when the history is compacted": red before ("servers/gone" stays), green now.

--- a/src/process/direct/directory/directory_sync.ts
+++ b/src/process/direct/directory/directory_sync.ts
@@ -32,7 +32,7 @@
 import { createOpenPushes } from "./open_pushes.ts";
 import { createMissedChanges } from "./missed_changes.ts";
 import { getMaxWatchBytes } from "./watch_size.ts";
-import { createUrgentReads } from "./urgent_reads.ts";
+import { createUrgentReads, type UrgentReadsHost } from "./urgent_reads.ts";
 import { createWatcherCalls } from "./watcher_calls.ts";
 import { createStoreReturns } from "../store/store_returns.ts";
 import { getPushBase, type PushBase } from "../peers/change_pushes.ts";
@@ -41,7 +41,7 @@
 /** What the synchronization needs from the process. */
 export interface DirectorySyncHost {
   readonly selfId: string;
-  readonly store: Pick<DirectoryStore, "getEra" | "list" | "watch">;
+  readonly store: Pick<DirectoryStore, "getEra"> & UrgentReadsHost["store"];
   readonly replica: DirectoryReplica;
   readonly watchers: Pick<
     WatcherChoice,
--- a/src/process/direct/directory/directory_sync_test.ts
+++ b/src/process/direct/directory/directory_sync_test.ts
@@ -29,6 +29,7 @@
     calls,
     list: () => answer<Listing>("list"),
     watch,
+    resolveKey: () => undefined,
     getEra: () => era,
     /** Names an era in the response to another call. */
     nameEra: (named: number) => {
@@ -230,6 +231,7 @@
       selfId: "self",
       store: {
         list: createScriptedStore([listing]).list,
+        resolveKey: () => undefined,
         getEra: () => 1,
         watch: () => EitherAsync.fromPromise(() => watchResult),
       },
--- a/src/process/direct/directory/urgent_reads.ts
+++ b/src/process/direct/directory/urgent_reads.ts
@@ -16,8 +16,11 @@
 
 /** What the reads need from the process. */
 export interface UrgentReadsHost {
-  readonly store: Pick<DirectoryStore, "list" | "watch">;
-  readonly replica: Pick<DirectoryReplica, "applySome" | "getPosition">;
+  readonly store: Pick<DirectoryStore, "list" | "resolveKey" | "watch">;
+  readonly replica: Pick<
+    DirectoryReplica,
+    "applySome" | "applySomeListed" | "getPosition"
+  >;
   /** Returns true while this router pushes what it reads. */
   hasTurn(): boolean;
   /** Handles new changes, in order. */
@@ -119,32 +122,34 @@
       Left: async ({ kind: error }) =>
         error === "compacted" ? await listAll(kind) : undefined,
       Right: ({ events, position }) => {
-        apply(events, position);
+        handleRead(replica.applySome({ events, position }), position);
         const isSameEra = position.era === after.era;
         return Promise.resolve(isSameEra ? position : undefined);
       },
     });
   }
 
-  /** Reads the entries of a kind, but not which are gone. */
+  /** Reads the entries of a kind, after which those that it lacks are gone. */
   async function listAll(kind: UrgentKind): Promise<StorePosition | undefined> {
     host.countCall("list");
     const result = await store.list({ kind }).run();
     return result.caseOf<StorePosition | undefined>({
       Left: () => undefined,
-      Right: ({ entries, position }) => {
-        apply(entries, position);
-        return position;
+      Right: (listing) => {
+        const isListed = (key: string): boolean =>
+          store.resolveKey(key)?.kind === kind;
+        const applied = replica.applySomeListed(listing, isListed);
+        handleRead(applied, listing.position);
+        return listing.position;
       },
     });
   }
 
-  function apply(
-    events: readonly WatchEvent[],
+  function handleRead(
+    applied: readonly DirectoryChange[],
     position: StorePosition,
   ): void {
     host.recordProgress();
-    const applied = replica.applySome({ events, position });
     if (applied.length === 0) return;
     if (host.hasTurn()) host.pushUrgent(applied, position.era);
     host.handleChanges(applied, "watch");
--- a/src/process/direct/directory/urgent_reads_test.ts
+++ b/src/process/direct/directory/urgent_reads_test.ts
@@ -12,7 +12,11 @@
   function start({ isCompacted = false, hasTurn = true } = {}) {
     const replica = createDirectoryReplica();
     replica.applyListing({
-      entries: [{ key: "servers/a", value: "ready", revision: 4 }],
+      entries: [
+        { key: "servers/a", value: "ready", revision: 4 },
+        { key: "servers/gone", value: "ready", revision: 3 },
+        { key: "routers/r", value: "x", revision: 2 },
+      ],
       position: { era: 1, revision: 4 },
     });
     const calls: string[] = [];
@@ -21,6 +25,10 @@
     const reads = createUrgentReads({
       replica,
       store: {
+        resolveKey: (key) =>
+          key.startsWith("servers/")
+            ? { kind: "target", id: key.slice(8) }
+            : { kind: "router", id: key },
         watch: ({ kind, afterRevision, waitMs }) => {
           calls.push(`watch ${kind} after ${afterRevision}`);
           return EitherAsync.fromPromise(async () => {
@@ -86,11 +94,16 @@
     expect(pushed).toEqual([]);
   });
 
-  it("lists a kind whose history is compacted", async () => {
-    const { reads, handled } = start({ isCompacted: true });
+  // Targets that had left were used until the long response had arrived.
+  it("finds what is gone when the history is compacted", async () => {
+    const { replica, reads, handled, pushed } = start({ isCompacted: true });
     reads.begin();
     await jest.advanceTimersByTimeAsync(10);
-    expect(handled).toEqual(["servers/a"]);
+    expect(handled).toEqual(["servers/a", "servers/gone"]);
+    expect(pushed).toEqual(handled);
+    expect(replica.tryGet("servers/gone")).toBeUndefined();
+    expect(replica.tryGet("routers/r")).toBeDefined();
+    expect(replica.getPosition()).toEqual({ era: 1, revision: 4 });
   });
 
   it("ends with the last of the long responses", async () => {
--- a/test/fakes/returning_store.ts
+++ b/test/fakes/returning_store.ts
@@ -34,7 +34,7 @@
 
 /** The calls of one router. */
 export interface ReturningStoreClient
-  extends Pick<DirectoryStore, "getEra" | "list" | "watch"> {
+  extends Pick<DirectoryStore, "getEra" | "list" | "resolveKey" | "watch"> {
   put(key: string, value: string): EitherAsync<DirectoryError, void>;
 }
 
@@ -193,6 +193,11 @@
     const eras = createEraReader();
     return {
       getEra: eras.getNewest,
+      resolveKey: (key) => {
+        const kind = (["target", "evacuation"] as const)
+          .find((name) => key.startsWith(prefixes[name]));
+        return kind && { kind, id: key.slice(prefixes[kind].length) };
+      },
       list: ({ kind, ...handlers } = {}) =>
         call(() => list(kind), {
           ...{ kind: "read", ...handlers },
