Judge no peer's wait for the store from before this router started

A peer that had been cut off for a minute told it to a router that had just started, whose first read then counted as the end of an outage. Found by reading; the new test in store_availability_test is red without the change.

--- a/src/process/direct/store/store_availability.ts
+++ b/src/process/direct/store/store_availability.ts
@@ -66,6 +66,7 @@
 
 /** Creates the record of a fleet whose store has not responded yet. */
 export function createStoreAvailability(): StoreAvailability {
+  const createdAt = performance.now();
   /** The latest time without an outage; undefined before the first response. */
   let available: StoreContactSpan | undefined;
   let reader: string | undefined;
@@ -102,10 +103,11 @@
   }
 
   function recordSilence({ since, until }: StoreContactSpan): void {
-    const readUntil = available?.until ?? Number.NEGATIVE_INFINITY;
-    const isNewSince = Math.max(since, silentUntil, readUntil);
-    if (isNewSince >= until) return;
-    silentMs += until - isNewSince;
+    // What a peer waited for before this router started is not judged here.
+    const readUntil = available?.until ?? createdAt;
+    const newSince = Math.max(since, silentUntil, readUntil);
+    if (newSince >= until) return;
+    silentMs += until - newSince;
     silentUntil = until;
   }
 
--- a/src/process/direct/store/store_availability_test.ts
+++ b/src/process/direct/store/store_availability_test.ts
@@ -81,6 +81,14 @@
       expect(availability.getOutageEndedAt()).toBe(Number.NEGATIVE_INFINITY);
     });
 
+    it("because of what a peer waited for before this router started", () => {
+      jest.advanceTimersByTime(60_000);
+      const availability = createStoreAvailability();
+      availability.recordSilence({ since: 10, until: 60_100 });
+      availability.recordContact({ since: 60_200, until: 60_200 }, "a");
+      expect(availability.getOutageEndedAt()).toBe(Number.NEGATIVE_INFINITY);
+    });
+
     it("while another router reads the store", () => {
       const availability = createStoreAvailability();
       availability.recordContact({ since: 10, until: 1_000 }, "a");
