Tell peers of the store's responses when they begin, not when they end

A router that started while it was cut off heard of no contact, took its own wait of more than a second for an outage, and kept targets that had left for 2.2 s.

Change: getOwnContact of the store's record is all that a router tells of its reads; beyond 2 s after a read it tells the age of the last response that has begun. What counts as watching, and the age of copies, are as before.

Measured: ten new cases of lost_readers_test (starts that are cut off beside long responses, fleets of 4 and 10) were red, 10 of 10, and pass; 266 tests around pass.

--- a/src/process/direct/directory/directory_sync.ts
+++ b/src/process/direct/directory/directory_sync.ts
@@ -72,11 +72,9 @@
   Pick<
     StoreContact,
     | "getAgeMs"
-    | "getContactMs"
     | "getCopyAgeMs"
     | "getOutageEndedAt"
-    | "getOwnReadAgeMs"
-    | "getSilentMs"
+    | "getOwnContact"
     | "hasFailed"
     | "isConnected"
     | "needsPeers"
--- a/src/process/direct/directory/directory_sync_test.ts
+++ b/src/process/direct/directory/directory_sync_test.ts
@@ -460,7 +460,7 @@
       watchers.shouldWatch = true;
       await jest.advanceTimersByTimeAsync(600);
       expect(store.calls).toEqual(["list", "watch 4"]);
-      expect(sync.getSilentMs()).toBeGreaterThan(0);
+      expect(sync.getOwnContact().silentMs).toBeGreaterThan(0);
     });
 
     it("knows of outages from its peers", async () => {
@@ -471,7 +471,7 @@
       await jest.advanceTimersByTimeAsync(100);
       sync.recordPeerContact("p", { contactMs: 60, ageMs: 0, silentMs: 0 });
       expect(sync.getOutageEndedAt()).toBe(performance.now() - 60);
-      expect(sync.getContactMs()).toBe(0);
+      expect(sync.getOwnContact().contactMs).toBe(0);
     });
   });
 
--- a/src/process/direct/peers/peer_digests.ts
+++ b/src/process/direct/peers/peer_digests.ts
@@ -73,12 +73,13 @@
   readonly isWatching: boolean;
   /**
    * Time for which the sender has watched the store without an outage, in
-   * milliseconds; 0 when it does not watch the store.
+   * milliseconds; 0 without contact.
    */
   readonly storeContactMs: number;
   /**
-   * Time since the store last responded to the sender, in milliseconds;
-   * undefined when it does not watch the store or does not tell.
+   * Time since the store last responded to the sender, in milliseconds: since the
+   * end of its last read while it watches, else since a response has begun.
+   * Undefined when it is not in contact or does not tell.
    */
   readonly storeAgeMs: number | undefined;
   /**
--- a/src/process/direct/store/lost_readers_test.ts
+++ b/src/process/direct/store/lost_readers_test.ts
@@ -4,7 +4,10 @@
  * in which the store is silent for none, and drop all targets of a service.
  */
 
-import { createReturningStore } from "../../../../test/fakes/returning_store.ts";
+import {
+  createReturningStore,
+  type StoreLink,
+} from "../../../../test/fakes/returning_store.ts";
 import {
   createDirectoryFleet,
   encodeTarget,
@@ -24,6 +27,10 @@
 /** Time after an outage in which entries that expired in it are back, in ms. */
 const registrationMs = 1_500;
 
+/** Over this link a response of `largeChars` takes 8 s. */
+const slowLink: StoreLink = { bytesPerMs: 60, bodyTimeoutMs: 20_000 };
+const largeChars = 360_000;
+
 const targetIds = ["target-0", "target-1", "target-2"];
 
 describe("routers that read the store", () => {
@@ -41,14 +48,14 @@
     jest.useRealTimers();
   });
 
-  async function startFleet(size: number, phaseMs: number) {
+  async function startFleet(size: number, phaseMs: number, link?: StoreLink) {
     const store = createReturningStore();
     const fleet = createDirectoryFleet(store, createPlacement(placementHost));
     store.put("op/config", "1");
     for (const id of targetIds) {
       store.put(`servers/${id}`, encodeTarget("ready"));
     }
-    for (let index = 0; index < size; index++) fleet.startRouter();
+    for (let index = 0; index < size; index++) fleet.startRouter(link);
     await jest.advanceTimersByTimeAsync(6_000 + phaseMs);
     const readers = fleet.routers.filter(({ sync }) => sync.hasTurn());
     const followers = fleet.routers.filter((router) =>
@@ -130,6 +137,36 @@
     });
   });
 
+  describe.each([4, 10])("with long responses, in a fleet of %d", (size) => {
+    it.each(phases)(
+      "leave no outage to a router that starts cut off (phase %d ms)",
+      async (phaseMs) => {
+        const { store, fleet } = await startFleet(size, phaseMs, slowLink);
+        store.put("op/config", "2".padEnd(largeChars));
+        await jest.advanceTimersByTimeAsync(2_300);
+        const [first] = fleet.routers;
+        fleet.killRouter(first!);
+        fleet.restartRouter(first!);
+        const started = fleet.routers[0]!;
+        started.access = "silent";
+        // It hears its peers at first, and has their copy.
+        await jest.advanceTimersByTimeAsync(850);
+        expect(isUsed(started, "target-0")).toBe(true);
+        started.isReached = false;
+        store.remove("servers/target-0");
+        const removedAt = performance.now();
+        await jest.advanceTimersByTimeAsync(900);
+        Object.assign(started, { access: "serve", isReached: true });
+        const leftMs = removedAt + drainMs - performance.now();
+        await jest.advanceTimersByTimeAsync(leftMs);
+        const late = fleet.routers.filter((router) =>
+          isUsed(router, "target-0")
+        );
+        expect(late.map(({ id }) => id)).toEqual([]);
+      },
+    );
+  });
+
   describe.each([5, 10, 40])("of a silent store, in a fleet of %d", (size) => {
     /**
      * Holds all bytes back; the entries of all targets expire at the end, and are
--- a/src/process/direct/store/store_contact.ts
+++ b/src/process/direct/store/store_contact.ts
@@ -32,12 +32,15 @@
   handleSilent(): void;
 }
 
-/** What a peer tells of its reads of the store; times in milliseconds. */
+/** What a router tells its peers of its reads of the store; times in ms. */
 export interface PeerStoreContact {
   /** Time for which it has read the store without an outage; 0 for none. */
   readonly contactMs: number;
-  /** Time since the last response to it. */
-  readonly ageMs: number;
+  /**
+   * Time since the last read that has ended; since the last response that has begun
+   * in a read that takes longer. Undefined without contact.
+   */
+  readonly ageMs: number | undefined;
   /** Time for which the store has owed it a response; 0 when it owes none. */
   readonly silentMs: number;
 }
@@ -62,6 +65,8 @@
   recordTurnEnd(): void;
   /** Records what a peer tells of its reads of the store. */
   recordPeerContact(peer: string, contact: PeerStoreContact): void;
+  /** Returns what this router tells its peers of its reads. */
+  getOwnContact(): PeerStoreContact;
   /** Records the position of a peer. */
   recordPeerPosition(position: StorePosition): void;
   /** Returns the newest position that a peer has told lately, if any. */
@@ -83,22 +88,13 @@
    * negative infinity when there was none.
    */
   getOutageEndedAt(): number;
-  /** As `StoreSilence.getSilentMs`. */
-  getSilentMs(): number;
   /** Returns what is known of the store's responses, for the log. */
   describe(): StoreContactRecord;
-  /**
-   * Returns for how long this router has watched the store without an outage,
-   * in milliseconds; 0 before a response. Holds while this router is watching.
-   */
-  getContactMs(): number;
   /**
    * Returns the time since the store last responded to this router or to one
    * that pushes to it, in milliseconds; since the start before a response.
    */
   getAgeMs(): number;
-  /** Returns the time since the store responded to this router; else infinity. */
-  getOwnReadAgeMs(): number;
   /**
    * Returns the time for which the copy here may have missed changes, in
    * milliseconds; infinity before the store was first read and while a peer is
@@ -177,23 +173,20 @@
       contactSince = undefined;
     },
     recordPeerContact,
+    getOwnContact,
     recordPeerPosition,
     tryGetPeerPosition: () => isPeerKept() ? peer.position : undefined,
     isConnected: () => isConnected,
     isReading: () =>
-      isConnected && performance.now() - lastReadAt < maxReadPauseMs &&
-      silence.getSilentMs() < minSilenceMs,
+      isConnected && !isSilent() &&
+      performance.now() - lastReadAt < maxReadPauseMs,
     hasReadWithin: (ms) => performance.now() - lastReadAt < ms,
     needsPeers,
     hasFailed: () => failures > 0,
     getFailures: () => failures,
     getOutageEndedAt: availability.getOutageEndedAt,
-    getSilentMs: silence.getSilentMs,
     describe: availability.describe,
-    getContactMs: () =>
-      contactSince === undefined ? 0 : performance.now() - contactSince,
     getAgeMs: () => performance.now() - getLastReadAt(),
-    getOwnReadAgeMs: () => performance.now() - lastReadAt,
     getCopyAgeMs: () =>
       isBehind()
         ? Number.POSITIVE_INFINITY
@@ -235,7 +228,7 @@
 
   function recordPeerContact(
     peer: string,
-    { contactMs, ageMs, silentMs }: PeerStoreContact,
+    { contactMs, ageMs = 0, silentMs }: PeerStoreContact,
   ): void {
     const now = performance.now();
     if (silentMs > 0) {
@@ -245,6 +238,25 @@
     recordContact(now - Math.max(contactMs, ageMs), now - ageMs, peer);
   }
 
+  function getOwnContact(): PeerStoreContact {
+    const now = performance.now();
+    const silentMs = Math.ceil(silence.getSilentMs());
+    const readAgeMs = now - lastReadAt;
+    // A long response shows that the store is there before it ends.
+    const ageMs = readAgeMs < maxReadPauseMs ? readAgeMs : now - lastResponseAt;
+    const isInContact = hasTurn && isConnected && !isSilent() &&
+      ageMs < maxReadPauseMs;
+    return {
+      contactMs: isInContact ? Math.ceil(now - (contactSince ?? now)) : 0,
+      ageMs: isInContact ? Math.ceil(ageMs) : undefined,
+      silentMs,
+    };
+  }
+
+  function isSilent(): boolean {
+    return silence.getSilentMs() >= minSilenceMs;
+  }
+
   function recordTurn(): boolean {
     hasTurn = true;
     contactSince = undefined;
@@ -259,8 +271,7 @@
   function recordResponse(): void {
     const now = performance.now();
     const gapMs = now - lastResponseAt;
-    const wasAway = gapMs >= minOutageMs &&
-      silence.getSilentMs() >= minSilenceMs;
+    const wasAway = gapMs >= minOutageMs && isSilent();
     if (wasAway || gapMs > maxResponseGapMs) contactSince = undefined;
     lastResponseAt = now;
     silence.recordResponse();
--- a/src/roles/digest_exchange.ts
+++ b/src/roles/digest_exchange.ts
@@ -76,9 +76,7 @@
     DirectorySync,
     | "applyPush"
     | "catchUp"
-    | "getContactMs"
-    | "getOwnReadAgeMs"
-    | "getSilentMs"
+    | "getOwnContact"
     | "hasTurn"
     | "isCatchingUp"
     | "isWatching"
@@ -266,16 +264,14 @@
   }
 
   function getDigestState(leaveMs = leaveReportMs): DigestState {
-    const isWatching = sync.isWatching();
+    const { contactMs, ageMs, silentMs } = sync.getOwnContact();
     return {
       position: host.getPosition(),
       isSettled: host.isSettled(),
-      isWatching,
-      storeContactMs: isWatching
-        ? Math.min(maxReportedContactMs, Math.ceil(sync.getContactMs()))
-        : 0,
-      storeAgeMs: isWatching ? Math.ceil(sync.getOwnReadAgeMs()) : undefined,
-      storeSilentMs: Math.ceil(sync.getSilentMs()),
+      isWatching: sync.isWatching(),
+      storeContactMs: Math.min(maxReportedContactMs, contactMs),
+      storeAgeMs: ageMs,
+      storeSilentMs: silentMs,
       lostEntries: host.countLostEntries(),
       leaves: host.targets.getOwnLeaves(leaveMs),
       ...{ limits: [], paces: [] },
--- a/test/support/directory_fleet.ts
+++ b/test/support/directory_fleet.ts
@@ -320,15 +320,14 @@
   ): void {
     if (!router.isReached) return;
     const { id, sync, replica, namesEra } = router;
+    const { contactMs, ageMs, silentMs } = sync.getOwnContact();
     const message: Message = {
       sender: id,
       position: toSent(replica.getPosition()),
       isWatching: sync.isWatching(),
-      storeContactMs: sync.isWatching() ? sync.getContactMs() : 0,
-      storeAgeMs: sync.isWatching()
-        ? Math.ceil(sync.getOwnReadAgeMs())
-        : undefined,
-      storeSilentMs: Math.ceil(sync.getSilentMs()),
+      storeContactMs: contactMs,
+      storeAgeMs: ageMs,
+      storeSilentMs: silentMs,
       lostEntries: replica.countLostEntries(),
       pushFragment: pushFragment && {
         ...pushFragment,
