Play uploads that a target ends against a real agent

Change: two cases in broken_response_test, a close with a reset at once and 30 ms later while 600 KB are on their way.

--- a/test/agent/broken_response_test.ts
+++ b/test/agent/broken_response_test.ts
@@ -46,6 +46,12 @@
   "in chunks": (response) => sendAndReset(response, "half"),
 };
 
+/** Times from the end of a response to the reset behind it, in milliseconds. */
+const resetDelaysMs = [0, 30];
+
+/** Size of a request that is not read to its end, in bytes. */
+const uploadBytes = 600_000;
+
 /** Responses to the resumption of a stream that don't continue it. */
 const resumptions: Readonly<Record<string, Handler>> = {
   "an error": (response) => sendJson(response, { status: 500 }),
@@ -73,7 +79,9 @@
 
   beforeEach(async () => {
     server = createServer((request, response) => {
-      request.resume();
+      if (request.headers["content-length"] !== String(uploadBytes)) {
+        request.resume();
+      }
       getHandler(request)(response);
     });
     const port = await new Promise<number>((resolve) => {
@@ -110,9 +118,15 @@
     return (response) => response.end("{}");
   }
 
-  async function run(isChat: boolean): Promise<readonly RunEvent[]> {
+  async function run(
+    isChat: boolean,
+    body = "{}",
+  ): Promise<readonly RunEvent[]> {
     const received: RunEvent[] = [];
-    const call: AsyncIterable<RunEvent> = client.run(createRun(isChat));
+    const call: AsyncIterable<RunEvent> = client.run({
+      ...createRun(isChat),
+      body: Buffer.from(body),
+    });
     for await (const event of call) {
       received.push(event);
     }
@@ -127,6 +141,18 @@
     });
   });
 
+  describe("an upload that its target ends is not forwarded as complete", () => {
+    it.each(resetDelaysMs)("with a reset %d ms later", async (delayMs) => {
+      respond = ({ socket }) => {
+        socket?.end("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf", () => {
+          setTimeout(() => socket.resetAndDestroy(), delayMs);
+        });
+      };
+      const received = await run(false, "x".repeat(uploadBytes));
+      expect(received.at(-1)?.event?.$case).toBe("failure");
+    });
+  });
+
   describe("a stream is not resumed with", () => {
     it.each(Object.entries(resumptions))("%s", async (_name, handler) => {
       respond = (response) => {
@@ -172,7 +198,6 @@
     method: "POST",
     path: "/work",
     headers: [{ name: "content-type", value: "application/json" }],
-    body: Buffer.from("{}"),
     isChat,
   };
 }
