Let callers of the silent targets' test connect as others arrive

All requests that were not whole had got ECONNRESET (17 to 48 of 60, none was cut): connections that wait for more than 0.5 s to be accepted are reset, and the 5 ms between callers were a guess.

Change: ten callers connect, the next ones once these are at targets; the silence begins when all 60 are. Streams have 30 events, so that none ends before. What must hold is as before: all 60, with 20 retries.

--- a/test/platform/silent_targets_test.ts
+++ b/test/platform/silent_targets_test.ts
@@ -22,10 +22,10 @@
 const silenceMs = 1_700;
 
 /**
- * Interval at which callers connect, in milliseconds. A router resets connections
- * that it can't accept for half a second, as in a burst beside a load.
+ * Callers that connect at once; the next ones wait until these are at targets. A
+ * router resets connections that it can't accept for half a second.
  */
-const connectMs = 5;
+const connecting = 10;
 
 /** Interval of the events of a stream, in milliseconds. */
 const eventMs = 100;
@@ -37,11 +37,14 @@
   let targets: readonly TargetStandIn[];
   let router: FleetRouter;
   let events: number;
+  /** Requests that are at targets, or were, without those that were sent again. */
+  let arrivals: number;
   /** Time of the silence, on the monotonic clock. */
   let silence: { readonly from: number; readonly until: number };
 
   beforeEach(async () => {
     events = 5;
+    arrivals = 0;
     store = await startConfiguredStore();
     const routes = [
       { ...createRoute("/draft/", "stream"), Resumable: true, GoalMs: 500 },
@@ -78,11 +81,13 @@
   function respond(target: TargetStandIn): void {
     target.setHandler((request, response) => {
       setIdentityHeaders(request, response, target.id);
+      const lastEventId = request.headers["last-event-id"];
+      if (lastEventId === undefined) arrivals++;
       if (request.path.startsWith("/proofs/")) {
         return whenAwake(() => response.end("proof"));
       }
       response.setHeader("Content-Type", "text/event-stream");
-      let sent = Number(request.headers["last-event-id"] ?? 0);
+      let sent = Number(lastEventId ?? 0);
       send();
 
       function send(): void {
@@ -102,20 +107,23 @@
   }
 
   async function sendMany(count: number, prefix: string): Promise<number> {
-    const responses = await Promise.all(
-      Array.from(
-        { length: count },
-        async (_, index) => {
-          await sleep(index * connectMs);
-          return await sendRequest(router, `${prefix}${index}`, {
-            headers: { "x-deadline-ms": "9000" },
-          }).catch(() => undefined);
-        },
-      ),
-    );
+    const pending: ReturnType<typeof send>[] = [];
+    while (pending.length < count) {
+      pending.push(send(pending.length));
+      if (pending.length % connecting === 0) {
+        await waitUntil(() => arrivals >= pending.length);
+      }
+    }
+    const responses = await Promise.all(pending);
     return responses.filter((response) =>
       response?.status === 200 && response.isComplete
     ).length;
+
+    function send(index: number) {
+      return sendRequest(router, `${prefix}${index}`, {
+        headers: { "x-deadline-ms": "9000" },
+      }).catch(() => undefined);
+    }
   }
 
   it("end whole when the silence begins late in a stop", async () => {
@@ -132,9 +140,10 @@
 
   it("end whole when the retries of the service are spent", async () => {
     await startRouter(20);
-    events = 10;
+    events = 30;
     const whole = sendMany(60, "/draft/");
-    fallSilent(60 * connectMs + 200);
+    await waitUntil(() => arrivals >= 60);
+    fallSilent(200);
     expect(await whole).toBe(60);
   });
 
