Move a begun response to no target without a free slot

Where that target is full and says so after 0.3 s, neither goes on, and the target that was given up is not used again.

Change: what has begun is moved only to a target with a slot that is free, as far as this router knows; else it goes on and the move is tried again ("full"). A request whose new target refuses late may go back to the one that it was moved from, with a retry.

--- a/src/request/direct_handover_test.ts
+++ b/src/request/direct_handover_test.ts
@@ -129,6 +129,8 @@
           },
         };
       },
+      // Such a target may refuse once the first attempt is given up.
+      full: () => ({ queue: { requests: 64, meanRunMs: 10 } }),
       no_target: () => ({
         addresses: { a: "10.0.0.1:1", b: "10.0.0.1:1", c: "10.0.0.1:1" },
       }),
@@ -203,6 +205,22 @@
       expect(result.endedAtMs).toBe(idleMs.stream + maxOverlapMs - 50);
     });
 
+    it("anew when the other refuses late", async () => {
+      const result = await run(resumable, [
+        pausingStream(60_000),
+        async (call) => {
+          recordCall(call);
+          await pause(call, 2 * maxOverlapMs);
+          return { kind: "refused", status: 503 };
+        },
+        () => stream(event(2)),
+      ], { addresses: { a: "10.0.0.1:1", b: "10.0.0.2:1", c: "10.0.0.2:1" } });
+      expect(result).toMatchObject({ outcome: "done", text: whole });
+      expect(result.calls.map(({ target }) => target.address))
+        .toEqual(["10.0.0.1:1", "10.0.0.2:1", "10.0.0.1:1"]);
+      expect(result.calls[2]?.lastEventId).toBe("1");
+    });
+
     it("as a safe call without a retry", async () => {
       const result = await run(safe, [pausingCall(3_000)], { retryCredit: 0 });
       expect(result).toMatchObject({ outcome: "done", text: "proof" });
--- a/src/request/direct_reservation.ts
+++ b/src/request/direct_reservation.ts
@@ -54,6 +54,9 @@
   if (!host.health.isUsable(choice.target.id)) return "ejected";
   const queue = getTargetQueue(host, choice);
   if (isBeyondDeadline(queue, context.getTimeLeftMs())) return "full";
+  // A full target may refuse late, when the response that has begun is given up.
+  const hasBegun = context.response.getSentBytes() > 0;
+  if (hasBegun && queue.load >= queue.slots) return "full";
   const permit = host.limits.tryTake(choice.target.address);
   return permit === undefined ? "limited" : { choice, permit };
 }
