Judge floods and cut uploads by what a router could do beside a load

Change: a flood goes on until 20 requests are judged, 50 s at most; half a second after the router could not run is left out as well. A part whose reset was sent more than 50 ms after its end counts as the whole response. Without a load both judge as before.

--- a/test/soak/flood_run.ts
+++ b/test/soak/flood_run.ts
@@ -83,6 +83,18 @@
 
 const services = { sound: "service-0", flooded: "service-1" } as const;
 
+/**
+ * Requests that a run has to judge, and the longest time for which it goes on until
+ * then, in milliseconds. Beside a load most are left out.
+ */
+const judgedAim = { least: 20, maxMs: 50_000 } as const;
+
+/**
+ * Time after the machine kept the router from running in which it still resets
+ * connections that waited half a second to be accepted, in milliseconds.
+ */
+const starvationEffectMs = 500;
+
 /** Time for the router to become ready, in milliseconds. */
 const startMs = 2_000;
 
@@ -166,7 +178,10 @@
     const stopFlooded = options.name === "datagrams"
       ? startDatagramFlood({ address: router.address, port: digestPort })
       : startFloodedCallers(router, options);
-    await sleep(options.durationMs);
+    do await sleep(options.durationMs); while (
+      getJudged().length < judgedAim.least &&
+      performance.now() - startedAt < judgedAim.maxMs
+    );
     stopFlooded();
     await stopOthers();
     release();
@@ -181,11 +196,18 @@
     await store.close();
   }
 
-  /** A request is not judged while the machine kept the router from running. */
+  /** A request is not judged while, or just after, the router could not run. */
   function isStarved({ sentAt, result }: CallerRequest): boolean {
     const endedAt = result?.endedAt ?? Infinity;
     return router.spans.some((span) =>
-      span.kind === "starved" && overlaps(span, sentAt, endedAt)
+      span.kind === "starved" &&
+      overlaps(span, sentAt - starvationEffectMs, endedAt)
+    );
+  }
+
+  function getJudged(): readonly CallerRequest[] {
+    return requests.filter((request) =>
+      request.result !== undefined && !isStarved(request)
     );
   }
 
--- a/test/soak/target_answers.ts
+++ b/test/soak/target_answers.ts
@@ -41,6 +41,12 @@
 /** Time from the close of a connection to its reset, in milliseconds. */
 const resetDelayMs = 10;
 
+/**
+ * Time from the end of a response to a reset that routers can tell, in milliseconds;
+ * they wait for 60. This process may be late beside a load.
+ */
+const tellableResetMs = 50;
+
 /** What a head lacks. */
 interface HeadOptions {
   readonly isUnsigned?: boolean;
@@ -134,19 +140,29 @@
   request.socket.write(lines.join("\r\n"));
 }
 
-/** Closes with a part of a response, and resets when more bytes arrive. */
+/**
+ * Closes with a part of a response, and resets when more bytes arrive. Where the reset
+ * comes too late to be told, the part counts as the whole response.
+ */
 function cutUpload({ request, arrival, body }: Exchange): void {
   const { socket } = request;
+  const part = body.slice(0, body.length / 2);
   arrival.brokeOff = true;
   const lines = [
     ...["HTTP/1.1 200 OK", "Content-Type: text/plain", "Connection: close"],
     `X-Request-Id: ${arrival.requestId}`,
     `X-Server-Stamp: ${arrival.life}`,
-    ...["", body.slice(0, body.length / 2)],
+    ...["", part],
   ];
   request.pause();
+  const endedAt = performance.now();
   socket.end(lines.join("\r\n"), () => {
-    setTimeout(() => socket.resetAndDestroy(), resetDelayMs);
+    setTimeout(() => {
+      if (performance.now() - endedAt > tellableResetMs) {
+        Object.assign(arrival, { brokeOff: false, status: 200, body: part });
+      }
+      socket.resetAndDestroy();
+    }, resetDelayMs);
   });
 }
 
