--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -120,21 +120,21 @@
   async function runFrom(first: DirectOffer): Promise<RequestEnd | undefined> {
     let offer = first;
     /** The target that was given up for the current one. */
-    let given: DirectOffer | undefined;
+    let givenUp: DirectOffer | undefined;
     while (true) {
       const { end, next } = await runAttempt(offer);
       if (end.kind === "not_run") {
         history.lastRefusal = end.code;
         // It was silent only, and may serve the request where no other does.
-        if (given !== undefined) {
-          history.attempted.delete(given.choice.target.address);
+        if (givenUp !== undefined) {
+          history.attempted.delete(givenUp.choice.target.address);
         }
       }
       if (end.kind === "lost" || end.kind === "repeat") {
         history.lastFailure = end.code;
       }
       if (next === undefined) return handleAttemptEnd(end);
-      given = offer.attempt.hasTimedOut() ? offer : undefined;
+      givenUp = offer.attempt.hasTimedOut() ? offer : undefined;
       offer = next;
     }
   }
--- a/src/roles/router.ts
+++ b/src/roles/router.ts
@@ -42,7 +42,7 @@
  */
 const closingShare = 1 / 12;
 
-/** Maximum length of that part, however many requests are in flight, in milliseconds. */
+/** Maximum length of that part for any number of requests, in milliseconds. */
 const maxClosingMs = 1_000;
 
 /**
@@ -232,6 +232,7 @@
     return { cutOff, tookMs };
   }
 
+  /** Returns the length of the part of the grace period in which waits end. */
   function getClosingMs(): number {
     const graceMs = settings.shutdownMs;
     const neededMs = Math.min(inFlight.size * withdrawalMs, graceMs / 2);
