Judge calls after a time without a processor again, as before

Cause: left calls out that were sent within half a second after the machine had kept the router from running, as it resets connections that waited that long. Its own log shows otherwise: the five were reset 55 to 239 ms after they were opened. The trace does not show that to be allowed, and it may be a fault of the router. Change: that part of the judge is as it was. Runs still go on until 20 calls are judged, as that leaves nothing out.

--- a/test/soak/flood_run.ts
+++ b/test/soak/flood_run.ts
@@ -89,12 +89,6 @@
  */
 const judgedAim = { least: 20, maxMs: 50_000 } as const;
 
-/**
- * Time after the machine kept the router from running in which it still resets
- * connections that waited half a second to be accepted, in milliseconds.
- */
-const starvationEffectMs = 500;
-
 /** Time for the router to become ready, in milliseconds. */
 const startMs = 2_000;
 
@@ -196,12 +190,11 @@
     await store.close();
   }
 
-  /** A request is not judged while, or just after, the router could not run. */
+  /** A request is not judged while the machine kept the router from running. */
   function isStarved({ sentAt, result }: CallerRequest): boolean {
     const endedAt = result?.endedAt ?? Infinity;
     return router.spans.some((span) =>
-      span.kind === "starved" &&
-      overlaps(span, sentAt - starvationEffectMs, endedAt)
+      span.kind === "starved" && overlaps(span, sentAt, endedAt)
     );
   }
 
