--- a/src/process/direct/peers/peer_digests.ts
+++ b/src/process/direct/peers/peer_digests.ts
@@ -77,9 +77,8 @@
    */
   readonly storeContactMs: number;
   /**
-   * Time since the store last responded to the sender, in milliseconds: since the
-   * end of its last read while it watches, else since a response has begun.
-   * Undefined when it is not in contact or does not tell.
+   * As `PeerStoreContact.ageMs`; undefined without contact, and when the sender
+   * does not tell.
    */
   readonly storeAgeMs: number | undefined;
   /**
