--- a/review/11/harness.mjs
+++ b/review/11/harness.mjs
@@ -5,6 +5,7 @@
 
 import { spawn } from "node:child_process";
 import { createServer, request as httpRequest } from "node:http";
+import { createSocket } from "node:dgram";
 import { createServer as createTcpServer } from "node:net";
 import { mkdtempSync, openSync, closeSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
@@ -13,9 +14,6 @@
 /** The repository root: the folder in which a case is started. */
 const programPath = "target/mimosatray.cjs";
 
-/** Ports at the routers' own addresses, as few as a router needs. */
-const portsPerRouter = 6;
-
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
 /** Returns a loopback address that this run alone uses. */
@@ -34,6 +32,20 @@
   return port;
 }
 
+/** Returns the first port of a range, of which routers use the first one for UDP. */
+async function findFreeRange(host) {
+  for (let port = 20_000 + (process.pid % 500) * 16; port < 32_000; port += 16) {
+    const socket = createSocket("udp4");
+    const isFree = await new Promise((resolve) => {
+      socket.once("error", () => resolve(false));
+      socket.bind(port, host, () => resolve(true));
+    });
+    socket.close();
+    if (isFree) return port;
+  }
+  throw new Error("no port is free for digests");
+}
+
 /** The record of a run: what was sent, answered and run. */
 export function createRecord(path) {
   const startedAt = performance.now();
@@ -376,8 +388,7 @@
     const host = nextHost();
     const ports = [];
     while (ports.length < 3) ports.push(await findFreePort(host));
-    // Digests use the first port of the range.
-    ports.push(20_000 + (process.pid % 500) * 16);
+    ports.push(await findFreeRange(host));
     places.push({ id: `edge-${zone}-${index + 1}`, zone, host, ports });
   }
   const seeds = places.slice(0, 3).map(({ host, ports }) => `${host}:${ports[2]}`);
