--- a/review/12/harness.mjs
+++ b/review/12/harness.mjs
@@ -14,6 +14,9 @@
 /** The repository root: the folder in which a case is started. */
 const programPath = "target/mimosatray.cjs";
 
+/** Time after which a case ends whatever it does. */
+const maxCaseMs = 110_000;
+
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
 /** Returns a loopback address that this run alone uses. */
@@ -321,13 +324,10 @@
     response.end(bytes);
   }
 
-  /**
-   * Ends the process at once; it is back with a new id after a time. Returns false
-   * when it is down already.
-   */
+  /** Ends the process at once; it is back with a new id after a time. */
   function crash(downMs) {
     const current = life;
-    if (current.isDown) return false;
+    if (current.isDown) return;
     current.isDown = true;
     record?.add(`server ${current.id} crashes`);
     clearInterval(current.timer);
@@ -336,7 +336,6 @@
     // The entry goes after three heartbeat intervals of silence.
     setTimeout(() => store.remove(`servers/${current.id}`), 3 * heartbeatMs);
     if (downMs !== undefined) setTimeout(() => void start(), downMs);
-    return true;
   }
 
   function leave() {
@@ -524,7 +523,8 @@
   const clean = () => {
     routers.forEach((router) => router.end());
     record.save();
-    rmSync(folder, { recursive: true, force: true });
+    if (process.env.KEEP === "1") console.log(folder);
+    else rmSync(folder, { recursive: true, force: true });
   };
   for (const name of ["SIGINT", "SIGTERM"]) {
     process.once(name, () => {
@@ -532,6 +532,11 @@
       process.exit(2);
     });
   }
+  setTimeout(() => {
+    record.add("the case took too long");
+    clean();
+    process.exit(2);
+  }, maxCaseMs).unref();
   process.on("uncaughtException", (error) => {
     record.add(`the case could not run: ${error.stack}`);
     clean();
@@ -544,7 +549,6 @@
     record.add(`the case could not run: ${error.stack}`);
   }
   record.add(code === 1 ? "RULE BROKEN" : code === 0 ? "rule held" : "not run");
-  if (process.env.KEEP) { record.save(); console.log(folder); routers.forEach((r) => r.end()); process.exit(code); }
   clean();
   await Promise.all(routers.map(({ exited }) => exited));
   process.exit(code);
--- a/review/12/run.mjs
+++ b/review/12/run.mjs
@@ -1,22 +1,18 @@
 /**
- * A request that crashes each server that begins to run it comes again and again,
- * four times at once: four clients of its tenant send it to four machines within
- * 300 ms, as it takes half a second to crash a server.
+ * A request that crashes each server that begins to run it comes again with the
+ * same path, caller and body, each time in a new session, whose own part is the last
+ * one of `X-Prompt-Prefix`.
  */
 
 import { createRouters, nextHost, runCase, send, sleep, startServer, startStore, waitUntilReady } from "./harness.mjs";
 
 const hasTrouble = process.env.TROUBLE !== "0";
-/** `1`: the request comes once at a time; a check of the case itself. */
-const copies = Number(process.env.COPIES ?? 4);
+/** `same`: the last part stays the same too; a check of the case itself. */
+const keepsPart = process.env.PART === "same";
 
 const contactMs = 3_000;
 const playMs = 45_000;
-/** Time from one round to the next, and from one copy to the next in a round. */
-const roundIntervalMs = 4_000;
-const copyIntervalMs = 100;
-/** Time for which a server runs the request until it crashes. */
-const runMs = 500;
+const crashIntervalMs = 1_500;
 const soundIntervalMs = 50;
 const downMs = 2_500;
 /** Retries that may reach servers after the third crash and `ContactMs`. */
@@ -80,12 +76,8 @@
       arrivals.push(performance.now());
       record.add(`server ${id} begins to run ${identity["X-Request-Id"]}, the crashing request`);
       if (hasTrouble) {
-        setTimeout(() => {
-          // Another copy may have crashed it meanwhile.
-          if (server.getId() !== id || !server.crash(downMs)) return;
-          crashes.push(performance.now());
-        }, runMs);
-        return;
+        crashes.push(performance.now());
+        return server.crash(downMs);
       }
     }
     response.writeHead(200, { ...identity, "content-type": "text/event-stream" });
@@ -116,17 +108,15 @@
   }
 
   async function sendCrashing() {
-    for (let round = 0; performance.now() < endAt; round++) {
-      const sent = Array.from({ length: copies }, async (_, copy) => {
-        const router = routers[(round + copy) % routers.length];
-        await sleep(copy * copyIntervalMs);
-        const answer = await sendOne(router, {
-          body: crashingBody,
-          parts: "5c1e07a2:341,92000000:360",
-        });
-        record.add(`${answer.requestId}, the crashing request, at ${router.id}: ${answer.status}`);
+    for (let count = 0; performance.now() < endAt; count++) {
+      const router = routers[count % routers.length];
+      const own = keepsPart ? 0 : count;
+      const answer = await sendOne(router, {
+        body: crashingBody,
+        parts: `5c1e07a2:341,${(0x92000000 + own).toString(16)}:360`,
       });
-      await Promise.all([...sent, sleep(roundIntervalMs)]);
+      record.add(`${answer.requestId}, the crashing request, at ${router.id}: ${answer.status}`);
+      await sleep(crashIntervalMs);
     }
   }
 
