--- a/review/14/run.mjs
+++ b/review/14/run.mjs
@@ -1,42 +1,38 @@
 /**
- * A client sends requests whose prompts are larger than the memory of any server, which
- * the servers reject as if they were full. Beside them run sound requests.
+ * Of five routers four are lost for good. The one that is left is partitioned from the
+ * store for some seconds, in which a server leaves. The router takes its own cut for an
+ * outage of the store, and the leave for an entry that expired in it.
  */
 
-import { createRouters, nextHost, runCase, send, sleep, startServer, startStore, waitUntilReady } from "./harness.mjs";
+import { createRouters, nextHost, runCase, send, sleep, startProxy, startServer, startStore, waitUntilReady } from "./harness.mjs";
 
 const hasTrouble = process.env.TROUBLE !== "0";
-/** Tokens of the large prompts; a memory holds 565,582. */
-const largeTokens = Number(process.env.TOKENS ?? 5_000_000_000);
 
-const playMs = 60_000;
-const largeIntervalMs = 1_000;
-const soundIntervalMs = 50;
-/** Time after which the platform starts a process again that has ended. */
-const restartMs = 500;
-/** Ends by themselves of one machine's processes, and machines with so many. */
-const maxEnds = 2;
-const maxMachines = 1;
+const contactMs = 3_000;
+const drainMs = 2_000;
+/** Times from the start of the cut. */
+const leaveAfterMs = 1_500;
+const minCutMs = 3_500;
+const maxCutMs = 5_500;
+/** Time after the last connection of the router at which the cut ends. */
+const healAfterMs = 50;
+/** Time for which orders are sent after the router is in touch, and between two. */
+const playMs = 3_000;
+const orderIntervalMs = 10;
 
 const host = "cards.example";
 const key = "n2ctnfzs989anu6wsjnb";
-const largeBody = JSON.stringify({ check: "the wording of all cards" });
 
 const configuration = {
   Version: 7,
   Routes: [{
-    ...{ Name: "tone-check", Host: host, Prefix: "/tone/", Type: "stream" },
-    ...{ TimeoutMs: 3_000, GoalMs: 400, Priority: 2, Service: "verse-model" },
-    ...{ Attempts: 1, Public: false, Sticky: true, Resumable: false, GapGoalMs: 250 },
-  }],
-  Services: [{
-    ...{ Name: "verse-model", HealthPath: "/healthz", MaxConns: 370, Protocol: "h1", Tls: false },
-    Engine: {
-      ...{ Slots: 64, KvCapacity: 565_582, KvTokenBytes: 163_840, LinkMbps: 550_000 },
-      ...{ Moves: true, Backups: true, Stride: 6, most: 2, PinMs: 4_000, HoldMs: 2_000 },
-      ...{ HandleS: 5, Models: [{ Name: "m" }] },
-    },
+    ...{ Name: "print-order", Host: host, Prefix: "/orders/", Type: "unsafe" },
+    ...{ TimeoutMs: 600, GoalMs: 121, Priority: 2, Service: "order-desk" },
+    ...{ Attempts: 1, Public: false, Sticky: false, Resumable: false, GapGoalMs: 0 },
   }],
+  Services: [
+    { Name: "order-desk", HealthPath: "/healthz", MaxConns: 110, Protocol: "h1", Tls: false },
+  ],
   Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: 4_194_304, HeaderTimeoutMs: 3_000, IdleTimeoutMs: 15_000 },
   Tenants: [{ Name: "press", ApiKeys: [key], Priority: 1 }],
 };
@@ -44,118 +40,88 @@
 await runCase(process.argv[2], async ({ record, folder, routers }) => {
   const store = await startStore();
   store.put("op/config", configuration);
-  let sound = 0;
-  let soundServed = 0;
-  let large = 0;
-  let rejected = 0;
-  let isOver = false;
-  const ends = new Map();
+  const runs = [];
+  let leftAt;
+  let leaverId;
   const zones = ["coast-a", "coast-b", "coast-c"];
-  for (let index = 0; index < 6; index++) {
-    await startServer({
-      ...{ store, service: "verse-model", zone: zones[index % 3], slots: 64 },
-      ...{ record, handle: run, rejects: isLarge },
-    });
+  const servers = [];
+  for (const zone of zones) {
+    servers.push(
+      await startServer({ store, service: "order-desk", zone, slots: 6, record, handle: run }),
+    );
   }
+  const proxy = await startProxy(store.address);
+  const { address } = store;
   const created = await createRouters({
     ...{ zones: ["coast-a", "coast-a", "coast-b", "coast-b", "coast-c"], record, folder },
-    storeAddress: store.address,
+    storeAddresses: [proxy.address, address, address, address, address],
   });
   routers.push(...created);
-  routers.forEach((router) => void keepRunning(router));
+  routers.forEach((router) => router.start());
   if (!await waitUntilReady(routers)) throw new Error("the routers are not ready");
-  await sleep(1_000);
-
-  const endAt = performance.now() + playMs;
-  await Promise.all([sendSound(), sendLarge()]);
-  isOver = true;
-  return judge();
+  await sleep(2_000);
+  const [left, ...lost] = routers;
+  lost.forEach((router) => router.signal("SIGKILL"));
+  await Promise.all(lost.map((router) => router.exited));
+  await sleep(contactMs);
 
-  /** Starts a router, and again after each end, as the platform does. */
-  async function keepRunning(router) {
-    while (!isOver) {
-      router.start();
-      await router.exited;
-      if (isOver) return;
-      ends.set(router.id, (ends.get(router.id) ?? 0) + 1);
-      await sleep(restartMs);
-    }
-  }
-
-  /** A request that is larger than the memory is rejected as if it were full. */
-  function isLarge(request) {
-    const [prompt = 0, output = 0] = (request.headers["x-tokens"] ?? "").split(",").map(Number);
-    const { KvCapacity } = configuration.Services[0].Engine;
-    if (prompt + output <= KvCapacity) return false;
-    rejected++;
-    return true;
-  }
+  const cutAt = performance.now();
+  if (hasTrouble) proxy.cut();
+  record.add(`router ${left.id} is ${hasTrouble ? "" : "not "}cut off from the store`);
+  await sleep(leaveAfterMs);
+  leftAt = performance.now();
+  const leaver = servers[0];
+  leaverId = leaver.getId();
+  leaver.leave();
+  await sleep(minCutMs - leaveAfterMs);
+  await waitForCall();
+  proxy.heal();
+  const healedAt = performance.now();
+  record.add(`the path is back after ${Math.round(healedAt - cutAt)} ms`);
+  await sleep(contactMs + 20);
+  record.add(`router ${left.id} is in touch`);
 
-  /** Runs a request: a stream of three events in 40 ms. */
-  function run({ response, identity, id }) {
-    response.writeHead(200, { ...identity, "content-type": "text/event-stream" });
-    let event = 0;
-    const timer = setInterval(() => {
-      event++;
-      response.write(`id: ${event}\ndata: ${id} ${event}\n\n`);
-      if (event < 3) return;
-      clearInterval(timer);
-      response.end();
-    }, 15);
-    response.on("close", () => clearInterval(timer));
+  const endAt = performance.now() + playMs;
+  const open = [];
+  for (let count = 0; performance.now() < endAt; count++) {
+    open.push(send(left, {
+      ...{ path: `/orders/${count}`, host, body: `order ${count}`, deadlineMs: 600 },
+      headers: { "X-Credential": key },
+    }));
+    await sleep(orderIntervalMs);
   }
+  const answers = await Promise.all(open);
+  return judge(answers);
 
-  async function sendSound() {
-    const open = [];
-    for (let count = 0; performance.now() < endAt; count++) {
-      open.push(sendOne(routers[count % routers.length], {
-        body: JSON.stringify({ check: `card ${count}` }),
-        tokens: "701,24",
-        parts: `5c1e07a2:341,${(0x91000000 + count).toString(16)}:360`,
-      }).then((answer) => {
-        sound++;
-        if (answer.status === 200 && answer.isComplete) soundServed++;
-      }));
-      await sleep(soundIntervalMs);
+  /** Waits until the router has just opened a connection to the store. */
+  async function waitForCall() {
+    while (hasTrouble && performance.now() < cutAt + maxCutMs) {
+      if (performance.now() - proxy.getOpenedAt() >= healAfterMs &&
+        performance.now() - proxy.getOpenedAt() < healAfterMs + 20) return;
+      await sleep(5);
     }
-    await Promise.all(open);
   }
 
-  /** Sends a large request to each router in turn, five in a second. */
-  async function sendLarge() {
-    while (performance.now() < endAt) {
-      for (const router of routers) {
-        const own = (0x92000000 + large++).toString(16);
-        const tokens = hasTrouble ? largeTokens : 700;
-        const answer = await sendOne(router, {
-          body: largeBody,
-          tokens: `${tokens},24`,
-          parts: `a${own}:${tokens - 60},${own}:60`,
-        });
-        record.add(`${answer.requestId}, of ${tokens} tokens, at ${router.id}: ${answer.status}`);
-      }
-      await sleep(largeIntervalMs);
+  function run({ response, identity, id }) {
+    const at = performance.now();
+    runs.push({ at, id });
+    if (id === leaverId && leftAt !== undefined && at > leftAt + drainMs) {
+      record.add(`server ${id} runs ${identity["X-Request-Id"]}, ${Math.round(at - leftAt)} ms after its leave`);
     }
+    setTimeout(() => {
+      response.writeHead(200, { ...identity, "content-length": 2 });
+      response.end("ok");
+    }, 21);
   }
 
-  function sendOne(router, { body, tokens, parts }) {
-    return send(router, {
-      ...{ path: "/tone/check", host, body, deadlineMs: 3_000 },
-      headers: {
-        ...{ "X-Credential": key, "X-Model": "m", "X-Tokens": tokens },
-        "X-Prompt-Prefix": parts,
-      },
-    });
-  }
-
-  function judge() {
-    record.add(`sound requests: ${sound}, served: ${soundServed}`);
-    record.add(`large requests: ${large}, rejected by servers: ${rejected} times`);
-    for (const { id } of routers) {
-      record.add(`processes of ${id} that ended by themselves: ${ends.get(id) ?? 0}`);
-    }
-    if (hasTrouble && rejected === 0) throw new Error("no large request reached a server");
-    const machines = [...ends.values()].filter((count) => count > maxEnds).length;
-    return machines > maxMachines ? 1 : 0;
+  function judge(answers) {
+    const served = answers.filter(({ status }) => status === 200).length;
+    const statuses = {};
+    answers.forEach(({ status }) => statuses[status] = (statuses[status] ?? 0) + 1);
+    record.add(`orders: ${answers.length}, by status: ${JSON.stringify(statuses)}`);
+    if (served < answers.length / 2) throw new Error("too few orders were served");
+    const late = runs.filter(({ at, id }) => id === leaverId && at > leftAt + drainMs);
+    record.add(`orders at the server later than ${drainMs} ms after its leave: ${late.length}`);
+    return late.length > 0 ? 1 : 0;
   }
 });
