Judge numbers from outside, and write digests without items at fault

Cause: numbers of callers, servers and lists went into state as they were read. Digests carry 32 bits, the encoder throws above that, in a timer, and 20 errors in 10 s end a process. A backlog that was infinite became NaN for good; one of 1e21 took other loads with it when it was taken away.

Change: types/stated_numbers.ts judges numbers where they are decoded; loads add whole and bounded tokens only; encodeTolerantly leaves out the item at fault in every message that a timer writes, and the timer runs within the guard of received digests. A request larger than the memory of its engines is rejected at once after one engine has refused it. It works as no value that the encoder or a sum cannot bear gets into state, and a value that would is alone left out.

--- a/src/platform/caller_codec.ts
+++ b/src/platform/caller_codec.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage } from "node:http";
 import type { FrontendRequest } from "../types/direct_request.ts";
 import type { Prompt, PromptPart } from "../types/prompt.ts";
+import { limitTimeMs, limitTokens } from "../types/stated_numbers.ts";
 import type { Header } from "../types/work.ts";
 import { headerNames, reservedHeaders } from "./wire_names.ts";
 
@@ -31,7 +32,9 @@
     readonly body: Uint8Array;
   },
 ): FrontendRequest {
-  const deadlineMs = Number(getHeader(message, headerNames.deadline));
+  const deadlineMs = limitTimeMs(
+    Number(getHeader(message, headerNames.deadline)),
+  );
   return {
     requestId,
     host: getHostName(message.headers.host ?? ""),
@@ -93,13 +96,16 @@
   const model = getHeader(message, headerNames.model);
   const tokens = getHeader(message, headerNames.tokens);
   if (model === undefined || tokens === undefined) return undefined;
-  const [promptTokens, maxOutputTokens] = tokens.split(",").map(Number);
-  const hintedTokens = Number(getHeader(message, headerNames.lengthHint));
+  const [promptTokens = 0, maxOutputTokens = 0] = tokens.split(",")
+    .map((text) => limitTokens(Number(text)));
+  const hintedTokens = limitTokens(
+    Number(getHeader(message, headerNames.lengthHint)),
+  );
   return {
     model,
     parts: parseParts(getHeader(message, headerNames.promptParts) ?? ""),
-    promptTokens: promptTokens || 0,
-    maxOutputTokens: maxOutputTokens || 0,
+    promptTokens,
+    maxOutputTokens,
     hintedOutputTokens: hintedTokens > 0 ? hintedTokens : undefined,
   };
 }
@@ -108,7 +114,7 @@
 function parseParts(text: string): readonly PromptPart[] {
   return text.split(",").flatMap((part) => {
     const [id, tokens] = part.trim().split(":");
-    const count = Number(tokens);
+    const count = limitTokens(Number(tokens));
     return id && count > 0 ? [{ id, tokens: count }] : [];
   });
 }
--- a/src/platform/route_table_codec.ts
+++ b/src/platform/route_table_codec.ts
@@ -10,6 +10,7 @@
   RouteTable,
   WarmUp,
 } from "../types/route_table.ts";
+import { limitCount, maxSizeOrTime } from "../types/stated_numbers.ts";
 import {
   getArray,
   getNumber,
@@ -34,12 +35,6 @@
 
 const msPerSecond = 1_000;
 
-/**
- * Maximum of sizes in bytes and times in milliseconds. A timer of five times
- * this time still fires late; the runtime fires longer ones at once.
- */
-const maxLimit = 400_000_000;
-
 /** Kinds of routes by their names in the store. */
 const routeKinds: ReadonlyMap<unknown, RouteKind> = new Map([
   ["safe", "safe"],
@@ -90,14 +85,19 @@
   });
 }
 
-/** Returns a size or a time, at most `maxLimit`; `fallback` when not above 0. */
+/** Returns a size or a time, at most `maxSizeOrTime`; `fallback` when not above 0. */
 function getPositive(
   fields: JsonObject,
   name: string,
   fallback: number,
 ): number {
   const value = getNumber(fields, name, fallback);
-  return value > 0 ? Math.min(value, maxLimit) : fallback;
+  return value > 0 ? Math.min(value, maxSizeOrTime) : fallback;
+}
+
+/** Returns a rank, whole and not below 0. */
+function getRank(fields: JsonObject): number {
+  return limitCount(getNumber(fields, "Priority", defaultPriority));
 }
 
 function getObjects(value: unknown): readonly JsonObject[] {
@@ -128,7 +128,7 @@
     timeoutMs,
     latencyGoalMs: getNumber(fields, "GoalMs", timeoutMs),
     gapGoalMs: getNumber(fields, "GapGoalMs", 0),
-    priority: getNumber(fields, "Priority", defaultPriority),
+    priority: getRank(fields),
     shares,
     maxTargets: getNumber(fields, "Attempts", 1),
     isPublic: fields["Public"] === true,
@@ -187,7 +187,7 @@
 ): readonly (readonly [string, KeyHolder])[] {
   const workspace = tryGetString(fields, "Name");
   if (workspace === undefined) return [];
-  const priority = getNumber(fields, "Priority", defaultPriority);
+  const priority = getRank(fields);
   return getArray(fields["ApiKeys"])
     .filter((key): key is string => typeof key === "string")
     .map((key) => [key, { workspace, priority }] as const);
--- a/src/platform/store_records.ts
+++ b/src/platform/store_records.ts
@@ -12,6 +12,7 @@
   SavedVersions,
 } from "../types/directory.ts";
 import type { Entry } from "../types/platform.ts";
+import { maxCount } from "../types/stated_numbers.ts";
 import {
   getArray,
   getNumber,
@@ -24,9 +25,6 @@
 
 const maxPort = 65_535;
 
-/** Largest number of 32 bits, in which digests carry counts and times. */
-const maxDigestNumber = 0xffff_ffff;
-
 /** States of targets by their names in the store. */
 const targetStates: ReadonlyMap<unknown, DirectTarget["state"]> = new Map([
   ["ready", "ready"],
@@ -114,7 +112,7 @@
       trials: getNumber(fields, "trials", 0),
       expiresAtMs: Math.min(
         Math.round(getNumber(fields, "expiresAtMs", 0)),
-        Date.now() + maxDigestNumber,
+        Date.now() + maxCount,
       ),
     }),
   });
@@ -125,7 +123,7 @@
 function keepIfSendable(evidence: SavedEvidence): SavedEvidence | undefined {
   const { generation, trials, lives } = evidence;
   const isSendable = [generation, trials, ...lives].every((value) =>
-    Number.isInteger(value) && value >= 0 && value <= maxDigestNumber
+    Number.isInteger(value) && value >= 0 && value <= maxCount
   );
   return isSendable ? evidence : undefined;
 }
@@ -273,7 +271,8 @@
 }
 
 function isSlotCount(value: unknown): value is number {
-  return Number.isSafeInteger(value) && Number(value) > 0;
+  return Number.isSafeInteger(value) && Number(value) > 0 &&
+    Number(value) <= maxCount;
 }
 
 function isSocketAddress(text: string): boolean {
--- a/src/platform/target_codec.ts
+++ b/src/platform/target_codec.ts
@@ -14,6 +14,12 @@
 import type { PromptPart } from "../types/prompt.ts";
 import { canStateNotRun } from "../types/not_run_proof.ts";
 import { isEventStream } from "../types/response.ts";
+import {
+  limitCount,
+  limitTimeMs,
+  tryGetEpochMs,
+  tryGetPartTokens,
+} from "../types/stated_numbers.ts";
 import type { Header } from "../types/work.ts";
 import { getArray, tryGetObject } from "./json_fields.ts";
 import { cachedPartsPath, headerNames } from "./wire_names.ts";
@@ -176,7 +182,7 @@
   if (text === undefined) return { kind: "untold" };
   const leftMs = Number(text);
   return decimalPattern.test(text) && Number.isFinite(leftMs)
-    ? { kind: "told", leftMs }
+    ? { kind: "told", leftMs: limitTimeMs(leftMs) }
     : { kind: "unreadable", text };
 }
 
@@ -185,7 +191,7 @@
   if (text === undefined) return { kind: "none" };
   const ms = Number(text) * msPerSecond;
   return decimalPattern.test(text) && Number.isFinite(ms)
-    ? { kind: "asked", ms }
+    ? { kind: "asked", ms: limitTimeMs(ms) }
     : { kind: "unreadable", text };
 }
 
@@ -210,7 +216,8 @@
 function tryParseLoad(text: string | undefined): ReportedLoad | undefined {
   const fields = (text ?? "").split(",").map((field) => field.trim());
   if (!fields.every((field) => decimalPattern.test(field))) return undefined;
-  const [running, waiting, slots, percent] = fields.map(Number);
+  const [running, waiting, slots, percent] = fields
+    .map((field) => limitCount(Number(field)));
   if (running === undefined || waiting === undefined || slots === undefined) {
     return undefined;
   }
@@ -227,8 +234,9 @@
 function decodeParts(body: string): readonly PromptPart[] {
   const { held } = tryGetObject(parseBoundedJson(body)) ?? {};
   return getArray(held).flatMap((row) => {
-    const [, id, tokens] = getArray(row);
-    return typeof id === "string" && typeof tokens === "number"
+    const [, id, stated] = getArray(row);
+    const tokens = tryGetPartTokens(stated);
+    return typeof id === "string" && tokens !== undefined
       ? [{ id, tokens }]
       : [];
   });
@@ -237,5 +245,5 @@
 /** Decodes `born` of a list of cached parts. */
 function tryDecodeStart(body: string): number | undefined {
   const { born } = tryGetObject(parseBoundedJson(body)) ?? {};
-  return typeof born === "number" ? born : undefined;
+  return tryGetEpochMs(born);
 }
--- a/src/process/direct/peers/digest_faults.ts
+++ b/src/process/direct/peers/digest_faults.ts
@@ -1,8 +1,9 @@
 /**
- * Keeps a digest whose handling throws from ending the process.
+ * Keeps a digest whose handling or writing throws from ending the process.
  *
- * Load pattern: anyone who reaches the port can repeat a datagram, and 20
- * unexpected errors within 10 s stop a process. Each fault is logged once.
+ * Load pattern: anyone who reaches the port can repeat a datagram, a timer writes
+ * several digests a second, and 20 unexpected errors within 10 s stop a process.
+ * Each fault is logged once.
  */
 
 import type { Log } from "../../telemetry/log.ts";
@@ -13,8 +14,10 @@
 
 /** The faults of a router. */
 export interface DigestFaults {
-  /** Handles a digest; counts and logs what it throws. */
+  /** Handles or writes a digest; counts and logs what it throws. */
   guard(sender: string, handle: () => void): void;
+  /** Records the fields of which a digest of this router lacks something. */
+  recordLeftOut(fields: readonly string[]): void;
 }
 
 /** Creates the record of a router that has met no fault. */
@@ -27,7 +30,22 @@
   /** Places in the code of the faults that were logged. */
   const logged = new Set<string>();
 
-  return { guard };
+  return { guard, recordLeftOut };
+
+  function recordLeftOut(fields: readonly string[]): void {
+    metrics.count("digest_faults_total");
+    const place = `left out: ${fields.join(" ")}`;
+    if (!isFirst(place)) return;
+    log.error("Digest lacks what could not be encoded", {
+      fields: fields.join(" "),
+    });
+  }
+
+  function isFirst(place: string): boolean {
+    if (logged.has(place) || logged.size >= maxLogged) return false;
+    logged.add(place);
+    return true;
+  }
 
   function guard(sender: string, handle: () => void): void {
     try {
@@ -38,8 +56,7 @@
       // The message may contain what the sender chose, unlike the place.
       const place = stack?.split("\n").find((line) => /^ +at /.test(line)) ??
         "";
-      if (logged.has(place) || logged.size >= maxLogged) return;
-      logged.add(place);
+      if (!isFirst(place)) return;
       log.error("Digest could not be handled", {
         peer: sender,
         error: stack ?? String(error),
--- a/src/process/direct/peers/list_fragments.ts
+++ b/src/process/direct/peers/list_fragments.ts
@@ -16,6 +16,11 @@
   PeerDigest,
 } from "../../../generated/mimosatray/v1/peer_digest.ts";
 import type { PromptPart } from "../../../types/prompt.ts";
+import {
+  tryGetEpochMs,
+  tryGetPartTokens,
+} from "../../../types/stated_numbers.ts";
+import { encodeTolerantly } from "../../telemetry/tolerant_encoding.ts";
 
 /** Maximum size of the data in one fragment, in bytes. */
 const maxFragmentBytes = 1_150;
@@ -115,17 +120,16 @@
     fragment: fragment && toMessage(fragment),
   };
   const empty = PeerDigest.decode(new Uint8Array());
-  return PeerDigest.encode({ ...empty, sender, lists }).finish();
+  return encodeTolerantly(PeerDigest, { ...empty, sender, lists }).bytes;
 }
 
 function toMessage(
   { target, startedAtMs, isConfirmed, index, count, parts }: ListFragment,
 ): FragmentMessage {
   const data = Buffer.from(encodeParts(parts));
-  const isValid = Number.isSafeInteger(startedAtMs) && startedAtMs >= 0;
   return {
     ...{ target, isConfirmed, index, count, data },
-    startedAtMs: isValid ? startedAtMs : 0,
+    startedAtMs: tryGetEpochMs(startedAtMs) ?? 0,
   };
 }
 
@@ -150,11 +154,16 @@
   }
 }
 
+/** Encodes parts; one whose tokens no part can have is left out. */
 function encodeParts(parts: readonly PromptPart[]): Uint8Array {
+  const sound = parts.flatMap(({ id, tokens: stated }) => {
+    const tokens = tryGetPartTokens(stated);
+    return tokens === undefined ? [] : [{ id, tokens }];
+  });
   return deflateRawSync(
     ListedParts.encode({
-      ids: parts.map(({ id }) => id),
-      tokens: parts.map(({ tokens }) => Math.max(0, Math.round(tokens))),
+      ids: sound.map(({ id }) => id),
+      tokens: sound.map(({ tokens }) => tokens),
     }).finish(),
   );
 }
@@ -163,7 +172,7 @@
   const bytes = inflateRawSync(data, { maxOutputLength: maxDataBytes });
   const { ids, tokens } = ListedParts.decode(bytes);
   return ids.flatMap((id, index) => {
-    const count = tokens[index];
+    const count = tryGetPartTokens(tokens[index]);
     return count === undefined ? [] : [{ id, tokens: count }];
   });
 }
--- a/src/process/direct/peers/list_fragments_test.ts
+++ b/src/process/direct/peers/list_fragments_test.ts
@@ -61,4 +61,18 @@
     bytes.fill(255, bytes.length - 20);
     expect(tryDecodeDigest(bytes)?.lists?.fragment).toBeUndefined();
   });
+
+  // The tokens that a server lists ended the routers that told them to others.
+  it.each([Infinity, NaN, 5e9, 0.5, -1])(
+    "carry the sound parts beside one of %d tokens",
+    (tokens) => {
+      const sound = { id: "sound", tokens: 600 };
+      const engines = [engine, { ...engine, startedAtMs: tokens }];
+      for (const listed of engines) {
+        const [fragment] = splitList(listed, [{ id: "odd", tokens }, sound]);
+        const parts = fragment && transfer(fragment)?.parts;
+        expect(parts?.at(-1)).toEqual(sound);
+      }
+    },
+  );
 });
--- a/src/process/direct/peers/peer_digests.ts
+++ b/src/process/direct/peers/peer_digests.ts
@@ -5,24 +5,32 @@
  */
 
 import {
-  type PartRate as RateMessage,
+  type HeldPart as PartMessage,
   PeerDigest,
   type PushFragment as FragmentMessage,
-  type ServiceDemand as DemandMessage,
-  type TargetLeave as LeaveMessage,
-  type TargetLimit as LimitMessage,
-  type TargetLoadReport,
-  type TargetPace as PaceMessage,
 } from "../../../generated/mimosatray/v1/peer_digest.ts";
 import type { CrashRecordUpdate } from "../../attempts/crash_records.ts";
 import type { CrashEvidence } from "../crashes/crash_evidence.ts";
 import type { ServiceDemand } from "../queue/peer_demand.ts";
 import type { PlacedPart } from "../placement/cached_parts.ts";
+import {
+  toDemandMessages,
+  toDemands,
+  toLeaveReport,
+  toLimitRecord,
+  toLimitReport,
+  toLoad,
+  toLoadReport,
+  toPaceReport,
+  toRateMessage,
+} from "./digest_reports.ts";
 import { type ListMessage, toListMessage } from "./list_fragments.ts";
 import type { PartRate } from "../placement/part_demand.ts";
 import type { PushFragment } from "./push_fragments.ts";
 import type { LimitRecord } from "../limits/limit_records.ts";
 import type { StorePosition } from "../../../types/store_position.ts";
+import { tryGetPartTokens } from "../../../types/stated_numbers.ts";
+import { encodeTolerantly } from "../../telemetry/tolerant_encoding.ts";
 import type { StreamMessage } from "../streams/stream_origins.ts";
 import type { TargetLoad } from "../targets/load_view.ts";
 import type { PaceRecord } from "../targets/pace_steps.ts";
@@ -44,12 +52,6 @@
 /** Number of rates of parts that take the place of one part. */
 const partRatesPerPart = 3;
 
-/** Highest rate of a part that a report gives, in requests in 10 seconds. */
-const maxPer10s = 100_000;
-
-/** Maximum age that a report of a limit gives, in milliseconds. */
-const maxLimitAgeMs = 3_600_000;
-
 /** Maximum number of crash records in one digest. */
 const maxCrashesPerDigest = 4;
 
@@ -121,7 +123,7 @@
     lookups: [...message.lookups],
   };
   const empty = PeerDigest.decode(new Uint8Array());
-  return PeerDigest.encode({ ...empty, sender, streams }).finish();
+  return encodeTolerantly(PeerDigest, { ...empty, sender, streams }).bytes;
 }
 
 /** State that a process reports of itself. */
@@ -161,8 +163,17 @@
   writePush(state: DigestState, pushFragment: PushFragment): Uint8Array;
 }
 
-/** Creates the digest writer of a process. */
-export function createDigestWriter(sender: string): DigestWriter {
+/**
+ * Creates the digest writer of a process. What cannot be encoded is left out of
+ * its digest and reported, so that the rest is sent.
+ */
+export function createDigestWriter(
+  sender: string,
+  { reportLeftOut = () => undefined }: {
+    /** Reports the fields of which something was left out. */
+    readonly reportLeftOut?: (fields: readonly string[]) => void;
+  } = {},
+): DigestWriter {
   const partQueue = createSendQueue<PlacedPart>({
     maxItems: maxQueuedParts,
   });
@@ -216,7 +227,7 @@
       readonly pushFragment?: PushFragment;
     },
   ): Uint8Array {
-    return PeerDigest.encode({
+    const { bytes, leftOut } = encodeTolerantly(PeerDigest, {
       ...state,
       directoryRevision: position.revision,
       directoryEra: position.era,
@@ -245,7 +256,9 @@
         count: pushFragment.count,
         data: Buffer.from(pushFragment.data),
       },
-    }).finish();
+    });
+    if (leftOut.length > 0) reportLeftOut(leftOut);
+    return bytes;
   }
 }
 
@@ -274,83 +287,22 @@
   }
 }
 
-function toLoadReport(
-  [target, load]: readonly [string, TargetLoad],
-): TargetLoadReport {
-  return {
-    target,
-    requests: load.requests,
-    unreadTokens: Math.max(0, Math.round(load.unreadTokens)),
-  };
-}
-
-/** A start time of another form, which an entry may have, is not reported. */
-function toLeaveReport(
-  { id, startedAtMs }: TargetLeave,
-): readonly LeaveMessage[] {
-  return Number.isSafeInteger(startedAtMs) && startedAtMs >= 0
-    ? [{ target: id, startedAtMs }]
-    : [];
-}
-
-function toLimitReport({ address, perS, at }: LimitRecord): LimitMessage {
-  const ageMs = Math.round(performance.now() - at);
-  return { address, perS, ageMs: Math.max(0, Math.min(maxLimitAgeMs, ageMs)) };
-}
-
-/** A rate of another form, which no router sends, is left out. */
-function toLimitRecord(
-  { address, perS, ageMs }: LimitMessage,
-): readonly LimitRecord[] {
-  return perS === undefined || (Number.isFinite(perS) && perS >= 0)
-    ? [{ address, perS, at: performance.now() - ageMs }]
-    : [];
-}
-
-function toPaceReport(
-  { hash, version, bound, ageMs }: PaceRecord,
-): PaceMessage {
-  return { hash, version, bound, ageMs: Math.max(0, Math.round(ageMs)) };
-}
-
-/** Numbers of each priority class in the message of a service's demand. */
-const countsPerClass = 3;
-
-function toDemandMessages(
-  demands: readonly ServiceDemand[],
-): DemandMessage[] {
-  const countsByService = new Map<string, number[]>();
-  for (const { service, priorityClass, running, waiting } of demands) {
-    const counts = countsByService.get(service) ?? [];
-    counts.push(priorityClass, running, waiting);
-    countsByService.set(service, counts);
-  }
-  return [...countsByService].map(([service, counts]) => ({ service, counts }));
-}
-
-/** Numbers of a class that are not complete, which no router sends, are lost. */
-function toDemands(
-  { service, counts }: DemandMessage,
-): readonly ServiceDemand[] {
-  const length = Math.floor(counts.length / countsPerClass);
-  return Array.from({ length }, (_, index) => {
-    const at = index * countsPerClass;
-    const [priorityClass = 0, running = 0, waiting = 0] = counts
-      .slice(at, at + countsPerClass);
-    return { service, priorityClass, running, waiting };
-  });
-}
-
-function toRateMessage({ hash, perS }: PartRate): RateMessage {
-  return { hash, per10s: Math.min(maxPer10s, Math.round(perS * 10)) };
-}
-
 function toPushFragment(
   { era, revision, index, count, data }: FragmentMessage,
 ): PushFragment {
   return { position: { era, revision }, index, count, data };
 }
 
+/** A part that no engine can hold, which no router sends, is left out. */
+function toPlacedPart(
+  { target, part, tokens: stated, isBeingRead }: PartMessage,
+): readonly PlacedPart[] {
+  const tokens = tryGetPartTokens(stated);
+  return tokens === undefined
+    ? []
+    : [{ target, part: { id: part, tokens }, isBeingRead }];
+}
+
 /** Decodes a datagram; returns undefined when it is not a digest. */
 export function tryDecodeDigest(bytes: Uint8Array): ReceivedDigest | undefined {
   if (bytes.length === 0) return undefined;
@@ -378,18 +330,12 @@
       lists: digest.lists && toListMessage(digest.lists),
       pushFragment: digest.pushFragment && toPushFragment(digest.pushFragment),
       loads: new Map(
-        digest.loads.map(({ target, ...load }) => [target, load]),
+        digest.loads.map((report) => [report.target, toLoad(report)]),
       ),
       demands: digest.demands.flatMap(toDemands),
       partRates: digest.partRates
         .map(({ hash, per10s }) => ({ hash, perS: per10s / 10 })),
-      parts: digest.heldParts.map(
-        ({ target, part, tokens, isBeingRead }) => ({
-          target,
-          part: { id: part, tokens },
-          isBeingRead,
-        }),
-      ),
+      parts: digest.heldParts.flatMap(toPlacedPart),
       crashes: digest.crashReports,
       crashEvidence: digest.crashEvidence,
     };
--- a/src/process/direct/peers/peer_digests_test.ts
+++ b/src/process/direct/peers/peer_digests_test.ts
@@ -1,3 +1,4 @@
+import { maxTokens } from "../../../types/stated_numbers.ts";
 import { maxReportedPartRates } from "../placement/part_demand.ts";
 import { maxReportedDemands } from "../queue/peer_demand.ts";
 import { PeerDigest } from "../../../generated/mimosatray/v1/peer_digest.ts";
@@ -275,4 +276,59 @@
       });
     });
   });
+
+  // One number that could not be encoded kept back all other reports, for good.
+  describe.each([NaN, Infinity, -1, 0.5, 5e9])("of which one has %d", (odd) => {
+    const part = { id: "p", tokens: 9 };
+    const cases: Readonly<Record<string, Partial<typeof noLoads>>> = {
+      loads: {
+        loads: new Map([
+          ["a", { requests: odd, unreadTokens: 1 }],
+          ["b", { requests: 1, unreadTokens: 1 }],
+        ]),
+      },
+      demands: {
+        demands: [
+          { service: "a", priorityClass: odd, running: 1, waiting: 0 },
+          { service: "b", priorityClass: 1, running: 1, waiting: 0 },
+        ] as never,
+      },
+      paces: {
+        paces: [
+          { hash: 1, version: 1, bound: odd, ageMs: 1 },
+          { hash: 2, version: 1, bound: 1, ageMs: 1 },
+        ] as never,
+      },
+      storeContactMs: { storeContactMs: odd },
+    };
+
+    it.each(Object.keys(cases))("carry all else: %s", (field) => {
+      const leftOut: string[] = [];
+      const writer = createDigestWriter("router-1", {
+        reportLeftOut: (fields) => leftOut.push(...fields),
+      });
+      writer.queuePart({ target: "b", part, isBeingRead: false });
+      const digest = tryDecodeDigest(
+        writer.write({ ...noLoads, ...cases[field] }, [evidence]),
+      );
+      expect(leftOut).toEqual([field]);
+      expect(digest).toMatchObject({
+        ...{ position: noLoads.position, crashEvidence: [evidence] },
+        parts: [{ target: "b", part }],
+      });
+      const { loads, demands, paces } = digest ?? noLoads;
+      expect([...loads.keys(), ...[...demands, ...paces].map(() => "b")])
+        .toEqual(field === "storeContactMs" ? [] : ["b"]);
+    });
+  });
+
+  it("take no backlog that the reported requests cannot have", () => {
+    const bytes = createDigestWriter("router-1").write({
+      ...noLoads,
+      loads: new Map([["a", { requests: 2, unreadTokens: 0xffff_ffff }]]),
+    });
+    expect(tryDecodeDigest(bytes)?.loads.get("a")).toEqual({
+      ...{ requests: 2, unreadTokens: 2 * maxTokens },
+    });
+  });
 });
--- a/src/process/direct/peers/push_fragments.ts
+++ b/src/process/direct/peers/push_fragments.ts
@@ -44,10 +44,13 @@
   readonly data: Uint8Array;
 }
 
-/** Returns the fragments of a push; none when it takes too many. */
+/**
+ * Returns the fragments of a push; none when it takes too many, or cannot be
+ * encoded.
+ */
 export function splitPush(push: DirectoryPush): readonly PushFragment[] {
-  const message = PushMessage.encode(toMessage(push)).finish();
-  if (message.length > maxPushBytes) return [];
+  const message = tryEncode(push);
+  if (message === undefined || message.length > maxPushBytes) return [];
   const bytes = deflateRawSync(message);
   const count = Math.ceil(bytes.length / maxFragmentBytes);
   if (count > maxFragments) return [];
@@ -62,6 +65,19 @@
   }));
 }
 
+/**
+ * Encodes a push as a whole, as receivers take it for all that has changed;
+ * undefined when a part of it cannot be encoded.
+ */
+function tryEncode(push: DirectoryPush): Uint8Array | undefined {
+  try {
+    return PushMessage.encode(toMessage(push)).finish();
+  } catch {
+    // The receivers read the changes from the store.
+    return undefined;
+  }
+}
+
 /** Joins the fragments that peers send. */
 export interface PushAssembly {
   /** Adds a fragment; returns the push once it is complete and valid. */
--- a/src/process/direct/queue/request_times.ts
+++ b/src/process/direct/queue/request_times.ts
@@ -8,6 +8,7 @@
  */
 
 import type { Prompt } from "../../../types/prompt.ts";
+import type { EngineTraits } from "../../../types/route_table.ts";
 import { getSharedParts } from "../placement/prefix_placement.ts";
 import type { QueuedRequest } from "./queued_request.ts";
 
@@ -64,6 +65,15 @@
     Math.max(0, Math.min(outputTokens, maxOutputTokens));
 }
 
+/** Returns tokens of a request, at most those that an engine holds. */
+export function limitToMemory(
+  tokens: number,
+  engine: Pick<EngineTraits, "cacheTokens"> | undefined,
+): number {
+  const memory = engine?.cacheTokens ?? 0;
+  return memory > 0 ? Math.min(memory, tokens) : tokens;
+}
+
 /** Returns the expected run time of a request, in milliseconds. */
 export function getRunMs(
   { isStream, goalMs }: Pick<QueuedRequest, "isStream" | "goalMs">,
--- a/src/process/direct/targets/load_view.ts
+++ b/src/process/direct/targets/load_view.ts
@@ -8,6 +8,8 @@
  * when they arrive, so that a request does not add up those of all peers.
  */
 
+import { limitTokens } from "../../../types/stated_numbers.ts";
+
 /** Load of one target, from one router or from all. */
 export interface TargetLoad {
   /** Requests that run or wait at the target. */
@@ -63,7 +65,8 @@
   };
 
   function begin(target: string, unreadTokens: number): InFlightLoad {
-    let unread = unreadTokens;
+    // What is added must leave no remainder when it is taken away.
+    let unread = limitTokens(unreadTokens);
     let isOpen = true;
     add(target, { requests: 1, unreadTokens: unread });
     return { finishPrefill, end };
--- a/src/process/direct/targets/load_view_test.ts
+++ b/src/process/direct/targets/load_view_test.ts
@@ -34,4 +34,17 @@
     expect(view.getLoad("a")).toEqual({ requests: 0, unreadTokens: 0 });
     expect(view.getOwnLoads().size).toBe(0);
   });
+
+  // A prompt that was too large for exact sums left a wrong load behind it.
+  it.each([1e21, 5e9, 2 ** 53 + 2, Infinity, NaN, -1, 0.1])(
+    "is as before once a prompt of %d tokens has ended",
+    (tokens) => {
+      const view = createLoadView();
+      const earlier = view.begin("a", 500);
+      view.begin("a", tokens).end();
+      earlier.end();
+      view.begin("a", 700);
+      expect(view.getLoad("a")).toEqual({ requests: 1, unreadTokens: 700 });
+    },
+  );
 });
--- a/src/process/membership/datagram_codec.ts
+++ b/src/process/membership/datagram_codec.ts
@@ -5,6 +5,7 @@
   MemberRecord,
 } from "../../generated/mimosatray/v1/control.ts";
 import type { Member } from "../../types/member.ts";
+import { encodeTolerantly } from "../telemetry/tolerant_encoding.ts";
 import { isMemberState } from "./member_order.ts";
 
 /** Maximum size of a datagram, so that no network path fragments it. */
@@ -13,9 +14,9 @@
 /** Maximum length of a text field in a record. */
 const maxTextLength = 255;
 
-/** Encodes a datagram. */
+/** Encodes a datagram; one whose body cannot be encoded has none. */
 export function encodeDatagram(datagram: Datagram): Uint8Array {
-  return Datagram.encode(datagram).finish();
+  return encodeTolerantly(Datagram, datagram).bytes;
 }
 
 /** Decodes a datagram; returns `undefined` when it is malformed. */
--- a/src/request/direct_host.ts
+++ b/src/request/direct_host.ts
@@ -11,6 +11,7 @@
 import type { PartPrefills } from "../process/direct/placement/part_prefills.ts";
 import type { PrefillTurns } from "../process/direct/placement/prefill_turns.ts";
 import type { PromptSizes } from "../process/direct/placement/prompt_sizes.ts";
+import type { EngineMemory } from "../process/direct/limits/engine_memory.ts";
 import type { RepeatRecords } from "../process/direct/queue/repeat_records.ts";
 import type { RequestQueue } from "../process/direct/queue/request_queue.ts";
 import type { Contention } from "../process/direct/limits/contention.ts";
@@ -81,6 +82,7 @@
     | "tryTake"
   >;
   readonly promptSizes: PromptSizes;
+  readonly engineMemory: EngineMemory;
   readonly contention: Contention;
   readonly pace: Pick<TargetPace, "begin" | "getUsable" | "tryGetBound">;
   readonly speeds: TargetSpeeds;
--- a/src/request/direct_queue_wait.ts
+++ b/src/request/direct_queue_wait.ts
@@ -10,7 +10,10 @@
   QueueRefusalReason,
   WaitEnd,
 } from "../process/direct/queue/queued_request.ts";
-import { getRequestTokens } from "../process/direct/queue/request_times.ts";
+import {
+  getRequestTokens,
+  limitToMemory,
+} from "../process/direct/queue/request_times.ts";
 import { createReport, type DiagnosticCode } from "../types/diagnostics.ts";
 import type { DirectRequest } from "../types/direct_request.ts";
 import type { DirectTarget } from "../types/direct_target.ts";
@@ -285,14 +288,15 @@
   mayUse: (target: DirectTarget) => boolean,
 ): QueuedRequest {
   const { route, service, holder, prompt } = request;
+  const engine = host.queue.tryGetEngine(service);
   return {
     service,
     priorityClass: getPriorityClass(request),
     workspace: holder?.workspace ?? "",
     returnKey: getReturnKey(request),
     bytes: request.body.length,
-    tokens: getRequestTokens(prompt),
-    engine: host.queue.tryGetEngine(service),
+    tokens: limitToMemory(getRequestTokens(prompt), engine),
+    engine,
     arrivedAt: request.arrivedAt,
     goalMs: route.latencyGoalMs,
     deadlineAt: request.deadlineAt,
--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -25,7 +25,9 @@
 import { createDirectHandover } from "./direct_handover.ts";
 import { type DirectOffer, startOffer } from "./direct_offer.ts";
 import { followOffer, logOffer } from "./direct_verdict.ts";
+import { createEnd } from "./request_end.ts";
 import type { RequestSummary } from "./request_host.ts";
+import { limitToMemory } from "../process/direct/queue/request_times.ts";
 
 /**
  * What came of the begin of an attempt: the attempt, the end of a request that
@@ -46,7 +48,7 @@
 
   try {
     host.retries.recordRequest(service);
-    host.promptSizes.record(service, request.prompt?.promptTokens);
+    recordPromptSize(host, request);
     const refusal = streamVersion.tryRefuse();
     const end = (refusal && await refusal) ?? await runAttempts();
     if (end.outcome === "done") response.finish();
@@ -78,6 +80,10 @@
    */
   function begin(): Beginning | Promise<Beginning> {
     if (stop.getReason() !== undefined) return endStopped();
+    const excess = host.engineMemory.tryGetRefusal(request);
+    if (excess !== undefined && !context.mayHaveRun()) {
+      return createEnd(excess);
+    }
     const refusal = quarantine.tryRefuse();
     if (refusal !== undefined) {
       history.decision = describeRefusal(refusal);
@@ -154,6 +160,7 @@
         // A request that did not arrive put no load on the target, so its
         // retry is not charged to the budget.
         if (!result.arrived) return undefined;
+        host.engineMemory.recordRefusal(request);
         if (!host.crashes.canRetry(request)) return endHeld("quarantined");
         return retry.trySpend() ? undefined : endHeld("retry_budget");
       case "repeat":
@@ -212,3 +219,12 @@
     return createUnservedEnd(host, service, state);
   }
 }
+
+function recordPromptSize(
+  { promptSizes, queue }: Pick<DirectHost, "promptSizes" | "queue">,
+  { service, prompt }: DirectRequest,
+): void {
+  if (prompt === undefined) return;
+  const engine = queue.tryGetEngine(service);
+  promptSizes.record(service, limitToMemory(prompt.promptTokens, engine));
+}
--- a/src/roles/digest_exchange.ts
+++ b/src/roles/digest_exchange.ts
@@ -149,13 +149,15 @@
   host: DigestExchangeHost,
 ): DigestExchange {
   const { settings, routers, sync, pulls } = host;
-  const digestWriter = createDigestWriter(settings.id);
   const contact = createPeerContact({
     ...{ routers, roster: host.roster, cachedParts: host.cachedParts },
     tryPullCachedParts: pulls.tryPullCachedParts,
   });
   const pace = createDigestPace();
   const faults = createDigestFaults(host);
+  const digestWriter = createDigestWriter(settings.id, {
+    reportLeftOut: faults.recordLeftOut,
+  });
   const catchUp = createCatchUp({
     getPosition: host.getPosition,
     isWatching: sync.isWatching,
@@ -207,7 +209,10 @@
 
   async function start(): Promise<void> {
     await socket.bind();
-    tickTimer = setInterval(tick, tickIntervalMs);
+    tickTimer = setInterval(
+      () => faults.guard(settings.id, tick),
+      tickIntervalMs,
+    );
   }
 
   function stop(): void {
@@ -298,7 +303,9 @@
     host.cachedParts.recordParts(target, parts);
     if (!isLargePrefill(prefillParts)) return;
     // Twice, as a datagram may be lost.
-    for (const delayMs of [0, 2]) setTimeout(sendWhenDue, delayMs).unref();
+    for (const delayMs of [0, 2]) {
+      setTimeout(() => faults.guard(settings.id, sendWhenDue), delayMs).unref();
+    }
   }
 
   function handleDigest(digest: ReceivedDigest, from: Endpoint): void {
--- a/src/roles/direct_router.ts
+++ b/src/roles/direct_router.ts
@@ -23,6 +23,7 @@
 import { createPartPrefills } from "../process/direct/placement/part_prefills.ts";
 import { createLoadView } from "../process/direct/targets/load_view.ts";
 import { createPromptSizes } from "../process/direct/placement/prompt_sizes.ts";
+import { createEngineMemory } from "../process/direct/limits/engine_memory.ts";
 import { createRetryShare } from "../process/direct/limits/retry_share.ts";
 import {
   createRouteMatcher,
@@ -254,6 +255,7 @@
     ...{ crashes, quarantine, targetCrashes, abortedAttempts },
     ...{ responseMemory, readPace },
     ...{ runTimes, queue, promptSizes: createPromptSizes() },
+    engineMemory: createEngineMemory(queue),
     ...{ contention, pace, speeds, prefillTurns, partDemand, metrics },
     isLoopBusy: turns.isBusy,
     repeats: createRepeatRecords(),
--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -28,6 +28,12 @@
     status: 503,
     text: "The wait at {service} would pass the deadline",
   },
+  request_too_large: {
+    category: "not_run",
+    status: 503,
+    text:
+      "The request takes {tokens} tokens, engines of {service} hold {memory}",
+  },
   no_target: {
     category: "not_run",
     status: 503,
--- a/test/emulator/emulated_host.ts
+++ b/test/emulator/emulated_host.ts
@@ -3,6 +3,7 @@
 import { createContention } from "../../src/process/direct/limits/contention.ts";
 import { createRepeatRecords } from "../../src/process/direct/queue/repeat_records.ts";
 import { createPromptSizes } from "../../src/process/direct/placement/prompt_sizes.ts";
+import { createEngineMemory } from "../../src/process/direct/limits/engine_memory.ts";
 import { createRunTimes } from "../../src/process/direct/limits/admission_estimate.ts";
 import { createCrashSuspects } from "../../src/process/direct/crashes/crash_suspects.ts";
 import { createReadPace } from "../../src/process/admission/read_pace.ts";
@@ -33,6 +34,7 @@
     health: createTargetHealth({ log: createSilentLog() }),
     pauses: createTargetPauses({ log: createSilentLog(), random: () => 0.5 }),
     promptSizes: createPromptSizes(),
+    engineMemory: createEngineMemory({ tryGetEngine: () => undefined }),
     repeats: createRepeatRecords(),
     contention: createContention({
       ...{ isConfigured: false, log: createSilentLog() },
--- a/test/platform/whole_answers_test.ts
+++ b/test/platform/whole_answers_test.ts
@@ -2,6 +2,7 @@
 import { createContention } from "../../src/process/direct/limits/contention.ts";
 import { createRepeatRecords } from "../../src/process/direct/queue/repeat_records.ts";
 import { createPromptSizes } from "../../src/process/direct/placement/prompt_sizes.ts";
+import { createEngineMemory } from "../../src/process/direct/limits/engine_memory.ts";
 import { targetCodec } from "../../src/platform/target_codec.ts";
 import { headerNames } from "../../src/platform/wire_names.ts";
 import { createRunTimes } from "../../src/process/direct/limits/admission_estimate.ts";
@@ -356,6 +357,7 @@
       targets,
       health: createTargetHealth({ log: createSilentLog() }),
       promptSizes: createPromptSizes(),
+      engineMemory: createEngineMemory({ tryGetEngine: () => undefined }),
       repeats: createRepeatRecords(),
       contention: createContention({
         ...{ isConfigured: false, log: createSilentLog() },
--- a/test/support/direct_runs.ts
+++ b/test/support/direct_runs.ts
@@ -6,6 +6,7 @@
   type RepeatRecords,
 } from "../../src/process/direct/queue/repeat_records.ts";
 import { createPromptSizes } from "../../src/process/direct/placement/prompt_sizes.ts";
+import { createEngineMemory } from "../../src/process/direct/limits/engine_memory.ts";
 import {
   createRequest,
   createTarget,
@@ -275,6 +276,7 @@
       },
       pauses,
       promptSizes: createPromptSizes(),
+      engineMemory: createEngineMemory({ tryGetEngine: () => undefined }),
       repeats: options.repeats ?? createRepeatRecords(),
       contention: createContention({
         isConfigured: options.requestQueue !== undefined,
