Recognise a crashing request whatever its prompt parts, their order or its model

Cause: its fingerprint had the prompt's parts and model, so that each return had a key with one crash.

Change: crashes are put down to the request (caller, method, path, body), to its variant (also its prompt) and to shared parts; a response clears what has it. So a key that never responds is found whatever differs, and sound requests with the same body clear the request's key and leave the variant's. A request that lacks what was at the same crashes is let through at once to tell them apart. Losses count for both. One record in a digest stands for both while they say the same.

quarantine_test looked for part keys by their index; it now checks the kinds of all keys and the ids of the parts, which is stricter. The plant crashes_ignored follows the renamed line.

--- a/src/process/attempts/crash_records.ts
+++ b/src/process/attempts/crash_records.ts
@@ -17,6 +17,8 @@
   /** Number of crashes; 0 withdraws the record. */
   readonly crashes: number;
   readonly expiresAtMs: number;
+  /** Variant of the request for which the same holds; undefined for none. */
+  readonly variant?: number | undefined;
 }
 
 /** A bounded table of crash records that expire. */
--- a/src/process/direct/crashes/aborted_attempts.ts
+++ b/src/process/direct/crashes/aborted_attempts.ts
@@ -11,7 +11,7 @@
 import type { DirectTarget } from "../../../types/direct_target.ts";
 import type { TargetTable } from "../targets/target_table.ts";
 import { createCrashHerd } from "./crash_herd.ts";
-import { type CrashKey, tryGetKeyFingerprint } from "./crash_keys.ts";
+import { type CrashKey, getKeyFingerprints } from "./crash_keys.ts";
 import type { CrashSuspects } from "./crash_suspects.ts";
 import { hashLife, type Quarantine } from "./quarantine.ts";
 import { getTargetLife, type TargetCrashes } from "./target_crashes.ts";
@@ -136,8 +136,7 @@
   }
 
   function hasLosses({ keys }: KeptAttempt): boolean {
-    const fingerprint = tryGetKeyFingerprint(keys);
-    return fingerprint !== undefined && host.crashes.hasLosses(fingerprint);
+    return host.crashes.hasLosses(getKeyFingerprints(keys));
   }
 
   async function probe({ life, target }: KeptAttempt): Promise<void> {
@@ -174,7 +173,7 @@
     for (const attempt of takeAll(life)) {
       if (attempt.mayRunUntil < crashedAt) continue;
       attempt.hasCrashed = true;
-      const key = tryGetKeyFingerprint(attempt.keys) ?? "";
+      const [key = ""] = getKeyFingerprints(attempt.keys);
       if (!herd.isHerd() && !counted.has(key)) recordLoss(attempt);
       counted.add(key);
     }
@@ -182,10 +181,7 @@
 
   function recordLoss(attempt: KeptAttempt): void {
     const { keys, target, hasResponseBegun, sentAt } = attempt;
-    const fingerprint = tryGetKeyFingerprint(keys);
-    const losses = fingerprint === undefined
-      ? 1
-      : host.crashes.recordLoss(fingerprint);
+    const losses = host.crashes.recordLoss(getKeyFingerprints(keys));
     quarantine.recordCrash(keys, target, { hasResponseBegun, sentAt, losses });
   }
 
--- a/src/process/direct/crashes/crash_evidence.ts
+++ b/src/process/direct/crashes/crash_evidence.ts
@@ -43,6 +43,8 @@
   readonly trialInMs: number;
   /** Time until the record expires, in milliseconds. */
   readonly expiresInMs: number;
+  /** Variant of the request for which the same holds; undefined for none. */
+  readonly variant?: number | undefined;
 }
 
 /** A record with its times on the monotonic clock, in milliseconds. */
--- a/src/process/direct/crashes/crash_replay_test.ts
+++ b/src/process/direct/crashes/crash_replay_test.ts
@@ -3,6 +3,7 @@
   type RepeatedRequest,
   replayCrashes,
 } from "../../../../test/support/crash_fleet.ts";
+import type { Prompt } from "../../../types/prompt.ts";
 import { createSeededRandom } from "../../../../test/support/seeded_random.ts";
 
 /** Sends of a request that are allowed long after its third crash. */
@@ -46,6 +47,28 @@
     Math.floor(random() * count),
 } as const;
 
+/** Creates a prompt of parts with these ids. */
+function createPrompt(ids: readonly string[], model = "m"): Prompt {
+  return {
+    ...{ model, promptTokens: 700, maxOutputTokens: 24 },
+    parts: ids.map((id) => ({ id, tokens: 100 })),
+    hintedOutputTokens: undefined,
+  };
+}
+
+/** How the prompt of a request differs each time that it comes. */
+const prompts: Readonly<Record<string, (count: number) => Prompt>> = {
+  "the last part": (count) => createPrompt(["shared", `own-${count}`]),
+  "all parts": (count) => createPrompt([`first-${count}`, `own-${count}`]),
+  "the order of its parts": (count) =>
+    createPrompt(count % 2 === 0 ? ["a", "b", "own"] : ["b", "a", "own"]),
+  "whether it has parts": (count) =>
+    createPrompt(count % 2 === 0 ? ["shared", "own"] : []),
+  "the model": (count) =>
+    createPrompt(["shared", "own"], count % 2 === 0 ? "m" : "n"),
+  "nothing": () => createPrompt(["shared", "own"]),
+};
+
 describe("requests whose targets crash, in the replay of a fleet", () => {
   beforeEach(() => void jest.useFakeTimers());
   afterEach(() => void jest.useRealTimers());
@@ -79,6 +102,75 @@
     });
   });
 
+  // Each return had a fingerprint of its own, with a single crash.
+  describe.each(Object.keys(prompts))(
+    "one whose returns differ in %s",
+    (name) => {
+      describe.each([5, 31])("of %d routers", (routers) => {
+        describe.each(["crash_before_event", "crash_after_event"] as const)(
+          "ended by %s",
+          (end) => {
+            it.each([700, 1_500, 3_300])(
+              "is sent three times at most long after the third crash, each %d ms",
+              async (gapMs) => {
+                const random = createSeededRandom(routers + gapMs);
+                const others = sound.map((request, index) => ({
+                  ...request,
+                  createPrompt: () =>
+                    createPrompt(["shared", `other-${index}`]),
+                }));
+                const result = await replayCrashes({
+                  ...{ routers, targets: 20, lengthMs: 50_000 },
+                  requests: [{
+                    ...{ path: crashing, gapMs, runMs: 200, end },
+                    createPrompt: (count) => prompts[name]?.(count) as Prompt,
+                  }, ...others],
+                  chooseRouter: orders["any router"](random, routers),
+                  chooseTarget: (count) => Math.floor(random() * count),
+                });
+                expect(countLateSends(result)).toBeLessThanOrEqual(
+                  maxLateSends,
+                );
+                expect(countRefusedSound(result)).toBe(0);
+              },
+            );
+          },
+        );
+      });
+    },
+  );
+
+  // A fingerprint without the prompt is theirs too.
+  describe.each([600, 4_000, 12_000])(
+    "sound ones with the body of a crashing one, each %d ms",
+    (soundGapMs) => {
+      describe.each([5, 31])("of %d routers", (routers) => {
+        it.each(["crash_before_event", "crash_after_event"] as const)(
+          "go on beside it: %s",
+          async (end) => {
+            const random = createSeededRandom(routers + soundGapMs);
+            const others = Array.from({ length: 6 }, (_, index) => ({
+              ...{ path: crashing, gapMs: soundGapMs, runMs: 500 },
+              ...{ name: `sound-${index}`, end: "served" as const },
+              createPrompt: () => createPrompt(["shared", `other-${index}`]),
+            }));
+            const result = await replayCrashes({
+              ...{ routers, targets: 20, lengthMs: 60_000 },
+              requests: [{
+                ...{ path: crashing, gapMs: 1_500, runMs: 200, end },
+                createPrompt: () => createPrompt(["shared", "own"]),
+              }, ...others],
+              chooseRouter: orders["any router"](random, routers),
+              chooseTarget: (count) => Math.floor(random() * count),
+            });
+            expect(countLateSends(result)).toBeLessThanOrEqual(maxLateSends);
+            expect(countRefusedSound(result)).toBe(0);
+          },
+        );
+      });
+    },
+  );
+
   // What its caller had left was in flight at no crash.
   describe.each([5, 31, 88])(
     "of %d routers, left by their callers",
--- a/src/process/direct/crashes/crash_suspects.ts
+++ b/src/process/direct/crashes/crash_suspects.ts
@@ -4,9 +4,10 @@
  * Load pattern: such a request comes again and again, at any router, as its
  * caller gets no answer. Each retry takes another target from the callers of the
  * service for seconds. Routers therefore share which requests lost the connection
- * to their targets. Requests are told apart by caller, path and body. A response
- * to one withdraws its record, so that a request that is sent often is not taken
- * for the cause of other crashes.
+ * to their targets. Requests are told apart by caller, path and body, and those that
+ * share these also by their prompts. A response withdraws the records of its
+ * request, so that one that is sent often is not taken for the cause of other
+ * crashes.
  */
 
 import type { Log } from "../../telemetry/log.ts";
@@ -14,7 +15,12 @@
   type CrashRecordUpdate,
   createCrashRecords,
 } from "../../attempts/crash_records.ts";
-import { type CrashCandidate, getFingerprint } from "./crash_keys.ts";
+import {
+  type CrashCandidate,
+  getFingerprints,
+  joinVariant,
+  trySplitVariant,
+} from "./crash_keys.ts";
 
 /** Number of lost targets after which a request is not retried. */
 const maxCrashes = 3;
@@ -26,10 +32,10 @@
    * many such losses are known, at any router.
    */
   recordCrash(request: CrashCandidate): number;
-  /** As `recordCrash`, for the request with a fingerprint. */
-  recordLoss(fingerprint: string): number;
-  /** Returns true when a loss of the request with a fingerprint is known. */
-  hasLosses(fingerprint: string): boolean;
+  /** As `recordCrash`, for the request with these fingerprints. */
+  recordLoss(fingerprints: readonly string[]): number;
+  /** Returns true when a loss of the request with the fingerprints is known. */
+  hasLosses(fingerprints: readonly string[]): boolean;
   /** Records that a target responded to the request. */
   recordResponse(request: CrashCandidate): void;
   /** Returns false for a request that is not to be sent to another target. */
@@ -52,17 +58,27 @@
   let hasRecords = false;
 
   return {
-    recordCrash: (request) => recordLoss(getFingerprint(request)),
+    recordCrash: (request) => recordLoss(getFingerprints(request)),
     recordLoss,
-    hasLosses: (fingerprint) =>
-      hasRecords && records.getCrashes(fingerprint) > 0,
+    hasLosses: (fingerprints) => hasRecords && getLosses(fingerprints) > 0,
     recordResponse,
     canRetry: (request) =>
-      !hasRecords || records.getCrashes(getFingerprint(request)) < maxCrashes,
+      !hasRecords || getLosses(getFingerprints(request)) < maxCrashes,
     merge,
   };
 
-  function merge(record: CrashRecordUpdate): void {
+  function getLosses(fingerprints: readonly string[]): number {
+    return Math.max(0, ...fingerprints.map(records.getCrashes));
+  }
+
+  function merge({ variant, ...record }: CrashRecordUpdate): void {
+    mergeOne(record);
+    if (variant === undefined) return;
+    const fingerprint = joinVariant(record.fingerprint, variant);
+    mergeOne({ ...record, fingerprint });
+  }
+
+  function mergeOne(record: CrashRecordUpdate): void {
     const previous = records.getCrashes(record.fingerprint);
     if (records.merge(record)) {
       hasRecords = true;
@@ -74,13 +90,16 @@
     if (known !== undefined && isLower(record, known)) host.report(known);
   }
 
-  function recordLoss(fingerprint: string): number {
+  function recordLoss(fingerprints: readonly string[]): number {
     hasRecords = true;
-    const previous = records.getCrashes(fingerprint);
-    const record = records.recordCrash(fingerprint);
-    logSuspect(record, { previous, source: "own" });
-    host.report(record);
-    return record.crashes;
+    const changed = fingerprints.map((fingerprint) => {
+      const previous = records.getCrashes(fingerprint);
+      const record = records.recordCrash(fingerprint);
+      logSuspect(record, { previous, source: "own" });
+      return record;
+    });
+    joinVariants(changed).forEach(host.report);
+    return getLosses(fingerprints);
   }
 
   function logSuspect(
@@ -98,11 +117,26 @@
 
   function recordResponse(request: CrashCandidate): void {
     if (!hasRecords) return;
-    const record = records.clear(getFingerprint(request));
-    if (record !== undefined) host.report(record);
+    const cleared = getFingerprints(request).flatMap((fingerprint) =>
+      records.clear(fingerprint) ?? []
+    );
+    joinVariants(cleared).forEach(host.report);
   }
 }
 
+/** Joins the records of a request and its variant if the same holds for both. */
+function joinVariants(
+  records: readonly CrashRecordUpdate[],
+): readonly CrashRecordUpdate[] {
+  const [record, other] = records;
+  if (record === undefined || other === undefined) return records;
+  const { request, variant } = trySplitVariant(other.fingerprint) ?? {};
+  const isSame = request === record.fingerprint &&
+    other.crashes === record.crashes &&
+    other.expiresAtMs === record.expiresAtMs;
+  return isSame ? [{ ...record, variant }] : records;
+}
+
 function isLower(record: CrashRecordUpdate, known: CrashRecordUpdate): boolean {
   return record.crashes > 0 && record.crashes < known.crashes;
 }
--- a/src/process/direct/crashes/evidence_reports.ts
+++ b/src/process/direct/crashes/evidence_reports.ts
@@ -12,6 +12,10 @@
   type StoredEvidence,
   toUpdate,
 } from "./crash_evidence.ts";
+import { joinVariant, trySplitVariant } from "./crash_keys.ts";
+
+/** Times that differ by less are told as one, in milliseconds. */
+const sameTimeMs = 50;
 
 /** Number of digests that carry a change, as some datagrams are lost. */
 const sendsPerChange = 2;
@@ -83,12 +87,14 @@
 
   function take(): readonly CrashEvidence[] {
     if (table.isEmpty()) return [];
-    const changed = [...unsent.keys()]
-      .flatMap((key) => tryGetUnsent(key) ?? [])
+    const changed = joinVariants(
+      [...unsent.keys()].flatMap((key) => tryGetUnsent(key) ?? []),
+    )
       .sort((left, right) => right.lives.length - left.lives.length)
       .slice(0, changesPerDigest);
-    changed.forEach(({ key }) => countSent(key));
-    return [...changed, ...takeRepeats(changed)].map(toUpdate);
+    changed.flatMap(getKeys).forEach(countSent);
+    return [...changed, ...takeRepeats(changed)]
+      .map(({ variant, ...record }) => ({ ...toUpdate(record), variant }));
   }
 
   function tryGetUnsent(key: string): StoredEvidence | undefined {
@@ -105,16 +111,52 @@
   }
 
   function takeRepeats(
-    changed: readonly StoredEvidence[],
-  ): readonly StoredEvidence[] {
-    const conclusive = table.getAll().filter(isConclusive);
+    changed: readonly JointRecord[],
+  ): readonly JointRecord[] {
+    const sent = new Set(changed.map(({ key }) => key));
+    const conclusive = joinVariants(table.getAll().filter(isConclusive));
     if (conclusive.length === 0) return [];
     const start = nextRepeat % conclusive.length;
     nextRepeat = start + repeatsPerDigest;
     return [...conclusive.slice(start), ...conclusive.slice(0, start)]
       .slice(0, repeatsPerDigest)
-      .filter((record) => !changed.includes(record));
+      .filter(({ key }) => !sent.has(key));
+  }
+}
+
+/** A record that may stand for one of its variants too. */
+interface JointRecord extends StoredEvidence {
+  readonly variant?: number;
+}
+
+/** Joins the records of requests and of those variants for which the same holds. */
+function joinVariants(
+  records: readonly StoredEvidence[],
+): JointRecord[] {
+  const byKey = new Map<string, JointRecord>(
+    records.map((record) => [record.key, record]),
+  );
+  for (const record of records) {
+    const { request, variant } = trySplitVariant(record.key) ?? {};
+    const joint = request === undefined ? undefined : byKey.get(request);
+    if (joint === undefined || joint.variant !== undefined) continue;
+    if (!isSame(joint, record)) continue;
+    byKey.delete(record.key);
+    byKey.set(joint.key, { ...joint, variant: variant ?? 0 });
   }
+  return [...byKey.values()];
+}
+
+function isSame(left: StoredEvidence, right: StoredEvidence): boolean {
+  return left.generation === right.generation &&
+    left.trials === right.trials &&
+    Math.abs(left.trialAt - right.trialAt) < sameTimeMs &&
+    left.lives.length === right.lives.length &&
+    left.lives.every((life, index) => life === right.lives[index]);
+}
+
+function getKeys({ key, variant }: JointRecord): readonly string[] {
+  return variant === undefined ? [key] : [key, joinVariant(key, variant)];
 }
 
 function dropOldest(
--- a/src/process/direct/crashes/quarantine.ts
+++ b/src/process/direct/crashes/quarantine.ts
@@ -23,7 +23,13 @@
   toUpdate,
 } from "./crash_evidence.ts";
 import { createCrashHerd } from "./crash_herd.ts";
-import { type CrashKey, getRequestKeyId, isPartKey } from "./crash_keys.ts";
+import {
+  type CrashKey,
+  getRequestKeyId,
+  isPartKey,
+  joinVariant,
+  trySplitVariant,
+} from "./crash_keys.ts";
 import { createEvidenceChoice, isWorthSaving } from "./evidence_choice.ts";
 import { createEvidenceReports } from "./evidence_reports.ts";
 import { getTargetLife } from "./target_crashes.ts";
@@ -211,30 +217,33 @@
     const quarantined = getQuarantinedKeys(keys);
     const now = performance.now();
     const isAmbiguous = isCauseAmbiguous(keys);
-    const jointDelayMs = quarantined.length > 1 ? jointTrialDelayMs : 0;
+    // A request and its variant are one cause.
+    const causes = new Set(quarantined.map(({ key }) => getCause(key)));
+    const jointDelayMs = causes.size > 1 ? jointTrialDelayMs : 0;
     return quarantined.every(({ key, record }) => {
       const { trialAt, crashedAt, triedAt } = record;
       const dueAt = isAmbiguous
         ? Math.max(crashedAt, triedAt + separatingTrialDelayMs)
         : trialAt + jointDelayMs;
       if (now < dueAt) return false;
-      const delayMs = host.tryGetTrialDelayMs(key.id);
+      const delayMs = host.tryGetTrialDelayMs(getCause(key));
       return delayMs !== undefined && now >= dueAt + delayMs;
     });
   }
 
   /**
-   * Returns true when other parts were at the same crashes as those of the
-   * request that are quarantined, and the request shows which are at fault.
+   * Returns true when something that the request lacks was at the same crashes as
+   * what is quarantined of it, so that the request shows which is at fault.
    */
   function isCauseAmbiguous(keys: readonly CrashKey[]): boolean {
     const ids = new Set(keys.map(({ id }) => id));
     const others = table.getAll().filter((record) =>
-      isConclusive(record) && isPartKey(record.key) && !ids.has(record.key)
+      isConclusive(record) && !ids.has(record.key)
     );
     return getQuarantinedKeys(keys).every(({ key, record }) =>
-      key.kind === "part" &&
-      others.some(({ lives }) => lives.at(-1) === record.lives.at(-1))
+      others.some(({ key: other, lives }) =>
+        lives.at(-1) === record.lives.at(-1) && canBeCause[key.kind](other, key)
+      )
     );
   }
 
@@ -274,7 +283,7 @@
     herd.recordCrash(life);
     for (const key of quarantined.length > 0 ? quarantined : keys) {
       const wasQuarantined = isKeyQuarantined(key.id);
-      const mayOverlap = key.kind === "request";
+      const mayOverlap = key.kind !== "part";
       if (!table.addLife(key.id, life, { sentAt, mayOverlap })) continue;
       const crashes = table.tryGet(key.id)?.lives.length ?? 0;
       const isSuspect = crashes > 1 || (losses > 1 && !herd.isHerd());
@@ -316,7 +325,13 @@
     labels.delete(id);
   }
 
-  function merge(update: CrashEvidence): void {
+  function merge({ variant, ...update }: CrashEvidence): void {
+    mergeOne(update);
+    if (variant === undefined) return;
+    mergeOne({ ...update, key: joinVariant(update.key, variant) });
+  }
+
+  function mergeOne(update: CrashEvidence): void {
     const wasQuarantined = isKeyQuarantined(update.key);
     const { hasChanged, isPeerBehind } = table.merge(update);
     reports.recordReceived(update.key);
@@ -375,6 +390,24 @@
   }
 }
 
+/**
+ * What else may have caused the crashes of a quarantined key, by its kind. Sound
+ * requests share a body with a variant that crashes, or lack a part that does.
+ */
+const canBeCause: Readonly<
+  Record<CrashKey["kind"], (other: string, key: CrashKey) => boolean>
+> = {
+  part: isPartKey,
+  request: (other, { id }) =>
+    isPartKey(other) || trySplitVariant(other)?.request === id,
+  variant: () => false,
+};
+
+/** Returns the id of a part, or of a request for its variants too. */
+function getCause({ id }: CrashKey): string {
+  return trySplitVariant(id)?.request ?? id;
+}
+
 function getTrialDelayMs(trials: number): number {
   return Math.min(
     maxTrialDelayMs,
--- a/src/process/direct/crashes/quarantine_test.ts
+++ b/src/process/direct/crashes/quarantine_test.ts
@@ -252,12 +252,14 @@
     });
 
     it("is not the last one, which belongs to its request", () => {
-      expect(first.map(({ id }) => id).slice(1))
+      expect(first.map(({ kind }) => kind))
+        .toEqual(["request", "variant", "part", "part"]);
+      expect(first.map(({ id }) => id).slice(2))
         .toEqual(["part:first", "part:second"]);
     });
 
     it("has a key of bounded length", () => {
-      const [, part] = createPrompted("x".repeat(10_000), "own");
+      const [, , part] = createPrompted("x".repeat(10_000), "own");
       expect(part?.id).toHaveLength("part:".length + 16);
       expect(part?.label).toHaveLength(120);
     });
--- a/src/request/direct_end.ts
+++ b/src/request/direct_end.ts
@@ -110,6 +110,7 @@
 /** Diagnostics of what is quarantined. */
 const quarantineCodes = {
   request: "request_crashes_targets",
+  variant: "request_crashes_targets",
   part: "prompt_part_crashes_targets",
 } as const satisfies Readonly<Record<CrashKey["kind"], DiagnosticCode>>;
 
--- a/src/request/direct_quarantine.ts
+++ b/src/request/direct_quarantine.ts
@@ -88,7 +88,7 @@
     { hasResponseBegun }: { readonly hasResponseBegun: boolean },
   ): readonly CrashKey[] {
     return hasResponseBegun
-      ? getKeys().filter(({ kind }) => kind === "request")
+      ? getKeys().filter(({ kind }) => kind !== "part")
       : getKeys();
   }
 
--- a/src/request/direct_queue_wait.ts
+++ b/src/request/direct_queue_wait.ts
@@ -1,6 +1,6 @@
 /** The places of one request at the targets, and its waits for them. */
 
-import { getFingerprint } from "../process/direct/crashes/crash_keys.ts";
+import { getVariantFingerprint } from "../process/direct/crashes/crash_keys.ts";
 import { getRetryAfterMs } from "../process/direct/limits/admission_estimate.ts";
 import { getSharedParts } from "../process/direct/placement/prefix_placement.ts";
 import type {
@@ -196,7 +196,9 @@
   /** A caller who comes before the time it was told gets the place of then. */
   function getInOrder(queued: QueuedRequest): QueuedRequest {
     const { requestId, arrivedAt, deadlineAt } = request;
-    const placeAt = host.repeats.tryGetPlaceTime(() => getFingerprint(request));
+    const placeAt = host.repeats.tryGetPlaceTime(() =>
+      getVariantFingerprint(request)
+    );
     if (placeAt === undefined) return queued;
     const maxPlaceAt = arrivedAt + (deadlineAt - arrivedAt) * maxDelayShare;
     return {
@@ -238,7 +240,7 @@
     if (refusal === undefined) return undefined;
     const end = createQueueEnd(refusal, request, host.random());
     host.repeats.recordRefusal(
-      () => getFingerprint(request),
+      () => getVariantFingerprint(request),
       end.report?.retryAfterMs ?? 0,
     );
     return end;
--- a/test/soak/plants.ts
+++ b/test/soak/plants.ts
@@ -187,7 +187,7 @@
   /** No crash is put down to a request that was in flight. */
   crashes_ignored: [[
     "src/process/direct/crashes/crash_keys.ts",
-    '    { kind: "request", id: getRequestKeyId(getFingerprint(request)), label },\n',
+    "    ...getRequestKeys(getFingerprints(request), label),\n",
     "",
   ]],
   /** No crash is put down to a part of a prompt. */
--- a/test/support/crash_fleet.ts
+++ b/test/support/crash_fleet.ts
@@ -13,6 +13,7 @@
   type QuarantineAttempt,
 } from "../../src/request/direct_quarantine.ts";
 import type { DirectTarget } from "../../src/types/direct_target.ts";
+import type { Prompt } from "../../src/types/prompt.ts";
 import { type CrashRouter, createCrashRouter } from "./crash_router.ts";
 import { createRequest, createRoute, createTarget } from "./direct.ts";
 import { createFleetStore } from "./fleet_store.ts";
@@ -35,6 +36,10 @@
 /** One kind of requests that come again with the same body. */
 export interface RepeatedRequest {
   readonly path: string;
+  /** What results count it as; its path by default. */
+  readonly name?: string;
+  /** Returns the prompt that it comes with, by how often it has come. */
+  createPrompt?(count: number): Prompt;
   /** Time between two, in milliseconds; the next may come before an end. */
   readonly gapMs: number;
   readonly runMs: number;
@@ -215,8 +220,13 @@
   function start(request: RepeatedRequest): void {
     const router = routers[replay.chooseRouter(sent++)] as CrashRouter;
     const deadlineAt = performance.now() + deadlineMs;
-    const { path } = request;
-    const candidate = createRequest(route, { path, deadlineAt });
+    const { path, createPrompt } = request;
+    const name = getName(request);
+    const count = (counts.get(request) ?? 0) + 1;
+    counts.set(request, count);
+    const candidate = createRequest(route, {
+      ...{ path, deadlineAt, prompt: createPrompt?.(count) },
+    });
     const quarantine = createDirectQuarantine({
       crashes: router.suspects,
       quarantine: router.quarantine,
@@ -233,13 +243,11 @@
     if (target === undefined) return;
     const attempt = quarantine.beginAttempt(target);
     if (quarantine.tryRefuse() !== undefined || attempt.isQuarantined()) {
-      refused.set(request.path, (refused.get(request.path) ?? 0) + 1);
+      refused.set(name, (refused.get(name) ?? 0) + 1);
       return;
     }
-    push(sentAt, request.path);
+    push(sentAt, name);
     const startedAt = getNow();
-    const count = (counts.get(request) ?? 0) + 1;
-    counts.set(request, count);
     const { afterMs = 0, oneOf = Infinity } = request.leaves ?? {};
     runs.push({
       ...{ request, quarantine, attempt, target, startedAt },
@@ -270,7 +278,7 @@
   async function endRuns(): Promise<void> {
     const ended = new Set<DirectTarget>();
     for (const run of runs) {
-      const { request: { runMs, end, path } } = run;
+      const { request: { runMs, end } } = run;
       const ranMs = getNow() - run.startedAt;
       if (!run.hasBegun && ranMs >= runMs * responseBeginsAt) {
         run.hasBegun = end !== "crash_before_event";
@@ -280,7 +288,7 @@
       if (end === "served") run.recordResponse();
       else if (!ended.has(run.target)) {
         ended.add(run.target);
-        push(crashedAt, path);
+        push(crashedAt, getName(run.request));
       }
     }
     await crash(ended);
@@ -352,3 +360,7 @@
     times.set(path, [...times.get(path) ?? [], getNow()]);
   }
 }
+
+function getName({ name, path }: RepeatedRequest): string {
+  return name ?? path;
+}
