Notice the end of a cut by small reads beside the silent call

Cause: without another reader a cut counts as an outage, which is right; but its end was noticed by the call that began in it, which stays silent, up to 1.5 s late. The grace for servers that register again (2.2 s) then ended after the 3 s in which the router is in touch.

Change: while a response is owed, small reads every 400 ms (three at most); the first that succeeds ends the older call, and its changes of targets are applied before the listing. The first read is then at most 0.4 s late, so that the grace ends 2.7 s after the path is back at the latest. Saved targets are usable from the end of the outage on. repeated_read.ts is the former first_listing.ts.

While the store is silent a router that reads it makes at most 2.5 small reads a second.

--- a/src/process/direct/directory/directory_sync.ts
+++ b/src/process/direct/directory/directory_sync.ts
@@ -9,6 +9,7 @@
 
 import type { EitherAsync } from "purify-ts";
 import type {
+  Changes,
   DirectoryError,
   DirectoryStore,
   Listing,
@@ -28,9 +29,9 @@
   createStoreContact,
   type StoreContact,
 } from "../store/store_contact.ts";
-import { createFirstListing } from "./first_listing.ts";
 import { createOpenPushes } from "./open_pushes.ts";
 import { createMissedChanges } from "./missed_changes.ts";
+import { createRepeatedRead } from "./repeated_read.ts";
 import { getMaxWatchBytes } from "./watch_size.ts";
 import { createUrgentReads, type UrgentReadsHost } from "./urgent_reads.ts";
 import { createWatcherCalls } from "./watcher_calls.ts";
@@ -81,11 +82,9 @@
     | "recordPeerContact"
     | "recordPeerPosition"
   > {
-  /** Starts to list and watch the store. */
   start(): void;
   /** Stops after the pending call, whose failure is ignored. */
   stop(): void;
-  /** Applies what was pulled from a peer. */
   applyPeerCopy(copy: DirectoryCopy): void;
   /** Applies changes that a peer has pushed. */
   applyPush(push: DirectoryPush): void;
@@ -132,10 +131,7 @@
  */
 const maxListDelayMs = 250;
 
-/**
- * Delay after a response of an era that is older than the replica's, in
- * milliseconds.
- */
+/** Delay after a response of an older era than the replica's, in ms. */
 const olderEraDelayMs = 500;
 
 /**
@@ -165,8 +161,8 @@
     },
   });
   const returns = createStoreReturns(host);
-  const firstListing = createFirstListing({
-    list: () => listNoting({ onHead: contact.recordHead }),
+  const firstListing = createRepeatedRead({
+    read: () => listNoting({ onHead: contact.recordHead }),
     isNeeded: () => !isStopped && host.replica.getPosition().revision === 0,
     recordFailure: contact.recordFailure,
   });
@@ -183,9 +179,11 @@
     recordProgress: contact.recordProgress,
     hasTurn: () => hasTurn,
   });
-  const { tryCall } = createWatcherCalls({
-    ...{ contact, urgentReads },
+  const { tryCall, tryReach, wasSilent } = createWatcherCalls({
+    ...{ contact, urgentReads, store: host.store, countCall: host.countCall },
+    getPosition: host.replica.getPosition,
     isStopped: () => isStopped,
+    hasTurn: () => hasTurn,
   });
   const missedChanges = createMissedChanges({
     ...{ store: host.store, replica: host.replica, urgentReads, list },
@@ -229,6 +227,7 @@
         continue;
       }
       if (!isFirst) startWatching();
+      if (hasTurn && wasSilent()) applyUrgent(await tryReach());
       // A revision of one era means nothing in another.
       position = position?.era === host.replica.getPosition().era &&
           !hasReturned()
@@ -381,6 +380,10 @@
     if (source !== "push") openPushes.take().forEach(applyPush);
   }
 
+  function applyUrgent(changes: Changes | undefined): void {
+    if (changes !== undefined) notify(host.replica.applySome(changes), "watch");
+  }
+
   function notify(
     changes: readonly DirectoryChange[],
     source: ChangeSource,
--- a/src/process/direct/directory/directory_tables.ts
+++ b/src/process/direct/directory/directory_tables.ts
@@ -108,13 +108,17 @@
   };
 
   function putExpired(saved: readonly DirectTarget[]): void {
-    const usableUntil = performance.now() + host.expiryGraceMs;
+    const endedAt = host.getOutageEndedAt();
+    // No router saw an outage that took place before this one started.
+    const since = Number.isFinite(endedAt) ? endedAt : performance.now();
+    const usableUntil = since + host.expiryGraceMs;
     const ids = saved
       .filter((target) => targets.putSaved(target, usableUntil))
       .map(({ id }) => id);
     if (ids.length === 0) return;
     log.info("Saved targets are used until they register again", {
-      ...{ targets: ids.length, usableForMs: host.expiryGraceMs },
+      targets: ids.length,
+      usableForMs: Math.round(usableUntil - performance.now()),
       era: host.getEra(),
     });
   }
--- a/src/process/direct/directory/repeated_read.ts
+++ b/src/process/direct/directory/repeated_read.ts
@@ -1,36 +1,41 @@
 /**
- * Lists the store for a router that knows no entry yet.
+ * Reads the store until it responds, by further calls while earlier ones are
+ * silent.
  *
- * Load pattern: all routers restart while the store is unresponsive. A call that
- * was made during the outage gets no response after it either, and each router
- * would wait for its timeout while its callers are refused. So a further call is
- * made when a peer shows that it has read the store, and at intervals before
- * that. The first response counts. Calls in flight are bounded, as a listing is
- * large and all routers make it at the same time.
+ * Load pattern: the store, or the path of a router to it, is away for seconds. A
+ * call that was made in that time gets no response after it either. All routers
+ * restart meanwhile, and each would wait for its timeout while its callers are
+ * refused; or one was cut off, and would know of what has left only then. So a
+ * further call is made when a peer shows that it has read the store, and at
+ * intervals before that. The first response counts. Calls in flight are bounded.
  */
 
 import { type Either, EitherAsync } from "purify-ts";
-import type { DirectoryError, Listing } from "../../../types/directory.ts";
+import type { DirectoryError } from "../../../types/directory.ts";
 
-/** What the listing needs from the process. */
-export interface FirstListingHost {
-  list(): EitherAsync<DirectoryError, Listing>;
-  /** Returns false once entries are known from elsewhere, or at a stop. */
+/** What the reads need from the process. */
+export interface RepeatedReadHost<Read> {
+  read(): EitherAsync<DirectoryError, Read>;
+  /** Returns false once no further call is wanted. */
   isNeeded(): boolean;
   /** Records that a call has failed while others are in flight. */
   recordFailure(error: DirectoryError): void;
 }
 
-/** The listing of a router that has just started. */
-export interface FirstListing {
-  /** Returns the first listing; the first error when no call succeeds. */
-  run(): EitherAsync<DirectoryError, Listing>;
+/** Reads of which the first that succeeds counts. */
+export interface RepeatedRead<Read> {
+  /** Returns the first result; the first error when no call succeeds. */
+  run(): EitherAsync<DirectoryError, Read>;
   /** Reports that a peer has read the store, so that a call may succeed now. */
   reportPeerRead(): void;
 }
 
-/** Time without a response after which another call is made, in ms. */
-const callIntervalMs = 500;
+/**
+ * Time without a response after which another call is made, in milliseconds. What
+ * is known by then leaves those that live the time to register again before this
+ * router is in touch.
+ */
+const callIntervalMs = 400;
 
 /** Minimum time between two calls after reports of peers, in milliseconds. */
 const peerCallIntervalMs = 150;
@@ -38,8 +43,10 @@
 /** Maximum number of calls in flight. */
 const maxCalls = 3;
 
-/** Creates a listing of which no call was made. */
-export function createFirstListing(host: FirstListingHost): FirstListing {
+/** Creates reads of which no call was made. */
+export function createRepeatedRead<Read>(
+  host: RepeatedReadHost<Read>,
+): RepeatedRead<Read> {
   let lastCallAt = Number.NEGATIVE_INFINITY;
   let startCall: () => void = () => undefined;
 
@@ -50,7 +57,7 @@
     },
   };
 
-  async function run(): Promise<Either<DirectoryError, Listing>> {
+  async function run(): Promise<Either<DirectoryError, Read>> {
     let calls = 0;
     let timer: NodeJS.Timeout | undefined;
     try {
@@ -59,7 +66,7 @@
           if (calls >= maxCalls || (calls > 0 && !host.isNeeded())) return;
           calls++;
           lastCallAt = performance.now();
-          void host.list().run().then((result) => {
+          void host.read().run().then((result) => {
             calls--;
             if (result.isRight() || calls === 0) resolve(result);
             else result.ifLeft(host.recordFailure);
