--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -189,10 +189,12 @@
 /** Sends a request and waits for the end of its response. */
 export function send(
   request: CallerRequest,
-  { router, agent, path }: {
+  { router, agent, path, headers = {} }: {
     readonly router: RouterProcess;
     readonly agent: Agent;
     readonly path: string;
+    /** Headers that replace those of the request. */
+    readonly headers?: Readonly<Record<string, string>>;
   },
 ): Promise<CallerResult> {
   const { id, key, deadlineMs, kind, lastEventId, parts, resumes } = request;
@@ -221,6 +223,7 @@
         ...(resumes === undefined ? {} : { resumes }),
         ...(isInPieces ? { [digestHeader]: getDigest(body) } : {}),
         ...(manner === "pieces" ? { "content-length": body.length } : {}),
+        ...headers,
       },
     });
     const timer = setTimeout(() => {
--- a/test/soak/crashing_callers.ts
+++ b/test/soak/crashing_callers.ts
@@ -12,6 +12,18 @@
 /** The part that crashes targets. */
 const crashingPart = "crashing";
 
+/** Prompt parts by what crashes; those of the request differ at each return. */
+const createParts: Readonly<
+  Record<CrashCause, (prefix: string, id: string) => readonly string[]>
+> = {
+  part: (prefix, id) => ["shared", prefix, crashingPart, id],
+  request: (prefix, id) => {
+    const count = Number(id.split("-").at(-1));
+    const forms = [["shared", id], ["shared", prefix, id], [id], []];
+    return forms[count % forms.length] ?? [];
+  },
+};
+
 /** Of so many runs, one in which the request crashes after its first event. */
 const lateCrashRuns = 4;
 
@@ -56,7 +68,7 @@
     const prefix = getLastingPrefix(kinds[cause], service);
     return {
       ...{ id, router, kind: kinds[cause], prefix, key: lastingKey, cause },
-      parts: cause === "part" ? ["shared", prefix, crashingPart, id] : [],
+      parts: createParts[cause](prefix, id),
       ...{ resumes: undefined, leavesAfter: undefined, manner: "plain" },
       ...{ lastEventId: 0, deadlineMs: 2_000, sentAt: performance.now() },
       result: undefined,
--- a/test/soak/fault_actions.ts
+++ b/test/soak/fault_actions.ts
@@ -48,6 +48,12 @@
   afterLeave: 100,
 } as const;
 
+/** Times of a cut of a router that is left alone, in milliseconds. */
+const loneCutMs = { least: 2_600, range: 1_800, beforeLeave: 900 } as const;
+
+/** Parts of the variation in which peers are frozen and killed by turns. */
+const frozenTurns = 10;
+
 /** Orders in which a process gets signals; a variation chooses one. */
 const signalOrders = [
   ["SIGTERM", "SIGHUP"],
@@ -210,6 +216,17 @@
       ...others.map((router) => router.kill(lossMs.down)),
     ]);
   },
+  removed_in_lone_cut: async (host, fault) => {
+    const { kept, others } = keepOne(host, fault);
+    const { lengthMs, share } = fault;
+    const isFrozen = Math.floor(share * frozenTurns) % 2 === 0;
+    const losses = others.map((router) =>
+      isFrozen ? router.freeze(lengthMs) : router.kill(lengthMs)
+    );
+    const cut = kept?.cutOff(loneCutMs.least + loneCutMs.range * share);
+    await sleep(loneCutMs.beforeLeave);
+    await Promise.all([cut, ...losses, actions.target_removed(host, fault)]);
+  },
   uploads_cut: (host, fault) =>
     forTargets(host, fault, (target) =>
       target.misbehave({
--- a/test/soak/plants.ts
+++ b/test/soak/plants.ts
@@ -190,6 +190,49 @@
     "    ...getRequestKeys(getFingerprints(request), label),\n",
     "",
   ]],
+  /** A request that comes with another prompt is another request. */
+  variants_apart: [[
+    "src/process/direct/crashes/crash_keys.ts",
+    ".update(JSON.stringify([holder?.workspace, method, path]))",
+    ".update(JSON.stringify([holder?.workspace, method, path, " +
+    "(arguments[0] as CrashCandidate).prompt?.parts]))",
+  ]],
+  /** Numbers from outside are used as they are, and errors end the digests. */
+  numbers_unjudged: [
+    [
+      "src/types/stated_numbers.ts",
+      "value > 0 ? Math.min(maxTokens, Math.ceil(value)) : 0",
+      "value",
+    ],
+    [
+      "src/process/direct/peers/digest_reports.ts",
+      "unreadTokens: limitCount(load.unreadTokens)",
+      "unreadTokens: Math.max(0, Math.round(load.unreadTokens))",
+    ],
+    [
+      "src/process/telemetry/tolerant_encoding.ts",
+      "const bytes = tryEncode(codec, message);",
+      "const bytes = codec.encode(message).finish();",
+    ],
+    [
+      "src/roles/digest_exchange.ts",
+      "() => faults.guard(settings.id, tick)",
+      "tick",
+    ],
+  ],
+  /** A call that began in a cut is waited for. */
+  cut_call_awaited: [
+    [
+      "src/process/direct/directory/store_probes.ts",
+      "if (!host.isNeeded()) return;",
+      "if (host.isNeeded()) return;",
+    ],
+    [
+      "src/process/direct/directory/directory_sync.ts",
+      "if (hasTurn && wasSilent()) applyUrgent(await tryReach());",
+      "if (false) applyUrgent(await tryReach());",
+    ],
+  ],
   /** No crash is put down to a part of a prompt. */
   parts_ignored: [[
     "src/process/direct/crashes/crash_keys.ts",
--- a/test/soak/router_process.ts
+++ b/test/soak/router_process.ts
@@ -57,6 +57,7 @@
   let child: Child | undefined;
   let starts = 0;
   let ownExits = 0;
+  const ownExitLogs: string[] = [];
   let isToldToEnd = false;
   let isStopping = false;
   let hasEnded = false;
@@ -73,6 +74,8 @@
     getPid: () => child?.pid,
     /** Returns how often a process ended without being told to. */
     countOwnExits: () => ownExits,
+    /** Returns the last lines of processes that ended without being told to. */
+    getOwnExitLogs: (): readonly string[] => ownExitLogs,
     ...{ start, restart, signal, kill, freeze, cutOff, end, throttle },
     watchStarvation,
   };
@@ -81,12 +84,13 @@
     if (hasEnded || child !== undefined) return;
     isToldToEnd = false;
     addSpan("start");
+    const outputFile = `${directory}/${id}_${starts++}.log`;
     const started = startChild(id, [
       ...[process.execPath, "--max-old-space-size=127", "--liftoff-only"],
       ...[options.program, "router"],
     ], {
       environment: { [settingsVariable]: settingsFile },
-      outputFile: `${directory}/${id}_${starts++}.log`,
+      outputFile,
     });
     child = started;
     void started.waitForExit().then(() => {
@@ -94,6 +98,7 @@
       addSpan("exit");
       if (isToldToEnd) return;
       ownExits++;
+      ownExitLogs.push(readEnd(outputFile));
       setTimeout(start, ownExitDelayMs);
     });
   }
@@ -259,3 +264,12 @@
     },
   };
 }
+
+/** Last lines of a log that are shown of a process that ended by itself. */
+const loggedLines = 4;
+
+/** Returns the end of a log, which says why its process ended. */
+function readEnd(file: string): string {
+  const lines = readFileSync(file, "utf8").trimEnd().split("\n");
+  return [file, ...lines.slice(-loggedLines)].join("\n");
+}
--- a/test/soak/schedule.ts
+++ b/test/soak/schedule.ts
@@ -76,6 +76,11 @@
   removed_beside_loss: { weight: 0, lengthMs: [12_000, 14_000], ...ofTargets },
   /** A target leaves, and all routers but one are lost right after. */
   removed_before_loss: { weight: 0, lengthMs: [5_000, 7_000], ...ofTargets },
+  /**
+   * All routers but one are lost or frozen for a time, in which that one is cut off
+   * from the store and a target leaves.
+   */
+  removed_in_lone_cut: { weight: 0, lengthMs: [8_500, 9_500], ...ofTargets },
   /** Targets end in the middle of uploads, with a part of a response. */
   uploads_cut: { weight: 0, lengthMs: [4_000, 9_000], ...ofAnswers },
 } as const satisfies Record<string, FaultShape>;
@@ -149,6 +154,12 @@
 /** Time from one loss of routers to the next, in milliseconds. */
 const lossIntervalMs = 8_000;
 
+/** Of so many seeds, the one with cuts of a router that is left alone. */
+const loneCutPeriod = { of: 10, at: 4 } as const;
+
+/** Time from one such cut to the next, in milliseconds. */
+const loneCutIntervalMs = 11_500;
+
 /** Time before the first fault and after the last start of one, in ms. */
 const calmMs = { before: 1_500, after: 5_000 } as const;
 
@@ -184,6 +195,28 @@
   return routers > smallFleetSize && seed % plannedSeedPeriod === 0;
 }
 
+/** Returns true for seeds in which one router is left and cut off. */
+export function isLoneCutSeed(
+  seed: number,
+  { routers }: Pick<ScheduleOptions, "routers">,
+): boolean {
+  return routers <= smallFleetSize && !isPlannedSeed(seed) &&
+    seed % loneCutPeriod.of === loneCutPeriod.at;
+}
+
+/** Draws cuts of a router whose peers are lost or frozen. */
+export function createLoneCutSchedule(
+  random: () => number,
+  options: ScheduleOptions,
+): readonly Fault[] {
+  const { drawFault, drawBetween } = createDraws(random, options, ["served"]);
+  const firstMs = drawBetween(calmMs.before, maxLossDelayMs);
+  return sortFaults([
+    drawFault("removed_in_lone_cut", firstMs),
+    drawFault("removed_in_lone_cut", firstMs + loneCutIntervalMs),
+  ], options);
+}
+
 /** Draws losses of routers beside leaves, one after the other. */
 export function createLossSchedule(
   random: () => number,
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -1,10 +1,11 @@
 /** Runs one seed of a soak: routers as processes, all else in this process. */
 
-import { mkdirSync, rmSync, writeFileSync } from "node:fs";
+import { cpSync, mkdirSync, rmSync, writeFileSync } from "node:fs";
 import { sleep } from "../harness/wait.ts";
 import { createSeededRandom } from "../support/seeded_random.ts";
 import { type CallersHost, startCallers } from "./callers.ts";
 import { startCrashingCallers } from "./crashing_callers.ts";
+import { startOddCaller } from "./odd_callers.ts";
 import { runFault } from "./fault_actions.ts";
 import { judge } from "./judge.ts";
 import { createJudgeContext, type Violation } from "./judge_context.ts";
@@ -23,12 +24,14 @@
 import { type LongCallerCounts, startLongCallers } from "./long_callers.ts";
 import {
   createAddedFaults,
+  createLoneCutSchedule,
   createLossSchedule,
   createPlannedSchedule,
   createSchedule,
   createUploadFaults,
   type Fault,
   formatFault,
+  isLoneCutSeed,
   isLossSeed,
   isPlannedSeed,
 } from "./schedule.ts";
@@ -59,6 +62,8 @@
   readonly inTouch: number;
   /** Processes of routers that ended without being told to. */
   readonly ownExits: number;
+  /** Ends of the logs of these; the logs are kept in a folder of their own. */
+  readonly ownExitLogs: readonly string[];
   /** Longest time for which the observing process was busy. */
   readonly longestBusyMs: number;
 }
@@ -174,6 +179,9 @@
     if (isLossSeed(seed, options)) {
       return [...createLossSchedule(createRandom(9), options)];
     }
+    if (isLoneCutSeed(seed, options)) {
+      return [...createLoneCutSchedule(createRandom(11), options)];
+    }
     const uploads = createUploadFaults(createRandom(8), options);
     return isPlanned
       ? [...createPlannedSchedule(createRandom(5), options), ...uploads]
@@ -195,6 +203,7 @@
         createHost(6),
         isPlanned ? plannedCounts.long : longCallerCounts,
       ),
+      startOddCaller(createHost(10)),
       // Targets that crash are no planned work.
       ...(isPlanned ? [] : [startCrashingCallers(createHost(4))]),
     ];
@@ -226,8 +235,15 @@
     if (violations.length === 0 && ownExits === 0) {
       rmSync(directory, { recursive: true });
     }
+    // The next run of the seed replaces the folder.
+    if (ownExits > 0) {
+      cpSync(directory, `${directory}_ended_${Date.now()}`, {
+        recursive: true,
+      });
+    }
     return {
       ...{ seed, violations, ownExits, longestBusyMs },
+      ownExitLogs: routers.flatMap((router) => router.getOwnExitLogs()),
       requests: requests.length,
       served: requests.filter(({ result }) => result?.status === 200).length,
       faults: schedule.length,
--- a/test/soak/soak_target.ts
+++ b/test/soak/soak_target.ts
@@ -18,6 +18,7 @@
   TargetLife,
 } from "./observations.ts";
 import { createBodyRecord, shorten } from "./long_bodies.ts";
+import { oddNumbers } from "./odd_callers.ts";
 import type { SoakStore } from "./soak_store.ts";
 import { type AnswerName, answers, createEvents } from "./target_answers.ts";
 
@@ -39,6 +40,9 @@
 /** Chance that a target under a new id runs the other version. */
 const versionChangeChance = 0.3;
 
+/** Chance that a response states odd numbers of the target. */
+const oddNumberChance = 0.05;
+
 /** Port at the target's own address. */
 const port = 7_000;
 
@@ -253,7 +257,7 @@
     const { headers, socket } = request;
     const router = headers["x-via"]?.toString();
     const body = createBodyRecord(request);
-    if (router === undefined) return after(0, () => response.end());
+    if (router === undefined) return after(0, () => response.end(listParts()));
     const requestId = String(headers["x-request-id"]);
     const { searchParams } = new URL(request.url ?? "/", "http://target");
     const [events = 0, stepMs = 0, size = 0] = ["events", "ms", "size"]
@@ -288,6 +292,7 @@
     if (isLeaving) response.setHeader("Server-Leaving", "1");
     if (limit !== undefined) sendLimit(limit, { router, response });
     response.setHeader("X-Instance", id);
+    if (host.random() < oddNumberChance) sayOddNumbers(response);
     const text = work.events > 0
       ? createEvents(arrival, work).join("")
       : `${requestId} ${life} ${"x".repeat(size || work.stepMs * 10)}`;
@@ -314,6 +319,21 @@
     } else answer(exchange);
   }
 
+  /** Writes a list of cached parts, of which one may have odd tokens. */
+  function listParts(): string {
+    const texts = oddNumbers.filter((text) => /^-?\d/.test(text));
+    const odd = texts[sequence % texts.length] ?? "0";
+    const rows = `[["","shared",50,"m"],["","odd",${odd},"m"]]`;
+    return `{"born":${born},"held":${rows}}`;
+  }
+
+  function sayOddNumbers(response: ServerResponse): void {
+    const pick = () =>
+      oddNumbers[Math.floor(host.random() * oddNumbers.length)] ?? "0";
+    response.setHeader("X-Server-Load", `${pick()},${pick()},${pick()}`);
+    response.setHeader("X-Cold-Ms", pick());
+  }
+
   function sendLimit(
     { life, perS }: LimitSpan,
     { router, response }: {
