Take any answer of the store for the end of a silence, and give a turn up in it

Change: any error but an unavailable store is a response; no further read is made once peers read the store. The cuts of the test have any length from 1.6 s on. A target's `born` goes through the same judge as other numbers.

--- a/src/platform/store_records.ts
+++ b/src/platform/store_records.ts
@@ -12,7 +12,7 @@
   SavedVersions,
 } from "../types/directory.ts";
 import type { Entry } from "../types/platform.ts";
-import { maxCount } from "../types/stated_numbers.ts";
+import { maxCount, tryGetEpochMs } from "../types/stated_numbers.ts";
 import {
   getArray,
   getNumber,
@@ -248,7 +248,7 @@
     zone: tryGetString(fields, "Zone") ?? "",
     warmUpLeftMs: decodeWarmUpLeft(fields["ColdLeftMs"]),
     softwareVersion: tryGetString(fields, "Version") ?? "",
-    startedAtMs: getNumber(fields, "born", 0),
+    startedAtMs: tryGetEpochMs(fields["born"]) ?? 0,
   });
 }
 
--- a/src/process/direct/directory/directory_sync.ts
+++ b/src/process/direct/directory/directory_sync.ts
@@ -183,7 +183,7 @@
     ...{ contact, urgentReads, store: host.store, countCall: host.countCall },
     getPosition: host.replica.getPosition,
     isStopped: () => isStopped,
-    hasTurn: () => hasTurn,
+    mayProbe: () => hasTurn && host.watchers.shouldWatch(),
   });
   const missedChanges = createMissedChanges({
     ...{ store: host.store, replica: host.replica, urgentReads, list },
--- a/src/process/direct/directory/repeated_read.ts
+++ b/src/process/direct/directory/repeated_read.ts
@@ -7,7 +7,7 @@
  * restart meanwhile, and each would wait for its timeout while its callers are
  * refused; or one was cut off, and would know of what has left only then. So a
  * further call is made when a peer shows that it has read the store, and at
- * intervals before that. The first response counts. Calls in flight are bounded.
+ * intervals before that. The first response counts, also one without a result. Calls in flight are bounded.
  */
 
 import { type Either, EitherAsync } from "purify-ts";
@@ -24,7 +24,7 @@
 
 /** Reads of which the first that succeeds counts. */
 export interface RepeatedRead<Read> {
-  /** Returns the first result; the first error when no call succeeds. */
+  /** Returns what the first response says; an error when there is none. */
   run(): EitherAsync<DirectoryError, Read>;
   /** Reports that a peer has read the store, so that a call may succeed now. */
   reportPeerRead(): void;
@@ -43,6 +43,16 @@
 /** Maximum number of calls in flight. */
 const maxCalls = 3;
 
+/** Any other error than an unavailable store is a response of it. */
+export function hasResponded(
+  result: Either<DirectoryError, unknown>,
+): boolean {
+  return result.caseOf({
+    Left: ({ kind }) => kind !== "unavailable",
+    Right: () => true,
+  });
+}
+
 /** Creates reads of which no call was made. */
 export function createRepeatedRead<Read>(
   host: RepeatedReadHost<Read>,
@@ -68,7 +78,7 @@
           lastCallAt = performance.now();
           void host.read().run().then((result) => {
             calls--;
-            if (result.isRight() || calls === 0) resolve(result);
+            if (calls === 0 || hasResponded(result)) resolve(result);
             else result.ifLeft(host.recordFailure);
           });
         };
--- a/src/process/direct/directory/store_probes.ts
+++ b/src/process/direct/directory/store_probes.ts
@@ -14,7 +14,7 @@
   DirectoryStore,
   ListOptions,
 } from "../../../types/directory.ts";
-import { createRepeatedRead } from "./repeated_read.ts";
+import { createRepeatedRead, hasResponded } from "./repeated_read.ts";
 
 /** What the probes need from the process. */
 export interface StoreProbesHost {
@@ -86,7 +86,9 @@
       const timer = setTimeout(() => {
         if (!host.isNeeded()) return;
         void createProbes(() => isSilent).run().run().then((probed) => {
-          if (isSilent && probed.isRight()) resolve(Left(createSilentError()));
+          if (isSilent && hasResponded(probed)) {
+            resolve(Left(createSilentError()));
+          }
         });
       }, waitMs + responseToleranceMs).unref();
       void call({ ...options, onHead }).run().then((result) => {
--- a/src/process/direct/directory/watcher_calls.ts
+++ b/src/process/direct/directory/watcher_calls.ts
@@ -33,7 +33,7 @@
   getPosition(): StorePosition;
   isStopped(): boolean;
   /** Returns true while this router has the turn to watch the store. */
-  hasTurn(): boolean;
+  mayProbe(): boolean;
   countCall(call: "watch"): void;
 }
 
@@ -68,7 +68,7 @@
   const probes = createStoreProbes({
     ...{ store: host.store, countCall: host.countCall },
     getRevision: () => host.getPosition().revision,
-    isNeeded: () => !host.isStopped() && host.hasTurn(),
+    isNeeded: () => !host.isStopped() && host.mayProbe(),
     ...{ recordHead: contact.recordHead, recordFailure: contact.recordFailure },
   });
 
--- a/src/process/direct/store/cut_router_test.ts
+++ b/src/process/direct/store/cut_router_test.ts
@@ -30,6 +30,8 @@
   readonly size: number;
   /** Number of routers that are cut off. */
   readonly cut: number;
+  /** True when the store forgets its history in the cut. */
+  readonly isCompacted?: boolean;
   /** What becomes of the others before the cut, and when the path is back. */
   lose?(fleet: Fleet, peer: ReplayedRouter): void;
   regain?(fleet: Fleet, peer: ReplayedRouter): void;
@@ -40,6 +42,7 @@
 
 const fleets: Readonly<Record<string, Peers>> = {
   "alone in its fleet": { size: 1, cut: 1 },
+  "alone beside a compacted history": { size: 1, cut: 1, isCompacted: true },
   "whose peers were killed": {
     ...{ size: 5, cut: 1 },
     lose: (fleet, peer) => fleet.killRouter(peer),
@@ -92,7 +95,8 @@
       "drops what left in its cut before it is in touch (seed %d)",
       async (seed) => {
         const random = createSeededRandom(seed * 97 + name.length);
-        const { size, cut, lose, regain } = fleets[name] as Peers;
+        const cutMs = () => removedAfterMs + 100 + random() * 4_000;
+        const { size, cut, isCompacted, lose, regain } = fleets[name] as Peers;
         const { store, fleet } = await startFleet(size, seed);
         const routers = [...fleet.routers];
         const left = routers.slice(0, cut);
@@ -101,7 +105,8 @@
         left.forEach((router) => void (router.access = "lost"));
         await jest.advanceTimersByTimeAsync(removedAfterMs);
         store.remove("servers/target-1");
-        await jest.advanceTimersByTimeAsync(2_000 + random() * 2_000);
+        if (isCompacted === true) store.compact();
+        await jest.advanceTimersByTimeAsync(cutMs() - removedAfterMs);
         left.forEach((router) => void (router.access = "serve"));
         routers.slice(cut).forEach((peer) => regain?.(fleet, peer));
         await jest.advanceTimersByTimeAsync(contactMs);
