Keep the interval of first listings, and name what joins crash records

The reads that notice the end of a silence (400 ms) shared their interval with the listings of routers that start (500 ms before), which are large. Each has its own again. joinRecords joins records; joinVariant names a variant. Tests of the sync, the cut routers and the quarantine pass.

--- a/src/process/direct/crashes/crash_suspects.ts
+++ b/src/process/direct/crashes/crash_suspects.ts
@@ -98,7 +98,7 @@
       logSuspect(record, { previous, source: "own" });
       return record;
     });
-    joinVariants(changed).forEach(host.report);
+    joinRecords(changed).forEach(host.report);
     return getLosses(fingerprints);
   }
 
@@ -120,12 +120,12 @@
     const cleared = getFingerprints(request).flatMap((fingerprint) =>
       records.clear(fingerprint) ?? []
     );
-    joinVariants(cleared).forEach(host.report);
+    joinRecords(cleared).forEach(host.report);
   }
 }
 
 /** Joins the records of a request and its variant if the same holds for both. */
-function joinVariants(
+function joinRecords(
   records: readonly CrashRecordUpdate[],
 ): readonly CrashRecordUpdate[] {
   const [record, other] = records;
--- a/src/process/direct/crashes/evidence_reports.ts
+++ b/src/process/direct/crashes/evidence_reports.ts
@@ -87,7 +87,7 @@
 
   function take(): readonly CrashEvidence[] {
     if (table.isEmpty()) return [];
-    const changed = joinVariants(
+    const changed = joinRecords(
       [...unsent.keys()].flatMap((key) => tryGetUnsent(key) ?? []),
     )
       .sort((left, right) => right.lives.length - left.lives.length)
@@ -114,7 +114,7 @@
     changed: readonly JointRecord[],
   ): readonly JointRecord[] {
     const sent = new Set(changed.map(({ key }) => key));
-    const conclusive = joinVariants(table.getAll().filter(isConclusive));
+    const conclusive = joinRecords(table.getAll().filter(isConclusive));
     if (conclusive.length === 0) return [];
     const start = nextRepeat % conclusive.length;
     nextRepeat = start + repeatsPerDigest;
@@ -130,7 +130,7 @@
 }
 
 /** Joins the records of requests and of those variants for which the same holds. */
-function joinVariants(
+function joinRecords(
   records: readonly StoredEvidence[],
 ): JointRecord[] {
   const byKey = new Map<string, JointRecord>(
--- a/src/process/direct/directory/directory_sync.ts
+++ b/src/process/direct/directory/directory_sync.ts
@@ -125,12 +125,12 @@
 /** Interval at which a router checks whether to watch the store, in ms. */
 const turnCheckIntervalMs = 100;
 
-/**
- * Maximum random delay before a router that does not watch the store lists it
- * after a return, in milliseconds, so that not all routers do so together.
- */
+/** Maximum random delay before other routers list after a return, in ms. */
 const maxListDelayMs = 250;
 
+/** Time without a first listing after which another is requested, in ms. */
+const firstListingIntervalMs = 500;
+
 /** Delay after a response of an older era than the replica's, in ms. */
 const olderEraDelayMs = 500;
 
@@ -162,6 +162,7 @@
   });
   const returns = createStoreReturns(host);
   const firstListing = createRepeatedRead({
+    intervalMs: firstListingIntervalMs,
     read: () => listNoting({ onHead: contact.recordHead }),
     isNeeded: () => !isStopped && host.replica.getPosition().revision === 0,
     recordFailure: contact.recordFailure,
--- a/src/process/direct/directory/repeated_read.ts
+++ b/src/process/direct/directory/repeated_read.ts
@@ -15,6 +15,8 @@
 
 /** What the reads need from the process. */
 export interface RepeatedReadHost<Read> {
+  /** Time without a response after which another call is made, in ms. */
+  readonly intervalMs: number;
   read(): EitherAsync<DirectoryError, Read>;
   /** Returns false once no further call is wanted. */
   isNeeded(): boolean;
@@ -30,13 +32,6 @@
   reportPeerRead(): void;
 }
 
-/**
- * Time without a response after which another call is made, in milliseconds. What
- * is known by then leaves those that live the time to register again before this
- * router is in touch.
- */
-const callIntervalMs = 400;
-
 /** Minimum time between two calls after reports of peers, in milliseconds. */
 const peerCallIntervalMs = 150;
 
@@ -83,7 +78,7 @@
           });
         };
         startCall();
-        timer = setInterval(startCall, callIntervalMs).unref();
+        timer = setInterval(startCall, host.intervalMs).unref();
       });
     } finally {
       clearInterval(timer);
--- a/src/process/direct/directory/store_probes.ts
+++ b/src/process/direct/directory/store_probes.ts
@@ -51,6 +51,12 @@
 /** Wait of a probe for changes, in milliseconds; it is answered at once. */
 const probeWaitMs = 1;
 
+/**
+ * Time between two probes, in milliseconds. After the first that succeeds, targets
+ * can register again before a router that was cut off is in touch.
+ */
+const probeIntervalMs = 400;
+
 /** Time after which the response to a call is owed, in milliseconds. */
 export const responseToleranceMs = 250;
 
@@ -64,6 +70,7 @@
 
   function createProbes(isWanted: () => boolean) {
     return createRepeatedRead({
+      intervalMs: probeIntervalMs,
       read: () => {
         host.countCall("watch");
         return host.store.watch({
