--- a/src/process/direct/crashes/quarantine.ts
+++ b/src/process/direct/crashes/quarantine.ts
@@ -19,17 +19,16 @@
   type CrashEvidence,
   createCrashEvidenceTable,
   isConclusive,
-  type StoredEvidence,
   toUpdate,
 } from "./crash_evidence.ts";
-import { createCrashHerd } from "./crash_herd.ts";
 import {
-  type CrashKey,
-  getRequestKeyId,
-  isPartKey,
-  joinVariant,
-  trySplitVariant,
-} from "./crash_keys.ts";
+  countCauses,
+  getCause,
+  isCauseAmbiguous,
+  type QuarantinedCause,
+} from "./crash_causes.ts";
+import { createCrashHerd } from "./crash_herd.ts";
+import { type CrashKey, getRequestKeyId, joinVariant } from "./crash_keys.ts";
 import { createEvidenceChoice, isWorthSaving } from "./evidence_choice.ts";
 import { createEvidenceReports } from "./evidence_reports.ts";
 import { getTargetLife } from "./target_crashes.ts";
@@ -216,10 +215,11 @@
   function isTrialDue(keys: readonly CrashKey[]): boolean {
     const quarantined = getQuarantinedKeys(keys);
     const now = performance.now();
-    const isAmbiguous = isCauseAmbiguous(keys);
-    // A request and its variant are one cause.
-    const causes = new Set(quarantined.map(({ key }) => getCause(key)));
-    const jointDelayMs = causes.size > 1 ? jointTrialDelayMs : 0;
+    const isAmbiguous = isCauseAmbiguous(quarantined, {
+      keys,
+      records: table.getAll(),
+    });
+    const jointDelayMs = countCauses(quarantined) > 1 ? jointTrialDelayMs : 0;
     return quarantined.every(({ key, record }) => {
       const { trialAt, crashedAt, triedAt } = record;
       const dueAt = isAmbiguous
@@ -231,22 +231,6 @@
     });
   }
 
-  /**
-   * Returns true when something that the request lacks was at the same crashes as
-   * what is quarantined of it, so that the request shows which is at fault.
-   */
-  function isCauseAmbiguous(keys: readonly CrashKey[]): boolean {
-    const ids = new Set(keys.map(({ id }) => id));
-    const others = table.getAll().filter((record) =>
-      isConclusive(record) && !ids.has(record.key)
-    );
-    return getQuarantinedKeys(keys).every(({ key, record }) =>
-      others.some(({ key: other, lives }) =>
-        lives.at(-1) === record.lives.at(-1) && canBeCause[key.kind](other, key)
-      )
-    );
-  }
-
   function tryStartTrial(keys: readonly CrashKey[]): boolean {
     if (!isTrialDue(keys)) return false;
     for (const { key, record } of getQuarantinedKeys(keys)) {
@@ -364,7 +348,7 @@
 
   function getQuarantinedKeys(
     keys: readonly CrashKey[],
-  ): readonly { readonly key: CrashKey; readonly record: StoredEvidence }[] {
+  ): readonly QuarantinedCause[] {
     return keys.flatMap((key) => {
       const record = table.tryGet(key.id);
       if (record === undefined || !isConclusive(record)) return [];
@@ -390,24 +374,6 @@
   }
 }
 
-/**
- * What else may have caused the crashes of a quarantined key, by its kind. Sound
- * requests share a body with a variant that crashes, or lack a part that does.
- */
-const canBeCause: Readonly<
-  Record<CrashKey["kind"], (other: string, key: CrashKey) => boolean>
-> = {
-  part: isPartKey,
-  request: (other, { id }) =>
-    isPartKey(other) || trySplitVariant(other)?.request === id,
-  variant: () => false,
-};
-
-/** Returns the id of a part, or of a request for its variants too. */
-function getCause({ id }: CrashKey): string {
-  return trySplitVariant(id)?.request ?? id;
-}
-
 function getTrialDelayMs(trials: number): number {
   return Math.min(
     maxTrialDelayMs,
--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -31,8 +31,7 @@
   request_too_large: {
     category: "not_run",
     status: 503,
-    text:
-      "The request takes {tokens} tokens, engines of {service} hold {memory}",
+    text: "The request has {tokens} tokens, engines of {service} hold {memory}",
   },
   no_target: {
     category: "not_run",
@@ -385,15 +384,13 @@
 }
 
 /** Formats a report by replacing the placeholders in the diagnostic's text. */
-export function formatReport(report: Report): string {
-  const text: string = diagnostics[report.code].text;
-  return text.replace(
+export function formatReport({ code, values }: Report): string {
+  return getDiagnostic(code).text.replace(
     /\{(\w+)\}/g,
-    (_match, name: string) => String(report.values[name] ?? `{${name}}`),
+    (_match, name: string) => String(values[name] ?? `{${name}}`),
   );
 }
 
-/** Creates a report. */
 export function createReport(
   code: DiagnosticCode,
   values: Report["values"] = {},
