Take nothing from an older copy that a newer listing lacks

Cause: it had asked a peer for its copy before its listing came, and got it after. The peer had been cut off; its copy held a target whose entry was gone at the position of the listing. A listing leaves no tombstones, so the entry was taken for new, and no later change removed it. Evidence: "Directory was pulled from a peer" (revision 287) 0.25 s after the listing at 347, with "Target changed" for the target.

Change: an entry of a copy that is no newer than the position known here, and is not known here, was gone by then. It works as a position covers all changes up to it.

--- a/src/process/direct/directory/directory_replica.ts
+++ b/src/process/direct/directory/directory_replica.ts
@@ -302,16 +302,21 @@
     const existing = keys?.map((key) => ({ key })) ??
       (isComplete ? entries : undefined);
     if (existing === undefined) {
-      const applied = changes.filter(apply);
+      const applied = changes.filter(isNews).filter(apply);
       advance(copied.revision);
       return applied;
     }
     const missing = findMissing(copied, existing);
-    const applied = [...changes, ...missing].filter(apply);
+    const applied = [...changes.filter(isNews), ...missing].filter(apply);
     advanceWithoutRemovals(copied.revision);
     return applied;
   }
 
+  /** Returns false for an entry that was gone by the position known here. */
+  function isNews({ key, revision }: WatchEvent): boolean {
+    return revision > position.revision || tryGetKnown(key) !== undefined;
+  }
+
   /** Begins a newer era with all of its entries; returns what differs. */
   function replaceAll(listing: Listing): readonly DirectoryChange[] {
     const known = new Map([...tombstones, ...live]);
--- a/src/process/direct/directory/directory_replica_test.ts
+++ b/src/process/direct/directory/directory_replica_test.ts
@@ -35,6 +35,27 @@
     expect(stale).toEqual([]);
   });
 
+  // A router that had just started got back, and used, a target that had left.
+  describe.each([true, false])(
+    "with a copy (all entries: %s)",
+    (isComplete) => {
+      it("takes no entry that its newer listing lacks", () => {
+        const replica = createDirectoryReplica();
+        const kept = { key: "b", value: "y", revision: 4 };
+        const position = { era: 0, revision: 9 };
+        replica.applyListing({ entries: [kept], position });
+        const gone = { key: "a", value: "x", revision: 7 };
+        const later = { key: "c", value: "z", revision: 10 };
+        const copied = replica.applyCopy({
+          ...{ position: { era: 0, revision: 5 }, isComplete },
+          ...{ changes: [kept, gone, later], lostEntries: [] },
+        });
+        expect(copied).toEqual([later]);
+        expect(replica.tryGet("a")).toBeUndefined();
+      });
+    },
+  );
+
   describe("a listing", () => {
     it("removes keys that it lacks", () => {
       const replica = createDirectoryReplica();
