Give up first listings that were lost once a peer's copy is there

Change: at the next interval after the copy, listings to which no response has begun are given up, and the probes of cut routers take over.

--- a/src/process/direct/directory/directory_sync.ts
+++ b/src/process/direct/directory/directory_sync.ts
@@ -163,9 +163,10 @@
   const returns = createStoreReturns(host);
   const firstListing = createRepeatedRead({
     intervalMs: firstListingIntervalMs,
-    read: () => listNoting({ onHead: contact.recordHead }),
+    read: (onHead) => listNoting({ onHead }),
     isNeeded: () => !isStopped && host.replica.getPosition().revision === 0,
-    recordFailure: contact.recordFailure,
+    givesUp: true,
+    ...{ recordHead: contact.recordHead, recordFailure: contact.recordFailure },
   });
   let hasTurn = false;
   /** True until the first read of a turn when nobody has read the store lately. */
@@ -189,8 +190,7 @@
   const missedChanges = createMissedChanges({
     ...{ store: host.store, replica: host.replica, urgentReads, list },
     ...{ hasReturned, applyAt, applyListing, confirm, log: host.log },
-    countCall: host.countCall,
-    isStopped: () => isStopped,
+    ...{ countCall: host.countCall, isStopped: () => isStopped },
   });
 
   return {
--- a/src/process/direct/directory/store_probes.ts
+++ b/src/process/direct/directory/store_probes.ts
@@ -14,14 +14,18 @@
   DirectoryStore,
   ListOptions,
 } from "../../../types/directory.ts";
-import { createRepeatedRead, hasResponded } from "./repeated_read.ts";
+import {
+  createRepeatedRead,
+  createSilentError,
+  hasResponded,
+} from "./repeated_read.ts";
 
 /** What the probes need from the process. */
 export interface StoreProbesHost {
   readonly store: Pick<DirectoryStore, "watch">;
   /** Returns the revision after which changes are of interest. */
   getRevision(): number;
-  /** Returns true while this router is to read the store. */
+  /** Returns true while this router is to find out whether the store responds. */
   isNeeded(): boolean;
   recordHead(): void;
   recordFailure(error: DirectoryError): void;
@@ -71,15 +75,16 @@
   function createProbes(isWanted: () => boolean) {
     return createRepeatedRead({
       intervalMs: probeIntervalMs,
-      read: () => {
+      read: (onHead) => {
         host.countCall("watch");
         return host.store.watch({
           ...{ afterRevision: host.getRevision(), kind: "target" },
-          ...{ waitMs: probeWaitMs, onHead: host.recordHead },
+          ...{ waitMs: probeWaitMs, onHead },
         });
       },
       isNeeded: () => isWanted() && host.isNeeded(),
-      recordFailure: host.recordFailure,
+      givesUp: false,
+      ...{ recordHead: host.recordHead, recordFailure: host.recordFailure },
     });
   }
 
@@ -115,10 +120,3 @@
     });
   }
 }
-
-function createSilentError(): DirectoryError {
-  return {
-    kind: "unavailable",
-    message: "The store responds to later calls only",
-  };
-}
--- a/src/process/direct/store/cut_router_test.ts
+++ b/src/process/direct/store/cut_router_test.ts
@@ -18,6 +18,12 @@
 /** Time from the start of a cut to the removal, in milliseconds. */
 const removedAfterMs = 1_500;
 
+/** Interval at which a router that starts is asked for its copy, in ms. */
+const copyPollMs = 20;
+
+/** Longest time from its copy to the return of its path, in milliseconds. */
+const maxCutAfterCopyMs = 300;
+
 /** Reads a second for one router of 350, of all that the store takes. */
 const maxReadsPerS = 2_000 / 350;
 
@@ -34,10 +40,12 @@
   readonly isCompacted?: boolean;
   /** What becomes of the others before the cut, and when the path is back. */
   lose?(fleet: Fleet, peer: ReplayedRouter): void;
+  /** True when the first router starts again in the cut, and the others freeze. */
+  isRestarted?: boolean;
   regain?(fleet: Fleet, peer: ReplayedRouter): void;
 }
 
-const freeze: Peers["lose"] = (_fleet, peer) =>
+const freeze: NonNullable<Peers["lose"]> = (_fleet, peer) =>
   void Object.assign(peer, { access: "lost", isReached: false });
 
 const fleets: Readonly<Record<string, Peers>> = {
@@ -58,6 +66,9 @@
     lose: (fleet, peer) => fleet.killRouter(peer),
   },
   "with a peer that still reads": { size: 2, cut: 1 },
+  "that starts in its cut, beside one that freezes": {
+    ...{ size: 2, cut: 2, isRestarted: true },
+  },
 };
 
 describe("a router", () => {
@@ -85,6 +96,25 @@
     return { store, fleet };
   }
 
+  /** Starts the first router again; the others freeze once it has their copy. */
+  async function restartFirst(
+    fleet: Fleet,
+    left: ReplayedRouter[],
+    random: () => number,
+  ) {
+    fleet.killRouter(left[0]!);
+    fleet.restartRouter(left[0]!);
+    left[0] = fleet.routers[0]!;
+    left[0].access = "lost";
+    const { replica } = left[0];
+    while (replica.getPosition().revision === 0) {
+      await jest.advanceTimersByTimeAsync(copyPollMs);
+    }
+    expect(isUsed(left[0], "target-1")).toBe(true);
+    left.slice(1).forEach((peer) => freeze(fleet, peer));
+    await jest.advanceTimersByTimeAsync(random() * maxCutAfterCopyMs);
+  }
+
   function isUsed({ targets }: ReplayedRouter, id: string): boolean {
     return targets.getReady(replayedService).some((target) => target.id === id);
   }
@@ -96,7 +126,8 @@
       async (seed) => {
         const random = createSeededRandom(seed * 97 + name.length);
         const cutMs = () => removedAfterMs + 100 + random() * 4_000;
-        const { size, cut, isCompacted, lose, regain } = fleets[name] as Peers;
+        const { size, cut, isCompacted, lose, regain, isRestarted } =
+          fleets[name] as Peers;
         const { store, fleet } = await startFleet(size, seed);
         const routers = [...fleet.routers];
         const left = routers.slice(0, cut);
@@ -107,7 +138,9 @@
         store.remove("servers/target-1");
         if (isCompacted === true) store.compact();
         await jest.advanceTimersByTimeAsync(cutMs() - removedAfterMs);
-        left.forEach((router) => void (router.access = "serve"));
+        if (isRestarted === true) await restartFirst(fleet, left, random);
+        left.filter(({ isReached }) => isReached)
+          .forEach((router) => void (router.access = "serve"));
         routers.slice(cut).forEach((peer) => regain?.(fleet, peer));
         await jest.advanceTimersByTimeAsync(contactMs);
         const users = fleet.routers.filter((router) =>
