--- a/src/connection/directory_pull.ts
+++ b/src/connection/directory_pull.ts
@@ -21,6 +21,7 @@
 import type { CachedPart } from "../process/direct/placement/cached_parts.ts";
 import type { DirectoryCopy } from "../process/direct/directory/directory_replica.ts";
 import type { SocketAddress } from "../types/direct_settings.ts";
+import { tryGetPartTokens } from "../types/stated_numbers.ts";
 import type { StorePosition } from "../types/store_position.ts";
 import { limitResponses } from "./message_limits.ts";
 
@@ -161,10 +162,10 @@
         reply,
       ),
   );
-  const parts = heldParts.map(({ target, part, tokens }) => ({
-    target,
-    part: { id: part, tokens },
-  }));
+  const parts = heldParts.flatMap(({ target, part: id, tokens: stated }) => {
+    const tokens = tryGetPartTokens(stated);
+    return tokens === undefined ? [] : [{ target, part: { id, tokens } }];
+  });
   return { parts, isSettled };
 }
 
--- a/src/connection/pull_listener_test.ts
+++ b/src/connection/pull_listener_test.ts
@@ -23,6 +23,10 @@
   ];
   const keys = ["a", "b"];
   const part = { target: "t", part: { id: "p", tokens: 9 } };
+  const oddParts = [0, 16_777_216, 4_294_967_295].map((tokens) => ({
+    target: "t",
+    part: { id: `odd-${tokens}`, tokens },
+  }));
   let address: SocketAddress;
   let listener: PullListener;
   let errors: string[];
@@ -38,7 +42,7 @@
         keys: era === 2 && revision < 5 ? keys : undefined,
         lostEntries,
       }),
-      getCachedParts: () => ({ parts: [part], isSettled: true }),
+      getCachedParts: () => ({ parts: [...oddParts, part], isSettled: true }),
       onError: (error) => errors.push(error.message),
     }, address);
   });
@@ -64,6 +68,12 @@
       .toMatchObject({ isComplete: false, keys });
   });
 
+  // A peer of another build may not judge what its lists say.
+  it("leaves out parts with tokens that no part has", async () => {
+    const { parts } = await pullCachedParts(address);
+    expect(parts).toEqual([part]);
+  });
+
   it("serves concurrent pulls", async () => {
     const pulled = await Promise.all(
       [1, 2, 3].map(() => pullDirectory(address, originPosition)),
