Count only a refusal for room as a sign of an engine's memory

What callers saw: after one 421 of a target whose address another incarnation has, requests larger than the memory that the configuration names were rejected for a minute, although engines may hold more.

Cause: each stated refusal was recorded as one for room.

--- a/src/request/direct_run.ts
+++ b/src/request/direct_run.ts
@@ -160,7 +160,6 @@
         // A request that did not arrive put no load on the target, so its
         // retry is not charged to the budget.
         if (!result.arrived) return undefined;
-        host.engineMemory.recordRefusal(request);
         if (!host.crashes.canRetry(request)) return endHeld("quarantined");
         return retry.trySpend() ? undefined : endHeld("retry_budget");
       case "repeat":
--- a/src/request/direct_verdict.ts
+++ b/src/request/direct_verdict.ts
@@ -80,7 +80,7 @@
   offer: DirectOffer,
   result: Exclude<DirectResult, Answer>,
 ): Promise<AttemptEnd> {
-  const { host, history, queueWait } = context;
+  const { host, request, history, queueWait } = context;
   const { target: chosen } = offer.choice;
   switch (result.kind) {
     case "not_sent":
@@ -96,6 +96,7 @@
       return createNotRun(holdCodes[result.hold], result);
     case "refused":
       queueWait.recordRefused(chosen);
+      host.engineMemory.recordRefusal(request);
       return createNotRun("target_full", result);
     case "wrong_target":
       offer.recordOutcome("unreachable");
--- a/test/platform/odd_numbers_test.ts
+++ b/test/platform/odd_numbers_test.ts
@@ -194,6 +194,27 @@
       expect(statuses).toEqual([503, 503, 503, 503]);
     },
   );
+
+  // It counted as a refusal of the request's size for a minute.
+  it("offers a large request after another incarnation has refused it", async () => {
+    let refusals = 0;
+    target.setHandler((request, response) => {
+      setIdentityHeaders(request, response, target.id);
+      if (refusals++ === 0) {
+        response.statusCode = 421;
+        response.setHeader("X-Not-Run", "identity");
+      }
+      response.end("done");
+    });
+    await start("that is told");
+    const headers = { ...soundHeaders, "x-tokens": "200000,24" };
+    let status = 0;
+    await waitUntil(async () => {
+      ({ status } = await sendRequest(router, "/proofs/again", { headers }));
+      return status === 200;
+    });
+    expect(refusals).toBe(2);
+  });
 });
 
 function isLarge(headers: ReceivedRequest["headers"]): boolean {
