Name the time from a cut upload's end to its reset in the soak's traces

Two hypotheses fit: the reset left late (the soak's process was busy), or the router's wait was short.

Change: the trace of a cut upload says how long after its end the reset was sent. Nothing is judged otherwise.

--- a/test/soak/judge_context.ts
+++ b/test/soak/judge_context.ts
@@ -118,7 +118,11 @@
     const endedAt = completedAt ?? closedAt;
     const until = endedAt === undefined ? "" : ` ${end} ${formatTime(endedAt)}`;
     const brokeOff = arrival.brokeOff ? " broke off" : "";
+    const { resetAfterMs } = arrival;
+    const reset = resetAfterMs === undefined
+      ? ""
+      : ` reset ${resetAfterMs.toFixed(1)} ms after its end`;
     return `${kind} at ${life} ${formatTime(at)} status ${status}${until}` +
-      brokeOff;
+      brokeOff + reset;
   }).join("; ");
 }
--- a/test/soak/observations.ts
+++ b/test/soak/observations.ts
@@ -53,6 +53,8 @@
    * connection that name no request or another one.
    */
   brokeOff: boolean;
+  /** Time from the end of a cut response to its reset, in milliseconds. */
+  resetAfterMs?: number;
   /** True when another body than the caller's arrived. */
   hasOtherBody: boolean;
 }
--- a/test/soak/target_answers.ts
+++ b/test/soak/target_answers.ts
@@ -158,7 +158,8 @@
   const endedAt = performance.now();
   socket.end(lines.join("\r\n"), () => {
     setTimeout(() => {
-      if (performance.now() - endedAt > tellableResetMs) {
+      arrival.resetAfterMs = performance.now() - endedAt;
+      if (arrival.resetAfterMs > tellableResetMs) {
         Object.assign(arrival, { brokeOff: false, status: 200, body: part });
       }
       socket.resetAndDestroy();
