Leave connections on which calls got no response

Cause, from a log of the calls and connections: the HTTP library opens another connection as soon as a call is given up, also while the path is away. What was sent on such a connection stays without a response for good. Probes of the store were sent on them after the path was back, one after the other, 400 ms apart; the first response came 0.8 to 1.4 s late, where 0.8 s may pass. A running router has up to four such connections as well.

Change: once a call was given up before its response began, later calls open connections of their own; calls in flight go on. The same for the client of the other platform, which opens its connections in the same way.

--- a/src/connection/platform_client.ts
+++ b/src/connection/platform_client.ts
@@ -1,7 +1,6 @@
 /** Calls the platform's key-value service and VM list over HTTP. */
 
 import { type Either, EitherAsync, Left, Right } from "purify-ts";
-import type { Dispatcher } from "undici";
 import type {
   Entry,
   Platform,
@@ -15,6 +14,7 @@
 import { readBoundedText } from "./bounded_body.ts";
 import { createCallBudget } from "./call_budget.ts";
 import { createHttpPool } from "./http_pool.ts";
+import { createRenewedPool, type RenewedPool } from "./renewed_pool.ts";
 import {
   type CallKind,
   createPlatformError,
@@ -64,7 +64,7 @@
 
 interface Call {
   readonly kind: CallKind;
-  readonly pool: Dispatcher;
+  readonly pool: RenewedPool;
   readonly path: string;
   readonly body?: Readonly<Record<string, unknown>>;
   readonly timeoutMs: number;
@@ -272,10 +272,12 @@
   base: string,
   connections: number,
   options: { readonly isFresh?: boolean } = {},
-): Dispatcher {
-  return createHttpPool(new URL(base).origin, {
-    ...{ ...options, connections, connectTimeoutMs },
-  });
+): RenewedPool {
+  return createRenewedPool(() =>
+    createHttpPool(new URL(base).origin, {
+      ...{ ...options, connections, connectTimeoutMs },
+    })
+  );
 }
 
 function addQuery(
--- a/src/platform/store_client.ts
+++ b/src/platform/store_client.ts
@@ -5,6 +5,7 @@
 import { startCallTimeout } from "../connection/call_timeout.ts";
 import { createHttpPool } from "../connection/http_pool.ts";
 import { toConnectionError } from "../connection/platform_error.ts";
+import { createRenewedPool } from "../connection/renewed_pool.ts";
 import type {
   Changes,
   DirectoryError,
@@ -114,10 +115,12 @@
 /** Creates a client that connects on its first call. */
 export function createStoreClient(baseUrl: string): DirectoryStore {
   const poolOptions = { connections: 4, connectTimeoutMs };
-  const pool = createHttpPool(baseUrl, poolOptions);
+  const pool = createRenewedPool(() => createHttpPool(baseUrl, poolOptions));
   // The store names no call in its responses. On a kept connection a late copy
   // of one would be taken for the success of the next write.
-  const writePool = createHttpPool(baseUrl, { ...poolOptions, isFresh: true });
+  const writePool = createRenewedPool(() =>
+    createHttpPool(baseUrl, { ...poolOptions, isFresh: true })
+  );
   const eraReader = createEraReader();
   let handleRead: (read: StoreRead) => void = () => undefined;
 
