Play routers that start in their cut in the soak, over connections that are lost

Cause: the soak's cuts held requests back, but a connection that was open in one answered after it, and no router started in a lone cut. So it could not find that probes were sent over connections of the cut, nor that lost first listings were waited for.

Change: connections of the store's stand-in that are open in a cut stay silent for good. A third kind of lone cut: two routers are left and cut off, one starts in its cut, and the other freezes once it has given its copy.

--- a/test/platform/store_stand_in.ts
+++ b/test/platform/store_stand_in.ts
@@ -5,7 +5,11 @@
   type IncomingMessage,
   type ServerResponse,
 } from "node:http";
-import { type AddressInfo, createServer as createTcpServer } from "node:net";
+import {
+  type AddressInfo,
+  createServer as createTcpServer,
+  type Socket,
+} from "node:net";
 
 /** An entry as ranges and watches return it. */
 interface Item {
@@ -63,7 +67,10 @@
   setBodyRate(bytesPerMs: number): void;
   /** Listens at another loopback address; returns its host and port. */
   listen(host: string): Promise<string>;
-  /** Gives no responses to calls at one of the addresses, or does again. */
+  /**
+   * Gives no responses to calls at one of the addresses, or does again. Connections
+   * that were open meanwhile stay without a response for good.
+   */
   setCutOff(host: string, isCutOff: boolean): void;
   /** Returns the paths of all calls since the start. */
   getCalls(): readonly string[];
@@ -93,10 +100,17 @@
     readonly host: string | undefined;
   }[] = [];
   const cutOff = new Set<string | undefined>();
+  const links = new Set<Socket>();
+  const lostLinks = new WeakSet<Socket>();
   const closeListeners: (() => void)[] = [];
   const server = createServer((request, response) => {
     void handleRequest(request, response);
   });
+  server.on("connection", (socket: Socket) => {
+    links.add(socket);
+    socket.on("close", () => links.delete(socket));
+    if (cutOff.has(socket.localAddress)) lostLinks.add(socket);
+  });
   await new Promise<void>((resolve) => {
     server.listen(0, "127.0.0.1", resolve);
   });
@@ -177,6 +191,9 @@
   function setCutOff(host: string, isCutOff: boolean): void {
     if (isCutOff) cutOff.add(host);
     else cutOff.delete(host);
+    for (const link of links) {
+      if (isCutOff && link.localAddress === host) lostLinks.add(link);
+    }
     // A watch that is cut off hears of no change, and of no end either.
     watches = watches.filter((watch) => !cutOff.has(watch.host));
   }
@@ -199,7 +216,7 @@
     calls.push(url.pathname);
     const eraText = eraHeader === true ? String(era) : eraHeader;
     if (eraText !== undefined) response.setHeader("Store-Era", eraText);
-    if (mode === "hang" || cutOff.has(request.socket.localAddress)) return;
+    if (mode === "hang" || lostLinks.has(request.socket)) return;
     if (mode === "reset") return void request.socket.resetAndDestroy();
     if (mode === "refuse") return sendResponse(response, 503, {});
     switch (url.pathname) {
@@ -255,7 +272,7 @@
 
     function finish(events: readonly StoreEvent[]): void {
       clearTimeout(timer);
-      if (cutOff.has(host)) return;
+      if (lostLinks.has(socket)) return;
       watches = watches.filter((other) => other !== watch);
       sendSlowly(response, { events, AsOf: revision }, bodyBytesPerMs);
     }
--- a/test/soak/fault_actions.ts
+++ b/test/soak/fault_actions.ts
@@ -51,8 +51,11 @@
 /** Times of a cut of a router that is left alone, in milliseconds. */
 const loneCutMs = { least: 2_600, range: 1_800, beforeLeave: 900 } as const;
 
-/** Parts of the variation in which peers are frozen and killed by turns. */
-const frozenTurns = 10;
+/** Parts of the variation in which the kinds of such cuts take turns. */
+const loneCutTurns = 12;
+
+/** Times before the end of a cut at which a router starts in it, and its peer freezes. */
+const startInCutMs = { start: 1_600, freeze: 200 } as const;
 
 /** Orders in which a process gets signals; a variation chooses one. */
 const signalOrders = [
@@ -217,15 +220,15 @@
     ]);
   },
   removed_in_lone_cut: async (host, fault) => {
-    const { kept, others } = keepOne(host, fault);
     const { lengthMs, share } = fault;
-    const isFrozen = Math.floor(share * frozenTurns) % 2 === 0;
-    const losses = others.map((router) =>
-      isFrozen ? router.freeze(lengthMs) : router.kill(lengthMs)
-    );
-    const cut = kept?.cutOff(loneCutMs.least + loneCutMs.range * share);
+    const cutMs = loneCutMs.least + loneCutMs.range * share;
+    const names = Object.keys(loneCuts) as (keyof typeof loneCuts)[];
+    const name = names[Math.floor(share * loneCutTurns) % names.length];
+    const cut = loneCuts[name ?? "frozen"]({
+      ...{ ...keepOne(host, fault), lengthMs, cutMs },
+    });
     await sleep(loneCutMs.beforeLeave);
-    await Promise.all([cut, ...losses, actions.target_removed(host, fault)]);
+    await Promise.all([cut, actions.target_removed(host, fault)]);
   },
   uploads_cut: (host, fault) =>
     forTargets(host, fault, (target) =>
@@ -235,6 +238,38 @@
       }, fault.lengthMs)),
 };
 
+/** A router that is cut off from the store, and what becomes of the others. */
+interface LoneCut {
+  readonly kept: RouterProcess | undefined;
+  readonly others: readonly RouterProcess[];
+  readonly lengthMs: number;
+  readonly cutMs: number;
+}
+
+/** Kinds of cuts of the one router that is left. */
+const loneCuts = {
+  frozen: ({ kept, others, lengthMs, cutMs }) =>
+    Promise.all([
+      kept?.cutOff(cutMs),
+      ...others.map((router) => router.freeze(lengthMs)),
+    ]),
+  killed: ({ kept, others, lengthMs, cutMs }) =>
+    Promise.all([
+      kept?.cutOff(cutMs),
+      ...others.map((router) => router.kill(lengthMs)),
+    ]),
+  /** It starts in its cut, with the copy of a peer that then freezes. */
+  started: ({ kept, others: [peer, ...lost], lengthMs, cutMs }) =>
+    Promise.all([
+      kept?.cutOff(cutMs),
+      peer?.cutOff(cutMs),
+      ...lost.map((router) => router.kill(lengthMs)),
+      sleep(cutMs - startInCutMs.start).then(() => kept?.kill(0)),
+      sleep(cutMs - startInCutMs.freeze)
+        .then(() => peer?.freeze(lengthMs - cutMs)),
+    ]),
+} as const satisfies Record<string, (cut: LoneCut) => Promise<unknown>>;
+
 /** Chooses the router that is not lost. */
 function keepOne(
   { routers }: FaultHost,
