--- a/src/connection/renewed_pool_test.ts
+++ b/src/connection/renewed_pool_test.ts
@@ -13,6 +13,7 @@
 /** A connection; a lost one stays silent when the path is back. */
 interface Link {
   isLost: boolean;
+  isOpen: boolean;
 }
 
 describe("a renewed pool", () => {
@@ -24,8 +25,9 @@
   beforeEach(async () => {
     [isCut, links] = [false, []];
     server = createServer((socket) => {
-      const link = { isLost: isCut };
+      const link = { isLost: isCut, isOpen: true };
       links.push(link);
+      socket.on("close", () => void (link.isOpen = false));
       socket.on("error", () => undefined);
       socket.on("data", () => {
         if (link.isLost) return;
@@ -84,6 +86,13 @@
     await expect(call()).resolves.toBe("ok");
   });
 
+  it("closes the connections that it leaves", async () => {
+    await Promise.all([call(), call(), call()]);
+    await callInCut(2);
+    await call();
+    expect(links.filter(({ isOpen }) => isOpen).length).toBe(1);
+  });
+
   it("lets a call go on that began before another was given up", async () => {
     cut();
     const silent = call();
